--- /dev/null
+++ b/crates/cherrystand_core/src/config/settings_error.rs
@@ -0,0 +1,107 @@
+//! Faults in settings.
+
+use std::fmt;
+
+use serde::de::DeserializeOwned;
+
+/// Says what kind of fault a setting has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SettingsErrorKind {
+    /// The text is not TOML, a key is unknown or missing, or a value has the wrong type.
+    Malformed,
+    /// The value has the right type but cannot be.
+    ImpossibleValue,
+    /// Two settings exclude one another.
+    Clash,
+}
+
+/// Tells which setting is at fault, where it stands and what is allowed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct SettingsError {
+    kind: SettingsErrorKind,
+    key: String,
+    line: Option<usize>,
+    message: String,
+}
+
+impl SettingsError {
+    /// Creates an error about the value of `key`, saying what is `allowed`.
+    pub fn new(
+        kind: SettingsErrorKind,
+        key: &str,
+        value: impl fmt::Display,
+        allowed: &str,
+    ) -> Self {
+        Self {
+            kind,
+            key: key.to_owned(),
+            line: None,
+            message: format!("`{value}` cannot be; allowed is {allowed}"),
+        }
+    }
+
+    /// Returns the kind of fault.
+    pub fn kind(&self) -> SettingsErrorKind {
+        self.kind
+    }
+
+    /// Returns the key at fault; empty where the text is not TOML at all.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
+    /// Returns the line at fault, counted from 1, where it is known.
+    pub fn line(&self) -> Option<usize> {
+        self.line
+    }
+
+    /// Finds the line on which the key stands with the value at fault.
+    #[must_use]
+    pub fn locate(mut self, text: &str) -> Self {
+        let value = self.message.split('`').nth(1).unwrap_or_default();
+        let mentions = |line: &&str| line.trim_start().starts_with(&self.key);
+        let exact = text
+            .lines()
+            .position(|line| mentions(&line) && line.contains(value));
+        let any = || text.lines().position(|line| mentions(&line));
+        self.line = exact.or_else(any).map(|index| index + 1);
+        self
+    }
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        if !self.key.is_empty() {
+            write!(f, "key `{}`: ", self.key)?;
+        }
+        f.write_str(&self.message)
+    }
+}
+
+/// Reads settings from TOML.
+///
+/// # Errors
+///
+/// Returns a [`SettingsError`] with the key and line of the fault.
+pub fn settings_from_toml<T: DeserializeOwned>(text: &str) -> Result<T, SettingsError> {
+    toml::from_str(text).map_err(|err| from_toml_error(&err, text))
+}
+
+fn from_toml_error(err: &toml::de::Error, text: &str) -> SettingsError {
+    let start = err.span().map(|span| span.start);
+    let line = start.map(|at| text[..at].matches('\n').count() + 1);
+    let key = line
+        .and_then(|line| text.lines().nth(line - 1))
+        .and_then(|line| line.split_once('='))
+        .map(|(key, _)| key.trim().to_owned())
+        .unwrap_or_default();
+    SettingsError {
+        kind: SettingsErrorKind::Malformed,
+        key,
+        line,
+        message: err.message().to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/control/plan.rs
@@ -0,0 +1,434 @@
+//! Plans: what a change of configuration would do.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    BoxId, DomainId, Fleet, Generation, GroupId, ModelGroup, PlacementError, Placer, PlanId,
+    ReplicaId, Slot, WorkspaceConfig, WorkspaceRecord,
+};
+
+/// States what confirming would change, before anything does.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// The plan's name.
+    pub id: PlanId,
+    /// The generation that the plan was made from.
+    pub base: Generation,
+    /// The configuration that it would put in force.
+    pub config: WorkspaceConfig,
+    /// Where each replica would be formed.
+    pub slots: Vec<Slot>,
+    /// What would change, in the order in which operators read it.
+    pub changes: Vec<Change>,
+    /// What the change costs each model group.
+    pub costs: Vec<CapacityCost>,
+}
+
+/// Describes one change that a plan would make.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "change")]
+pub enum Change {
+    /// A replica would be formed.
+    Form {
+        /// The replica.
+        replica: ReplicaId,
+        /// Its domain.
+        domain: DomainId,
+        /// Its boxes in rank order.
+        boxes: Vec<BoxId>,
+    },
+    /// A replica would be drained and its boxes freed.
+    Remove {
+        /// The replica.
+        replica: ReplicaId,
+        /// The boxes freed.
+        boxes: Vec<BoxId>,
+    },
+    /// A replica would be drained, loaded anew and put back.
+    Reload {
+        /// The replica.
+        replica: ReplicaId,
+        /// The boxes that load.
+        boxes: Vec<BoxId>,
+        /// Model and version now.
+        from: String,
+        /// Model and version afterwards.
+        to: String,
+    },
+    /// The endpoints or rules of a plain service would change.
+    Service {
+        /// The group.
+        group: GroupId,
+        /// What happens to it: `added`, `changed` or `removed`.
+        what: ServiceChange,
+    },
+    /// Settings of a model group that need no reload would change.
+    Policy {
+        /// The group.
+        group: GroupId,
+    },
+}
+
+/// Says what happens to a service group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServiceChange {
+    /// It is new.
+    Added,
+    /// Its settings change.
+    Changed,
+    /// It goes away.
+    Removed,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Change::Form {
+                replica,
+                domain,
+                boxes,
+            } => {
+                write!(f, "form {replica} in {domain} on {}", join(boxes))
+            }
+            Change::Remove { replica, boxes } => {
+                write!(f, "drain and remove {replica}, freeing {}", join(boxes))
+            }
+            Change::Reload {
+                replica,
+                boxes,
+                from,
+                to,
+            } => {
+                write!(
+                    f,
+                    "drain and reload {replica} from {from} to {to} on {}",
+                    join(boxes)
+                )
+            }
+            Change::Service { group, what } => {
+                let what = match what {
+                    ServiceChange::Added => "add",
+                    ServiceChange::Changed => "change",
+                    ServiceChange::Removed => "remove",
+                };
+                write!(f, "{what} service {group}")
+            }
+            Change::Policy { group } => write!(f, "change the policy of {group} in place"),
+        }
+    }
+}
+
+fn join(boxes: &[BoxId]) -> String {
+    let names: Vec<&str> = boxes.iter().map(BoxId::as_str).collect();
+    names.join(" ")
+}
+
+/// Says how many replicas of a group serve before, during and after a change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CapacityCost {
+    /// The group.
+    pub group: GroupId,
+    /// Replicas before.
+    pub before: u32,
+    /// The fewest that the change itself leaves serving on the way.
+    pub least: u32,
+    /// Replicas afterwards.
+    pub after: u32,
+}
+
+/// Tells why no plan could be made.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PlanError {
+    /// A replica fits no allowed domain.
+    #[error(transparent)]
+    Placement(#[from] PlacementError),
+    /// A reload needs a replica out of service and the floor allows none.
+    #[error(
+        "group `{group}` must reload its replicas, but its floor {floor} of {replicas} lets none \
+         go out of service; lower `floor` or add a replica first"
+    )]
+    FloorLeavesNoRoom {
+        /// The group's name.
+        group: String,
+        /// The floor.
+        floor: u32,
+        /// The replicas.
+        replicas: u32,
+    },
+    /// The configuration is the one in force.
+    #[error("nothing would change: generation {0} says the same")]
+    NothingChanges(Generation),
+}
+
+/// Says what boxes are held now, as the domains' records have it.
+pub type HeldBoxes = BTreeMap<ReplicaId, Vec<BoxId>>;
+
+/// Works out what putting `config` in force would change.
+///
+/// # Errors
+///
+/// Returns a [`PlanError`] when a replica fits nowhere, when a floor forbids the reload, or when
+/// nothing would change.
+pub fn make_plan(
+    id: PlanId,
+    record: &WorkspaceRecord,
+    config: WorkspaceConfig,
+    fleet: &Fleet,
+    held: &HeldBoxes,
+) -> Result<Plan, PlanError> {
+    if record.config == config {
+        return Err(PlanError::NothingChanges(record.generation));
+    }
+    let slots = assign_slots(record, &config, fleet, held)?;
+    let changes = list_changes(record, &config, &slots, held);
+    check_floors(&config, &changes)?;
+    let costs = capacity_costs(record, &config, &changes);
+    Ok(Plan {
+        id,
+        base: record.generation,
+        config,
+        slots,
+        changes,
+        costs,
+    })
+}
+
+fn assign_slots(
+    record: &WorkspaceRecord,
+    config: &WorkspaceConfig,
+    fleet: &Fleet,
+    held: &HeldBoxes,
+) -> Result<Vec<Slot>, PlanError> {
+    let taken: BTreeSet<BoxId> = held.values().flatten().cloned().collect();
+    let mut placer = Placer::new(fleet, &taken);
+    let mut slots = Vec::new();
+    for group in &config.models {
+        let kept = kept_slots(record, config, group);
+        placer.start_group(kept.values().map(|slot| &slot.domain));
+        for number in 0..group.replicas {
+            let replica = ReplicaId::new(config.group_id(&group.name), number);
+            let slot = match kept.get(&replica) {
+                Some(slot) => (*slot).clone(),
+                None => new_slot(&mut placer, group, replica)?,
+            };
+            slots.push(slot);
+        }
+    }
+    Ok(slots)
+}
+
+fn new_slot(
+    placer: &mut Placer<'_>,
+    group: &ModelGroup,
+    replica: ReplicaId,
+) -> Result<Slot, PlacementError> {
+    let place = placer.place(group)?;
+    Ok(Slot {
+        replica,
+        domain: place.domain,
+        planned: place.boxes,
+    })
+}
+
+/// Returns the slots of `group` that the new configuration leaves where they are.
+fn kept_slots<'a>(
+    record: &'a WorkspaceRecord,
+    config: &WorkspaceConfig,
+    group: &ModelGroup,
+) -> BTreeMap<ReplicaId, &'a Slot> {
+    let id = config.group_id(&group.name);
+    let before = record.config.model(&group.name);
+    let same_span = before.is_some_and(|old| old.boxes_per_replica == group.boxes_per_replica);
+    let kept = record.slots.iter().filter(|slot| {
+        same_span
+            && slot.replica.group == id
+            && slot.replica.slot < group.replicas
+            && group.allows(&slot.domain)
+    });
+    kept.map(|slot| (slot.replica.clone(), slot)).collect()
+}
+
+fn list_changes(
+    record: &WorkspaceRecord,
+    config: &WorkspaceConfig,
+    slots: &[Slot],
+    held: &HeldBoxes,
+) -> Vec<Change> {
+    let mut changes = removals(record, slots, held);
+    for slot in slots {
+        changes.extend(replica_change(record, config, slot, held));
+    }
+    changes.extend(policy_changes(record, config, &changes));
+    changes.extend(service_changes(record, config));
+    changes
+}
+
+fn removals(record: &WorkspaceRecord, slots: &[Slot], held: &HeldBoxes) -> Vec<Change> {
+    let stays = |old: &&Slot| {
+        slots
+            .iter()
+            .any(|new| new.replica == old.replica && new.domain == old.domain)
+    };
+    let gone = record.slots.iter().filter(|old| !stays(old));
+    let removal = |slot: &Slot| Change::Remove {
+        replica: slot.replica.clone(),
+        boxes: boxes_of(slot, held),
+    };
+    gone.map(removal).collect()
+}
+
+fn boxes_of(slot: &Slot, held: &HeldBoxes) -> Vec<BoxId> {
+    held.get(&slot.replica).unwrap_or(&slot.planned).clone()
+}
+
+fn replica_change(
+    record: &WorkspaceRecord,
+    config: &WorkspaceConfig,
+    slot: &Slot,
+    held: &HeldBoxes,
+) -> Option<Change> {
+    let replica = slot.replica.clone();
+    let old_slot = record.slots.iter().find(|old| *old == slot);
+    let new_group = config.model(&replica.group.name)?;
+    let Some(old_slot) = old_slot else {
+        return Some(Change::Form {
+            replica,
+            domain: slot.domain.clone(),
+            boxes: slot.planned.clone(),
+        });
+    };
+    let old_group = record.config.model(&replica.group.name)?;
+    if old_group.load_spec() == new_group.load_spec() {
+        return None;
+    }
+    Some(Change::Reload {
+        replica,
+        boxes: boxes_of(old_slot, held),
+        from: describe_load(old_group),
+        to: describe_load(new_group),
+    })
+}
+
+fn describe_load(group: &ModelGroup) -> String {
+    let mut text = format!("{}@{}", group.model, group.version);
+    for adapter in &group.adapters {
+        text.push('+');
+        text.push_str(adapter);
+    }
+    text.push(' ');
+    text.push_str(&group.role);
+    text
+}
+
+fn policy_changes(
+    record: &WorkspaceRecord,
+    config: &WorkspaceConfig,
+    changes: &[Change],
+) -> Vec<Change> {
+    let touched = |id: &GroupId| {
+        changes.iter().any(|change| match change {
+            Change::Form { replica, .. }
+            | Change::Remove { replica, .. }
+            | Change::Reload { replica, .. } => &replica.group == id,
+            Change::Service { .. } | Change::Policy { .. } => false,
+        })
+    };
+    let differs = |group: &&ModelGroup| record.config.model(&group.name) != Some(group);
+    let ids = config
+        .models
+        .iter()
+        .filter(differs)
+        .map(|group| config.group_id(&group.name));
+    ids.filter(|id| !touched(id))
+        .map(|group| Change::Policy { group })
+        .collect()
+}
+
+fn service_changes(record: &WorkspaceRecord, config: &WorkspaceConfig) -> Vec<Change> {
+    let mut changes = Vec::new();
+    let find = |config: &WorkspaceConfig, name: &str| {
+        config
+            .services
+            .iter()
+            .find(|group| group.name == name)
+            .cloned()
+    };
+    for group in &config.services {
+        let what = match find(&record.config, &group.name) {
+            None => ServiceChange::Added,
+            Some(old) if &old != group => ServiceChange::Changed,
+            Some(_) => continue,
+        };
+        let group = config.group_id(&group.name);
+        changes.push(Change::Service { group, what });
+    }
+    for old in &record.config.services {
+        if find(config, &old.name).is_none() {
+            let group = config.group_id(&old.name);
+            changes.push(Change::Service {
+                group,
+                what: ServiceChange::Removed,
+            });
+        }
+    }
+    changes
+}
+
+fn check_floors(config: &WorkspaceConfig, changes: &[Change]) -> Result<(), PlanError> {
+    for group in &config.models {
+        let id = config.group_id(&group.name);
+        let reloads = changes
+            .iter()
+            .any(|change| matches!(change, Change::Reload { replica, .. } if replica.group == id));
+        if reloads && group.capacity_floor() >= group.replicas {
+            return Err(PlanError::FloorLeavesNoRoom {
+                group: group.name.clone(),
+                floor: group.capacity_floor(),
+                replicas: group.replicas,
+            });
+        }
+    }
+    Ok(())
+}
+
+fn capacity_costs(
+    record: &WorkspaceRecord,
+    config: &WorkspaceConfig,
+    changes: &[Change],
+) -> Vec<CapacityCost> {
+    let mut costs = Vec::new();
+    let mut names: BTreeSet<&str> = config
+        .models
+        .iter()
+        .map(|group| group.name.as_str())
+        .collect();
+    names.extend(record.config.models.iter().map(|group| group.name.as_str()));
+    for name in names {
+        let group = config.group_id(name);
+        let before = record.config.model(name).map_or(0, |group| group.replicas);
+        let after = config.model(name).map_or(0, |group| group.replicas);
+        let reloads = changes.iter().any(
+            |change| matches!(change, Change::Reload { replica, .. } if replica.group == group),
+        );
+        let removed = changes
+            .iter()
+            .filter(
+                |change| matches!(change, Change::Remove { replica, .. } if replica.group == group),
+            )
+            .count() as u32;
+        let least = before
+            .saturating_sub(removed)
+            .saturating_sub(u32::from(reloads));
+        costs.push(CapacityCost {
+            group,
+            before,
+            least,
+            after,
+        });
+    }
+    costs
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/control/repair.rs
@@ -0,0 +1,158 @@
+//! The choice between waiting for a lost box, swapping it and forming the replica anew.
+
+use serde::{Deserialize, Serialize};
+
+/// Describes a broken replica and what could mend it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepairCase {
+    /// How many boxes the replica spans.
+    pub span: u32,
+    /// How many of them are missing.
+    pub missing: u32,
+    /// For how many seconds they have been missing.
+    pub missing_secs: f64,
+    /// How many free boxes the domain has.
+    pub free: u32,
+    /// Seconds until the weight store would start a load.
+    pub queue_secs: f64,
+    /// Seconds that loading one box's weights takes.
+    pub load_secs: f64,
+    /// Seconds that a box with its weights in memory takes to join anew.
+    pub rejoin_secs: f64,
+    /// The price of a second in which the replica cannot serve.
+    pub downtime_weight: f64,
+    /// The price of a second in which a healthy box stands idle.
+    pub stranded_weight: f64,
+}
+
+/// Estimates how missing boxes return.
+///
+/// A lost box either restarts, after a time that is exponentially distributed, or never returns.
+/// The longer it has been away the likelier it is the latter.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReturnModel {
+    /// The share of losses that are restarts.
+    pub restart_share: f64,
+    /// The mean time that a restart takes, in seconds.
+    pub mean_restart_secs: f64,
+}
+
+impl Default for ReturnModel {
+    /// Returns the prior: 1,900 restarts to 79 failures a day, a restart taking 45 s.
+    ///
+    /// Source: docs/CAPACITY.md, "The ordinary day".
+    fn default() -> Self {
+        Self {
+            restart_share: 1_900.0 / (1_900.0 + 79.0),
+            mean_restart_secs: 45.0,
+        }
+    }
+}
+
+impl ReturnModel {
+    /// Returns the probability that a box missing for `secs` is restarting.
+    pub fn restarting(&self, secs: f64) -> f64 {
+        let alive = self.restart_share * (-secs / self.mean_restart_secs).exp();
+        alive / (alive + (1.0 - self.restart_share)).max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Holds the expected price of each repair; infinite where it cannot be done.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Prices {
+    /// Waiting for the boxes, and repairing after all once they have been away for long.
+    pub wait: Option<f64>,
+    /// Swapping spares in now.
+    pub swap: Option<f64>,
+    /// Forming the replica anew on free boxes now.
+    pub reform: Option<f64>,
+}
+
+/// Names the repair chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repair {
+    /// Wait for the missing boxes.
+    Wait,
+    /// Put spares in the place of missing boxes.
+    Swap,
+    /// Form the replica anew on other boxes and free the healthy ones.
+    Reform,
+}
+
+/// The longest further wait that is weighed, in mean restart times.
+const LONGEST_WAIT: f64 = 6.0;
+
+/// How many waits are weighed.
+const WAIT_STEPS: u32 = 24;
+
+/// Chooses the cheapest repair and says what each would cost.
+///
+/// Source: docs/design/0004-repair.md.
+pub fn choose_repair(case: &RepairCase, model: &ReturnModel) -> (Repair, Prices) {
+    let swap = swap_price(case);
+    let reform = reform_price(case);
+    let act = least(swap, reform);
+    let wait = wait_price(case, model, act);
+    let prices = Prices { wait, swap, reform };
+    let repair = match (act, wait) {
+        (None, _) => Repair::Wait,
+        (Some(act), Some(wait)) if wait < act => Repair::Wait,
+        (Some(_), _) if swap.is_some_and(|swap| reform.is_none_or(|reform| swap <= reform)) => {
+            Repair::Swap
+        }
+        (Some(_), _) => Repair::Reform,
+    };
+    (repair, prices)
+}
+
+fn least(a: Option<f64>, b: Option<f64>) -> Option<f64> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+/// Prices one second in which the replica is down and `idle` healthy boxes are held for it.
+fn second_price(case: &RepairCase, idle: u32) -> f64 {
+    case.downtime_weight + case.stranded_weight * f64::from(idle)
+}
+
+fn swap_price(case: &RepairCase) -> Option<f64> {
+    if case.free < case.missing {
+        return None;
+    }
+    let load = case.load_secs * f64::from(case.missing);
+    let secs = case.queue_secs + load.max(case.rejoin_secs);
+    Some(secs * second_price(case, case.span))
+}
+
+fn reform_price(case: &RepairCase) -> Option<f64> {
+    if case.free < case.span {
+        return None;
+    }
+    let secs = case.queue_secs + case.load_secs * f64::from(case.span);
+    Some(secs * second_price(case, case.span))
+}
+
+/// Prices waiting up to the best moment to give up, and acting for `act` then.
+///
+/// Returns nothing where acting is possible and the best moment is now.
+fn wait_price(case: &RepairCase, model: &ReturnModel, act: Option<f64>) -> Option<f64> {
+    let mean = model.mean_restart_secs;
+    let restarting = model
+        .restarting(case.missing_secs)
+        .powi(case.missing as i32);
+    let idle = case.span - case.missing;
+    let second = second_price(case, idle);
+    let joined = (case.queue_secs + case.load_secs * f64::from(case.missing))
+        * second_price(case, case.span);
+    let price_until = |secs: f64| {
+        let back = restarting * (1.0 - (-secs / mean).exp());
+        let waited = restarting * mean * (1.0 - (-secs / mean).exp()) + (1.0 - restarting) * secs;
+        let after = act.unwrap_or(second * mean);
+        waited * second + back * joined + (1.0 - back) * after
+    };
+    let waits =
+        (1..=WAIT_STEPS).map(|step| f64::from(step) * LONGEST_WAIT * mean / f64::from(WAIT_STEPS));
+    waits.map(price_until).min_by(f64::total_cmp)
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/lib.rs
@@ -0,0 +1,110 @@
+//! Pure serving decisions.
+//!
+//! Nothing in this crate does I/O, reads a clock or draws random numbers: time, events and seeds
+//! come in, and records to write, orders to send and choices come out. A failure can therefore be
+//! replayed from its inputs, and any driver can be put underneath.
+//!
+//! - `config`: what operators state.
+//! - `control`: plans, placement, the life of replicas, repair and rollout.
+//! - `requests`: admission, routing, retries, outcomes and claims.
+//! - `nodes`: membership, records passed on between daemons, evidence and its age.
+
+mod counters;
+mod millis;
+mod names;
+
+mod config {
+    pub(crate) mod class;
+    pub(crate) mod model_group;
+    pub(crate) mod service_group;
+    pub(crate) mod settings_error;
+    pub(crate) mod workspace_config;
+}
+
+mod control {
+    pub(crate) mod controller;
+    pub(crate) mod domain_record;
+    pub(crate) mod explanation;
+    pub(crate) mod fleet;
+    pub(crate) mod observation;
+    pub(crate) mod order;
+    pub(crate) mod placement;
+    pub(crate) mod plan;
+    pub(crate) mod repair;
+    pub(crate) mod rollout;
+    pub(crate) mod workspace_record;
+}
+
+mod requests {
+    pub(crate) mod admission;
+    pub(crate) mod breaker;
+    pub(crate) mod claim;
+    pub(crate) mod limit;
+    pub(crate) mod outcome;
+    pub(crate) mod refusal;
+    pub(crate) mod retry;
+    pub(crate) mod router;
+    pub(crate) mod seed;
+    pub(crate) mod wait_queue;
+}
+
+mod nodes {
+    pub(crate) mod documents;
+    pub(crate) mod duty_share;
+    pub(crate) mod freshness;
+    pub(crate) mod membership;
+    pub(crate) mod replica_evidence;
+}
+
+pub use config::class::Class;
+pub use config::model_group::{LoadSpec, ModelGroup};
+pub use config::service_group::{ServiceEndpoint, ServiceGroup};
+pub use config::settings_error::{SettingsError, SettingsErrorKind, settings_from_toml};
+pub use config::workspace_config::{MAX_BOXES_PER_REPLICA, WorkspaceConfig};
+pub use control::controller::{
+    Controller, DRAIN_GRACE, Desired, HOLD_BACK_SHARE, RepairPolicy, RepairRule, Situation, Step,
+};
+pub use control::domain_record::{Assignment, DomainRecord, MAX_EXPLANATIONS, Phase, RecordFault};
+pub use control::explanation::{Evidence, Explanation};
+pub use control::fleet::{BoxInfo, Fleet};
+pub use control::observation::{
+    EngineReport, EngineState, MISSING_AFTER, MemberSummary, Observation, Observations,
+    fresh_report,
+};
+pub use control::order::{Order, Task};
+pub use control::placement::{Place, PlacementError, Placer};
+pub use control::plan::{
+    CapacityCost, Change, HeldBoxes, Plan, PlanError, ServiceChange, make_plan,
+};
+pub use control::repair::{Prices, Repair, RepairCase, ReturnModel, choose_repair};
+pub use control::rollout::{desired_in_domain, may_reload};
+pub use control::workspace_record::{
+    Accepted, ConfirmError, MAX_HISTORY, MAX_PENDING_PLANS, Slot, WorkspaceRecord,
+};
+pub use counters::{Epoch, Generation, Incarnation, RecentWrites, Revision, WriteId};
+pub use millis::Millis;
+pub use names::{
+    BoxId, DomainId, GroupId, NameError, NodeId, PlanId, ReplicaId, WorkspaceId, ZoneId,
+};
+pub use nodes::documents::{Document, Documents, Version};
+pub use nodes::duty_share::{owner_of, ranked};
+pub use nodes::freshness::{FRESH_FOR, Freshness, ServeBy};
+pub use nodes::membership::{
+    DEAD_AFTER, FORGET_AFTER, Heartbeat, Membership, PAUSE_GAP, SUSPECT_AFTER, Standing,
+};
+pub use nodes::replica_evidence::{EVIDENCE_LIFE, EvidenceTable, ReplicaEvidence};
+pub use requests::admission::{Admission, Room};
+pub use requests::breaker::{Breaker, FIRST_PAUSE, LONGEST_PAUSE};
+pub use requests::claim::{
+    CLAIM_LIFE_SECS, CLAIM_SHARDS, CLAIM_USE_WITHIN, CallKey, Claim, ClaimAnswer, ClaimRecord,
+    ClaimRequest, MAX_CLAIMS,
+};
+pub use requests::limit::Limit;
+pub use requests::outcome::{AttemptEnd, Outcome};
+pub use requests::refusal::{Refusal, RefusalReason};
+pub use requests::retry::{
+    BUDGET_PER_MILLE, FailedAttempt, MAX_ATTEMPTS, NoRetry, RetryBudget, decide_retry,
+};
+pub use requests::router::{EndpointKey, EndpointSpec, GroupKey, NoEndpoint, Router};
+pub use requests::seed::{Seed, hash_bytes, mix};
+pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
--- /dev/null
+++ b/crates/cherrystand_core/src/names.rs
@@ -0,0 +1,162 @@
+//! Names of the things that the system handles.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(String);
+
+        impl $name {
+            /// Creates the name from text.
+            pub fn new(name: impl Into<String>) -> Self {
+                Self(name.into())
+            }
+
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Names one box that a model engine runs on.
+    BoxId
+);
+name_type!(
+    /// Names an availability zone.
+    ZoneId
+);
+name_type!(
+    /// Names a fabric domain: the boxes that one replica may span.
+    DomainId
+);
+name_type!(
+    /// Names a workspace, the unit that operators configure.
+    WorkspaceId
+);
+name_type!(
+    /// Names one daemon.
+    NodeId
+);
+name_type!(
+    /// Names a plan that awaits confirmation.
+    PlanId
+);
+
+/// Names a serving group within its workspace.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct GroupId {
+    /// The workspace that states the group.
+    pub workspace: WorkspaceId,
+    /// The group's name, unique within the workspace.
+    pub name: String,
+}
+
+impl GroupId {
+    /// Creates the id of `name` in `workspace`.
+    pub fn new(workspace: WorkspaceId, name: impl Into<String>) -> Self {
+        let name = name.into();
+        Self { workspace, name }
+    }
+}
+
+impl fmt::Display for GroupId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.workspace, self.name)
+    }
+}
+
+/// Names one replica slot of a group, counted from 0.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct ReplicaId {
+    /// The group that the replica serves.
+    pub group: GroupId,
+    /// The slot within the group.
+    pub slot: u32,
+}
+
+impl ReplicaId {
+    /// Creates the id of slot `slot` of `group`.
+    pub fn new(group: GroupId, slot: u32) -> Self {
+        Self { group, slot }
+    }
+}
+
+impl fmt::Display for ReplicaId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.group, self.slot)
+    }
+}
+
+/// Tells that a text is not the name it should be.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("`{text}` is not a {expected}; write it as {form}")]
+pub struct NameError {
+    /// The text that was read.
+    pub text: String,
+    /// What it should name.
+    pub expected: &'static str,
+    /// The form such a name has.
+    pub form: &'static str,
+}
+
+impl TryFrom<String> for GroupId {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, NameError> {
+        match text.split_once('/') {
+            Some((workspace, name)) if !workspace.is_empty() && !name.is_empty() => {
+                Ok(Self::new(WorkspaceId::new(workspace), name))
+            }
+            _ => Err(NameError {
+                text,
+                expected: "group",
+                form: "WORKSPACE/GROUP",
+            }),
+        }
+    }
+}
+
+impl TryFrom<String> for ReplicaId {
+    type Error = NameError;
+
+    fn try_from(text: String) -> Result<Self, NameError> {
+        let parsed = text.rsplit_once('/').and_then(|(group, slot)| {
+            let group = GroupId::try_from(group.to_owned()).ok()?;
+            let slot = slot.parse().ok()?;
+            Some(Self::new(group, slot))
+        });
+        parsed.ok_or(NameError {
+            text,
+            expected: "replica",
+            form: "WORKSPACE/GROUP/SLOT",
+        })
+    }
+}
+
+impl From<GroupId> for String {
+    fn from(id: GroupId) -> Self {
+        id.to_string()
+    }
+}
+
+impl From<ReplicaId> for String {
+    fn from(id: ReplicaId) -> Self {
+        id.to_string()
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/nodes/documents.rs
@@ -0,0 +1,95 @@
+//! Copies of the platform's records that daemons pass on to one another.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Revision;
+
+/// Holds one copy of a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Document {
+    /// The record's key in the platform's service.
+    pub key: Arc<str>,
+    /// The revision of the copy.
+    pub revision: Revision,
+    /// The record as it was written.
+    pub body: Arc<str>,
+}
+
+/// Names a record and the revision of a copy.
+pub type Version = (Arc<str>, Revision);
+
+/// Holds the newest copies that a daemon has seen; a revision never falls.
+#[derive(Clone, Debug, Default)]
+pub struct Documents {
+    held: BTreeMap<Arc<str>, Document>,
+}
+
+impl Documents {
+    /// Takes in a copy, and tells whether it is newer than the one held.
+    pub fn offer(&mut self, document: Document) -> bool {
+        let newer = self.revision(&document.key) < document.revision;
+        if newer {
+            self.held.insert(document.key.clone(), document);
+        }
+        newer
+    }
+
+    /// Returns the copy of a record.
+    pub fn get(&self, key: &str) -> Option<&Document> {
+        self.held.get(key)
+    }
+
+    /// Returns the revision held of a record; 0 where there is none.
+    pub fn revision(&self, key: &str) -> Revision {
+        self.held
+            .get(key)
+            .map(|held| held.revision)
+            .unwrap_or_default()
+    }
+
+    /// Returns all copies whose key starts with `prefix`.
+    pub fn with_prefix<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Document> {
+        self.held
+            .values()
+            .filter(move |held| held.key.starts_with(prefix))
+    }
+
+    /// Returns the versions held.
+    pub fn versions(&self) -> Vec<Version> {
+        let held = self.held.values();
+        held.map(|held| (held.key.clone(), held.revision)).collect()
+    }
+
+    /// Returns one number that two daemons share when they hold the same versions.
+    pub fn fingerprint(&self) -> u64 {
+        let one = |held: &Document| {
+            crate::mix(crate::hash_bytes(held.key.as_bytes()) ^ crate::mix(held.revision.0))
+        };
+        self.held.values().fold(0, |sum, held| sum ^ one(held))
+    }
+
+    /// Returns the copies that are newer here than in `theirs`.
+    pub fn newer_than(&self, theirs: &[Version]) -> Vec<Document> {
+        let theirs: BTreeMap<&str, Revision> = theirs
+            .iter()
+            .map(|(key, revision)| (key.as_ref(), *revision))
+            .collect();
+        let known = |held: &Document| theirs.get(held.key.as_ref()).copied().unwrap_or_default();
+        let newer = self
+            .held
+            .values()
+            .filter(|held| known(held) < held.revision);
+        newer.cloned().collect()
+    }
+
+    /// Returns the keys of which `theirs` has a newer copy.
+    pub fn older_than(&self, theirs: &[Version]) -> Vec<Arc<str>> {
+        let newer = theirs
+            .iter()
+            .filter(|(key, revision)| self.revision(key) < *revision);
+        newer.map(|(key, _)| key.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/nodes/freshness.rs
@@ -0,0 +1,115 @@
+//! Whether a node's configuration is new enough to serve by.
+//!
+//! An accepted change has to be in force everywhere within seconds, yet an outage of the platform
+//! alone must stop nothing. Both hold because a change is accepted only by a daemon that is in
+//! touch with a majority of the daemons, and a daemon out of touch with the platform serves only
+//! while it is in touch with a majority: two majorities share a daemon, which carries the change.
+//!
+//! Source: docs/design/0006-configuration-and-membership.md.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{Millis, NodeId};
+
+/// How old the news from the platform, or from a majority, may be while a node serves.
+pub const FRESH_FOR: Millis = Millis(8_000);
+
+/// Tracks how lately a node heard from the platform and from its peers.
+#[derive(Clone, Debug)]
+pub struct Freshness {
+    started: Millis,
+    platform: Option<Millis>,
+    peers: BTreeMap<NodeId, Millis>,
+    expected: BTreeSet<NodeId>,
+}
+
+/// Says by what right a node serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServeBy {
+    /// The platform's records were read lately, by this node or by one it heard from.
+    Platform,
+    /// The platform is out of reach, but a majority of the daemons was heard from.
+    Majority,
+    /// The node has yet to hear from the platform or a majority for the first time.
+    NotYet,
+    /// The node is cut off; a change may have been accepted without it.
+    CutOff,
+}
+
+impl ServeBy {
+    /// Tells whether the node may take requests.
+    pub fn may_serve(self) -> bool {
+        matches!(self, Self::Platform | Self::Majority)
+    }
+}
+
+impl Freshness {
+    /// Creates the state of a node that starts now among the daemons `expected`, itself included.
+    pub fn new(expected: impl IntoIterator<Item = NodeId>, now: Millis) -> Self {
+        Self {
+            started: now,
+            platform: None,
+            peers: BTreeMap::new(),
+            expected: expected.into_iter().collect(),
+        }
+    }
+
+    /// Replaces the daemons that there should be, as the platform lists them.
+    pub fn expect(&mut self, nodes: impl IntoIterator<Item = NodeId>) {
+        self.expected = nodes.into_iter().collect();
+    }
+
+    /// Takes in that the platform's records were read, by someone, `age` ago.
+    pub fn platform_read(&mut self, now: Millis, age: Millis) {
+        let at = now - age;
+        if self.platform.is_none_or(|known| known < at) {
+            self.platform = Some(at);
+        }
+    }
+
+    /// Returns how long ago the platform's records were last read, by anyone heard from.
+    pub fn platform_age(&self, now: Millis) -> Option<Millis> {
+        self.platform.map(|at| now.since(at))
+    }
+
+    /// Takes in that a peer exchanged records with this node.
+    pub fn exchanged(&mut self, peer: NodeId, now: Millis) {
+        self.peers.insert(peer, now);
+    }
+
+    /// Decides whether the node may take requests.
+    pub fn serve_by(&self, now: Millis) -> ServeBy {
+        let by_platform = self.platform_age(now).is_some_and(|age| age <= FRESH_FOR);
+        if by_platform {
+            return ServeBy::Platform;
+        }
+        if self.platform.is_some() && self.hears_majority(now) {
+            return ServeBy::Majority;
+        }
+        if self.platform.is_none() && now.since(self.started) <= FRESH_FOR {
+            return ServeBy::NotYet;
+        }
+        ServeBy::CutOff
+    }
+
+    /// Tells whether this node may accept a change.
+    pub fn may_accept(&self, now: Millis) -> bool {
+        self.hears_majority(now)
+    }
+
+    /// Returns how many of the expected daemons were heard from lately, this one included, and
+    /// how many there are.
+    pub fn heard_of_expected(&self, now: Millis) -> (usize, usize) {
+        let fresh = |node: &NodeId| {
+            let heard = self.peers.get(node);
+            heard.is_some_and(|heard| now.since(*heard) <= FRESH_FOR)
+        };
+        let others = self.expected.iter().filter(|node| fresh(node)).count();
+        (others + 1, self.expected.len().max(1))
+    }
+
+    fn hears_majority(&self, now: Millis) -> bool {
+        let (heard, all) = self.heard_of_expected(now);
+        heard * 2 > all
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/nodes/membership.rs
@@ -0,0 +1,189 @@
+//! Which daemons are there.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Incarnation, Millis, NodeId, ZoneId};
+
+/// After this long without news a daemon is suspected.
+pub const SUSPECT_AFTER: Millis = Millis(2_000);
+
+/// After this long without news a daemon counts as dead.
+pub const DEAD_AFTER: Millis = Millis(5_000);
+
+/// After this long a dead daemon is forgotten, so that boxes replaced every day do not pile up.
+pub const FORGET_AFTER: Millis = Millis(600_000);
+
+/// A gap this long between two of its own ticks tells a daemon that it was paused.
+pub const PAUSE_GAP: Millis = Millis(1_500);
+
+/// Describes one daemon as others pass it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The daemon.
+    pub node: NodeId,
+    /// Its life; a later one outranks all news of earlier ones.
+    pub incarnation: Incarnation,
+    /// Counts the ticks of that life.
+    pub beat: u64,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Whether it takes requests.
+    pub serving: bool,
+}
+
+/// Says what a daemon thinks of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// News of it is fresh.
+    Alive,
+    /// News of it is late.
+    Suspect,
+    /// There has been no news of it for long.
+    Dead,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    heartbeat: Heartbeat,
+    heard: Millis,
+}
+
+/// Keeps what one daemon knows of the others, and notices its own pauses.
+///
+/// Source: docs/design/0006-configuration-and-membership.md.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: Heartbeat,
+    members: BTreeMap<NodeId, Member>,
+    ticked: Millis,
+}
+
+impl Membership {
+    /// Creates the view of a daemon that has just started.
+    pub fn new(own: Heartbeat, now: Millis) -> Self {
+        Self {
+            own,
+            members: BTreeMap::new(),
+            ticked: now,
+        }
+    }
+
+    /// Returns the daemon's own heartbeat.
+    pub fn own(&self) -> &Heartbeat {
+        &self.own
+    }
+
+    /// Says whether this daemon takes requests.
+    pub fn set_serving(&mut self, serving: bool) {
+        self.own.serving = serving;
+    }
+
+    /// Beats once, and tells whether the daemon was paused since the last time.
+    ///
+    /// After a pause it is a new life: what it held or knew before counts for nothing.
+    pub fn tick(&mut self, now: Millis) -> bool {
+        let paused = now.since(self.ticked) > PAUSE_GAP;
+        self.ticked = now;
+        if paused {
+            self.own.incarnation = self.own.incarnation.next();
+            self.own.beat = 0;
+        }
+        self.own.beat += 1;
+        self.members
+            .retain(|_, member| now.since(member.heard) <= FORGET_AFTER);
+        paused
+    }
+
+    /// Takes in a heartbeat that came directly or by way of others.
+    pub fn hear(&mut self, heartbeat: Heartbeat, now: Millis) {
+        if heartbeat.node == self.own.node {
+            self.outlive(&heartbeat);
+            return;
+        }
+        let rank = |beat: &Heartbeat| (beat.incarnation, beat.beat);
+        match self.members.get_mut(&heartbeat.node) {
+            Some(known) if rank(&known.heartbeat) >= rank(&heartbeat) => {}
+            Some(known) => {
+                *known = Member {
+                    heartbeat,
+                    heard: now,
+                }
+            }
+            None => {
+                let node = heartbeat.node.clone();
+                self.members.insert(
+                    node,
+                    Member {
+                        heartbeat,
+                        heard: now,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Rises above news of a life of this daemon that it does not remember.
+    fn outlive(&mut self, heard: &Heartbeat) {
+        let own = (self.own.incarnation, self.own.beat);
+        if (heard.incarnation, heard.beat) > own {
+            self.own.incarnation = heard.incarnation.next();
+        }
+    }
+
+    /// Returns what this daemon thinks of another one.
+    pub fn standing(&self, node: &NodeId, now: Millis) -> Standing {
+        if node == &self.own.node {
+            return Standing::Alive;
+        }
+        match self.members.get(node) {
+            Some(member) => standing_after(now.since(member.heard)),
+            None => Standing::Dead,
+        }
+    }
+
+    /// Returns the heartbeats to pass on: the own one and those of daemons not dead.
+    pub fn digest(&self, now: Millis) -> Vec<Heartbeat> {
+        let known = self.members.values();
+        let fresh =
+            known.filter(|member| standing_after(now.since(member.heard)) != Standing::Dead);
+        let mut digest = vec![self.own.clone()];
+        digest.extend(fresh.map(|member| member.heartbeat.clone()));
+        digest
+    }
+
+    /// Returns the daemons that are alive, this one included.
+    pub fn alive(&self, now: Millis) -> Vec<&Heartbeat> {
+        let known = self.members.values();
+        let alive =
+            known.filter(|member| standing_after(now.since(member.heard)) == Standing::Alive);
+        let mut beats = vec![&self.own];
+        beats.extend(alive.map(|member| &member.heartbeat));
+        beats
+    }
+
+    /// Returns every daemon known and what this one thinks of it, itself first.
+    pub fn all(&self, now: Millis) -> Vec<(&Heartbeat, Standing)> {
+        let mut all = vec![(&self.own, Standing::Alive)];
+        let others = self.members.values();
+        all.extend(others.map(|member| {
+            let standing = standing_after(now.since(member.heard));
+            (&member.heartbeat, standing)
+        }));
+        all
+    }
+}
+
+fn standing_after(silence: Millis) -> Standing {
+    if silence > DEAD_AFTER {
+        Standing::Dead
+    } else if silence > SUSPECT_AFTER {
+        Standing::Suspect
+    } else {
+        Standing::Alive
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/admission.rs
@@ -0,0 +1,126 @@
+//! Room for requests on one node.
+
+use std::collections::BTreeMap;
+
+use crate::{Class, Millis, Refusal, RefusalReason, WorkspaceId};
+
+/// The share of the common room at which workspaces are held to their fair part, in percent.
+const BUSY_PERCENT: u32 = 75;
+
+/// When a caller refused for lack of room may come back.
+const COME_BACK: Millis = Millis(1_000);
+
+/// Says how much room a node has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Requests at once, of all classes.
+    pub total: u32,
+    /// The part of it that only consent requests use.
+    pub for_consent: u32,
+    /// The part of the rest that batch requests may use, in percent.
+    pub batch_percent: u32,
+}
+
+impl Default for Room {
+    fn default() -> Self {
+        Self {
+            total: 2_048,
+            for_consent: 256,
+            batch_percent: 50,
+        }
+    }
+}
+
+/// Admits requests by class and workspace.
+///
+/// Consent requests have a part of the room that nothing else can use. Of the rest, once it is
+/// busy, each workspace gets an equal share.
+#[derive(Clone, Debug, Default)]
+pub struct Admission {
+    room: Room,
+    in_use: BTreeMap<Class, u32>,
+    workspaces: BTreeMap<WorkspaceId, u32>,
+}
+
+impl Admission {
+    /// Creates an admission over an empty room.
+    pub fn new(room: Room) -> Self {
+        Self {
+            room,
+            ..Self::default()
+        }
+    }
+
+    /// Takes room for a request; it is given back by [`Admission::leave`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Refusal`] when the room is full for the class or the workspace.
+    pub fn enter(&mut self, class: Class, workspace: &WorkspaceId) -> Result<(), Refusal> {
+        let full = |reason| Err(Refusal::with_retry_after(reason, COME_BACK));
+        if self.used() >= self.limit_for(class) || self.class_full(class) {
+            return full(RefusalReason::NodeFull);
+        }
+        if class != Class::Consent && self.over_share(workspace) {
+            return full(RefusalReason::WorkspaceShare);
+        }
+        *self.in_use.entry(class).or_default() += 1;
+        if class != Class::Consent {
+            *self.workspaces.entry(workspace.clone()).or_default() += 1;
+        }
+        Ok(())
+    }
+
+    /// Gives back the room of a request.
+    pub fn leave(&mut self, class: Class, workspace: &WorkspaceId) {
+        if let Some(count) = self.in_use.get_mut(&class) {
+            *count = count.saturating_sub(1);
+        }
+        if class == Class::Consent {
+            return;
+        }
+        if let Some(count) = self.workspaces.get_mut(workspace) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                self.workspaces.remove(workspace);
+            }
+        }
+    }
+
+    /// Returns how many requests are in the room.
+    pub fn used(&self) -> u32 {
+        self.in_use.values().sum()
+    }
+
+    fn common(&self) -> u32 {
+        self.room.total.saturating_sub(self.room.for_consent)
+    }
+
+    fn limit_for(&self, class: Class) -> u32 {
+        match class {
+            Class::Consent => self.room.total,
+            Class::Interactive | Class::Batch => {
+                self.common().saturating_add(self.used_by(Class::Consent))
+            }
+        }
+    }
+
+    fn class_full(&self, class: Class) -> bool {
+        let most = self.common() * self.room.batch_percent / 100;
+        class == Class::Batch && self.used_by(Class::Batch) >= most
+    }
+
+    fn used_by(&self, class: Class) -> u32 {
+        self.in_use.get(&class).copied().unwrap_or(0)
+    }
+
+    fn over_share(&self, workspace: &WorkspaceId) -> bool {
+        let common_used = self.used() - self.used_by(Class::Consent);
+        if common_used * 100 < self.common() * BUSY_PERCENT {
+            return false;
+        }
+        let held = self.workspaces.get(workspace).copied().unwrap_or(0);
+        let sharers = self.workspaces.len() as u32 + u32::from(held == 0);
+        sharers > 1 && held >= self.common() / sharers
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/claim.rs
@@ -0,0 +1,175 @@
+//! Claims on calls that must not be repeated.
+//!
+//! A call that names a key is run only by the daemon life that wrote the key into the platform's
+//! service first. Nobody takes a claim over, so a holder that pauses can do no harm when it comes
+//! back; a claim whose holder is gone stays and answers `unknown`.
+//!
+//! Source: docs/design/0008-at-most-once.md.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Incarnation, Millis, NodeId, Outcome, RecentWrites, WriteId, hash_bytes};
+
+/// Over how many records the claims are spread.
+pub const CLAIM_SHARDS: u64 = 16;
+
+/// For how long a claim is kept, in seconds.
+pub const CLAIM_LIFE_SECS: u64 = 3_600;
+
+/// Within this time after asking for a claim its holder must begin to send, or give it up.
+pub const CLAIM_USE_WITHIN: Millis = Millis(5_000);
+
+/// The most claims in one record, so that it stays under the platform's limit of 1 MB.
+pub const MAX_CLAIMS: usize = 8_000;
+
+/// Identifies a call by a hash of its workspace and key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct CallKey(u128);
+
+impl CallKey {
+    /// Creates the key of a call from the group that it goes to and the caller's own key.
+    pub fn new(group: &crate::GroupId, key: &str) -> Self {
+        let text = format!("{group}\n{key}");
+        let high = hash_bytes(text.as_bytes());
+        let salted = format!("{key}\n{high}\n{group}");
+        Self(u128::from(high) << 64 | u128::from(hash_bytes(salted.as_bytes())))
+    }
+
+    /// Returns the record that holds the key's claim.
+    pub fn shard(self) -> u64 {
+        self.0 as u64 % CLAIM_SHARDS
+    }
+}
+
+impl From<CallKey> for String {
+    fn from(key: CallKey) -> Self {
+        format!("{:032x}", key.0)
+    }
+}
+
+impl TryFrom<String> for CallKey {
+    type Error = crate::NameError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let parsed = u128::from_str_radix(&text, 16).map(Self);
+        parsed.map_err(|_| crate::NameError {
+            text,
+            expected: "call key",
+            form: "32 hexadecimal digits",
+        })
+    }
+}
+
+/// Says who holds a call and what became of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The daemon that may run the call.
+    pub node: NodeId,
+    /// The life of that daemon.
+    pub incarnation: Incarnation,
+    /// When it was claimed, in seconds since 1970.
+    pub at_unix_secs: u64,
+    /// What became of it; nothing while it may still be running.
+    pub outcome: Option<Outcome>,
+}
+
+/// Holds the claims of one shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRecord {
+    /// The claims, by call.
+    pub claims: BTreeMap<CallKey, Claim>,
+    /// The identities of the last writes.
+    pub writes: RecentWrites,
+}
+
+/// Asks for a change of one claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimRequest {
+    /// Claim a call for the asking daemon life.
+    Take(CallKey),
+    /// Give a claim up, since the call was certainly not run.
+    GiveUp(CallKey),
+    /// Note what became of a call.
+    Settle(CallKey, Outcome),
+}
+
+/// Answers one request for a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// The asking daemon life may run the call; nobody else may.
+    Granted,
+    /// The call was claimed before.
+    Taken(Claim),
+    /// The shard holds all the claims that it can.
+    Full,
+    /// The change was noted.
+    Noted,
+}
+
+impl ClaimRecord {
+    /// Works out the record after a batch of requests by one daemon life, and their answers,
+    /// which hold only once the record has been written.
+    pub fn apply(
+        &self,
+        batch: &[ClaimRequest],
+        write: &WriteId,
+        unix_secs: u64,
+    ) -> (Self, Vec<ClaimAnswer>) {
+        let mut next = self.clone();
+        next.claims
+            .retain(|_, claim| unix_secs < claim.at_unix_secs.saturating_add(CLAIM_LIFE_SECS));
+        let answers = batch
+            .iter()
+            .map(|request| next.apply_one(request, write, unix_secs))
+            .collect();
+        next.writes.push(write.clone());
+        (next, answers)
+    }
+
+    fn apply_one(&mut self, request: &ClaimRequest, by: &WriteId, unix_secs: u64) -> ClaimAnswer {
+        match request {
+            ClaimRequest::Take(key) => self.take(*key, by, unix_secs),
+            ClaimRequest::GiveUp(key) => {
+                if self.is_held_by(*key, by) {
+                    self.claims.remove(key);
+                }
+                ClaimAnswer::Noted
+            }
+            ClaimRequest::Settle(key, outcome) => {
+                if self.is_held_by(*key, by)
+                    && let Some(claim) = self.claims.get_mut(key)
+                {
+                    claim.outcome = Some(*outcome);
+                }
+                ClaimAnswer::Noted
+            }
+        }
+    }
+
+    fn take(&mut self, key: CallKey, by: &WriteId, unix_secs: u64) -> ClaimAnswer {
+        if let Some(claim) = self.claims.get(&key) {
+            return ClaimAnswer::Taken(claim.clone());
+        }
+        if self.claims.len() >= MAX_CLAIMS {
+            return ClaimAnswer::Full;
+        }
+        let claim = Claim {
+            node: by.node.clone(),
+            incarnation: by.incarnation,
+            at_unix_secs: unix_secs,
+            outcome: None,
+        };
+        self.claims.insert(key, claim);
+        ClaimAnswer::Granted
+    }
+
+    fn is_held_by(&self, key: CallKey, by: &WriteId) -> bool {
+        let claim = self.claims.get(&key);
+        claim.is_some_and(|claim| {
+            claim.node == by.node && claim.incarnation == by.incarnation && claim.outcome.is_none()
+        })
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/limit.rs
@@ -0,0 +1,70 @@
+//! How many requests one endpoint may have at once.
+
+use crate::Millis;
+
+/// An answer that begins this many times later than the usual one speaks of overload.
+const SLOW_FACTOR: f64 = 3.0;
+
+/// What one sign of overload leaves of the limit.
+const CUT: f64 = 0.9;
+
+/// The share by which one sample moves the usual time.
+const SMOOTHING: f64 = 0.05;
+
+/// Adapts the number of requests in flight at one endpoint to how it answers.
+///
+/// It grows by one for each full round of answers in time and shrinks by a tenth for a late or
+/// refused one, at most once in the usual time.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    limit: f64,
+    most: f64,
+    usual_ms: f64,
+    cut_at: Millis,
+}
+
+impl Limit {
+    /// Creates a limit that starts at `start` and never exceeds `most`.
+    pub fn new(start: u32, most: u32) -> Self {
+        Self {
+            limit: f64::from(start.clamp(1, most.max(1))),
+            most: f64::from(most.max(1)),
+            usual_ms: 0.0,
+            cut_at: Millis(0),
+        }
+    }
+
+    /// Returns the limit now; at least 1.
+    pub fn get(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Returns the usual time until an answer begins.
+    pub fn usual(&self) -> Millis {
+        Millis(self.usual_ms as u64)
+    }
+
+    /// Takes in that an answer began after `took`, with `in_flight` requests at the endpoint.
+    pub fn answered(&mut self, now: Millis, took: Millis, in_flight: u32) {
+        let took = took.0 as f64;
+        if self.usual_ms == 0.0 {
+            self.usual_ms = took;
+        }
+        if took > self.usual_ms * SLOW_FACTOR + 1.0 {
+            self.overloaded(now);
+        } else if f64::from(in_flight) * 2.0 >= self.limit {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.most);
+        }
+        let bounded = took.min(self.usual_ms * SLOW_FACTOR + 1.0);
+        self.usual_ms += (bounded - self.usual_ms) * SMOOTHING;
+    }
+
+    /// Takes in that the endpoint refused a request or did not answer in time.
+    pub fn overloaded(&mut self, now: Millis) {
+        if now.since(self.cut_at) < self.usual() && self.cut_at != Millis(0) {
+            return;
+        }
+        self.cut_at = now;
+        self.limit = (self.limit * CUT).max(1.0);
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/refusal.rs
@@ -0,0 +1,118 @@
+//! Reasons for which a request is refused.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Millis;
+
+/// Says why a request was refused without being run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalReason {
+    /// The request is not one that can be understood.
+    BadRequest,
+    /// The request is larger than allowed.
+    TooLarge,
+    /// No group serves the model or path.
+    UnknownTarget,
+    /// The node has no room for the request's class.
+    NodeFull,
+    /// The workspace already has its share of a busy node.
+    WorkspaceShare,
+    /// The wait for an endpoint would outlast the deadline or the longest wait allowed.
+    WaitTooLong,
+    /// The group has no endpoint in service.
+    NoneServing,
+    /// The deadline passed before the request was sent.
+    DeadlinePassed,
+    /// Every endpoint tried was out of reach or refused.
+    EndpointsFailed,
+    /// The key of the call is in use or was used.
+    KeyInUse,
+    /// The platform that keeps keys does not answer.
+    KeysOutOfReach,
+    /// The node is cut off and its configuration may be old.
+    ConfigurationOld,
+    /// The node is stopping.
+    Stopping,
+}
+
+impl RefusalReason {
+    /// Lists every reason.
+    pub const ALL: [Self; 13] = [
+        Self::BadRequest,
+        Self::TooLarge,
+        Self::UnknownTarget,
+        Self::NodeFull,
+        Self::WorkspaceShare,
+        Self::WaitTooLong,
+        Self::NoneServing,
+        Self::DeadlinePassed,
+        Self::EndpointsFailed,
+        Self::KeyInUse,
+        Self::KeysOutOfReach,
+        Self::ConfigurationOld,
+        Self::Stopping,
+    ];
+
+    /// Returns the name that answers and metrics use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad-request",
+            Self::TooLarge => "too-large",
+            Self::UnknownTarget => "unknown-target",
+            Self::NodeFull => "node-full",
+            Self::WorkspaceShare => "workspace-share",
+            Self::WaitTooLong => "wait-too-long",
+            Self::NoneServing => "none-serving",
+            Self::DeadlinePassed => "deadline-passed",
+            Self::EndpointsFailed => "endpoints-failed",
+            Self::KeyInUse => "key-in-use",
+            Self::KeysOutOfReach => "keys-out-of-reach",
+            Self::ConfigurationOld => "configuration-old",
+            Self::Stopping => "stopping",
+        }
+    }
+
+    /// Returns the HTTP status that goes with the reason.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest => 400,
+            Self::TooLarge => 413,
+            Self::UnknownTarget => 404,
+            Self::KeyInUse => 409,
+            Self::NodeFull | Self::WorkspaceShare | Self::WaitTooLong => 429,
+            Self::DeadlinePassed => 504,
+            Self::EndpointsFailed => 502,
+            Self::NoneServing | Self::KeysOutOfReach | Self::ConfigurationOld | Self::Stopping => {
+                503
+            }
+        }
+    }
+}
+
+/// Refuses a request at once and says when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The reason.
+    pub reason: RefusalReason,
+    /// After how long another try makes sense; nothing where it never does.
+    pub retry_after: Option<Millis>,
+}
+
+impl Refusal {
+    /// Creates a refusal after which coming back unchanged makes no sense.
+    pub fn final_for(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Creates a refusal after which the caller may come back.
+    pub fn with_retry_after(reason: RefusalReason, span: Millis) -> Self {
+        Self {
+            reason,
+            retry_after: Some(span),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/retry.rs
@@ -0,0 +1,142 @@
+//! Whether a failed attempt is followed by another.
+
+use crate::{AttemptEnd, Millis, Outcome};
+
+/// The most attempts that one request gets.
+pub const MAX_ATTEMPTS: u32 = 3;
+
+/// The share of first attempts that may be retried, in thousandths.
+pub const BUDGET_PER_MILLE: u32 = 100;
+
+/// How many retries may be saved up.
+const BUDGET_CAP: u32 = 10 * RETRY_COST;
+
+/// What one retry costs, in the thousandths that first attempts earn.
+const RETRY_COST: u32 = 1_000;
+
+/// Limits retries to a share of first attempts, so that they cannot multiply a failure.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    saved: u32,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { saved: BUDGET_CAP }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a first attempt.
+    pub fn earn(&mut self) {
+        self.saved = (self.saved + BUDGET_PER_MILLE).min(BUDGET_CAP);
+    }
+
+    /// Takes one retry out of the budget, if it holds one.
+    pub fn spend(&mut self) -> bool {
+        let Some(left) = self.saved.checked_sub(RETRY_COST) else {
+            return false;
+        };
+        self.saved = left;
+        true
+    }
+
+    /// Returns how many retries are left.
+    pub fn left(&self) -> u32 {
+        self.saved / RETRY_COST
+    }
+}
+
+/// Describes a failed attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedAttempt {
+    /// How it ended.
+    pub end: AttemptEnd,
+    /// How many attempts have been made, this one included.
+    pub attempts: u32,
+    /// Whether the request may be run twice.
+    pub repeatable: bool,
+    /// Whether a part of an answer has gone out to the caller.
+    pub answer_begun: bool,
+    /// Whether the request can be sent again from memory.
+    pub replayable: bool,
+    /// The time left until the caller's deadline.
+    pub remaining: Millis,
+    /// The time that an attempt usually takes.
+    pub usual: Millis,
+}
+
+/// Says why no further attempt is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum NoRetry {
+    /// The request may have been run and must not run twice.
+    NotRepeatable,
+    /// A part of the answer is already with the caller.
+    AnswerBegun,
+    /// The request's body was not kept.
+    NotReplayable,
+    /// The caller left.
+    CallerLeft,
+    /// The request has had all its attempts.
+    AttemptsSpent,
+    /// The time left is too short for another attempt.
+    NoTime,
+    /// The budget is empty.
+    BudgetSpent,
+}
+
+impl NoRetry {
+    /// Lists every reason.
+    pub const ALL: [Self; 7] = [
+        Self::NotRepeatable,
+        Self::AnswerBegun,
+        Self::NotReplayable,
+        Self::CallerLeft,
+        Self::AttemptsSpent,
+        Self::NoTime,
+        Self::BudgetSpent,
+    ];
+
+    /// Returns the name that metrics use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRepeatable => "not-repeatable",
+            Self::AnswerBegun => "answer-begun",
+            Self::NotReplayable => "not-replayable",
+            Self::CallerLeft => "caller-left",
+            Self::AttemptsSpent => "attempts-spent",
+            Self::NoTime => "no-time",
+            Self::BudgetSpent => "budget-spent",
+        }
+    }
+}
+
+/// Decides whether to try again, taking the retry out of the budget.
+///
+/// # Errors
+///
+/// Returns the reason why not.
+pub fn decide_retry(failed: &FailedAttempt, budget: &mut RetryBudget) -> Result<(), NoRetry> {
+    if failed.end == AttemptEnd::CallerLeft {
+        return Err(NoRetry::CallerLeft);
+    }
+    if failed.answer_begun {
+        return Err(NoRetry::AnswerBegun);
+    }
+    if failed.end.outcome() != Outcome::NotRun && !failed.repeatable {
+        return Err(NoRetry::NotRepeatable);
+    }
+    if !failed.replayable {
+        return Err(NoRetry::NotReplayable);
+    }
+    if failed.attempts >= MAX_ATTEMPTS {
+        return Err(NoRetry::AttemptsSpent);
+    }
+    if failed.remaining <= failed.usual {
+        return Err(NoRetry::NoTime);
+    }
+    if !budget.spend() {
+        return Err(NoRetry::BudgetSpent);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/router.rs
@@ -0,0 +1,290 @@
+//! The choice of an endpoint for each request.
+
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{AttemptEnd, Breaker, Limit, Millis, Seed, mix};
+
+new_key_type! {
+    /// Points to a group in the router's arena.
+    pub struct GroupKey;
+    /// Points to an endpoint in the router's arena.
+    pub struct EndpointKey;
+}
+
+/// How many endpoints of one list are looked at for one choice.
+///
+/// It bounds the cost of a choice whatever the number of endpoints.
+const PROBES: usize = 6;
+
+/// How far above the group's mean load an endpoint may be and still attract its prefixes, in
+/// percent.
+///
+/// Beyond it a hot prefix spreads to other endpoints. Source: docs/design/0007-routing.md.
+const AFFINITY_BOUND: u64 = 125;
+
+/// After this time a load report says nothing any more.
+const REPORT_LIFE: Millis = Millis(5_000);
+
+/// Describes an endpoint to route to.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointSpec {
+    /// Whether it is in the router's own zone.
+    pub near: bool,
+    /// How many requests it takes from this node at the start.
+    pub start_limit: u32,
+    /// How many requests it takes from this node at the most.
+    pub most: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Endpoint {
+    group: GroupKey,
+    near: bool,
+    in_flight: u32,
+    others: u32,
+    reported: Millis,
+    limit: Limit,
+    breaker: Breaker,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Group {
+    near: Vec<EndpointKey>,
+    far: Vec<EndpointKey>,
+    in_flight: u64,
+}
+
+impl Group {
+    fn list(&mut self, near: bool) -> &mut Vec<EndpointKey> {
+        if near { &mut self.near } else { &mut self.far }
+    }
+}
+
+/// Tells why no endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum NoEndpoint {
+    /// The group has no endpoint in service.
+    #[error("the group has no endpoint in service")]
+    NoneServing,
+    /// The endpoints looked at have no room now.
+    #[error("the group's endpoints have no room")]
+    AllFull,
+}
+
+/// Chooses endpoints by sampled load, with a preference for the own zone and for the endpoint
+/// that likely holds a prompt's prefix.
+///
+/// A choice takes no lock, allocates nothing and looks at a fixed number of endpoints.
+///
+/// # Examples
+///
+/// ```
+/// use cherrystand_core::{AttemptEnd, EndpointSpec, Millis, Router, Seed};
+///
+/// let mut router = Router::default();
+/// let group = router.add_group();
+/// let spec = EndpointSpec { near: true, start_limit: 4, most: 8 };
+/// let only = router.add_endpoint(group, spec);
+/// let now = Millis(0);
+/// assert_eq!(router.choose(group, None, now, &mut Seed::new(1)), Ok(only));
+/// router.start(only);
+/// router.finish(only, AttemptEnd::Answered, Millis(12), Some(Millis(12)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Router {
+    groups: SlotMap<GroupKey, Group>,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+}
+
+impl Router {
+    /// Adds a group without endpoints.
+    pub fn add_group(&mut self) -> GroupKey {
+        self.groups.insert(Group::default())
+    }
+
+    /// Removes a group and its endpoints.
+    pub fn remove_group(&mut self, group: GroupKey) {
+        let Some(removed) = self.groups.remove(group) else {
+            return;
+        };
+        for key in removed.near.into_iter().chain(removed.far) {
+            self.endpoints.remove(key);
+        }
+    }
+
+    /// Adds an endpoint to a group.
+    pub fn add_endpoint(&mut self, group: GroupKey, spec: EndpointSpec) -> EndpointKey {
+        let key = self.endpoints.insert(Endpoint {
+            group,
+            near: spec.near,
+            in_flight: 0,
+            others: 0,
+            reported: Millis(0),
+            limit: Limit::new(spec.start_limit, spec.most),
+            breaker: Breaker::default(),
+        });
+        if let Some(group) = self.groups.get_mut(group) {
+            group.list(spec.near).push(key);
+        }
+        key
+    }
+
+    /// Takes an endpoint out of its group's choice for good.
+    ///
+    /// What it has in flight may still be finished; finishing it is then without effect.
+    pub fn remove_endpoint(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.remove(key) else {
+            return;
+        };
+        if let Some(group) = self.groups.get_mut(endpoint.group) {
+            group.list(endpoint.near).retain(|other| *other != key);
+            group.in_flight -= u64::from(endpoint.in_flight);
+        }
+    }
+
+    /// Takes in an endpoint's own report of all it has in flight, this node's share included.
+    pub fn report(&mut self, key: EndpointKey, now: Millis, in_flight: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.others = in_flight.saturating_sub(endpoint.in_flight);
+            endpoint.reported = now;
+        }
+    }
+
+    /// Chooses an endpoint of `group`, near the prefix's own one where that is not overloaded.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoEndpoint`] when none serves or none of those looked at has room.
+    pub fn choose(
+        &self,
+        group: GroupKey,
+        prefix: Option<u64>,
+        now: Millis,
+        seed: &mut Seed,
+    ) -> Result<EndpointKey, NoEndpoint> {
+        let group = self.groups.get(group).ok_or(NoEndpoint::NoneServing)?;
+        if group.near.is_empty() && group.far.is_empty() {
+            return Err(NoEndpoint::NoneServing);
+        }
+        let home = prefix.and_then(|prefix| self.home_of(group, prefix, now));
+        let choice = home
+            .or_else(|| self.sample(&group.near, now, seed))
+            .or_else(|| self.sample(&group.far, now, seed));
+        choice.ok_or(NoEndpoint::AllFull)
+    }
+
+    /// Counts a request as on its way.
+    pub fn start(&mut self, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        endpoint.in_flight += 1;
+        endpoint.breaker.started();
+        if let Some(group) = self.groups.get_mut(endpoint.group) {
+            group.in_flight += 1;
+        }
+    }
+
+    /// Counts a request as ended; `first_byte` is how long its answer took to begin.
+    pub fn finish(
+        &mut self,
+        key: EndpointKey,
+        end: AttemptEnd,
+        now: Millis,
+        first_byte: Option<Millis>,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let before = endpoint.in_flight;
+        endpoint.in_flight = before.saturating_sub(1);
+        if let Some(group) = self.groups.get_mut(endpoint.group) {
+            group.in_flight -= u64::from(before - endpoint.in_flight);
+        }
+        match (end, first_byte) {
+            (AttemptEnd::Refused, _) => endpoint.limit.overloaded(now),
+            (_, Some(took)) => endpoint.limit.answered(now, took, before),
+            (AttemptEnd::TimedOut, None) => endpoint.limit.overloaded(now),
+            (_, None) => {}
+        }
+        if end.blames_endpoint() {
+            endpoint.breaker.failed(now);
+        } else if end == AttemptEnd::CallerLeft {
+            endpoint.breaker.abandoned();
+        } else {
+            endpoint.breaker.succeeded();
+        }
+    }
+
+    /// Returns the usual time until an answer of the endpoint begins.
+    pub fn usual(&self, key: EndpointKey) -> Millis {
+        self.endpoints
+            .get(key)
+            .map(|endpoint| endpoint.limit.usual())
+            .unwrap_or_default()
+    }
+
+    /// Returns how many requests this node has at the endpoint, and how many it may have.
+    pub fn load(&self, key: EndpointKey) -> (u32, u32) {
+        let load = |endpoint: &Endpoint| (endpoint.in_flight, endpoint.limit.get());
+        self.endpoints.get(key).map(load).unwrap_or_default()
+    }
+
+    fn home_of(&self, group: &Group, prefix: u64, now: Millis) -> Option<EndpointKey> {
+        let list = if group.near.is_empty() {
+            &group.far
+        } else {
+            &group.near
+        };
+        let endpoints = (group.near.len() + group.far.len()) as u64;
+        let bound = (group.in_flight + 1) * AFFINITY_BOUND;
+        let calm = |key: &EndpointKey| {
+            let endpoint = &self.endpoints[*key];
+            u64::from(endpoint.in_flight + 1) * endpoints * 100 <= bound.max(endpoints * 100)
+        };
+        let homes = [prefix, mix(prefix)].map(|hash| list[(hash % list.len() as u64) as usize]);
+        homes
+            .into_iter()
+            .find(|key| calm(key) && self.has_room(*key, now))
+    }
+
+    /// Returns the less loaded of the first two endpoints with room among a few drawn ones.
+    fn sample(&self, list: &[EndpointKey], now: Millis, seed: &mut Seed) -> Option<EndpointKey> {
+        let mut found: Option<EndpointKey> = None;
+        if list.is_empty() {
+            return None;
+        }
+        let start = seed.below(list.len());
+        let stride = 1 + seed.below(list.len().saturating_sub(1));
+        for probe in 0..PROBES.min(list.len()) {
+            let key = list[(start + probe * stride) % list.len()];
+            if !self.has_room(key, now) {
+                continue;
+            }
+            match found {
+                None => found = Some(key),
+                Some(other) => return Some(self.calmer(other, key, now)),
+            }
+        }
+        found
+    }
+
+    fn calmer(&self, a: EndpointKey, b: EndpointKey, now: Millis) -> EndpointKey {
+        if self.estimate(b, now) < self.estimate(a, now) {
+            b
+        } else {
+            a
+        }
+    }
+
+    fn estimate(&self, key: EndpointKey, now: Millis) -> u32 {
+        let endpoint = &self.endpoints[key];
+        let told = now.since(endpoint.reported) < REPORT_LIFE;
+        endpoint.in_flight + if told { endpoint.others } else { 0 }
+    }
+
+    fn has_room(&self, key: EndpointKey, now: Millis) -> bool {
+        let endpoint = &self.endpoints[key];
+        endpoint.in_flight < endpoint.limit.get() && endpoint.breaker.admits(now)
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/wait_queue.rs
@@ -0,0 +1,77 @@
+//! The queue in front of a group whose endpoints are full.
+
+use crate::{Millis, Refusal, RefusalReason};
+
+/// The longest that a request waits for an endpoint.
+pub const LONGEST_WAIT: Millis = Millis(2_000);
+
+/// The share by which one completion moves the estimate of the drain rate.
+const SMOOTHING: f64 = 0.1;
+
+/// The time between completions that is assumed before any was seen.
+const FIRST_GUESS_MS: f64 = 50.0;
+
+/// Decides whether a request may wait, from how fast the group drains.
+///
+/// It holds no requests itself, only how many wait.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitQueue {
+    waiting: u32,
+    between_ms: f64,
+    last_done: Option<Millis>,
+}
+
+impl Default for WaitQueue {
+    fn default() -> Self {
+        Self {
+            waiting: 0,
+            between_ms: FIRST_GUESS_MS,
+            last_done: None,
+        }
+    }
+}
+
+impl WaitQueue {
+    /// Lets one more request wait, if its turn will likely come in time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`Refusal`] with the time after which the queue will have drained.
+    pub fn join(&mut self, remaining: Millis) -> Result<(), Refusal> {
+        let expected = self.expected_wait();
+        if expected > remaining.min(LONGEST_WAIT) {
+            return Err(Refusal::with_retry_after(
+                RefusalReason::WaitTooLong,
+                expected,
+            ));
+        }
+        self.waiting += 1;
+        Ok(())
+    }
+
+    /// Takes in that a request no longer waits, whatever became of it.
+    pub fn left(&mut self) {
+        self.waiting = self.waiting.saturating_sub(1);
+    }
+
+    /// Takes in that one of the group's requests was done, making room for another.
+    pub fn done(&mut self, now: Millis) {
+        if let Some(last) = self.last_done {
+            let between = (now.since(last).0 as f64).min(LONGEST_WAIT.0 as f64);
+            if self.waiting > 0 {
+                self.between_ms += (between - self.between_ms) * SMOOTHING;
+            }
+        }
+        self.last_done = Some(now);
+    }
+
+    /// Returns how long one more request would wait.
+    pub fn expected_wait(&self) -> Millis {
+        Millis((f64::from(self.waiting + 1) * self.between_ms) as u64)
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> u32 {
+        self.waiting
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_peer/src/lib.rs
@@ -0,0 +1,10 @@
+//! Messages between daemons, and the transport that carries them.
+//!
+//! Messages are `postcard` over `nng` requests and replies. See docs/design/0006 for what is
+//! exchanged and why.
+
+mod message;
+mod transport;
+
+pub use message::{CodecError, News, PROTOCOL, Question, Reply, decode, encode};
+pub use transport::{ANSWER_WITHIN, MAX_MESSAGE_BYTES, PeerDialer, PeerError, PeerListener};
--- /dev/null
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -0,0 +1,192 @@
+//! Connections to HTTP endpoints, kept for the next request.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// How many idle connections are kept to one address.
+const KEPT_IDLE: usize = 64;
+
+/// Tells how a request failed before its answer began.
+#[derive(Debug, thiserror::Error)]
+pub enum SendError {
+    /// No connection came about; nothing was sent.
+    #[error("could not connect to {address}")]
+    Connect {
+        /// The address.
+        address: SocketAddr,
+        /// The reason.
+        source: std::io::Error,
+    },
+    /// The connection took too long to come about; nothing was sent.
+    #[error("connecting to {0} took too long")]
+    ConnectTimedOut(SocketAddr),
+    /// The connection closed before a byte of the request was written.
+    #[error("the connection closed before the request was written")]
+    NotSent(#[source] hyper::Error),
+    /// The connection failed after a byte of the request may have been written.
+    #[error("the connection failed before the answer began")]
+    Cut(#[source] hyper::Error),
+}
+
+struct Connection {
+    address: SocketAddr,
+    send: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Keeps idle connections of one thread, by address.
+///
+/// A connection goes back only once its answer has been read to the end, so that an answer that
+/// comes late can never be taken for that of another request.
+#[derive(Clone, Default)]
+pub struct HttpPool {
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Connection>>>>,
+}
+
+impl HttpPool {
+    /// Sends a request and returns the answer once its head is there.
+    ///
+    /// Dropping the future or the answer's body closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] that tells whether the request can have reached the endpoint.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+        connect_within: Duration,
+    ) -> Result<Response<PooledBody>, SendError> {
+        let mut req = req;
+        while let Some(conn) = self.take_idle(address) {
+            match self.exchange(conn, req).await {
+                Ok(answer) => return Ok(answer),
+                Err((SendError::NotSent(_), Some(unsent))) => req = unsent,
+                Err((err, _)) => return Err(err),
+            }
+        }
+        let conn = connect(address, connect_within).await?;
+        self.exchange(conn, req).await.map_err(|(err, _)| err)
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&address)?;
+        while let Some(conn) = list.pop() {
+            if conn.send.is_ready() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    fn give_back(&self, conn: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(conn.address).or_default();
+        if list.len() < KEPT_IDLE {
+            list.push(conn);
+        }
+    }
+
+    async fn exchange(
+        &self,
+        mut conn: Connection,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<PooledBody>, (SendError, Option<Request<Full<Bytes>>>)> {
+        match conn.send.try_send_request(req).await {
+            Ok(answer) => Ok(answer.map(|body| PooledBody {
+                body,
+                conn: Some(conn),
+                pool: self.clone(),
+            })),
+            Err(mut failed) => match failed.take_message() {
+                Some(unsent) => Err((SendError::NotSent(failed.into_error()), Some(unsent))),
+                None => Err((SendError::Cut(failed.into_error()), None)),
+            },
+        }
+    }
+}
+
+async fn connect(address: SocketAddr, within: Duration) -> Result<Connection, SendError> {
+    let stream = tokio::time::timeout(within, TcpStream::connect(address))
+        .await
+        .map_err(|_| SendError::ConnectTimedOut(address))?
+        .map_err(|source| SendError::Connect { address, source })?;
+    // Small requests must not wait for more data; failing to say so only costs time.
+    let _ = stream.set_nodelay(true);
+    let (send, conn) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(SendError::NotSent)?;
+    let driver = tokio::task::spawn(async move {
+        // The request's own future reports the failure.
+        let _ = conn.await;
+    });
+    Ok(Connection {
+        address,
+        send,
+        driver,
+    })
+}
+
+/// The body of an answer; it gives its connection back when it has been read to the end.
+pub struct PooledBody {
+    body: Incoming,
+    conn: Option<Connection>,
+    pool: HttpPool,
+}
+
+impl Body for PooledBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        let ended = matches!(polled, Poll::Ready(None)) || self.body.is_end_stream();
+        if ended && let Some(conn) = self.conn.take() {
+            self.pool.give_back(conn);
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for PooledBody {
+    fn drop(&mut self) {
+        // An answer without a body ends before it is ever polled.
+        if self.body.is_end_stream()
+            && let Some(conn) = self.conn.take()
+        {
+            self.pool.give_back(conn);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_platform/src/http_server.rs
@@ -0,0 +1,89 @@
+//! The loop that serves HTTP connections on one thread.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// How long a caller may take to send a request's head.
+const HEAD_WITHIN: Duration = Duration::from_secs(10);
+
+/// The largest head of a request, in bytes; a larger one is answered with status 431.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// How long accepting pauses after the system refused a connection, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves connections until `stop` turns true, then finishes the requests in flight.
+///
+/// It must run inside a [`tokio::task::LocalSet`].
+pub async fn serve_http<H, F, B>(listener: TcpListener, handle: H, stop: watch::Receiver<bool>)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let handle = Rc::new(handle);
+    let mut stopping = stop.clone();
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let served = serve_connection(stream, handle.clone(), stop.clone());
+                    connections.spawn_local(served);
+                }
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            },
+            _ = stopping.wait_for(|stop| *stop) => break,
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection<H, F, B>(
+    stream: TcpStream,
+    handle: Rc<H>,
+    mut stop: watch::Receiver<bool>,
+) where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    // Small answers must not wait for more data; failing to say so only costs time.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let answer = handle(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_WITHIN)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    let stopped = tokio::select! {
+        // A failed connection has no one left to tell.
+        _ = conn.as_mut() => false,
+        _ = stop.wait_for(|stop| *stop) => true,
+    };
+    if stopped {
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -0,0 +1,100 @@
+//! Short calls that carry JSON.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{HttpPool, SendError};
+
+/// The largest answer that is read, in bytes; the platform's lists are the largest.
+const LARGEST_ANSWER: usize = 32 << 20;
+
+/// Tells why a call brought no usable answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// The call was not sent or its answer did not begin.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// The answer did not come in time; the call may have taken effect.
+    #[error("no answer within {0:?}")]
+    TimedOut(Duration),
+    /// The answer broke off; the call may have taken effect.
+    #[error("the answer broke off: {0}")]
+    AnswerCut(String),
+    /// The answer is not what the protocol says.
+    #[error("the answer is malformed")]
+    Malformed(#[source] serde_json::Error),
+    /// The request itself cannot be put into HTTP.
+    #[error("the request cannot be sent")]
+    BadRequest(#[source] hyper::http::Error),
+}
+
+/// Holds the answer to a short call.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::Malformed`] where it is not the JSON expected.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        serde_json::from_slice(&self.body).map_err(CallError::Malformed)
+    }
+}
+
+/// Makes a call and reads the whole answer within a time.
+///
+/// # Errors
+///
+/// Returns a [`CallError`]; only [`CallError::Send`] with a connection failure tells that the
+/// call certainly had no effect.
+pub async fn call(
+    pool: &HttpPool,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    within: Duration,
+) -> Result<Answer, CallError> {
+    let req = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string())
+        .header("content-type", "application/json")
+        .body(Full::new(body))
+        .map_err(CallError::BadRequest)?;
+    let exchange = async {
+        let answer = pool.send(address, req, within).await?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), LARGEST_ANSWER)
+            .collect()
+            .await
+            .map_err(|err| CallError::AnswerCut(err.to_string()))?
+            .to_bytes();
+        Ok(Answer { status, body })
+    };
+    let outcome = tokio::time::timeout(within, exchange).await;
+    outcome.unwrap_or(Err(CallError::TimedOut(within)))
+}
+
+/// Writes a value as JSON.
+///
+/// # Errors
+///
+/// Returns [`CallError::Malformed`] where the value has no JSON form.
+pub fn to_json<T: Serialize>(value: &T) -> Result<Bytes, CallError> {
+    let text = serde_json::to_vec(value).map_err(CallError::Malformed)?;
+    Ok(Bytes::from(text))
+}
--- /dev/null
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -0,0 +1,21 @@
+//! Clients of what lies outside the system: the platform's key-value service and box list, and
+//! the control interface of model engines.
+//!
+//! The traits [`KeyValue`] and [`BoxList`] are what the daemon's duties are written against; the
+//! clients speak HTTP with JSON.
+
+mod engine_client;
+mod http_pool;
+mod http_server;
+mod inventory_list;
+mod json_call;
+mod key_value;
+mod platform_client;
+
+pub use engine_client::{EPOCH_HEADER, EngineClient, EngineError, NOT_RUN_HEADER};
+pub use http_pool::{HttpPool, PooledBody, SendError};
+pub use http_server::{MAX_HEAD_BYTES, serve_http};
+pub use inventory_list::{BoxList, Inventory};
+pub use json_call::{Answer, CallError, call, to_json};
+pub use key_value::{Changes, KeyValue, Lease, MAX_VALUE_BYTES, PlatformError, Swap};
+pub use platform_client::{PlatformClient, WireLease, WireRecord, WireRecords, WireRevision};
--- /dev/null
+++ b/crates/cherrystand_platform/src/platform_client.rs
@@ -0,0 +1,182 @@
+//! The client of the platform's services over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cherrystand_core::{Document, Revision};
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Answer, BoxList, Changes, HttpPool, Inventory, KeyValue, Lease, MAX_VALUE_BYTES, PlatformError,
+    Swap, call,
+};
+
+/// How long a call other than a watch may take.
+const CALL_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// One record as the service's protocol carries it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireRecord {
+    /// The key.
+    pub key: String,
+    /// The revision at which it was last written.
+    pub revision: Revision,
+    /// The value.
+    pub value: String,
+}
+
+/// Several records as the service's protocol carries them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireRecords {
+    /// The service's revision.
+    pub revision: Revision,
+    /// The records.
+    pub records: Vec<WireRecord>,
+}
+
+/// The revision that a write made, or met.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct WireRevision {
+    /// The revision.
+    pub revision: Revision,
+}
+
+/// Whether a lease is held.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct WireLease {
+    /// Whether the asking holder has it.
+    pub held: bool,
+}
+
+/// Talks to the platform at one address.
+#[derive(Clone)]
+pub struct PlatformClient {
+    address: SocketAddr,
+    pool: HttpPool,
+}
+
+impl PlatformClient {
+    /// Creates a client of the platform at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            pool: HttpPool::default(),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        within: Duration,
+    ) -> Result<Answer, PlatformError> {
+        let answer = call(&self.pool, self.address, method, path, body, within).await?;
+        match answer.status {
+            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::RateLimited),
+            status if status.is_server_error() => Err(PlatformError::Status(status.as_u16())),
+            _ => Ok(answer),
+        }
+    }
+
+    async fn read(&self, path: &str, within: Duration) -> Result<Answer, PlatformError> {
+        self.call(Method::GET, path, Bytes::new(), within).await
+    }
+}
+
+fn document(record: WireRecord) -> Document {
+    Document {
+        key: Arc::from(record.key),
+        revision: record.revision,
+        body: Arc::from(record.value),
+    }
+}
+
+fn changes(answer: &Answer) -> Result<Changes, PlatformError> {
+    let wire: WireRecords = answer.json()?;
+    Ok(Changes {
+        revision: wire.revision,
+        records: wire.records.into_iter().map(document).collect(),
+    })
+}
+
+impl KeyValue for PlatformClient {
+    async fn get(&self, key: &str) -> Result<Option<Document>, PlatformError> {
+        let answer = self.read(&format!("/v1/kv/{key}"), CALL_WITHIN).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(document(answer.json()?)))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
+        let answer = self
+            .read(&format!("/v1/list/{prefix}"), CALL_WITHIN)
+            .await?;
+        changes(&answer)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        let path = format!(
+            "/v1/watch/{prefix}?after={after}&wait-ms={}",
+            wait.as_millis()
+        );
+        let answer = self.read(&path, wait + CALL_WITHIN).await?;
+        changes(&answer)
+    }
+
+    async fn swap(&self, key: &str, expected: Revision, body: &str) -> Result<Swap, PlatformError> {
+        if body.len() > MAX_VALUE_BYTES {
+            let key = key.to_owned();
+            return Err(PlatformError::TooLarge {
+                key,
+                bytes: body.len(),
+            });
+        }
+        let path = format!("/v1/kv/{key}?if-revision={expected}");
+        let body = Bytes::copy_from_slice(body.as_bytes());
+        let answer = self.call(Method::PUT, &path, body, CALL_WITHIN).await?;
+        let wire: WireRevision = answer.json()?;
+        match answer.status {
+            StatusCode::OK => Ok(Swap::Done(wire.revision)),
+            StatusCode::CONFLICT => Ok(Swap::Conflict(wire.revision)),
+            other => Err(PlatformError::Status(other.as_u16())),
+        }
+    }
+
+    async fn lease(
+        &self,
+        name: &str,
+        holder: &str,
+        life: Duration,
+    ) -> Result<Lease, PlatformError> {
+        let path = format!(
+            "/v1/lease/{name}?holder={holder}&life-ms={}",
+            life.as_millis()
+        );
+        let answer = self
+            .call(Method::PUT, &path, Bytes::new(), CALL_WITHIN)
+            .await?;
+        let wire: WireLease = answer.json()?;
+        Ok(if wire.held {
+            Lease::Held
+        } else {
+            Lease::HeldByOther
+        })
+    }
+}
+
+impl BoxList for PlatformClient {
+    async fn inventory(&self) -> Result<Inventory, PlatformError> {
+        let answer = self.read("/v1/boxes", CALL_WITHIN).await?;
+        Ok(answer.json()?)
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_standin.rs
@@ -0,0 +1,116 @@
+//! Runs one stand-in as a process of its own.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use cherrystand_core::Revision;
+use cherrystand_platform::{Inventory, serve_http};
+use cherrystand_testkit::{EngineSetup, EngineStandIn, PlatformStandIn, ServiceStandIn};
+use eyre::WrapErr;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Stands in for something outside the system, for tests and demonstrations.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    kind: Kind,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Kind {
+    Platform(PlatformArgs),
+    Engine(EngineArgs),
+    Service(ServiceArgs),
+}
+
+/// the platform's key-value service, box list and weight store
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+struct PlatformArgs {
+    /// address to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+    /// file with the list of boxes and daemons, in JSON
+    #[argh(option)]
+    inventory: Option<PathBuf>,
+}
+
+/// the model engine of one box
+#[derive(FromArgs)]
+#[argh(subcommand, name = "engine")]
+struct EngineArgs {
+    /// address to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+    /// address of the platform's stand-in
+    #[argh(option)]
+    platform: SocketAddr,
+    /// follow orders of any epoch
+    #[argh(switch)]
+    obeys_anyone: bool,
+}
+
+/// one endpoint of a plain service
+#[derive(FromArgs)]
+#[argh(subcommand, name = "service")]
+struct ServiceArgs {
+    /// address to listen at
+    #[argh(option)]
+    listen: SocketAddr,
+}
+
+fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("starting the runtime")?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, run(args.kind))
+}
+
+async fn run(kind: Kind) -> eyre::Result<()> {
+    // Stand-ins run until they are killed; nothing ever turns this true.
+    let (_stop, stopped) = watch::channel(false);
+    match kind {
+        Kind::Platform(args) => {
+            let listener = bind(args.listen).await?;
+            let stand_in = PlatformStandIn::new(read_inventory(args.inventory)?);
+            serve_http(listener, move |req| stand_in.clone().handle(req), stopped).await;
+        }
+        Kind::Engine(args) => {
+            let listener = bind(args.listen).await?;
+            let stand_in = EngineStandIn::new(EngineSetup {
+                platform: args.platform,
+                checks_orders: !args.obeys_anyone,
+            });
+            serve_http(listener, move |req| stand_in.clone().handle(req), stopped).await;
+        }
+        Kind::Service(args) => {
+            let listener = bind(args.listen).await?;
+            let stand_in = ServiceStandIn::default();
+            serve_http(listener, move |req| stand_in.clone().handle(req), stopped).await;
+        }
+    }
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.wrap_err_with(|| format!("listening at {address}"))
+}
+
+fn read_inventory(path: Option<PathBuf>) -> eyre::Result<Inventory> {
+    let Some(path) = path else {
+        return Ok(Inventory {
+            version: Revision(1),
+            ..Inventory::default()
+        });
+    };
+    let text =
+        std::fs::read_to_string(&path).wrap_err_with(|| format!("reading {}", path.display()))?;
+    serde_json::from_str(&text).wrap_err_with(|| format!("{} is not a list", path.display()))
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/src/engine/answer.rs
@@ -0,0 +1,94 @@
+//! The answers that the engine stand-in makes up.
+
+use serde_json::{Value, json};
+
+/// The most tokens in one answer.
+const MOST_TOKENS: u64 = 256;
+
+/// Describes a call as far as the stand-in cares.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    /// The text asked.
+    pub text: String,
+    /// How many tokens to answer with.
+    pub tokens: u64,
+    /// Whether the answer is a stream of events.
+    pub stream: bool,
+    /// The model asked for.
+    pub model: String,
+    /// Whether the call is a chat.
+    pub chat: bool,
+}
+
+impl Prompt {
+    /// Reads a call's body.
+    pub fn read(path: &str, body: &[u8]) -> Option<Self> {
+        let value: Value = serde_json::from_slice(body).ok()?;
+        let chat = path.ends_with("/chat/completions");
+        let text = if chat {
+            let messages = value.get("messages")?.as_array()?;
+            messages.last()?.get("content")?.as_str()?
+        } else {
+            value.get("prompt")?.as_str()?
+        };
+        let tokens = value
+            .get("max_tokens")
+            .and_then(Value::as_u64)
+            .unwrap_or(16);
+        Some(Self {
+            text: text.to_owned(),
+            tokens: tokens.clamp(1, MOST_TOKENS),
+            stream: value
+                .get("stream")
+                .and_then(Value::as_bool)
+                .unwrap_or(false),
+            model: value.get("model")?.as_str()?.to_owned(),
+            chat,
+        })
+    }
+
+    /// Returns the `number`th token of the answer.
+    pub fn token(&self, number: u64) -> String {
+        format!("{}:{number} ", self.text)
+    }
+
+    /// Returns the whole text of the answer, which follows from the prompt alone.
+    pub fn whole_text(&self) -> String {
+        (0..self.tokens).map(|number| self.token(number)).collect()
+    }
+
+    /// Returns the body of a whole answer.
+    pub fn whole_body(&self) -> Value {
+        let text = self.whole_text();
+        let choice = if self.chat {
+            json!({"index": 0, "finish_reason": "stop",
+                   "message": {"role": "assistant", "content": text}})
+        } else {
+            json!({"index": 0, "finish_reason": "stop", "text": text})
+        };
+        json!({"object": self.object(""), "model": self.model, "choices": [choice],
+               "usage": {"completion_tokens": self.tokens}})
+    }
+
+    /// Returns one event of a streamed answer.
+    pub fn event(&self, number: u64) -> String {
+        let text = self.token(number);
+        let choice = if self.chat {
+            json!({"index": 0, "delta": {"content": text}})
+        } else {
+            json!({"index": 0, "text": text})
+        };
+        let chunk = json!({"object": self.object(".chunk"), "model": self.model,
+                           "choices": [choice]});
+        format!("data: {chunk}\n\n")
+    }
+
+    fn object(&self, suffix: &str) -> String {
+        let kind = if self.chat {
+            "chat.completion"
+        } else {
+            "text_completion"
+        };
+        format!("{kind}{suffix}")
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/src/engine/stand_in.rs
@@ -0,0 +1,504 @@
+//! A model engine's stand-in: one box of a replica.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cherrystand_core::{EngineReport, EngineState, Epoch, LoadSpec, Order, Task, hash_bytes};
+use cherrystand_platform::{EPOCH_HEADER, HttpPool, NOT_RUN_HEADER, call};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use crate::engine::answer::Prompt;
+use crate::http::{empty, json, read_body, read_json};
+
+/// How often a leader looks after its members.
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+
+/// After this long without an answer a leader takes a member for dead.
+const MEMBER_WITHIN: Duration = Duration::from_millis(400);
+
+/// How many tokens of an answer may wait for a slow reader.
+const BUFFERED_TOKENS: usize = 16;
+
+/// The length of the prefix that the cache goes by, in bytes.
+const PREFIX_BYTES: usize = 32;
+
+/// The body of an engine's answers.
+pub type EngineBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Sets how an engine behaves; what is left out stays as it is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineKnobs {
+    /// For how long the engine answers nothing from now on, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub freeze_ms: Option<u64>,
+    /// The time between tokens of a lone request, in microseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token_us: Option<u64>,
+    /// The time until the first token of an uncached prompt, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prefill_ms: Option<u64>,
+    /// After how many tokens the next answers are cut; 0 for never.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cut_after: Option<u64>,
+    /// How many requests run in one batch.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub batch: Option<u32>,
+    /// How many requests wait for the batch before others are refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub queue: Option<u32>,
+}
+
+/// Describes an engine's stand-in.
+#[derive(Clone, Debug)]
+pub struct EngineSetup {
+    /// Where the platform's stand-in serves weights.
+    pub platform: SocketAddr,
+    /// Whether the engine refuses orders of an old epoch.
+    pub checks_orders: bool,
+}
+
+/// Counts what an engine ran.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Executions {
+    /// Requests begun.
+    pub begun: u64,
+    /// Requests answered whole.
+    pub whole: u64,
+    /// Requests whose caller left.
+    pub cancelled: u64,
+    /// How often each request id was begun.
+    pub by_request: BTreeMap<String, u32>,
+}
+
+struct State {
+    setup: EngineSetup,
+    knobs: EngineKnobs,
+    highest: Epoch,
+    epoch: Epoch,
+    state: EngineState,
+    loaded: Option<LoadSpec>,
+    rank: u32,
+    in_flight: u32,
+    waiting: u32,
+    prefixes: VecDeque<u64>,
+    frozen_until: Option<tokio::time::Instant>,
+    executions: Executions,
+}
+
+/// Stands in for the engine of one box.
+#[derive(Clone)]
+pub struct EngineStandIn {
+    state: Rc<RefCell<State>>,
+    pool: HttpPool,
+}
+
+impl EngineStandIn {
+    /// Creates an idle engine without weights.
+    pub fn new(setup: EngineSetup) -> Self {
+        let state = State {
+            setup,
+            knobs: EngineKnobs::default(),
+            highest: Epoch(0),
+            epoch: Epoch(0),
+            state: EngineState::Idle,
+            loaded: None,
+            rank: 0,
+            in_flight: 0,
+            waiting: 0,
+            prefixes: VecDeque::new(),
+            frozen_until: None,
+            executions: Executions::default(),
+        };
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            pool: HttpPool::default(),
+        }
+    }
+
+    /// Answers one call.
+    pub async fn handle(self, req: Request<Incoming>) -> Response<EngineBody> {
+        let path = req.uri().path().to_owned();
+        if path == "/control/set" {
+            return boxed(self.set(req).await);
+        }
+        self.thaw().await;
+        match (req.method(), path.as_str()) {
+            (&Method::GET, "/engine/report") => boxed(json(StatusCode::OK, &self.report())),
+            (&Method::GET, "/engine/epoch") => boxed(self.tell_epoch()),
+            (&Method::POST, "/engine/order") => boxed(self.order(req).await),
+            (&Method::GET, "/control/executions") => {
+                boxed(json(StatusCode::OK, &self.state.borrow().executions))
+            }
+            (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                self.complete(&path, req).await
+            }
+            _ => boxed(empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    async fn thaw(&self) {
+        loop {
+            let until = self.state.borrow().frozen_until;
+            match until {
+                Some(until) if until > tokio::time::Instant::now() => {
+                    tokio::time::sleep_until(until).await;
+                }
+                _ => return,
+            }
+        }
+    }
+
+    fn report(&self) -> EngineReport {
+        let state = self.state.borrow();
+        EngineReport {
+            epoch: state.epoch,
+            state: state.state,
+            loaded: state.loaded.clone(),
+            in_flight: state.in_flight,
+            waiting: state.waiting,
+        }
+    }
+
+    /// Tells a leader which epoch this member is ready for.
+    fn tell_epoch(&self) -> Response<crate::http::Whole> {
+        let state = self.state.borrow();
+        let ready = state.state == EngineState::Ready;
+        json(StatusCode::OK, &if ready { state.epoch } else { Epoch(0) })
+    }
+
+    async fn set(&self, req: Request<Incoming>) -> Response<crate::http::Whole> {
+        let Some(knobs) = read_json::<EngineKnobs>(req).await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let mut state = self.state.borrow_mut();
+        if let Some(freeze) = knobs.freeze_ms {
+            let until = tokio::time::Instant::now() + Duration::from_millis(freeze);
+            state.frozen_until = Some(until);
+        }
+        let old = state.knobs.clone();
+        state.knobs = EngineKnobs {
+            freeze_ms: None,
+            token_us: knobs.token_us.or(old.token_us),
+            prefill_ms: knobs.prefill_ms.or(old.prefill_ms),
+            cut_after: knobs.cut_after.or(old.cut_after),
+            batch: knobs.batch.or(old.batch),
+            queue: knobs.queue.or(old.queue),
+        };
+        empty(StatusCode::OK)
+    }
+
+    async fn order(&self, req: Request<Incoming>) -> Response<crate::http::Whole> {
+        let Some(order) = read_json::<Order>(req).await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        if !self.passes_fence(order.epoch) {
+            return empty(StatusCode::CONFLICT);
+        }
+        match order.task {
+            Task::Join {
+                rank,
+                members,
+                load,
+                ..
+            } => self.join(order.epoch, rank, members, load),
+            Task::Drain => self.state.borrow_mut().state = EngineState::Draining,
+            Task::Release => {
+                let mut state = self.state.borrow_mut();
+                state.epoch = Epoch(0);
+                state.state = EngineState::Idle;
+            }
+        }
+        empty(StatusCode::OK)
+    }
+
+    fn passes_fence(&self, epoch: Epoch) -> bool {
+        let mut state = self.state.borrow_mut();
+        if state.setup.checks_orders && epoch < state.highest {
+            return false;
+        }
+        state.highest = state.highest.max(epoch);
+        true
+    }
+
+    fn join(&self, epoch: Epoch, rank: u32, members: Vec<SocketAddr>, load: LoadSpec) {
+        {
+            let mut state = self.state.borrow_mut();
+            if state.epoch == epoch {
+                return;
+            }
+            state.epoch = epoch;
+            state.rank = rank;
+            state.state = EngineState::Loading;
+        }
+        let engine = self.clone();
+        tokio::task::spawn_local(async move { engine.load_and_lead(epoch, members, load).await });
+    }
+
+    async fn load_and_lead(&self, epoch: Epoch, members: Vec<SocketAddr>, load: LoadSpec) {
+        let has_it = self.state.borrow().loaded.as_ref() == Some(&load);
+        if !has_it && !self.fetch(&load).await {
+            return self.set_state(epoch, EngineState::Broken);
+        }
+        {
+            let mut state = self.state.borrow_mut();
+            if state.epoch != epoch {
+                return;
+            }
+            state.loaded = Some(load);
+            state.state = EngineState::Ready;
+        }
+        if self.state.borrow().rank == 0 {
+            self.look_after(epoch, &members[1..]).await;
+        }
+    }
+
+    async fn fetch(&self, load: &LoadSpec) -> bool {
+        let platform = self.state.borrow().setup.platform;
+        let path = format!("/v1/weights/{}@{}", load.model, load.version);
+        let within = Duration::from_secs(600);
+        let answer = call(
+            &self.pool,
+            platform,
+            Method::GET,
+            &path,
+            Bytes::new(),
+            within,
+        )
+        .await;
+        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    /// Breaks the replica as soon as a member that was ready is gone.
+    async fn look_after(&self, epoch: Epoch, members: &[SocketAddr]) {
+        let mut joined = vec![false; members.len()];
+        loop {
+            tokio::time::sleep(LOOK_EVERY).await;
+            if self.state.borrow().epoch != epoch {
+                return;
+            }
+            for (member, joined) in members.iter().zip(&mut joined) {
+                let ready = self.member_epoch(*member).await == Some(epoch);
+                if *joined && !ready {
+                    return self.set_state(epoch, EngineState::Broken);
+                }
+                *joined |= ready;
+            }
+        }
+    }
+
+    async fn member_epoch(&self, member: SocketAddr) -> Option<Epoch> {
+        let path = "/engine/epoch";
+        let answer = call(
+            &self.pool,
+            member,
+            Method::GET,
+            path,
+            Bytes::new(),
+            MEMBER_WITHIN,
+        )
+        .await;
+        answer.ok()?.json().ok()
+    }
+
+    fn set_state(&self, epoch: Epoch, to: EngineState) {
+        let mut state = self.state.borrow_mut();
+        if state.epoch == epoch {
+            state.state = to;
+        }
+    }
+
+    async fn complete(&self, path: &str, req: Request<Incoming>) -> Response<EngineBody> {
+        let header = |name: &str| {
+            let value = req.headers().get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        let id = header("x-request-id").unwrap_or_default();
+        let meant = header(EPOCH_HEADER)
+            .and_then(|epoch| epoch.parse().ok())
+            .map(Epoch);
+        let Some(body) = read_body(req).await else {
+            return not_run(StatusCode::BAD_REQUEST);
+        };
+        let Some(prompt) = Prompt::read(path, &body) else {
+            return not_run(StatusCode::BAD_REQUEST);
+        };
+        if let Err(status) = self.admit(meant) {
+            return not_run(status);
+        }
+        let epoch = self.state.borrow().epoch;
+        self.count(&id);
+        let run = Run {
+            engine: self.clone(),
+            epoch,
+            prompt,
+            done: false,
+        };
+        if run.prompt.stream {
+            run.stream()
+        } else {
+            run.whole().await
+        }
+    }
+
+    fn admit(&self, meant: Option<Epoch>) -> Result<(), StatusCode> {
+        let mut state = self.state.borrow_mut();
+        let wrong_epoch = meant.is_some_and(|meant| meant != state.epoch);
+        if state.state != EngineState::Ready || state.rank != 0 || wrong_epoch {
+            return Err(StatusCode::CONFLICT);
+        }
+        let most = state.knobs.batch.unwrap_or(32) + state.knobs.queue.unwrap_or(32);
+        if state.in_flight >= most {
+            return Err(StatusCode::TOO_MANY_REQUESTS);
+        }
+        state.in_flight += 1;
+        Ok(())
+    }
+
+    fn count(&self, id: &str) {
+        let executions = &mut self.state.borrow_mut().executions;
+        executions.begun += 1;
+        *executions.by_request.entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// Returns the time until the first token, less for a prefix that was seen lately.
+    fn prefill(&self, text: &str) -> Duration {
+        let mut state = self.state.borrow_mut();
+        let end = text.len().min(PREFIX_BYTES);
+        let prefix = hash_bytes(&text.as_bytes()[..end]);
+        let cached = state.prefixes.contains(&prefix);
+        if !cached {
+            state.prefixes.push_back(prefix);
+            if state.prefixes.len() > 64 {
+                state.prefixes.pop_front();
+            }
+        }
+        let whole = state.knobs.prefill_ms.unwrap_or(20);
+        Duration::from_millis(if cached { whole / 4 } else { whole })
+    }
+
+    /// Returns the time until the next token, which grows with the batch.
+    fn token_time(&self) -> Duration {
+        let state = self.state.borrow();
+        let lone = state.knobs.token_us.unwrap_or(2_000);
+        let batch = u64::from(state.knobs.batch.unwrap_or(32));
+        Duration::from_micros(lone + lone * u64::from(state.in_flight) / batch.max(1))
+    }
+
+    fn serves(&self, epoch: Epoch) -> bool {
+        let state = self.state.borrow();
+        let able = matches!(state.state, EngineState::Ready | EngineState::Draining);
+        state.epoch == epoch && able
+    }
+}
+
+/// One request being run; counted as in flight for as long as it lives.
+struct Run {
+    engine: EngineStandIn,
+    epoch: Epoch,
+    prompt: Prompt,
+    done: bool,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut state = self.engine.state.borrow_mut();
+        state.in_flight -= 1;
+        if self.done {
+            state.executions.whole += 1;
+        } else {
+            state.executions.cancelled += 1;
+        }
+    }
+}
+
+impl Run {
+    /// Makes the tokens one by one; fails when the replica comes apart or is told to cut.
+    async fn make(&self, number: u64) -> Result<(), std::io::Error> {
+        let time = match number {
+            0 => self.engine.prefill(&self.prompt.text),
+            _ => self.engine.token_time(),
+        };
+        tokio::time::sleep(time).await;
+        self.engine.thaw().await;
+        let cut = self.engine.state.borrow().knobs.cut_after.unwrap_or(0);
+        let told_to_cut = cut > 0 && number >= cut;
+        if told_to_cut || !self.engine.serves(self.epoch) {
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+
+    async fn whole(mut self) -> Response<EngineBody> {
+        for number in 0..self.prompt.tokens {
+            if let Err(err) = self.make(number).await {
+                return cut_answer(err);
+            }
+        }
+        self.done = true;
+        boxed(json(StatusCode::OK, &self.prompt.whole_body()))
+    }
+
+    fn stream(self) -> Response<EngineBody> {
+        let (tx, rx) = mpsc::channel(BUFFERED_TOKENS);
+        tokio::task::spawn_local(self.feed(tx));
+        let mut answer = Response::new(receiver_body(rx));
+        let kind = hyper::header::HeaderValue::from_static("text/event-stream");
+        answer
+            .headers_mut()
+            .insert(hyper::header::CONTENT_TYPE, kind);
+        answer
+    }
+
+    async fn feed(mut self, tx: mpsc::Sender<Result<Bytes, std::io::Error>>) {
+        for number in 0..self.prompt.tokens {
+            let made = tokio::select! {
+                made = self.make(number) => made,
+                () = tx.closed() => return,
+            };
+            let event = made.map(|()| Bytes::from(self.prompt.event(number)));
+            let failed = event.is_err();
+            if tx.send(event).await.is_err() || failed {
+                return;
+            }
+        }
+        let last = Bytes::from_static(b"data: [DONE]\n\n");
+        self.done = tx.send(Ok(last)).await.is_ok();
+    }
+}
+
+fn receiver_body(mut rx: mpsc::Receiver<Result<Bytes, std::io::Error>>) -> EngineBody {
+    let frames = futures_util::stream::poll_fn(move |cx| {
+        rx.poll_recv(cx)
+            .map(|item| item.map(|bytes| bytes.map(Frame::data)))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(frames))
+}
+
+/// An answer that breaks off after its head.
+fn cut_answer(err: std::io::Error) -> Response<EngineBody> {
+    let (tx, rx) = mpsc::channel(1);
+    // The channel has room for this one item.
+    let _ = tx.try_send(Err(err));
+    Response::new(receiver_body(rx))
+}
+
+fn not_run(status: StatusCode) -> Response<EngineBody> {
+    let mut answer = boxed(empty(status));
+    let yes = hyper::header::HeaderValue::from_static("true");
+    answer.headers_mut().insert(NOT_RUN_HEADER, yes);
+    answer
+}
+
+fn boxed(answer: Response<crate::http::Whole>) -> Response<EngineBody> {
+    answer.map(|body| BodyExt::boxed_unsync(body.map_err(|never| match never {})))
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/src/platform/stand_in.rs
@@ -0,0 +1,285 @@
+//! The platform's stand-in: key-value service, box list and weight store on one address.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cherrystand_core::{BoxId, Revision};
+use cherrystand_platform::{Inventory, Swap, WireLease, WireRecords, WireRevision};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, Semaphore};
+
+use crate::http::{Whole, empty, json, query, query_number, read_body, read_json};
+use crate::platform::store::{Rate, Store};
+
+/// Reads per second that the service takes.
+const READS_PER_SECOND: f64 = 2_000.0;
+
+/// Writes per second that the service takes.
+const WRITES_PER_SECOND: f64 = 300.0;
+
+/// How many weight loads run at once.
+const LOADS_AT_ONCE: usize = 8;
+
+/// Sets how the platform misbehaves; what is left out stays as it is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformKnobs {
+    /// Whether nothing answers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub down: Option<bool>,
+    /// How much later every answer comes, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slow_ms: Option<u64>,
+    /// How many of the next writes take effect without an answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lose_answers: Option<u32>,
+    /// How long one weight load takes, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load_ms: Option<u64>,
+    /// Boxes to mark as leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leave: Vec<BoxId>,
+    /// Boxes to take off the list.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unlist: Vec<BoxId>,
+}
+
+/// Counts the calls that the service took.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallCounts {
+    /// Reads, a waiting watch counting as one.
+    pub reads: u64,
+    /// Watches among the reads.
+    pub watches: u64,
+    /// Writes, renewed leases included.
+    pub writes: u64,
+    /// Leases among the writes.
+    pub leases: u64,
+    /// Calls refused for their rate.
+    pub refused: u64,
+}
+
+struct State {
+    store: Store,
+    inventory: Inventory,
+    knobs: PlatformKnobs,
+    counts: CallCounts,
+    reads: Rate,
+    writes: Rate,
+}
+
+/// Stands in for the platform.
+#[derive(Clone)]
+pub struct PlatformStandIn {
+    state: Rc<RefCell<State>>,
+    changed: Rc<Notify>,
+    loads: Rc<Semaphore>,
+}
+
+impl PlatformStandIn {
+    /// Creates a platform that lists these boxes and daemons.
+    pub fn new(inventory: Inventory) -> Self {
+        let state = State {
+            store: Store::default(),
+            inventory,
+            knobs: PlatformKnobs::default(),
+            counts: CallCounts::default(),
+            reads: Rate::new(READS_PER_SECOND),
+            writes: Rate::new(WRITES_PER_SECOND),
+        };
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            changed: Rc::new(Notify::new()),
+            loads: Rc::new(Semaphore::new(LOADS_AT_ONCE)),
+        }
+    }
+
+    /// Answers one call.
+    pub async fn handle(self, req: Request<Incoming>) -> Response<Whole> {
+        let path = req.uri().path().to_owned();
+        match path.as_str() {
+            "/control/set" => return self.set(req).await,
+            "/control/counts" => return json(StatusCode::OK, &self.state.borrow().counts),
+            _ => {}
+        }
+        self.misbehave().await;
+        let answer = self.answer(&path, req).await;
+        if self.state.borrow().knobs.down == Some(true) {
+            // It went down while the call was waiting.
+            std::future::pending::<()>().await;
+        }
+        answer
+    }
+
+    async fn answer(&self, path: &str, req: Request<Incoming>) -> Response<Whole> {
+        if let Some(name) = path.strip_prefix("/v1/weights/") {
+            return self.load_weights(name).await;
+        }
+        if !self.count(&req) {
+            return empty(StatusCode::TOO_MANY_REQUESTS);
+        }
+        if let Some(key) = path.strip_prefix("/v1/kv/") {
+            return match *req.method() {
+                Method::GET => self.get(key),
+                Method::PUT => self.swap(key, req).await,
+                _ => empty(StatusCode::METHOD_NOT_ALLOWED),
+            };
+        }
+        if let Some(prefix) = path.strip_prefix("/v1/list/") {
+            return self.changes(prefix, 0);
+        }
+        if let Some(prefix) = path.strip_prefix("/v1/watch/") {
+            return self.watch(prefix, &req).await;
+        }
+        if let Some(name) = path.strip_prefix("/v1/lease/") {
+            return self.lease(name, &req);
+        }
+        if path == "/v1/boxes" {
+            return json(StatusCode::OK, &self.state.borrow().inventory);
+        }
+        empty(StatusCode::NOT_FOUND)
+    }
+
+    async fn misbehave(&self) {
+        let (down, slow) = {
+            let knobs = &self.state.borrow().knobs;
+            (knobs.down == Some(true), knobs.slow_ms.unwrap_or(0))
+        };
+        if down {
+            std::future::pending::<()>().await;
+        }
+        if slow > 0 {
+            tokio::time::sleep(Duration::from_millis(slow)).await;
+        }
+    }
+
+    fn count(&self, req: &Request<Incoming>) -> bool {
+        let mut state = self.state.borrow_mut();
+        let path = req.uri().path();
+        let write = req.method() == Method::PUT;
+        let allowed = if write {
+            state.writes.take()
+        } else {
+            state.reads.take()
+        };
+        let counts = &mut state.counts;
+        counts.writes += u64::from(write);
+        counts.reads += u64::from(!write);
+        counts.watches += u64::from(path.starts_with("/v1/watch/"));
+        counts.leases += u64::from(path.starts_with("/v1/lease/"));
+        counts.refused += u64::from(!allowed);
+        allowed
+    }
+
+    fn get(&self, key: &str) -> Response<Whole> {
+        match self.state.borrow().store.get(key) {
+            Some(record) => json(StatusCode::OK, &record),
+            None => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn swap(&self, key: &str, req: Request<Incoming>) -> Response<Whole> {
+        let Some(expected) = query_number(&req, "if-revision") else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let value = read_body(req)
+            .await
+            .and_then(|body| String::from_utf8(body.to_vec()).ok());
+        let Some(value) = value else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let (outcome, lost) = {
+            let mut state = self.state.borrow_mut();
+            let outcome = state.store.swap(key, expected, value);
+            (outcome, take_one(&mut state.knobs.lose_answers))
+        };
+        self.changed.notify_waiters();
+        if lost {
+            std::future::pending::<()>().await;
+        }
+        match outcome {
+            Swap::Done(revision) => json(StatusCode::OK, &WireRevision { revision }),
+            Swap::Conflict(revision) => json(StatusCode::CONFLICT, &WireRevision { revision }),
+        }
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Response<Whole> {
+        let store = &self.state.borrow().store;
+        let records = store.changed(prefix, after);
+        json(
+            StatusCode::OK,
+            &WireRecords {
+                revision: store.revision(),
+                records,
+            },
+        )
+    }
+
+    async fn watch(&self, prefix: &str, req: &Request<Incoming>) -> Response<Whole> {
+        let after = query_number(req, "after").unwrap_or(0);
+        let wait = Duration::from_millis(query_number(req, "wait-ms").unwrap_or(0));
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let woken = self.changed.notified();
+            let changed = !self.state.borrow().store.changed(prefix, after).is_empty();
+            if changed || tokio::time::timeout_at(until, woken).await.is_err() {
+                return self.changes(prefix, after);
+            }
+        }
+    }
+
+    fn lease(&self, name: &str, req: &Request<Incoming>) -> Response<Whole> {
+        let holder = query(req, "holder").unwrap_or_default();
+        let life = Duration::from_millis(query_number(req, "life-ms").unwrap_or(0));
+        let held = self.state.borrow_mut().store.lease(name, holder, life);
+        json(StatusCode::OK, &WireLease { held })
+    }
+
+    async fn load_weights(&self, name: &str) -> Response<Whole> {
+        let Ok(_slot) = self.loads.acquire().await else {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let load = self.state.borrow().knobs.load_ms.unwrap_or(500);
+        tokio::time::sleep(Duration::from_millis(load)).await;
+        json(StatusCode::OK, &name)
+    }
+
+    async fn set(&self, req: Request<Incoming>) -> Response<Whole> {
+        let Some(knobs) = read_json::<PlatformKnobs>(req).await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let mut state = self.state.borrow_mut();
+        state.knobs.down = knobs.down.or(state.knobs.down);
+        state.knobs.slow_ms = knobs.slow_ms.or(state.knobs.slow_ms);
+        state.knobs.lose_answers = knobs.lose_answers.or(state.knobs.lose_answers);
+        state.knobs.load_ms = knobs.load_ms.or(state.knobs.load_ms);
+        change_list(&mut state.inventory, &knobs);
+        empty(StatusCode::OK)
+    }
+}
+
+fn take_one(count: &mut Option<u32>) -> bool {
+    match count {
+        Some(left) if *left > 0 => {
+            *left -= 1;
+            true
+        }
+        _ => false,
+    }
+}
+
+fn change_list(inventory: &mut Inventory, knobs: &PlatformKnobs) {
+    if knobs.leave.is_empty() && knobs.unlist.is_empty() {
+        return;
+    }
+    for info in &mut inventory.boxes {
+        info.leaving |= knobs.leave.contains(&info.id);
+    }
+    inventory
+        .boxes
+        .retain(|info| !knobs.unlist.contains(&info.id));
+    inventory.version = Revision(inventory.version.0 + 1);
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/src/service_stand_in.rs
@@ -0,0 +1,124 @@
+//! A plain service's stand-in.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{Whole, empty, json, read_body, read_json};
+
+/// Sets how a service behaves; what is left out stays as it is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceKnobs {
+    /// For how long the service answers nothing from now on, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub freeze_ms: Option<u64>,
+    /// How long each call takes, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delay_ms: Option<u64>,
+}
+
+/// What a service answers and has counted.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ServiceAnswer {
+    /// The call's method.
+    pub method: String,
+    /// The call's path and query.
+    pub path: String,
+    /// The call's body.
+    pub body: String,
+    /// The call's `x-request-id`.
+    pub request: String,
+}
+
+#[derive(Default)]
+struct State {
+    delay: Duration,
+    frozen_until: Option<tokio::time::Instant>,
+    executions: BTreeMap<String, u32>,
+}
+
+/// Stands in for one endpoint of a plain service.
+#[derive(Clone, Default)]
+pub struct ServiceStandIn {
+    state: Rc<RefCell<State>>,
+}
+
+impl ServiceStandIn {
+    /// Answers one call by repeating what it was asked, and counts it.
+    ///
+    /// Calls count by their `idempotency-key`, or by their `x-request-id` where they have none.
+    pub async fn handle(self, req: Request<Incoming>) -> Response<Whole> {
+        match req.uri().path() {
+            "/control/set" => return self.set(req).await,
+            "/control/executions" => {
+                return json(StatusCode::OK, &self.state.borrow().executions);
+            }
+            _ => {}
+        }
+        let header = |name: &str| {
+            let value = req
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok());
+            value.map(str::to_owned)
+        };
+        let request = header("x-request-id").unwrap_or_default();
+        let counted = header("idempotency-key").unwrap_or_else(|| request.clone());
+        let method = req.method().to_string();
+        let path = req.uri().to_string();
+        let Some(body) = read_body(req).await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        self.wait().await;
+        *self
+            .state
+            .borrow_mut()
+            .executions
+            .entry(counted)
+            .or_default() += 1;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        json(
+            StatusCode::OK,
+            &ServiceAnswer {
+                method,
+                path,
+                body,
+                request,
+            },
+        )
+    }
+
+    async fn wait(&self) {
+        let (delay, until) = {
+            let state = self.state.borrow();
+            (state.delay, state.frozen_until)
+        };
+        if let Some(until) = until {
+            tokio::time::sleep_until(until).await;
+        }
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    async fn set(&self, req: Request<Incoming>) -> Response<Whole> {
+        let Some(knobs) = read_json::<ServiceKnobs>(req).await else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let mut state = self.state.borrow_mut();
+        if let Some(freeze) = knobs.freeze_ms {
+            let until = tokio::time::Instant::now() + Duration::from_millis(freeze);
+            state.frozen_until = Some(until);
+        }
+        if let Some(delay) = knobs.delay_ms {
+            state.delay = Duration::from_millis(delay);
+        }
+        empty(StatusCode::OK)
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/duties/controller.rs
@@ -0,0 +1,295 @@
+//! The duty that watches over this daemon's share of fabric domains.
+//!
+//! Two daemons ask the boxes of each domain, so that evidence goes on when one of them dies. The
+//! first of the two also decides, under a lease that only saves work: what is safe rests on the
+//! compare-and-swap of the domain's record and on the epochs in orders.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cherrystand_core::{
+    Controller, Document, DomainId, DomainRecord, Millis, Order, Revision, Situation,
+    desired_in_domain, ranked,
+};
+use cherrystand_platform::{EngineClient, KeyValue, Lease, PlatformClient, PlatformError, Swap};
+
+use crate::duties::prober::{Prober, boxes_to_ask};
+use crate::kernel::Duty;
+use crate::state::{StateEvent, View};
+use crate::{DutyContext, DutyError, StopPhase, clock, keys, writer};
+
+/// How many daemons ask the boxes of one domain.
+const OBSERVERS: usize = 2;
+
+/// The time between two steps.
+const STEP: Duration = Duration::from_millis(250);
+
+/// How long a lease on a domain lasts.
+const LEASE_LIFE: Duration = Duration::from_secs(10);
+
+/// How long before its end a lease is renewed.
+const LEASE_RENEW: Millis = Millis(5_000);
+
+/// How long a daemon that was refused a lease waits before it asks again.
+const LEASE_PAUSE: Millis = Millis(2_000);
+
+/// How long a controller that just began waits, so that it has asked every box.
+const LOOK_FIRST: Millis = Millis(1_500);
+
+inventory::submit! {
+    Duty { name: "controller", run }
+}
+
+fn run(cx: DutyContext) -> Result<(), DutyError> {
+    cx.run_local(async {
+        let mut duty = DomainDuty::new(cx.clone());
+        tokio::select! {
+            () = duty.run() => {}
+            () = cx.stopping(StopPhase::Stopped) => {}
+        }
+    })
+}
+
+struct DomainDuty {
+    cx: DutyContext,
+    prober: Prober,
+    platform: PlatformClient,
+    engines: EngineClient,
+    domains: BTreeMap<DomainId, Watched>,
+    asked: Option<Millis>,
+}
+
+/// What the duty remembers of a domain that it watches over.
+struct Watched {
+    controller: Controller,
+    since: Millis,
+    leased_until: Option<Millis>,
+    ask_lease_at: Millis,
+}
+
+impl DomainDuty {
+    fn new(cx: DutyContext) -> Self {
+        Self {
+            prober: Prober::new(cx.clone()),
+            platform: PlatformClient::new(cx.settings.platform.address),
+            engines: EngineClient::default(),
+            domains: BTreeMap::new(),
+            asked: None,
+            cx,
+        }
+    }
+
+    async fn run(&mut self) {
+        let mut step = tokio::time::interval(STEP);
+        step.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            step.tick().await;
+            let view = self.cx.view_now();
+            let observed = observed_domains(&view);
+            self.ask_boxes(&view, &observed);
+            self.tell_evidence(&view, &observed);
+            let decided: Vec<DomainId> = observed
+                .into_iter()
+                .filter(|(_, rank)| *rank == 0)
+                .map(|(id, _)| id)
+                .collect();
+            self.domains.retain(|id, _| decided.contains(id));
+            for domain in decided {
+                self.decide(&view, domain).await;
+            }
+        }
+    }
+
+    fn ask_boxes(&mut self, view: &View, observed: &[(DomainId, usize)]) {
+        let now = self.cx.clock.now();
+        let interval = Millis(self.cx.settings.repair.probe_ms);
+        if self.asked.is_some_and(|asked| now.since(asked) < interval) {
+            return;
+        }
+        self.asked = Some(now);
+        let records = observed.iter().map(|(domain, _)| record_of(view, domain).1);
+        let boxes: Vec<_> = records
+            .flat_map(|record| boxes_to_ask(&view.fleet, &record))
+            .collect();
+        self.prober.keep_only(&boxes);
+        for id in boxes {
+            if let Some(info) = view.fleet.get(&id) {
+                self.prober.ask(id, info.address);
+            }
+        }
+    }
+
+    fn tell_evidence(&self, view: &View, observed: &[(DomainId, usize)]) {
+        let now = self.cx.clock.now();
+        let records = observed.iter().map(|(domain, _)| record_of(view, domain).1);
+        let evidence: Vec<_> = records
+            .flat_map(|record| self.prober.evidence(&record, now))
+            .collect();
+        if !evidence.is_empty() {
+            self.cx.tell_state(StateEvent::Evidence(evidence));
+        }
+    }
+
+    async fn decide(&mut self, view: &View, domain: DomainId) {
+        if !self.holds_lease(&domain).await {
+            return;
+        }
+        let now = self.cx.clock.now();
+        let (revision, record) = record_of(view, &domain);
+        let seen = self.prober.seen();
+        let formed = view.formed();
+        let workspaces = view.workspaces.values();
+        let desired: Vec<_> = workspaces
+            .flat_map(|held| desired_in_domain(&held.record, &domain, &formed))
+            .collect();
+        let situation = Situation {
+            record: &record,
+            desired: &desired,
+            fleet: &view.fleet,
+            seen: &seen,
+            now,
+            unix_secs: clock::unix_secs(),
+        };
+        let Some(watched) = self.domains.get_mut(&domain) else {
+            return;
+        };
+        let step = watched.controller.step(situation);
+        for order in step.orders {
+            self.send_order(view, order);
+        }
+        if let Some(next) = step.write {
+            self.write(view, &domain, revision, next).await;
+        }
+    }
+
+    /// Takes or renews the lease on a domain, and tells whether this daemon should decide now.
+    async fn holds_lease(&mut self, domain: &DomainId) -> bool {
+        let now = self.cx.clock.now();
+        let policy = self.cx.settings.repair.policy();
+        let watched = self
+            .domains
+            .entry(domain.clone())
+            .or_insert_with(|| Watched {
+                controller: Controller::new(policy),
+                since: now,
+                leased_until: None,
+                ask_lease_at: now,
+            });
+        if now >= watched.ask_lease_at {
+            let holder = self.cx.settings.node.as_str();
+            let name = format!("domain-{domain}");
+            let lease = self.platform.lease(&name, holder, LEASE_LIFE).await;
+            count_call(&self.cx, "lease", lease.is_ok());
+            let until = now + Millis(LEASE_LIFE.as_millis() as u64);
+            (watched.leased_until, watched.ask_lease_at) = match lease {
+                Ok(Lease::Held) => (Some(until), until - LEASE_RENEW),
+                Ok(Lease::HeldByOther) => (None, now + LEASE_PAUSE),
+                Err(_) => (watched.leased_until, now + LEASE_PAUSE),
+            };
+        }
+        let still_leased = |until: Millis| until > self.cx.clock.now();
+        watched.leased_until.is_some_and(still_leased) && now.since(watched.since) >= LOOK_FIRST
+    }
+
+    /// Writes a record; whatever comes of it, the next step decides from what then stands.
+    async fn write(
+        &self,
+        view: &View,
+        domain: &DomainId,
+        expected: Revision,
+        mut next: DomainRecord,
+    ) {
+        next.writes.push(writer::next_write(view));
+        let explanations: Vec<_> = next.explanations.iter().rev().take(4).cloned().collect();
+        let body = match serde_json::to_string(&next) {
+            Ok(body) => body,
+            Err(err) => return log::error!("a domain's record has no JSON form: {err}"),
+        };
+        let key = keys::domain(domain);
+        let outcome = self.platform.swap(&key, expected, &body).await;
+        count_call(&self.cx, "controller", outcome.is_ok());
+        match outcome {
+            Ok(Swap::Done(revision)) => {
+                for explanation in explanations.iter().rev() {
+                    log::info!(
+                        replica = explanation.replica.to_string(),
+                        epoch = explanation.epoch.0;
+                        "{}", explanation.evidence
+                    );
+                }
+                let record = Document {
+                    key: key.into(),
+                    revision,
+                    body: body.into(),
+                };
+                self.cx.tell_state(StateEvent::Records(vec![record]));
+            }
+            Ok(Swap::Conflict(_)) | Err(PlatformError::NoAnswer(_)) => self.read_back(&key).await,
+            Err(err) => log::warn!("a domain's record was not written: {err}"),
+        }
+        // The published view has to hold the new record before the next step decides.
+        tokio::time::sleep(STEP).await;
+    }
+
+    async fn read_back(&self, key: &str) {
+        let read = self.platform.get(key).await;
+        count_call(&self.cx, "controller", read.is_ok());
+        match read {
+            Ok(Some(record)) => self.cx.tell_state(StateEvent::Records(vec![record])),
+            Ok(None) => {}
+            Err(err) => log::warn!("a domain's record could not be read back: {err}"),
+        }
+    }
+
+    fn send_order(&self, view: &View, order: Order) {
+        let Some(info) = view.fleet.get(&order.target) else {
+            return;
+        };
+        let (cx, engines, address) = (self.cx.clone(), self.engines.clone(), info.address);
+        tokio::task::spawn_local(async move {
+            let outcome = engines.order(address, &order).await;
+            let result = if outcome.is_ok() {
+                "followed"
+            } else {
+                "failed"
+            };
+            cx.metrics.orders.with_label_values(&[result]).inc();
+            if let Err(err) = outcome {
+                log::warn!(engine = order.target.as_str(), epoch = order.epoch.0; "{err}");
+            }
+        });
+    }
+}
+
+fn count_call(cx: &DutyContext, duty: &str, done: bool) {
+    let result = if done { "done" } else { "failed" };
+    cx.metrics
+        .platform_calls
+        .with_label_values(&[duty, result])
+        .inc();
+}
+
+/// Returns the domains that this daemon observes, and its rank among each one's observers.
+fn observed_domains(view: &View) -> Vec<(DomainId, usize)> {
+    let mut domains = view.fleet.domains();
+    domains.extend(view.domains.values().map(|held| held.record.domain.clone()));
+    let alive: Vec<_> = view.alive().cloned().collect();
+    let rank_of = |domain: &DomainId| {
+        let order = ranked(domain.as_str(), &alive);
+        order
+            .iter()
+            .take(OBSERVERS)
+            .position(|node| **node == view.own.node)
+    };
+    domains
+        .into_iter()
+        .filter_map(|id| Some((id.clone(), rank_of(&id)?)))
+        .collect()
+}
+
+fn record_of(view: &View, domain: &DomainId) -> (Revision, DomainRecord) {
+    match view.domains.get(keys::domain(domain).as_str()) {
+        Some(held) => (held.revision, held.record.clone()),
+        None => (Revision(0), DomainRecord::empty(domain.clone())),
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/duties/gossip.rs
@@ -0,0 +1,117 @@
+//! The duty that exchanges news with peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cherrystand_core::{Seed, hash_bytes};
+use cherrystand_peer::{PeerDialer, PeerError, Question, Reply};
+use tokio::sync::oneshot;
+
+use crate::kernel::Duty;
+use crate::state::{StateEvent, View};
+use crate::{DutyContext, DutyError, StopPhase, clock};
+
+/// The time between two exchanges.
+const ROUND: Duration = Duration::from_millis(250);
+
+/// In one round of this many a seed or a dead daemon is tried, so that parted sides find each
+/// other again.
+const ROUNDS_TO_REUNITE: usize = 8;
+
+inventory::submit! {
+    Duty { name: "gossip", run }
+}
+
+fn run(cx: DutyContext) -> Result<(), DutyError> {
+    let own = cx.settings.listen.peers;
+    let name = hash_bytes(cx.settings.node.as_str().as_bytes());
+    let mut seed = Seed::new(name ^ clock::unix_millis());
+    let mut dialer = PeerDialer::default();
+    while cx.stop_phase() < StopPhase::Stopped {
+        std::thread::sleep(ROUND);
+        let view = cx.view_now();
+        dialer.keep_only(&known_addresses(&cx, &view));
+        if let Some(peer) = pick_peer(&cx, &view, own, &mut seed)
+            && let Err(err) = exchange(&cx, &mut dialer, peer)
+        {
+            cx.metrics.peer_failures.inc();
+            log::debug!("no exchange with {peer}: {err}");
+        }
+    }
+    Ok(())
+}
+
+fn known_addresses(cx: &DutyContext, view: &View) -> Vec<SocketAddr> {
+    let members = view.members.iter().map(|(beat, _)| beat.address);
+    members.chain(cx.settings.seeds.iter().copied()).collect()
+}
+
+fn pick_peer(
+    cx: &DutyContext,
+    view: &View,
+    own: SocketAddr,
+    seed: &mut Seed,
+) -> Option<SocketAddr> {
+    let alive: Vec<SocketAddr> = view
+        .alive()
+        .map(|beat| beat.address)
+        .filter(|address| *address != own)
+        .collect();
+    let reunite = alive.is_empty() || seed.below(ROUNDS_TO_REUNITE) == 0;
+    let mut choices = if reunite {
+        known_addresses(cx, view)
+    } else {
+        alive
+    };
+    choices.retain(|address| *address != own);
+    let pick = seed.below(choices.len());
+    choices.get(pick).copied()
+}
+
+fn exchange(cx: &DutyContext, dialer: &mut PeerDialer, peer: SocketAddr) -> Result<(), PeerError> {
+    let Some(news) = ask_state(cx, StateEvent::NewsWanted) else {
+        return Ok(());
+    };
+    let mut question = Some(Question::News(news));
+    while let Some(next) = question {
+        let reply = ask_peer(cx, dialer, peer, &next)?;
+        question = match reply {
+            Reply::News(news) => ask_state(cx, |tx| StateEvent::NewsCame(news, tx)).flatten(),
+            Reply::Compared { newer, wanted } => ask_state(cx, |hand_over| StateEvent::Compared {
+                newer,
+                wanted,
+                hand_over,
+            })
+            .flatten(),
+            Reply::Taken => None,
+        };
+    }
+    Ok(())
+}
+
+fn ask_peer(
+    cx: &DutyContext,
+    dialer: &mut PeerDialer,
+    peer: SocketAddr,
+    question: &Question,
+) -> Result<Reply, PeerError> {
+    let (reply, sent, received) = dialer.ask(peer, question)?;
+    cx.metrics
+        .peer_bytes
+        .with_label_values(&["out"])
+        .inc_by(sent as u64);
+    cx.metrics
+        .peer_bytes
+        .with_label_values(&["in"])
+        .inc_by(received as u64);
+    Ok(reply)
+}
+
+fn ask_state<T>(
+    cx: &DutyContext,
+    event: impl FnOnce(oneshot::Sender<T>) -> StateEvent,
+) -> Option<T> {
+    let (tx, rx) = oneshot::channel();
+    cx.tell_state(event(tx));
+    rx.blocking_recv().ok()
+}
--- /dev/null
+++ b/crates/cherrystandd/src/duties/mod.rs
@@ -0,0 +1,11 @@
+//! The daemon's duties, each on a thread of its own.
+
+mod claim_keeper;
+mod controller;
+mod gossip;
+mod operator_api;
+mod peer_answers;
+mod platform_watch;
+mod prober;
+mod relay;
+mod state_keeper;
--- /dev/null
+++ b/crates/cherrystandd/src/duties/operator_api.rs
@@ -0,0 +1,35 @@
+//! The duty that serves operators.
+
+use std::rc::Rc;
+
+use cherrystand_platform::serve_http;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::kernel::Duty;
+use crate::operator::{Operators, handle};
+use crate::{DutyContext, DutyError, StopPhase};
+
+inventory::submit! {
+    Duty { name: "operator-api", run }
+}
+
+fn run(cx: DutyContext) -> Result<(), DutyError> {
+    cx.run_local(serve(&cx))?
+}
+
+async fn serve(cx: &DutyContext) -> Result<(), DutyError> {
+    let address = cx.settings.listen.operators;
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|source| DutyError::Listen { address, source })?;
+    let operators = Rc::new(Operators::new(cx.clone()));
+    // Operators' calls are short; at the end they are cut rather than waited for.
+    let (_stop, stopped) = watch::channel(false);
+    let serving = serve_http(listener, move |req| handle(operators.clone(), req), stopped);
+    tokio::select! {
+        () = serving => {}
+        () = cx.stopping(StopPhase::Stopped) => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cherrystandd/src/duties/peer_answers.rs
@@ -0,0 +1,45 @@
+//! The duty that answers the questions of peers.
+
+use cherrystand_peer::{PeerListener, Question, Reply};
+use tokio::sync::oneshot;
+
+use crate::kernel::Duty;
+use crate::state::StateEvent;
+use crate::{DutyContext, DutyError, StopPhase};
+
+inventory::submit! {
+    Duty { name: "peer-answers", run }
+}
+
+fn run(cx: DutyContext) -> Result<(), DutyError> {
+    let address = cx.settings.listen.peers;
+    let listener =
+        PeerListener::bind(address).map_err(|source| DutyError::ListenPeers { address, source })?;
+    while cx.stop_phase() < StopPhase::Stopped {
+        match listener.serve_one(|question| answer(&cx, question)) {
+            Ok(Some((received, sent))) => {
+                cx.metrics
+                    .peer_bytes
+                    .with_label_values(&["in"])
+                    .inc_by(received as u64);
+                cx.metrics
+                    .peer_bytes
+                    .with_label_values(&["out"])
+                    .inc_by(sent as u64);
+            }
+            Ok(None) => {}
+            Err(err) => {
+                cx.metrics.peer_failures.inc();
+                log::warn!("a peer's question could not be answered: {err}");
+            }
+        }
+    }
+    Ok(())
+}
+
+fn answer(cx: &DutyContext, question: Question) -> Reply {
+    let (tx, rx) = oneshot::channel();
+    cx.tell_state(StateEvent::Asked(question, tx));
+    // Where the state duty is gone, the peer is told nothing new.
+    rx.blocking_recv().unwrap_or(Reply::Taken)
+}
--- /dev/null
+++ b/crates/cherrystandd/src/duties/state_keeper.rs
@@ -0,0 +1,80 @@
+//! The duty that keeps the daemon's state and publishes it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::kernel::Duty;
+use crate::state::NodeState;
+use crate::state::StateEvent;
+use crate::{DutyContext, DutyError, StopPhase};
+
+/// How often the state beats and is published at the least.
+const TICK: Duration = Duration::from_millis(200);
+
+/// How many events are taken in before the state is published.
+const EVENTS_PER_VIEW: usize = 64;
+
+inventory::submit! {
+    Duty { name: "state", run }
+}
+
+fn run(cx: DutyContext) -> Result<(), DutyError> {
+    cx.run_local(keep(&cx))
+}
+
+async fn keep(cx: &DutyContext) {
+    let own = cx.view_now().own.clone();
+    let mut state = NodeState::new(own, cx.clock.now());
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = cx.state_events.recv() => match event {
+                Ok(event) => take_several(cx, &mut state, event),
+                Err(_) => return,
+            },
+            _ = tick.tick() => beat(cx, &mut state),
+            () = cx.stopping(StopPhase::Stopped) => return,
+        }
+        publish(cx, &state);
+    }
+}
+
+fn take_several(cx: &DutyContext, state: &mut NodeState, first: StateEvent) {
+    let now = cx.clock.now();
+    state.take(first, now);
+    for _ in 1..EVENTS_PER_VIEW {
+        match cx.state_events.try_recv() {
+            Ok(event) => state.take(event, now),
+            Err(_) => return,
+        }
+    }
+}
+
+fn beat(cx: &DutyContext, state: &mut NodeState) {
+    if cx.stop_phase() >= StopPhase::Draining {
+        state.take(StateEvent::Draining, cx.clock.now());
+    }
+    if state.tick(cx.clock.now()) {
+        cx.metrics.pauses.inc();
+        log::warn!("this process was paused and goes on as a new incarnation");
+    }
+}
+
+fn publish(cx: &DutyContext, state: &NodeState) {
+    let view = state.view(cx.clock.now());
+    for held in view.workspaces.values() {
+        let workspace = held.record.config.workspace.as_str();
+        let generation = held.record.generation.0 as i64;
+        cx.metrics
+            .generation
+            .with_label_values(&[workspace])
+            .set(generation);
+    }
+    let serving = view.routes.iter().flat_map(|group| &group.targets);
+    let replicas = serving.filter(|target| target.replica.is_some()).count();
+    cx.metrics.serving_replicas.set(replicas as i64);
+    let age = view.platform_age.map_or(-1.0, |age| age.as_secs_f64());
+    cx.metrics.platform_age.set(age as i64);
+    cx.publish.send_replace(Arc::new(view));
+}
--- /dev/null
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -0,0 +1,165 @@
+//! What every duty is given.
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use crate::claims::ClaimCall;
+use crate::relay::NoteQuestion;
+use crate::state::{StateEvent, View};
+use crate::{Clock, Metrics, Settings};
+
+/// How many events a ring between duties holds.
+pub(crate) const RING_SLOTS: usize = 1_024;
+
+/// Says how far the daemon is with stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// It is not.
+    Running,
+    /// It is not ready any more, and finishes what it has.
+    Draining,
+    /// Everything ends now.
+    Stopped,
+}
+
+/// Tells why a duty failed.
+#[derive(Debug, thiserror::Error)]
+pub enum DutyError {
+    /// The duty's thread could not be started.
+    #[error("the thread of duty `{duty}` could not be started")]
+    Thread {
+        /// The duty.
+        duty: &'static str,
+        /// The reason.
+        source: std::io::Error,
+    },
+    /// The duty's event loop could not be started.
+    #[error("the event loop could not be started")]
+    Runtime(#[source] std::io::Error),
+    /// An address could not be listened at.
+    #[error("cannot listen at {address}; check `listen` in the settings")]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// The reason.
+        source: std::io::Error,
+    },
+    /// The address for peers could not be listened at.
+    #[error("cannot listen for peers at {address}; check `listen.peers` in the settings")]
+    ListenPeers {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// The reason.
+        source: cherrystand_peer::PeerError,
+    },
+    /// The duty panicked.
+    #[error("duty `{duty}` panicked")]
+    Panicked {
+        /// The duty.
+        duty: &'static str,
+    },
+}
+
+/// Gives a duty its settings, clocks, rings and the published view.
+#[derive(Clone)]
+pub struct DutyContext {
+    /// The daemon's settings.
+    pub settings: Arc<Settings>,
+    /// The daemon's clock.
+    pub clock: Clock,
+    /// What the daemon counts.
+    pub metrics: Arc<Metrics>,
+    /// The ring towards the duty that keeps the daemon's state.
+    pub(crate) state: async_channel::Sender<StateEvent>,
+    /// The other end of that ring; only the state duty reads it.
+    pub(crate) state_events: async_channel::Receiver<StateEvent>,
+    /// The ring towards the duty that claims calls.
+    pub(crate) claims: async_channel::Sender<ClaimCall>,
+    /// The other end of that ring; only the claims duty reads it.
+    pub(crate) claim_calls: async_channel::Receiver<ClaimCall>,
+    /// The ring by which operators ask the relay about requests.
+    pub(crate) notes: async_channel::Sender<NoteQuestion>,
+    /// The other end of that ring; only the relay reads it.
+    pub(crate) note_questions: async_channel::Receiver<NoteQuestion>,
+    /// What the daemon knows, as last published.
+    pub(crate) view: watch::Receiver<Arc<View>>,
+    /// Where the state duty publishes it.
+    pub(crate) publish: Arc<watch::Sender<Arc<View>>>,
+    /// How far the daemon is with stopping.
+    pub(crate) stop: Arc<watch::Sender<StopPhase>>,
+}
+
+impl DutyContext {
+    /// Creates the context of a daemon that starts now.
+    pub fn new(settings: Settings, metrics: Metrics) -> Self {
+        let (state, state_events) = async_channel::bounded(RING_SLOTS);
+        let (claims, claim_calls) = async_channel::bounded(RING_SLOTS);
+        let (notes, note_questions) = async_channel::bounded(RING_SLOTS);
+        let clock = Clock::start();
+        let first = View::at_start(&settings, clock.now());
+        let (publish, view) = watch::channel(Arc::new(first));
+        let (stop, _) = watch::channel(StopPhase::Running);
+        Self {
+            settings: Arc::new(settings),
+            clock,
+            metrics: Arc::new(metrics),
+            state,
+            state_events,
+            claims,
+            claim_calls,
+            notes,
+            note_questions,
+            view,
+            publish: Arc::new(publish),
+            stop: Arc::new(stop),
+        }
+    }
+
+    /// Begins a planned stop.
+    pub fn drain(&self) {
+        self.stop.send_if_modified(|phase| {
+            let begins = *phase == StopPhase::Running;
+            if begins {
+                *phase = StopPhase::Draining;
+            }
+            begins
+        });
+    }
+
+    /// Returns how far the daemon is with stopping.
+    pub fn stop_phase(&self) -> StopPhase {
+        *self.stop.borrow()
+    }
+
+    /// Waits until stopping has come to `phase`.
+    pub(crate) async fn stopping(&self, phase: StopPhase) {
+        let mut stop = self.stop.subscribe();
+        // The sender lives in this very context.
+        let _ = stop.wait_for(|now| *now >= phase).await;
+    }
+
+    /// Returns the view as last published.
+    pub(crate) fn view_now(&self) -> Arc<View> {
+        self.view.borrow().clone()
+    }
+
+    /// Hands an event to the state duty, giving it up where the ring is full.
+    ///
+    /// Every event is told again later: records by comparison, evidence by the next probe.
+    pub(crate) fn tell_state(&self, event: StateEvent) {
+        if self.state.try_send(event).is_err() {
+            self.metrics.ring_full.with_label_values(&["state"]).inc();
+        }
+    }
+
+    /// Runs a duty's future on an event loop of this thread until it ends.
+    pub(crate) fn run_local<F: Future>(&self, duty: F) -> Result<F::Output, DutyError> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(DutyError::Runtime)?;
+        let local = tokio::task::LocalSet::new();
+        Ok(local.block_on(&runtime, duty))
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/kernel.rs
@@ -0,0 +1,104 @@
+//! The kernel: it starts each duty on a thread of its own and stops them in order.
+//!
+//! Duties register themselves with [`inventory::submit!`]; the kernel knows none by name.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use tokio::sync::watch;
+
+use crate::{DutyContext, DutyError, StopPhase};
+
+/// A duty that the kernel runs on a thread of its own.
+pub struct Duty {
+    /// The duty's name, which its thread carries.
+    pub name: &'static str,
+    /// Runs the duty until its context says that it is time to stop.
+    pub run: fn(DutyContext) -> Result<(), DutyError>,
+}
+
+inventory::collect!(Duty);
+
+/// Runs the duties of one daemon.
+pub struct Kernel {
+    stop: Arc<watch::Sender<StopPhase>>,
+    threads: Vec<(&'static str, JoinHandle<Result<(), DutyError>>)>,
+}
+
+impl Kernel {
+    /// Starts every registered duty.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`DutyError`] where a thread cannot be started.
+    pub fn start(cx: &DutyContext) -> Result<Self, DutyError> {
+        let mut threads = Vec::new();
+        for duty in inventory::iter::<Duty> {
+            threads.push((duty.name, start_thread(duty, cx.clone())?));
+        }
+        Ok(Self {
+            stop: cx.stop.clone(),
+            threads,
+        })
+    }
+
+    /// Waits until every duty has ended, and ends the others once one has failed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first failure of a duty.
+    pub fn join(self) -> Result<(), DutyError> {
+        let mut outcome = Ok(());
+        for (name, thread) in self.threads {
+            let ended = thread
+                .join()
+                .unwrap_or(Err(DutyError::Panicked { duty: name }));
+            outcome = outcome.and(ended);
+        }
+        self.stop.send_replace(StopPhase::Stopped);
+        outcome
+    }
+}
+
+fn start_thread(
+    duty: &'static Duty,
+    cx: DutyContext,
+) -> Result<JoinHandle<Result<(), DutyError>>, DutyError> {
+    let run = move || {
+        let on_end = StopOnEnd {
+            stop: cx.stop.clone(),
+            clean: false,
+        };
+        run_duty(duty, cx, on_end)
+    };
+    std::thread::Builder::new()
+        .name(duty.name.to_owned())
+        .spawn(run)
+        .map_err(|source| DutyError::Thread {
+            duty: duty.name,
+            source,
+        })
+}
+
+fn run_duty(duty: &Duty, cx: DutyContext, mut on_end: StopOnEnd) -> Result<(), DutyError> {
+    let outcome = (duty.run)(cx);
+    match &outcome {
+        Ok(()) => on_end.clean = true,
+        Err(err) => log::error!(duty = duty.name; "duty failed: {err}"),
+    }
+    outcome
+}
+
+/// Stops the daemon when a duty ends otherwise than it should, by panic included.
+struct StopOnEnd {
+    stop: Arc<watch::Sender<StopPhase>>,
+    clean: bool,
+}
+
+impl Drop for StopOnEnd {
+    fn drop(&mut self) {
+        if !self.clean {
+            self.stop.send_replace(StopPhase::Stopped);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/keys.rs
@@ -0,0 +1,33 @@
+//! Where the records stand in the platform's key-value service.
+
+use cherrystand_core::{DomainId, WorkspaceId};
+
+/// Below this stands everything that all daemons have to know.
+pub(crate) const SHARED: &str = "cherrystand/shared/";
+
+/// Below this stand the workspaces' records.
+pub(crate) const WORKSPACES: &str = "cherrystand/shared/workspace/";
+
+/// Below this stand the domains' records.
+pub(crate) const DOMAINS: &str = "cherrystand/shared/domain/";
+
+/// Names the box list among the records that daemons pass on; the platform keeps it elsewhere.
+pub(crate) const INVENTORY: &str = "platform/inventory";
+
+/// Below this stand the claims on calls.
+const CLAIMS: &str = "cherrystand/claims/";
+
+/// Returns the key of a workspace's record.
+pub(crate) fn workspace(id: &WorkspaceId) -> String {
+    format!("{WORKSPACES}{id}")
+}
+
+/// Returns the key of a domain's record.
+pub(crate) fn domain(id: &DomainId) -> String {
+    format!("{DOMAINS}{id}")
+}
+
+/// Returns the key of a shard of claims.
+pub(crate) fn claims(shard: u64) -> String {
+    format!("{CLAIMS}{shard:02}")
+}
--- /dev/null
+++ b/crates/cherrystandd/src/lib.rs
@@ -0,0 +1,24 @@
+//! The daemon: a kernel, the duties that it runs, and what joins them.
+//!
+//! docs/ARCHITECTURE.md shows the way of a request and of a change through these modules.
+
+mod claims;
+mod clock;
+mod duties;
+mod duty_context;
+mod kernel;
+mod keys;
+mod logging;
+mod metrics;
+mod operator;
+mod relay;
+mod settings;
+mod state;
+mod writer;
+
+pub use clock::Clock;
+pub use duty_context::{DutyContext, DutyError, StopPhase};
+pub use kernel::{Duty, Kernel};
+pub use logging::start_logging;
+pub use metrics::Metrics;
+pub use settings::{Limits, Listen, LoadSettingsError, Platform, Repair, Settings, Stop};
--- /dev/null
+++ b/crates/cherrystandd/src/main.rs
@@ -0,0 +1,62 @@
+//! The program `cherrystandd`.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use cherrystandd::{DutyContext, Kernel, Metrics, Settings, start_logging};
+use eyre::WrapErr;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Serves callers in front of models that span several machines.
+#[derive(FromArgs)]
+struct Args {
+    /// file with the daemon's settings, in TOML
+    #[argh(option)]
+    settings: PathBuf,
+    /// check the settings and end
+    #[argh(switch)]
+    check: bool,
+}
+
+fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    let settings = Settings::load(&args.settings)?;
+    if args.check {
+        println!("{}: the settings are sound", args.settings.display());
+        return Ok(());
+    }
+    start_logging();
+    let node = settings.node.clone();
+    let metrics = Metrics::new().wrap_err("setting up the metrics")?;
+    let cx = DutyContext::new(settings, metrics);
+    watch_signals(cx.clone()).wrap_err("watching for signals")?;
+    let kernel = Kernel::start(&cx)?;
+    log::info!(node = node.as_str(); "started");
+    kernel.join()?;
+    log::info!(node = node.as_str(); "stopped");
+    Ok(())
+}
+
+/// Begins a planned stop on the signals that ask for one.
+fn watch_signals(cx: DutyContext) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let guard = runtime.enter();
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    drop(guard);
+    let watch = move || {
+        runtime.block_on(async {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        });
+        cx.drain();
+    };
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(watch)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/cherrystandd/src/metrics.rs
@@ -0,0 +1,187 @@
+//! What the daemon counts.
+
+use cherrystand_core::{AttemptEnd, Class, NoRetry, Outcome, RefusalReason};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of the buckets for times, in seconds.
+const TIME_BUCKETS: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.46, 1.0, 2.5, 10.0,
+];
+
+/// Holds every counter and gauge; docs/operators/metrics.md says what each is for.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests taken, by class.
+    pub requests: IntCounterVec,
+    /// Answers, by outcome and status.
+    pub answers: IntCounterVec,
+    /// Refusals, by reason.
+    pub refusals: IntCounterVec,
+    /// Attempts at endpoints, by how they ended.
+    pub attempts: IntCounterVec,
+    /// Retries, by how the attempt before ended.
+    pub retries: IntCounterVec,
+    /// Failed attempts that were not followed by another, by reason.
+    pub retries_withheld: IntCounterVec,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Seconds until the first byte of an answer.
+    pub first_byte: Histogram,
+    /// Claims on calls, by answer.
+    pub claims: IntCounterVec,
+    /// Calls to the platform, by duty and what became of them.
+    pub platform_calls: IntCounterVec,
+    /// Bytes between daemons, by direction.
+    pub peer_bytes: IntCounterVec,
+    /// Exchanges with peers that failed.
+    pub peer_failures: IntCounter,
+    /// Probes of engines, by what became of them.
+    pub probes: IntCounterVec,
+    /// Orders to engines, by what became of them.
+    pub orders: IntCounterVec,
+    /// Replicas in the routing choice.
+    pub serving_replicas: IntGauge,
+    /// The accepted generation of each workspace known here.
+    pub generation: IntGaugeVec,
+    /// Seconds since the platform was last read by anyone heard from.
+    pub platform_age: IntGauge,
+    /// Pauses of this process that it noticed.
+    pub pauses: IntCounter,
+    /// Events given up since a ring was full, by ring.
+    pub ring_full: IntCounterVec,
+}
+
+impl Metrics {
+    /// Creates all metrics at zero, each reason with its label so that absence is visible.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where two metrics have one name.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let make = Maker {
+            registry: &registry,
+        };
+        let metrics = Self {
+            requests: make.counters("requests_total", "Requests taken.", &["class"])?,
+            answers: make.counters("answers_total", "Answers given.", &["outcome", "status"])?,
+            refusals: make.counters("refusals_total", "Requests refused.", &["reason"])?,
+            attempts: make.counters("attempts_total", "Attempts at endpoints.", &["end"])?,
+            retries: make.counters("retries_total", "Attempts tried again.", &["after"])?,
+            retries_withheld: make.counters(
+                "retries_withheld_total",
+                "Failed attempts not tried again.",
+                &["reason"],
+            )?,
+            in_flight: make.gauge("requests_in_flight", "Requests in flight.")?,
+            first_byte: make.histogram("first_byte_seconds", "Time to the first byte.")?,
+            claims: make.counters("claims_total", "Claims on calls.", &["answer"])?,
+            platform_calls: make.counters(
+                "platform_calls_total",
+                "Calls to the platform.",
+                &["duty", "result"],
+            )?,
+            peer_bytes: make.counters("peer_bytes_total", "Bytes to and from peers.", &["way"])?,
+            peer_failures: make.counter("peer_failures_total", "Exchanges that failed.")?,
+            probes: make.counters("probes_total", "Probes of engines.", &["result"])?,
+            orders: make.counters("orders_total", "Orders to engines.", &["result"])?,
+            serving_replicas: make.gauge("serving_replicas", "Replicas that can be chosen.")?,
+            generation: make.gauges("generation", "Accepted generation.", &["workspace"])?,
+            platform_age: make.gauge("platform_age_seconds", "Age of the platform's news.")?,
+            pauses: make.counter("pauses_total", "Pauses of this process.")?,
+            ring_full: make.counters("ring_full_total", "Events given up.", &["ring"])?,
+            registry,
+        };
+        metrics.show_every_reason();
+        Ok(metrics)
+    }
+
+    fn show_every_reason(&self) {
+        for class in [Class::Consent, Class::Interactive, Class::Batch] {
+            self.requests.with_label_values(&[class.as_str()]);
+        }
+        for reason in RefusalReason::ALL {
+            self.refusals.with_label_values(&[reason.as_str()]);
+        }
+        for end in AttemptEnd::ALL {
+            self.attempts.with_label_values(&[end.as_str()]);
+            self.retries.with_label_values(&[end.as_str()]);
+        }
+        for reason in NoRetry::ALL {
+            self.retries_withheld.with_label_values(&[reason.as_str()]);
+        }
+    }
+
+    /// Counts an answer.
+    pub fn answered(&self, outcome: Outcome, status: u16) {
+        let status = status.to_string();
+        self.answers
+            .with_label_values(&[outcome.as_str(), &status])
+            .inc();
+    }
+
+    /// Writes all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a metric cannot be written.
+    pub fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(buf)
+    }
+}
+
+struct Maker<'a> {
+    registry: &'a Registry,
+}
+
+impl Maker<'_> {
+    fn opts(name: &str, help: &str) -> Opts {
+        Opts::new(name, help).namespace("cherrystand")
+    }
+
+    fn counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntCounterVec, prometheus::Error> {
+        let made = IntCounterVec::new(Self::opts(name, help), labels)?;
+        self.registry.register(Box::new(made.clone()))?;
+        Ok(made)
+    }
+
+    fn counter(&self, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+        let made = IntCounter::with_opts(Self::opts(name, help))?;
+        self.registry.register(Box::new(made.clone()))?;
+        Ok(made)
+    }
+
+    fn gauges(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<IntGaugeVec, prometheus::Error> {
+        let made = IntGaugeVec::new(Self::opts(name, help), labels)?;
+        self.registry.register(Box::new(made.clone()))?;
+        Ok(made)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+        let made = IntGauge::with_opts(Self::opts(name, help))?;
+        self.registry.register(Box::new(made.clone()))?;
+        Ok(made)
+    }
+
+    fn histogram(&self, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
+        let opts = HistogramOpts::from(Self::opts(name, help)).buckets(TIME_BUCKETS.to_vec());
+        let made = Histogram::with_opts(opts)?;
+        self.registry.register(Box::new(made.clone()))?;
+        Ok(made)
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/operator/api.rs
@@ -0,0 +1,190 @@
+//! The calls that operators make, over HTTP with JSON.
+
+use std::rc::Rc;
+
+use cherrystand_core::{PlanId, ReplicaId, WorkspaceConfig};
+use cherrystand_platform::PlatformClient;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use crate::operator::status::explain_replica;
+use crate::operator::{Changes, OperatorError, status_of};
+use crate::relay::{NoteQuestion, RelayBody, plain_text};
+use crate::state::StateEvent;
+use crate::{DutyContext, writer};
+
+/// The largest configuration, in bytes; two of them have to fit into one record.
+const LARGEST_CONFIG: usize = 256 << 10;
+
+/// The header by which an operator says who they are, for the history.
+const OPERATOR_HEADER: &str = "cherrystand-operator";
+
+/// Serves operators on one thread.
+pub(crate) struct Operators {
+    cx: DutyContext,
+    platform: PlatformClient,
+}
+
+impl Operators {
+    /// Creates the interface.
+    pub(crate) fn new(cx: DutyContext) -> Self {
+        let platform = PlatformClient::new(cx.settings.platform.address);
+        Self { cx, platform }
+    }
+
+    async fn plan(&self, req: Request<Incoming>) -> Result<Value, OperatorError> {
+        let body = Limited::new(req.into_body(), LARGEST_CONFIG)
+            .collect()
+            .await;
+        let body =
+            body.map_err(|_| OperatorError::BadRequest("the configuration is cut or too large"))?;
+        let text = String::from_utf8(body.to_bytes().to_vec())
+            .map_err(|_| OperatorError::BadRequest("the configuration is not UTF-8 text"))?;
+        let config = WorkspaceConfig::from_toml(&text)?;
+        let view = self.cx.view_now();
+        let held = view.held_boxes();
+        let changes = Changes {
+            service: &self.platform,
+            write: writer::next_write(&view),
+            fleet: &view.fleet,
+            held: &held,
+        };
+        let written = changes.plan(config).await?;
+        self.cx
+            .tell_state(StateEvent::Records(vec![written.record]));
+        Ok(plan_for_people(&written.told))
+    }
+
+    async fn confirm(&self, req: &Request<Incoming>, id: &str) -> Result<Value, OperatorError> {
+        let operator = req
+            .headers()
+            .get(OPERATOR_HEADER)
+            .and_then(|name| name.to_str().ok());
+        let operator = operator.unwrap_or("unnamed");
+        let view = self.cx.view_now();
+        if !view.may_accept {
+            let (heard, all) = view.heard;
+            return Err(OperatorError::TooFewDaemons { heard, all });
+        }
+        let held = view.held_boxes();
+        let changes = Changes {
+            service: &self.platform,
+            write: writer::next_write(&view),
+            fleet: &view.fleet,
+            held: &held,
+        };
+        let written = changes.confirm(&PlanId::new(id), operator).await?;
+        let accepted = written.told;
+        log::info!(
+            generation = accepted.generation.0, plan = id, operator = operator;
+            "a configuration was accepted"
+        );
+        self.cx
+            .tell_state(StateEvent::Records(vec![written.record]));
+        Ok(json!(accepted))
+    }
+
+    fn plans(&self) -> Value {
+        let view = self.cx.view_now();
+        let records = view.workspaces.values().map(|held| &held.record);
+        let pending = records.flat_map(|record| record.plans.iter().map(plan_for_people));
+        json!(pending.collect::<Vec<_>>())
+    }
+
+    fn history(&self) -> Value {
+        let view = self.cx.view_now();
+        let records = view.workspaces.values().map(|held| &held.record);
+        let past = records.flat_map(|record| {
+            let workspace = &record.config.workspace;
+            let one = move |past| json!({"workspace": workspace, "accepted": past});
+            record.history.iter().map(one)
+        });
+        json!(past.collect::<Vec<_>>())
+    }
+
+    fn config(&self, workspace: &str) -> Result<Value, OperatorError> {
+        let view = self.cx.view_now();
+        let mut records = view.workspaces.values().map(|held| &held.record);
+        let found = records.find(|record| record.config.workspace.as_str() == workspace);
+        let found = found.ok_or_else(|| unknown("workspace", workspace))?;
+        Ok(json!({"generation": found.generation, "config": found.config}))
+    }
+
+    async fn explain(&self, name: &str) -> Result<Value, OperatorError> {
+        if let Ok(replica) = ReplicaId::try_from(name.to_owned())
+            && let Some(told) = explain_replica(&self.cx.view_now(), &replica)
+        {
+            return Ok(told);
+        }
+        let (reply, note) = oneshot::channel();
+        let question = NoteQuestion {
+            request: name.to_owned(),
+            reply,
+        };
+        if self.cx.notes.try_send(question).is_err() {
+            self.cx
+                .metrics
+                .ring_full
+                .with_label_values(&["notes"])
+                .inc();
+        }
+        let note = note.await.ok().flatten();
+        note.map(|note| json!(note))
+            .ok_or_else(|| unknown("replica or request", name))
+    }
+
+    fn drain(&self) -> Value {
+        self.cx.drain();
+        json!({"node": self.cx.settings.node, "draining": true})
+    }
+}
+
+fn unknown(what: &'static str, name: &str) -> OperatorError {
+    OperatorError::Unknown {
+        what,
+        name: name.to_owned(),
+    }
+}
+
+fn plan_for_people(plan: &cherrystand_core::Plan) -> Value {
+    let changes: Vec<String> = plan.changes.iter().map(ToString::to_string).collect();
+    json!({
+        "id": plan.id, "workspace": plan.config.workspace, "base": plan.base,
+        "changes": changes, "costs": plan.costs,
+    })
+}
+
+/// Answers one call of an operator.
+pub(crate) async fn handle(
+    operators: Rc<Operators>,
+    req: Request<Incoming>,
+) -> Response<RelayBody> {
+    let path = req.uri().path().to_owned();
+    let asked = path.strip_prefix("/operator/").unwrap_or_default();
+    let (what, name) = asked.split_once('/').unwrap_or((asked, ""));
+    let outcome = match (req.method(), what) {
+        (&Method::POST, "plan") => operators.plan(req).await,
+        (&Method::POST, "confirm") => operators.confirm(&req, name).await,
+        (&Method::POST, "drain") => Ok(operators.drain()),
+        (&Method::GET, "plans") => Ok(operators.plans()),
+        (&Method::GET, "history") => Ok(operators.history()),
+        (&Method::GET, "status") => Ok(status_of(&operators.cx.view_now())),
+        (&Method::GET, "config") => operators.config(name),
+        (&Method::GET, "explain") => operators.explain(name).await,
+        _ => Err(unknown("call", &path)),
+    };
+    match outcome {
+        Ok(value) => answer(StatusCode::OK, &value),
+        Err(err) => answer(err.status(), &err.body()),
+    }
+}
+
+fn answer(status: StatusCode, value: &Value) -> Response<RelayBody> {
+    let mut made = plain_text(status, value.to_string());
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    made.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    made
+}
--- /dev/null
+++ b/crates/cherrystandd/src/relay/answer.rs
@@ -0,0 +1,174 @@
+//! Answers that the daemon itself makes.
+
+use bytes::Bytes;
+use cherrystand_core::{Claim, Millis, Outcome, Refusal, RefusalReason};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::relay::body::RelayBody;
+use crate::relay::headers::{OUTCOME, REQUEST_ID, RETRY_AFTER_MS};
+
+/// Makes a short answer in plain text.
+pub(crate) fn plain_text(status: StatusCode, text: impl Into<Bytes>) -> Response<RelayBody> {
+    let mut answer = Response::new(RelayBody::whole(text));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Makes an answer in JSON.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<RelayBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut answer = plain_text(status, text);
+    let kind = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, kind);
+    answer
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorDetail<'a>,
+}
+
+#[derive(Serialize)]
+struct ErrorDetail<'a> {
+    reason: &'a str,
+    outcome: &'a str,
+    message: &'a str,
+    request: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// What became of a request that got no answer from an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Failure {
+    /// Whether it was run.
+    pub(crate) outcome: Outcome,
+    /// Why it has no answer.
+    pub(crate) refusal: Refusal,
+}
+
+impl Failure {
+    /// A request that was certainly not run.
+    pub(crate) fn not_run(refusal: Refusal) -> Self {
+        Self {
+            outcome: Outcome::NotRun,
+            refusal,
+        }
+    }
+
+    /// A request that cannot be run, now or later, as it is.
+    pub(crate) fn never(reason: RefusalReason) -> Self {
+        Self::not_run(Refusal::final_for(reason))
+    }
+
+    /// A request that may have been run.
+    pub(crate) fn unknown(reason: RefusalReason) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            refusal: Refusal::final_for(reason),
+        }
+    }
+
+    /// A request whose key was claimed before.
+    pub(crate) fn claimed(claim: &Claim) -> Self {
+        let outcome = match claim.outcome {
+            Some(Outcome::Ran) => Outcome::Ran,
+            _ => Outcome::Unknown,
+        };
+        Self {
+            outcome,
+            refusal: Refusal::final_for(RefusalReason::KeyInUse),
+        }
+    }
+}
+
+/// Makes the answer to a request that got none from an endpoint.
+pub(crate) fn failure(failure: &Failure, request: &str) -> Response<RelayBody> {
+    let reason = failure.refusal.reason;
+    let retry_after = failure.refusal.retry_after;
+    let body = ErrorBody {
+        error: ErrorDetail {
+            reason: reason.as_str(),
+            outcome: failure.outcome.as_str(),
+            message: message(reason, failure.outcome),
+            request,
+            retry_after_ms: retry_after.map(|span| span.0),
+        },
+    };
+    let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut answer = json(status, &body);
+    label(&mut answer, failure.outcome, request);
+    if let Some(span) = retry_after {
+        insert_number(&mut answer, RETRY_AFTER, whole_seconds(span));
+        insert_number(&mut answer, RETRY_AFTER_MS, span.0);
+    }
+    answer
+}
+
+/// Puts the outcome and the request's id into an answer's head.
+pub(crate) fn label<B>(answer: &mut Response<B>, outcome: Outcome, request: &str) {
+    let outcome = HeaderValue::from_static(outcome.as_str());
+    answer.headers_mut().insert(OUTCOME, outcome);
+    if let Ok(id) = HeaderValue::from_str(request) {
+        answer.headers_mut().insert(REQUEST_ID, id);
+    }
+}
+
+fn insert_number<B>(answer: &mut Response<B>, name: HeaderName, number: u64) {
+    answer.headers_mut().insert(name, HeaderValue::from(number));
+}
+
+fn whole_seconds(span: Millis) -> u64 {
+    span.0.div_ceil(1_000).max(1)
+}
+
+fn message(reason: RefusalReason, outcome: Outcome) -> &'static str {
+    match (reason, outcome) {
+        (RefusalReason::BadRequest, _) => {
+            "The request cannot be understood; check its body and headers."
+        }
+        (RefusalReason::TooLarge, _) => "The request's body is too large.",
+        (RefusalReason::UnknownTarget, _) => {
+            "No group serves this model or path; GET /v1/models lists the models."
+        }
+        (RefusalReason::NodeFull, _) => {
+            "There is no room for the request now; come back after Retry-After."
+        }
+        (RefusalReason::WorkspaceShare, _) => {
+            "The workspace has its share of a busy node; come back after Retry-After."
+        }
+        (RefusalReason::WaitTooLong, _) => {
+            "The wait would be too long; come back after Retry-After."
+        }
+        (RefusalReason::NoneServing, _) => {
+            "No endpoint of the group serves now; come back after Retry-After."
+        }
+        (RefusalReason::DeadlinePassed, Outcome::NotRun) => {
+            "The deadline passed before the request was sent."
+        }
+        (RefusalReason::DeadlinePassed, _) => {
+            "The deadline passed before an answer came; the request may have been run."
+        }
+        (RefusalReason::EndpointsFailed, Outcome::NotRun) => {
+            "No endpoint could take the request; come back after Retry-After."
+        }
+        (RefusalReason::EndpointsFailed, _) => {
+            "The endpoint failed while it had the request; it may have been run."
+        }
+        (RefusalReason::KeyInUse, Outcome::Ran) => {
+            "The call with this key was run and answered before."
+        }
+        (RefusalReason::KeyInUse, _) => {
+            "The call with this key was taken before; it may have been run or be running."
+        }
+        (RefusalReason::KeysOutOfReach, _) => {
+            "The key cannot be claimed now; come back after Retry-After."
+        }
+        (RefusalReason::ConfigurationOld, _) => {
+            "This node is cut off and does not serve; try another one."
+        }
+        (RefusalReason::Stopping, _) => "This node is stopping; try another one.",
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/relay/call.rs
@@ -0,0 +1,179 @@
+//! A caller's request, read and understood.
+
+use std::cell::RefCell;
+
+use bytes::Bytes;
+use cherrystand_core::{
+    AttemptEnd, CallKey, Class, GroupId, GroupKey, Millis, RefusalReason, WorkspaceId, hash_bytes,
+};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::http::request::Parts;
+use hyper::{Method, Request};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::relay::core::{GroupState, RelayCore, Target};
+use crate::relay::headers;
+use crate::state::RouteKind;
+use crate::{DutyContext, Settings};
+
+/// How many bytes of a prompt tell its prefix.
+const PREFIX_BYTES: usize = 512;
+
+/// The paths at which models are asked.
+const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+/// A request on its way.
+pub(crate) struct Call {
+    /// The request's id.
+    pub(crate) id: String,
+    /// The request's head.
+    pub(crate) head: Parts,
+    /// The request's whole body.
+    pub(crate) body: Bytes,
+    /// The group that it goes to.
+    pub(crate) group: GroupKey,
+    /// That group's id.
+    pub(crate) group_id: GroupId,
+    /// The workspace that it counts for.
+    pub(crate) workspace: WorkspaceId,
+    /// Its class.
+    pub(crate) class: Class,
+    /// Whether it goes to a model.
+    pub(crate) is_model: bool,
+    /// Whether it may be run twice.
+    pub(crate) repeatable: bool,
+    /// Its claim, where the caller named it.
+    pub(crate) key: Option<CallKey>,
+    /// The prefix of its prompt.
+    pub(crate) prefix: Option<u64>,
+    /// When the caller stops waiting.
+    pub(crate) deadline: Millis,
+    /// Its attempts so far: the endpoint and how each ended.
+    pub(crate) attempts: RefCell<Vec<(String, String)>>,
+}
+
+impl Call {
+    /// Remembers how an attempt ended.
+    pub(crate) fn note_attempt(&self, target: &Target, end: AttemptEnd) {
+        let to = match &target.replica {
+            Some((replica, epoch)) => format!("{replica}@{epoch} at {}", target.address),
+            None => target.address.to_string(),
+        };
+        self.attempts
+            .borrow_mut()
+            .push((to, end.as_str().to_owned()));
+    }
+}
+
+#[derive(Deserialize)]
+struct ModelCall<'a> {
+    model: String,
+    #[serde(borrow)]
+    prompt: Option<&'a RawValue>,
+    #[serde(borrow)]
+    messages: Option<&'a RawValue>,
+}
+
+/// Reads a request whole and finds where it goes.
+pub(crate) async fn read_call(
+    cx: &DutyContext,
+    core: &RefCell<RelayCore>,
+    req: Request<Incoming>,
+    id: String,
+) -> Result<Call, RefusalReason> {
+    let came = cx.clock.now();
+    let (head, body) = req.into_parts();
+    let key = headers::name_in(&head.headers, &headers::IDEMPOTENCY_KEY).map_err(bad_header)?;
+    let asked = headers::deadline_in(&head.headers).map_err(bad_header)?;
+    let body = read_body(body, cx.settings.limits.body_bytes).await?;
+    let core = core.borrow();
+    let (group, prefix) = find_group(&core, &head, &body)?;
+    let state = core.group(group).ok_or(RefusalReason::UnknownTarget)?;
+    let is_model = matches!(state.kind, RouteKind::Model { .. });
+    let deadline = came + asked.unwrap_or(default_deadline(&cx.settings, is_model));
+    Ok(Call {
+        repeatable: key.is_none() && may_repeat(state, &head.method),
+        key: key.map(|key| CallKey::new(&state.id, &key)),
+        group_id: state.id.clone(),
+        workspace: state.id.workspace.clone(),
+        class: state.class,
+        is_model,
+        id,
+        head,
+        body,
+        group,
+        prefix,
+        deadline,
+        attempts: RefCell::default(),
+    })
+}
+
+fn bad_header(_: headers::BadHeader) -> RefusalReason {
+    RefusalReason::BadRequest
+}
+
+fn default_deadline(settings: &Settings, is_model: bool) -> Millis {
+    let limits = &settings.limits;
+    Millis(if is_model {
+        limits.model_deadline_ms
+    } else {
+        limits.service_deadline_ms
+    })
+}
+
+async fn read_body(body: Incoming, most: usize) -> Result<Bytes, RefusalReason> {
+    if body.size_hint().lower() > most as u64 {
+        return Err(RefusalReason::TooLarge);
+    }
+    let read = Limited::new(body, most).collect().await;
+    match read {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => Err(RefusalReason::TooLarge),
+        Err(_) => Err(RefusalReason::BadRequest),
+    }
+}
+
+fn find_group(
+    core: &RelayCore,
+    head: &Parts,
+    body: &[u8],
+) -> Result<(GroupKey, Option<u64>), RefusalReason> {
+    let path = head.uri.path();
+    if !MODEL_PATHS.contains(&path) {
+        let group = core.service_at(path).ok_or(RefusalReason::UnknownTarget)?;
+        return Ok((group, None));
+    }
+    if head.method != Method::POST {
+        return Err(RefusalReason::BadRequest);
+    }
+    let call: ModelCall<'_> =
+        serde_json::from_slice(body).map_err(|_| RefusalReason::BadRequest)?;
+    let text = call
+        .messages
+        .or(call.prompt)
+        .ok_or(RefusalReason::BadRequest)?
+        .get();
+    let prefix = hash_bytes(&text.as_bytes()[..text.len().min(PREFIX_BYTES)]);
+    let group = core
+        .model(&call.model)
+        .ok_or(RefusalReason::UnknownTarget)?;
+    Ok((group, Some(prefix)))
+}
+
+/// Tells whether a call without a key may be run twice.
+///
+/// A model's answer has no effect beyond itself. Of a service's methods those may that HTTP
+/// defines so, unless the configuration says otherwise.
+fn may_repeat(group: &GroupState, method: &Method) -> bool {
+    match &group.kind {
+        RouteKind::Model { .. } => true,
+        RouteKind::Service { not_repeatable, .. } => {
+            let listed = not_repeatable
+                .iter()
+                .any(|name| name.eq_ignore_ascii_case(method.as_str()));
+            method.is_idempotent() && !listed
+        }
+    }
+}
