--- /dev/null
+++ b/crates/cherrystandd/src/relay/core.rs
@@ -0,0 +1,247 @@
+//! What the relay decides from, kept in step with the published view.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use cherrystand_core::{
+    Admission, AttemptEnd, Class, EndpointKey, EndpointSpec, Epoch, GroupId, GroupKey, Millis,
+    NoEndpoint, ReplicaId, RetryBudget, Room, Router, Seed, WaitQueue,
+};
+use slotmap::SecondaryMap;
+use tokio::sync::Notify;
+
+use crate::state::{RouteGroup, RouteKind, RouteTarget};
+
+/// How many requests a new endpoint is sent at once at the start.
+const START_LIMIT: u32 = 32;
+
+/// What tells one endpoint from another: a replica under a new epoch is a new endpoint.
+type TargetId = (SocketAddr, Option<(ReplicaId, Epoch)>);
+
+/// A group and what the relay keeps for it.
+pub(crate) struct GroupState {
+    /// The group.
+    pub(crate) id: GroupId,
+    /// Its class.
+    pub(crate) class: Class,
+    /// How requests find it.
+    pub(crate) kind: RouteKind,
+    /// Who waits for one of its endpoints.
+    pub(crate) queue: WaitQueue,
+    /// Wakes the one that has waited longest.
+    pub(crate) room: Rc<Notify>,
+    /// What its retries may cost.
+    pub(crate) budget: RetryBudget,
+    key: GroupKey,
+    targets: BTreeMap<TargetId, EndpointKey>,
+}
+
+/// Where an endpoint is, and what it serves.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// The replica and epoch that requests are meant for.
+    pub(crate) replica: Option<(ReplicaId, Epoch)>,
+}
+
+/// Holds the relay's decisions, on the relay's own thread.
+pub(crate) struct RelayCore {
+    /// Admits requests to the node.
+    pub(crate) admission: Admission,
+    router: Router,
+    groups: BTreeMap<GroupId, GroupState>,
+    ids: SecondaryMap<GroupKey, GroupId>,
+    targets: SecondaryMap<EndpointKey, Target>,
+    routes: Arc<Vec<RouteGroup>>,
+    seed: Seed,
+}
+
+impl RelayCore {
+    /// Creates a relay without groups.
+    pub(crate) fn new(room: Room, seed: u64) -> Self {
+        Self {
+            admission: Admission::new(room),
+            router: Router::default(),
+            groups: BTreeMap::new(),
+            ids: SecondaryMap::new(),
+            targets: SecondaryMap::new(),
+            routes: Arc::default(),
+            seed: Seed::new(seed),
+        }
+    }
+
+    /// Takes over the routes of a newer view.
+    pub(crate) fn follow(&mut self, routes: &Arc<Vec<RouteGroup>>, now: Millis) {
+        if Arc::ptr_eq(&self.routes, routes) {
+            return;
+        }
+        self.routes = routes.clone();
+        self.drop_groups(routes);
+        for group in routes.iter() {
+            self.follow_group(group, now);
+        }
+    }
+
+    /// Returns a group's state.
+    pub(crate) fn group(&self, key: GroupKey) -> Option<&GroupState> {
+        self.groups.get(self.ids.get(key)?)
+    }
+
+    /// Returns a group's state, to change.
+    pub(crate) fn group_mut(&mut self, key: GroupKey) -> Option<&mut GroupState> {
+        self.groups.get_mut(self.ids.get(key)?)
+    }
+
+    /// Returns all groups.
+    pub(crate) fn groups(&self) -> impl Iterator<Item = &GroupState> {
+        self.groups.values()
+    }
+
+    /// Finds the group that serves a model, named alone or with its workspace before it.
+    pub(crate) fn model(&self, asked: &str) -> Option<GroupKey> {
+        let (workspace, name) = match asked.split_once('/') {
+            Some((workspace, name)) => (Some(workspace), name),
+            None => (None, asked),
+        };
+        let serves = |group: &&GroupState| {
+            let right = workspace.is_none_or(|id| id == group.id.workspace.as_str());
+            right && matches!(&group.kind, RouteKind::Model { model } if model == name)
+        };
+        self.groups.values().find(serves).map(|group| group.key)
+    }
+
+    /// Finds the service with the longest prefix of a path.
+    pub(crate) fn service_at(&self, path: &str) -> Option<GroupKey> {
+        let length = |group: &GroupState| match &group.kind {
+            RouteKind::Service { prefix, .. } if covers(prefix, path) => Some(prefix.len()),
+            _ => None,
+        };
+        let fitting = self
+            .groups
+            .values()
+            .filter_map(|group| Some((length(group)?, group.key)));
+        fitting
+            .max_by_key(|(length, _)| *length)
+            .map(|(_, key)| key)
+    }
+
+    /// Chooses an endpoint and counts the request as on its way to it.
+    pub(crate) fn start(
+        &mut self,
+        group: GroupKey,
+        prefix: Option<u64>,
+        now: Millis,
+    ) -> Result<(EndpointKey, Target), NoEndpoint> {
+        let key = self.router.choose(group, prefix, now, &mut self.seed)?;
+        let target = self
+            .targets
+            .get(key)
+            .ok_or(NoEndpoint::NoneServing)?
+            .clone();
+        self.router.start(key);
+        Ok((key, target))
+    }
+
+    /// Counts a request as ended at its endpoint and lets the next one in.
+    pub(crate) fn finish(
+        &mut self,
+        group: GroupKey,
+        endpoint: EndpointKey,
+        end: AttemptEnd,
+        now: Millis,
+        first_byte: Option<Millis>,
+    ) {
+        self.router.finish(endpoint, end, now, first_byte);
+        if let Some(group) = self.group_mut(group) {
+            group.queue.done(now);
+            group.room.notify_one();
+        }
+    }
+
+    /// Returns the usual time until an endpoint's answer begins.
+    pub(crate) fn usual(&self, endpoint: EndpointKey) -> Millis {
+        self.router.usual(endpoint)
+    }
+
+    fn drop_groups(&mut self, routes: &[RouteGroup]) {
+        let gone: Vec<GroupId> = self
+            .groups
+            .keys()
+            .filter(|id| !routes.iter().any(|group| &group.id == *id))
+            .cloned()
+            .collect();
+        for id in gone {
+            if let Some(group) = self.groups.remove(&id) {
+                self.router.remove_group(group.key);
+                self.ids.remove(group.key);
+            }
+        }
+    }
+
+    fn follow_group(&mut self, route: &RouteGroup, now: Millis) {
+        let mut group = self.groups.remove(&route.id).unwrap_or_else(|| GroupState {
+            id: route.id.clone(),
+            class: route.class,
+            kind: route.kind.clone(),
+            queue: WaitQueue::default(),
+            room: Rc::default(),
+            budget: RetryBudget::default(),
+            key: self.router.add_group(),
+            targets: BTreeMap::new(),
+        });
+        group.class = route.class;
+        group.kind = route.kind.clone();
+        self.ids.insert(group.key, route.id.clone());
+        self.drop_targets(&mut group, route);
+        for target in &route.targets {
+            self.follow_target(&mut group, target, now);
+        }
+        self.groups.insert(route.id.clone(), group);
+    }
+
+    fn drop_targets(&mut self, group: &mut GroupState, route: &RouteGroup) {
+        let stays = |id: &TargetId| route.targets.iter().any(|target| id_of(target) == *id);
+        let (router, targets) = (&mut self.router, &mut self.targets);
+        group.targets.retain(|id, key| {
+            let keep = stays(id);
+            if !keep {
+                router.remove_endpoint(*key);
+                targets.remove(*key);
+            }
+            keep
+        });
+    }
+
+    fn follow_target(&mut self, group: &mut GroupState, target: &RouteTarget, now: Millis) {
+        let (router, targets) = (&mut self.router, &mut self.targets);
+        let key = *group.targets.entry(id_of(target)).or_insert_with(|| {
+            let spec = EndpointSpec {
+                near: target.near,
+                start_limit: START_LIMIT,
+                most: target.most,
+            };
+            let key = router.add_endpoint(group.key, spec);
+            let (address, replica) = id_of(target);
+            targets.insert(key, Target { address, replica });
+            group.room.notify_one();
+            key
+        });
+        if let Some(load) = target.load {
+            router.report(key, now, load);
+        }
+    }
+}
+
+fn id_of(target: &RouteTarget) -> TargetId {
+    (target.address, target.replica.clone())
+}
+
+fn covers(prefix: &str, path: &str) -> bool {
+    let Some(rest) = path.strip_prefix(prefix) else {
+        return false;
+    };
+    rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/')
+}
--- /dev/null
+++ b/crates/cherrystandd/src/settings.rs
@@ -0,0 +1,301 @@
+//! The daemon's settings.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use cherrystand_core::{
+    NodeId, RepairPolicy, RepairRule, ReturnModel, Room, SettingsError, SettingsErrorKind, ZoneId,
+    settings_from_toml,
+};
+use serde::Deserialize;
+
+/// Holds everything that one daemon is told at its start.
+///
+/// Source: docs/operators/settings.md, which a test checks against these types.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The daemon's name, unique among all daemons.
+    pub node: NodeId,
+    /// The availability zone that it runs in.
+    pub zone: ZoneId,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Where the platform is.
+    pub platform: Platform,
+    /// Other daemons to get in touch with first.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// How much it takes on.
+    #[serde(default)]
+    pub limits: Limits,
+    /// How boxes and the weight store behave.
+    #[serde(default)]
+    pub repair: Repair,
+    /// How it stops.
+    #[serde(default)]
+    pub stop: Stop,
+}
+
+/// Says where the daemon listens.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address for operators.
+    pub operators: SocketAddr,
+    /// The address for other daemons.
+    pub peers: SocketAddr,
+}
+
+/// Says where the platform is.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// The address of the key-value service and the box list.
+    pub address: SocketAddr,
+}
+
+/// Says how much the daemon takes on.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Requests at once, of all classes.
+    pub requests: u32,
+    /// The part of them that only consent requests use.
+    pub consent_requests: u32,
+    /// The part of the rest that batch requests may use, in percent.
+    pub batch_percent: u32,
+    /// The largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// The time that a model request gets where its caller names none, in milliseconds.
+    pub model_deadline_ms: u64,
+    /// The time that a service request gets where its caller names none, in milliseconds.
+    pub service_deadline_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        let room = Room::default();
+        Self {
+            requests: room.total,
+            consent_requests: room.for_consent,
+            batch_percent: room.batch_percent,
+            body_bytes: 8 << 20,
+            model_deadline_ms: 60_000,
+            service_deadline_ms: 5_000,
+        }
+    }
+}
+
+impl Limits {
+    /// Returns the room for requests.
+    pub fn room(&self) -> Room {
+        Room {
+            total: self.requests,
+            for_consent: self.consent_requests,
+            batch_percent: self.batch_percent,
+        }
+    }
+}
+
+/// Says how boxes and the weight store behave, for pricing repairs.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Repair {
+    /// How many boxes of one domain may load at once.
+    pub loads_at_once: u32,
+    /// Seconds that loading one box's weights takes.
+    pub load_seconds: f64,
+    /// Seconds that a box with its weights in memory takes to join anew.
+    pub rejoin_seconds: f64,
+    /// Seconds that a restarted box takes to come back, on average.
+    pub restart_seconds: f64,
+    /// The share of lost boxes that come back, from 0 to 1.
+    pub restart_share: f64,
+    /// How often each box is asked how it is, in milliseconds.
+    pub probe_ms: u64,
+}
+
+impl Default for Repair {
+    fn default() -> Self {
+        let policy = RepairPolicy::default();
+        Self {
+            loads_at_once: policy.loads_at_once,
+            load_seconds: policy.load_secs,
+            rejoin_seconds: policy.rejoin_secs,
+            restart_seconds: policy.returns.mean_restart_secs,
+            restart_share: policy.returns.restart_share,
+            probe_ms: 1_000,
+        }
+    }
+}
+
+impl Repair {
+    /// Returns the policy that controllers follow.
+    pub fn policy(&self) -> RepairPolicy {
+        RepairPolicy {
+            loads_at_once: self.loads_at_once,
+            load_secs: self.load_seconds,
+            rejoin_secs: self.rejoin_seconds,
+            returns: ReturnModel {
+                restart_share: self.restart_share,
+                mean_restart_secs: self.restart_seconds,
+            },
+            rule: RepairRule::Priced,
+        }
+    }
+}
+
+/// Says how the daemon stops.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Stop {
+    /// For how long it keeps taking requests once it has turned not ready, in milliseconds; the
+    /// balancer in front has to notice within this time.
+    pub linger_ms: u64,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self { linger_ms: 5_000 }
+    }
+}
+
+/// Tells why settings could not be used.
+#[derive(Debug, thiserror::Error)]
+pub enum LoadSettingsError {
+    /// The file could not be read.
+    #[error("{file}: cannot be read; check that it exists and may be read")]
+    Unreadable {
+        /// The file.
+        file: String,
+        /// The reason.
+        source: std::io::Error,
+    },
+    /// A setting is at fault.
+    #[error("{file}: {source}")]
+    Fault {
+        /// The file.
+        file: String,
+        /// The fault.
+        source: SettingsError,
+    },
+}
+
+impl Settings {
+    /// Reads and checks settings from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`LoadSettingsError`] that names the file, and the line and key at fault.
+    pub fn load(path: &Path) -> Result<Self, LoadSettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|source| {
+            let file = file.clone();
+            LoadSettingsError::Unreadable { file, source }
+        })?;
+        Self::from_toml(&text).map_err(|source| LoadSettingsError::Fault { file, source })
+    }
+
+    /// Reads and checks settings from TOML.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SettingsError`] with the line and key at fault.
+    pub fn from_toml(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = settings_from_toml(text)?;
+        settings.check().map_err(|err| err.locate(text))?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        check_word("node", self.node.as_str())?;
+        check_word("zone", self.zone.as_str())?;
+        self.check_addresses()?;
+        self.check_limits()?;
+        self.check_repair()
+    }
+
+    fn check_addresses(&self) -> Result<(), SettingsError> {
+        let listen = &self.listen;
+        let all = [listen.callers, listen.operators, listen.peers];
+        let twice = all[0] == all[1] || all[0] == all[2] || all[1] == all[2];
+        if twice && all.iter().all(|address| address.port() != 0) {
+            return Err(SettingsError::new(
+                SettingsErrorKind::Clash,
+                "operators",
+                listen.operators,
+                "three different addresses for `callers`, `operators` and `peers`",
+            ));
+        }
+        Ok(())
+    }
+
+    fn check_limits(&self) -> Result<(), SettingsError> {
+        let limits = &self.limits;
+        if limits.requests == 0 {
+            return Err(impossible("requests", 0, "a whole number, 1 or more"));
+        }
+        if limits.consent_requests >= limits.requests {
+            return Err(SettingsError::new(
+                SettingsErrorKind::Clash,
+                "consent_requests",
+                limits.consent_requests,
+                "less than `requests`",
+            ));
+        }
+        if limits.batch_percent > 100 {
+            return Err(impossible(
+                "batch_percent",
+                limits.batch_percent,
+                "0 to 100",
+            ));
+        }
+        if limits.body_bytes == 0 {
+            return Err(impossible("body_bytes", 0, "a whole number, 1 or more"));
+        }
+        Ok(())
+    }
+
+    fn check_repair(&self) -> Result<(), SettingsError> {
+        let repair = &self.repair;
+        if repair.loads_at_once == 0 {
+            return Err(impossible("loads_at_once", 0, "a whole number, 1 or more"));
+        }
+        if !(0.0..=1.0).contains(&repair.restart_share) {
+            return Err(impossible("restart_share", repair.restart_share, "0 to 1"));
+        }
+        let seconds = [
+            ("load_seconds", repair.load_seconds),
+            ("rejoin_seconds", repair.rejoin_seconds),
+            ("restart_seconds", repair.restart_seconds),
+        ];
+        for (key, value) in seconds {
+            if !value.is_finite() || value <= 0.0 {
+                return Err(impossible(key, value, "a number above 0"));
+            }
+        }
+        if !(100..=1_000).contains(&repair.probe_ms) {
+            return Err(impossible("probe_ms", repair.probe_ms, "100 to 1000"));
+        }
+        Ok(())
+    }
+}
+
+fn impossible(key: &str, value: impl std::fmt::Display, allowed: &str) -> SettingsError {
+    SettingsError::new(SettingsErrorKind::ImpossibleValue, key, value, allowed)
+}
+
+fn check_word(key: &str, word: &str) -> Result<(), SettingsError> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    if !word.is_empty() && word.chars().all(plain) {
+        return Ok(());
+    }
+    Err(impossible(
+        key,
+        word,
+        "letters, digits, `-` and `_`, at least one",
+    ))
+}
--- /dev/null
+++ b/crates/cherrystandd/src/state/event.rs
@@ -0,0 +1,36 @@
+//! What other duties tell the state duty.
+
+use cherrystand_core::{Document, ReplicaEvidence};
+use cherrystand_peer::{News, Question, Reply};
+use cherrystand_platform::Inventory;
+use tokio::sync::oneshot;
+
+/// Tells or asks the state duty something.
+#[derive(Debug)]
+pub(crate) enum StateEvent {
+    /// A peer asks; the reply goes back through the channel.
+    Asked(Question, oneshot::Sender<Reply>),
+    /// The gossip duty wants to send news.
+    NewsWanted(oneshot::Sender<News>),
+    /// A peer sent its news; what to ask it next goes back through the channel.
+    NewsCame(News, oneshot::Sender<Option<Question>>),
+    /// A peer compared records; what to hand it goes back through the channel.
+    Compared {
+        /// The peer's newer records.
+        newer: Vec<Document>,
+        /// The keys that the peer wants.
+        wanted: Vec<std::sync::Arc<str>>,
+        /// Where the records to hand over go.
+        hand_over: oneshot::Sender<Option<Question>>,
+    },
+    /// Records were read from the platform or written to it.
+    Records(Vec<Document>),
+    /// The platform answered, and all its records are known as of then.
+    PlatformRead,
+    /// The platform's list was read.
+    Listed(Inventory),
+    /// Replicas were looked at.
+    Evidence(Vec<ReplicaEvidence>),
+    /// The daemon begins to stop.
+    Draining,
+}
--- /dev/null
+++ b/crates/cherrystandd/src/state/node_state.rs
@@ -0,0 +1,241 @@
+//! The state of one daemon and how news changes it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cherrystand_core::{
+    Document, Documents, DomainRecord, EvidenceTable, Fleet, Freshness, Heartbeat, Membership,
+    Millis, Revision, WorkspaceRecord,
+};
+use cherrystand_peer::{News, Question, Reply};
+use cherrystand_platform::Inventory;
+use serde::de::DeserializeOwned;
+
+use crate::keys;
+use crate::state::{Held, StateEvent, View, routes_of};
+
+/// How many bytes of records go into one message between daemons.
+const RECORD_BYTES_PER_MESSAGE: usize = 1 << 20;
+
+/// Keeps what one daemon knows; it does no I/O and takes the time from outside.
+pub(crate) struct NodeState {
+    membership: Membership,
+    documents: Documents,
+    evidence: EvidenceTable,
+    freshness: Freshness,
+    fleet: Arc<Fleet>,
+    workspaces: BTreeMap<Arc<str>, Arc<Held<WorkspaceRecord>>>,
+    domains: BTreeMap<Arc<str>, Arc<Held<DomainRecord>>>,
+}
+
+impl NodeState {
+    /// Creates the state of a daemon that has just started.
+    pub(crate) fn new(own: Heartbeat, now: Millis) -> Self {
+        let freshness = Freshness::new([own.node.clone()], now);
+        Self {
+            membership: Membership::new(own, now),
+            documents: Documents::default(),
+            evidence: EvidenceTable::default(),
+            freshness,
+            fleet: Arc::default(),
+            workspaces: BTreeMap::new(),
+            domains: BTreeMap::new(),
+        }
+    }
+
+    /// Beats once, and tells whether the daemon was paused; what it knew of replicas and of the
+    /// configuration's age then counts for nothing by its own age.
+    pub(crate) fn tick(&mut self, now: Millis) -> bool {
+        self.evidence.prune(now);
+        self.membership.tick(now)
+    }
+
+    /// Takes in an event, answering through its channel where it has one.
+    pub(crate) fn take(&mut self, event: StateEvent, now: Millis) {
+        match event {
+            StateEvent::Asked(question, reply) => {
+                // Whoever asked may have given up meanwhile.
+                let _ = reply.send(self.answer(question, now));
+            }
+            StateEvent::NewsWanted(reply) => {
+                let _ = reply.send(self.news(now));
+            }
+            StateEvent::NewsCame(news, next) => {
+                let differs = self.hear(&news, now);
+                let question = differs.then(|| Question::Compare(self.documents.versions()));
+                let _ = next.send(question);
+            }
+            StateEvent::Compared {
+                newer,
+                wanted,
+                hand_over,
+            } => {
+                self.take_records(newer);
+                let records = wanted
+                    .iter()
+                    .filter_map(|key| self.documents.get(key))
+                    .cloned();
+                let records = fit_message(records);
+                let question = (!records.is_empty()).then_some(Question::Take(records));
+                let _ = hand_over.send(question);
+            }
+            StateEvent::Records(records) => self.take_records(records),
+            StateEvent::PlatformRead => self.freshness.platform_read(now, Millis(0)),
+            StateEvent::Listed(inventory) => self.take_list(&inventory),
+            StateEvent::Evidence(all) => {
+                for evidence in &all {
+                    self.evidence.offer(evidence, now);
+                }
+            }
+            StateEvent::Draining => self.membership.set_serving(false),
+        }
+    }
+
+    /// Returns all that is known as one value.
+    pub(crate) fn view(&self, now: Millis) -> View {
+        let own = self.membership.own().clone();
+        let routes = routes_of(
+            &own.zone,
+            &self.workspaces,
+            &self.domains,
+            &self.fleet,
+            &self.evidence,
+            now,
+        );
+        let members = self.membership.all(now).into_iter();
+        View {
+            made: now,
+            serve_by: self.freshness.serve_by(now),
+            may_accept: self.freshness.may_accept(now),
+            heard: self.freshness.heard_of_expected(now),
+            platform_age: self.freshness.platform_age(now),
+            members: members
+                .map(|(beat, standing)| (beat.clone(), standing))
+                .collect(),
+            workspaces: self.workspaces.clone(),
+            domains: self.domains.clone(),
+            fleet: self.fleet.clone(),
+            routes: Arc::new(routes),
+            own,
+        }
+    }
+
+    fn answer(&mut self, question: Question, now: Millis) -> Reply {
+        match question {
+            Question::News(news) => {
+                self.hear(&news, now);
+                Reply::News(self.news(now))
+            }
+            Question::Compare(theirs) => Reply::Compared {
+                newer: fit_message(self.documents.newer_than(&theirs).into_iter()),
+                wanted: self.documents.older_than(&theirs),
+            },
+            Question::Take(records) => {
+                self.take_records(records);
+                Reply::Taken
+            }
+        }
+    }
+
+    fn news(&self, now: Millis) -> News {
+        News {
+            from: self.membership.own().clone(),
+            members: self.membership.digest(now),
+            platform_age: self.freshness.platform_age(now),
+            fingerprint: self.documents.fingerprint(),
+            evidence: self.evidence.export(now),
+        }
+    }
+
+    /// Takes in a peer's news, and tells whether its records differ.
+    fn hear(&mut self, news: &News, now: Millis) -> bool {
+        self.membership.hear(news.from.clone(), now);
+        for heartbeat in &news.members {
+            self.membership.hear(heartbeat.clone(), now);
+        }
+        for evidence in &news.evidence {
+            self.evidence.offer(evidence, now);
+        }
+        let differs = news.fingerprint != self.documents.fingerprint();
+        if !differs {
+            // Only records that are the same here are as fresh as the peer says.
+            self.freshness.exchanged(news.from.node.clone(), now);
+            if let Some(age) = news.platform_age {
+                self.freshness.platform_read(now, age);
+            }
+        }
+        differs
+    }
+
+    fn take_records(&mut self, records: Vec<Document>) {
+        for record in records {
+            self.take_record(record);
+        }
+    }
+
+    fn take_record(&mut self, document: Document) {
+        let key = document.key.clone();
+        if !self.documents.offer(document.clone()) {
+            return;
+        }
+        if key.starts_with(keys::WORKSPACES) {
+            read_record(&document, &mut self.workspaces);
+        } else if key.starts_with(keys::DOMAINS) {
+            read_record(&document, &mut self.domains);
+        } else if &*key == keys::INVENTORY {
+            match serde_json::from_str::<Inventory>(&document.body) {
+                Ok(inventory) => self.apply_list(inventory),
+                Err(err) => log::error!(key = &*key; "the box list is malformed: {err}"),
+            }
+        }
+    }
+
+    /// Turns the platform's list into a record like the others, so that peers carry it on.
+    fn take_list(&mut self, inventory: &Inventory) {
+        if inventory.version <= self.documents.revision(keys::INVENTORY) {
+            return;
+        }
+        let Ok(body) = serde_json::to_string(inventory) else {
+            return;
+        };
+        self.take_record(Document {
+            key: Arc::from(keys::INVENTORY),
+            revision: Revision(inventory.version.0),
+            body: Arc::from(body),
+        });
+    }
+
+    fn apply_list(&mut self, inventory: Inventory) {
+        self.freshness.expect(inventory.nodes);
+        self.fleet = Arc::new(Fleet::new(inventory.boxes));
+    }
+}
+
+fn read_record<T: DeserializeOwned>(
+    document: &Document,
+    records: &mut BTreeMap<Arc<str>, Arc<Held<T>>>,
+) {
+    match serde_json::from_str(&document.body) {
+        Ok(record) => {
+            let held = Held {
+                revision: document.revision,
+                record,
+            };
+            records.insert(document.key.clone(), Arc::new(held));
+        }
+        Err(err) => log::error!(key = &*document.key; "a record is malformed: {err}"),
+    }
+}
+
+fn fit_message(records: impl Iterator<Item = Document>) -> Vec<Document> {
+    let mut bytes = 0;
+    let mut fitting = Vec::new();
+    for record in records {
+        bytes += record.body.len();
+        fitting.push(record);
+        if bytes >= RECORD_BYTES_PER_MESSAGE {
+            break;
+        }
+    }
+    fitting
+}
--- /dev/null
+++ b/crates/cherrystandd/src/state/view.rs
@@ -0,0 +1,106 @@
+//! What a daemon knows, as one immutable value.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cherrystand_core::{
+    Assignment, DomainRecord, Fleet, Heartbeat, HeldBoxes, Incarnation, Millis, ReplicaId,
+    Revision, ServeBy, Standing, WorkspaceRecord,
+};
+
+use crate::state::RouteGroup;
+use crate::{Settings, clock};
+
+/// Holds a record and the revision at which it was read.
+#[derive(Clone, Debug)]
+pub(crate) struct Held<T> {
+    /// The revision.
+    pub revision: Revision,
+    /// The record.
+    pub record: T,
+}
+
+/// Holds what a daemon knows at one moment.
+#[derive(Clone, Debug)]
+pub(crate) struct View {
+    /// When the view was made, on the daemon's clock.
+    pub made: Millis,
+    /// The daemon's own heartbeat.
+    pub own: Heartbeat,
+    /// By what right the daemon serves.
+    pub serve_by: ServeBy,
+    /// Whether the daemon may accept a change.
+    pub may_accept: bool,
+    /// How many daemons were heard from lately, and how many there should be.
+    pub heard: (usize, usize),
+    /// How long ago the platform was last read by anyone heard from.
+    pub platform_age: Option<Millis>,
+    /// The daemons known, this one first.
+    pub members: Vec<(Heartbeat, Standing)>,
+    /// The workspaces' records, by key.
+    pub workspaces: BTreeMap<Arc<str>, Arc<Held<WorkspaceRecord>>>,
+    /// The domains' records, by key.
+    pub domains: BTreeMap<Arc<str>, Arc<Held<DomainRecord>>>,
+    /// The listed boxes.
+    pub fleet: Arc<Fleet>,
+    /// Where requests can go.
+    pub routes: Arc<Vec<RouteGroup>>,
+}
+
+impl View {
+    /// Returns what a daemon knows at its start: itself.
+    pub(crate) fn at_start(settings: &Settings, now: Millis) -> Self {
+        Self {
+            made: now,
+            own: own_heartbeat(settings),
+            serve_by: ServeBy::NotYet,
+            may_accept: false,
+            heard: (1, 1),
+            platform_age: None,
+            members: Vec::new(),
+            workspaces: BTreeMap::new(),
+            domains: BTreeMap::new(),
+            fleet: Arc::default(),
+            routes: Arc::default(),
+        }
+    }
+
+    /// Returns the assignments of all domains.
+    pub(crate) fn formed(&self) -> BTreeMap<ReplicaId, Assignment> {
+        let records = self.domains.values().map(|held| &held.record);
+        let all = records.flat_map(|record| record.replicas.iter());
+        all.map(|(replica, held)| (replica.clone(), held.clone()))
+            .collect()
+    }
+
+    /// Returns the boxes that each replica holds.
+    pub(crate) fn held_boxes(&self) -> HeldBoxes {
+        let formed = self.formed().into_iter();
+        formed
+            .map(|(replica, held)| (replica, held.boxes))
+            .collect()
+    }
+
+    /// Returns the heartbeats of the daemons that are alive.
+    pub(crate) fn alive(&self) -> impl Iterator<Item = &Heartbeat> {
+        let alive = self
+            .members
+            .iter()
+            .filter(|(_, standing)| *standing == Standing::Alive);
+        alive.map(|(beat, _)| beat)
+    }
+}
+
+/// Returns the first heartbeat of a daemon that starts now.
+///
+/// Its life is numbered by the clock, which is all that a box without a disk has to number by.
+pub(crate) fn own_heartbeat(settings: &Settings) -> Heartbeat {
+    Heartbeat {
+        node: settings.node.clone(),
+        incarnation: Incarnation(clock::unix_millis()),
+        beat: 0,
+        zone: settings.zone.clone(),
+        address: settings.listen.peers,
+        serving: true,
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/writer.rs
@@ -0,0 +1,18 @@
+//! Numbers of this daemon's writes.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cherrystand_core::WriteId;
+
+use crate::state::View;
+
+static SEQUENCE: AtomicU64 = AtomicU64::new(0);
+
+/// Returns an identity that no other write has.
+pub(crate) fn next_write(view: &View) -> WriteId {
+    WriteId {
+        node: view.own.node.clone(),
+        incarnation: view.own.incarnation,
+        sequence: SEQUENCE.fetch_add(1, Ordering::Relaxed),
+    }
+}
