feat: add a demonstration with mixed traffic that checks every answer

The load tool sends whole and streamed model calls, consent reads and deliveries that name a key and are sent twice, through daemons that are ready. Afterwards it compares what callers were told with what endpoints ran.

--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -7,6 +7,11 @@
     pub(crate) mod stand_in;
 }
 mod http;
+mod load {
+    pub(crate) mod caller;
+    pub(crate) mod mix;
+    pub(crate) mod verdict;
+}
 mod platform {
     pub(crate) mod stand_in;
     pub(crate) mod store;
@@ -15,6 +20,9 @@
 
 pub use engine::answer::Prompt;
 pub use engine::stand_in::{EngineBody, EngineKnobs, EngineSetup, EngineStandIn, Executions};
+pub use load::caller::{Ask, Caller};
+pub use load::mix::{Mix, Outcome, check_executions, send_mix};
+pub use load::verdict::{Tally, Verdict, judge_refusal, judge_service, judge_stream, judge_whole};
 pub use platform::stand_in::{CallCounts, PlatformKnobs, PlatformStandIn};
 pub use platform::store::{Rate, Store};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
--- /dev/null
+++ b/crates/cherrystand_testkit/src/load/verdict.rs
@@ -0,0 +1,134 @@
+//! What became of one request, as its caller sees it.
+
+use std::collections::BTreeMap;
+
+use hyper::{HeaderMap, StatusCode};
+use serde_json::Value;
+
+use crate::{Prompt, ServiceAnswer};
+
+/// Says what became of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The whole answer came, and it is the right one.
+    Whole,
+    /// It was refused and not run, or its key had been used before.
+    Refused {
+        /// The reason given.
+        reason: String,
+        /// Whether the caller was told that it was not run.
+        not_run: bool,
+    },
+    /// The caller was told, or has to assume, that it may have been run.
+    Unknown,
+    /// The answer is another one's, or was passed off as whole without being so.
+    Wrong(String),
+}
+
+/// Counts verdicts.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests answered whole.
+    pub whole: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Requests of which nothing certain is known.
+    pub unknown: u64,
+    /// Requests answered wrongly.
+    pub wrong: u64,
+    /// Refusals by reason.
+    pub reasons: BTreeMap<String, u64>,
+}
+
+impl Tally {
+    /// Adds a verdict.
+    pub fn add(&mut self, verdict: &Verdict) {
+        self.sent += 1;
+        match verdict {
+            Verdict::Whole => self.whole += 1,
+            Verdict::Refused { reason, .. } => {
+                self.refused += 1;
+                *self.reasons.entry(reason.clone()).or_default() += 1;
+            }
+            Verdict::Unknown => self.unknown += 1,
+            Verdict::Wrong(_) => self.wrong += 1,
+        }
+    }
+
+    /// Returns the counts in one line.
+    pub fn line(&self) -> String {
+        format!(
+            "{} sent, {} whole, {} refused, {} unknown, {} wrong",
+            self.sent, self.whole, self.refused, self.unknown, self.wrong
+        )
+    }
+}
+
+/// Judges an answer that did not come from an endpoint, or nothing if it did.
+pub fn judge_refusal(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> Option<Verdict> {
+    let outcome = headers
+        .get("cherrystand-outcome")
+        .and_then(|value| value.to_str().ok());
+    if status.is_success() {
+        return None;
+    }
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    let reason = value["error"]["reason"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    Some(match outcome {
+        _ if reason.is_empty() => Verdict::Wrong(format!("status {status} without a reason")),
+        Some("not-run") => Verdict::Refused {
+            reason,
+            not_run: true,
+        },
+        Some("ran") => Verdict::Refused {
+            reason,
+            not_run: false,
+        },
+        Some("unknown") => Verdict::Unknown,
+        _ => Verdict::Wrong(format!("status {status} without an outcome")),
+    })
+}
+
+/// Judges the whole answer of a model.
+pub fn judge_whole(prompt: &Prompt, body: &[u8]) -> Verdict {
+    let value: Value = serde_json::from_slice(body).unwrap_or_default();
+    let text = value["choices"][0]["message"]["content"]
+        .as_str()
+        .unwrap_or_default();
+    if text == prompt.whole_text() {
+        return Verdict::Whole;
+    }
+    Verdict::Wrong(format!("asked `{}` and got `{text}`", prompt.text))
+}
+
+/// Judges a model's answer that came as a stream of events.
+pub fn judge_stream(prompt: &Prompt, body: &[u8]) -> Verdict {
+    let text = String::from_utf8_lossy(body);
+    if text.contains("event: error") {
+        return Verdict::Unknown;
+    }
+    let expected: String = (0..prompt.tokens)
+        .map(|number| prompt.event(number))
+        .collect();
+    if text == format!("{expected}data: [DONE]\n\n") {
+        return Verdict::Whole;
+    }
+    Verdict::Wrong(format!(
+        "the stream of `{}` is not whole: `{text}`",
+        prompt.text
+    ))
+}
+
+/// Judges a plain service's answer.
+pub fn judge_service(path: &str, sent: &str, body: &[u8]) -> Verdict {
+    match serde_json::from_slice::<ServiceAnswer>(body) {
+        Ok(answer) if answer.path == path && answer.body == sent => Verdict::Whole,
+        Ok(answer) => Verdict::Wrong(format!("asked {path} `{sent}` and got {answer:?}")),
+        Err(err) => Verdict::Wrong(format!("{path} answered what is no answer: {err}")),
+    }
+}
--- a/scripts/down.sh
+++ b/scripts/down.sh
@@ -8,7 +8,7 @@
 pids_of() { sed -nE "s/.*\"pid\":([0-9]+).*\"role\":\"$1\".*/\1/p" "$list"; }
 
 # A number that meanwhile belongs to another program is left alone.
-ours() { tr '\0' ' ' <"/proc/$1/cmdline" 2>/dev/null | grep -q 'cherrystand'; }
+ours() { { tr '\0' ' ' <"/proc/$1/cmdline"; } 2>/dev/null | grep -q 'cherrystand'; }
 
 for pid in $(pids_of daemon); do
     if ours "$pid"; then kill -TERM "$pid" || true; fi
