fix(core): wait for every member's answer before a broken replica is taken for mended

Cause: a member that dies is believed for up to 2.5 s after its last answer. Its leader reports the break within half a second, so the controller saw a broken replica whose members all seemed there, gave it a new epoch and lost it again when the member's silence showed.

Ruled out: the leader's report being wrong (it names the break correctly), and a lost write (the record's revisions follow each other).

Change: a member that answered last before the break counts as undecided, and nothing is decided until it has answered or is missing. An engine's own report of a break now has its own reason instead of naming the engine as lost.

Test a_break_is_not_taken_for_mended_before_every_member_answers_again, before: left: 2 epochs, right: 1; after: passes.

--- a/crates/cherrystand_core/src/control/controller.rs
+++ b/crates/cherrystand_core/src/control/controller.rs
@@ -115,7 +115,8 @@
 #[derive(Clone, Debug)]
 pub struct Controller {
     policy: RepairPolicy,
-    draining: BTreeMap<ReplicaId, (Epoch, Millis)>,
+    /// Since when this controller has known each replica to be in its phase.
+    phases: BTreeMap<ReplicaId, (Epoch, Phase, Millis)>,
 }
 
 impl Controller {
@@ -123,13 +124,13 @@
     pub fn new(policy: RepairPolicy) -> Self {
         Self {
             policy,
-            draining: BTreeMap::new(),
+            phases: BTreeMap::new(),
         }
     }
 
     /// Decides what to write and order now.
     pub fn step(&mut self, at: Situation<'_>) -> Step {
-        self.note_draining(&at);
+        self.note_phases(&at);
         let mut change = DomainChange::new(at);
         change.collect_released();
         for replica in change.replicas() {
@@ -146,18 +147,24 @@
         }
     }
 
-    fn note_draining(&mut self, at: &Situation<'_>) {
-        let drains = |replica: &ReplicaId, epoch: Epoch| {
-            let assignment = at.record.replicas.get(replica);
-            assignment.is_some_and(|held| held.phase == Phase::Draining && held.epoch == epoch)
-        };
-        self.draining
-            .retain(|replica, (epoch, _)| drains(replica, *epoch));
-        for (replica, assignment) in &at.record.replicas {
-            if assignment.phase == Phase::Draining {
-                let since = (assignment.epoch, at.now);
-                self.draining.entry(replica.clone()).or_insert(since);
-            }
+    fn note_phases(&mut self, at: &Situation<'_>) {
+        let known = std::mem::take(&mut self.phases);
+        for (replica, held) in &at.record.replicas {
+            let since = match known.get(replica) {
+                Some((epoch, phase, since)) if (*epoch, *phase) == (held.epoch, held.phase) => {
+                    *since
+                }
+                _ => at.now,
+            };
+            let noted = (held.epoch, held.phase, since);
+            self.phases.insert(replica.clone(), noted);
+        }
+    }
+
+    fn in_phase_since(&self, replica: &ReplicaId, phase: Phase, now: Millis) -> Millis {
+        match self.phases.get(replica) {
+            Some((_, known, since)) if *known == phase => *since,
+            _ => now,
         }
     }
 
@@ -177,8 +184,8 @@
             }
             Phase::Ready => advance_ready(change, replica, &assignment, members, desired),
             Phase::Draining => {
-                let since = self.draining.get(replica).map(|(_, since)| *since);
-                let waited = since.is_some_and(|since| change.at.now.since(since) >= DRAIN_GRACE);
+                let since = self.in_phase_since(replica, Phase::Draining, change.at.now);
+                let waited = change.at.now.since(since) >= DRAIN_GRACE;
                 advance_draining(change, replica, members, desired, waited);
             }
             Phase::Broken if desired.is_none() => change.remove(replica, Evidence::NotDesired),
@@ -202,7 +209,11 @@
         let Some(assignment) = change.next.replicas.get(&desired.replica).cloned() else {
             return;
         };
+        let broken_since = self.in_phase_since(&desired.replica, Phase::Broken, change.at.now);
         let unusable = change.unusable(&assignment.boxes);
+        if change.awaits_answer(&assignment.boxes, &unusable, broken_since) {
+            return;
+        }
         if unusable.is_empty() {
             let boxes = assignment.boxes.clone();
             change.assign(desired, boxes, Evidence::MembersReturned, None);
@@ -264,9 +275,8 @@
     let Some(desired) = desired else {
         return change.remove(replica, Evidence::NotDesired);
     };
-    if !members.lost.is_empty() {
-        let boxes = members.lost;
-        return change.set_phase(replica, Phase::Broken, Evidence::MembersLost { boxes });
+    if let Some(evidence) = members.break_evidence() {
+        return change.set_phase(replica, Phase::Broken, evidence);
     }
     if desired.load != assignment.load {
         return change.set_phase(replica, Phase::Broken, Evidence::LoadChanged);
@@ -283,9 +293,8 @@
     members: MemberSummary,
     desired: Option<&Desired>,
 ) {
-    if !members.lost.is_empty() {
-        let boxes = members.lost;
-        return change.set_phase(replica, Phase::Broken, Evidence::MembersLost { boxes });
+    if let Some(evidence) = members.break_evidence() {
+        return change.set_phase(replica, Phase::Broken, evidence);
     }
     let leaving = change.leaving(&assignment.boxes);
     let evidence = match desired {
@@ -306,9 +315,8 @@
     desired: Option<&Desired>,
     waited: bool,
 ) {
-    if !members.lost.is_empty() {
-        let boxes = members.lost;
-        return change.set_phase(replica, Phase::Broken, Evidence::MembersLost { boxes });
+    if let Some(evidence) = members.break_evidence() {
+        return change.set_phase(replica, Phase::Broken, evidence);
     }
     if !waited || members.in_flight > 0 {
         return;
@@ -381,6 +389,19 @@
         unusable.cloned().collect()
     }
 
+    /// Tells whether a box that passes for usable has yet to answer after the replica broke.
+    ///
+    /// Until then it may be the very one that is gone.
+    fn awaits_answer(&self, boxes: &[BoxId], unusable: &[BoxId], broken_since: Millis) -> bool {
+        let answered = |id: &BoxId| {
+            let seen = self.at.seen.get(id);
+            seen.is_some_and(|seen| seen.heard > broken_since)
+        };
+        boxes
+            .iter()
+            .any(|id| !unusable.contains(id) && !answered(id))
+    }
+
     fn free_boxes(&self) -> Vec<BoxId> {
         let listed = self.at.fleet.of_domain(&self.next.domain);
         let usable = listed.filter(|info| {
--- a/crates/cherrystand_core/src/control/explanation.rs
+++ b/crates/cherrystand_core/src/control/explanation.rs
@@ -42,6 +42,8 @@
         /// Those members.
         boxes: Vec<BoxId>,
     },
+    /// An engine reported that its replica has come apart.
+    CameApart,
     /// The platform announced that members will leave.
     MembersLeaving {
         /// Those members.
@@ -80,6 +82,7 @@
             Evidence::LoadTurn => f.write_str("the weight store has room"),
             Evidence::AllAcknowledged => f.write_str("every member acknowledged the epoch"),
             Evidence::MembersLost { boxes } => write!(f, "lost {}", names(boxes)),
+            Evidence::CameApart => f.write_str("an engine reported that it came apart"),
             Evidence::MembersLeaving { boxes } => write!(f, "leaving {}", names(boxes)),
             Evidence::MembersReturned => f.write_str("every member is there again"),
             Evidence::Drained => f.write_str("the engine is idle"),
--- a/crates/cherrystand_core/src/control/observation.rs
+++ b/crates/cherrystand_core/src/control/observation.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Assignment, BoxId, Epoch, LoadSpec, Millis, Phase};
+use crate::{Assignment, BoxId, Epoch, Evidence, LoadSpec, Millis, Phase};
 
 /// After this long without an answer a box counts as missing.
 ///
@@ -60,6 +60,8 @@
 pub struct MemberSummary {
     /// Members that do not answer, or that answer for no or another epoch although they served.
     pub lost: Vec<BoxId>,
+    /// Whether a member reports that the replica has come apart.
+    pub apart: bool,
     /// Members whose acknowledgement of the epoch is fresh and that are ready.
     pub ready: usize,
     /// Requests in flight at the leader, as far as reported.
@@ -80,6 +82,8 @@
             let able = matches!(report.state, EngineState::Ready | EngineState::Draining);
             if acts && able {
                 summary.ready += 1;
+            } else if acts && report.state == EngineState::Broken {
+                summary.apart = true;
             } else if served {
                 summary.lost.push(id.clone());
             }
@@ -89,6 +93,15 @@
         }
         summary
     }
+
+    /// Returns why the replica must not serve, if that is so.
+    pub fn break_evidence(&self) -> Option<Evidence> {
+        if !self.lost.is_empty() {
+            let boxes = self.lost.clone();
+            return Some(Evidence::MembersLost { boxes });
+        }
+        self.apart.then_some(Evidence::CameApart)
+    }
 }
 
 /// Returns a box's report if it is fresh.
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! Each is a small fake at an interface; none simulates a cluster.
 
+mod domain {
+    pub(crate) mod fake_box;
+    pub(crate) mod fake_domain;
+}
 mod engine {
     pub(crate) mod answer;
     pub(crate) mod stand_in;
@@ -18,6 +22,10 @@
 }
 mod service_stand_in;
 
+pub use domain::fake_box::FakeBox;
+pub use domain::fake_domain::{
+    DOMAIN_STEP, DomainSetup, FakeController, FakeDomain, Losses, epochs_in_use,
+};
 pub use engine::answer::Prompt;
 pub use engine::stand_in::{EngineBody, EngineKnobs, EngineSetup, EngineStandIn, Executions};
 pub use load::caller::{Ask, Caller};
