--- a/crates/cherrystand_core/src/control/controller.rs
+++ b/crates/cherrystand_core/src/control/controller.rs
@@ -404,10 +404,12 @@
 
     fn free_boxes(&self) -> Vec<BoxId> {
         let listed = self.at.fleet.of_domain(&self.next.domain);
-        let usable = listed.filter(|info| {
-            let report = fresh_report(self.at.seen, &info.id, self.at.now);
-            !info.leaving && report.is_some() && self.next.is_free(&info.id)
-        });
+        let idle = |id: &BoxId| {
+            let report = fresh_report(self.at.seen, id, self.at.now);
+            report.is_some_and(|report| report.state == EngineState::Idle)
+        };
+        let usable =
+            listed.filter(|info| !info.leaving && self.next.is_free(&info.id) && idle(&info.id));
         usable.map(|info| info.id.clone()).collect()
     }
 
@@ -635,6 +637,7 @@
         }
     }
     orders.extend(release_orders(at));
+    orders.extend(stray_orders(at));
     orders
 }
 
@@ -694,3 +697,21 @@
         })
         .collect()
 }
+
+/// Releases engines that act although the record gives their boxes to nobody, as after an order
+/// that arrived long after it was sent.
+fn stray_orders(at: Situation<'_>) -> Vec<Order> {
+    let free = at
+        .fleet
+        .of_domain(&at.record.domain)
+        .filter(|info| at.record.is_free(&info.id));
+    let stray = free.filter_map(|info| {
+        let report = fresh_report(at.seen, &info.id, at.now)?;
+        (report.state != EngineState::Idle).then(|| Order {
+            target: info.id.clone(),
+            epoch: report.epoch,
+            task: Task::Release,
+        })
+    });
+    stray.collect()
+}
--- a/crates/cherrystand_core/tests/replica_life.rs
+++ b/crates/cherrystand_core/tests/replica_life.rs
@@ -267,3 +267,29 @@
         assert_eq!(done, case.expected, "{:?}", case.rule);
     }
 }
+
+#[test]
+fn a_box_given_up_is_used_again_only_once_it_answers_that_it_is_idle() {
+    let setup = DomainSetup {
+        boxes: 2,
+        checks_orders: false,
+        ..DomainSetup::default()
+    };
+    let mut domain = formed(setup, quick_policy(), 1, 2);
+    let set_deaf = |domain: &mut FakeDomain, deaf| {
+        if let Some(fake) = domain.boxes.get_mut(&box_id(1)) {
+            fake.deaf = deaf;
+        }
+    };
+    set_deaf(&mut domain, true);
+    domain.desired = vec![desired(1, 2, "1")];
+    domain.run_for(Millis(60_000));
+    assert!(
+        !domain.record.replicas.contains_key(&replica(1)),
+        "{:?}",
+        domain.record.replicas
+    );
+    set_deaf(&mut domain, false);
+    domain.run_for(Millis(60_000));
+    assert!(domain.is_whole(&replica(1)));
+}
--- a/crates/cherrystand_testkit/src/domain/fake_box.rs
+++ b/crates/cherrystand_testkit/src/domain/fake_box.rs
@@ -11,6 +11,8 @@
     pub alive: bool,
     /// When a box that is down comes back; nothing if it never does.
     pub back_at: Option<Millis>,
+    /// Whether the engine reports but follows no orders.
+    pub deaf: bool,
     /// Whether the engine refuses orders of an old epoch.
     pub checks_orders: bool,
     /// The epoch that the engine acts on; 0 while idle.
@@ -35,6 +37,7 @@
         Self {
             alive: true,
             back_at: None,
+            deaf: false,
             checks_orders,
             epoch: Epoch(0),
             replica: None,
@@ -66,7 +69,7 @@
 
     /// Follows an order as an engine does, and tells whether it was accepted.
     pub fn obey(&mut self, order: &Order, load: Millis, rejoin: Millis) -> bool {
-        if !self.alive || (self.checks_orders && order.epoch < self.highest) {
+        if !self.alive || self.deaf || (self.checks_orders && order.epoch < self.highest) {
             return false;
         }
         self.highest = self.highest.max(order.epoch);
