fix: answer an oversized body so that its caller can read the refusal; age news by its way

Four causes, each found by a test that failed first: - A refusal with status 413 was lost: the daemon closed a connection with unread bytes on it, and the caller saw 'the connection failed before the answer began'. The refusal still goes out at once; the rest of the body is read and dropped for a bounded while. - A full shard of 8,000 claims has 1,192,109 bytes of JSON and does not fit the platform's 1 MB; 6,000 fit. - Evidence and freshness told in a question had the age that its sender saw, however long the question lay with a paused receiver. They are told only in answers now, and the one that asked adds the time since it did. - A watch's answer counted as news of now; it counts from when it was asked.

Tests: claims and operators against a key-value fake that loses, delays and refuses calls; the whole path through real processes.

--- a/crates/cherrystand_core/src/requests/claim.rs
+++ b/crates/cherrystand_core/src/requests/claim.rs
@@ -22,7 +22,7 @@
 pub const CLAIM_USE_WITHIN: Millis = Millis(5_000);
 
 /// The most claims in one record, so that it stays under the platform's limit of 1 MB.
-pub const MAX_CLAIMS: usize = 8_000;
+pub const MAX_CLAIMS: usize = 6_000;
 
 /// Identifies a call by a hash of its workspace and key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/cherrystand_peer/src/lib.rs
+++ b/crates/cherrystand_peer/src/lib.rs
@@ -6,5 +6,5 @@
 mod message;
 mod transport;
 
-pub use message::{CodecError, News, PROTOCOL, Question, Reply, decode, encode};
+pub use message::{CodecError, Greeting, News, PROTOCOL, Question, Reply, decode, encode};
 pub use transport::{ANSWER_WITHIN, MAX_MESSAGE_BYTES, PeerDialer, PeerError, PeerListener};
--- a/crates/cherrystand_peer/src/message.rs
+++ b/crates/cherrystand_peer/src/message.rs
@@ -8,7 +8,22 @@
 /// The version of the messages; daemons that differ refuse each other's.
 pub const PROTOCOL: u16 = 1;
 
-/// What each side of an exchange tells the other.
+/// What a daemon says of itself when it asks a peer for news.
+///
+/// It holds nothing that goes stale: how long a question was on its way, the one asked cannot
+/// tell, for either may have been paused meanwhile.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Greeting {
+    /// The sender.
+    pub from: Heartbeat,
+    /// The sum of the versions that the sender holds.
+    pub fingerprint: u64,
+}
+
+/// What a daemon tells a peer that asked.
+///
+/// The one that asked knows when it did, and counts the whole time since then as part of every
+/// age in the answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// The sender.
@@ -26,8 +41,8 @@
 /// A question to another daemon.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Question {
-    /// Exchanges news.
-    News(News),
+    /// Asks for news.
+    News(Greeting),
     /// Asks for the records of which the other side has newer copies than these.
     Compare(Vec<Version>),
     /// Hands over records that the other side asked for.
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -17,6 +17,7 @@
     pub(crate) mod verdict;
 }
 mod platform {
+    pub(crate) mod fake_key_value;
     pub(crate) mod stand_in;
     pub(crate) mod store;
 }
@@ -31,6 +32,7 @@
 pub use load::caller::{Ask, Caller};
 pub use load::mix::{Mix, Outcome, check_executions, send_mix};
 pub use load::verdict::{Tally, Verdict, judge_refusal, judge_service, judge_stream, judge_whole};
+pub use platform::fake_key_value::{CallFault, FakeKeyValue};
 pub use platform::stand_in::{CallCounts, PlatformKnobs, PlatformStandIn};
 pub use platform::store::{Rate, Store};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
--- /dev/null
+++ b/crates/cherrystand_testkit/src/platform/fake_key_value.rs
@@ -0,0 +1,182 @@
+//! A key-value service in memory whose calls go wrong as told.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cherrystand_core::{Document, Revision};
+use cherrystand_platform::{CallError, Changes, KeyValue, Lease, PlatformError, Swap, WireRecord};
+
+use crate::Store;
+
+/// Says how one call goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    /// As it should.
+    None,
+    /// The call never reaches the service.
+    Lost,
+    /// The call takes effect, and its answer is lost.
+    AnswerLost,
+    /// The answer is lost, and the call takes effect only after some later calls.
+    TakesEffectLater,
+    /// The service refuses it for its rate.
+    RateLimited,
+}
+
+/// After how many later calls a delayed write takes effect.
+const DELAY_CALLS: u32 = 2;
+
+struct Delayed {
+    after_calls: u32,
+    key: String,
+    expected: Revision,
+    body: String,
+}
+
+#[derive(Default)]
+struct State {
+    store: Store,
+    faults: VecDeque<CallFault>,
+    delayed: Vec<Delayed>,
+    calls: u64,
+}
+
+/// A key-value service that several writers on one thread share.
+#[derive(Clone, Default)]
+pub struct FakeKeyValue {
+    state: Rc<RefCell<State>>,
+}
+
+impl FakeKeyValue {
+    /// Creates a service whose next calls go as told, and all later ones as they should.
+    pub fn with_faults(faults: impl IntoIterator<Item = CallFault>) -> Self {
+        let fake = Self::default();
+        fake.state.borrow_mut().faults = faults.into_iter().collect();
+        fake
+    }
+
+    /// Returns the value of a key, beside all faults.
+    pub fn peek(&self, key: &str) -> Option<String> {
+        self.state
+            .borrow()
+            .store
+            .get(key)
+            .map(|record| record.value)
+    }
+
+    /// Returns how many calls were made.
+    pub fn calls(&self) -> u64 {
+        self.state.borrow().calls
+    }
+
+    /// Lets other writers go on, and then begins a call.
+    async fn begin(&self) -> Result<CallFault, PlatformError> {
+        tokio::task::yield_now().await;
+        let mut state = self.state.borrow_mut();
+        state.calls += 1;
+        let fault = state.faults.pop_front().unwrap_or(CallFault::None);
+        land_delayed(&mut state);
+        match fault {
+            CallFault::Lost => Err(no_answer()),
+            CallFault::RateLimited => Err(PlatformError::RateLimited),
+            other => Ok(other),
+        }
+    }
+}
+
+fn land_delayed(state: &mut State) {
+    for delayed in &mut state.delayed {
+        delayed.after_calls = delayed.after_calls.saturating_sub(1);
+    }
+    let (due, left): (Vec<Delayed>, Vec<Delayed>) = state
+        .delayed
+        .drain(..)
+        .partition(|delayed| delayed.after_calls == 0);
+    state.delayed = left;
+    for delayed in due {
+        state
+            .store
+            .swap(&delayed.key, delayed.expected.0, delayed.body);
+    }
+}
+
+fn no_answer() -> PlatformError {
+    PlatformError::NoAnswer(CallError::TimedOut(Duration::from_secs(1)))
+}
+
+fn document(record: WireRecord) -> Document {
+    Document {
+        key: Arc::from(record.key),
+        revision: record.revision,
+        body: Arc::from(record.value),
+    }
+}
+
+impl KeyValue for FakeKeyValue {
+    async fn get(&self, key: &str) -> Result<Option<Document>, PlatformError> {
+        match self.begin().await? {
+            CallFault::None => Ok(self.state.borrow().store.get(key).map(document)),
+            _ => Err(no_answer()),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
+        self.watch(prefix, Revision(0), Duration::ZERO).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        _wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        self.begin().await?;
+        let state = self.state.borrow();
+        let records = state
+            .store
+            .changed(prefix, after.0)
+            .into_iter()
+            .map(document);
+        Ok(Changes {
+            revision: state.store.revision(),
+            records: records.collect(),
+        })
+    }
+
+    async fn swap(&self, key: &str, expected: Revision, body: &str) -> Result<Swap, PlatformError> {
+        let fault = self.begin().await?;
+        let mut state = self.state.borrow_mut();
+        if fault == CallFault::TakesEffectLater {
+            state.delayed.push(Delayed {
+                after_calls: DELAY_CALLS,
+                key: key.to_owned(),
+                expected,
+                body: body.to_owned(),
+            });
+            return Err(no_answer());
+        }
+        let outcome = state.store.swap(key, expected.0, body.to_owned());
+        match fault {
+            CallFault::AnswerLost => Err(no_answer()),
+            _ => Ok(outcome),
+        }
+    }
+
+    async fn lease(
+        &self,
+        name: &str,
+        holder: &str,
+        life: Duration,
+    ) -> Result<Lease, PlatformError> {
+        self.begin().await?;
+        let held = self.state.borrow_mut().store.lease(name, holder, life);
+        Ok(if held {
+            Lease::Held
+        } else {
+            Lease::HeldByOther
+        })
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/counted.rs
@@ -0,0 +1,84 @@
+//! A platform client that counts its calls.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cherrystand_core::{Document, Revision};
+use cherrystand_platform::{
+    BoxList, Changes, Inventory, KeyValue, Lease, PlatformClient, PlatformError, Swap,
+};
+
+use crate::{DutyContext, Metrics};
+
+/// Counts each call by the duty that makes it and by what became of it.
+#[derive(Clone)]
+pub(crate) struct Counted<K> {
+    inner: K,
+    metrics: Arc<Metrics>,
+    duty: &'static str,
+}
+
+impl Counted<PlatformClient> {
+    /// Creates a client of the platform that the settings name.
+    pub(crate) fn new(cx: &DutyContext, duty: &'static str) -> Self {
+        let inner = PlatformClient::new(cx.settings.platform.address);
+        Self {
+            inner,
+            metrics: cx.metrics.clone(),
+            duty,
+        }
+    }
+}
+
+impl<K> Counted<K> {
+    fn count<T>(&self, outcome: Result<T, PlatformError>) -> Result<T, PlatformError> {
+        let result = match &outcome {
+            Ok(_) => "done",
+            Err(PlatformError::RateLimited) => "rate-limited",
+            Err(_) => "failed",
+        };
+        self.metrics
+            .platform_calls
+            .with_label_values(&[self.duty, result])
+            .inc();
+        outcome
+    }
+}
+
+impl<K: KeyValue> KeyValue for Counted<K> {
+    async fn get(&self, key: &str) -> Result<Option<Document>, PlatformError> {
+        self.count(self.inner.get(key).await)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
+        self.count(self.inner.list(prefix).await)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        self.count(self.inner.watch(prefix, after, wait).await)
+    }
+
+    async fn swap(&self, key: &str, expected: Revision, body: &str) -> Result<Swap, PlatformError> {
+        self.count(self.inner.swap(key, expected, body).await)
+    }
+
+    async fn lease(
+        &self,
+        name: &str,
+        holder: &str,
+        life: Duration,
+    ) -> Result<Lease, PlatformError> {
+        self.count(self.inner.lease(name, holder, life).await)
+    }
+}
+
+impl<K: BoxList> BoxList for Counted<K> {
+    async fn inventory(&self) -> Result<Inventory, PlatformError> {
+        self.count(self.inner.inventory().await)
+    }
+}
--- a/crates/cherrystandd/src/duties/controller.rs
+++ b/crates/cherrystandd/src/duties/controller.rs
@@ -13,6 +13,7 @@
 };
 use cherrystand_platform::{EngineClient, KeyValue, Lease, PlatformClient, PlatformError, Swap};
 
+use crate::counted::Counted;
 use crate::duties::prober::{Prober, boxes_to_ask};
 use crate::kernel::Duty;
 use crate::state::{StateEvent, View};
@@ -53,7 +54,7 @@
 struct DomainDuty {
     cx: DutyContext,
     prober: Prober,
-    platform: PlatformClient,
+    platform: Counted<PlatformClient>,
     engines: EngineClient,
     domains: BTreeMap<DomainId, Watched>,
     asked: Option<Millis>,
@@ -71,7 +72,7 @@
     fn new(cx: DutyContext) -> Self {
         Self {
             prober: Prober::new(cx.clone()),
-            platform: PlatformClient::new(cx.settings.platform.address),
+            platform: Counted::new(&cx, "controller"),
             engines: EngineClient::default(),
             domains: BTreeMap::new(),
             asked: None,
@@ -179,7 +180,6 @@
             let holder = self.cx.settings.node.as_str();
             let name = format!("domain-{domain}");
             let lease = self.platform.lease(&name, holder, LEASE_LIFE).await;
-            count_call(&self.cx, "lease", lease.is_ok());
             let until = now + Millis(LEASE_LIFE.as_millis() as u64);
             (watched.leased_until, watched.ask_lease_at) = match lease {
                 Ok(Lease::Held) => (Some(until), until - LEASE_RENEW),
@@ -207,7 +207,6 @@
         };
         let key = keys::domain(domain);
         let outcome = self.platform.swap(&key, expected, &body).await;
-        count_call(&self.cx, "controller", outcome.is_ok());
         match outcome {
             Ok(Swap::Done(revision)) => {
                 for explanation in explanations.iter().rev() {
@@ -233,7 +232,6 @@
 
     async fn read_back(&self, key: &str) {
         let read = self.platform.get(key).await;
-        count_call(&self.cx, "controller", read.is_ok());
         match read {
             Ok(Some(record)) => self.cx.tell_state(StateEvent::Records(vec![record])),
             Ok(None) => {}
@@ -261,14 +259,6 @@
     }
 }
 
-fn count_call(cx: &DutyContext, duty: &str, done: bool) {
-    let result = if done { "done" } else { "failed" };
-    cx.metrics
-        .platform_calls
-        .with_label_values(&[duty, result])
-        .inc();
-}
-
 /// Returns the domains that this daemon observes, and its rank among each one's observers.
 fn observed_domains(view: &View) -> Vec<(DomainId, usize)> {
     let mut domains = view.fleet.domains();
--- a/crates/cherrystandd/src/duties/gossip.rs
+++ b/crates/cherrystandd/src/duties/gossip.rs
@@ -69,14 +69,17 @@
 }
 
 fn exchange(cx: &DutyContext, dialer: &mut PeerDialer, peer: SocketAddr) -> Result<(), PeerError> {
-    let Some(news) = ask_state(cx, StateEvent::NewsWanted) else {
+    let asked = cx.clock.now();
+    let Some(greeting) = ask_state(cx, StateEvent::GreetingWanted) else {
         return Ok(());
     };
-    let mut question = Some(Question::News(news));
+    let mut question = Some(Question::News(greeting));
     while let Some(next) = question {
         let reply = ask_peer(cx, dialer, peer, &next)?;
         question = match reply {
-            Reply::News(news) => ask_state(cx, |tx| StateEvent::NewsCame(news, tx)).flatten(),
+            Reply::News(news) => {
+                ask_state(cx, |next| StateEvent::NewsCame { news, asked, next }).flatten()
+            }
             Reply::Compared { newer, wanted } => ask_state(cx, |hand_over| StateEvent::Compared {
                 newer,
                 wanted,
--- a/crates/cherrystandd/src/duties/platform_watch.rs
+++ b/crates/cherrystandd/src/duties/platform_watch.rs
@@ -8,6 +8,7 @@
 use cherrystand_core::{FRESH_FOR, Millis, Revision, ranked};
 use cherrystand_platform::{BoxList, KeyValue, PlatformClient, PlatformError};
 
+use crate::counted::Counted;
 use crate::kernel::Duty;
 use crate::keys;
 use crate::state::{StateEvent, View};
@@ -50,7 +51,7 @@
 async fn watch(cx: &DutyContext) {
     let mut watcher = Watcher {
         cx,
-        client: PlatformClient::new(cx.settings.platform.address),
+        client: Counted::new(cx, "watch"),
         known: None,
         listed: None,
     };
@@ -83,7 +84,7 @@
 
 struct Watcher<'a> {
     cx: &'a DutyContext,
-    client: PlatformClient,
+    client: Counted<PlatformClient>,
     /// The revision up to which all records are known.
     known: Option<Revision>,
     /// When the box list was last read.
@@ -92,15 +93,14 @@
 
 impl Watcher<'_> {
     async fn read_once(&mut self) -> Result<(), PlatformError> {
-        let read = match self.known {
-            None => self.client.list(keys::SHARED).await,
-            Some(known) => self.client.watch(keys::SHARED, known, WATCH_FOR).await,
+        let asked = self.cx.clock.now();
+        let changes = match self.known {
+            None => self.client.list(keys::SHARED).await?,
+            Some(known) => self.client.watch(keys::SHARED, known, WATCH_FOR).await?,
         };
-        self.count(read.is_ok());
-        let changes = read?;
         self.known = Some(changes.revision);
         self.cx.tell_state(StateEvent::Records(changes.records));
-        self.cx.tell_state(StateEvent::PlatformRead);
+        self.cx.tell_state(StateEvent::PlatformRead { asked });
         self.read_list().await
     }
 
@@ -112,19 +112,9 @@
         {
             return Ok(());
         }
-        let read = self.client.inventory().await;
-        self.count(read.is_ok());
-        self.cx.tell_state(StateEvent::Listed(read?));
+        let inventory = self.client.inventory().await?;
+        self.cx.tell_state(StateEvent::Listed(inventory));
         self.listed = Some(now);
         Ok(())
     }
-
-    fn count(&self, done: bool) {
-        let result = if done { "done" } else { "failed" };
-        self.cx
-            .metrics
-            .platform_calls
-            .with_label_values(&["watch", result])
-            .inc();
-    }
 }
--- a/crates/cherrystandd/src/lib.rs
+++ b/crates/cherrystandd/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! docs/ARCHITECTURE.md shows the way of a request and of a change through these modules.
 
+mod claim_writer;
 mod claims;
 mod clock;
+mod counted;
 mod duties;
 mod duty_context;
 mod kernel;
@@ -16,9 +18,11 @@
 mod state;
 mod writer;
 
+pub use claim_writer::ClaimWriter;
 pub use clock::Clock;
 pub use duty_context::{DutyContext, DutyError, StopPhase};
 pub use kernel::{Duty, Kernel};
 pub use logging::start_logging;
 pub use metrics::Metrics;
+pub use operator::{OperatorError, WorkspaceChange, Written};
 pub use settings::{Limits, Listen, LoadSettingsError, Platform, Repair, Settings, Stop};
--- a/crates/cherrystandd/src/operator/api.rs
+++ b/crates/cherrystandd/src/operator/api.rs
@@ -10,8 +10,9 @@
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
+use crate::counted::Counted;
 use crate::operator::status::explain_replica;
-use crate::operator::{Changes, OperatorError, status_of};
+use crate::operator::{OperatorError, WorkspaceChange, status_of};
 use crate::relay::{NoteQuestion, RelayBody, plain_text};
 use crate::state::StateEvent;
 use crate::{DutyContext, writer};
@@ -25,13 +26,13 @@
 /// Serves operators on one thread.
 pub(crate) struct Operators {
     cx: DutyContext,
-    platform: PlatformClient,
+    platform: Counted<PlatformClient>,
 }
 
 impl Operators {
     /// Creates the interface.
     pub(crate) fn new(cx: DutyContext) -> Self {
-        let platform = PlatformClient::new(cx.settings.platform.address);
+        let platform = Counted::new(&cx, "operators");
         Self { cx, platform }
     }
 
@@ -46,7 +47,7 @@
         let config = WorkspaceConfig::from_toml(&text)?;
         let view = self.cx.view_now();
         let held = view.held_boxes();
-        let changes = Changes {
+        let changes = WorkspaceChange {
             service: &self.platform,
             write: writer::next_write(&view),
             fleet: &view.fleet,
@@ -70,7 +71,7 @@
             return Err(OperatorError::TooFewDaemons { heard, all });
         }
         let held = view.held_boxes();
-        let changes = Changes {
+        let changes = WorkspaceChange {
             service: &self.platform,
             write: writer::next_write(&view),
             fleet: &view.fleet,
--- a/crates/cherrystandd/src/operator/change.rs
+++ b/crates/cherrystandd/src/operator/change.rs
@@ -15,23 +15,23 @@
 const TRIES: u32 = 8;
 
 /// Plans and confirms changes through a key-value service.
-pub(crate) struct Changes<'a, K> {
+pub struct WorkspaceChange<'a, K> {
     /// The service.
-    pub(crate) service: &'a K,
+    pub service: &'a K,
     /// The identity of the write to make.
-    pub(crate) write: WriteId,
+    pub write: WriteId,
     /// The listed boxes.
-    pub(crate) fleet: &'a Fleet,
+    pub fleet: &'a Fleet,
     /// The boxes held now.
-    pub(crate) held: &'a HeldBoxes,
+    pub held: &'a HeldBoxes,
 }
 
 /// A record that was written, and what it was written for.
-pub(crate) struct Written<T> {
+pub struct Written<T> {
     /// What the operator is told.
-    pub(crate) told: T,
+    pub told: T,
     /// The record as it now stands.
-    pub(crate) record: Document,
+    pub record: Document,
 }
 
 /// What became of one try to write.
@@ -40,12 +40,9 @@
     Again,
 }
 
-impl<K: KeyValue> Changes<'_, K> {
+impl<K: KeyValue> WorkspaceChange<'_, K> {
     /// Makes a plan and leaves it pending.
-    pub(crate) async fn plan(
-        &self,
-        config: WorkspaceConfig,
-    ) -> Result<Written<Plan>, OperatorError> {
+    pub async fn plan(&self, config: WorkspaceConfig) -> Result<Written<Plan>, OperatorError> {
         let workspace = config.workspace.clone();
         let id = self.plan_id(&workspace);
         for _ in 0..TRIES {
@@ -60,7 +57,7 @@
     }
 
     /// Puts a pending plan in force.
-    pub(crate) async fn confirm(
+    pub async fn confirm(
         &self,
         id: &PlanId,
         operator: &str,
--- a/crates/cherrystandd/src/operator/error.rs
+++ b/crates/cherrystandd/src/operator/error.rs
@@ -7,7 +7,7 @@
 
 /// Tells an operator why something was not done, or that it may have been.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum OperatorError {
+pub enum OperatorError {
     /// The configuration is at fault.
     #[error("{0}")]
     Settings(#[from] SettingsError),
@@ -57,7 +57,7 @@
 
 impl OperatorError {
     /// Returns the HTTP status that goes with the error.
-    pub(crate) fn status(&self) -> StatusCode {
+    pub fn status(&self) -> StatusCode {
         match self {
             Self::Settings(_) | Self::Plan(_) | Self::BadRequest(_) => StatusCode::BAD_REQUEST,
             Self::Confirm(ConfirmError::UnknownPlan(_)) | Self::Unknown { .. } => {
@@ -74,7 +74,7 @@
     }
 
     /// Returns the kind of error, for programs.
-    pub(crate) fn kind(&self) -> &'static str {
+    pub fn kind(&self) -> &'static str {
         match self {
             Self::Settings(_) => "settings",
             Self::Plan(_) => "plan",
@@ -91,7 +91,7 @@
     }
 
     /// Returns the error as operators' programs read it.
-    pub(crate) fn body(&self) -> Value {
+    pub fn body(&self) -> Value {
         let (line, key) = match self {
             Self::Settings(fault) => (fault.line(), Some(fault.key())),
             _ => (None, None),
--- a/crates/cherrystandd/src/operator/mod.rs
+++ b/crates/cherrystandd/src/operator/mod.rs
@@ -6,6 +6,6 @@
 mod status;
 
 pub(crate) use api::{Operators, handle};
-pub(crate) use change::Changes;
-pub(crate) use error::OperatorError;
+pub use change::{WorkspaceChange, Written};
+pub use error::OperatorError;
 pub(crate) use status::status_of;
--- a/crates/cherrystandd/src/relay/call.rs
+++ b/crates/cherrystandd/src/relay/call.rs
@@ -1,12 +1,13 @@
 //! A caller's request, read and understood.
 
 use std::cell::RefCell;
+use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cherrystand_core::{
     AttemptEnd, CallKey, Class, GroupId, GroupKey, Millis, RefusalReason, WorkspaceId, hash_bytes,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Method, Request};
@@ -21,6 +22,12 @@
 /// How many bytes of a prompt tell its prefix.
 const PREFIX_BYTES: usize = 512;
 
+/// How much of a refused body is still read, in bytes.
+const DISCARD_BYTES: usize = 64 << 20;
+
+/// For how long a refused body is still read.
+const DISCARD_WITHIN: Duration = Duration::from_secs(3);
+
 /// The paths at which models are asked.
 const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
 
@@ -123,16 +130,44 @@
     })
 }
 
-async fn read_body(body: Incoming, most: usize) -> Result<Bytes, RefusalReason> {
-    if body.size_hint().lower() > most as u64 {
+/// Reads a body whole, up to a size.
+async fn read_body(mut body: Incoming, most: usize) -> Result<Bytes, RefusalReason> {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > most {
+        tokio::task::spawn_local(discard(body));
         return Err(RefusalReason::TooLarge);
     }
-    let read = Limited::new(body, most).collect().await;
-    match read {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(RefusalReason::TooLarge),
-        Err(_) => Err(RefusalReason::BadRequest),
+    let mut read = BytesMut::with_capacity(announced);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| RefusalReason::BadRequest)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if read.len() + data.len() > most {
+            tokio::task::spawn_local(discard(body));
+            return Err(RefusalReason::TooLarge);
+        }
+        read.extend_from_slice(&data);
     }
+    Ok(read.freeze())
+}
+
+/// Reads on for a while after a body was refused.
+///
+/// The refusal goes out at once; were the connection closed with unread bytes on it, the caller
+/// would see it reset and might never see the refusal.
+async fn discard(mut body: Incoming) {
+    let read = async {
+        let mut left = DISCARD_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // A caller that is slower than this has been told long ago.
+    let _ = tokio::time::timeout(DISCARD_WITHIN, read).await;
 }
 
 fn find_group(
--- a/crates/cherrystandd/src/state/event.rs
+++ b/crates/cherrystandd/src/state/event.rs
@@ -1,7 +1,7 @@
 //! What other duties tell the state duty.
 
-use cherrystand_core::{Document, ReplicaEvidence};
-use cherrystand_peer::{News, Question, Reply};
+use cherrystand_core::{Document, Millis, ReplicaEvidence};
+use cherrystand_peer::{Greeting, News, Question, Reply};
 use cherrystand_platform::Inventory;
 use tokio::sync::oneshot;
 
@@ -10,10 +10,17 @@
 pub(crate) enum StateEvent {
     /// A peer asks; the reply goes back through the channel.
     Asked(Question, oneshot::Sender<Reply>),
-    /// The gossip duty wants to send news.
-    NewsWanted(oneshot::Sender<News>),
+    /// The gossip duty wants to ask a peer for news.
+    GreetingWanted(oneshot::Sender<Greeting>),
     /// A peer sent its news; what to ask it next goes back through the channel.
-    NewsCame(News, oneshot::Sender<Option<Question>>),
+    NewsCame {
+        /// The news.
+        news: News,
+        /// When the peer was asked.
+        asked: Millis,
+        /// Where the next question goes.
+        next: oneshot::Sender<Option<Question>>,
+    },
     /// A peer compared records; what to hand it goes back through the channel.
     Compared {
         /// The peer's newer records.
@@ -25,8 +32,11 @@
     },
     /// Records were read from the platform or written to it.
     Records(Vec<Document>),
-    /// The platform answered, and all its records are known as of then.
-    PlatformRead,
+    /// The platform answered, and all its records are known as of when it was asked.
+    PlatformRead {
+        /// When it was asked.
+        asked: Millis,
+    },
     /// The platform's list was read.
     Listed(Inventory),
     /// Replicas were looked at.
--- a/crates/cherrystandd/src/state/node_state.rs
+++ b/crates/cherrystandd/src/state/node_state.rs
@@ -5,9 +5,9 @@
 
 use cherrystand_core::{
     Document, Documents, DomainRecord, EvidenceTable, Fleet, Freshness, Heartbeat, Membership,
-    Millis, Revision, WorkspaceRecord,
+    Millis, ReplicaEvidence, Revision, WorkspaceRecord,
 };
-use cherrystand_peer::{News, Question, Reply};
+use cherrystand_peer::{Greeting, News, Question, Reply};
 use cherrystand_platform::Inventory;
 use serde::de::DeserializeOwned;
 
@@ -57,11 +57,11 @@
                 // Whoever asked may have given up meanwhile.
                 let _ = reply.send(self.answer(question, now));
             }
-            StateEvent::NewsWanted(reply) => {
-                let _ = reply.send(self.news(now));
+            StateEvent::GreetingWanted(reply) => {
+                let _ = reply.send(self.greeting());
             }
-            StateEvent::NewsCame(news, next) => {
-                let differs = self.hear(&news, now);
+            StateEvent::NewsCame { news, asked, next } => {
+                let differs = self.hear(&news, asked, now);
                 let question = differs.then(|| Question::Compare(self.documents.versions()));
                 let _ = next.send(question);
             }
@@ -80,7 +80,9 @@
                 let _ = hand_over.send(question);
             }
             StateEvent::Records(records) => self.take_records(records),
-            StateEvent::PlatformRead => self.freshness.platform_read(now, Millis(0)),
+            StateEvent::PlatformRead { asked } => {
+                self.freshness.platform_read(now, now.since(asked));
+            }
             StateEvent::Listed(inventory) => self.take_list(&inventory),
             StateEvent::Evidence(all) => {
                 for evidence in &all {
@@ -122,8 +124,8 @@
 
     fn answer(&mut self, question: Question, now: Millis) -> Reply {
         match question {
-            Question::News(news) => {
-                self.hear(&news, now);
+            Question::News(greeting) => {
+                self.membership.hear(greeting.from, now);
                 Reply::News(self.news(now))
             }
             Question::Compare(theirs) => Reply::Compared {
@@ -137,6 +139,13 @@
         }
     }
 
+    fn greeting(&self) -> Greeting {
+        Greeting {
+            from: self.membership.own().clone(),
+            fingerprint: self.documents.fingerprint(),
+        }
+    }
+
     fn news(&self, now: Millis) -> News {
         News {
             from: self.membership.own().clone(),
@@ -148,20 +157,30 @@
     }
 
     /// Takes in a peer's news, and tells whether its records differ.
-    fn hear(&mut self, news: &News, now: Millis) -> bool {
+    ///
+    /// Whatever it says the age of something is, the time since it was asked comes on top.
+    fn hear(&mut self, news: &News, asked: Millis, now: Millis) -> bool {
+        let on_the_way = now.since(asked);
         self.membership.hear(news.from.clone(), now);
         for heartbeat in &news.members {
             self.membership.hear(heartbeat.clone(), now);
         }
         for evidence in &news.evidence {
-            self.evidence.offer(evidence, now);
+            let age = evidence.age + on_the_way;
+            self.evidence.offer(
+                &ReplicaEvidence {
+                    age,
+                    ..evidence.clone()
+                },
+                now,
+            );
         }
         let differs = news.fingerprint != self.documents.fingerprint();
         if !differs {
             // Only records that are the same here are as fresh as the peer says.
-            self.freshness.exchanged(news.from.node.clone(), now);
+            self.freshness.exchanged(news.from.node.clone(), asked);
             if let Some(age) = news.platform_age {
-                self.freshness.platform_read(now, age);
+                self.freshness.platform_read(now, age + on_the_way);
             }
         }
         differs
--- /dev/null
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -0,0 +1,489 @@
+//! Starts real processes and talks to them.
+#![allow(dead_code, reason = "each area of tests uses its own part")]
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cherrystand_platform::{HttpPool, PooledBody, SendError};
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+
+/// How long tests wait for what should come about.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A process that ends with the test.
+pub(crate) struct Process {
+    child: Child,
+    pub(crate) address: SocketAddr,
+}
+
+impl Process {
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(sent.expect("kill").success());
+    }
+
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("a status").is_some()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// One daemon and its three addresses.
+pub(crate) struct Daemon {
+    pub(crate) process: Process,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+/// Says what a cluster consists of.
+#[derive(Clone, Copy)]
+pub(crate) struct Setup {
+    pub(crate) daemons: usize,
+    pub(crate) boxes: usize,
+    pub(crate) services: usize,
+    pub(crate) replicas: u32,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            daemons: 3,
+            boxes: 5,
+            services: 2,
+            replicas: 2,
+        }
+    }
+}
+
+/// The processes of one test.
+pub(crate) struct Cluster {
+    pub(crate) platform: Process,
+    pub(crate) boxes: Vec<Process>,
+    pub(crate) services: Vec<Process>,
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) pool: HttpPool,
+    dir: PathBuf,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+/// An answer, read whole.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Answer {
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+
+    /// Returns the outcome told and the reason for having no answer.
+    pub(crate) fn told(&self) -> (String, String) {
+        let value: Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        let reason = value["error"]["reason"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned();
+        (self.header("cherrystand-outcome").to_owned(), reason)
+    }
+}
+
+/// Runs a test on one thread.
+pub(crate) fn run<F: Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), test)
+}
+
+fn program(name: &str) -> PathBuf {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cherrystandd"));
+    let path = daemon.with_file_name(name);
+    assert!(
+        path.exists(),
+        "{} is missing: run `cargo build --workspace` first",
+        path.display()
+    );
+    path
+}
+
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let held: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
+        .collect();
+    held.iter()
+        .map(|listener| listener.local_addr().expect("an address"))
+        .collect()
+}
+
+fn start(name: &str, args: &[&str], address: SocketAddr, log: &Path) -> Process {
+    let log = std::fs::File::create(log).expect("a log file");
+    let child = Command::new(program(name))
+        .args(args)
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .expect("a process");
+    Process { child, address }
+}
+
+impl Cluster {
+    /// Starts everything and waits until the daemons are ready.
+    pub(crate) async fn start(setup: Setup) -> Self {
+        let addresses = free_addresses(1 + setup.boxes + setup.services + 3 * setup.daemons);
+        let (platform, rest) = addresses.split_first().expect("an address");
+        let (boxes, rest) = rest.split_at(setup.boxes);
+        let (services, daemons) = rest.split_at(setup.services);
+        let dir = std::env::temp_dir().join(format!("cherrystand-test-{}", platform.port()));
+        std::fs::create_dir_all(&dir).expect("a directory");
+        let cluster = Self {
+            platform: start_platform(&dir, *platform, boxes, setup.daemons),
+            boxes: boxes
+                .iter()
+                .map(|at| start_box(&dir, *at, *platform))
+                .collect(),
+            services: services.iter().map(|at| start_service(&dir, *at)).collect(),
+            daemons: daemons
+                .chunks(3)
+                .enumerate()
+                .map(|(number, own)| start_daemon(&dir, number, own, daemons, *platform))
+                .collect(),
+            pool: HttpPool::default(),
+            dir,
+        };
+        for daemon in &cluster.daemons {
+            cluster
+                .until("a daemon is ready", || cluster.is_ready(daemon.callers))
+                .await;
+        }
+        cluster
+    }
+
+    /// Starts everything, puts the usual groups in force and waits until they serve everywhere.
+    pub(crate) async fn serving(setup: Setup) -> Self {
+        let cluster = Self::start(setup).await;
+        cluster
+            .put_in_force(&cluster.usual_config(setup.replicas, "1", "/consent"))
+            .await;
+        for daemon in &cluster.daemons {
+            let all = || async {
+                cluster.serving_replicas(daemon.operators).await == setup.replicas as u64
+            };
+            cluster.until("all replicas serve", all).await;
+        }
+        cluster
+    }
+
+    /// Returns the configuration that most tests use.
+    pub(crate) fn usual_config(&self, replicas: u32, version: &str, prefix: &str) -> String {
+        let endpoints: Vec<String> = self
+            .services
+            .iter()
+            .map(|service| format!("{{ zone = \"a\", address = \"{}\" }}", service.address))
+            .collect();
+        format!(
+            "workspace = \"w\"\n[[model]]\nname = \"g\"\nmodel = \"m\"\nversion = \"{version}\"\n\
+             replicas = {replicas}\nboxes_per_replica = 2\n[[service]]\nname = \"s\"\n\
+             path_prefix = \"{prefix}\"\nclass = \"consent\"\nendpoints = [{}]\n",
+            endpoints.join(", ")
+        )
+    }
+
+    /// Runs the operators' command against the first daemon.
+    pub(crate) fn cli(&self, args: &[&str]) -> Output {
+        self.cli_at(self.daemons[0].operators, args)
+    }
+
+    /// Runs the operators' command against a daemon.
+    pub(crate) fn cli_at(&self, at: SocketAddr, args: &[&str]) -> Output {
+        let at = at.to_string();
+        let mut all = vec!["--at", &at];
+        all.extend(args);
+        Command::new(program("cherrystand"))
+            .args(all)
+            .output()
+            .expect("the command")
+    }
+
+    /// Writes a file for the command to read.
+    pub(crate) fn write_file(&self, name: &str, text: &str) -> String {
+        let path = self.dir.join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.display().to_string()
+    }
+
+    /// Makes a plan and returns its name.
+    pub(crate) fn plan(&self, config: &str) -> String {
+        let file = self.write_file("config.toml", config);
+        let made = self.cli(&["--json", "plan", &file]);
+        assert!(
+            made.status.success(),
+            "{}",
+            String::from_utf8_lossy(&made.stderr)
+        );
+        let plan: Value = serde_json::from_slice(&made.stdout).expect("a plan");
+        plan["id"].as_str().expect("an id").to_owned()
+    }
+
+    /// Plans and confirms a configuration.
+    pub(crate) async fn put_in_force(&self, config: &str) {
+        let plan = self.plan(config);
+        let confirmed = || async { self.cli(&["confirm", &plan]).status.success() };
+        self.until("the plan is confirmed", confirmed).await;
+    }
+
+    /// Waits until something is so.
+    pub(crate) async fn until<F, B>(&self, what: &str, mut is_so: F)
+    where
+        F: FnMut() -> B,
+        B: Future<Output = bool>,
+    {
+        let until = Instant::now() + PATIENCE;
+        while !is_so().await {
+            assert!(
+                Instant::now() < until,
+                "gave up waiting until {what}; see {:?}",
+                self.dir
+            );
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub(crate) async fn is_ready(&self, daemon: SocketAddr) -> bool {
+        let asked = self.send(daemon, Method::GET, "/readyz", &[], "").await;
+        asked.is_ok_and(|answer| answer.status == StatusCode::OK)
+    }
+
+    /// Returns how many replicas a daemon routes to.
+    pub(crate) async fn serving_replicas(&self, operators: SocketAddr) -> u64 {
+        let Ok(answer) = self
+            .send(operators, Method::GET, "/operator/status", &[], "")
+            .await
+        else {
+            return 0;
+        };
+        let status: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let replicas = status["replicas"].as_array().into_iter().flatten();
+        replicas
+            .filter(|replica| replica["serving"] == json!(true))
+            .count() as u64
+    }
+
+    /// Returns how many daemons one of them hears, itself included.
+    pub(crate) async fn daemons_heard(&self, daemon: usize) -> u64 {
+        let at = self.daemons[daemon].operators;
+        let Ok(answer) = self
+            .send(at, Method::GET, "/operator/status", &[], "")
+            .await
+        else {
+            return 0;
+        };
+        let status: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        status["node"]["heard"].as_u64().unwrap_or(0)
+    }
+
+    /// Sends a request and reads its whole answer.
+    pub(crate) async fn send(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer, String> {
+        let answer = self.open(to, method, path, headers, body).await;
+        let (head, body) = answer.map_err(|err| err.to_string())?.into_parts();
+        let body = body
+            .collect()
+            .await
+            .map_err(|err| err.to_string())?
+            .to_bytes();
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+
+    /// Sends a request and returns once its answer begins.
+    pub(crate) async fn open(
+        &self,
+        to: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Response<PooledBody>, SendError> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "test");
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("a request");
+        self.pool.send(to, req, Duration::from_secs(1)).await
+    }
+
+    /// Asks the model through a daemon.
+    pub(crate) async fn ask_model(
+        &self,
+        daemon: usize,
+        text: &str,
+        tokens: u64,
+        stream: bool,
+    ) -> Result<Response<PooledBody>, SendError> {
+        let body = model_body(text, tokens, stream);
+        let to = self.daemons[daemon].callers;
+        self.open(to, Method::POST, "/v1/chat/completions", &[], &body)
+            .await
+    }
+
+    /// Sets how a stand-in behaves.
+    pub(crate) async fn set(&self, stand_in: SocketAddr, knobs: Value) {
+        let set = self
+            .send(
+                stand_in,
+                Method::POST,
+                "/control/set",
+                &[],
+                &knobs.to_string(),
+            )
+            .await;
+        assert_eq!(set.expect("set").status, StatusCode::OK);
+    }
+
+    /// Returns how often the services ran calls, by key or id.
+    pub(crate) async fn service_executions(&self) -> std::collections::BTreeMap<String, u32> {
+        let mut all = std::collections::BTreeMap::new();
+        for service in &self.services {
+            let path = "/control/executions";
+            let told = self.send(service.address, Method::GET, path, &[], "").await;
+            let told: std::collections::BTreeMap<String, u32> =
+                serde_json::from_slice(&told.expect("counts").body).expect("counts");
+            for (key, count) in told {
+                *all.entry(key).or_default() += count;
+            }
+        }
+        all
+    }
+}
+
+/// Returns the body of a model call.
+pub(crate) fn model_body(text: &str, tokens: u64, stream: bool) -> String {
+    json!({
+        "model": "m", "max_tokens": tokens, "stream": stream,
+        "messages": [{"role": "user", "content": text}],
+    })
+    .to_string()
+}
+
+fn start_platform(dir: &Path, at: SocketAddr, boxes: &[SocketAddr], daemons: usize) -> Process {
+    let boxes: Vec<Value> = boxes
+        .iter()
+        .enumerate()
+        .map(|(number, address)| {
+            json!({"id": format!("b{number}"), "domain": "d", "zone": "a", "address": address})
+        })
+        .collect();
+    let nodes: Vec<String> = (0..daemons).map(|number| format!("n{number}")).collect();
+    let list = dir.join("inventory.json");
+    let text = json!({"version": 1, "boxes": boxes, "nodes": nodes}).to_string();
+    std::fs::write(&list, text).expect("a file");
+    let (at_text, list) = (at.to_string(), list.display().to_string());
+    let args = ["platform", "--listen", &at_text, "--inventory", &list];
+    start("cherrystand_standin", &args, at, &dir.join("platform.log"))
+}
+
+fn start_box(dir: &Path, at: SocketAddr, platform: SocketAddr) -> Process {
+    let (at_text, platform) = (at.to_string(), platform.to_string());
+    let args = ["engine", "--listen", &at_text, "--platform", &platform];
+    start(
+        "cherrystand_standin",
+        &args,
+        at,
+        &dir.join(format!("box-{}.log", at.port())),
+    )
+}
+
+fn start_service(dir: &Path, at: SocketAddr) -> Process {
+    let at_text = at.to_string();
+    let args = ["service", "--listen", &at_text];
+    start(
+        "cherrystand_standin",
+        &args,
+        at,
+        &dir.join(format!("service-{}.log", at.port())),
+    )
+}
+
+fn start_daemon(
+    dir: &Path,
+    number: usize,
+    own: &[SocketAddr],
+    all: &[SocketAddr],
+    platform: SocketAddr,
+) -> Daemon {
+    let seeds: Vec<String> = all
+        .iter()
+        .skip(2)
+        .step_by(3)
+        .map(|at| format!("\"{at}\""))
+        .collect();
+    let zone = if number % 2 == 0 { "a" } else { "b" };
+    let text = format!(
+        "node = \"n{number}\"\nzone = \"{zone}\"\nseeds = [{}]\n\
+         [listen]\ncallers = \"{}\"\noperators = \"{}\"\npeers = \"{}\"\n\
+         [platform]\naddress = \"{platform}\"\n\
+         [repair]\nprobe_ms = 500\nload_seconds = 1.0\nrejoin_seconds = 0.5\n\
+         restart_seconds = 20.0\nrestart_share = 0.5\n[stop]\nlinger_ms = 500\n",
+        seeds.join(", "),
+        own[0],
+        own[1],
+        own[2],
+    );
+    let settings = dir.join(format!("n{number}.toml"));
+    std::fs::write(&settings, text).expect("a file");
+    let settings = settings.display().to_string();
+    let log = dir.join(format!("n{number}.log"));
+    Daemon {
+        process: start("cherrystandd", &["--settings", &settings], own[0], &log),
+        callers: own[0],
+        operators: own[1],
+        peers: own[2],
+    }
+}
