fix: end every duty at a stop, take endpoints that do not serve out at once

Found by tests on real processes, each failing first: - 'the daemon does not end': at a planned stop the state duty ended while the gossip duty waited for its answer on a ring that was never closed. The state duty now closes its ring and drops what is in it. - A daemon whose evidence was up to 3 s old sent a request three times to an engine that answered each time that it does not serve (502). Such an answer now counts against the endpoint, and where no endpoint is merely full the request is refused at once instead of queued. - 'the connection failed before the answer began': idle connections from callers were closed after 10 s, before balancers give theirs up, and idle ones to endpoints were kept for ever. 75 s and 4 s now.

--- a/crates/cherrystand_core/src/requests/outcome.rs
+++ b/crates/cherrystand_core/src/requests/outcome.rs
@@ -32,8 +32,10 @@
     ConnectFailed,
     /// The connection closed before a byte of the request was written.
     NotSent,
-    /// The endpoint itself answered that it did not run the request.
+    /// The endpoint itself answered that it did not run the request, for want of room.
     Refused,
+    /// The endpoint itself answered that it did not run the request and does not serve.
+    NotServing,
     /// The connection failed after a byte of the request may have been written.
     CutBeforeAnswer,
     /// The endpoint did not begin its answer in time.
@@ -50,10 +52,11 @@
 
 impl AttemptEnd {
     /// Lists every way in which an attempt can end.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::ConnectFailed,
         Self::NotSent,
         Self::Refused,
+        Self::NotServing,
         Self::CutBeforeAnswer,
         Self::TimedOut,
         Self::AnswerCut,
@@ -68,7 +71,9 @@
     /// so itself, is [`Outcome::NotRun`].
     pub fn outcome(self) -> Outcome {
         match self {
-            Self::ConnectFailed | Self::NotSent | Self::Refused => Outcome::NotRun,
+            Self::ConnectFailed | Self::NotSent | Self::Refused | Self::NotServing => {
+                Outcome::NotRun
+            }
             Self::CutBeforeAnswer
             | Self::TimedOut
             | Self::AnswerCut
@@ -84,6 +89,7 @@
             Self::ConnectFailed => "connect-failed",
             Self::NotSent => "not-sent",
             Self::Refused => "refused-by-endpoint",
+            Self::NotServing => "not-serving",
             Self::CutBeforeAnswer => "cut-before-answer",
             Self::TimedOut => "timed-out",
             Self::AnswerCut => "answer-cut",
--- a/crates/cherrystand_core/src/requests/router.rs
+++ b/crates/cherrystand_core/src/requests/router.rs
@@ -63,7 +63,7 @@
 /// Tells why no endpoint was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
 pub enum NoEndpoint {
-    /// The group has no endpoint in service.
+    /// The group has no endpoint in service, or those looked at have just failed.
     #[error("the group has no endpoint in service")]
     NoneServing,
     /// The endpoints looked at have no room now.
@@ -170,7 +170,7 @@
         let choice = home
             .or_else(|| self.sample(&group.near, now, seed))
             .or_else(|| self.sample(&group.far, now, seed));
-        choice.ok_or(NoEndpoint::AllFull)
+        choice.ok_or_else(|| self.why_none(group, now, seed))
     }
 
     /// Counts a request as on its way.
@@ -269,6 +269,21 @@
         found
     }
 
+    /// Tells whether waiting can help: it does where an endpoint is full rather than failing.
+    fn why_none(&self, group: &Group, now: Millis, seed: &mut Seed) -> NoEndpoint {
+        let lists = [&group.near, &group.far];
+        let admits = |list: &Vec<EndpointKey>| {
+            let start = seed.below(list.len());
+            let mut probes = (0..PROBES.min(list.len())).map(|probe| (start + probe) % list.len());
+            probes.any(|index| self.endpoints[list[index]].breaker.admits(now))
+        };
+        if lists.into_iter().any(admits) {
+            NoEndpoint::AllFull
+        } else {
+            NoEndpoint::NoneServing
+        }
+    }
+
     fn calmer(&self, a: EndpointKey, b: EndpointKey, now: Millis) -> EndpointKey {
         if self.estimate(b, now) < self.estimate(a, now) {
             b
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -42,10 +42,15 @@
     Cut(#[source] hyper::Error),
 }
 
+/// How long an idle connection is kept; endpoints commonly close theirs after five seconds, and
+/// a request that meets the closing has an unknown outcome.
+const IDLE_LIFE: Duration = Duration::from_secs(4);
+
 struct Connection {
     address: SocketAddr,
     send: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    idle_since: Instant,
 }
 
 impl Drop for Connection {
@@ -93,14 +98,15 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         while let Some(conn) = list.pop() {
-            if conn.send.is_ready() {
+            if conn.send.is_ready() && conn.idle_since.elapsed() < IDLE_LIFE {
                 return Some(conn);
             }
         }
         None
     }
 
-    fn give_back(&self, conn: Connection) {
+    fn give_back(&self, mut conn: Connection) {
+        conn.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(conn.address).or_default();
         if list.len() < KEPT_IDLE {
@@ -145,6 +151,7 @@
         address,
         send,
         driver,
+        idle_since: Instant::now(),
     })
 }
 
--- a/crates/cherrystand_platform/src/http_server.rs
+++ b/crates/cherrystand_platform/src/http_server.rs
@@ -16,8 +16,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// How long a caller may take to send a request's head.
-const HEAD_WITHIN: Duration = Duration::from_secs(10);
+/// How long a caller may take to send a request's head, the time between two requests included.
+///
+/// It has to exceed the time for which balancers keep idle connections, or they would meet
+/// connections that have just been closed.
+const HEAD_WITHIN: Duration = Duration::from_secs(75);
 
 /// The largest head of a request, in bytes; a larger one is answered with status 431.
 pub const MAX_HEAD_BYTES: usize = 64 << 10;
--- a/crates/cherrystandd/src/duties/state_keeper.rs
+++ b/crates/cherrystandd/src/duties/state_keeper.rs
@@ -19,7 +19,11 @@
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
-    cx.run_local(keep(&cx))
+    let ended = cx.run_local(keep(&cx));
+    // Whoever still waits for an answer learns that none will come.
+    cx.state_events.close();
+    while cx.state_events.try_recv().is_ok() {}
+    ended
 }
 
 async fn keep(cx: &DutyContext) {
--- a/crates/cherrystandd/src/relay/attempt.rs
+++ b/crates/cherrystandd/src/relay/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 
 use crate::relay::call::Call;
 use crate::relay::core::Target;
@@ -150,7 +150,10 @@
         .map_err(|_| AttemptEnd::TimedOut)?
         .map_err(|err| end_of(&err))?;
     if answer.headers().contains_key(NOT_RUN_HEADER) {
-        return Err(AttemptEnd::Refused);
+        return Err(match answer.status() {
+            StatusCode::TOO_MANY_REQUESTS => AttemptEnd::Refused,
+            _ => AttemptEnd::NotServing,
+        });
     }
     in_flight.begins();
     let held = hold_back(answer);
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -464,7 +464,7 @@
         .step_by(3)
         .map(|at| format!("\"{at}\""))
         .collect();
-    let zone = if number % 2 == 0 { "a" } else { "b" };
+    let zone = if number.is_multiple_of(2) { "a" } else { "b" };
     let text = format!(
         "node = \"n{number}\"\nzone = \"{zone}\"\nseeds = [{}]\n\
          [listen]\ncallers = \"{}\"\noperators = \"{}\"\npeers = \"{}\"\n\
