--- a/crates/cherrystand_cli/src/client.rs
+++ b/crates/cherrystand_cli/src/client.rs
@@ -24,14 +24,8 @@
 impl Client {
     /// Creates a client of the daemon at an address.
     pub(crate) fn new(at: SocketAddr) -> Result<Self, CliError> {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()?;
-        Ok(Self {
-            at,
-            runtime,
-            pool: HttpPool::default(),
-        })
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        Ok(Self { at, runtime, pool: HttpPool::default() })
     }
 
     /// Reads something.
@@ -58,15 +52,6 @@
     let Some(error) = value.get("error") else {
         return Ok(value);
     };
-    let text = |key: &str| {
-        error
-            .get(key)
-            .and_then(Value::as_str)
-            .unwrap_or_default()
-            .to_owned()
-    };
-    Err(CliError::Refused {
-        kind: text("kind"),
-        message: text("message"),
-    })
+    let text = |key: &str| error.get(key).and_then(Value::as_str).unwrap_or_default().to_owned();
+    Err(CliError::Refused { kind: text("kind"), message: text("message") })
 }
--- a/crates/cherrystand_cli/src/main.rs
+++ b/crates/cherrystand_cli/src/main.rs
@@ -29,11 +29,8 @@
     let client = Client::new(args.at)?;
     let value = match &args.command {
         Command::Plan(plan) => {
-            let text =
-                std::fs::read_to_string(&plan.file).map_err(|source| CliError::Unreadable {
-                    file: plan.file.clone(),
-                    source,
-                })?;
+            let text = std::fs::read_to_string(&plan.file)
+                .map_err(|source| CliError::Unreadable { file: plan.file.clone(), source })?;
             client.post("plan", text)?
         }
         Command::Confirm(confirm) => {
--- a/crates/cherrystand_cli/src/render.rs
+++ b/crates/cherrystand_cli/src/render.rs
@@ -10,11 +10,7 @@
         Command::Plan(_) => plan(value),
         Command::Plans(_) => {
             let plans: Vec<String> = items(value).map(plan).collect();
-            if plans.is_empty() {
-                "no plan is pending".to_owned()
-            } else {
-                plans.join("\n")
-            }
+            if plans.is_empty() { "no plan is pending".to_owned() } else { plans.join("\n") }
         }
         Command::Confirm(_) => {
             format!(
@@ -45,10 +41,8 @@
         Some(Value::String(text)) => text.clone(),
         Some(Value::Null) | None => "-".to_owned(),
         Some(Value::Array(all)) => {
-            let words: Vec<String> = all
-                .iter()
-                .map(|item| item.as_str().unwrap_or_default().to_owned())
-                .collect();
+            let words: Vec<String> =
+                all.iter().map(|item| item.as_str().unwrap_or_default().to_owned()).collect();
             words.join(" ")
         }
         Some(other) => other.to_string(),
@@ -103,20 +97,12 @@
         ));
         text.push('\n');
     }
-    let replicas = [
-        "replica", "domain", "epoch", "phase", "serving", "load", "boxes", "why",
-    ];
+    let replicas = ["replica", "domain", "epoch", "phase", "serving", "load", "boxes", "why"];
     text.push_str(&table(&replicas, &value["replicas"]));
     text.push('\n');
-    text.push_str(&table(
-        &["box", "domain", "zone", "replica", "leaving"],
-        &value["boxes"],
-    ));
+    text.push_str(&table(&["box", "domain", "zone", "replica", "leaving"], &value["boxes"]));
     text.push('\n');
-    text.push_str(&table(
-        &["node", "zone", "standing", "serving"],
-        &value["nodes"],
-    ));
+    text.push_str(&table(&["node", "zone", "standing", "serving"], &value["nodes"]));
     text
 }
 
@@ -135,20 +121,13 @@
             text.push_str(&format!("  {}\n", line.as_str().unwrap_or_default()));
         }
     }
-    if text.is_empty() {
-        "no change was accepted yet".to_owned()
-    } else {
-        text
-    }
+    if text.is_empty() { "no change was accepted yet".to_owned() } else { text }
 }
 
 fn explain(value: &Value) -> String {
     if value.get("decisions").is_some() {
-        let mut text = format!(
-            "{} serving: {}\n",
-            field(value, "replica"),
-            field(value, "serving")
-        );
+        let mut text =
+            format!("{} serving: {}\n", field(value, "replica"), field(value, "serving"));
         let keys = ["at_unix_secs", "epoch", "phase", "because", "prices"];
         text.push_str(&table(&keys, &value["decisions"]));
         return text;
@@ -161,10 +140,7 @@
         field(value, "refusal"),
     );
     for attempt in items(&value["attempts"]) {
-        text.push_str(&format!(
-            "  {}\n",
-            field(&serde_json::json!({"a": attempt}), "a")
-        ));
+        text.push_str(&format!("  {}\n", field(&serde_json::json!({"a": attempt}), "a")));
     }
     text
 }
@@ -174,13 +150,7 @@
     for row in items(rows) {
         lines.push(keys.iter().map(|key| field(row, key)).collect());
     }
-    let width = |column: usize| {
-        lines
-            .iter()
-            .map(|line| line[column].len())
-            .max()
-            .unwrap_or(0)
-    };
+    let width = |column: usize| lines.iter().map(|line| line[column].len()).max().unwrap_or(0);
     let widths: Vec<usize> = (0..keys.len()).map(width).collect();
     let mut text = String::new();
     for line in &lines {
--- a/crates/cherrystand_core/src/config/settings_error.rs
+++ b/crates/cherrystand_core/src/config/settings_error.rs
@@ -60,9 +60,7 @@
     pub fn locate(mut self, text: &str) -> Self {
         let value = self.message.split('`').nth(1).unwrap_or_default();
         let mentions = |line: &&str| line.trim_start().starts_with(&self.key);
-        let exact = text
-            .lines()
-            .position(|line| mentions(&line) && line.contains(value));
+        let exact = text.lines().position(|line| mentions(&line) && line.contains(value));
         let any = || text.lines().position(|line| mentions(&line));
         self.line = exact.or_else(any).map(|index| index + 1);
         self
--- a/crates/cherrystand_core/src/config/workspace_config.rs
+++ b/crates/cherrystand_core/src/config/workspace_config.rs
@@ -26,11 +26,7 @@
 impl WorkspaceConfig {
     /// Creates a configuration without groups.
     pub fn empty(workspace: WorkspaceId) -> Self {
-        Self {
-            workspace,
-            models: Vec::new(),
-            services: Vec::new(),
-        }
+        Self { workspace, models: Vec::new(), services: Vec::new() }
     }
 
     /// Reads and checks a configuration written in TOML.
@@ -62,14 +58,8 @@
             names.push(&group.name);
         }
         check_unique("name", names.iter().copied())?;
-        check_unique(
-            "path_prefix",
-            self.services.iter().map(|group| group.path_prefix.as_str()),
-        )?;
-        check_unique(
-            "model",
-            self.models.iter().map(|group| group.model.as_str()),
-        )
+        check_unique("path_prefix", self.services.iter().map(|group| group.path_prefix.as_str()))?;
+        check_unique("model", self.models.iter().map(|group| group.model.as_str()))
     }
 
     /// Returns the model group called `name`.
--- a/crates/cherrystand_core/src/control/controller.rs
+++ b/crates/cherrystand_core/src/control/controller.rs
@@ -44,6 +44,18 @@
     pub stranded_weight: f64,
 }
 
+impl Desired {
+    /// Tells whether an assignment is of the size asked for.
+    fn fits(&self, held: &Assignment) -> bool {
+        held.boxes.len() == self.span as usize
+    }
+
+    /// Tells whether an assignment is what is asked for.
+    fn matches(&self, held: &Assignment) -> bool {
+        self.fits(held) && self.load == held.load
+    }
+}
+
 /// Describes how the weight store and the boxes behave, for pricing and pacing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepairPolicy {
@@ -122,10 +134,7 @@
 impl Controller {
     /// Creates a controller with a policy.
     pub fn new(policy: RepairPolicy) -> Self {
-        Self {
-            policy,
-            phases: BTreeMap::new(),
-        }
+        Self { policy, phases: BTreeMap::new() }
     }
 
     /// Decides what to write and order now.
@@ -141,10 +150,7 @@
             change.form_missing();
         }
         change.start_loads(self.policy.loads_at_once);
-        Step {
-            orders: orders_of(at),
-            write: change.finish(),
-        }
+        Step { orders: orders_of(at), write: change.finish() }
     }
 
     fn note_phases(&mut self, at: &Situation<'_>) {
@@ -173,23 +179,23 @@
             return;
         };
         let members = MemberSummary::of(&assignment, change.at.seen, change.at.now);
-        let desired = change
-            .at
-            .desired
-            .iter()
-            .find(|desired| &desired.replica == replica);
+        let desired = change.at.desired.iter().find(|desired| &desired.replica == replica);
         match assignment.phase {
             Phase::Reserved | Phase::Loading => {
                 advance_loading(change, replica, &assignment, members, desired);
             }
             Phase::Ready => advance_ready(change, replica, &assignment, members, desired),
             Phase::Draining => {
+                let desired = desired.filter(|desired| desired.fits(&assignment));
                 let since = self.in_phase_since(replica, Phase::Draining, change.at.now);
                 let waited = change.at.now.since(since) >= DRAIN_GRACE;
                 advance_draining(change, replica, members, desired, waited);
             }
-            Phase::Broken if desired.is_none() => change.remove(replica, Evidence::NotDesired),
-            Phase::Broken => {}
+            Phase::Broken => {
+                if !desired.is_some_and(|desired| desired.fits(&assignment)) {
+                    change.remove(replica, Evidence::NotDesired);
+                }
+            }
         }
     }
 
@@ -278,7 +284,7 @@
     if let Some(evidence) = members.break_evidence() {
         return change.set_phase(replica, Phase::Broken, evidence);
     }
-    if desired.load != assignment.load {
+    if !desired.matches(assignment) {
         return change.set_phase(replica, Phase::Broken, Evidence::LoadChanged);
     }
     if assignment.phase == Phase::Loading && members.ready == assignment.boxes.len() {
@@ -300,7 +306,7 @@
     let evidence = match desired {
         None => Evidence::NotDesired,
         Some(_) if !leaving.is_empty() => Evidence::MembersLeaving { boxes: leaving },
-        Some(desired) if desired.load != assignment.load && desired.may_reload => {
+        Some(desired) if !desired.matches(assignment) && desired.may_reload => {
             Evidence::LoadChanged
         }
         Some(_) => return,
@@ -337,11 +343,7 @@
 impl<'a> DomainChange<'a> {
     fn new(at: Situation<'a>) -> Self {
         let next = at.record.clone();
-        Self {
-            at,
-            next,
-            changed: false,
-        }
+        Self { at, next, changed: false }
     }
 
     fn finish(self) -> Option<DomainRecord> {
@@ -397,9 +399,7 @@
             let seen = self.at.seen.get(id);
             seen.is_some_and(|seen| seen.heard > broken_since)
         };
-        boxes
-            .iter()
-            .any(|id| !unusable.contains(id) && !answered(id))
+        boxes.iter().any(|id| !unusable.contains(id) && !answered(id))
     }
 
     fn free_boxes(&self) -> Vec<BoxId> {
@@ -421,11 +421,7 @@
 
     /// Counts the boxes that still have to load, beyond those that load now.
     fn queued_loads(&self) -> usize {
-        let waiting = self
-            .next
-            .replicas
-            .values()
-            .filter(|held| held.phase == Phase::Reserved);
+        let waiting = self.next.replicas.values().filter(|held| held.phase == Phase::Reserved);
         waiting.map(|held| held.boxes.len()).sum()
     }
 
@@ -476,21 +472,12 @@
             load: desired.load.clone(),
             phase: Phase::Reserved,
         };
-        let old = self
-            .next
-            .replicas
-            .insert(desired.replica.clone(), assignment);
+        let old = self.next.replicas.insert(desired.replica.clone(), assignment);
         if let Some(old) = old {
             let given_up = old.boxes.into_iter().filter(|id| !boxes.contains(id));
             self.release(given_up, old.epoch);
         }
-        self.record(
-            &desired.replica,
-            epoch,
-            Some(Phase::Reserved),
-            evidence,
-            prices,
-        );
+        self.record(&desired.replica, epoch, Some(Phase::Reserved), evidence, prices);
     }
 
     fn swap(
@@ -510,21 +497,14 @@
             }
         }
         let lost = lost.to_vec();
-        self.assign(
-            desired,
-            boxes,
-            Evidence::Swapped { lost, spares },
-            Some(prices),
-        );
+        self.assign(desired, boxes, Evidence::Swapped { lost, spares }, Some(prices));
     }
 
     /// Frees the healthy boxes of one broken replica when they can mend another one and neither
     /// is likely to get its own boxes back soon.
     fn dissolve_for_another(&mut self, broken: &[Desired], policy: &RepairPolicy) {
-        let still: Vec<&Desired> = broken
-            .iter()
-            .filter(|desired| self.is_broken(desired))
-            .collect();
+        let still: Vec<&Desired> =
+            broken.iter().filter(|desired| self.is_broken(desired)).collect();
         let (Some(first), Some(last)) = (still.first(), still.last()) else {
             return;
         };
@@ -549,8 +529,7 @@
 
     fn unusable_of(&self, desired: &Desired) -> Vec<BoxId> {
         let held = self.next.replicas.get(&desired.replica);
-        held.map(|held| self.unusable(&held.boxes))
-            .unwrap_or_default()
+        held.map(|held| self.unusable(&held.boxes)).unwrap_or_default()
     }
 
     /// Tells whether no healthy box is on its way to be free, which would make giving up a
@@ -573,11 +552,7 @@
     }
 
     fn start_loads(&mut self, loads_at_once: u32) {
-        let loading = self
-            .next
-            .replicas
-            .values()
-            .filter(|held| held.phase == Phase::Loading);
+        let loading = self.next.replicas.values().filter(|held| held.phase == Phase::Loading);
         let mut running: usize = loading.map(|held| held.boxes.len()).sum();
         for replica in self.replicas() {
             let Some(assignment) = self.next.replicas.get(&replica) else {
@@ -642,10 +617,7 @@
 }
 
 fn join_orders(at: Situation<'_>, replica: &ReplicaId, assignment: &Assignment) -> Vec<Order> {
-    let addresses = assignment
-        .boxes
-        .iter()
-        .map(|id| at.fleet.get(id).map(|info| info.address));
+    let addresses = assignment.boxes.iter().map(|id| at.fleet.get(id).map(|info| info.address));
     let Some(members) = addresses.collect::<Option<Vec<_>>>() else {
         return Vec::new();
     };
@@ -653,11 +625,7 @@
         let report = fresh_report(at.seen, id, at.now);
         report.is_some_and(|report| report.epoch < assignment.epoch)
     };
-    let ranked = assignment
-        .boxes
-        .iter()
-        .enumerate()
-        .filter(|(_, id)| waits(id));
+    let ranked = assignment.boxes.iter().enumerate().filter(|(_, id)| waits(id));
     ranked
         .map(|(rank, id)| Order {
             target: id.clone(),
@@ -676,11 +644,7 @@
     let leader = assignment.boxes.first()?;
     let report = fresh_report(at.seen, leader, at.now)?;
     let serves = report.epoch == assignment.epoch && report.state == EngineState::Ready;
-    serves.then(|| Order {
-        target: leader.clone(),
-        epoch: assignment.epoch,
-        task: Task::Drain,
-    })
+    serves.then(|| Order { target: leader.clone(), epoch: assignment.epoch, task: Task::Drain })
 }
 
 fn release_orders(at: Situation<'_>) -> Vec<Order> {
@@ -690,21 +654,14 @@
     };
     let waiting = at.record.releasing.iter().filter(|(id, _)| busy(id));
     waiting
-        .map(|(id, epoch)| Order {
-            target: id.clone(),
-            epoch: *epoch,
-            task: Task::Release,
-        })
+        .map(|(id, epoch)| Order { target: id.clone(), epoch: *epoch, task: Task::Release })
         .collect()
 }
 
 /// Releases engines that act although the record gives their boxes to nobody, as after an order
 /// that arrived long after it was sent.
 fn stray_orders(at: Situation<'_>) -> Vec<Order> {
-    let free = at
-        .fleet
-        .of_domain(&at.record.domain)
-        .filter(|info| at.record.is_free(&info.id));
+    let free = at.fleet.of_domain(&at.record.domain).filter(|info| at.record.is_free(&info.id));
     let stray = free.filter_map(|info| {
         let report = fresh_report(at.seen, &info.id, at.now)?;
         (report.state != EngineState::Idle).then(|| Order {
--- a/crates/cherrystand_core/src/control/domain_record.rs
+++ b/crates/cherrystand_core/src/control/domain_record.rs
@@ -132,10 +132,7 @@
 
     /// Tells whether a box is neither assigned nor being released.
     pub fn is_free(&self, id: &BoxId) -> bool {
-        let assigned = self
-            .replicas
-            .values()
-            .any(|assignment| assignment.boxes.contains(id));
+        let assigned = self.replicas.values().any(|assignment| assignment.boxes.contains(id));
         !assigned && !self.releasing.contains_key(id)
     }
 
--- a/crates/cherrystand_core/src/control/fleet.rs
+++ b/crates/cherrystand_core/src/control/fleet.rs
@@ -75,8 +75,6 @@
 
     /// Returns the zone of a domain.
     pub fn zone_of(&self, domain: &DomainId) -> Option<&ZoneId> {
-        self.iter()
-            .find(|info| &info.domain == domain)
-            .map(|info| &info.zone)
+        self.iter().find(|info| &info.domain == domain).map(|info| &info.zone)
     }
 }
--- /dev/null
+++ b/crates/cherrystand_core/src/control/formed.rs
@@ -0,0 +1,58 @@
+//! The replicas formed in all domains, as one node knows them.
+
+use std::collections::BTreeMap;
+
+use crate::{Assignment, BoxId, DomainId, DomainRecord, Phase, ReplicaId};
+
+/// Holds the assignments of all domains by replica.
+///
+/// A replica that moves is formed in two domains for a while.
+#[derive(Clone, Debug, Default)]
+pub struct Formed {
+    replicas: BTreeMap<ReplicaId, Vec<(DomainId, Assignment)>>,
+}
+
+impl Formed {
+    /// Collects the assignments of some domains.
+    pub fn new<'a>(records: impl IntoIterator<Item = &'a DomainRecord>) -> Self {
+        let mut formed = Self::default();
+        for record in records {
+            for (replica, held) in &record.replicas {
+                let list = formed.replicas.entry(replica.clone()).or_default();
+                list.push((record.domain.clone(), held.clone()));
+            }
+        }
+        formed
+    }
+
+    /// Returns the assignments of a replica that are ready, with their domains.
+    pub fn ready<'a>(
+        &'a self,
+        replica: &ReplicaId,
+    ) -> impl Iterator<Item = (&'a DomainId, &'a Assignment)> + use<'a> {
+        let all = self.replicas.get(replica).into_iter().flatten();
+        let ready = all.filter(|(_, held)| held.phase == Phase::Ready);
+        ready.map(|(domain, held)| (domain, held))
+    }
+
+    /// Returns the replicas that have an assignment in a domain.
+    pub fn in_domain<'a>(&'a self, domain: &'a DomainId) -> impl Iterator<Item = &'a ReplicaId> {
+        let has = move |list: &[(DomainId, Assignment)]| list.iter().any(|(at, _)| at == domain);
+        self.replicas.iter().filter(move |(_, list)| has(list)).map(|(replica, _)| replica)
+    }
+
+    /// Returns the boxes that each replica holds, in all domains.
+    pub fn boxes(&self) -> BTreeMap<ReplicaId, Vec<BoxId>> {
+        let boxes = |list: &[(DomainId, Assignment)]| {
+            list.iter().flat_map(|(_, held)| held.boxes.clone()).collect()
+        };
+        self.replicas.iter().map(|(replica, list)| (replica.clone(), boxes(list))).collect()
+    }
+
+    /// Returns the replica that holds a box.
+    pub fn holder(&self, id: &BoxId) -> Option<&ReplicaId> {
+        let holds =
+            |list: &[(DomainId, Assignment)]| list.iter().any(|(_, held)| held.boxes.contains(id));
+        self.replicas.iter().find(|(_, list)| holds(list)).map(|(replica, _)| replica)
+    }
+}
--- a/crates/cherrystand_core/src/control/placement.rs
+++ b/crates/cherrystand_core/src/control/placement.rs
@@ -43,19 +43,11 @@
     /// Creates a placer over the boxes that are neither taken nor leaving.
     pub fn new(fleet: &'a Fleet, taken: &BTreeSet<BoxId>) -> Self {
         let mut free: BTreeMap<DomainId, Vec<BoxId>> = BTreeMap::new();
-        let usable = fleet
-            .iter()
-            .filter(|info| !info.leaving && !taken.contains(&info.id));
+        let usable = fleet.iter().filter(|info| !info.leaving && !taken.contains(&info.id));
         for info in usable {
-            free.entry(info.domain.clone())
-                .or_default()
-                .push(info.id.clone());
-        }
-        Self {
-            fleet,
-            free,
-            used_zones: BTreeMap::new(),
+            free.entry(info.domain.clone()).or_default().push(info.id.clone());
         }
+        Self { fleet, free, used_zones: BTreeMap::new() }
     }
 
     /// Forgets the zones counted so far and counts those of the domains given.
@@ -87,22 +79,16 @@
             let remainder = (free.len() - span) % span;
             (self.replicas_in_zone(domain), remainder, free.len())
         });
-        best.map(|(domain, _)| domain.clone())
-            .ok_or_else(|| PlacementError {
-                group: group.name.clone(),
-                needed: group.boxes_per_replica,
-                most_free: allowed()
-                    .map(|(_, free)| free.len() as u32)
-                    .max()
-                    .unwrap_or(0),
-            })
+        best.map(|(domain, _)| domain.clone()).ok_or_else(|| PlacementError {
+            group: group.name.clone(),
+            needed: group.boxes_per_replica,
+            most_free: allowed().map(|(_, free)| free.len() as u32).max().unwrap_or(0),
+        })
     }
 
     fn replicas_in_zone(&self, domain: &DomainId) -> u32 {
         let zone = self.fleet.zone_of(domain);
-        zone.and_then(|zone| self.used_zones.get(zone))
-            .copied()
-            .unwrap_or(0)
+        zone.and_then(|zone| self.used_zones.get(zone)).copied().unwrap_or(0)
     }
 
     fn count_zone(&mut self, domain: &DomainId) {
--- a/crates/cherrystand_core/src/control/plan.rs
+++ b/crates/cherrystand_core/src/control/plan.rs
@@ -47,6 +47,17 @@
         /// The boxes freed.
         boxes: Vec<BoxId>,
     },
+    /// A replica would be drained and formed anew on other boxes.
+    Reform {
+        /// The replica.
+        replica: ReplicaId,
+        /// The boxes freed.
+        from: Vec<BoxId>,
+        /// The domain that forms it anew.
+        domain: DomainId,
+        /// Its boxes afterwards, in rank order.
+        to: Vec<BoxId>,
+    },
     /// A replica would be drained, loaded anew and put back.
     Reload {
         /// The replica.
@@ -87,27 +98,18 @@
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Change::Form {
-                replica,
-                domain,
-                boxes,
-            } => {
+            Change::Form { replica, domain, boxes } => {
                 write!(f, "form {replica} in {domain} on {}", join(boxes))
             }
             Change::Remove { replica, boxes } => {
                 write!(f, "drain and remove {replica}, freeing {}", join(boxes))
             }
-            Change::Reload {
-                replica,
-                boxes,
-                from,
-                to,
-            } => {
-                write!(
-                    f,
-                    "drain and reload {replica} from {from} to {to} on {}",
-                    join(boxes)
-                )
+            Change::Reload { replica, boxes, from, to } => {
+                write!(f, "drain and reload {replica} from {from} to {to} on {}", join(boxes))
+            }
+            Change::Reform { replica, from, domain, to } => {
+                let (from, to) = (join(from), join(to));
+                write!(f, "drain {replica} on {from} and form it anew in {domain} on {to}")
             }
             Change::Service { group, what } => {
                 let what = match what {
@@ -187,14 +189,7 @@
     let changes = list_changes(record, &config, &slots, held);
     check_floors(&config, &changes)?;
     let costs = capacity_costs(record, &config, &changes);
-    Ok(Plan {
-        id,
-        base: record.generation,
-        config,
-        slots,
-        changes,
-        costs,
-    })
+    Ok(Plan { id, base: record.generation, config, slots, changes, costs })
 }
 
 fn assign_slots(
@@ -203,14 +198,22 @@
     fleet: &Fleet,
     held: &HeldBoxes,
 ) -> Result<Vec<Slot>, PlanError> {
-    let taken: BTreeSet<BoxId> = held.values().flatten().cloned().collect();
+    let kept: BTreeMap<ReplicaId, &Slot> =
+        config.models.iter().flat_map(|group| kept_slots(record, config, group)).collect();
+    // Boxes of this workspace's other replicas are free once those are drained.
+    let stays = |replica: &ReplicaId| {
+        kept.contains_key(replica) || replica.group.workspace != config.workspace
+    };
+    let staying = held.iter().filter(|(replica, _)| stays(replica));
+    let taken: BTreeSet<BoxId> = staying.flat_map(|(_, boxes)| boxes).cloned().collect();
     let mut placer = Placer::new(fleet, &taken);
     let mut slots = Vec::new();
     for group in &config.models {
-        let kept = kept_slots(record, config, group);
-        placer.start_group(kept.values().map(|slot| &slot.domain));
+        let id = config.group_id(&group.name);
+        let own = kept.values().filter(|slot| slot.replica.group == id);
+        placer.start_group(own.map(|slot| &slot.domain));
         for number in 0..group.replicas {
-            let replica = ReplicaId::new(config.group_id(&group.name), number);
+            let replica = ReplicaId::new(id.clone(), number);
             let slot = match kept.get(&replica) {
                 Some(slot) => (*slot).clone(),
                 None => new_slot(&mut placer, group, replica)?,
@@ -227,11 +230,7 @@
     replica: ReplicaId,
 ) -> Result<Slot, PlacementError> {
     let place = placer.place(group)?;
-    Ok(Slot {
-        replica,
-        domain: place.domain,
-        planned: place.boxes,
-    })
+    Ok(Slot { replica, domain: place.domain, planned: place.boxes })
 }
 
 /// Returns the slots of `group` that the new configuration leaves where they are.
@@ -268,16 +267,10 @@
 }
 
 fn removals(record: &WorkspaceRecord, slots: &[Slot], held: &HeldBoxes) -> Vec<Change> {
-    let stays = |old: &&Slot| {
-        slots
-            .iter()
-            .any(|new| new.replica == old.replica && new.domain == old.domain)
-    };
+    let stays = |old: &&Slot| slots.iter().any(|new| new.replica == old.replica);
     let gone = record.slots.iter().filter(|old| !stays(old));
-    let removal = |slot: &Slot| Change::Remove {
-        replica: slot.replica.clone(),
-        boxes: boxes_of(slot, held),
-    };
+    let removal =
+        |slot: &Slot| Change::Remove { replica: slot.replica.clone(), boxes: boxes_of(slot, held) };
     gone.map(removal).collect()
 }
 
@@ -292,15 +285,15 @@
     held: &HeldBoxes,
 ) -> Option<Change> {
     let replica = slot.replica.clone();
-    let old_slot = record.slots.iter().find(|old| *old == slot);
     let new_group = config.model(&replica.group.name)?;
-    let Some(old_slot) = old_slot else {
-        return Some(Change::Form {
-            replica,
-            domain: slot.domain.clone(),
-            boxes: slot.planned.clone(),
-        });
+    let (domain, planned) = (slot.domain.clone(), slot.planned.clone());
+    let Some(old_slot) = record.slots.iter().find(|old| old.replica == replica) else {
+        return Some(Change::Form { replica, domain, boxes: planned });
     };
+    if old_slot != slot {
+        let from = boxes_of(old_slot, held);
+        return Some(Change::Reform { replica, from, domain, to: planned });
+    }
     let old_group = record.config.model(&replica.group.name)?;
     if old_group.load_spec() == new_group.load_spec() {
         return None;
@@ -333,29 +326,20 @@
         changes.iter().any(|change| match change {
             Change::Form { replica, .. }
             | Change::Remove { replica, .. }
+            | Change::Reform { replica, .. }
             | Change::Reload { replica, .. } => &replica.group == id,
             Change::Service { .. } | Change::Policy { .. } => false,
         })
     };
     let differs = |group: &&ModelGroup| record.config.model(&group.name) != Some(group);
-    let ids = config
-        .models
-        .iter()
-        .filter(differs)
-        .map(|group| config.group_id(&group.name));
-    ids.filter(|id| !touched(id))
-        .map(|group| Change::Policy { group })
-        .collect()
+    let ids = config.models.iter().filter(differs).map(|group| config.group_id(&group.name));
+    ids.filter(|id| !touched(id)).map(|group| Change::Policy { group }).collect()
 }
 
 fn service_changes(record: &WorkspaceRecord, config: &WorkspaceConfig) -> Vec<Change> {
     let mut changes = Vec::new();
     let find = |config: &WorkspaceConfig, name: &str| {
-        config
-            .services
-            .iter()
-            .find(|group| group.name == name)
-            .cloned()
+        config.services.iter().find(|group| group.name == name).cloned()
     };
     for group in &config.services {
         let what = match find(&record.config, &group.name) {
@@ -369,10 +353,7 @@
     for old in &record.config.services {
         if find(config, &old.name).is_none() {
             let group = config.group_id(&old.name);
-            changes.push(Change::Service {
-                group,
-                what: ServiceChange::Removed,
-            });
+            changes.push(Change::Service { group, what: ServiceChange::Removed });
         }
     }
     changes
@@ -381,10 +362,7 @@
 fn check_floors(config: &WorkspaceConfig, changes: &[Change]) -> Result<(), PlanError> {
     for group in &config.models {
         let id = config.group_id(&group.name);
-        let reloads = changes
-            .iter()
-            .any(|change| matches!(change, Change::Reload { replica, .. } if replica.group == id));
-        if reloads && group.capacity_floor() >= group.replicas {
+        if goes_out(changes, &id) && group.capacity_floor() >= group.replicas {
             return Err(PlanError::FloorLeavesNoRoom {
                 group: group.name.clone(),
                 floor: group.capacity_floor(),
@@ -395,40 +373,35 @@
     Ok(())
 }
 
+/// Tells whether replicas of a group go out of service one after the other.
+fn goes_out(changes: &[Change], group: &GroupId) -> bool {
+    changes.iter().any(|change| match change {
+        Change::Reload { replica, .. } | Change::Reform { replica, .. } => &replica.group == group,
+        _ => false,
+    })
+}
+
 fn capacity_costs(
     record: &WorkspaceRecord,
     config: &WorkspaceConfig,
     changes: &[Change],
 ) -> Vec<CapacityCost> {
     let mut costs = Vec::new();
-    let mut names: BTreeSet<&str> = config
-        .models
-        .iter()
-        .map(|group| group.name.as_str())
-        .collect();
+    let mut names: BTreeSet<&str> = config.models.iter().map(|group| group.name.as_str()).collect();
     names.extend(record.config.models.iter().map(|group| group.name.as_str()));
     for name in names {
         let group = config.group_id(name);
         let before = record.config.model(name).map_or(0, |group| group.replicas);
         let after = config.model(name).map_or(0, |group| group.replicas);
-        let reloads = changes.iter().any(
-            |change| matches!(change, Change::Reload { replica, .. } if replica.group == group),
-        );
+        let reloads = goes_out(changes, &group);
         let removed = changes
             .iter()
             .filter(
                 |change| matches!(change, Change::Remove { replica, .. } if replica.group == group),
             )
             .count() as u32;
-        let least = before
-            .saturating_sub(removed)
-            .saturating_sub(u32::from(reloads));
-        costs.push(CapacityCost {
-            group,
-            before,
-            least,
-            after,
-        });
+        let least = before.saturating_sub(removed).saturating_sub(u32::from(reloads));
+        costs.push(CapacityCost { group, before, least, after });
     }
     costs
 }
--- a/crates/cherrystand_core/src/control/repair.rs
+++ b/crates/cherrystand_core/src/control/repair.rs
@@ -42,10 +42,7 @@
     ///
     /// Source: docs/CAPACITY.md, "The ordinary day".
     fn default() -> Self {
-        Self {
-            restart_share: 1_900.0 / (1_900.0 + 79.0),
-            mean_restart_secs: 45.0,
-        }
+        Self { restart_share: 1_900.0 / (1_900.0 + 79.0), mean_restart_secs: 45.0 }
     }
 }
 
@@ -139,9 +136,7 @@
 /// Returns nothing where acting is possible and the best moment is now.
 fn wait_price(case: &RepairCase, model: &ReturnModel, act: Option<f64>) -> Option<f64> {
     let mean = model.mean_restart_secs;
-    let restarting = model
-        .restarting(case.missing_secs)
-        .powi(case.missing as i32);
+    let restarting = model.restarting(case.missing_secs).powi(case.missing as i32);
     let idle = case.span - case.missing;
     let second = second_price(case, idle);
     let joined = (case.queue_secs + case.load_secs * f64::from(case.missing))
--- a/crates/cherrystand_core/src/control/rollout.rs
+++ b/crates/cherrystand_core/src/control/rollout.rs
@@ -1,56 +1,65 @@
-//! Which replica may go out of service for a rollout.
+//! Which replicas a domain should have, and which may go out of service for a rollout.
 
-use std::collections::BTreeMap;
-
-use crate::{Assignment, Desired, ModelGroup, Phase, ReplicaId, WorkspaceRecord};
+use crate::{Desired, DomainId, Formed, ModelGroup, ReplicaId, Slot, WorkspaceRecord};
 
 /// Lists what a workspace asks for in one domain.
 ///
 /// `formed` holds the assignments of all domains as this node knows them. A rollout goes through
 /// a group's slots in their order: a replica may reload once every earlier slot serves the new
 /// load, so at most one is out on purpose wherever the group's domains are controlled from, and
-/// a replica that fails to come back halts the rest.
+/// a replica that fails to come back halts the rest. A replica that moves to another domain
+/// stays where it is until it is ready there.
 ///
 /// Source: docs/design/0005-rollout.md.
 pub fn desired_in_domain(
     workspace: &WorkspaceRecord,
-    domain: &crate::DomainId,
-    formed: &BTreeMap<ReplicaId, Assignment>,
+    domain: &DomainId,
+    formed: &Formed,
 ) -> Vec<Desired> {
-    let slots = workspace.slots.iter().filter(|slot| &slot.domain == domain);
     let mut desired = Vec::new();
-    for slot in slots {
+    for slot in &workspace.slots {
         let Some(group) = workspace.config.model(&slot.replica.group.name) else {
             continue;
         };
-        desired.push(Desired {
-            replica: slot.replica.clone(),
-            load: group.load_spec(),
-            span: group.boxes_per_replica,
-            planned: slot.planned.clone(),
-            may_reload: may_reload(group, &slot.replica, formed),
-            downtime_weight: group.downtime_weight,
-            stranded_weight: group.stranded_weight,
-        });
+        if &slot.domain == domain {
+            let may_reload = may_reload(group, &slot.replica, formed);
+            desired.push(desired_of(group, slot, may_reload));
+        } else if leaves_later(slot, domain, formed) {
+            desired.push(desired_of(group, slot, false));
+        }
     }
     desired
 }
 
-/// Tells whether `replica` may go out of service to load what `group` asks for now.
-pub fn may_reload(
-    group: &ModelGroup,
-    replica: &ReplicaId,
-    formed: &BTreeMap<ReplicaId, Assignment>,
-) -> bool {
+fn desired_of(group: &ModelGroup, slot: &Slot, may_reload: bool) -> Desired {
+    Desired {
+        replica: slot.replica.clone(),
+        load: group.load_spec(),
+        span: group.boxes_per_replica,
+        planned: slot.planned.clone(),
+        may_reload,
+        downtime_weight: group.downtime_weight,
+        stranded_weight: group.stranded_weight,
+    }
+}
+
+/// Tells whether a replica that moves away from `domain` is still needed there.
+fn leaves_later(slot: &Slot, domain: &DomainId, formed: &Formed) -> bool {
+    let here = formed.in_domain(domain).any(|replica| replica == &slot.replica);
+    let mut ready = formed.ready(&slot.replica);
+    here && !ready.any(|(at, _)| at == &slot.domain)
+}
+
+/// Tells whether `replica` may go out of service to become what `group` asks for now.
+pub fn may_reload(group: &ModelGroup, replica: &ReplicaId, formed: &Formed) -> bool {
     let load = group.load_spec();
-    let is_ready = |slot: &u32| {
-        let held = formed.get(&ReplicaId::new(replica.group.clone(), *slot));
-        held.filter(|held| held.phase == Phase::Ready)
+    let span = group.boxes_per_replica as usize;
+    let slot = |number| ReplicaId::new(replica.group.clone(), number);
+    let done = |number| {
+        let mut ready = formed.ready(&slot(number));
+        ready.any(|(_, held)| held.load == load && held.boxes.len() == span)
     };
-    let done = |slot: u32| is_ready(&slot).is_some_and(|held| held.load == load);
-    let ready = (0..group.replicas)
-        .filter(|slot| is_ready(slot).is_some())
-        .count();
-    let floor = group.capacity_floor() as usize;
-    (0..replica.slot).all(done) && ready > floor
+    let ready = (0..group.replicas).filter(|number| formed.ready(&slot(*number)).next().is_some());
+    let ready = ready.count();
+    (0..replica.slot).all(done) && ready > group.capacity_floor() as usize
 }
--- a/crates/cherrystand_core/src/control/workspace_record.rs
+++ b/crates/cherrystand_core/src/control/workspace_record.rs
@@ -142,10 +142,7 @@
         if plan.base == self.generation {
             return Ok(());
         }
-        let first = self
-            .history
-            .iter()
-            .find(|accepted| accepted.generation > plan.base);
+        let first = self.history.iter().find(|accepted| accepted.generation > plan.base);
         match first {
             Some(first) => Err(ConfirmError::Conflict {
                 plan: plan.id.clone(),
--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -26,6 +26,7 @@
     pub(crate) mod domain_record;
     pub(crate) mod explanation;
     pub(crate) mod fleet;
+    pub(crate) mod formed;
     pub(crate) mod observation;
     pub(crate) mod order;
     pub(crate) mod placement;
@@ -67,6 +68,7 @@
 pub use control::domain_record::{Assignment, DomainRecord, MAX_EXPLANATIONS, Phase, RecordFault};
 pub use control::explanation::{Evidence, Explanation};
 pub use control::fleet::{BoxInfo, Fleet};
+pub use control::formed::Formed;
 pub use control::observation::{
     EngineReport, EngineState, MISSING_AFTER, MemberSummary, Observation, Observations,
     fresh_report,
--- a/crates/cherrystand_core/src/names.rs
+++ b/crates/cherrystand_core/src/names.rs
@@ -123,11 +123,7 @@
             Some((workspace, name)) if !workspace.is_empty() && !name.is_empty() => {
                 Ok(Self::new(WorkspaceId::new(workspace), name))
             }
-            _ => Err(NameError {
-                text,
-                expected: "group",
-                form: "WORKSPACE/GROUP",
-            }),
+            _ => Err(NameError { text, expected: "group", form: "WORKSPACE/GROUP" }),
         }
     }
 }
@@ -141,11 +137,7 @@
             let slot = slot.parse().ok()?;
             Some(Self::new(group, slot))
         });
-        parsed.ok_or(NameError {
-            text,
-            expected: "replica",
-            form: "WORKSPACE/GROUP/SLOT",
-        })
+        parsed.ok_or(NameError { text, expected: "replica", form: "WORKSPACE/GROUP/SLOT" })
     }
 }
 
--- a/crates/cherrystand_core/src/nodes/documents.rs
+++ b/crates/cherrystand_core/src/nodes/documents.rs
@@ -44,17 +44,12 @@
 
     /// Returns the revision held of a record; 0 where there is none.
     pub fn revision(&self, key: &str) -> Revision {
-        self.held
-            .get(key)
-            .map(|held| held.revision)
-            .unwrap_or_default()
+        self.held.get(key).map(|held| held.revision).unwrap_or_default()
     }
 
     /// Returns all copies whose key starts with `prefix`.
-    pub fn with_prefix<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Document> {
-        self.held
-            .values()
-            .filter(move |held| held.key.starts_with(prefix))
+    pub fn with_prefix<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Document> + 'a {
+        self.held.values().filter(move |held| held.key.starts_with(prefix))
     }
 
     /// Returns the versions held.
@@ -65,31 +60,29 @@
 
     /// Returns one number that two daemons share when they hold the same versions.
     pub fn fingerprint(&self) -> u64 {
+        self.fingerprint_below("")
+    }
+
+    /// Returns the same of the records whose key starts with `prefix`.
+    pub fn fingerprint_below(&self, prefix: &str) -> u64 {
         let one = |held: &Document| {
             crate::mix(crate::hash_bytes(held.key.as_bytes()) ^ crate::mix(held.revision.0))
         };
-        self.held.values().fold(0, |sum, held| sum ^ one(held))
+        self.with_prefix(prefix).fold(0, |sum, held| sum ^ one(held))
     }
 
     /// Returns the copies that are newer here than in `theirs`.
     pub fn newer_than(&self, theirs: &[Version]) -> Vec<Document> {
-        let theirs: BTreeMap<&str, Revision> = theirs
-            .iter()
-            .map(|(key, revision)| (key.as_ref(), *revision))
-            .collect();
+        let theirs: BTreeMap<&str, Revision> =
+            theirs.iter().map(|(key, revision)| (key.as_ref(), *revision)).collect();
         let known = |held: &Document| theirs.get(held.key.as_ref()).copied().unwrap_or_default();
-        let newer = self
-            .held
-            .values()
-            .filter(|held| known(held) < held.revision);
+        let newer = self.held.values().filter(|held| known(held) < held.revision);
         newer.cloned().collect()
     }
 
     /// Returns the keys of which `theirs` has a newer copy.
     pub fn older_than(&self, theirs: &[Version]) -> Vec<Arc<str>> {
-        let newer = theirs
-            .iter()
-            .filter(|(key, revision)| self.revision(key) < *revision);
+        let newer = theirs.iter().filter(|(key, revision)| self.revision(key) < *revision);
         newer.map(|(key, _)| key.clone()).collect()
     }
 }
--- a/crates/cherrystand_core/src/nodes/freshness.rs
+++ b/crates/cherrystand_core/src/nodes/freshness.rs
@@ -1,9 +1,10 @@
 //! Whether a node's configuration is new enough to serve by.
 //!
 //! An accepted change has to be in force everywhere within seconds, yet an outage of the platform
-//! alone must stop nothing. Both hold because a change is accepted only by a daemon that is in
-//! touch with a majority of the daemons, and a daemon out of touch with the platform serves only
-//! while it is in touch with a majority: two majorities share a daemon, which carries the change.
+//! alone must stop nothing. Both hold because an operator is told that a change is accepted only
+//! once a majority of the daemons holds it, and a daemon out of touch with the platform serves
+//! only while a majority has lately held just what it holds: two majorities share a daemon, which
+//! stops counting for the old configuration when it takes the new one.
 //!
 //! Source: docs/design/0006-configuration-and-membership.md.
 
@@ -17,6 +18,7 @@
 /// Tracks how lately a node heard from the platform and from its peers.
 #[derive(Clone, Debug)]
 pub struct Freshness {
+    own: NodeId,
     started: Millis,
     platform: Option<Millis>,
     peers: BTreeMap<NodeId, Millis>,
@@ -28,7 +30,7 @@
 pub enum ServeBy {
     /// The platform's records were read lately, by this node or by one it heard from.
     Platform,
-    /// The platform is out of reach, but a majority of the daemons was heard from.
+    /// The platform is out of reach, but a majority of the daemons holds the same configuration.
     Majority,
     /// The node has yet to hear from the platform or a majority for the first time.
     NotYet,
@@ -44,13 +46,14 @@
 }
 
 impl Freshness {
-    /// Creates the state of a node that starts now among the daemons `expected`, itself included.
-    pub fn new(expected: impl IntoIterator<Item = NodeId>, now: Millis) -> Self {
+    /// Creates the state of a node that starts now and is, for all it knows, alone.
+    pub fn new(own: NodeId, now: Millis) -> Self {
         Self {
+            expected: BTreeSet::from([own.clone()]),
+            own,
             started: now,
             platform: None,
             peers: BTreeMap::new(),
-            expected: expected.into_iter().collect(),
         }
     }
 
@@ -72,9 +75,16 @@
         self.platform.map(|at| now.since(at))
     }
 
-    /// Takes in that a peer exchanged records with this node.
-    pub fn exchanged(&mut self, peer: NodeId, now: Millis) {
-        self.peers.insert(peer, now);
+    /// Takes in that a peer held, at a time, the configurations that this node holds.
+    pub fn agreed(&mut self, peer: NodeId, at: Millis) {
+        let known = self.peers.entry(peer).or_insert(at);
+        *known = at.max(*known);
+    }
+
+    /// Tells whether the daemons given are a majority of those that there should be.
+    pub fn is_majority<'a>(&self, nodes: impl IntoIterator<Item = &'a NodeId>) -> bool {
+        let expected = nodes.into_iter().filter(|node| self.expected.contains(node)).count();
+        expected * 2 > self.expected.len()
     }
 
     /// Decides whether the node may take requests.
@@ -92,7 +102,7 @@
         ServeBy::CutOff
     }
 
-    /// Tells whether this node may accept a change.
+    /// Tells whether this node may try to have a change accepted.
     pub fn may_accept(&self, now: Millis) -> bool {
         self.hears_majority(now)
     }
@@ -102,10 +112,10 @@
     pub fn heard_of_expected(&self, now: Millis) -> (usize, usize) {
         let fresh = |node: &NodeId| {
             let heard = self.peers.get(node);
-            heard.is_some_and(|heard| now.since(*heard) <= FRESH_FOR)
+            node == &self.own || heard.is_some_and(|heard| now.since(*heard) <= FRESH_FOR)
         };
-        let others = self.expected.iter().filter(|node| fresh(node)).count();
-        (others + 1, self.expected.len().max(1))
+        let heard = self.expected.iter().filter(|node| fresh(node)).count();
+        (heard, self.expected.len())
     }
 
     fn hears_majority(&self, now: Millis) -> bool {
--- a/crates/cherrystand_core/src/nodes/membership.rs
+++ b/crates/cherrystand_core/src/nodes/membership.rs
@@ -34,6 +34,8 @@
     pub address: SocketAddr,
     /// Whether it takes requests.
     pub serving: bool,
+    /// The sum of the versions of the configurations that it holds.
+    pub config: u64,
 }
 
 /// Says what a daemon thinks of another one.
@@ -66,11 +68,7 @@
 impl Membership {
     /// Creates the view of a daemon that has just started.
     pub fn new(own: Heartbeat, now: Millis) -> Self {
-        Self {
-            own,
-            members: BTreeMap::new(),
-            ticked: now,
-        }
+        Self { own, members: BTreeMap::new(), ticked: now }
     }
 
     /// Returns the daemon's own heartbeat.
@@ -94,35 +92,29 @@
             self.own.beat = 0;
         }
         self.own.beat += 1;
-        self.members
-            .retain(|_, member| now.since(member.heard) <= FORGET_AFTER);
+        self.members.retain(|_, member| now.since(member.heard) <= FORGET_AFTER);
         paused
     }
 
-    /// Takes in a heartbeat that came directly or by way of others.
-    pub fn hear(&mut self, heartbeat: Heartbeat, now: Millis) {
+    /// Says which configurations this daemon holds.
+    pub fn set_config(&mut self, config: u64) {
+        self.own.config = config;
+    }
+
+    /// Takes in a heartbeat that came directly or by way of others, `age` after it was given.
+    pub fn hear(&mut self, heartbeat: Heartbeat, age: Millis, now: Millis) {
         if heartbeat.node == self.own.node {
             self.outlive(&heartbeat);
             return;
         }
         let rank = |beat: &Heartbeat| (beat.incarnation, beat.beat);
+        let heard = now - age;
         match self.members.get_mut(&heartbeat.node) {
             Some(known) if rank(&known.heartbeat) >= rank(&heartbeat) => {}
-            Some(known) => {
-                *known = Member {
-                    heartbeat,
-                    heard: now,
-                }
-            }
+            Some(known) => *known = Member { heartbeat, heard },
             None => {
                 let node = heartbeat.node.clone();
-                self.members.insert(
-                    node,
-                    Member {
-                        heartbeat,
-                        heard: now,
-                    },
-                );
+                self.members.insert(node, Member { heartbeat, heard });
             }
         }
     }
@@ -146,16 +138,26 @@
         }
     }
 
-    /// Returns the heartbeats to pass on: the own one and those of daemons not dead.
-    pub fn digest(&self, now: Millis) -> Vec<Heartbeat> {
+    /// Returns the heartbeats to pass on, each with its age: the own one and those of daemons not
+    /// dead.
+    pub fn digest(&self, now: Millis) -> Vec<(Heartbeat, Millis)> {
         let known = self.members.values();
-        let fresh =
-            known.filter(|member| standing_after(now.since(member.heard)) != Standing::Dead);
-        let mut digest = vec![self.own.clone()];
-        digest.extend(fresh.map(|member| member.heartbeat.clone()));
+        let aged = known.map(|member| (member.heartbeat.clone(), now.since(member.heard)));
+        let fresh = aged.filter(|(_, age)| standing_after(*age) != Standing::Dead);
+        let mut digest = vec![(self.own.clone(), Millis(0))];
+        digest.extend(fresh);
         digest
     }
 
+    /// Returns the daemons known to hold the configurations that this one holds, itself first.
+    ///
+    /// What a daemon holds never falls back, so old news counts as well as fresh news.
+    pub fn agreeing(&self) -> impl Iterator<Item = &NodeId> {
+        let others = self.members.values().map(|member| &member.heartbeat);
+        let same = others.filter(|beat| beat.config == self.own.config);
+        std::iter::once(&self.own).chain(same).map(|beat| &beat.node)
+    }
+
     /// Returns the daemons that are alive, this one included.
     pub fn alive(&self, now: Millis) -> Vec<&Heartbeat> {
         let known = self.members.values();
--- a/crates/cherrystand_core/src/nodes/replica_evidence.rs
+++ b/crates/cherrystand_core/src/nodes/replica_evidence.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Epoch, Millis, ReplicaId};
+use crate::{DomainId, Epoch, Millis, ReplicaId};
 
 /// After this long evidence says nothing any more and the replica counts as not serving.
 ///
@@ -14,6 +14,8 @@
 /// Says that every member of a replica acknowledged an epoch, and how long ago.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaEvidence {
+    /// The domain, whose epochs are its own.
+    pub domain: DomainId,
     /// The replica.
     pub replica: ReplicaId,
     /// The epoch acknowledged.
@@ -37,43 +39,44 @@
 /// Keeps the newest evidence of each replica.
 #[derive(Clone, Debug, Default)]
 pub struct EvidenceTable {
-    held: BTreeMap<ReplicaId, Held>,
+    held: BTreeMap<(DomainId, ReplicaId), Held>,
 }
 
 impl EvidenceTable {
     /// Takes in evidence, and tells whether it is newer than what was held.
     pub fn offer(&mut self, evidence: &ReplicaEvidence, now: Millis) -> bool {
         let given = now - evidence.age;
-        let newer = match self.held.get(&evidence.replica) {
+        let key = (evidence.domain.clone(), evidence.replica.clone());
+        let newer = match self.held.get(&key) {
             Some(held) => (evidence.epoch, given) > (held.epoch, held.given),
             None => true,
         };
         if newer {
-            let held = Held {
-                epoch: evidence.epoch,
-                given,
-                whole: evidence.whole,
-                load: evidence.load,
-            };
-            self.held.insert(evidence.replica.clone(), held);
+            let held =
+                Held { epoch: evidence.epoch, given, whole: evidence.whole, load: evidence.load };
+            self.held.insert(key, held);
         }
         newer
     }
 
-    /// Returns the load of the replica if it is known to be whole under `epoch` now.
-    pub fn whole(&self, replica: &ReplicaId, epoch: Epoch, now: Millis) -> Option<u32> {
-        let held = self.held.get(replica)?;
+    /// Returns the load of a domain's replica if it is known to be whole under `epoch` now.
+    pub fn whole(
+        &self,
+        domain: &DomainId,
+        replica: &ReplicaId,
+        epoch: Epoch,
+        now: Millis,
+    ) -> Option<u32> {
+        let held = self.held.get(&(domain.clone(), replica.clone()))?;
         let fresh = now.since(held.given) <= EVIDENCE_LIFE;
         (fresh && held.whole && held.epoch == epoch).then_some(held.load)
     }
 
     /// Returns the evidence that is still worth passing on.
     pub fn export(&self, now: Millis) -> Vec<ReplicaEvidence> {
-        let fresh = self
-            .held
-            .iter()
-            .filter(|(_, held)| now.since(held.given) <= EVIDENCE_LIFE);
-        let export = |(replica, held): (&ReplicaId, &Held)| ReplicaEvidence {
+        let fresh = self.held.iter().filter(|(_, held)| now.since(held.given) <= EVIDENCE_LIFE);
+        let export = |((domain, replica), held): (&(DomainId, ReplicaId), &Held)| ReplicaEvidence {
+            domain: domain.clone(),
             replica: replica.clone(),
             epoch: held.epoch,
             age: now.since(held.given),
--- a/crates/cherrystand_core/src/requests/admission.rs
+++ b/crates/cherrystand_core/src/requests/admission.rs
@@ -23,11 +23,7 @@
 
 impl Default for Room {
     fn default() -> Self {
-        Self {
-            total: 2_048,
-            for_consent: 256,
-            batch_percent: 50,
-        }
+        Self { total: 2_048, for_consent: 256, batch_percent: 50 }
     }
 }
 
@@ -45,10 +41,7 @@
 impl Admission {
     /// Creates an admission over an empty room.
     pub fn new(room: Room) -> Self {
-        Self {
-            room,
-            ..Self::default()
-        }
+        Self { room, ..Self::default() }
     }
 
     /// Takes room for a request; it is given back by [`Admission::leave`].
--- a/crates/cherrystand_core/src/requests/claim.rs
+++ b/crates/cherrystand_core/src/requests/claim.rs
@@ -121,10 +121,8 @@
         let mut next = self.clone();
         next.claims
             .retain(|_, claim| unix_secs < claim.at_unix_secs.saturating_add(CLAIM_LIFE_SECS));
-        let answers = batch
-            .iter()
-            .map(|request| next.apply_one(request, write, unix_secs))
-            .collect();
+        let answers =
+            batch.iter().map(|request| next.apply_one(request, write, unix_secs)).collect();
         next.writes.push(write.clone());
         (next, answers)
     }
--- a/crates/cherrystand_core/src/requests/refusal.rs
+++ b/crates/cherrystand_core/src/requests/refusal.rs
@@ -102,17 +102,11 @@
 impl Refusal {
     /// Creates a refusal after which coming back unchanged makes no sense.
     pub fn final_for(reason: RefusalReason) -> Self {
-        Self {
-            reason,
-            retry_after: None,
-        }
+        Self { reason, retry_after: None }
     }
 
     /// Creates a refusal after which the caller may come back.
     pub fn with_retry_after(reason: RefusalReason, span: Millis) -> Self {
-        Self {
-            reason,
-            retry_after: Some(span),
-        }
+        Self { reason, retry_after: Some(span) }
     }
 }
--- a/crates/cherrystand_core/src/requests/router.rs
+++ b/crates/cherrystand_core/src/requests/router.rs
@@ -218,10 +218,7 @@
 
     /// Returns the usual time until an answer of the endpoint begins.
     pub fn usual(&self, key: EndpointKey) -> Millis {
-        self.endpoints
-            .get(key)
-            .map(|endpoint| endpoint.limit.usual())
-            .unwrap_or_default()
+        self.endpoints.get(key).map(|endpoint| endpoint.limit.usual()).unwrap_or_default()
     }
 
     /// Returns how many requests this node has at the endpoint, and how many it may have.
@@ -231,11 +228,7 @@
     }
 
     fn home_of(&self, group: &Group, prefix: u64, now: Millis) -> Option<EndpointKey> {
-        let list = if group.near.is_empty() {
-            &group.far
-        } else {
-            &group.near
-        };
+        let list = if group.near.is_empty() { &group.far } else { &group.near };
         let endpoints = (group.near.len() + group.far.len()) as u64;
         let bound = (group.in_flight + 1) * AFFINITY_BOUND;
         let calm = |key: &EndpointKey| {
@@ -243,9 +236,7 @@
             u64::from(endpoint.in_flight + 1) * endpoints * 100 <= bound.max(endpoints * 100)
         };
         let homes = [prefix, mix(prefix)].map(|hash| list[(hash % list.len() as u64) as usize]);
-        homes
-            .into_iter()
-            .find(|key| calm(key) && self.has_room(*key, now))
+        homes.into_iter().find(|key| calm(key) && self.has_room(*key, now))
     }
 
     /// Returns the less loaded of the first two endpoints with room among a few drawn ones.
@@ -277,19 +268,11 @@
             let mut probes = (0..PROBES.min(list.len())).map(|probe| (start + probe) % list.len());
             probes.any(|index| self.endpoints[list[index]].breaker.admits(now))
         };
-        if lists.into_iter().any(admits) {
-            NoEndpoint::AllFull
-        } else {
-            NoEndpoint::NoneServing
-        }
+        if lists.into_iter().any(admits) { NoEndpoint::AllFull } else { NoEndpoint::NoneServing }
     }
 
     fn calmer(&self, a: EndpointKey, b: EndpointKey, now: Millis) -> EndpointKey {
-        if self.estimate(b, now) < self.estimate(a, now) {
-            b
-        } else {
-            a
-        }
+        if self.estimate(b, now) < self.estimate(a, now) { b } else { a }
     }
 
     fn estimate(&self, key: EndpointKey, now: Millis) -> u32 {
--- a/crates/cherrystand_core/src/requests/wait_queue.rs
+++ b/crates/cherrystand_core/src/requests/wait_queue.rs
@@ -23,11 +23,7 @@
 
 impl Default for WaitQueue {
     fn default() -> Self {
-        Self {
-            waiting: 0,
-            between_ms: FIRST_GUESS_MS,
-            last_done: None,
-        }
+        Self { waiting: 0, between_ms: FIRST_GUESS_MS, last_done: None }
     }
 }
 
@@ -40,10 +36,7 @@
     pub fn join(&mut self, remaining: Millis) -> Result<(), Refusal> {
         let expected = self.expected_wait();
         if expected > remaining.min(LONGEST_WAIT) {
-            return Err(Refusal::with_retry_after(
-                RefusalReason::WaitTooLong,
-                expected,
-            ));
+            return Err(Refusal::with_retry_after(RefusalReason::WaitTooLong, expected));
         }
         self.waiting += 1;
         Ok(())
--- a/crates/cherrystand_core/tests/assignment_safety.rs
+++ b/crates/cherrystand_core/tests/assignment_safety.rs
@@ -15,34 +15,16 @@
 /// Something that happens to the domain between two steps.
 #[derive(Clone, Debug)]
 enum Event {
-    Kill {
-        number: u32,
-        back_after: Option<u64>,
-    },
-    Leave {
-        number: u32,
-    },
-    Pause {
-        controller: usize,
-    },
-    Resume {
-        controller: usize,
-    },
-    CutOff {
-        controller: usize,
-        cut: bool,
-    },
+    Kill { number: u32, back_after: Option<u64> },
+    Leave { number: u32 },
+    Pause { controller: usize },
+    Resume { controller: usize },
+    CutOff { controller: usize, cut: bool },
     ServiceDown(bool),
     LoseAnswers(u32),
     DelayWrites(u32),
-    Want {
-        replicas: u32,
-        version: u8,
-    },
-    Busy {
-        number: u32,
-        in_flight: u32,
-    },
+    Want { replicas: u32, version: u8 },
+    Busy { number: u32, in_flight: u32 },
     Steps(u32),
 }
 
@@ -80,9 +62,7 @@
         Event::DelayWrites(count) => domain.delay_writes = *count,
         Event::Want { replicas, version } => {
             let version = version.to_string();
-            domain.desired = (0..*replicas)
-                .map(|slot| desired(slot, 2, &version))
-                .collect();
+            domain.desired = (0..*replicas).map(|slot| desired(slot, 2, &version)).collect();
         }
         Event::Busy { number, in_flight } => {
             if let Some(fake) = domain.boxes.get_mut(&box_id(*number)) {
@@ -140,22 +120,14 @@
     policies: &[RepairPolicy],
     checks_orders: bool,
 ) -> Result<FakeDomain, TestCaseError> {
-    let setup = DomainSetup {
-        boxes: BOXES,
-        checks_orders,
-        ..DomainSetup::default()
-    };
+    let setup = DomainSetup { boxes: BOXES, checks_orders, ..DomainSetup::default() };
     let mut domain = FakeDomain::new(setup, policies);
     domain.desired = (0..3).map(|slot| desired(slot, 2, "1")).collect();
     let mut past = Past::default();
     for event in events {
         apply(&mut domain, event);
         past.check(&domain)?;
-        let steps = if let Event::Steps(steps) = event {
-            *steps
-        } else {
-            1
-        };
+        let steps = if let Event::Steps(steps) = event { *steps } else { 1 };
         for _ in 0..steps {
             domain.step();
             past.check(&domain)?;
@@ -214,10 +186,7 @@
 
 #[test]
 fn a_paused_controller_cannot_undo_what_others_did() {
-    let setup = DomainSetup {
-        boxes: BOXES,
-        ..DomainSetup::default()
-    };
+    let setup = DomainSetup { boxes: BOXES, ..DomainSetup::default() };
     let mut domain = FakeDomain::new(setup, &[quick_policy(); 2]);
     domain.desired = vec![desired(0, 2, "1")];
     domain.run_for(Millis(30_000));
--- /dev/null
+++ b/crates/cherrystand_core/tests/outcomes.rs
@@ -0,0 +1,143 @@
+//! What each way of ending says, and when a request is tried again.
+
+use cherrystand_core::{
+    AttemptEnd, FailedAttempt, MAX_ATTEMPTS, Millis, NoRetry, Outcome, RefusalReason, RetryBudget,
+    decide_retry,
+};
+use proptest::prelude::*;
+
+#[test]
+fn only_ends_before_the_first_byte_or_the_endpoints_own_word_mean_not_run() {
+    struct Case {
+        end: AttemptEnd,
+        outcome: Outcome,
+        blames_endpoint: bool,
+    }
+    let case = |end, outcome, blames_endpoint| Case { end, outcome, blames_endpoint };
+    let cases = [
+        case(AttemptEnd::ConnectFailed, Outcome::NotRun, true),
+        case(AttemptEnd::NotSent, Outcome::NotRun, true),
+        case(AttemptEnd::Refused, Outcome::NotRun, false),
+        case(AttemptEnd::NotServing, Outcome::NotRun, true),
+        case(AttemptEnd::CutBeforeAnswer, Outcome::Unknown, true),
+        case(AttemptEnd::TimedOut, Outcome::Unknown, true),
+        case(AttemptEnd::AnswerCut, Outcome::Unknown, true),
+        case(AttemptEnd::Overtaken, Outcome::Unknown, true),
+        case(AttemptEnd::CallerLeft, Outcome::Unknown, false),
+        case(AttemptEnd::Answered, Outcome::Ran, false),
+    ];
+    assert_eq!(cases.len(), AttemptEnd::ALL.len(), "a case for every end");
+    for case in cases {
+        assert_eq!(case.end.outcome(), case.outcome, "{:?}", case.end);
+        assert_eq!(case.end.blames_endpoint(), case.blames_endpoint, "{:?}", case.end);
+    }
+}
+
+fn failed(end: AttemptEnd) -> FailedAttempt {
+    FailedAttempt {
+        end,
+        attempts: 1,
+        repeatable: true,
+        answer_begun: false,
+        replayable: true,
+        remaining: Millis(1_000),
+        usual: Millis(100),
+    }
+}
+
+#[test]
+fn a_failed_attempt_is_tried_again_only_where_that_is_safe_and_worth_it() {
+    struct Case {
+        name: &'static str,
+        failed: FailedAttempt,
+        expected: Result<(), NoRetry>,
+    }
+    let cut = failed(AttemptEnd::CutBeforeAnswer);
+    let unsent = failed(AttemptEnd::ConnectFailed);
+    let cases = [
+        Case { name: "repeatable", failed: cut, expected: Ok(()) },
+        Case {
+            name: "not repeatable, and it may have run",
+            failed: FailedAttempt { repeatable: false, ..cut },
+            expected: Err(NoRetry::NotRepeatable),
+        },
+        Case {
+            name: "not repeatable, and certainly not run",
+            failed: FailedAttempt { repeatable: false, ..unsent },
+            expected: Ok(()),
+        },
+        Case {
+            name: "part of an answer is out",
+            failed: FailedAttempt { answer_begun: true, ..cut },
+            expected: Err(NoRetry::AnswerBegun),
+        },
+        Case {
+            name: "the body is gone",
+            failed: FailedAttempt { replayable: false, ..unsent },
+            expected: Err(NoRetry::NotReplayable),
+        },
+        Case {
+            name: "the caller is gone",
+            failed: failed(AttemptEnd::CallerLeft),
+            expected: Err(NoRetry::CallerLeft),
+        },
+        Case {
+            name: "all attempts made",
+            failed: FailedAttempt { attempts: MAX_ATTEMPTS, ..unsent },
+            expected: Err(NoRetry::AttemptsSpent),
+        },
+        Case {
+            name: "no time left",
+            failed: FailedAttempt { remaining: Millis(100), ..unsent },
+            expected: Err(NoRetry::NoTime),
+        },
+    ];
+    for case in cases {
+        let decided = decide_retry(&case.failed, &mut RetryBudget::default());
+        assert_eq!(decided, case.expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn every_refusal_has_a_status_that_says_no() {
+    for reason in RefusalReason::ALL {
+        assert!((400..600).contains(&reason.status()), "{reason:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn retries_never_exceed_their_share(requests in prop::collection::vec(any::<bool>(), 0..4_000)) {
+        let mut budget = RetryBudget::default();
+        let saved = budget.left();
+        let mut retries = 0;
+        for fails in &requests {
+            budget.earn();
+            let attempt = failed(AttemptEnd::ConnectFailed);
+            retries += u32::from(*fails && decide_retry(&attempt, &mut budget).is_ok());
+        }
+        prop_assert!(retries <= saved + requests.len() as u32 / 10 + 1, "{} retries", retries);
+    }
+
+    #[test]
+    fn a_call_that_must_not_be_repeated_is_sent_at_most_once_beyond_doubt(
+        ends in prop::collection::vec(prop::sample::select(&AttemptEnd::ALL[..]), 1..6),
+    ) {
+        let mut budget = RetryBudget::default();
+        let mut doubtful = 0;
+        for (number, end) in ends.iter().enumerate() {
+            doubtful += u32::from(end.outcome() != Outcome::NotRun);
+            if *end == AttemptEnd::Answered {
+                break;
+            }
+            let attempts = number as u32 + 1;
+            let attempt = FailedAttempt { attempts, repeatable: false, ..failed(*end) };
+            if decide_retry(&attempt, &mut budget).is_err() {
+                break;
+            }
+        }
+        prop_assert!(doubtful <= 1, "sent {} times with doubt", doubtful);
+    }
+}
--- a/crates/cherrystand_core/tests/replica_life.rs
+++ b/crates/cherrystand_core/tests/replica_life.rs
@@ -95,10 +95,7 @@
         },
     ];
     for case in cases {
-        let setup = DomainSetup {
-            boxes: case.boxes,
-            ..DomainSetup::default()
-        };
+        let setup = DomainSetup { boxes: case.boxes, ..DomainSetup::default() };
         let mut domain = formed(setup, quick_policy(), case.replicas, case.span);
         (case.act)(&mut domain);
         domain.run_for(case.run);
@@ -114,28 +111,20 @@
 
 #[test]
 fn a_break_is_not_taken_for_mended_before_every_member_answers_again() {
-    let setup = DomainSetup {
-        boxes: 5,
-        ..DomainSetup::default()
-    };
+    let setup = DomainSetup { boxes: 5, ..DomainSetup::default() };
     let mut domain = formed(setup, quick_policy(), 2, 2);
     let before = domain.record.last_epoch;
     domain.kill(&box_id(1), None);
     domain.run_for(Millis(120_000));
     let epochs = domain.record.last_epoch.0 - before.0;
     let past = domain.record.explanations.iter();
-    let past: Vec<String> = past
-        .map(|past| format!("{} {}", past.epoch, past.evidence))
-        .collect();
+    let past: Vec<String> = past.map(|past| format!("{} {}", past.epoch, past.evidence)).collect();
     assert_eq!(epochs, 1, "{past:#?}");
 }
 
 #[test]
 fn a_planned_change_waits_for_requests_in_flight() {
-    let setup = DomainSetup {
-        boxes: 2,
-        ..DomainSetup::default()
-    };
+    let setup = DomainSetup { boxes: 2, ..DomainSetup::default() };
     let mut domain = formed(setup, quick_policy(), 1, 2);
     let leader = domain.record.replicas[&replica(0)].boxes[0].clone();
     let set_in_flight = |domain: &mut FakeDomain, count| {
@@ -147,10 +136,7 @@
     domain.desired = vec![desired(0, 2, "2")];
     domain.run_for(Millis(60_000));
     let held = &domain.record.replicas[&replica(0)];
-    assert_eq!(
-        (held.phase, held.load.version.as_str()),
-        (Phase::Draining, "1")
-    );
+    assert_eq!((held.phase, held.load.version.as_str()), (Phase::Draining, "1"));
     set_in_flight(&mut domain, 0);
     domain.run_for(Millis(30_000));
     assert!(domain.is_whole(&replica(0)));
@@ -164,14 +150,8 @@
         still_acts_on: Epoch,
     }
     let cases = [
-        Case {
-            checks_orders: true,
-            still_acts_on: Epoch(2),
-        },
-        Case {
-            checks_orders: false,
-            still_acts_on: Epoch(1),
-        },
+        Case { checks_orders: true, still_acts_on: Epoch(2) },
+        Case { checks_orders: false, still_acts_on: Epoch(1) },
     ];
     for case in cases {
         let mut fake = cherrystand_testkit::FakeBox::new(case.checks_orders);
@@ -193,29 +173,18 @@
 
 #[test]
 fn every_decision_says_why() {
-    let setup = DomainSetup {
-        boxes: 3,
-        ..DomainSetup::default()
-    };
+    let setup = DomainSetup { boxes: 3, ..DomainSetup::default() };
     let mut domain = formed(setup, quick_policy(), 1, 2);
     domain.kill(&box_id(1), None);
     domain.run_for(Millis(120_000));
-    let reasons: Vec<&Evidence> = domain
-        .record
-        .explanations
-        .iter()
-        .map(|past| &past.evidence)
-        .collect();
+    let reasons: Vec<&Evidence> =
+        domain.record.explanations.iter().map(|past| &past.evidence).collect();
     let swapped = reasons.iter().any(|why| {
         matches!(why, Evidence::Swapped { lost, spares }
             if lost == &[box_id(1)] && spares == &[box_id(2)])
     });
     assert!(swapped, "{reasons:#?}");
-    let priced = domain
-        .record
-        .explanations
-        .iter()
-        .any(|past| past.prices.is_some());
+    let priced = domain.record.explanations.iter().any(|past| past.prices.is_some());
     assert!(priced);
 }
 
@@ -227,31 +196,13 @@
         expected: Repair,
     }
     let cases = [
-        Case {
-            rule: RepairRule::WaitForBox,
-            boxes: 8,
-            expected: Repair::Wait,
-        },
-        Case {
-            rule: RepairRule::ReformAtOnce,
-            boxes: 8,
-            expected: Repair::Reform,
-        },
-        Case {
-            rule: RepairRule::ReformAtOnce,
-            boxes: 5,
-            expected: Repair::Wait,
-        },
+        Case { rule: RepairRule::WaitForBox, boxes: 8, expected: Repair::Wait },
+        Case { rule: RepairRule::ReformAtOnce, boxes: 8, expected: Repair::Reform },
+        Case { rule: RepairRule::ReformAtOnce, boxes: 5, expected: Repair::Wait },
     ];
     for case in cases {
-        let setup = DomainSetup {
-            boxes: case.boxes,
-            ..DomainSetup::default()
-        };
-        let policy = cherrystand_core::RepairPolicy {
-            rule: case.rule,
-            ..quick_policy()
-        };
+        let setup = DomainSetup { boxes: case.boxes, ..DomainSetup::default() };
+        let policy = cherrystand_core::RepairPolicy { rule: case.rule, ..quick_policy() };
         let mut domain = formed(setup, policy, 2, 2);
         let before = domain.record.replicas[&replica(0)].boxes.clone();
         domain.kill(&before[1], None);
@@ -270,11 +221,7 @@
 
 #[test]
 fn a_box_given_up_is_used_again_only_once_it_answers_that_it_is_idle() {
-    let setup = DomainSetup {
-        boxes: 2,
-        checks_orders: false,
-        ..DomainSetup::default()
-    };
+    let setup = DomainSetup { boxes: 2, checks_orders: false, ..DomainSetup::default() };
     let mut domain = formed(setup, quick_policy(), 1, 2);
     let set_deaf = |domain: &mut FakeDomain, deaf| {
         if let Some(fake) = domain.boxes.get_mut(&box_id(1)) {
@@ -284,12 +231,18 @@
     set_deaf(&mut domain, true);
     domain.desired = vec![desired(1, 2, "1")];
     domain.run_for(Millis(60_000));
-    assert!(
-        !domain.record.replicas.contains_key(&replica(1)),
-        "{:?}",
-        domain.record.replicas
-    );
+    assert!(!domain.record.replicas.contains_key(&replica(1)), "{:?}", domain.record.replicas);
     set_deaf(&mut domain, false);
     domain.run_for(Millis(60_000));
     assert!(domain.is_whole(&replica(1)));
 }
+
+#[test]
+fn a_replica_of_another_span_is_drained_and_formed_anew() {
+    let setup = DomainSetup { boxes: 4, ..DomainSetup::default() };
+    let mut domain = formed(setup, quick_policy(), 1, 2);
+    domain.desired = vec![desired(0, 3, "1")];
+    domain.run_for(Millis(60_000));
+    assert!(domain.is_whole(&replica(0)), "{:?}", domain.record);
+    assert_eq!(domain.record.replicas[&replica(0)].boxes.len(), 3);
+}
--- /dev/null
+++ b/crates/cherrystand_core/tests/routing.rs
@@ -0,0 +1,233 @@
+//! The choice of endpoints, room, limits and queues.
+
+use cherrystand_core::{
+    Admission, AttemptEnd, Breaker, Class, EndpointKey, EndpointSpec, FIRST_PAUSE, GroupKey, Limit,
+    Millis, NoEndpoint, RefusalReason, Room, Router, Seed, WaitQueue, WorkspaceId,
+};
+use proptest::prelude::*;
+
+const NOW: Millis = Millis(60_000);
+
+fn router(near: usize, far: usize, limit: u32) -> (Router, GroupKey, Vec<EndpointKey>) {
+    let mut router = Router::default();
+    let group = router.add_group();
+    let spec = |near| EndpointSpec { near, start_limit: limit, most: limit };
+    let keys = (0..near + far).map(|number| router.add_endpoint(group, spec(number < near)));
+    let keys = keys.collect();
+    (router, group, keys)
+}
+
+#[test]
+fn the_own_zone_is_preferred_until_it_is_full() {
+    let (mut router, group, keys) = router(2, 2, 1);
+    let mut seed = Seed::new(7);
+    let mut chosen = Vec::new();
+    for _ in 0..4 {
+        let key = router.choose(group, None, NOW, &mut seed).expect("room");
+        router.start(key);
+        chosen.push(keys.iter().position(|other| *other == key).expect("known"));
+    }
+    assert!(chosen[..2].iter().all(|number| *number < 2), "{chosen:?}");
+    assert!(chosen[2..].iter().all(|number| *number >= 2), "{chosen:?}");
+    assert_eq!(router.choose(group, None, NOW, &mut seed), Err(NoEndpoint::AllFull));
+}
+
+#[test]
+fn an_endpoint_that_fails_is_left_out_and_tried_again_later() {
+    struct Case {
+        end: AttemptEnd,
+        at_once: Result<(), NoEndpoint>,
+    }
+    let cases = [
+        Case { end: AttemptEnd::ConnectFailed, at_once: Err(NoEndpoint::NoneServing) },
+        Case { end: AttemptEnd::NotServing, at_once: Err(NoEndpoint::NoneServing) },
+        Case { end: AttemptEnd::TimedOut, at_once: Err(NoEndpoint::NoneServing) },
+        Case { end: AttemptEnd::CallerLeft, at_once: Ok(()) },
+        Case { end: AttemptEnd::Answered, at_once: Ok(()) },
+        Case { end: AttemptEnd::Refused, at_once: Ok(()) },
+    ];
+    for case in cases {
+        let (mut router, group, keys) = router(1, 0, 8);
+        router.start(keys[0]);
+        router.finish(keys[0], case.end, NOW, None);
+        let choose = |now| router.choose(group, None, now, &mut Seed::new(1)).map(|_| ());
+        assert_eq!(choose(NOW), case.at_once, "{:?}", case.end);
+        assert_eq!(choose(NOW + FIRST_PAUSE), Ok(()), "{:?}", case.end);
+    }
+}
+
+#[test]
+fn a_prefix_goes_to_one_endpoint_until_that_is_hot() {
+    let (mut router, group, _) = router(8, 0, 64);
+    let mut seed = Seed::new(3);
+    let prefix = Some(0xfeed);
+    let first = router.choose(group, prefix, NOW, &mut seed).expect("room");
+    for _ in 0..20 {
+        let again = router.choose(group, prefix, NOW, &mut seed).expect("room");
+        assert_eq!(again, first, "a calm endpoint keeps its prefix");
+    }
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..64 {
+        let key = router.choose(group, prefix, NOW, &mut seed).expect("room");
+        router.start(key);
+        used.insert(key);
+    }
+    assert!(used.len() >= 6, "a hot prefix spreads, but went to {}", used.len());
+    let most = used.iter().map(|key| router.load(*key).0).max();
+    assert!(most <= Some(16), "the hottest has {most:?} of 64");
+}
+
+#[test]
+fn reported_load_counts_while_it_is_fresh() {
+    let (mut router, group, keys) = router(2, 0, 64);
+    router.report(keys[0], NOW, 50);
+    let mut seed = Seed::new(5);
+    let mut picks = |now| {
+        let picked = (0..100).map(|_| router.choose(group, None, now, &mut seed).expect("room"));
+        picked.filter(|key| *key == keys[0]).count()
+    };
+    assert_eq!(picks(NOW), 0);
+    let later = picks(NOW + Millis(6_000));
+    assert!((25..=75).contains(&later), "{later}");
+}
+
+#[test]
+fn a_breaker_lets_one_trial_through_and_doubles_its_pause() {
+    let mut breaker = Breaker::default();
+    let mut now = NOW;
+    for expected in [500, 1_000, 2_000, 4_000, 8_000, 8_000] {
+        breaker.failed(now);
+        assert!(!breaker.admits(now + Millis(expected - 1)), "{expected}");
+        now = now + Millis(expected);
+        assert!(breaker.admits(now), "{expected}");
+        breaker.started();
+        assert!(!breaker.admits(now), "one trial at a time");
+    }
+    breaker.succeeded();
+    assert!(breaker.admits(now));
+}
+
+#[test]
+fn a_limit_grows_with_answers_in_time_and_shrinks_with_late_ones() {
+    let mut limit = Limit::new(4, 64);
+    for step in 0..200 {
+        limit.answered(Millis(step * 100), Millis(100), limit.get());
+    }
+    let grown = limit.get();
+    assert!(grown > 10, "{grown}");
+    for step in 200..260 {
+        limit.answered(Millis(step * 1_000), Millis(2_000), grown);
+    }
+    assert!(limit.get() < grown, "{} of {grown}", limit.get());
+    assert!(limit.get() >= 1);
+}
+
+#[test]
+fn room_is_kept_for_consent_and_shared_between_workspaces() {
+    struct Case {
+        name: &'static str,
+        held: &'static [(Class, &'static str, u32)],
+        asks: (Class, &'static str),
+        refused: Option<RefusalReason>,
+    }
+    let cases = [
+        Case { name: "empty", held: &[], asks: (Class::Batch, "a"), refused: None },
+        Case {
+            name: "the common room is full",
+            held: &[(Class::Interactive, "a", 80)],
+            asks: (Class::Interactive, "b"),
+            refused: Some(RefusalReason::NodeFull),
+        },
+        Case {
+            name: "consent has room although the common room is full",
+            held: &[(Class::Interactive, "a", 80)],
+            asks: (Class::Consent, "a"),
+            refused: None,
+        },
+        Case {
+            name: "consent beyond its own room uses the common one",
+            held: &[(Class::Consent, "a", 50)],
+            asks: (Class::Consent, "a"),
+            refused: None,
+        },
+        Case {
+            name: "a workspace with its share of a busy room",
+            held: &[(Class::Interactive, "a", 40), (Class::Interactive, "b", 30)],
+            asks: (Class::Interactive, "a"),
+            refused: Some(RefusalReason::WorkspaceShare),
+        },
+        Case {
+            name: "a workspace below its share of a busy room",
+            held: &[(Class::Interactive, "a", 40), (Class::Interactive, "b", 30)],
+            asks: (Class::Interactive, "b"),
+            refused: None,
+        },
+        Case {
+            name: "batch has half of the common room",
+            held: &[(Class::Batch, "a", 40)],
+            asks: (Class::Batch, "a"),
+            refused: Some(RefusalReason::NodeFull),
+        },
+    ];
+    for case in cases {
+        let room = Room { total: 100, for_consent: 20, batch_percent: 50 };
+        let mut admission = Admission::new(room);
+        for (class, workspace, count) in case.held {
+            for _ in 0..*count {
+                let entered = admission.enter(*class, &WorkspaceId::new(*workspace));
+                assert_eq!(entered, Ok(()), "{}", case.name);
+            }
+        }
+        let (class, workspace) = case.asks;
+        let entered = admission.enter(class, &WorkspaceId::new(workspace));
+        assert_eq!(entered.err().map(|refusal| refusal.reason), case.refused, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_wait_that_would_be_too_long_is_refused_at_once_with_when_to_come_back() {
+    let mut queue = WaitQueue::default();
+    let mut joined = 0;
+    let refusal = loop {
+        match queue.join(Millis(1_000)) {
+            Ok(()) => joined += 1,
+            Err(refusal) => break refusal,
+        }
+    };
+    assert_eq!(joined, 20, "20 waits of 50 ms each make a second");
+    assert_eq!(refusal.reason, RefusalReason::WaitTooLong);
+    assert_eq!(refusal.retry_after, Some(Millis(1_050)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn counts_come_back_to_nothing_and_limits_are_kept(
+        steps in prop::collection::vec((any::<u64>(), 0_usize..10), 1..300),
+        near in 1_usize..5,
+        far in 0_usize..5,
+    ) {
+        let (mut router, group, keys) = router(near, far, 3);
+        let mut seed = Seed::new(9);
+        let mut open: Vec<EndpointKey> = Vec::new();
+        for (number, (prefix, end)) in steps.into_iter().enumerate() {
+            let now = NOW + Millis(number as u64 * 50);
+            if end < 5 || open.is_empty() {
+                if let Ok(key) = router.choose(group, Some(prefix), now, &mut seed) {
+                    router.start(key);
+                    open.push(key);
+                }
+            } else {
+                let key = open.swap_remove(prefix as usize % open.len());
+                router.finish(key, AttemptEnd::ALL[end], now, None);
+            }
+            for key in &keys {
+                let (in_flight, limit) = router.load(*key);
+                prop_assert!(in_flight <= limit.max(3));
+                let counted = open.iter().filter(|other| *other == key).count();
+                prop_assert_eq!(in_flight as usize, counted);
+            }
+        }
+    }
+}
--- a/crates/cherrystand_core/tests/support/mod.rs
+++ b/crates/cherrystand_core/tests/support/mod.rs
@@ -36,11 +36,7 @@
 }
 
 pub(crate) fn quick_policy() -> RepairPolicy {
-    RepairPolicy {
-        load_secs: 4.0,
-        rejoin_secs: 0.5,
-        ..RepairPolicy::default()
-    }
+    RepairPolicy { load_secs: 4.0, rejoin_secs: 0.5, ..RepairPolicy::default() }
 }
 
 /// Returns a domain in which `replicas` replicas of `span` boxes serve.
@@ -54,11 +50,7 @@
     domain.desired = (0..replicas).map(|slot| desired(slot, span, "1")).collect();
     domain.run_for(Millis(240_000));
     for slot in 0..replicas {
-        assert!(
-            domain.is_whole(&replica(slot)),
-            "replica {slot}: {:?}",
-            domain.record
-        );
+        assert!(domain.is_whole(&replica(slot)), "replica {slot}: {:?}", domain.record);
     }
     domain.losses = Default::default();
     domain
--- a/crates/cherrystand_peer/src/message.rs
+++ b/crates/cherrystand_peer/src/message.rs
@@ -28,8 +28,8 @@
 pub struct News {
     /// The sender.
     pub from: Heartbeat,
-    /// The daemons that the sender knows of.
-    pub members: Vec<Heartbeat>,
+    /// The daemons that the sender knows of, and how long ago each gave its heartbeat.
+    pub members: Vec<(Heartbeat, Millis)>,
     /// How long ago the platform was last read by anyone the sender heard from.
     pub platform_age: Option<Millis>,
     /// The sum of the versions that the sender holds.
--- a/crates/cherrystand_platform/src/engine_client.rs
+++ b/crates/cherrystand_platform/src/engine_client.rs
@@ -45,15 +45,9 @@
     ///
     /// Returns an [`EngineError`] when it does not answer in time.
     pub async fn report(&self, address: SocketAddr) -> Result<EngineReport, EngineError> {
-        let answer = call(
-            &self.pool,
-            address,
-            Method::GET,
-            "/engine/report",
-            Bytes::new(),
-            CALL_WITHIN,
-        )
-        .await?;
+        let answer =
+            call(&self.pool, address, Method::GET, "/engine/report", Bytes::new(), CALL_WITHIN)
+                .await?;
         match answer.status {
             StatusCode::OK => Ok(answer.json()?),
             status => Err(EngineError::Status(status.as_u16())),
@@ -67,15 +61,8 @@
     /// Returns an [`EngineError`] when the engine refuses it or does not answer in time.
     pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<(), EngineError> {
         let body = to_json(order)?;
-        let answer = call(
-            &self.pool,
-            address,
-            Method::POST,
-            "/engine/order",
-            body,
-            CALL_WITHIN,
-        )
-        .await?;
+        let answer =
+            call(&self.pool, address, Method::POST, "/engine/order", body, CALL_WITHIN).await?;
         match answer.status {
             StatusCode::OK => Ok(()),
             StatusCode::CONFLICT => Err(EngineError::Fenced(order.epoch)),
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -120,11 +120,9 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<PooledBody>, (SendError, Option<Request<Full<Bytes>>>)> {
         match conn.send.try_send_request(req).await {
-            Ok(answer) => Ok(answer.map(|body| PooledBody {
-                body,
-                conn: Some(conn),
-                pool: self.clone(),
-            })),
+            Ok(answer) => {
+                Ok(answer.map(|body| PooledBody { body, conn: Some(conn), pool: self.clone() }))
+            }
             Err(mut failed) => match failed.take_message() {
                 Some(unsent) => Err((SendError::NotSent(failed.into_error()), Some(unsent))),
                 None => Err((SendError::Cut(failed.into_error()), None)),
@@ -140,19 +138,12 @@
         .map_err(|source| SendError::Connect { address, source })?;
     // Small requests must not wait for more data; failing to say so only costs time.
     let _ = stream.set_nodelay(true);
-    let (send, conn) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(SendError::NotSent)?;
+    let (send, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(SendError::NotSent)?;
     let driver = tokio::task::spawn(async move {
         // The request's own future reports the failure.
         let _ = conn.await;
     });
-    Ok(Connection {
-        address,
-        send,
-        driver,
-        idle_since: Instant::now(),
-    })
+    Ok(Connection { address, send, driver, idle_since: Instant::now() })
 }
 
 /// The body of an answer; it gives its connection back when it has been read to the end.
--- a/crates/cherrystand_platform/src/inventory_list.rs
+++ b/crates/cherrystand_platform/src/inventory_list.rs
@@ -17,10 +17,7 @@
 }
 
 /// Reads the platform's list of boxes.
-#[allow(
-    async_fn_in_trait,
-    reason = "each duty drives its client on its own thread"
-)]
+#[allow(async_fn_in_trait, reason = "each duty drives its client on its own thread")]
 pub trait BoxList {
     /// Reads the whole list, which may lag behind what is there.
     ///
--- a/crates/cherrystand_platform/src/key_value.rs
+++ b/crates/cherrystand_platform/src/key_value.rs
@@ -61,10 +61,7 @@
 }
 
 /// Reads and writes records that all daemons share.
-#[allow(
-    async_fn_in_trait,
-    reason = "each duty drives its client on its own thread"
-)]
+#[allow(async_fn_in_trait, reason = "each duty drives its client on its own thread")]
 pub trait KeyValue {
     /// Reads one record.
     ///
--- a/crates/cherrystand_platform/src/platform_client.rs
+++ b/crates/cherrystand_platform/src/platform_client.rs
@@ -61,10 +61,7 @@
 impl PlatformClient {
     /// Creates a client of the platform at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            pool: HttpPool::default(),
-        }
+        Self { address, pool: HttpPool::default() }
     }
 
     async fn call(
@@ -113,9 +110,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
-        let answer = self
-            .read(&format!("/v1/list/{prefix}"), CALL_WITHIN)
-            .await?;
+        let answer = self.read(&format!("/v1/list/{prefix}"), CALL_WITHIN).await?;
         changes(&answer)
     }
 
@@ -125,10 +120,7 @@
         after: Revision,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
-        let path = format!(
-            "/v1/watch/{prefix}?after={after}&wait-ms={}",
-            wait.as_millis()
-        );
+        let path = format!("/v1/watch/{prefix}?after={after}&wait-ms={}", wait.as_millis());
         let answer = self.read(&path, wait + CALL_WITHIN).await?;
         changes(&answer)
     }
@@ -136,10 +128,7 @@
     async fn swap(&self, key: &str, expected: Revision, body: &str) -> Result<Swap, PlatformError> {
         if body.len() > MAX_VALUE_BYTES {
             let key = key.to_owned();
-            return Err(PlatformError::TooLarge {
-                key,
-                bytes: body.len(),
-            });
+            return Err(PlatformError::TooLarge { key, bytes: body.len() });
         }
         let path = format!("/v1/kv/{key}?if-revision={expected}");
         let body = Bytes::copy_from_slice(body.as_bytes());
@@ -158,19 +147,10 @@
         holder: &str,
         life: Duration,
     ) -> Result<Lease, PlatformError> {
-        let path = format!(
-            "/v1/lease/{name}?holder={holder}&life-ms={}",
-            life.as_millis()
-        );
-        let answer = self
-            .call(Method::PUT, &path, Bytes::new(), CALL_WITHIN)
-            .await?;
+        let path = format!("/v1/lease/{name}?holder={holder}&life-ms={}", life.as_millis());
+        let answer = self.call(Method::PUT, &path, Bytes::new(), CALL_WITHIN).await?;
         let wire: WireLease = answer.json()?;
-        Ok(if wire.held {
-            Lease::Held
-        } else {
-            Lease::HeldByOther
-        })
+        Ok(if wire.held { Lease::Held } else { Lease::HeldByOther })
     }
 }
 
--- a/crates/cherrystand_testkit/src/bin/cherrystand_load.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_load.rs
@@ -65,9 +65,5 @@
         println!("  FAULT {fault}");
     }
     println!("{name}: {}", outcome.tally.line());
-    if faults.is_empty() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    }
+    if faults.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/cherrystand_testkit/src/bin/cherrystand_standin.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_standin.rs
@@ -105,10 +105,7 @@
 
 fn read_inventory(path: Option<PathBuf>) -> eyre::Result<Inventory> {
     let Some(path) = path else {
-        return Ok(Inventory {
-            version: Revision(1),
-            ..Inventory::default()
-        });
+        return Ok(Inventory { version: Revision(1), ..Inventory::default() });
     };
     let text =
         std::fs::read_to_string(&path).wrap_err_with(|| format!("reading {}", path.display()))?;
--- a/crates/cherrystand_testkit/src/domain/fake_box.rs
+++ b/crates/cherrystand_testkit/src/domain/fake_box.rs
@@ -52,11 +52,7 @@
 
     /// Takes the box down, with all that its engine had in memory.
     pub fn kill(&mut self, back_at: Option<Millis>) {
-        *self = Self {
-            alive: false,
-            back_at,
-            ..Self::new(self.checks_orders)
-        };
+        *self = Self { alive: false, back_at, ..Self::new(self.checks_orders) };
     }
 
     /// Brings the box back if its time has come.
@@ -74,11 +70,7 @@
         }
         self.highest = self.highest.max(order.epoch);
         match &order.task {
-            Task::Join {
-                replica,
-                load: spec,
-                ..
-            } if self.epoch != order.epoch => {
+            Task::Join { replica, load: spec, .. } if self.epoch != order.epoch => {
                 self.epoch = order.epoch;
                 self.replica = Some(replica.clone());
                 self.state = EngineState::Loading;
--- a/crates/cherrystand_testkit/src/domain/fake_domain.rs
+++ b/crates/cherrystand_testkit/src/domain/fake_domain.rs
@@ -111,9 +111,7 @@
     pub fn new(setup: DomainSetup, policies: &[RepairPolicy]) -> Self {
         let record = DomainRecord::empty(DomainId::new("d"));
         let names = (0..setup.boxes).map(|number| BoxId::new(format!("b{number:02}")));
-        let boxes = names
-            .map(|id| (id, FakeBox::new(setup.checks_orders)))
-            .collect();
+        let boxes = names.map(|id| (id, FakeBox::new(setup.checks_orders))).collect();
         let controllers = policies.iter().map(|policy| FakeController {
             controller: Controller::new(*policy),
             known: (Revision(0), record.clone()),
@@ -198,11 +196,7 @@
 
     /// Pauses a controller between its decision and its effects: they arrive when it goes on.
     pub fn pause_before_effects(&mut self, index: usize) {
-        if self
-            .controllers
-            .get(index)
-            .is_none_or(|controller| controller.paused)
-        {
+        if self.controllers.get(index).is_none_or(|controller| controller.paused) {
             return;
         }
         self.observe(index);
@@ -282,10 +276,7 @@
         let cut_off = self.controllers[index].cut_off;
         let now = self.now;
         for (id, fake) in &self.boxes {
-            let first = Observation {
-                heard: now,
-                report: None,
-            };
+            let first = Observation { heard: now, report: None };
             let seen = &mut self.controllers[index].seen;
             let observation = seen.entry(id.clone()).or_insert(first);
             if fake.alive && !cut_off {
@@ -310,10 +301,7 @@
             now: self.now,
             unix_secs: self.now.0 / 1_000,
         });
-        (
-            step.write.map(|record| Write { expected, record }),
-            step.orders,
-        )
+        (step.write.map(|record| Write { expected, record }), step.orders)
     }
 
     fn write(&mut self, index: usize, write: Write) {
@@ -371,11 +359,6 @@
 
 /// Returns the epochs that engines act on, with the replica of each.
 pub fn epochs_in_use(domain: &FakeDomain) -> Vec<(Epoch, ReplicaId)> {
-    let acting = domain
-        .boxes
-        .values()
-        .filter(|fake| fake.alive && fake.epoch > Epoch(0));
-    acting
-        .filter_map(|fake| Some((fake.epoch, fake.replica.clone()?)))
-        .collect()
+    let acting = domain.boxes.values().filter(|fake| fake.alive && fake.epoch > Epoch(0));
+    acting.filter_map(|fake| Some((fake.epoch, fake.replica.clone()?))).collect()
 }
--- a/crates/cherrystand_testkit/src/engine/answer.rs
+++ b/crates/cherrystand_testkit/src/engine/answer.rs
@@ -31,17 +31,11 @@
         } else {
             value.get("prompt")?.as_str()?
         };
-        let tokens = value
-            .get("max_tokens")
-            .and_then(Value::as_u64)
-            .unwrap_or(16);
+        let tokens = value.get("max_tokens").and_then(Value::as_u64).unwrap_or(16);
         Some(Self {
             text: text.to_owned(),
             tokens: tokens.clamp(1, MOST_TOKENS),
-            stream: value
-                .get("stream")
-                .and_then(Value::as_bool)
-                .unwrap_or(false),
+            stream: value.get("stream").and_then(Value::as_bool).unwrap_or(false),
             model: value.get("model")?.as_str()?.to_owned(),
             chat,
         })
@@ -84,11 +78,7 @@
     }
 
     fn object(&self, suffix: &str) -> String {
-        let kind = if self.chat {
-            "chat.completion"
-        } else {
-            "text_completion"
-        };
+        let kind = if self.chat { "chat.completion" } else { "text_completion" };
         format!("{kind}{suffix}")
     }
 }
--- a/crates/cherrystand_testkit/src/engine/stand_in.rs
+++ b/crates/cherrystand_testkit/src/engine/stand_in.rs
@@ -119,10 +119,7 @@
             frozen_until: None,
             executions: Executions::default(),
         };
-        Self {
-            state: Rc::new(RefCell::new(state)),
-            pool: HttpPool::default(),
-        }
+        Self { state: Rc::new(RefCell::new(state)), pool: HttpPool::default() }
     }
 
     /// Answers one call.
@@ -205,12 +202,7 @@
             return empty(StatusCode::CONFLICT);
         }
         match order.task {
-            Task::Join {
-                rank,
-                members,
-                load,
-                ..
-            } => self.join(order.epoch, rank, members, load),
+            Task::Join { rank, members, load, .. } => self.join(order.epoch, rank, members, load),
             Task::Drain => self.state.borrow_mut().state = EngineState::Draining,
             Task::Release => {
                 let mut state = self.state.borrow_mut();
@@ -266,15 +258,7 @@
         let platform = self.state.borrow().setup.platform;
         let path = format!("/v1/weights/{}@{}", load.model, load.version);
         let within = Duration::from_secs(600);
-        let answer = call(
-            &self.pool,
-            platform,
-            Method::GET,
-            &path,
-            Bytes::new(),
-            within,
-        )
-        .await;
+        let answer = call(&self.pool, platform, Method::GET, &path, Bytes::new(), within).await;
         answer.is_ok_and(|answer| answer.status == StatusCode::OK)
     }
 
@@ -298,15 +282,7 @@
 
     async fn member_epoch(&self, member: SocketAddr) -> Option<Epoch> {
         let path = "/engine/epoch";
-        let answer = call(
-            &self.pool,
-            member,
-            Method::GET,
-            path,
-            Bytes::new(),
-            MEMBER_WITHIN,
-        )
-        .await;
+        let answer = call(&self.pool, member, Method::GET, path, Bytes::new(), MEMBER_WITHIN).await;
         answer.ok()?.json().ok()
     }
 
@@ -323,9 +299,7 @@
             value.to_str().ok().map(str::to_owned)
         };
         let id = header("x-request-id").unwrap_or_default();
-        let meant = header(EPOCH_HEADER)
-            .and_then(|epoch| epoch.parse().ok())
-            .map(Epoch);
+        let meant = header(EPOCH_HEADER).and_then(|epoch| epoch.parse().ok()).map(Epoch);
         let Some(body) = read_body(req).await else {
             return not_run(StatusCode::BAD_REQUEST);
         };
@@ -337,17 +311,8 @@
         }
         let epoch = self.state.borrow().epoch;
         self.count(&id);
-        let run = Run {
-            engine: self.clone(),
-            epoch,
-            prompt,
-            done: false,
-        };
-        if run.prompt.stream {
-            run.stream()
-        } else {
-            run.whole().await
-        }
+        let run = Run { engine: self.clone(), epoch, prompt, done: false };
+        if run.prompt.stream { run.stream() } else { run.whole().await }
     }
 
     fn admit(&self, meant: Option<Epoch>) -> Result<(), StatusCode> {
@@ -453,9 +418,7 @@
         tokio::task::spawn_local(self.feed(tx));
         let mut answer = Response::new(receiver_body(rx));
         let kind = hyper::header::HeaderValue::from_static("text/event-stream");
-        answer
-            .headers_mut()
-            .insert(hyper::header::CONTENT_TYPE, kind);
+        answer.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
         answer
     }
 
@@ -478,8 +441,7 @@
 
 fn receiver_body(mut rx: mpsc::Receiver<Result<Bytes, std::io::Error>>) -> EngineBody {
     let frames = futures_util::stream::poll_fn(move |cx| {
-        rx.poll_recv(cx)
-            .map(|item| item.map(|bytes| bytes.map(Frame::data)))
+        rx.poll_recv(cx).map(|item| item.map(|bytes| bytes.map(Frame::data)))
     });
     BodyExt::boxed_unsync(StreamBody::new(frames))
 }
--- a/crates/cherrystand_testkit/src/http.rs
+++ b/crates/cherrystand_testkit/src/http.rs
@@ -17,9 +17,7 @@
     let mut answer = Response::new(Full::new(Bytes::from(text)));
     *answer.status_mut() = status;
     let kind = hyper::header::HeaderValue::from_static("application/json");
-    answer
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
+    answer.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
     answer
 }
 
@@ -50,8 +48,6 @@
 /// Returns the value of a query parameter.
 pub(crate) fn query<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
     let pairs = req.uri().query()?.split('&');
-    let found = pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name);
+    let found = pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name);
     found.map(|(_, value)| value)
 }
--- a/crates/cherrystand_testkit/src/load/caller.rs
+++ b/crates/cherrystand_testkit/src/load/caller.rs
@@ -48,12 +48,7 @@
     /// Creates a caller of some daemons.
     pub fn new(daemons: Vec<SocketAddr>) -> Self {
         let ready = RefCell::new(daemons.clone());
-        Self {
-            pool: HttpPool::default(),
-            daemons,
-            ready,
-            turn: Cell::new(0),
-        }
+        Self { pool: HttpPool::default(), daemons, ready, turn: Cell::new(0) }
     }
 
     /// Keeps finding out which daemons are ready; it never ends.
@@ -61,18 +56,9 @@
         loop {
             let mut ready = Vec::new();
             for daemon in &self.daemons {
-                let asked = call(
-                    &self.pool,
-                    *daemon,
-                    Method::GET,
-                    "/readyz",
-                    Bytes::new(),
-                    LOOK_EVERY,
-                );
-                if asked
-                    .await
-                    .is_ok_and(|answer| answer.status == StatusCode::OK)
-                {
+                let asked =
+                    call(&self.pool, *daemon, Method::GET, "/readyz", Bytes::new(), LOOK_EVERY);
+                if asked.await.is_ok_and(|answer| answer.status == StatusCode::OK) {
                     ready.push(*daemon);
                 }
             }
@@ -87,10 +73,7 @@
         loop {
             let Some(daemon) = self.next_daemon() else {
                 let reason = "no-daemon-ready".to_owned();
-                return Verdict::Refused {
-                    reason,
-                    not_run: true,
-                };
+                return Verdict::Refused { reason, not_run: true };
             };
             let exchange = self.exchange(daemon, id, ask);
             match tokio::time::timeout(ANSWER_WITHIN, exchange).await {
@@ -125,9 +108,7 @@
 }
 
 fn request(id: &str, ask: &Ask) -> Request<Full<Bytes>> {
-    let mut req = Request::builder()
-        .header("x-request-id", id)
-        .header("host", "cherrystand");
+    let mut req = Request::builder().header("x-request-id", id).header("host", "cherrystand");
     let body = match ask {
         Ask::Model(prompt) => {
             req = req.method(Method::POST).uri("/v1/chat/completions");
@@ -137,12 +118,7 @@
             })
             .to_string()
         }
-        Ask::Service {
-            method,
-            path,
-            body,
-            key,
-        } => {
+        Ask::Service { method, path, body, key } => {
             req = req.method(method.clone()).uri(path.as_str());
             if let Some(key) = key {
                 req = req.header("idempotency-key", key);
@@ -163,18 +139,13 @@
     if let Some(verdict) = judge_refusal(head.status, &head.headers, &body) {
         return verdict;
     }
-    let told = head
-        .headers
-        .get("cherrystand-outcome")
-        .map(|value| value.as_bytes());
+    let told = head.headers.get("cherrystand-outcome").map(|value| value.as_bytes());
     if told != Some(b"ran") {
         return Verdict::Wrong("a whole answer does not say that it was run".to_owned());
     }
     match ask {
         Ask::Model(prompt) if prompt.stream => judge_stream(prompt, &body),
         Ask::Model(prompt) => judge_whole(prompt, &body),
-        Ask::Service {
-            path, body: sent, ..
-        } => judge_service(path, sent, &body),
+        Ask::Service { path, body: sent, .. } => judge_service(path, sent, &body),
     }
 }
--- a/crates/cherrystand_testkit/src/load/mix.rs
+++ b/crates/cherrystand_testkit/src/load/mix.rs
@@ -62,9 +62,7 @@
         }
     }
     while requests.join_next().await.is_some() {}
-    Rc::try_unwrap(outcome)
-        .map(RefCell::into_inner)
-        .unwrap_or_default()
+    Rc::try_unwrap(outcome).map(RefCell::into_inner).unwrap_or_default()
 }
 
 fn take(outcome: &mut Outcome, id: String, verdict: &Verdict) {
@@ -82,23 +80,13 @@
     let ask = match number % 8 {
         0..=2 => Ask::Model(prompt(mix, number, false)),
         3 | 4 => Ask::Model(prompt(mix, number, true)),
-        5 => Ask::Service {
-            method: Method::GET,
-            path,
-            body: String::new(),
-            key: None,
-        },
+        5 => Ask::Service { method: Method::GET, path, body: String::new(), key: None },
         // The second one is what a caller sends who thinks that the first failed.
         kind => {
             let story = number - (kind - 6);
             let path = format!("{}/story/{story}", mix.service);
             let (body, key) = (format!("story {story}"), Some(format!("story-{story}")));
-            Ask::Service {
-                method: Method::POST,
-                path,
-                body,
-                key,
-            }
+            Ask::Service { method: Method::POST, path, body, key }
         }
     };
     (id, ask)
@@ -131,16 +119,10 @@
     for engine in engines {
         ran.extend(executions_of_engine(&pool, *engine).await);
     }
-    let twice = by_key
-        .iter()
-        .filter(|(key, count)| key.starts_with("story-") && **count > 1);
-    let mut faults: Vec<String> = twice
-        .map(|(key, count)| format!("{key} was run {count} times"))
-        .collect();
-    let not_run = outcome
-        .told_not_run
-        .iter()
-        .filter(|id| ran.contains_key(*id));
+    let twice = by_key.iter().filter(|(key, count)| key.starts_with("story-") && **count > 1);
+    let mut faults: Vec<String> =
+        twice.map(|(key, count)| format!("{key} was run {count} times")).collect();
+    let not_run = outcome.told_not_run.iter().filter(|id| ran.contains_key(*id));
     faults.extend(not_run.map(|id| format!("{id} was told not-run and was run")));
     faults
 }
@@ -148,17 +130,13 @@
 async fn executions_of_service(pool: &HttpPool, at: SocketAddr) -> BTreeMap<String, u32> {
     let path = "/control/executions";
     let told = call(pool, at, Method::GET, path, Bytes::new(), COUNT_WITHIN).await;
-    told.ok()
-        .and_then(|answer| answer.json().ok())
-        .unwrap_or_default()
+    told.ok().and_then(|answer| answer.json().ok()).unwrap_or_default()
 }
 
 async fn executions_of_engine(pool: &HttpPool, at: SocketAddr) -> BTreeMap<String, u32> {
     let path = "/control/executions";
     let told = call(pool, at, Method::GET, path, Bytes::new(), COUNT_WITHIN).await;
-    let executions: Executions = told
-        .ok()
-        .and_then(|answer| answer.json().ok())
-        .unwrap_or_default();
+    let executions: Executions =
+        told.ok().and_then(|answer| answer.json().ok()).unwrap_or_default();
     executions.by_request
 }
--- a/crates/cherrystand_testkit/src/load/verdict.rs
+++ b/crates/cherrystand_testkit/src/load/verdict.rs
@@ -68,27 +68,16 @@
 
 /// Judges an answer that did not come from an endpoint, or nothing if it did.
 pub fn judge_refusal(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> Option<Verdict> {
-    let outcome = headers
-        .get("cherrystand-outcome")
-        .and_then(|value| value.to_str().ok());
+    let outcome = headers.get("cherrystand-outcome").and_then(|value| value.to_str().ok());
     if status.is_success() {
         return None;
     }
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
-    let reason = value["error"]["reason"]
-        .as_str()
-        .unwrap_or_default()
-        .to_owned();
+    let reason = value["error"]["reason"].as_str().unwrap_or_default().to_owned();
     Some(match outcome {
         _ if reason.is_empty() => Verdict::Wrong(format!("status {status} without a reason")),
-        Some("not-run") => Verdict::Refused {
-            reason,
-            not_run: true,
-        },
-        Some("ran") => Verdict::Refused {
-            reason,
-            not_run: false,
-        },
+        Some("not-run") => Verdict::Refused { reason, not_run: true },
+        Some("ran") => Verdict::Refused { reason, not_run: false },
         Some("unknown") => Verdict::Unknown,
         _ => Verdict::Wrong(format!("status {status} without an outcome")),
     })
@@ -97,9 +86,7 @@
 /// Judges the whole answer of a model.
 pub fn judge_whole(prompt: &Prompt, body: &[u8]) -> Verdict {
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
-    let text = value["choices"][0]["message"]["content"]
-        .as_str()
-        .unwrap_or_default();
+    let text = value["choices"][0]["message"]["content"].as_str().unwrap_or_default();
     if text == prompt.whole_text() {
         return Verdict::Whole;
     }
@@ -112,16 +99,11 @@
     if text.contains("event: error") {
         return Verdict::Unknown;
     }
-    let expected: String = (0..prompt.tokens)
-        .map(|number| prompt.event(number))
-        .collect();
+    let expected: String = (0..prompt.tokens).map(|number| prompt.event(number)).collect();
     if text == format!("{expected}data: [DONE]\n\n") {
         return Verdict::Whole;
     }
-    Verdict::Wrong(format!(
-        "the stream of `{}` is not whole: `{text}`",
-        prompt.text
-    ))
+    Verdict::Wrong(format!("the stream of `{}` is not whole: `{text}`", prompt.text))
 }
 
 /// Judges a plain service's answer.
--- a/crates/cherrystand_testkit/src/platform/fake_key_value.rs
+++ b/crates/cherrystand_testkit/src/platform/fake_key_value.rs
@@ -60,11 +60,7 @@
 
     /// Returns the value of a key, beside all faults.
     pub fn peek(&self, key: &str) -> Option<String> {
-        self.state
-            .borrow()
-            .store
-            .get(key)
-            .map(|record| record.value)
+        self.state.borrow().store.get(key).map(|record| record.value)
     }
 
     /// Returns how many calls were made.
@@ -91,15 +87,11 @@
     for delayed in &mut state.delayed {
         delayed.after_calls = delayed.after_calls.saturating_sub(1);
     }
-    let (due, left): (Vec<Delayed>, Vec<Delayed>) = state
-        .delayed
-        .drain(..)
-        .partition(|delayed| delayed.after_calls == 0);
+    let (due, left): (Vec<Delayed>, Vec<Delayed>) =
+        state.delayed.drain(..).partition(|delayed| delayed.after_calls == 0);
     state.delayed = left;
     for delayed in due {
-        state
-            .store
-            .swap(&delayed.key, delayed.expected.0, delayed.body);
+        state.store.swap(&delayed.key, delayed.expected.0, delayed.body);
     }
 }
 
@@ -135,15 +127,8 @@
     ) -> Result<Changes, PlatformError> {
         self.begin().await?;
         let state = self.state.borrow();
-        let records = state
-            .store
-            .changed(prefix, after.0)
-            .into_iter()
-            .map(document);
-        Ok(Changes {
-            revision: state.store.revision(),
-            records: records.collect(),
-        })
+        let records = state.store.changed(prefix, after.0).into_iter().map(document);
+        Ok(Changes { revision: state.store.revision(), records: records.collect() })
     }
 
     async fn swap(&self, key: &str, expected: Revision, body: &str) -> Result<Swap, PlatformError> {
@@ -173,10 +158,6 @@
     ) -> Result<Lease, PlatformError> {
         self.begin().await?;
         let held = self.state.borrow_mut().store.lease(name, holder, life);
-        Ok(if held {
-            Lease::Held
-        } else {
-            Lease::HeldByOther
-        })
+        Ok(if held { Lease::Held } else { Lease::HeldByOther })
     }
 }
--- a/crates/cherrystand_testkit/src/platform/stand_in.rs
+++ b/crates/cherrystand_testkit/src/platform/stand_in.rs
@@ -160,11 +160,7 @@
         let mut state = self.state.borrow_mut();
         let path = req.uri().path();
         let write = req.method() == Method::PUT;
-        let allowed = if write {
-            state.writes.take()
-        } else {
-            state.reads.take()
-        };
+        let allowed = if write { state.writes.take() } else { state.reads.take() };
         let counts = &mut state.counts;
         counts.writes += u64::from(write);
         counts.reads += u64::from(!write);
@@ -185,9 +181,7 @@
         let Some(expected) = query_number(&req, "if-revision") else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let value = read_body(req)
-            .await
-            .and_then(|body| String::from_utf8(body.to_vec()).ok());
+        let value = read_body(req).await.and_then(|body| String::from_utf8(body.to_vec()).ok());
         let Some(value) = value else {
             return empty(StatusCode::BAD_REQUEST);
         };
@@ -209,13 +203,7 @@
     fn changes(&self, prefix: &str, after: u64) -> Response<Whole> {
         let store = &self.state.borrow().store;
         let records = store.changed(prefix, after);
-        json(
-            StatusCode::OK,
-            &WireRecords {
-                revision: store.revision(),
-                records,
-            },
-        )
+        json(StatusCode::OK, &WireRecords { revision: store.revision(), records })
     }
 
     async fn watch(&self, prefix: &str, req: &Request<Incoming>) -> Response<Whole> {
@@ -278,8 +266,6 @@
     for info in &mut inventory.boxes {
         info.leaving |= knobs.leave.contains(&info.id);
     }
-    inventory
-        .boxes
-        .retain(|info| !knobs.unlist.contains(&info.id));
+    inventory.boxes.retain(|info| !knobs.unlist.contains(&info.id));
     inventory.version = Revision(inventory.version.0 + 1);
 }
--- a/crates/cherrystand_testkit/src/platform/store.rs
+++ b/crates/cherrystand_testkit/src/platform/store.rs
@@ -32,10 +32,7 @@
 
     /// Returns the records below a prefix that changed after a revision.
     pub fn changed(&self, prefix: &str, after: u64) -> Vec<WireRecord> {
-        let below = self
-            .records
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix));
+        let below = self.records.iter().filter(|(key, _)| key.starts_with(prefix));
         let newer = below.filter(|(_, (revision, _))| *revision > after);
         newer.filter_map(|(key, _)| self.get(key)).collect()
     }
@@ -57,8 +54,7 @@
         match self.leases.get(name) {
             Some((other, until)) if other != holder && *until > now => false,
             _ => {
-                self.leases
-                    .insert(name.to_owned(), (holder.to_owned(), now + life));
+                self.leases.insert(name.to_owned(), (holder.to_owned(), now + life));
                 true
             }
         }
@@ -75,11 +71,7 @@
 impl Rate {
     /// Creates a rate that starts with one second's calls saved.
     pub fn new(per_second: f64) -> Self {
-        Self {
-            per_second,
-            saved: per_second,
-            refilled: Instant::now(),
-        }
+        Self { per_second, saved: per_second, refilled: Instant::now() }
     }
 
     /// Takes one call out of the rate, if it holds one.
--- a/crates/cherrystand_testkit/src/service_stand_in.rs
+++ b/crates/cherrystand_testkit/src/service_stand_in.rs
@@ -62,10 +62,7 @@
             _ => {}
         }
         let header = |name: &str| {
-            let value = req
-                .headers()
-                .get(name)
-                .and_then(|value| value.to_str().ok());
+            let value = req.headers().get(name).and_then(|value| value.to_str().ok());
             value.map(str::to_owned)
         };
         let request = header("x-request-id").unwrap_or_default();
@@ -76,22 +73,9 @@
             return empty(StatusCode::BAD_REQUEST);
         };
         self.wait().await;
-        *self
-            .state
-            .borrow_mut()
-            .executions
-            .entry(counted)
-            .or_default() += 1;
+        *self.state.borrow_mut().executions.entry(counted).or_default() += 1;
         let body = String::from_utf8_lossy(&body).into_owned();
-        json(
-            StatusCode::OK,
-            &ServiceAnswer {
-                method,
-                path,
-                body,
-                request,
-            },
-        )
+        json(StatusCode::OK, &ServiceAnswer { method, path, body, request })
     }
 
     async fn wait(&self) {
--- a/crates/cherrystandd/src/claims.rs
+++ b/crates/cherrystandd/src/claims.rs
@@ -17,10 +17,7 @@
 /// Claims a call; nothing is returned when the platform does not answer in time.
 pub(crate) async fn take(cx: &DutyContext, key: CallKey) -> Option<ClaimAnswer> {
     let (tx, rx) = oneshot::channel();
-    let call = ClaimCall {
-        request: ClaimRequest::Take(key),
-        answer: Some(tx),
-    };
+    let call = ClaimCall { request: ClaimRequest::Take(key), answer: Some(tx) };
     cx.claims.try_send(call).ok()?;
     rx.await.ok()
 }
@@ -37,10 +34,7 @@
 
 /// A note that is lost leaves the claim as it is, which answers `unknown`: safe, and less helpful.
 fn note(cx: &DutyContext, request: ClaimRequest) {
-    let call = ClaimCall {
-        request,
-        answer: None,
-    };
+    let call = ClaimCall { request, answer: None };
     if cx.claims.try_send(call).is_err() {
         cx.metrics.ring_full.with_label_values(&["claims"]).inc();
     }
--- a/crates/cherrystandd/src/clock.rs
+++ b/crates/cherrystandd/src/clock.rs
@@ -13,9 +13,7 @@
 impl Clock {
     /// Creates a clock that starts now.
     pub fn start() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
+        Self { origin: Instant::now() }
     }
 
     /// Returns the time now.
@@ -32,7 +30,5 @@
 /// Returns the time for people, in milliseconds since 1970.
 pub(crate) fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since
-        .map(|since| since.as_millis() as u64)
-        .unwrap_or_default()
+    since.map(|since| since.as_millis() as u64).unwrap_or_default()
 }
--- a/crates/cherrystandd/src/counted.rs
+++ b/crates/cherrystandd/src/counted.rs
@@ -22,11 +22,7 @@
     /// Creates a client of the platform that the settings name.
     pub(crate) fn new(cx: &DutyContext, duty: &'static str) -> Self {
         let inner = PlatformClient::new(cx.settings.platform.address);
-        Self {
-            inner,
-            metrics: cx.metrics.clone(),
-            duty,
-        }
+        Self { inner, metrics: cx.metrics.clone(), duty }
     }
 }
 
@@ -37,10 +33,7 @@
             Err(PlatformError::RateLimited) => "rate-limited",
             Err(_) => "failed",
         };
-        self.metrics
-            .platform_calls
-            .with_label_values(&[self.duty, result])
-            .inc();
+        self.metrics.platform_calls.with_label_values(&[self.duty, result]).inc();
         outcome
     }
 }
--- a/crates/cherrystandd/src/duties/claim_keeper.rs
+++ b/crates/cherrystandd/src/duties/claim_keeper.rs
@@ -34,14 +34,9 @@
             return;
         };
         let shard = key_of(&call.request).shard();
-        let tx = shards
-            .entry(shard)
-            .or_insert_with(|| start_shard(cx, shard));
+        let tx = shards.entry(shard).or_insert_with(|| start_shard(cx, shard));
         if tx.try_send(call).is_err() {
-            cx.metrics
-                .ring_full
-                .with_label_values(&["claim-shard"])
-                .inc();
+            cx.metrics.ring_full.with_label_values(&["claim-shard"]).inc();
         }
     }
 }
@@ -56,10 +51,7 @@
     let (tx, rx) = async_channel::bounded(crate::duty_context::RING_SLOTS);
     let service = Counted::new(cx, "claims");
     let writer = ClaimWriter::new(service, keys::claims(shard));
-    let keeper = ShardKeeper {
-        cx: cx.clone(),
-        writer,
-    };
+    let keeper = ShardKeeper { cx: cx.clone(), writer };
     tokio::task::spawn_local(keeper.run(rx));
     tx
 }
--- a/crates/cherrystandd/src/duties/controller.rs
+++ b/crates/cherrystandd/src/duties/controller.rs
@@ -89,18 +89,30 @@
             let observed = observed_domains(&view);
             self.ask_boxes(&view, &observed);
             self.tell_evidence(&view, &observed);
-            let decided: Vec<DomainId> = observed
-                .into_iter()
-                .filter(|(_, rank)| *rank == 0)
-                .map(|(id, _)| id)
-                .collect();
-            self.domains.retain(|id, _| decided.contains(id));
+            let decided: Vec<DomainId> =
+                observed.into_iter().filter(|(_, rank)| *rank == 0).map(|(id, _)| id).collect();
+            self.give_up_domains(&decided).await;
             for domain in decided {
                 self.decide(&view, domain).await;
             }
         }
     }
 
+    /// Lets go of domains that another daemon decides for from now on.
+    async fn give_up_domains(&mut self, decided: &[DomainId]) {
+        let given_up: Vec<DomainId> =
+            self.domains.keys().filter(|id| !decided.contains(id)).cloned().collect();
+        for domain in given_up {
+            let watched = self.domains.remove(&domain);
+            if watched.is_some_and(|watched| watched.leased_until.is_some()) {
+                let holder = self.cx.settings.node.as_str();
+                let name = lease_name(&domain);
+                // Should this fail, the lease ends by itself.
+                let _ = self.platform.lease(&name, holder, Duration::ZERO).await;
+            }
+        }
+    }
+
     fn ask_boxes(&mut self, view: &View, observed: &[(DomainId, usize)]) {
         let now = self.cx.clock.now();
         let interval = Millis(self.cx.settings.repair.probe_ms);
@@ -109,9 +121,7 @@
         }
         self.asked = Some(now);
         let records = observed.iter().map(|(domain, _)| record_of(view, domain).1);
-        let boxes: Vec<_> = records
-            .flat_map(|record| boxes_to_ask(&view.fleet, &record))
-            .collect();
+        let boxes: Vec<_> = records.flat_map(|record| boxes_to_ask(&view.fleet, &record)).collect();
         self.prober.keep_only(&boxes);
         for id in boxes {
             if let Some(info) = view.fleet.get(&id) {
@@ -123,9 +133,8 @@
     fn tell_evidence(&self, view: &View, observed: &[(DomainId, usize)]) {
         let now = self.cx.clock.now();
         let records = observed.iter().map(|(domain, _)| record_of(view, domain).1);
-        let evidence: Vec<_> = records
-            .flat_map(|record| self.prober.evidence(&record, now))
-            .collect();
+        let evidence: Vec<_> =
+            records.flat_map(|record| self.prober.evidence(&record, now)).collect();
         if !evidence.is_empty() {
             self.cx.tell_state(StateEvent::Evidence(evidence));
         }
@@ -140,9 +149,8 @@
         let seen = self.prober.seen();
         let formed = view.formed();
         let workspaces = view.workspaces.values();
-        let desired: Vec<_> = workspaces
-            .flat_map(|held| desired_in_domain(&held.record, &domain, &formed))
-            .collect();
+        let desired: Vec<_> =
+            workspaces.flat_map(|held| desired_in_domain(&held.record, &domain, &formed)).collect();
         let situation = Situation {
             record: &record,
             desired: &desired,
@@ -167,18 +175,15 @@
     async fn holds_lease(&mut self, domain: &DomainId) -> bool {
         let now = self.cx.clock.now();
         let policy = self.cx.settings.repair.policy();
-        let watched = self
-            .domains
-            .entry(domain.clone())
-            .or_insert_with(|| Watched {
-                controller: Controller::new(policy),
-                since: now,
-                leased_until: None,
-                ask_lease_at: now,
-            });
+        let watched = self.domains.entry(domain.clone()).or_insert_with(|| Watched {
+            controller: Controller::new(policy),
+            since: now,
+            leased_until: None,
+            ask_lease_at: now,
+        });
         if now >= watched.ask_lease_at {
             let holder = self.cx.settings.node.as_str();
-            let name = format!("domain-{domain}");
+            let name = lease_name(domain);
             let lease = self.platform.lease(&name, holder, LEASE_LIFE).await;
             let until = now + Millis(LEASE_LIFE.as_millis() as u64);
             (watched.leased_until, watched.ask_lease_at) = match lease {
@@ -216,11 +221,7 @@
                         "{}", explanation.evidence
                     );
                 }
-                let record = Document {
-                    key: key.into(),
-                    revision,
-                    body: body.into(),
-                };
+                let record = Document { key: key.into(), revision, body: body.into() };
                 self.cx.tell_state(StateEvent::Records(vec![record]));
             }
             Ok(Swap::Conflict(_)) | Err(PlatformError::NoAnswer(_)) => self.read_back(&key).await,
@@ -246,11 +247,7 @@
         let (cx, engines, address) = (self.cx.clone(), self.engines.clone(), info.address);
         tokio::task::spawn_local(async move {
             let outcome = engines.order(address, &order).await;
-            let result = if outcome.is_ok() {
-                "followed"
-            } else {
-                "failed"
-            };
+            let result = if outcome.is_ok() { "followed" } else { "failed" };
             cx.metrics.orders.with_label_values(&[result]).inc();
             if let Err(err) = outcome {
                 log::warn!(engine = order.target.as_str(), epoch = order.epoch.0; "{err}");
@@ -259,6 +256,10 @@
     }
 }
 
+fn lease_name(domain: &DomainId) -> String {
+    format!("domain-{domain}")
+}
+
 /// Returns the domains that this daemon observes, and its rank among each one's observers.
 fn observed_domains(view: &View) -> Vec<(DomainId, usize)> {
     let mut domains = view.fleet.domains();
@@ -266,15 +267,9 @@
     let alive: Vec<_> = view.alive().cloned().collect();
     let rank_of = |domain: &DomainId| {
         let order = ranked(domain.as_str(), &alive);
-        order
-            .iter()
-            .take(OBSERVERS)
-            .position(|node| **node == view.own.node)
+        order.iter().take(OBSERVERS).position(|node| **node == view.own.node)
     };
-    domains
-        .into_iter()
-        .filter_map(|id| Some((id.clone(), rank_of(&id)?)))
-        .collect()
+    domains.into_iter().filter_map(|id| Some((id.clone(), rank_of(&id)?))).collect()
 }
 
 fn record_of(view: &View, domain: &DomainId) -> (Revision, DomainRecord) {
--- a/crates/cherrystandd/src/duties/gossip.rs
+++ b/crates/cherrystandd/src/duties/gossip.rs
@@ -52,17 +52,10 @@
     own: SocketAddr,
     seed: &mut Seed,
 ) -> Option<SocketAddr> {
-    let alive: Vec<SocketAddr> = view
-        .alive()
-        .map(|beat| beat.address)
-        .filter(|address| *address != own)
-        .collect();
+    let alive: Vec<SocketAddr> =
+        view.alive().map(|beat| beat.address).filter(|address| *address != own).collect();
     let reunite = alive.is_empty() || seed.below(ROUNDS_TO_REUNITE) == 0;
-    let mut choices = if reunite {
-        known_addresses(cx, view)
-    } else {
-        alive
-    };
+    let mut choices = if reunite { known_addresses(cx, view) } else { alive };
     choices.retain(|address| *address != own);
     let pick = seed.below(choices.len());
     choices.get(pick).copied()
@@ -80,12 +73,10 @@
             Reply::News(news) => {
                 ask_state(cx, |next| StateEvent::NewsCame { news, asked, next }).flatten()
             }
-            Reply::Compared { newer, wanted } => ask_state(cx, |hand_over| StateEvent::Compared {
-                newer,
-                wanted,
-                hand_over,
-            })
-            .flatten(),
+            Reply::Compared { newer, wanted } => {
+                ask_state(cx, |hand_over| StateEvent::Compared { newer, wanted, hand_over })
+                    .flatten()
+            }
             Reply::Taken => None,
         };
     }
@@ -99,14 +90,8 @@
     question: &Question,
 ) -> Result<Reply, PeerError> {
     let (reply, sent, received) = dialer.ask(peer, question)?;
-    cx.metrics
-        .peer_bytes
-        .with_label_values(&["out"])
-        .inc_by(sent as u64);
-    cx.metrics
-        .peer_bytes
-        .with_label_values(&["in"])
-        .inc_by(received as u64);
+    cx.metrics.peer_bytes.with_label_values(&["out"]).inc_by(sent as u64);
+    cx.metrics.peer_bytes.with_label_values(&["in"]).inc_by(received as u64);
     Ok(reply)
 }
 
--- a/crates/cherrystandd/src/duties/operator_api.rs
+++ b/crates/cherrystandd/src/duties/operator_api.rs
@@ -20,9 +20,8 @@
 
 async fn serve(cx: &DutyContext) -> Result<(), DutyError> {
     let address = cx.settings.listen.operators;
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|source| DutyError::Listen { address, source })?;
+    let listener =
+        TcpListener::bind(address).await.map_err(|source| DutyError::Listen { address, source })?;
     let operators = Rc::new(Operators::new(cx.clone()));
     // Operators' calls are short; at the end they are cut rather than waited for.
     let (_stop, stopped) = watch::channel(false);
--- a/crates/cherrystandd/src/duties/platform_watch.rs
+++ b/crates/cherrystandd/src/duties/platform_watch.rs
@@ -49,12 +49,7 @@
 }
 
 async fn watch(cx: &DutyContext) {
-    let mut watcher = Watcher {
-        cx,
-        client: Counted::new(cx, "watch"),
-        known: None,
-        listed: None,
-    };
+    let mut watcher = Watcher { cx, client: Counted::new(cx, "watch"), known: None, listed: None };
     loop {
         if !should_read(&cx.view_now()) {
             tokio::time::sleep(IDLE_FOR).await;
@@ -74,10 +69,7 @@
     let zone = &view.own.zone;
     let neighbours = view.alive().filter(|beat| &beat.zone == zone);
     let watchers = ranked("platform-watch", neighbours);
-    let chosen = watchers
-        .iter()
-        .take(WATCHERS_PER_ZONE)
-        .any(|node| **node == view.own.node);
+    let chosen = watchers.iter().take(WATCHERS_PER_ZONE).any(|node| **node == view.own.node);
     let stale = view.platform_age.is_none_or(|age| age > READ_WHEN_OLDER);
     chosen || stale
 }
@@ -106,10 +98,7 @@
 
     async fn read_list(&mut self) -> Result<(), PlatformError> {
         let now = self.cx.clock.now();
-        if self
-            .listed
-            .is_some_and(|listed| now.since(listed) < LIST_LIFE)
-        {
+        if self.listed.is_some_and(|listed| now.since(listed) < LIST_LIFE) {
             return Ok(());
         }
         let inventory = self.client.inventory().await?;
--- a/crates/cherrystandd/src/duties/prober.rs
+++ b/crates/cherrystandd/src/duties/prober.rs
@@ -23,11 +23,7 @@
 impl Prober {
     /// Creates a prober that has seen nothing yet.
     pub(crate) fn new(cx: DutyContext) -> Self {
-        Self {
-            cx,
-            client: EngineClient::default(),
-            seen: Rc::default(),
-        }
+        Self { cx, client: EngineClient::default(), seen: Rc::default() }
     }
 
     /// Returns what is known of all boxes asked.
@@ -41,10 +37,7 @@
         let mut seen = self.seen.borrow_mut();
         seen.retain(|id, _| boxes.contains(id));
         for id in boxes {
-            let unknown = Observation {
-                heard: now,
-                report: None,
-            };
+            let unknown = Observation { heard: now, report: None };
             seen.entry(id.clone()).or_insert(unknown);
         }
     }
@@ -78,6 +71,7 @@
                 let ages = held.boxes.iter().filter_map(|id| seen.get(id));
                 let oldest = ages.map(|seen| now.since(seen.heard)).max();
                 ReplicaEvidence {
+                    domain: record.domain.clone(),
                     replica: replica.clone(),
                     epoch: held.epoch,
                     age: oldest.unwrap_or_default(),
@@ -91,10 +85,8 @@
 
 /// Returns the boxes of a domain: those listed, and those that its record still names.
 pub(crate) fn boxes_to_ask(fleet: &Fleet, record: &DomainRecord) -> Vec<BoxId> {
-    let mut boxes: Vec<BoxId> = fleet
-        .of_domain(&record.domain)
-        .map(|info| info.id.clone())
-        .collect();
+    let mut boxes: Vec<BoxId> =
+        fleet.of_domain(&record.domain).map(|info| info.id.clone()).collect();
     let assigned = record.replicas.values().flat_map(|held| &held.boxes);
     boxes.extend(assigned.chain(record.releasing.keys()).cloned());
     boxes.sort();
--- a/crates/cherrystandd/src/duties/relay.rs
+++ b/crates/cherrystandd/src/duties/relay.rs
@@ -24,9 +24,8 @@
 
 async fn serve(cx: &DutyContext) -> Result<(), DutyError> {
     let address = cx.settings.listen.callers;
-    let listener = TcpListener::bind(address)
-        .await
-        .map_err(|source| DutyError::Listen { address, source })?;
+    let listener =
+        TcpListener::bind(address).await.map_err(|source| DutyError::Listen { address, source })?;
     let relay = Rc::new(Relay::new(cx.clone()));
     tokio::task::spawn_local(answer_questions(cx.clone(), relay.clone()));
     let (stop, stopped) = watch::channel(false);
--- a/crates/cherrystandd/src/duties/state_keeper.rs
+++ b/crates/cherrystandd/src/duties/state_keeper.rs
@@ -70,10 +70,7 @@
     for held in view.workspaces.values() {
         let workspace = held.record.config.workspace.as_str();
         let generation = held.record.generation.0 as i64;
-        cx.metrics
-            .generation
-            .with_label_values(&[workspace])
-            .set(generation);
+        cx.metrics.generation.with_label_values(&[workspace]).set(generation);
     }
     let serving = view.routes.iter().flat_map(|group| &group.targets);
     let replicas = serving.filter(|target| target.replica.is_some()).count();
--- a/crates/cherrystandd/src/kernel.rs
+++ b/crates/cherrystandd/src/kernel.rs
@@ -36,10 +36,7 @@
         for duty in inventory::iter::<Duty> {
             threads.push((duty.name, start_thread(duty, cx.clone())?));
         }
-        Ok(Self {
-            stop: cx.stop.clone(),
-            threads,
-        })
+        Ok(Self { stop: cx.stop.clone(), threads })
     }
 
     /// Waits until every duty has ended, and ends the others once one has failed.
@@ -50,9 +47,7 @@
     pub fn join(self) -> Result<(), DutyError> {
         let mut outcome = Ok(());
         for (name, thread) in self.threads {
-            let ended = thread
-                .join()
-                .unwrap_or(Err(DutyError::Panicked { duty: name }));
+            let ended = thread.join().unwrap_or(Err(DutyError::Panicked { duty: name }));
             outcome = outcome.and(ended);
         }
         self.stop.send_replace(StopPhase::Stopped);
@@ -65,19 +60,13 @@
     cx: DutyContext,
 ) -> Result<JoinHandle<Result<(), DutyError>>, DutyError> {
     let run = move || {
-        let on_end = StopOnEnd {
-            stop: cx.stop.clone(),
-            clean: false,
-        };
+        let on_end = StopOnEnd { stop: cx.stop.clone(), clean: false };
         run_duty(duty, cx, on_end)
     };
     std::thread::Builder::new()
         .name(duty.name.to_owned())
         .spawn(run)
-        .map_err(|source| DutyError::Thread {
-            duty: duty.name,
-            source,
-        })
+        .map_err(|source| DutyError::Thread { duty: duty.name, source })
 }
 
 fn run_duty(duty: &Duty, cx: DutyContext, mut on_end: StopOnEnd) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/main.rs
+++ b/crates/cherrystandd/src/main.rs
@@ -39,9 +39,7 @@
 
 /// Begins a planned stop on the signals that ask for one.
 fn watch_signals(cx: DutyContext) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let guard = runtime.enter();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -55,8 +53,6 @@
         });
         cx.drain();
     };
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(watch)?;
+    std::thread::Builder::new().name("signals".to_owned()).spawn(watch)?;
     Ok(())
 }
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -7,9 +7,8 @@
 };
 
 /// Bounds of the buckets for times, in seconds.
-const TIME_BUCKETS: [f64; 12] = [
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.46, 1.0, 2.5, 10.0,
-];
+const TIME_BUCKETS: [f64; 12] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.46, 1.0, 2.5, 10.0];
 
 /// Holds every counter and gauge; docs/operators/metrics.md says what each is for.
 pub struct Metrics {
@@ -62,9 +61,7 @@
     /// Returns an error where two metrics have one name.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new();
-        let make = Maker {
-            registry: &registry,
-        };
+        let make = Maker { registry: &registry };
         let metrics = Self {
             requests: make.counters("requests_total", "Requests taken.", &["class"])?,
             answers: make.counters("answers_total", "Answers given.", &["outcome", "status"])?,
@@ -118,9 +115,7 @@
     /// Counts an answer.
     pub fn answered(&self, outcome: Outcome, status: u16) {
         let status = status.to_string();
-        self.answers
-            .with_label_values(&[outcome.as_str(), &status])
-            .inc();
+        self.answers.with_label_values(&[outcome.as_str(), &status]).inc();
     }
 
     /// Writes all metrics in the Prometheus text format.
--- a/crates/cherrystandd/src/operator/api.rs
+++ b/crates/cherrystandd/src/operator/api.rs
@@ -1,8 +1,10 @@
 //! The calls that operators make, over HTTP with JSON.
 
 use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
-use cherrystand_core::{PlanId, ReplicaId, WorkspaceConfig};
+use cherrystand_core::{Document, PlanId, ReplicaId, WorkspaceConfig};
 use cherrystand_platform::PlatformClient;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -14,12 +16,15 @@
 use crate::operator::status::explain_replica;
 use crate::operator::{OperatorError, WorkspaceChange, status_of};
 use crate::relay::{NoteQuestion, RelayBody, plain_text};
-use crate::state::StateEvent;
+use crate::state::{StateEvent, View};
 use crate::{DutyContext, writer};
 
 /// The largest configuration, in bytes; two of them have to fit into one record.
 const LARGEST_CONFIG: usize = 256 << 10;
 
+/// How long an operator waits for a majority of the daemons to hold a change.
+const MAJORITY_WITHIN: Duration = Duration::from_secs(12);
+
 /// The header by which an operator says who they are, for the history.
 const OPERATOR_HEADER: &str = "cherrystand-operator";
 
@@ -37,16 +42,14 @@
     }
 
     async fn plan(&self, req: Request<Incoming>) -> Result<Value, OperatorError> {
-        let body = Limited::new(req.into_body(), LARGEST_CONFIG)
-            .collect()
-            .await;
+        let body = Limited::new(req.into_body(), LARGEST_CONFIG).collect().await;
         let body =
             body.map_err(|_| OperatorError::BadRequest("the configuration is cut or too large"))?;
         let text = String::from_utf8(body.to_bytes().to_vec())
             .map_err(|_| OperatorError::BadRequest("the configuration is not UTF-8 text"))?;
         let config = WorkspaceConfig::from_toml(&text)?;
         let view = self.cx.view_now();
-        let held = view.held_boxes();
+        let held = view.formed().boxes();
         let changes = WorkspaceChange {
             service: &self.platform,
             write: writer::next_write(&view),
@@ -54,23 +57,19 @@
             held: &held,
         };
         let written = changes.plan(config).await?;
-        self.cx
-            .tell_state(StateEvent::Records(vec![written.record]));
+        self.cx.tell_state(StateEvent::Records(vec![written.record]));
         Ok(plan_for_people(&written.told))
     }
 
     async fn confirm(&self, req: &Request<Incoming>, id: &str) -> Result<Value, OperatorError> {
-        let operator = req
-            .headers()
-            .get(OPERATOR_HEADER)
-            .and_then(|name| name.to_str().ok());
+        let operator = req.headers().get(OPERATOR_HEADER).and_then(|name| name.to_str().ok());
         let operator = operator.unwrap_or("unnamed");
         let view = self.cx.view_now();
         if !view.may_accept {
             let (heard, all) = view.heard;
             return Err(OperatorError::TooFewDaemons { heard, all });
         }
-        let held = view.held_boxes();
+        let held = view.formed().boxes();
         let changes = WorkspaceChange {
             service: &self.platform,
             write: writer::next_write(&view),
@@ -79,15 +78,33 @@
         };
         let written = changes.confirm(&PlanId::new(id), operator).await?;
         let accepted = written.told;
+        let record = written.record;
+        self.cx.tell_state(StateEvent::Records(vec![record.clone()]));
+        self.until_majority_holds(&record).await?;
         log::info!(
             generation = accepted.generation.0, plan = id, operator = operator;
             "a configuration was accepted"
         );
-        self.cx
-            .tell_state(StateEvent::Records(vec![written.record]));
         Ok(json!(accepted))
     }
 
+    /// Waits until a majority of the daemons holds a record as it was written, or a newer one.
+    ///
+    /// Only then can no daemon go on by the old one for long, whatever fails from here on.
+    async fn until_majority_holds(&self, record: &Document) -> Result<(), OperatorError> {
+        let holds = |view: &Arc<View>| {
+            let held = view.workspaces.get(&record.key);
+            let here = held.is_some_and(|held| held.revision >= record.revision);
+            here && view.majority_holds
+        };
+        let mut view = self.cx.view.clone();
+        let held = tokio::time::timeout(MAJORITY_WITHIN, view.wait_for(holds)).await;
+        match held {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(OperatorError::MayBeDone),
+        }
+    }
+
     fn plans(&self) -> Value {
         let view = self.cx.view_now();
         let records = view.workspaces.values().map(|held| &held.record);
@@ -121,20 +138,12 @@
             return Ok(told);
         }
         let (reply, note) = oneshot::channel();
-        let question = NoteQuestion {
-            request: name.to_owned(),
-            reply,
-        };
+        let question = NoteQuestion { request: name.to_owned(), reply };
         if self.cx.notes.try_send(question).is_err() {
-            self.cx
-                .metrics
-                .ring_full
-                .with_label_values(&["notes"])
-                .inc();
+            self.cx.metrics.ring_full.with_label_values(&["notes"]).inc();
         }
         let note = note.await.ok().flatten();
-        note.map(|note| json!(note))
-            .ok_or_else(|| unknown("replica or request", name))
+        note.map(|note| json!(note)).ok_or_else(|| unknown("replica or request", name))
     }
 
     fn drain(&self) -> Value {
@@ -144,10 +153,7 @@
 }
 
 fn unknown(what: &'static str, name: &str) -> OperatorError {
-    OperatorError::Unknown {
-        what,
-        name: name.to_owned(),
-    }
+    OperatorError::Unknown { what, name: name.to_owned() }
 }
 
 fn plan_for_people(plan: &cherrystand_core::Plan) -> Value {
--- a/crates/cherrystandd/src/operator/change.rs
+++ b/crates/cherrystandd/src/operator/change.rs
@@ -79,10 +79,7 @@
     fn plan_id(&self, workspace: &WorkspaceId) -> PlanId {
         let write = &self.write;
         let seed = format!("{}/{}/{}", write.node, write.incarnation, write.sequence);
-        PlanId::new(format!(
-            "{workspace}.{:08x}",
-            hash_bytes(seed.as_bytes()) as u32
-        ))
+        PlanId::new(format!("{workspace}.{:08x}", hash_bytes(seed.as_bytes()) as u32))
     }
 
     async fn read(
@@ -113,11 +110,7 @@
             match self.settle(workspace, outcome).await? {
                 Some(Try::Done(revision)) => {
                     let body = Arc::from(body);
-                    return Ok(Some(Document {
-                        key: Arc::from(key),
-                        revision,
-                        body,
-                    }));
+                    return Ok(Some(Document { key: Arc::from(key), revision, body }));
                 }
                 Some(Try::Again) => {}
                 None => return Ok(None),
@@ -165,8 +158,5 @@
 fn workspace_of(id: &PlanId) -> Result<WorkspaceId, OperatorError> {
     let parts = id.as_str().rsplit_once('.');
     let workspace = parts.map(|(workspace, _)| WorkspaceId::new(workspace));
-    workspace.ok_or_else(|| OperatorError::Unknown {
-        what: "plan",
-        name: id.to_string(),
-    })
+    workspace.ok_or_else(|| OperatorError::Unknown { what: "plan", name: id.to_string() })
 }
--- a/crates/cherrystandd/src/operator/error.rs
+++ b/crates/cherrystandd/src/operator/error.rs
@@ -20,7 +20,7 @@
     /// The platform did not answer, and nothing was changed.
     #[error("nothing was changed: {0}")]
     Platform(#[from] PlatformError),
-    /// The platform did not answer, and the change may have taken effect.
+    /// The change may have taken effect, or has and is not yet held by a majority.
     #[error(
         "the platform did not answer; the change may be in force: look at `cherrystand history`"
     )]
--- a/crates/cherrystandd/src/operator/status.rs
+++ b/crates/cherrystandd/src/operator/status.rs
@@ -7,10 +7,7 @@
 
 /// Describes groups, replicas, boxes and daemons as this one knows them.
 pub(crate) fn status_of(view: &View) -> Value {
-    let workspaces = view
-        .workspaces
-        .values()
-        .map(|held| workspace(view, &held.record));
+    let workspaces = view.workspaces.values().map(|held| workspace(view, &held.record));
     json!({
         "node": node(view),
         "workspaces": workspaces.collect::<Vec<_>>(),
@@ -67,11 +64,7 @@
 fn replicas_of(view: &View, record: &DomainRecord) -> Vec<Value> {
     let formed = record.replicas.iter();
     let one = |(replica, held): (&ReplicaId, &cherrystand_core::Assignment)| {
-        let last = record
-            .explanations
-            .iter()
-            .rev()
-            .find(|past| &past.replica == replica);
+        let last = record.explanations.iter().rev().find(|past| &past.replica == replica);
         json!({
             "replica": replica, "domain": record.domain, "epoch": held.epoch,
             "phase": held.phase, "serving": serves(view, replica), "boxes": held.boxes,
@@ -90,10 +83,7 @@
 
 fn boxes(view: &View) -> Vec<Value> {
     let formed = view.formed();
-    let holder = |id: &cherrystand_core::BoxId| {
-        let mut holders = formed.iter().filter(|(_, held)| held.boxes.contains(id));
-        holders.next().map(|(replica, _)| replica.to_string())
-    };
+    let holder = |id: &cherrystand_core::BoxId| formed.holder(id).map(ToString::to_string);
     let one = |info: &cherrystand_core::BoxInfo| {
         json!({
             "box": info.id, "domain": info.domain, "zone": info.zone,
--- a/crates/cherrystandd/src/relay/answer.rs
+++ b/crates/cherrystandd/src/relay/answer.rs
@@ -52,10 +52,7 @@
 impl Failure {
     /// A request that was certainly not run.
     pub(crate) fn not_run(refusal: Refusal) -> Self {
-        Self {
-            outcome: Outcome::NotRun,
-            refusal,
-        }
+        Self { outcome: Outcome::NotRun, refusal }
     }
 
     /// A request that cannot be run, now or later, as it is.
@@ -65,10 +62,7 @@
 
     /// A request that may have been run.
     pub(crate) fn unknown(reason: RefusalReason) -> Self {
-        Self {
-            outcome: Outcome::Unknown,
-            refusal: Refusal::final_for(reason),
-        }
+        Self { outcome: Outcome::Unknown, refusal: Refusal::final_for(reason) }
     }
 
     /// A request whose key was claimed before.
@@ -77,10 +71,7 @@
             Some(Outcome::Ran) => Outcome::Ran,
             _ => Outcome::Unknown,
         };
-        Self {
-            outcome,
-            refusal: Refusal::final_for(RefusalReason::KeyInUse),
-        }
+        Self { outcome, refusal: Refusal::final_for(RefusalReason::KeyInUse) }
     }
 }
 
--- a/crates/cherrystandd/src/relay/attempt.rs
+++ b/crates/cherrystandd/src/relay/attempt.rs
@@ -47,16 +47,7 @@
     ) -> Self {
         let sent = relay.now();
         let unless_ended = AttemptEnd::CallerLeft;
-        Self {
-            relay,
-            call,
-            endpoint,
-            target,
-            sent,
-            first_byte: None,
-            unless_ended,
-            ended: false,
-        }
+        Self { relay, call, endpoint, target, sent, first_byte: None, unless_ended, ended: false }
     }
 
     /// Notes that the answer begins.
@@ -102,11 +93,7 @@
 impl Begun {
     /// Tells whether the answer is a stream of events.
     pub(crate) fn is_event_stream(&self) -> bool {
-        let kind = self
-            .head
-            .headers
-            .get(CONTENT_TYPE)
-            .map(HeaderValue::as_bytes);
+        let kind = self.head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
         kind.is_some_and(|kind| kind.starts_with(b"text/event-stream"))
     }
 }
@@ -122,12 +109,7 @@
             if rest.is_none() {
                 in_flight.end(AttemptEnd::Answered);
             }
-            Ok(Begun {
-                head,
-                held,
-                rest,
-                in_flight,
-            })
+            Ok(Begun { head, held, rest, in_flight })
         }
         Err(end) => {
             in_flight.end(end);
@@ -141,9 +123,7 @@
     let relay = in_flight.relay.clone();
     let remaining = call.deadline.since(relay.now());
     let req = request_for(&call, &in_flight.target, remaining);
-    let send = relay
-        .pool
-        .send(in_flight.target.address, req, CONNECT_WITHIN);
+    let send = relay.pool.send(in_flight.target.address, req, CONNECT_WITHIN);
     let deadline = tokio::time::Instant::now() + Duration::from_millis(remaining.0);
     let answer = tokio::time::timeout_at(deadline, send)
         .await
@@ -157,9 +137,7 @@
     }
     in_flight.begins();
     let held = hold_back(answer);
-    tokio::time::timeout_at(deadline, held)
-        .await
-        .map_err(|_| AttemptEnd::TimedOut)?
+    tokio::time::timeout_at(deadline, held).await.map_err(|_| AttemptEnd::TimedOut)?
 }
 
 fn request_for(call: &Call, target: &Target, remaining: Millis) -> Request<Full<Bytes>> {
--- a/crates/cherrystandd/src/relay/call.rs
+++ b/crates/cherrystandd/src/relay/call.rs
@@ -68,9 +68,7 @@
             Some((replica, epoch)) => format!("{replica}@{epoch} at {}", target.address),
             None => target.address.to_string(),
         };
-        self.attempts
-            .borrow_mut()
-            .push((to, end.as_str().to_owned()));
+        self.attempts.borrow_mut().push((to, end.as_str().to_owned()));
     }
 }
 
@@ -123,11 +121,7 @@
 
 fn default_deadline(settings: &Settings, is_model: bool) -> Millis {
     let limits = &settings.limits;
-    Millis(if is_model {
-        limits.model_deadline_ms
-    } else {
-        limits.service_deadline_ms
-    })
+    Millis(if is_model { limits.model_deadline_ms } else { limits.service_deadline_ms })
 }
 
 /// Reads a body whole, up to a size.
@@ -185,15 +179,9 @@
     }
     let call: ModelCall<'_> =
         serde_json::from_slice(body).map_err(|_| RefusalReason::BadRequest)?;
-    let text = call
-        .messages
-        .or(call.prompt)
-        .ok_or(RefusalReason::BadRequest)?
-        .get();
+    let text = call.messages.or(call.prompt).ok_or(RefusalReason::BadRequest)?.get();
     let prefix = hash_bytes(&text.as_bytes()[..text.len().min(PREFIX_BYTES)]);
-    let group = core
-        .model(&call.model)
-        .ok_or(RefusalReason::UnknownTarget)?;
+    let group = core.model(&call.model).ok_or(RefusalReason::UnknownTarget)?;
     Ok((group, Some(prefix)))
 }
 
@@ -205,9 +193,8 @@
     match &group.kind {
         RouteKind::Model { .. } => true,
         RouteKind::Service { not_repeatable, .. } => {
-            let listed = not_repeatable
-                .iter()
-                .any(|name| name.eq_ignore_ascii_case(method.as_str()));
+            let listed =
+                not_repeatable.iter().any(|name| name.eq_ignore_ascii_case(method.as_str()));
             method.is_idempotent() && !listed
         }
     }
--- a/crates/cherrystandd/src/relay/core.rs
+++ b/crates/cherrystandd/src/relay/core.rs
@@ -119,13 +119,8 @@
             RouteKind::Service { prefix, .. } if covers(prefix, path) => Some(prefix.len()),
             _ => None,
         };
-        let fitting = self
-            .groups
-            .values()
-            .filter_map(|group| Some((length(group)?, group.key)));
-        fitting
-            .max_by_key(|(length, _)| *length)
-            .map(|(_, key)| key)
+        let fitting = self.groups.values().filter_map(|group| Some((length(group)?, group.key)));
+        fitting.max_by_key(|(length, _)| *length).map(|(_, key)| key)
     }
 
     /// Chooses an endpoint and counts the request as on its way to it.
@@ -136,11 +131,7 @@
         now: Millis,
     ) -> Result<(EndpointKey, Target), NoEndpoint> {
         let key = self.router.choose(group, prefix, now, &mut self.seed)?;
-        let target = self
-            .targets
-            .get(key)
-            .ok_or(NoEndpoint::NoneServing)?
-            .clone();
+        let target = self.targets.get(key).ok_or(NoEndpoint::NoneServing)?.clone();
         self.router.start(key);
         Ok((key, target))
     }
@@ -218,11 +209,8 @@
     fn follow_target(&mut self, group: &mut GroupState, target: &RouteTarget, now: Millis) {
         let (router, targets) = (&mut self.router, &mut self.targets);
         let key = *group.targets.entry(id_of(target)).or_insert_with(|| {
-            let spec = EndpointSpec {
-                near: target.near,
-                start_limit: START_LIMIT,
-                most: target.most,
-            };
+            let spec =
+                EndpointSpec { near: target.near, start_limit: START_LIMIT, most: target.most };
             let key = router.add_endpoint(group.key, spec);
             let (address, replica) = id_of(target);
             targets.insert(key, Target { address, replica });
--- a/crates/cherrystandd/src/relay/flow.rs
+++ b/crates/cherrystandd/src/relay/flow.rs
@@ -103,10 +103,7 @@
             return Some(known);
         }
         let newer = view.wait_for(|view| is_fresh(view));
-        let newer = tokio::time::timeout(NEW_VIEW_WITHIN, newer)
-            .await
-            .ok()?
-            .ok()?;
+        let newer = tokio::time::timeout(NEW_VIEW_WITHIN, newer).await.ok()?.ok()?;
         Some(newer.clone())
     }
 }
@@ -124,12 +121,7 @@
         let mut core = relay.core.borrow_mut();
         core.admission.enter(call.class, &call.workspace)?;
         relay.cx.metrics.in_flight.inc();
-        Ok(Self {
-            relay: relay.clone(),
-            call: call.clone(),
-            claimed: false,
-            ended: false,
-        })
+        Ok(Self { relay: relay.clone(), call: call.clone(), claimed: false, ended: false })
     }
 
     /// Gives the room back and notes what became of the request.
@@ -140,11 +132,7 @@
         self.ended = true;
         let call = &self.call;
         self.relay.cx.metrics.in_flight.dec();
-        self.relay
-            .core
-            .borrow_mut()
-            .admission
-            .leave(call.class, &call.workspace);
+        self.relay.core.borrow_mut().admission.leave(call.class, &call.workspace);
         self.relay.note_end(call, outcome, refusal);
         if let Some(key) = call.key.filter(|_| self.claimed) {
             match outcome {
@@ -222,10 +210,7 @@
     let reason = failure.refusal.reason.as_str();
     relay.cx.metrics.refusals.with_label_values(&[reason]).inc();
     let made = answer::failure(failure, id);
-    relay
-        .cx
-        .metrics
-        .answered(failure.outcome, made.status().as_u16());
+    relay.cx.metrics.answered(failure.outcome, made.status().as_u16());
     made
 }
 
@@ -235,20 +220,11 @@
     id: String,
 ) -> Result<Response<RelayBody>, Failure> {
     let view = relay.fresh_view().await;
-    let view = view
-        .filter(|view| view.serve_by.may_serve())
-        .ok_or_else(cut_off)?;
+    let view = view.filter(|view| view.serve_by.may_serve()).ok_or_else(cut_off)?;
     relay.core.borrow_mut().follow(&view.routes, relay.now());
-    let call = read_call(&relay.cx, &relay.core, req, id)
-        .await
-        .map_err(Failure::never)?;
+    let call = read_call(&relay.cx, &relay.core, req, id).await.map_err(Failure::never)?;
     let call = Rc::new(call);
-    relay
-        .cx
-        .metrics
-        .requests
-        .with_label_values(&[call.class.as_str()])
-        .inc();
+    relay.cx.metrics.requests.with_label_values(&[call.class.as_str()]).inc();
     let mut admitted = Admitted::enter(relay, &call).map_err(Failure::not_run)?;
     match run_call(relay, &call, &mut admitted).await {
         Ok(begun) => Ok(pass_on(relay, &call, begun, admitted)),
@@ -350,18 +326,12 @@
     fn join(relay: &Rc<Relay>, call: &Call) -> Result<Self, Refusal> {
         let now = relay.now();
         let mut core = relay.core.borrow_mut();
-        let group = core.group_mut(call.group).ok_or(Refusal::with_retry_after(
-            RefusalReason::NoneServing,
-            COME_BACK,
-        ))?;
+        let group = core
+            .group_mut(call.group)
+            .ok_or(Refusal::with_retry_after(RefusalReason::NoneServing, COME_BACK))?;
         group.queue.join(call.deadline.since(now))?;
         let room = group.room.clone();
-        Ok(Self {
-            relay: relay.clone(),
-            group: call.group,
-            room,
-            since: now,
-        })
+        Ok(Self { relay: relay.clone(), group: call.group, room, since: now })
     }
 
     /// Waits until there may be room, and tells whether there is still time.
@@ -374,9 +344,7 @@
 
     fn too_long(&self) -> Failure {
         let core = self.relay.core.borrow();
-        let wait = core
-            .group(self.group)
-            .map(|group| group.queue.expected_wait());
+        let wait = core.group(self.group).map(|group| group.queue.expected_wait());
         let wait = wait.unwrap_or(COME_BACK);
         Failure::not_run(Refusal::with_retry_after(RefusalReason::WaitTooLong, wait))
     }
@@ -430,18 +398,8 @@
     }
     let (endpoint, target) = core.start(call.group, None, relay.now()).ok()?;
     drop(core);
-    relay
-        .cx
-        .metrics
-        .retries
-        .with_label_values(&[AttemptEnd::Overtaken.as_str()])
-        .inc();
-    Some(InFlight::start(
-        relay.clone(),
-        call.clone(),
-        endpoint,
-        target,
-    ))
+    relay.cx.metrics.retries.with_label_values(&[AttemptEnd::Overtaken.as_str()]).inc();
+    Some(InFlight::start(relay.clone(), call.clone(), endpoint, target))
 }
 
 /// Lets the caller of this function try again, or says what the request's caller is told.
@@ -491,12 +449,7 @@
     mut admitted: Admitted,
 ) -> Response<RelayBody> {
     let events = begun.is_event_stream();
-    let Begun {
-        mut head,
-        held,
-        rest,
-        in_flight,
-    } = begun;
+    let Begun { mut head, held, rest, in_flight } = begun;
     headers::strip_connection(&mut head.headers);
     let body = match rest {
         None => {
@@ -510,9 +463,6 @@
     };
     let mut made = Response::from_parts(head, body);
     answer::label(&mut made, Outcome::Ran, &call.id);
-    relay
-        .cx
-        .metrics
-        .answered(Outcome::Ran, made.status().as_u16());
+    relay.cx.metrics.answered(Outcome::Ran, made.status().as_u16());
     made
 }
--- a/crates/cherrystandd/src/settings.rs
+++ b/crates/cherrystandd/src/settings.rs
@@ -247,11 +247,7 @@
             ));
         }
         if limits.batch_percent > 100 {
-            return Err(impossible(
-                "batch_percent",
-                limits.batch_percent,
-                "0 to 100",
-            ));
+            return Err(impossible("batch_percent", limits.batch_percent, "0 to 100"));
         }
         if limits.body_bytes == 0 {
             return Err(impossible("body_bytes", 0, "a whole number, 1 or more"));
@@ -293,9 +289,5 @@
     if !word.is_empty() && word.chars().all(plain) {
         return Ok(());
     }
-    Err(impossible(
-        key,
-        word,
-        "letters, digits, `-` and `_`, at least one",
-    ))
+    Err(impossible(key, word, "letters, digits, `-` and `_`, at least one"))
 }
--- a/crates/cherrystandd/src/state/node_state.rs
+++ b/crates/cherrystandd/src/state/node_state.rs
@@ -31,7 +31,7 @@
 impl NodeState {
     /// Creates the state of a daemon that has just started.
     pub(crate) fn new(own: Heartbeat, now: Millis) -> Self {
-        let freshness = Freshness::new([own.node.clone()], now);
+        let freshness = Freshness::new(own.node.clone(), now);
         Self {
             membership: Membership::new(own, now),
             documents: Documents::default(),
@@ -65,16 +65,9 @@
                 let question = differs.then(|| Question::Compare(self.documents.versions()));
                 let _ = next.send(question);
             }
-            StateEvent::Compared {
-                newer,
-                wanted,
-                hand_over,
-            } => {
+            StateEvent::Compared { newer, wanted, hand_over } => {
                 self.take_records(newer);
-                let records = wanted
-                    .iter()
-                    .filter_map(|key| self.documents.get(key))
-                    .cloned();
+                let records = wanted.iter().filter_map(|key| self.documents.get(key)).cloned();
                 let records = fit_message(records);
                 let question = (!records.is_empty()).then_some(Question::Take(records));
                 let _ = hand_over.send(question);
@@ -96,24 +89,17 @@
     /// Returns all that is known as one value.
     pub(crate) fn view(&self, now: Millis) -> View {
         let own = self.membership.own().clone();
-        let routes = routes_of(
-            &own.zone,
-            &self.workspaces,
-            &self.domains,
-            &self.fleet,
-            &self.evidence,
-            now,
-        );
+        let routes =
+            routes_of(&own.zone, &self.workspaces, &self.domains, &self.fleet, &self.evidence, now);
         let members = self.membership.all(now).into_iter();
         View {
             made: now,
             serve_by: self.freshness.serve_by(now),
             may_accept: self.freshness.may_accept(now),
             heard: self.freshness.heard_of_expected(now),
+            majority_holds: self.freshness.is_majority(self.membership.agreeing()),
             platform_age: self.freshness.platform_age(now),
-            members: members
-                .map(|(beat, standing)| (beat.clone(), standing))
-                .collect(),
+            members: members.map(|(beat, standing)| (beat.clone(), standing)).collect(),
             workspaces: self.workspaces.clone(),
             domains: self.domains.clone(),
             fleet: self.fleet.clone(),
@@ -125,7 +111,7 @@
     fn answer(&mut self, question: Question, now: Millis) -> Reply {
         match question {
             Question::News(greeting) => {
-                self.membership.hear(greeting.from, now);
+                self.membership.hear(greeting.from, Millis(0), now);
                 Reply::News(self.news(now))
             }
             Question::Compare(theirs) => Reply::Compared {
@@ -140,10 +126,7 @@
     }
 
     fn greeting(&self) -> Greeting {
-        Greeting {
-            from: self.membership.own().clone(),
-            fingerprint: self.documents.fingerprint(),
-        }
+        Greeting { from: self.membership.own().clone(), fingerprint: self.documents.fingerprint() }
     }
 
     fn news(&self, now: Millis) -> News {
@@ -161,31 +144,28 @@
     /// Whatever it says the age of something is, the time since it was asked comes on top.
     fn hear(&mut self, news: &News, asked: Millis, now: Millis) -> bool {
         let on_the_way = now.since(asked);
-        self.membership.hear(news.from.clone(), now);
-        for heartbeat in &news.members {
-            self.membership.hear(heartbeat.clone(), now);
+        for (heartbeat, age) in &news.members {
+            self.hear_of(heartbeat, *age + on_the_way, now);
         }
         for evidence in &news.evidence {
             let age = evidence.age + on_the_way;
-            self.evidence.offer(
-                &ReplicaEvidence {
-                    age,
-                    ..evidence.clone()
-                },
-                now,
-            );
+            self.evidence.offer(&ReplicaEvidence { age, ..evidence.clone() }, now);
         }
         let differs = news.fingerprint != self.documents.fingerprint();
-        if !differs {
+        if let Some(age) = news.platform_age.filter(|_| !differs) {
             // Only records that are the same here are as fresh as the peer says.
-            self.freshness.exchanged(news.from.node.clone(), asked);
-            if let Some(age) = news.platform_age {
-                self.freshness.platform_read(now, age + on_the_way);
-            }
+            self.freshness.platform_read(now, age + on_the_way);
         }
         differs
     }
 
+    fn hear_of(&mut self, heartbeat: &Heartbeat, age: Millis, now: Millis) {
+        if heartbeat.config == self.membership.own().config {
+            self.freshness.agreed(heartbeat.node.clone(), now - age);
+        }
+        self.membership.hear(heartbeat.clone(), age, now);
+    }
+
     fn take_records(&mut self, records: Vec<Document>) {
         for record in records {
             self.take_record(record);
@@ -199,6 +179,8 @@
         }
         if key.starts_with(keys::WORKSPACES) {
             read_record(&document, &mut self.workspaces);
+            let config = self.documents.fingerprint_below(keys::WORKSPACES);
+            self.membership.set_config(config);
         } else if key.starts_with(keys::DOMAINS) {
             read_record(&document, &mut self.domains);
         } else if &*key == keys::INVENTORY {
@@ -236,10 +218,7 @@
 ) {
     match serde_json::from_str(&document.body) {
         Ok(record) => {
-            let held = Held {
-                revision: document.revision,
-                record,
-            };
+            let held = Held { revision: document.revision, record };
             records.insert(document.key.clone(), Arc::new(held));
         }
         Err(err) => log::error!(key = &*document.key; "a record is malformed: {err}"),
--- a/crates/cherrystandd/src/state/routes.rs
+++ b/crates/cherrystandd/src/state/routes.rs
@@ -71,13 +71,7 @@
     evidence: &EvidenceTable,
     now: Millis,
 ) -> Vec<RouteGroup> {
-    let scene = Scene {
-        own_zone,
-        domains,
-        fleet,
-        evidence,
-        now,
-    };
+    let scene = Scene { own_zone, domains, fleet, evidence, now };
     let records = workspaces.values().map(|held| &held.record);
     records.flat_map(|record| scene.groups(record)).collect()
 }
@@ -96,9 +90,7 @@
         let models = config.models.iter().map(|group| RouteGroup {
             id: config.group_id(&group.name),
             class: group.class,
-            kind: RouteKind::Model {
-                model: group.model.clone(),
-            },
+            kind: RouteKind::Model { model: group.model.clone() },
             targets: self.replicas(&config.group_id(&group.name)),
         });
         let services = config.services.iter().map(|group| RouteGroup {
@@ -125,18 +117,22 @@
 
     fn replicas(&self, group: &GroupId) -> Vec<RouteTarget> {
         let records = self.domains.values().map(|held| &held.record);
-        let formed = records.flat_map(|record| record.replicas.iter());
+        records.flat_map(|record| self.replicas_in(record, group)).collect()
+    }
+
+    fn replicas_in(&self, record: &DomainRecord, group: &GroupId) -> Vec<RouteTarget> {
+        let formed = record.replicas.iter();
         let ready =
             formed.filter(|(replica, held)| &replica.group == group && held.phase == Phase::Ready);
         ready
             .filter_map(|(replica, held)| {
-                let load = self.evidence.whole(replica, held.epoch, self.now)?;
+                let whole = self.evidence.whole(&record.domain, replica, held.epoch, self.now);
                 let leader = self.fleet.get(held.boxes.first()?)?;
                 Some(RouteTarget {
                     address: leader.address,
                     near: &leader.zone == self.own_zone,
                     replica: Some((replica.clone(), held.epoch)),
-                    load: Some(load),
+                    load: Some(whole?),
                     most: REPLICA_MOST,
                 })
             })
--- a/crates/cherrystandd/src/state/view.rs
+++ b/crates/cherrystandd/src/state/view.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    Assignment, DomainRecord, Fleet, Heartbeat, HeldBoxes, Incarnation, Millis, ReplicaId,
-    Revision, ServeBy, Standing, WorkspaceRecord,
+    DomainRecord, Fleet, Formed, Heartbeat, Incarnation, Millis, Revision, ServeBy, Standing,
+    WorkspaceRecord,
 };
 
 use crate::state::RouteGroup;
@@ -29,10 +29,12 @@
     pub own: Heartbeat,
     /// By what right the daemon serves.
     pub serve_by: ServeBy,
-    /// Whether the daemon may accept a change.
+    /// Whether the daemon may try to have a change accepted.
     pub may_accept: bool,
     /// How many daemons were heard from lately, and how many there should be.
     pub heard: (usize, usize),
+    /// Whether a majority of the daemons holds the configurations that this one holds.
+    pub majority_holds: bool,
     /// How long ago the platform was last read by anyone heard from.
     pub platform_age: Option<Millis>,
     /// The daemons known, this one first.
@@ -56,6 +58,7 @@
             serve_by: ServeBy::NotYet,
             may_accept: false,
             heard: (1, 1),
+            majority_holds: false,
             platform_age: None,
             members: Vec::new(),
             workspaces: BTreeMap::new(),
@@ -66,27 +69,13 @@
     }
 
     /// Returns the assignments of all domains.
-    pub(crate) fn formed(&self) -> BTreeMap<ReplicaId, Assignment> {
-        let records = self.domains.values().map(|held| &held.record);
-        let all = records.flat_map(|record| record.replicas.iter());
-        all.map(|(replica, held)| (replica.clone(), held.clone()))
-            .collect()
-    }
-
-    /// Returns the boxes that each replica holds.
-    pub(crate) fn held_boxes(&self) -> HeldBoxes {
-        let formed = self.formed().into_iter();
-        formed
-            .map(|(replica, held)| (replica, held.boxes))
-            .collect()
+    pub(crate) fn formed(&self) -> Formed {
+        Formed::new(self.domains.values().map(|held| &held.record))
     }
 
     /// Returns the heartbeats of the daemons that are alive.
     pub(crate) fn alive(&self) -> impl Iterator<Item = &Heartbeat> {
-        let alive = self
-            .members
-            .iter()
-            .filter(|(_, standing)| *standing == Standing::Alive);
+        let alive = self.members.iter().filter(|(_, standing)| *standing == Standing::Alive);
         alive.map(|(beat, _)| beat)
     }
 }
@@ -102,5 +91,6 @@
         zone: settings.zone.clone(),
         address: settings.listen.peers,
         serving: true,
+        config: 0,
     }
 }
--- a/crates/cherrystandd/tests/claims.rs
+++ b/crates/cherrystandd/tests/claims.rs
@@ -17,11 +17,7 @@
 }
 
 fn write_id(node: usize, sequence: u64) -> WriteId {
-    WriteId {
-        node: NodeId::new(format!("n{node}")),
-        incarnation: Incarnation(1),
-        sequence,
-    }
+    WriteId { node: NodeId::new(format!("n{node}")), incarnation: Incarnation(1), sequence }
 }
 
 fn fault() -> impl Strategy<Value = CallFault> {
@@ -57,14 +53,10 @@
             for (number, batch) in batches.into_iter().enumerate() {
                 let keys: Vec<CallKey> = batch.iter().map(|name| key(&name.to_string())).collect();
                 let requests: Vec<_> = keys.iter().copied().map(ClaimRequest::Take).collect();
-                let answers = writer
-                    .write(&requests, &write_id(node, number as u64))
-                    .await;
+                let answers = writer.write(&requests, &write_id(node, number as u64)).await;
                 let answers = answers.into_iter().flatten();
-                let won = keys
-                    .iter()
-                    .zip(answers)
-                    .filter(|(_, told)| *told == ClaimAnswer::Granted);
+                let won =
+                    keys.iter().zip(answers).filter(|(_, told)| *told == ClaimAnswer::Granted);
                 granted.extend(won.map(|(key, _)| *key));
             }
             (node, granted)
@@ -161,25 +153,15 @@
         platform_calls: u64,
     }
     let cases = [
-        Case {
-            calls: 1,
-            platform_calls: 1,
-        },
-        Case {
-            calls: 100,
-            platform_calls: 1,
-        },
-        Case {
-            calls: 1_000,
-            platform_calls: 1,
-        },
+        Case { calls: 1, platform_calls: 1 },
+        Case { calls: 100, platform_calls: 1 },
+        Case { calls: 1_000, platform_calls: 1 },
     ];
     for case in cases {
         let service = FakeKeyValue::default();
         let mut writer = ClaimWriter::new(service.clone(), RECORD.to_owned());
-        let requests: Vec<_> = (0..case.calls)
-            .map(|number| ClaimRequest::Take(key(&number.to_string())))
-            .collect();
+        let requests: Vec<_> =
+            (0..case.calls).map(|number| ClaimRequest::Take(key(&number.to_string()))).collect();
         let answers = run(writer.write(&requests, &write_id(0, 0))).expect("an answer");
         assert!(answers.iter().all(|told| *told == ClaimAnswer::Granted));
         assert_eq!(service.calls(), case.platform_calls, "{} calls", case.calls);
@@ -199,10 +181,7 @@
     let (record, answers) = ClaimRecord::default().apply(&requests, &id, 1_800_000_000);
     assert_eq!(answers.last(), Some(&ClaimAnswer::Full));
     let bytes = serde_json::to_string(&record).expect("JSON").len();
-    assert!(
-        bytes <= cherrystand_platform::MAX_VALUE_BYTES,
-        "{bytes} bytes"
-    );
+    assert!(bytes <= cherrystand_platform::MAX_VALUE_BYTES, "{bytes} bytes");
 }
 
 #[test]
@@ -212,34 +191,17 @@
         calls: u64,
     }
     let cases = [
-        Case {
-            faults: &[CallFault::Lost],
-            calls: 2,
-        },
-        Case {
-            faults: &[CallFault::AnswerLost],
-            calls: 3,
-        },
-        Case {
-            faults: &[CallFault::TakesEffectLater, CallFault::Lost],
-            calls: 4,
-        },
-        Case {
-            faults: &[CallFault::RateLimited],
-            calls: 2,
-        },
+        Case { faults: &[CallFault::Lost], calls: 2 },
+        Case { faults: &[CallFault::AnswerLost], calls: 3 },
+        Case { faults: &[CallFault::TakesEffectLater, CallFault::Lost], calls: 4 },
+        Case { faults: &[CallFault::RateLimited], calls: 2 },
     ];
     for case in cases {
         let service = FakeKeyValue::with_faults(case.faults.iter().copied());
         let mut writer = ClaimWriter::new(service.clone(), RECORD.to_owned());
         let request = [ClaimRequest::Take(key("one"))];
         let answers = run(writer.write(&request, &write_id(0, 0)));
-        assert_eq!(
-            answers,
-            Some(vec![ClaimAnswer::Granted]),
-            "{:?}",
-            case.faults
-        );
+        assert_eq!(answers, Some(vec![ClaimAnswer::Granted]), "{:?}", case.faults);
         assert_eq!(service.calls(), case.calls, "{:?}", case.faults);
     }
 }
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -19,37 +19,21 @@
 #[test]
 fn a_lost_box_ends_its_stream_openly_and_the_replica_is_mended() {
     run(async {
-        let mut cluster = Cluster::serving(Setup {
-            replicas: 1,
-            boxes: 3,
-            ..Setup::default()
-        })
-        .await;
-        cluster
-            .set(cluster.boxes[0].address, json!({"token_us": 100_000}))
-            .await;
-        let stream = cluster
-            .ask_model(1, "long", 100, true)
-            .await
-            .expect("a stream");
+        let mut cluster =
+            Cluster::serving(Setup { replicas: 1, boxes: 3, ..Setup::default() }).await;
+        cluster.set(cluster.boxes[0].address, json!({"token_us": 100_000})).await;
+        let stream = cluster.ask_model(1, "long", 100, true).await.expect("a stream");
         assert_eq!(stream.status(), StatusCode::OK);
         let reading = tokio::task::spawn_local(stream.into_body().collect());
         tokio::time::sleep(Duration::from_millis(500)).await;
         drop(cluster.boxes.remove(1));
-        let body = reading
-            .await
-            .expect("read")
-            .expect("an end that the caller can see")
-            .to_bytes();
+        let body = reading.await.expect("read").expect("an end that the caller can see").to_bytes();
         let text = String::from_utf8_lossy(&body).into_owned();
         assert!(text.contains("event: error"), "{text}");
         assert!(!text.contains("[DONE]"), "{text}");
         for daemon in 0..3 {
             let mended = || async {
-                let answer = cluster
-                    .ask_model(daemon, "again", 2, false)
-                    .await
-                    .expect("an answer");
+                let answer = cluster.ask_model(daemon, "again", 2, false).await.expect("an answer");
                 let told = answer.headers()["cherrystand-outcome"].clone();
                 assert!(told == "ran" || told == "not-run", "{told:?}");
                 answer.status() == StatusCode::OK
@@ -63,12 +47,8 @@
 fn a_replica_that_lost_a_box_leaves_every_daemons_choice_within_seconds() {
     run(async {
         // Without a spare it cannot come back.
-        let mut cluster = Cluster::serving(Setup {
-            replicas: 1,
-            boxes: 2,
-            ..Setup::default()
-        })
-        .await;
+        let mut cluster =
+            Cluster::serving(Setup { replicas: 1, boxes: 2, ..Setup::default() }).await;
         drop(cluster.boxes.remove(1));
         tokio::time::sleep(OUT_WITHIN).await;
         for daemon in &cluster.daemons {
@@ -77,19 +57,11 @@
         let began = Instant::now();
         let body = model_body("nobody", 2, false);
         let to = cluster.daemons[0].callers;
-        let answer = cluster
-            .send(to, Method::POST, "/v1/chat/completions", &[], &body)
-            .await;
+        let answer = cluster.send(to, Method::POST, "/v1/chat/completions", &[], &body).await;
         let answer = answer.expect("an answer");
-        assert_eq!(
-            answer.told(),
-            ("not-run".to_owned(), "none-serving".to_owned())
-        );
+        assert_eq!(answer.told(), ("not-run".to_owned(), "none-serving".to_owned()));
         assert_eq!(answer.header("retry-after"), "1");
-        assert!(
-            began.elapsed() < Duration::from_secs(1),
-            "a refusal is given at once"
-        );
+        assert!(began.elapsed() < Duration::from_secs(1), "a refusal is given at once");
     });
 }
 
@@ -98,37 +70,19 @@
     run(async {
         let mut cluster = Cluster::serving(Setup::default()).await;
         for stand_in in &cluster.boxes {
-            cluster
-                .set(stand_in.address, json!({"token_us": 50_000}))
-                .await;
+            cluster.set(stand_in.address, json!({"token_us": 50_000})).await;
         }
         let stopping = cluster.daemons[0].callers;
-        let stream = cluster
-            .ask_model(0, "slow", 40, true)
-            .await
-            .expect("a stream");
+        let stream = cluster.ask_model(0, "slow", 40, true).await.expect("a stream");
         cluster.daemons[0].process.signal("TERM");
         let not_ready = || async { !cluster.is_ready(stopping).await };
         cluster.until("the daemon is not ready", not_ready).await;
-        let late = cluster
-            .ask_model(0, "late", 2, false)
-            .await
-            .expect("an answer while it lingers");
+        let late =
+            cluster.ask_model(0, "late", 2, false).await.expect("an answer while it lingers");
         assert_eq!(late.status(), StatusCode::OK);
-        let body = stream
-            .into_body()
-            .collect()
-            .await
-            .expect("a whole stream")
-            .to_bytes();
+        let body = stream.into_body().collect().await.expect("a whole stream").to_bytes();
         let text = "slow".to_owned();
-        let asked = Prompt {
-            text,
-            tokens: 40,
-            stream: true,
-            model: "m".to_owned(),
-            chat: true,
-        };
+        let asked = Prompt { text, tokens: 40, stream: true, model: "m".to_owned(), chat: true };
         assert_eq!(judge_stream(&asked, &body), Verdict::Whole);
         let ended = Instant::now() + Duration::from_secs(10);
         while !cluster.daemons[0].process.has_ended() {
@@ -143,42 +97,21 @@
     run(async {
         let cluster = Cluster::serving(Setup::default()).await;
         for stand_in in &cluster.boxes {
-            cluster
-                .set(stand_in.address, json!({"token_us": 30_000}))
-                .await;
+            cluster.set(stand_in.address, json!({"token_us": 30_000})).await;
         }
-        cluster
-            .put_in_force(&cluster.usual_config(2, "2", "/consent"))
-            .await;
+        cluster.put_in_force(&cluster.usual_config(2, "2", "/consent")).await;
         let until = Instant::now() + Duration::from_secs(60);
         let mut asked = 0;
         loop {
             for daemon in 0..3 {
                 asked += 1;
                 let text = format!("during {asked}");
-                let stream = cluster
-                    .ask_model(daemon, &text, 30, true)
-                    .await
-                    .expect("a stream");
+                let stream = cluster.ask_model(daemon, &text, 30, true).await.expect("a stream");
                 assert_eq!(stream.status(), StatusCode::OK, "request {asked}");
-                let body = stream
-                    .into_body()
-                    .collect()
-                    .await
-                    .expect("a whole stream")
-                    .to_bytes();
-                let prompt = Prompt {
-                    text,
-                    tokens: 30,
-                    stream: true,
-                    model: "m".to_owned(),
-                    chat: true,
-                };
-                assert_eq!(
-                    judge_stream(&prompt, &body),
-                    Verdict::Whole,
-                    "request {asked}"
-                );
+                let body = stream.into_body().collect().await.expect("a whole stream").to_bytes();
+                let prompt =
+                    Prompt { text, tokens: 30, stream: true, model: "m".to_owned(), chat: true };
+                assert_eq!(judge_stream(&prompt, &body), Verdict::Whole, "request {asked}");
             }
             let status = String::from_utf8_lossy(&cluster.cli(&["status"]).stdout).into_owned();
             if status.matches("true     m@2").count() == 2 {
@@ -194,43 +127,25 @@
     run(async {
         let cluster = Cluster::serving(Setup::default()).await;
         let plan = cluster.plan(&cluster.usual_config(2, "2", "/consent"));
-        cluster
-            .set(cluster.platform.address, json!({"down": true}))
-            .await;
+        cluster.set(cluster.platform.address, json!({"down": true})).await;
         tokio::time::sleep(LONGER_THAN_FRESH).await;
         for daemon in 0..3 {
             let to = cluster.daemons[daemon].callers;
             let checked = cluster.send(to, Method::GET, "/consent/1", &[], "").await;
-            assert_eq!(
-                checked.expect("an answer").status,
-                StatusCode::OK,
-                "daemon {daemon}"
-            );
-            let answer = cluster
-                .ask_model(daemon, "outage", 2, false)
-                .await
-                .expect("an answer");
+            assert_eq!(checked.expect("an answer").status, StatusCode::OK, "daemon {daemon}");
+            let answer = cluster.ask_model(daemon, "outage", 2, false).await.expect("an answer");
             assert_eq!(answer.status(), StatusCode::OK, "daemon {daemon}");
         }
         let key = [("idempotency-key", "k")];
         let to = cluster.daemons[0].callers;
-        let keyed = cluster
-            .send(to, Method::POST, "/consent/1", &key, "")
-            .await
-            .expect("an answer");
-        assert_eq!(
-            keyed.told(),
-            ("not-run".to_owned(), "keys-out-of-reach".to_owned())
-        );
+        let keyed =
+            cluster.send(to, Method::POST, "/consent/1", &key, "").await.expect("an answer");
+        assert_eq!(keyed.told(), ("not-run".to_owned(), "keys-out-of-reach".to_owned()));
         assert!(!cluster.service_executions().await.contains_key("k"));
         assert_eq!(cluster.cli(&["confirm", &plan]).status.code(), Some(4));
-        cluster
-            .set(cluster.platform.address, json!({"down": false}))
-            .await;
+        cluster.set(cluster.platform.address, json!({"down": false})).await;
         let confirmed = || async { cluster.cli(&["confirm", &plan]).status.success() };
-        cluster
-            .until("the plan is confirmed after the outage", confirmed)
-            .await;
+        cluster.until("the plan is confirmed after the outage", confirmed).await;
     });
 }
 
@@ -238,21 +153,13 @@
 fn a_daemon_cut_off_from_all_stops_taking_requests() {
     run(async {
         let mut cluster = Cluster::serving(Setup::default()).await;
-        cluster
-            .set(cluster.platform.address, json!({"down": true}))
-            .await;
+        cluster.set(cluster.platform.address, json!({"down": true})).await;
         cluster.daemons.truncate(1);
         let to = cluster.daemons[0].callers;
         let cut_off = || async { !cluster.is_ready(to).await };
         cluster.until("the daemon is not ready", cut_off).await;
-        let answer = cluster
-            .send(to, Method::GET, "/consent/1", &[], "")
-            .await
-            .expect("an answer");
-        assert_eq!(
-            answer.told(),
-            ("not-run".to_owned(), "configuration-old".to_owned())
-        );
+        let answer = cluster.send(to, Method::GET, "/consent/1", &[], "").await.expect("an answer");
+        assert_eq!(answer.told(), ("not-run".to_owned(), "configuration-old".to_owned()));
     });
 }
 
@@ -263,26 +170,16 @@
         let paused = &cluster.daemons[2];
         paused.process.signal("STOP");
         tokio::time::sleep(Duration::from_secs(1)).await;
-        cluster
-            .put_in_force(&cluster.usual_config(2, "1", "/moved"))
-            .await;
+        cluster.put_in_force(&cluster.usual_config(2, "1", "/moved")).await;
         tokio::time::sleep(LONGER_THAN_FRESH).await;
         paused.process.signal("CONT");
         let mut served = 0;
         let until = Instant::now() + Duration::from_secs(5);
         while Instant::now() < until && served < 20 {
-            let old = cluster
-                .send(paused.callers, Method::GET, "/consent/1", &[], "")
-                .await;
+            let old = cluster.send(paused.callers, Method::GET, "/consent/1", &[], "").await;
             let old = old.expect("an answer");
-            assert_ne!(
-                old.status,
-                StatusCode::OK,
-                "the old configuration is in force"
-            );
-            let new = cluster
-                .send(paused.callers, Method::GET, "/moved/1", &[], "")
-                .await;
+            assert_ne!(old.status, StatusCode::OK, "the old configuration is in force");
+            let new = cluster.send(paused.callers, Method::GET, "/moved/1", &[], "").await;
             served += u32::from(new.expect("an answer").status == StatusCode::OK);
         }
         assert_eq!(served, 20, "the new configuration is not in force");
@@ -292,41 +189,22 @@
 #[test]
 fn a_keyed_call_that_times_out_is_never_run_by_another_daemon() {
     run(async {
-        let cluster = Cluster::serving(Setup {
-            services: 2,
-            ..Setup::default()
-        })
-        .await;
+        let cluster = Cluster::serving(Setup { services: 2, ..Setup::default() }).await;
         for service in &cluster.services {
-            cluster
-                .set(service.address, json!({"freeze_ms": 2_500}))
-                .await;
+            cluster.set(service.address, json!({"freeze_ms": 2_500})).await;
         }
-        let headers = [
-            ("idempotency-key", "story"),
-            ("cherrystand-deadline-ms", "700"),
-        ];
+        let headers = [("idempotency-key", "story"), ("cherrystand-deadline-ms", "700")];
         let to = cluster.daemons[0].callers;
-        let first = cluster
-            .send(to, Method::POST, "/consent/s", &headers, "once")
-            .await;
+        let first = cluster.send(to, Method::POST, "/consent/s", &headers, "once").await;
         let first = first.expect("an answer");
-        assert_eq!(
-            first.told(),
-            ("unknown".to_owned(), "deadline-passed".to_owned())
-        );
+        assert_eq!(first.told(), ("unknown".to_owned(), "deadline-passed".to_owned()));
         for daemon in &cluster.daemons {
             let again = cluster.send(daemon.callers, Method::POST, "/consent/s", &headers, "once");
             let told = again.await.expect("an answer").told();
             assert_eq!(told, ("unknown".to_owned(), "key-in-use".to_owned()));
         }
         tokio::time::sleep(Duration::from_secs(3)).await;
-        let ran = cluster
-            .service_executions()
-            .await
-            .get("story")
-            .copied()
-            .unwrap_or(0);
+        let ran = cluster.service_executions().await.get("story").copied().unwrap_or(0);
         assert!(ran <= 1, "run {ran} times");
     });
 }
@@ -336,9 +214,7 @@
     run(async {
         let mut cluster = Cluster::serving(Setup::default()).await;
         for service in &cluster.services {
-            cluster
-                .set(service.address, json!({"delay_ms": 1_500}))
-                .await;
+            cluster.set(service.address, json!({"delay_ms": 1_500})).await;
         }
         let key = [("idempotency-key", "delivery")];
         let to = cluster.daemons[0].callers;
@@ -347,19 +223,13 @@
         assert!(cut.is_err(), "it still runs");
         drop(cluster.daemons.remove(0));
         for daemon in &cluster.daemons {
-            let again = cluster
-                .send(daemon.callers, Method::POST, "/consent/d", &key, "once")
-                .await;
+            let again =
+                cluster.send(daemon.callers, Method::POST, "/consent/d", &key, "once").await;
             let told = again.expect("an answer").told();
             assert_eq!(told, ("unknown".to_owned(), "key-in-use".to_owned()));
         }
         tokio::time::sleep(Duration::from_secs(2)).await;
-        let ran = cluster
-            .service_executions()
-            .await
-            .get("delivery")
-            .copied()
-            .unwrap_or(0);
+        let ran = cluster.service_executions().await.get("delivery").copied().unwrap_or(0);
         assert!(ran <= 1, "run {ran} times");
     });
 }
@@ -367,36 +237,21 @@
 #[test]
 fn a_frozen_service_endpoint_does_not_hold_consent_checks_up() {
     run(async {
-        let cluster = Cluster::serving(Setup {
-            daemons: 1,
-            ..Setup::default()
-        })
-        .await;
+        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
         let to = cluster.daemons[0].callers;
         for number in 0..40 {
             let path = format!("/consent/{number}");
-            let warm = cluster
-                .send(to, Method::GET, &path, &[], "")
-                .await
-                .expect("an answer");
+            let warm = cluster.send(to, Method::GET, &path, &[], "").await.expect("an answer");
             assert_eq!(warm.status, StatusCode::OK);
         }
-        cluster
-            .set(cluster.services[0].address, json!({"freeze_ms": 20_000}))
-            .await;
+        cluster.set(cluster.services[0].address, json!({"freeze_ms": 20_000})).await;
         for number in 0..100 {
             let path = format!("/consent/{number}");
             let began = Instant::now();
-            let checked = cluster
-                .send(to, Method::GET, &path, &[], "")
-                .await
-                .expect("an answer");
+            let checked = cluster.send(to, Method::GET, &path, &[], "").await.expect("an answer");
             assert_eq!(checked.status, StatusCode::OK, "check {number}");
             let took = began.elapsed();
-            assert!(
-                took < Duration::from_secs(2),
-                "check {number} took {took:?}"
-            );
+            assert!(took < Duration::from_secs(2), "check {number} took {took:?}");
         }
     });
 }
--- a/crates/cherrystandd/tests/operators.rs
+++ b/crates/cherrystandd/tests/operators.rs
@@ -52,21 +52,14 @@
         incarnation: Incarnation(1),
         sequence,
     };
-    let make = |sequence| WorkspaceChange {
-        service,
-        write: write(sequence),
-        fleet: &fleet,
-        held: &held,
-    };
+    let make =
+        |sequence| WorkspaceChange { service, write: write(sequence), fleet: &fleet, held: &held };
     let wanted = config(operator as u32 * 100 + number as u32);
     let Ok(planned) = make(number * 2).plan(wanted).await else {
         return Told::MayBeDone;
     };
     let id = planned.told.id;
-    match make(number * 2 + 1)
-        .confirm(&id, &format!("operator-{operator}"))
-        .await
-    {
+    match make(number * 2 + 1).confirm(&id, &format!("operator-{operator}")).await {
         Ok(written) => Told::Accepted(id, written.told.generation),
         Err(OperatorError::Confirm(_)) => Told::NotDone(id),
         Err(_) => Told::MayBeDone,
@@ -134,11 +127,7 @@
     let (fleet, held) = (Fleet::default(), HeldBoxes::new());
     let make = |sequence| WorkspaceChange {
         service: &service,
-        write: WriteId {
-            node: NodeId::new("n"),
-            incarnation: Incarnation(1),
-            sequence,
-        },
+        write: WriteId { node: NodeId::new("n"), incarnation: Incarnation(1), sequence },
         fleet: &fleet,
         held: &held,
     };
@@ -146,16 +135,10 @@
         let first = make(0).plan(config(1)).await.expect("a plan").told.id;
         let second = make(1).plan(config(2)).await.expect("a plan").told.id;
         make(2).confirm(&second, "huda").await.expect("accepted");
-        make(3)
-            .confirm(&first, "omar")
-            .await
-            .map(|written| written.told)
+        make(3).confirm(&first, "omar").await.map(|written| written.told)
     });
     let err = outcome.expect_err("a conflict");
     assert_eq!(err.kind(), "conflict");
     let text = err.to_string();
-    assert!(
-        text.contains("`huda` made it 1 first (add service w/s)"),
-        "{text}"
-    );
+    assert!(text.contains("`huda` made it 1 first (add service w/s)"), "{text}");
 }
