--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -24,9 +25,7 @@
 impl Process {
     pub(crate) fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill")
-            .args([&format!("-{name}"), &id])
-            .status();
+        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status();
         assert!(sent.expect("kill").success());
     }
 
@@ -62,12 +61,7 @@
 
 impl Default for Setup {
     fn default() -> Self {
-        Self {
-            daemons: 3,
-            boxes: 5,
-            services: 2,
-            replicas: 2,
-        }
+        Self { daemons: 3, boxes: 5, services: 2, replicas: 2 }
     }
 }
 
@@ -103,49 +97,48 @@
     }
 
     pub(crate) fn header(&self, name: &str) -> &str {
-        self.headers
-            .get(name)
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default()
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 
     /// Returns the outcome told and the reason for having no answer.
     pub(crate) fn told(&self) -> (String, String) {
         let value: Value = serde_json::from_slice(&self.body).unwrap_or_default();
-        let reason = value["error"]["reason"]
-            .as_str()
-            .unwrap_or_default()
-            .to_owned();
+        let reason = value["error"]["reason"].as_str().unwrap_or_default().to_owned();
         (self.header("cherrystand-outcome").to_owned(), reason)
     }
 }
 
 /// Runs a test on one thread.
 pub(crate) fn run<F: Future>(test: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), test)
 }
 
 fn program(name: &str) -> PathBuf {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cherrystandd"));
     let path = daemon.with_file_name(name);
-    assert!(
-        path.exists(),
-        "{} is missing: run `cargo build --workspace` first",
-        path.display()
-    );
+    assert!(path.exists(), "{} is missing: run `cargo build --workspace` first", path.display());
     path
 }
 
+/// The ports that tests use: below those that the system gives to outgoing connections, which
+/// could take a port between its choice and its use.
+const PORTS: std::ops::Range<u16> = 11_000..31_000;
+
+/// Returns addresses that no other test of this process was given and that nobody listens at.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let held: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
-        .collect();
-    held.iter()
-        .map(|listener| listener.local_addr().expect("an address"))
-        .collect()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let span = u32::from(PORTS.end - PORTS.start);
+    let first = std::process::id() * 257;
+    let mut addresses = Vec::new();
+    while addresses.len() < count {
+        let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % span;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + number as u16));
+        if TcpListener::bind(address).is_ok() {
+            addresses.push(address);
+        }
+    }
+    addresses
 }
 
 fn start(name: &str, args: &[&str], address: SocketAddr, log: &Path) -> Process {
@@ -170,10 +163,7 @@
         std::fs::create_dir_all(&dir).expect("a directory");
         let cluster = Self {
             platform: start_platform(&dir, *platform, boxes, setup.daemons),
-            boxes: boxes
-                .iter()
-                .map(|at| start_box(&dir, *at, *platform))
-                .collect(),
+            boxes: boxes.iter().map(|at| start_box(&dir, *at, *platform)).collect(),
             services: services.iter().map(|at| start_service(&dir, *at)).collect(),
             daemons: daemons
                 .chunks(3)
@@ -184,9 +174,7 @@
             dir,
         };
         for daemon in &cluster.daemons {
-            cluster
-                .until("a daemon is ready", || cluster.is_ready(daemon.callers))
-                .await;
+            cluster.until("a daemon is ready", || cluster.is_ready(daemon.callers)).await;
         }
         cluster
     }
@@ -194,9 +182,7 @@
     /// Starts everything, puts the usual groups in force and waits until they serve everywhere.
     pub(crate) async fn serving(setup: Setup) -> Self {
         let cluster = Self::start(setup).await;
-        cluster
-            .put_in_force(&cluster.usual_config(setup.replicas, "1", "/consent"))
-            .await;
+        cluster.put_in_force(&cluster.usual_config(setup.replicas, "1", "/consent")).await;
         for daemon in &cluster.daemons {
             let all = || async {
                 cluster.serving_replicas(daemon.operators).await == setup.replicas as u64
@@ -231,10 +217,7 @@
         let at = at.to_string();
         let mut all = vec!["--at", &at];
         all.extend(args);
-        Command::new(program("cherrystand"))
-            .args(all)
-            .output()
-            .expect("the command")
+        Command::new(program("cherrystand")).args(all).output().expect("the command")
     }
 
     /// Writes a file for the command to read.
@@ -248,11 +231,7 @@
     pub(crate) fn plan(&self, config: &str) -> String {
         let file = self.write_file("config.toml", config);
         let made = self.cli(&["--json", "plan", &file]);
-        assert!(
-            made.status.success(),
-            "{}",
-            String::from_utf8_lossy(&made.stderr)
-        );
+        assert!(made.status.success(), "{}", String::from_utf8_lossy(&made.stderr));
         let plan: Value = serde_json::from_slice(&made.stdout).expect("a plan");
         plan["id"].as_str().expect("an id").to_owned()
     }
@@ -272,11 +251,7 @@
     {
         let until = Instant::now() + PATIENCE;
         while !is_so().await {
-            assert!(
-                Instant::now() < until,
-                "gave up waiting until {what}; see {:?}",
-                self.dir
-            );
+            assert!(Instant::now() < until, "gave up waiting until {what}; see {:?}", self.dir);
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
@@ -288,26 +263,19 @@
 
     /// Returns how many replicas a daemon routes to.
     pub(crate) async fn serving_replicas(&self, operators: SocketAddr) -> u64 {
-        let Ok(answer) = self
-            .send(operators, Method::GET, "/operator/status", &[], "")
-            .await
+        let Ok(answer) = self.send(operators, Method::GET, "/operator/status", &[], "").await
         else {
             return 0;
         };
         let status: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
         let replicas = status["replicas"].as_array().into_iter().flatten();
-        replicas
-            .filter(|replica| replica["serving"] == json!(true))
-            .count() as u64
+        replicas.filter(|replica| replica["serving"] == json!(true)).count() as u64
     }
 
     /// Returns how many daemons one of them hears, itself included.
     pub(crate) async fn daemons_heard(&self, daemon: usize) -> u64 {
         let at = self.daemons[daemon].operators;
-        let Ok(answer) = self
-            .send(at, Method::GET, "/operator/status", &[], "")
-            .await
-        else {
+        let Ok(answer) = self.send(at, Method::GET, "/operator/status", &[], "").await else {
             return 0;
         };
         let status: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
@@ -325,16 +293,8 @@
     ) -> Result<Answer, String> {
         let answer = self.open(to, method, path, headers, body).await;
         let (head, body) = answer.map_err(|err| err.to_string())?.into_parts();
-        let body = body
-            .collect()
-            .await
-            .map_err(|err| err.to_string())?
-            .to_bytes();
-        Ok(Answer {
-            status: head.status,
-            headers: head.headers,
-            body,
-        })
+        let body = body.collect().await.map_err(|err| err.to_string())?.to_bytes();
+        Ok(Answer { status: head.status, headers: head.headers, body })
     }
 
     /// Sends a request and returns once its answer begins.
@@ -346,16 +306,11 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> Result<Response<PooledBody>, SendError> {
-        let mut req = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "test");
+        let mut req = Request::builder().method(method).uri(path).header("host", "test");
         for (name, value) in headers {
             req = req.header(*name, *value);
         }
-        let req = req
-            .body(Full::new(Bytes::from(body.to_owned())))
-            .expect("a request");
+        let req = req.body(Full::new(Bytes::from(body.to_owned()))).expect("a request");
         self.pool.send(to, req, Duration::from_secs(1)).await
     }
 
@@ -369,21 +324,12 @@
     ) -> Result<Response<PooledBody>, SendError> {
         let body = model_body(text, tokens, stream);
         let to = self.daemons[daemon].callers;
-        self.open(to, Method::POST, "/v1/chat/completions", &[], &body)
-            .await
+        self.open(to, Method::POST, "/v1/chat/completions", &[], &body).await
     }
 
     /// Sets how a stand-in behaves.
     pub(crate) async fn set(&self, stand_in: SocketAddr, knobs: Value) {
-        let set = self
-            .send(
-                stand_in,
-                Method::POST,
-                "/control/set",
-                &[],
-                &knobs.to_string(),
-            )
-            .await;
+        let set = self.send(stand_in, Method::POST, "/control/set", &[], &knobs.to_string()).await;
         assert_eq!(set.expect("set").status, StatusCode::OK);
     }
 
@@ -432,23 +378,13 @@
 fn start_box(dir: &Path, at: SocketAddr, platform: SocketAddr) -> Process {
     let (at_text, platform) = (at.to_string(), platform.to_string());
     let args = ["engine", "--listen", &at_text, "--platform", &platform];
-    start(
-        "cherrystand_standin",
-        &args,
-        at,
-        &dir.join(format!("box-{}.log", at.port())),
-    )
+    start("cherrystand_standin", &args, at, &dir.join(format!("box-{}.log", at.port())))
 }
 
 fn start_service(dir: &Path, at: SocketAddr) -> Process {
     let at_text = at.to_string();
     let args = ["service", "--listen", &at_text];
-    start(
-        "cherrystand_standin",
-        &args,
-        at,
-        &dir.join(format!("service-{}.log", at.port())),
-    )
+    start("cherrystand_standin", &args, at, &dir.join(format!("service-{}.log", at.port())))
 }
 
 fn start_daemon(
@@ -458,12 +394,7 @@
     all: &[SocketAddr],
     platform: SocketAddr,
 ) -> Daemon {
-    let seeds: Vec<String> = all
-        .iter()
-        .skip(2)
-        .step_by(3)
-        .map(|at| format!("\"{at}\""))
-        .collect();
+    let seeds: Vec<String> = all.iter().skip(2).step_by(3).map(|at| format!("\"{at}\"")).collect();
     let zone = if number.is_multiple_of(2) { "a" } else { "b" };
     let text = format!(
         "node = \"n{number}\"\nzone = \"{zone}\"\nseeds = [{}]\n\
--- a/crates/cherrystandd/tests/whole_path.rs
+++ b/crates/cherrystandd/tests/whole_path.rs
@@ -12,13 +12,7 @@
 
 fn prompt(text: &str, tokens: u64, stream: bool) -> Prompt {
     let text = text.to_owned();
-    Prompt {
-        text,
-        tokens,
-        stream,
-        model: "m".to_owned(),
-        chat: true,
-    }
+    Prompt { text, tokens, stream, model: "m".to_owned(), chat: true }
 }
 
 #[test]
@@ -28,23 +22,12 @@
         for daemon in 0..cluster.daemons.len() {
             for stream in [false, true] {
                 let text = format!("daemon {daemon}");
-                let answer = cluster
-                    .ask_model(daemon, &text, 5, stream)
-                    .await
-                    .expect("an answer");
+                let answer = cluster.ask_model(daemon, &text, 5, stream).await.expect("an answer");
                 assert_eq!(answer.headers()["cherrystand-outcome"], "ran");
-                let body = answer
-                    .into_body()
-                    .collect()
-                    .await
-                    .expect("a body")
-                    .to_bytes();
+                let body = answer.into_body().collect().await.expect("a body").to_bytes();
                 let asked = prompt(&text, 5, stream);
-                let verdict = if stream {
-                    judge_stream(&asked, &body)
-                } else {
-                    judge_whole(&asked, &body)
-                };
+                let verdict =
+                    if stream { judge_stream(&asked, &body) } else { judge_whole(&asked, &body) };
                 assert_eq!(verdict, Verdict::Whole);
             }
         }
@@ -74,22 +57,8 @@
     };
     vec![
         case("no JSON", chat, &[], "{", 400, "bad-request"),
-        case(
-            "no model",
-            chat,
-            &[],
-            "{\"messages\":[]}",
-            400,
-            "bad-request",
-        ),
-        case(
-            "no prompt",
-            chat,
-            &[],
-            "{\"model\":\"m\"}",
-            400,
-            "bad-request",
-        ),
+        case("no model", chat, &[], "{\"messages\":[]}", 400, "bad-request"),
+        case("no prompt", chat, &[], "{\"model\":\"m\"}", 400, "bad-request"),
         case(
             "unknown model",
             chat,
@@ -99,14 +68,7 @@
             "unknown-target",
         ),
         case("unknown path", "/nowhere", &[], "", 404, "unknown-target"),
-        case(
-            "a prefix only in letters",
-            "/consentient",
-            &[],
-            "",
-            404,
-            "unknown-target",
-        ),
+        case("a prefix only in letters", "/consentient", &[], "", 404, "unknown-target"),
         case(
             "a deadline that is no number",
             "/consent/1",
@@ -115,22 +77,8 @@
             400,
             "bad-request",
         ),
-        case(
-            "an empty key",
-            "/consent/1",
-            &[("idempotency-key", "")],
-            "",
-            400,
-            "bad-request",
-        ),
-        case(
-            "an empty id",
-            "/consent/1",
-            &[("x-request-id", "")],
-            "",
-            400,
-            "bad-request",
-        ),
+        case("an empty key", "/consent/1", &[("idempotency-key", "")], "", 400, "bad-request"),
+        case("an empty id", "/consent/1", &[("x-request-id", "")], "", 400, "bad-request"),
         case(
             "a deadline that has passed",
             "/consent/1",
@@ -163,23 +111,13 @@
 #[test]
 fn bad_input_gets_a_typed_refusal_and_nothing_is_run() {
     run(async {
-        let cluster = Cluster::serving(Setup {
-            daemons: 1,
-            ..Setup::default()
-        })
-        .await;
+        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
         let daemon = cluster.daemons[0].callers;
         for case in bad_inputs() {
-            let answer = cluster
-                .send(daemon, case.method, case.path, case.headers, &case.body)
-                .await;
+            let answer =
+                cluster.send(daemon, case.method, case.path, case.headers, &case.body).await;
             let answer = answer.expect(case.name);
-            assert_eq!(
-                answer.status.as_u16(),
-                case.status,
-                "{}: {answer:?}",
-                case.name
-            );
+            assert_eq!(answer.status.as_u16(), case.status, "{}: {answer:?}", case.name);
             let told = (String::from("not-run"), case.reason.to_owned());
             assert_eq!(answer.told(), told, "{}", case.name);
         }
@@ -190,43 +128,27 @@
 #[test]
 fn garbage_on_any_port_harms_nobody() {
     run(async {
-        let cluster = Cluster::serving(Setup {
-            daemons: 2,
-            ..Setup::default()
-        })
-        .await;
+        let cluster = Cluster::serving(Setup { daemons: 2, ..Setup::default() }).await;
         let daemon = &cluster.daemons[0];
         // An SP header that announces a request, then a message that is none.
         let sp_header = [0, b'S', b'P', 0, 0, 0x30, 0, 0];
-        let message = [
-            &8_u64.to_be_bytes()[..],
-            &[0x80, 0, 0, 1, 0xff, 0xff, 0xff, 0xff],
-        ]
-        .concat();
+        let message = [&8_u64.to_be_bytes()[..], &[0x80, 0, 0, 1, 0xff, 0xff, 0xff, 0xff]].concat();
         for port in [daemon.callers, daemon.operators, daemon.peers] {
-            for bytes in [
-                &[0_u8; 4096][..],
-                b"GET / HTTP/9.9\r\n\r\n",
-                &sp_header,
-                &message,
-            ] {
+            for bytes in [&[0_u8; 4096][..], b"GET / HTTP/9.9\r\n\r\n", &sp_header, &message] {
                 let mut stream = TcpStream::connect(port).expect("a connection");
                 // The other side may close at once.
                 let _ = stream.write_all(bytes);
             }
         }
         let mut peer = TcpStream::connect(daemon.peers).expect("a connection");
-        peer.write_all(&[&sp_header[..], &message].concat())
-            .expect("written");
+        peer.write_all(&[&sp_header[..], &message].concat()).expect("written");
         tokio::time::sleep(std::time::Duration::from_millis(600)).await;
         for number in 0..cluster.daemons.len() {
             let answer = cluster.ask_model(number, "still there", 2, false).await;
             assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
         }
         let hears_both = || async { cluster.daemons_heard(0).await == 2 };
-        cluster
-            .until("the daemons hear each other", hears_both)
-            .await;
+        cluster.until("the daemons hear each other", hears_both).await;
     });
 }
 
@@ -236,9 +158,7 @@
         let cluster = Cluster::serving(Setup::default()).await;
         let key = [("idempotency-key", "story-1")];
         let first = cluster.daemons[0].callers;
-        let sent = cluster
-            .send(first, Method::POST, "/consent/story", &key, "once")
-            .await;
+        let sent = cluster.send(first, Method::POST, "/consent/story", &key, "once").await;
         assert_eq!(sent.expect("an answer").status, StatusCode::OK);
         let again = |daemon: usize| {
             let at = cluster.daemons[daemon].callers;
@@ -269,66 +189,29 @@
         let bad = cluster.write_file("bad.toml", "workspace = \"w\"\nworkspaces = 2\n");
         let big = cluster.write_file("big.toml", &cluster.usual_config(9, "1", "/consent"));
         let cases = [
-            Case {
-                args: vec!["status"],
-                code: 0,
-                says: "w/g",
-            },
-            Case {
-                args: vec!["plan", "/no/such/file"],
-                code: 1,
-                says: "cannot be read",
-            },
+            Case { args: vec!["status"], code: 0, says: "w/g" },
+            Case { args: vec!["plan", "/no/such/file"], code: 1, says: "cannot be read" },
             Case {
                 args: vec!["plan", &bad],
                 code: 2,
                 says: "line 2: key `workspaces`: unknown field",
             },
-            Case {
-                args: vec!["plan", &big],
-                code: 2,
-                says: "needs 2 free boxes in one domain",
-            },
-            Case {
-                args: vec!["confirm", "w.00000000"],
-                code: 2,
-                says: "is not pending",
-            },
-            Case {
-                args: vec!["confirm", &one],
-                code: 0,
-                says: "accepted as generation 2",
-            },
-            Case {
-                args: vec!["confirm", &two],
-                code: 3,
-                says: "made it 2 first",
-            },
-            Case {
-                args: vec!["explain", "w/g/0"],
-                code: 0,
-                says: "every member acknowledged",
-            },
+            Case { args: vec!["plan", &big], code: 2, says: "needs 2 free boxes in one domain" },
+            Case { args: vec!["confirm", "w.00000000"], code: 2, says: "is not pending" },
+            Case { args: vec!["confirm", &one], code: 0, says: "accepted as generation 2" },
+            Case { args: vec!["confirm", &two], code: 3, says: "made it 2 first" },
+            Case { args: vec!["explain", "w/g/0"], code: 0, says: "every member acknowledged" },
             Case {
                 args: vec!["explain", "nothing"],
                 code: 2,
                 says: "there is no replica or request",
             },
-            Case {
-                args: vec!["history"],
-                code: 0,
-                says: "w generation 2",
-            },
+            Case { args: vec!["history"], code: 0, says: "w generation 2" },
         ];
         for case in cases {
             let out = cluster.cli(&case.args);
             let text = String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned();
-            assert_eq!(
-                out.status.code(),
-                Some(case.code),
-                "{:?}: {text}",
-                case.args
-            );
+            assert_eq!(out.status.code(), Some(case.code), "{:?}: {text}", case.args);
             assert!(text.contains(case.says), "{:?}: {text}", case.args);
         }
         let nobody = "127.0.0.1:1".parse().expect("an address");
@@ -339,17 +222,11 @@
 #[test]
 fn an_operator_can_ask_why_a_request_was_decided_so() {
     run(async {
-        let cluster = Cluster::serving(Setup {
-            daemons: 1,
-            ..Setup::default()
-        })
-        .await;
+        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
         let daemon = cluster.daemons[0].callers;
         let id = [("x-request-id", "ask-me")];
         let body = model_body("why", 2, false);
-        let sent = cluster
-            .send(daemon, Method::POST, "/v1/chat/completions", &id, &body)
-            .await;
+        let sent = cluster.send(daemon, Method::POST, "/v1/chat/completions", &id, &body).await;
         assert_eq!(sent.expect("an answer").header("x-request-id"), "ask-me");
         let out = cluster.cli(&["explain", "ask-me"]);
         let text = String::from_utf8_lossy(&out.stdout).into_owned();
