--- /dev/null
+++ b/crates/cherrystand_core/benches/repair.rs
@@ -0,0 +1,57 @@
+//! Compares the priced repair rule with its two baselines on the failure scripts.
+//!
+//! Time is virtual, so the figures are the same in every run.
+
+use cherrystand_core::RepairRule;
+use cherrystand_testkit::{Losses, RepairScript, USERS, Weights};
+
+/// How many times each script is run, with different seeds.
+const RUNS: u64 = 8;
+
+fn mean(script: RepairScript, rule: RepairRule, weights: Weights) -> Losses {
+    let mut sum = Losses::default();
+    for seed in 0..RUNS {
+        let losses = script.run(rule, weights, seed);
+        sum.down_secs += losses.down_secs / RUNS as f64;
+        sum.stranded_secs += losses.stranded_secs / RUNS as f64;
+    }
+    sum
+}
+
+fn main() {
+    println!("repair: mean of {RUNS} runs of 4 h; 8 replicas of 8 boxes; price = weighted sum");
+    println!(
+        "{:<15} {:<8} {:<9} {:>10} {:>14} {:>10} {:>7}",
+        "script", "weights", "rule", "down s", "stranded s", "price", "ratio"
+    );
+    for weights in USERS {
+        let mut totals = [0.0; 3];
+        for script in RepairScript::ALL {
+            let rules = [RepairRule::Priced, RepairRule::ReformAtOnce, RepairRule::WaitForBox];
+            let lost = rules.map(|rule| mean(script, rule, weights));
+            let prices = lost.map(|losses| weights.price(&losses));
+            let better = prices[1].min(prices[2]);
+            for (number, rule) in ["priced", "reform", "wait"].into_iter().enumerate() {
+                totals[number] += prices[number];
+                println!(
+                    "{:<15} {:<8} {:<9} {:>10.0} {:>14.0} {:>10.0} {:>7.2}",
+                    script.as_str(),
+                    weights.name,
+                    rule,
+                    lost[number].down_secs,
+                    lost[number].stranded_secs,
+                    prices[number],
+                    prices[number] / better
+                );
+            }
+        }
+        println!(
+            "sum for {}: priced {:.0}, reform {:.0}, wait {:.0}; priced / better = {:.2}",
+            weights.name,
+            totals[0],
+            totals[1],
+            totals[2],
+            totals[0] / totals[1].min(totals[2])
+        );
+    }
+}
--- a/crates/cherrystand_core/src/config/settings_error.rs
+++ b/crates/cherrystand_core/src/config/settings_error.rs
@@ -91,15 +91,21 @@
 fn from_toml_error(err: &toml::de::Error, text: &str) -> SettingsError {
     let start = err.span().map(|span| span.start);
     let line = start.map(|at| text[..at].matches('\n').count() + 1);
-    let key = line
-        .and_then(|line| text.lines().nth(line - 1))
-        .and_then(|line| line.split_once('='))
-        .map(|(key, _)| key.trim().to_owned())
-        .unwrap_or_default();
+    let written = || {
+        let line = text.lines().nth(line? - 1)?;
+        line.split_once('=').map(|(key, _)| key.trim().to_owned())
+    };
+    let key = missing_key(err.message()).or_else(written);
     SettingsError {
         kind: SettingsErrorKind::Malformed,
-        key,
+        key: key.unwrap_or_default(),
         line,
         message: err.message().to_owned(),
     }
 }
+
+/// Returns the key that a message says is missing; it stands on no line.
+fn missing_key(message: &str) -> Option<String> {
+    let rest = message.strip_prefix("missing field `")?;
+    rest.split('`').next().map(str::to_owned)
+}
--- a/crates/cherrystand_testkit/src/domain/fake_box.rs
+++ b/crates/cherrystand_testkit/src/domain/fake_box.rs
@@ -11,6 +11,8 @@
     pub alive: bool,
     /// When a box that is down comes back; nothing if it never does.
     pub back_at: Option<Millis>,
+    /// Until when the box runs but cannot be heard.
+    pub silent_until: Millis,
     /// Whether the engine reports but follows no orders.
     pub deaf: bool,
     /// Whether the engine refuses orders of an old epoch.
@@ -37,6 +39,7 @@
         Self {
             alive: true,
             back_at: None,
+            silent_until: Millis(0),
             deaf: false,
             checks_orders,
             epoch: Epoch(0),
--- a/crates/cherrystand_testkit/src/domain/fake_domain.rs
+++ b/crates/cherrystand_testkit/src/domain/fake_domain.rs
@@ -279,7 +279,7 @@
             let first = Observation { heard: now, report: None };
             let seen = &mut self.controllers[index].seen;
             let observation = seen.entry(id.clone()).or_insert(first);
-            if fake.alive && !cut_off {
+            if fake.alive && !cut_off && fake.silent_until <= now {
                 observation.heard = now;
                 observation.report = Some(fake.report());
             }
--- /dev/null
+++ b/crates/cherrystand_testkit/src/domain/repair_script.rs
@@ -0,0 +1,206 @@
+//! Failure scripts by which repair rules are compared.
+
+use cherrystand_core::{
+    BoxId, Desired, GroupId, LoadSpec, Millis, RepairPolicy, RepairRule, ReplicaId, ReturnModel,
+    Seed, WorkspaceId,
+};
+
+use crate::{DomainSetup, FakeDomain, Losses};
+
+/// How many boxes one replica spans.
+const SPAN: u32 = 8;
+
+/// How many replicas the domain has.
+const REPLICAS: u32 = 8;
+
+/// How long one script runs.
+const SCRIPT_LENGTH: Millis = Millis::from_secs(4 * 3_600);
+
+/// How long forming the domain may take before the script begins.
+const FORMING: Millis = Millis::from_secs(3_600);
+
+/// When a box that does not restart is replaced.
+const REPLACED_AFTER: Millis = Millis::from_secs(3_600);
+
+/// Says what users weigh.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Whose weights they are.
+    pub name: &'static str,
+    /// The price of a second in which a replica cannot serve.
+    pub downtime: f64,
+    /// The price of a second in which a healthy box stands idle.
+    pub stranded: f64,
+}
+
+/// Lists the two users' weights: for one a lost replica-second outweighs its eight idle boxes, for
+/// the other it is the reverse.
+pub const USERS: [Weights; 2] = [
+    Weights { name: "photo", downtime: 24.0, stranded: 1.0 },
+    Weights { name: "kodcari", downtime: 2.0, stranded: 1.0 },
+];
+
+impl Weights {
+    /// Returns the weighted sum of losses.
+    pub fn price(&self, losses: &Losses) -> f64 {
+        self.downtime * losses.down_secs + self.stranded * losses.stranded_secs
+    }
+}
+
+/// Names a failure script.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepairScript {
+    /// Single boxes are lost; most restart.
+    SingleLosses,
+    /// Single boxes are lost where the domain has no spares.
+    NoSpares,
+    /// A rack of eight boxes goes for ten minutes.
+    Rack,
+    /// Six boxes in ten cannot be heard for a few seconds, again and again.
+    FalseAlarm,
+    /// Single boxes are lost while the weight store serves two boxes at once.
+    StoreSqueeze,
+}
+
+impl RepairScript {
+    /// Lists all scripts.
+    pub const ALL: [Self; 5] =
+        [Self::SingleLosses, Self::NoSpares, Self::Rack, Self::FalseAlarm, Self::StoreSqueeze];
+
+    /// Returns the script's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::SingleLosses => "single-losses",
+            Self::NoSpares => "no-spares",
+            Self::Rack => "rack",
+            Self::FalseAlarm => "false-alarm",
+            Self::StoreSqueeze => "store-squeeze",
+        }
+    }
+
+    /// Runs the script under a rule with a user's weights and returns what was lost.
+    pub fn run(self, rule: RepairRule, weights: Weights, seed: u64) -> Losses {
+        let mut domain = self.domain(rule, weights);
+        domain.run_for(FORMING);
+        domain.losses = Losses::default();
+        let mut seed = Seed::new(seed);
+        let mut events = self.events(&mut seed);
+        events.sort_by_key(|(at, _)| *at);
+        let start = domain.now;
+        for (at, event) in events {
+            while domain.now < start + at {
+                domain.step();
+            }
+            event.happen(&mut domain);
+        }
+        while domain.now < start + SCRIPT_LENGTH {
+            domain.step();
+        }
+        domain.losses
+    }
+
+    fn domain(self, rule: RepairRule, weights: Weights) -> FakeDomain {
+        let spares = if self == Self::NoSpares { 0 } else { SPAN };
+        let store_slots = if self == Self::StoreSqueeze { 2 } else { 8 };
+        let setup = DomainSetup {
+            boxes: REPLICAS * SPAN + spares,
+            checks_orders: true,
+            load: Millis::from_secs(60),
+            rejoin: Millis::from_secs(5),
+            store_slots,
+        };
+        let policy = RepairPolicy {
+            loads_at_once: store_slots as u32,
+            load_secs: 60.0,
+            rejoin_secs: 5.0,
+            returns: ReturnModel::default(),
+            rule,
+        };
+        let mut domain = FakeDomain::new(setup, &[policy]);
+        let group = GroupId::new(WorkspaceId::new("w"), "g");
+        let wanted = (0..REPLICAS).map(|slot| Desired {
+            replica: ReplicaId::new(group.clone(), slot),
+            load: LoadSpec {
+                model: "m".to_owned(),
+                version: "1".to_owned(),
+                adapters: Vec::new(),
+                role: "serve".to_owned(),
+            },
+            span: SPAN,
+            planned: Vec::new(),
+            may_reload: true,
+            downtime_weight: weights.downtime,
+            stranded_weight: weights.stranded,
+        });
+        domain.desired = wanted.collect();
+        domain
+    }
+
+    fn events(self, seed: &mut Seed) -> Vec<(Millis, ScriptEvent)> {
+        match self {
+            Self::SingleLosses | Self::NoSpares | Self::StoreSqueeze => single_losses(seed),
+            Self::Rack => vec![(Millis::from_secs(600), rack_loss(seed))],
+            Self::FalseAlarm => {
+                (1..20).map(|number| (Millis::from_secs(number * 600), false_alarm(seed))).collect()
+            }
+        }
+    }
+}
+
+/// Something that happens to boxes.
+enum ScriptEvent {
+    Lose { boxes: Vec<u32>, back_after: Millis },
+    Silence { boxes: Vec<u32>, span: Millis },
+}
+
+impl ScriptEvent {
+    fn happen(self, domain: &mut FakeDomain) {
+        let ids: Vec<BoxId> = domain.boxes.keys().cloned().collect();
+        let pick = |number: u32| &ids[number as usize % ids.len()];
+        match self {
+            Self::Lose { boxes, back_after } => {
+                for number in boxes {
+                    domain.kill(pick(number), Some(back_after));
+                }
+            }
+            Self::Silence { boxes, span } => {
+                let until = domain.now + span;
+                for number in boxes {
+                    if let Some(fake) = domain.boxes.get_mut(pick(number)) {
+                        fake.silent_until = until;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn single_losses(seed: &mut Seed) -> Vec<(Millis, ScriptEvent)> {
+    let losses = 40;
+    let one = |number: u64| {
+        let at = Millis::from_secs(number * SCRIPT_LENGTH.0 / 1_000 / (losses + 4));
+        let restarts = seed.below(1_979) < 1_900;
+        let back_after = if restarts { exponential(seed, 45.0) } else { REPLACED_AFTER };
+        let boxes = vec![seed.below(1 << 20) as u32];
+        (at, ScriptEvent::Lose { boxes, back_after })
+    };
+    (1..=losses).map(one).collect()
+}
+
+fn rack_loss(seed: &mut Seed) -> ScriptEvent {
+    let first = seed.below(64) as u32;
+    let boxes = (first..first + 8).collect();
+    ScriptEvent::Lose { boxes, back_after: Millis::from_secs(600) }
+}
+
+fn false_alarm(seed: &mut Seed) -> ScriptEvent {
+    let first = seed.below(72) as u32;
+    let boxes = (first..first + 43).collect();
+    ScriptEvent::Silence { boxes, span: Millis(4_000) }
+}
+
+/// Draws a time that is exponentially distributed around a mean in seconds.
+fn exponential(seed: &mut Seed, mean: f64) -> Millis {
+    let uniform = (seed.below(1 << 30) as f64 + 1.0) / f64::from(1 << 30);
+    Millis((-uniform.ln() * mean * 1_000.0) as u64)
+}
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -5,6 +5,7 @@
 mod domain {
     pub(crate) mod fake_box;
     pub(crate) mod fake_domain;
+    pub(crate) mod repair_script;
 }
 mod engine {
     pub(crate) mod answer;
@@ -27,6 +28,7 @@
 pub use domain::fake_domain::{
     DOMAIN_STEP, DomainSetup, FakeController, FakeDomain, Losses, epochs_in_use,
 };
+pub use domain::repair_script::{RepairScript, USERS, Weights};
 pub use engine::answer::Prompt;
 pub use engine::stand_in::{EngineBody, EngineKnobs, EngineSetup, EngineStandIn, Executions};
 pub use load::caller::{Ask, Caller};
--- /dev/null
+++ b/crates/cherrystandd/tests/settings.rs
@@ -0,0 +1,133 @@
+//! The daemon's settings, and the page that explains them.
+
+use std::process::Command;
+
+use cherrystandd::Settings;
+
+const SOUND: &str = "node = \"n\"\nzone = \"z\"\n[listen]\ncallers = \"127.0.0.1:1\"\n\
+    operators = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n[platform]\naddress = \"127.0.0.1:4\"\n";
+
+#[test]
+fn faults_name_the_line_the_key_and_what_is_allowed() {
+    let cases = [
+        SOUND.replace("node = \"n\"\n", ""),
+        SOUND.replace("\"n\"", "\"a/b\""),
+        SOUND.replace("zone", "zones"),
+        SOUND.replace("\"127.0.0.1:4\"", "4"),
+        SOUND.replace("127.0.0.1:4", "platform.example:80"),
+        SOUND.replace("127.0.0.1:2", "127.0.0.1:1"),
+        format!("{SOUND}[limits]\nrequests = 0\n"),
+        format!("{SOUND}[limits]\nrequests = 10\nconsent_requests = 10\n"),
+        format!("{SOUND}[limits]\nbatch_percent = 101\n"),
+        format!("{SOUND}[limits]\nrequest = 10\n"),
+        format!("{SOUND}[repair]\nload_seconds = 0.0\n"),
+        format!("{SOUND}[repair]\nrestart_share = 1.5\n"),
+        format!("{SOUND}[repair]\nprobe_ms = 5000\n"),
+        format!("{SOUND}[stop]\nlinger_ms = \"long\"\n"),
+    ];
+    let rendered: Vec<String> =
+        cases.iter().map(|text| Settings::from_toml(text).expect_err(text).to_string()).collect();
+    insta::assert_snapshot!(rendered.join("\n"));
+}
+
+#[test]
+fn the_daemon_checks_settings_without_starting() {
+    struct Case {
+        text: String,
+        code: i32,
+        says: &'static str,
+    }
+    let cases = [
+        Case { text: SOUND.to_owned(), code: 0, says: "the settings are sound" },
+        Case { text: format!("{SOUND}port = 1\n"), code: 1, says: "line 9: key `port`" },
+    ];
+    let file = std::env::temp_dir().join(format!("cherrystand-check-{}.toml", std::process::id()));
+    for case in cases {
+        std::fs::write(&file, &case.text).expect("a file");
+        let out = Command::new(env!("CARGO_BIN_EXE_cherrystandd"))
+            .args(["--check", "--settings"])
+            .arg(&file)
+            .output()
+            .expect("the daemon");
+        let text = String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned();
+        assert_eq!(out.status.code(), Some(case.code), "{text}");
+        assert!(text.contains(case.says), "{text}");
+        assert!(text.contains(&file.display().to_string()), "{text}");
+    }
+    std::fs::remove_file(&file).expect("removed");
+}
+
+/// Lists the keys that a page documents: the first cell of each table row, in backticks.
+fn documented(page: &str) -> Vec<String> {
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    rows.filter_map(|row| row.split('`').next()).map(str::to_owned).collect()
+}
+
+#[test]
+fn the_page_on_settings_lists_every_key_and_no_other() {
+    let page = include_str!("../../../docs/operators/settings.md");
+    let (daemon, groups) = page.split_once("## Serving groups").expect("two parts");
+    let unknown = "no_such_key = 1\n";
+    let tables = [
+        ("", format!("{unknown}{SOUND}")),
+        ("listen.", SOUND.replace("[platform]", &format!("{unknown}[platform]"))),
+        ("platform.", format!("{SOUND}{unknown}")),
+        ("limits.", format!("{SOUND}[limits]\n{unknown}")),
+        ("repair.", format!("{SOUND}[repair]\n{unknown}")),
+        ("stop.", format!("{SOUND}[stop]\n{unknown}")),
+    ];
+    let mut keys: Vec<String> = Vec::new();
+    for (table, text) in tables {
+        let err = Settings::from_toml(&text).expect_err("an unknown key").to_string();
+        keys.extend(expected_keys(&err).into_iter().map(|key| format!("{table}{key}")));
+    }
+    let sections = ["listen", "platform", "limits", "repair", "stop"];
+    keys.retain(|key| !sections.contains(&key.as_str()));
+    assert_eq!(sorted(documented(daemon)), sorted(keys));
+
+    let mut keys: Vec<String> = Vec::new();
+    let tables = [
+        ("", format!("workspace = \"w\"\n{unknown}")),
+        ("model.", format!("workspace = \"w\"\n[[model]]\n{unknown}")),
+        ("service.", format!("workspace = \"w\"\n[[service]]\n{unknown}")),
+        (
+            "service.endpoints.",
+            "workspace = \"w\"\n[[service]]\nendpoints = [{ no_such_key = 1 }]\n".to_owned(),
+        ),
+    ];
+    for (table, text) in tables {
+        let err = cherrystand_core::WorkspaceConfig::from_toml(&text).expect_err("an unknown key");
+        let known = expected_keys(&err.to_string());
+        keys.extend(known.into_iter().map(|key| format!("{table}{key}")));
+    }
+    keys.retain(|key| key != "model" && key != "service");
+    assert_eq!(sorted(documented(groups)), sorted(keys));
+}
+
+/// Reads the keys that an error about an unknown one names.
+fn expected_keys(message: &str) -> Vec<String> {
+    let (_, list) = message.split_once("expected").expect("a list of keys");
+    list.split('`').skip(1).step_by(2).map(str::to_owned).collect()
+}
+
+fn sorted(mut keys: Vec<String>) -> Vec<String> {
+    keys.sort();
+    keys
+}
+
+#[test]
+fn the_page_on_metrics_lists_every_metric_and_reason() {
+    let page = include_str!("../../../docs/operators/metrics.md");
+    let metrics = cherrystandd::Metrics::new().expect("metrics");
+    let text = String::from_utf8(metrics.render().expect("text")).expect("UTF-8");
+    let names = text.lines().filter_map(|line| line.strip_prefix("# HELP "));
+    for name in names.filter_map(|line| line.split(' ').next()) {
+        assert!(page.contains(&format!("`{name}`")), "{name} is not explained");
+    }
+    let reasons = cherrystand_core::RefusalReason::ALL.map(|reason| reason.as_str());
+    let withheld = cherrystand_core::NoRetry::ALL.map(|reason| reason.as_str());
+    let ends = cherrystand_core::AttemptEnd::ALL.map(|end| end.as_str());
+    for word in reasons.into_iter().chain(withheld).chain(ends) {
+        assert!(page.contains(&format!("`{word}`")), "{word} is not explained");
+    }
+}
