--- /dev/null
+++ b/crates/cherrystandd/benches/latency.rs
@@ -0,0 +1,69 @@
+//! What a daemon adds between a caller and an endpoint, and how many requests a second it takes
+//! on its one relaying thread. Real processes on one machine; read the ratios.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::{Duration, Instant};
+
+use hyper::{Method, StatusCode};
+use support::{Cluster, Setup, run};
+
+/// How many requests each latency is taken from.
+const SAMPLES: usize = 4_000;
+
+/// How many callers send at once for the rate.
+const CALLERS: usize = 64;
+
+/// For how long the rate is taken.
+const RATE_FOR: Duration = Duration::from_secs(4);
+
+async fn latencies(cluster: &Cluster, to: std::net::SocketAddr) -> Vec<Duration> {
+    let mut taken = Vec::with_capacity(SAMPLES);
+    for _ in 0..SAMPLES {
+        let began = Instant::now();
+        let answer = cluster.send(to, Method::GET, "/consent/1", &[], "").await;
+        assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+        taken.push(began.elapsed());
+    }
+    taken.sort_unstable();
+    taken
+}
+
+async fn rate(cluster: &Cluster, to: std::net::SocketAddr) -> f64 {
+    let until = Instant::now() + RATE_FOR;
+    let caller = |_| async move {
+        let mut done = 0_u32;
+        while Instant::now() < until {
+            let answer = cluster.send(to, Method::GET, "/consent/1", &[], "").await;
+            done += u32::from(answer.is_ok_and(|answer| answer.status == StatusCode::OK));
+        }
+        done
+    };
+    let done = futures_util::future::join_all((0..CALLERS).map(caller)).await;
+    f64::from(done.iter().sum::<u32>()) / RATE_FOR.as_secs_f64()
+}
+
+fn main() {
+    run(async {
+        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
+        let (daemon, service) = (cluster.daemons[0].callers, cluster.services[0].address);
+        latencies(&cluster, daemon).await;
+        let (direct, through) =
+            (latencies(&cluster, service).await, latencies(&cluster, daemon).await);
+        for percent in [50, 99] {
+            let at = |taken: &[Duration]| taken[(SAMPLES - 1) * percent / 100];
+            let (direct, through) = (at(&direct), at(&through));
+            let ratio = through.as_secs_f64() / direct.as_secs_f64();
+            println!(
+                "latency p{percent}: direct {direct:?}, through the daemon {through:?}, ratio {ratio:.2}"
+            );
+        }
+        let (direct, through) = (rate(&cluster, service).await, rate(&cluster, daemon).await);
+        println!(
+            "rate with {CALLERS} callers in one process: direct {direct:.0}/s, through the daemon \
+             {through:.0}/s, ratio {:.2}",
+            through / direct
+        );
+    });
+}
--- /dev/null
+++ b/crates/cherrystandd/benches/slopes.rs
@@ -0,0 +1,222 @@
+//! The slopes that docs/CAPACITY.md is worked out from: bytes, steps and microseconds as things
+//! grow.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+
+use cherrystand_core::{
+    Assignment, BoxId, BoxInfo, Controller, Desired, Document, DomainId, DomainRecord,
+    EngineReport, EngineState, Epoch, EvidenceTable, Fleet, GroupId, Heartbeat, Incarnation,
+    LoadSpec, Membership, Millis, NodeId, Observation, Observations, Phase, RepairPolicy,
+    ReplicaEvidence, ReplicaId, Revision, Situation, Slot, WorkspaceId, WorkspaceRecord, ZoneId,
+};
+use cherrystand_peer::{News, Reply, encode};
+
+const SPAN: u32 = 8;
+
+fn load() -> LoadSpec {
+    LoadSpec {
+        model: "captioner-large".to_owned(),
+        version: "2026-11-01".to_owned(),
+        adapters: Vec::new(),
+        role: "serve".to_owned(),
+    }
+}
+
+fn replica(slot: u32) -> ReplicaId {
+    ReplicaId::new(GroupId::new(WorkspaceId::new("photo"), "captions"), slot)
+}
+
+fn box_id(number: u32) -> BoxId {
+    BoxId::new(format!("hall-1-rack-07-{number:04}"))
+}
+
+fn heartbeat(number: usize) -> Heartbeat {
+    Heartbeat {
+        node: NodeId::new(format!("entry-{number:03}")),
+        incarnation: Incarnation(1_800_000_000_000),
+        beat: 100_000,
+        zone: ZoneId::new("amman-a"),
+        address: ([10, 0, 0, 1], 7_433).into(),
+        serving: true,
+        config: u64::MAX / 3,
+    }
+}
+
+fn evidence(slot: u32) -> ReplicaEvidence {
+    ReplicaEvidence {
+        domain: DomainId::new("hall-1-d07"),
+        replica: replica(slot),
+        epoch: Epoch(1_234),
+        age: Millis(900),
+        whole: true,
+        load: 20,
+    }
+}
+
+fn domain(replicas: u32) -> DomainRecord {
+    let mut record = DomainRecord::empty(DomainId::new("hall-1-d07"));
+    record.last_epoch = Epoch(u64::from(replicas));
+    for slot in 0..replicas {
+        let assignment = Assignment {
+            epoch: Epoch(u64::from(slot) + 1),
+            boxes: (slot * SPAN..(slot + 1) * SPAN).map(box_id).collect(),
+            load: load(),
+            phase: Phase::Ready,
+        };
+        record.replicas.insert(replica(slot), assignment);
+    }
+    record
+}
+
+fn json_bytes<T: serde::Serialize>(value: &T) -> usize {
+    serde_json::to_string(value).map(|text| text.len()).unwrap_or(0)
+}
+
+fn micros(rounds: u32, mut work: impl FnMut()) -> f64 {
+    let began = Instant::now();
+    for _ in 0..rounds {
+        work();
+    }
+    began.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
+}
+
+fn news(members: usize, replicas: u32) -> usize {
+    let news = News {
+        from: heartbeat(0),
+        members: (0..members).map(|number| (heartbeat(number), Millis(700))).collect(),
+        platform_age: Some(Millis(1_500)),
+        fingerprint: u64::MAX / 7,
+        evidence: (0..replicas).map(evidence).collect(),
+    };
+    encode(&Reply::News(news)).map(|bytes| bytes.len()).unwrap_or(0)
+}
+
+fn bytes() {
+    let per = |small: usize, large: usize, count: usize| (large - small) as f64 / count as f64;
+    println!("bytes on the wire: {:.1} a heartbeat", per(news(0, 0), news(100, 0), 100));
+    println!("bytes on the wire: {:.1} a replica's evidence", per(news(0, 0), news(0, 100), 100));
+    println!("bytes on the wire: {} for news without either", news(0, 0));
+    let (small, large) = (json_bytes(&domain(10)), json_bytes(&domain(110)));
+    println!("bytes in a domain's record: {:.0} a replica of {SPAN} boxes", per(small, large, 100));
+    let mut workspace = WorkspaceRecord::empty(WorkspaceId::new("photo"));
+    let small = json_bytes(&workspace);
+    workspace.slots = (0..100)
+        .map(|slot| Slot {
+            replica: replica(slot),
+            domain: DomainId::new("hall-1-d07"),
+            planned: (0..SPAN).map(box_id).collect(),
+        })
+        .collect();
+    let large = json_bytes(&workspace);
+    println!("bytes in a workspace's record: {:.0} a replica", per(small, large, 100));
+    let info = BoxInfo {
+        id: box_id(1),
+        domain: DomainId::new("hall-1-d07"),
+        zone: ZoneId::new("amman-a"),
+        address: ([10, 0, 0, 1], 7_200).into(),
+        accelerators: 1,
+        leaving: false,
+        checks_orders: true,
+    };
+    println!("bytes in the box list: {} a box", json_bytes(&info) + 1);
+}
+
+fn step(replicas: u32) -> f64 {
+    let record = domain(replicas);
+    let boxes = replicas * SPAN;
+    let fleet = Fleet::new((0..boxes).map(|number| BoxInfo {
+        id: box_id(number),
+        domain: record.domain.clone(),
+        zone: ZoneId::new("amman-a"),
+        address: ([10, 0, 0, 1], 7_200).into(),
+        accelerators: 1,
+        leaving: false,
+        checks_orders: true,
+    }));
+    let desired: Vec<Desired> = (0..replicas)
+        .map(|slot| Desired {
+            replica: replica(slot),
+            load: load(),
+            span: SPAN,
+            planned: Vec::new(),
+            may_reload: false,
+            downtime_weight: 1.0,
+            stranded_weight: 1.0,
+        })
+        .collect();
+    let mut seen = Observations::new();
+    for (slot, held) in record.replicas.values().enumerate() {
+        for id in &held.boxes {
+            let report = EngineReport {
+                epoch: Epoch(slot as u64 + 1),
+                state: EngineState::Ready,
+                loaded: Some(load()),
+                in_flight: 3,
+                waiting: 0,
+            };
+            seen.insert(id.clone(), Observation { heard: Millis(1_000), report: Some(report) });
+        }
+    }
+    let mut controller = Controller::new(RepairPolicy::default());
+    micros(50, || {
+        let step = controller.step(Situation {
+            record: &record,
+            desired: &desired,
+            fleet: &fleet,
+            seen: &seen,
+            now: Millis(1_500),
+            unix_secs: 1,
+        });
+        assert!(black_box(step).write.is_none(), "nothing has happened");
+    })
+}
+
+fn times() {
+    for replicas in [4, 16, 64] {
+        let took = step(replicas);
+        println!(
+            "controller: {took:.0} us a step with {replicas} replicas, {:.1} us each",
+            took / f64::from(replicas)
+        );
+    }
+    for members in [50, 400] {
+        let mut membership = Membership::new(heartbeat(0), Millis(0));
+        let mut beat = 0;
+        let took = micros(50, || {
+            beat += 1;
+            for number in 1..members {
+                let news = Heartbeat { beat, ..heartbeat(number) };
+                membership.hear(news, Millis(0), Millis(beat));
+            }
+        });
+        println!("membership: {:.2} us a heartbeat with {members} daemons", took / members as f64);
+    }
+    for replicas in [600, 4_700] {
+        let mut table = EvidenceTable::default();
+        let mut now = Millis(0);
+        let took = micros(20, || {
+            now = now + Millis(1_000);
+            for slot in 0..replicas {
+                table.offer(&ReplicaEvidence { age: Millis(0), ..evidence(slot) }, now);
+            }
+        });
+        println!(
+            "evidence: {:.2} us a report with {replicas} replicas",
+            took / f64::from(replicas)
+        );
+    }
+    let body: Arc<str> = Arc::from(serde_json::to_string(&domain(64)).unwrap_or_default());
+    let took = micros(50, || {
+        let document = Document { key: Arc::from("k"), revision: Revision(1), body: body.clone() };
+        let read: Result<DomainRecord, _> = serde_json::from_str(&document.body);
+        assert!(black_box(read).is_ok());
+    });
+    println!("records: {took:.0} us to read a domain's record of {} bytes", body.len());
+}
+
+fn main() {
+    bytes();
+    times();
+}
