--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -47,6 +47,7 @@
     pub(crate) mod retry;
     pub(crate) mod router;
     pub(crate) mod seed;
+    pub(crate) mod usual_time;
     pub(crate) mod wait_queue;
 }
 
@@ -111,4 +112,5 @@
 };
 pub use requests::router::{EndpointKey, EndpointSpec, GroupKey, NoEndpoint, Router};
 pub use requests::seed::{Seed, hash_bytes, mix};
+pub use requests::usual_time::UsualTime;
 pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
--- a/crates/cherrystand_core/src/requests/wait_queue.rs
+++ b/crates/cherrystand_core/src/requests/wait_queue.rs
@@ -28,14 +28,15 @@
 }
 
 impl WaitQueue {
-    /// Lets one more request wait, if its turn will likely come in time.
+    /// Lets one more request wait, if its turn will likely come while there is still time for its
+    /// answer, which needs `answer` of the `remaining` time.
     ///
     /// # Errors
     ///
     /// Returns the [`Refusal`] with the time after which the queue will have drained.
-    pub fn join(&mut self, remaining: Millis) -> Result<(), Refusal> {
+    pub fn join(&mut self, remaining: Millis, answer: Millis) -> Result<(), Refusal> {
         let expected = self.expected_wait();
-        if expected > remaining.min(LONGEST_WAIT) {
+        if expected > (remaining - answer).min(LONGEST_WAIT) {
             return Err(Refusal::with_retry_after(RefusalReason::WaitTooLong, expected));
         }
         self.waiting += 1;
--- a/crates/cherrystand_core/tests/routing.rs
+++ b/crates/cherrystand_core/tests/routing.rs
@@ -189,7 +189,7 @@
     let mut queue = WaitQueue::default();
     let mut joined = 0;
     let refusal = loop {
-        match queue.join(Millis(1_000)) {
+        match queue.join(Millis(1_300), Millis(300)) {
             Ok(()) => joined += 1,
             Err(refusal) => break refusal,
         }
--- a/crates/cherrystandd/src/relay/core.rs
+++ b/crates/cherrystandd/src/relay/core.rs
@@ -7,7 +7,7 @@
 
 use cherrystand_core::{
     Admission, AttemptEnd, Class, EndpointKey, EndpointSpec, Epoch, GroupId, GroupKey, Millis,
-    NoEndpoint, ReplicaId, RetryBudget, Room, Router, Seed, WaitQueue,
+    NoEndpoint, ReplicaId, RetryBudget, Room, Router, Seed, UsualTime, WaitQueue,
 };
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
@@ -34,6 +34,8 @@
     pub(crate) room: Rc<Notify>,
     /// What its retries may cost.
     pub(crate) budget: RetryBudget,
+    /// How long its answers usually take to begin.
+    pub(crate) usual: UsualTime,
     key: GroupKey,
     targets: BTreeMap<TargetId, EndpointKey>,
 }
@@ -148,6 +150,9 @@
         self.router.finish(endpoint, end, now, first_byte);
         if let Some(group) = self.group_mut(group) {
             group.queue.done(now);
+            if let Some(took) = first_byte {
+                group.usual.add(took);
+            }
             group.room.notify_one();
         }
     }
@@ -180,6 +185,7 @@
             queue: WaitQueue::default(),
             room: Rc::default(),
             budget: RetryBudget::default(),
+            usual: UsualTime::default(),
             key: self.router.add_group(),
             targets: BTreeMap::new(),
         });
--- a/crates/cherrystandd/src/relay/flow.rs
+++ b/crates/cherrystandd/src/relay/flow.rs
@@ -298,6 +298,11 @@
         if now >= call.deadline {
             return Err(Failure::never(RefusalReason::DeadlinePassed));
         }
+        if let Some(waiting) = &waiting
+            && !waiting.has_time_for_answer(call.deadline)
+        {
+            return Err(waiting.too_long());
+        }
         let chosen = relay.core.borrow_mut().start(call.group, call.prefix, now);
         match chosen {
             Ok(chosen) => return Ok(chosen),
@@ -329,11 +334,18 @@
         let group = core
             .group_mut(call.group)
             .ok_or(Refusal::with_retry_after(RefusalReason::NoneServing, COME_BACK))?;
-        group.queue.join(call.deadline.since(now))?;
+        group.queue.join(call.deadline.since(now), group.usual.needed())?;
         let room = group.room.clone();
         Ok(Self { relay: relay.clone(), group: call.group, room, since: now })
     }
 
+    /// Tells whether an answer that begins now would likely come in time.
+    fn has_time_for_answer(&self, deadline: Millis) -> bool {
+        let core = self.relay.core.borrow();
+        let needed = core.group(self.group).map(|group| group.usual.needed());
+        deadline.since(self.relay.now()) >= needed.unwrap_or_default()
+    }
+
     /// Waits until there may be room, and tells whether there is still time.
     async fn for_room(&self, deadline: Millis) -> bool {
         let until = (self.since + LONGEST_WAIT).min(deadline);
