--- /dev/null
+++ b/crates/cherrystand/examples/route.rs
@@ -0,0 +1,21 @@
+//! Sends a burst to endpoints of which one has failed, and shows where it went.
+
+use cherrystand::{AttemptEnd, EndpointSpec, Millis, Router, Seed};
+
+fn main() {
+    let mut router = Router::default();
+    let group = router.add_group();
+    let spec = EndpointSpec { near: true, start_limit: 8, most: 8 };
+    let endpoints: Vec<_> = (0..4).map(|_| router.add_endpoint(group, spec)).collect();
+    let mut seed = Seed::new(1);
+    let now = Millis(1_000);
+    router.start(endpoints[0]);
+    router.finish(endpoints[0], AttemptEnd::ConnectFailed, now, None);
+    while let Ok(chosen) = router.choose(group, None, now, &mut seed) {
+        router.start(chosen);
+    }
+    for (number, endpoint) in endpoints.iter().enumerate() {
+        let (in_flight, limit) = router.load(*endpoint);
+        println!("endpoint {number}: {in_flight} of {limit} in flight");
+    }
+}
