fix: answer a keyed call within its deadline while keys are out of reach

Cause: the claim was waited for until its writer gave up after 2.5 s, whatever the caller's deadline. Test an_outage..., deadline 0.7 s, before: answered after 3.061784253s; after: within its bound of 2 s. A claim that may yet be written is given up, so that the key is not lost to its caller.

--- a/crates/cherrystandd/src/relay/flow.rs
+++ b/crates/cherrystandd/src/relay/flow.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    AttemptEnd, CLAIM_USE_WITHIN, ClaimAnswer, FailedAttempt, LONGEST_WAIT, Millis, NoEndpoint,
-    NoRetry, Outcome, Refusal, RefusalReason, decide_retry,
+    AttemptEnd, CLAIM_USE_WITHIN, CallKey, ClaimAnswer, FailedAttempt, LONGEST_WAIT, Millis,
+    NoEndpoint, NoRetry, Outcome, Refusal, RefusalReason, decide_retry,
 };
 use cherrystand_platform::HttpPool;
 use hyper::body::Incoming;
@@ -247,7 +247,7 @@
 ) -> Result<Begun, Failure> {
     let asked = relay.now();
     if let Some(key) = call.key {
-        claim(relay, key).await?;
+        claim(relay, call, key).await?;
         admitted.claimed = true;
     }
     let mut attempts = 0;
@@ -273,11 +273,19 @@
     }
 }
 
-async fn claim(relay: &Relay, key: cherrystand_core::CallKey) -> Result<(), Failure> {
-    match claims::take(&relay.cx, key).await {
+/// Claims a keyed call, within the caller's deadline.
+async fn claim(relay: &Relay, call: &Call, key: CallKey) -> Result<(), Failure> {
+    let remaining = Duration::from_millis(call.deadline.since(relay.now()).0);
+    let answer = tokio::time::timeout(remaining, claims::take(&relay.cx, key)).await;
+    match answer.ok().flatten() {
         Some(ClaimAnswer::Granted) => Ok(()),
         Some(ClaimAnswer::Taken(claim)) => Err(Failure::claimed(&claim)),
-        Some(ClaimAnswer::Full | ClaimAnswer::Noted) | None => {
+        Some(ClaimAnswer::Full | ClaimAnswer::Noted) => {
+            Err(come_back(RefusalReason::KeysOutOfReach))
+        }
+        None => {
+            // The claim may yet be written; it is not used, so the key is set free again.
+            claims::give_up(&relay.cx, key);
             Err(come_back(RefusalReason::KeysOutOfReach))
         }
     }
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -146,11 +146,13 @@
             let answer = cluster.ask_model(daemon, "outage", 2, false).await.expect("an answer");
             assert_eq!(answer.status(), StatusCode::OK, "daemon {daemon}");
         }
-        let key = [("idempotency-key", "k")];
+        let key = [("idempotency-key", "k"), ("cherrystand-deadline-ms", "700")];
         let to = cluster.daemons[0].callers;
+        let began = Instant::now();
         let keyed =
             cluster.send(to, Method::POST, "/consent/1", &key, "").await.expect("an answer");
         assert_eq!(keyed.told(), ("not-run".to_owned(), "keys-out-of-reach".to_owned()));
+        assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
         assert!(!cluster.service_executions().await.contains_key("k"));
         assert_eq!(cluster.cli(&["confirm", &plan]).status.code(), Some(4));
         cluster.set(cluster.platform.address, json!({"down": false})).await;
