feat(core): give up on a box whose load does not end

Cause: an engine that hung while loading, yet answered, held its replica for ever, since only silence counted against it. A box that is not ready after five times the usual load (at least 30 s) breaks the replica, and its controller leaves it out for 15 minutes.

What a controller remembers now only guides its choice of boxes.

Case 'a box whose load does not end is swapped for a spare', without the mechanism: FAILED; with it 8 tests pass.

--- a/crates/cherrystand_core/src/control/controller.rs
+++ b/crates/cherrystand_core/src/control/controller.rs
@@ -25,6 +25,15 @@
 /// Beyond it the likelier cause is the observer's own connection or the list.
 pub const HOLD_BACK_SHARE: f64 = 0.5;
 
+/// How many times its usual time a load may take before its box is given up on.
+const LOAD_PATIENCE: f64 = 5.0;
+
+/// The least time that a load is given.
+const LEAST_LOAD_PATIENCE: Millis = Millis(30_000);
+
+/// For how long a box whose load did not end is left out.
+const STALLED_FOR: Millis = Millis::from_secs(900);
+
 /// States what one replica in the domain should be.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Desired {
@@ -129,18 +138,22 @@
     policy: RepairPolicy,
     /// Since when this controller has known each replica to be in its phase.
     phases: BTreeMap<ReplicaId, (Epoch, Phase, Millis)>,
+    /// When each box was given up on, since its load did not end.
+    stalled: BTreeMap<BoxId, Millis>,
 }
 
 impl Controller {
     /// Creates a controller with a policy.
     pub fn new(policy: RepairPolicy) -> Self {
-        Self { policy, phases: BTreeMap::new() }
+        Self { policy, phases: BTreeMap::new(), stalled: BTreeMap::new() }
     }
 
     /// Decides what to write and order now.
     pub fn step(&mut self, at: Situation<'_>) -> Step {
         self.note_phases(&at);
-        let mut change = DomainChange::new(at);
+        self.note_stalled(&at);
+        let stalled = self.stalled.keys().cloned().collect();
+        let mut change = DomainChange::new(at, stalled);
         change.collect_released();
         for replica in change.replicas() {
             self.advance(&mut change, &replica);
@@ -167,6 +180,25 @@
         }
     }
 
+    /// Gives up on boxes whose loads have taken far longer than they should.
+    fn note_stalled(&mut self, at: &Situation<'_>) {
+        self.stalled.retain(|_, since| at.now.since(*since) < STALLED_FOR);
+        for (replica, held) in &at.record.replicas {
+            if self.is_overdue(replica, at.now) {
+                let members = MemberSummary::of(held, at.seen, at.now);
+                let stalled = members.unready.into_iter().map(|id| (id, at.now));
+                self.stalled.extend(stalled);
+            }
+        }
+    }
+
+    /// Tells whether a replica has been loading for far longer than it should.
+    fn is_overdue(&self, replica: &ReplicaId, now: Millis) -> bool {
+        let patience = Millis((self.policy.load_secs * LOAD_PATIENCE * 1_000.0) as u64);
+        let since = self.in_phase_since(replica, Phase::Loading, now);
+        now.since(since) >= patience.max(LEAST_LOAD_PATIENCE)
+    }
+
     fn in_phase_since(&self, replica: &ReplicaId, phase: Phase, now: Millis) -> Millis {
         match self.phases.get(replica) {
             Some((_, known, since)) if *known == phase => *since,
@@ -182,7 +214,8 @@
         let desired = change.at.desired.iter().find(|desired| &desired.replica == replica);
         match assignment.phase {
             Phase::Reserved | Phase::Loading => {
-                advance_loading(change, replica, &assignment, members, desired);
+                let overdue = self.is_overdue(replica, change.at.now);
+                advance_loading(change, replica, &assignment, members, desired, overdue);
             }
             Phase::Ready => advance_ready(change, replica, &assignment, members, desired),
             Phase::Draining => {
@@ -277,6 +310,7 @@
     assignment: &Assignment,
     members: MemberSummary,
     desired: Option<&Desired>,
+    overdue: bool,
 ) {
     let Some(desired) = desired else {
         return change.remove(replica, Evidence::NotDesired);
@@ -287,6 +321,10 @@
     if !desired.matches(assignment) {
         return change.set_phase(replica, Phase::Broken, Evidence::LoadChanged);
     }
+    if overdue && !members.unready.is_empty() {
+        let boxes = members.unready;
+        return change.set_phase(replica, Phase::Broken, Evidence::LoadStalled { boxes });
+    }
     if assignment.phase == Phase::Loading && members.ready == assignment.boxes.len() {
         change.set_phase(replica, Phase::Ready, Evidence::AllAcknowledged);
     }
@@ -358,12 +396,13 @@
     at: Situation<'a>,
     next: DomainRecord,
     changed: bool,
+    stalled: BTreeSet<BoxId>,
 }
 
 impl<'a> DomainChange<'a> {
-    fn new(at: Situation<'a>) -> Self {
+    fn new(at: Situation<'a>, stalled: BTreeSet<BoxId>) -> Self {
         let next = at.record.clone();
-        Self { at, next, changed: false }
+        Self { at, next, changed: false, stalled }
     }
 
     fn finish(self) -> Option<DomainRecord> {
@@ -403,11 +442,13 @@
         boxes.iter().filter(leaving).cloned().collect()
     }
 
-    /// Returns the boxes that cannot be members now: silent, or about to leave.
+    /// Returns the boxes that cannot be members now: silent, stalled, or about to leave.
     fn unusable(&self, boxes: &[BoxId]) -> Vec<BoxId> {
         let leaving = self.leaving(boxes);
         let silent = |id: &BoxId| fresh_report(self.at.seen, id, self.at.now).is_none();
-        let unusable = boxes.iter().filter(|id| silent(id) || leaving.contains(id));
+        let unusable = boxes
+            .iter()
+            .filter(|id| silent(id) || leaving.contains(id) || self.stalled.contains(*id));
         unusable.cloned().collect()
     }
 
@@ -428,8 +469,9 @@
             let report = fresh_report(self.at.seen, id, self.at.now);
             report.is_some_and(|report| report.state == EngineState::Idle)
         };
-        let usable =
-            listed.filter(|info| !info.leaving && self.next.is_free(&info.id) && idle(&info.id));
+        let usable = listed
+            .filter(|info| !info.leaving && self.next.is_free(&info.id) && idle(&info.id))
+            .filter(|info| !self.stalled.contains(&info.id));
         usable.map(|info| info.id.clone()).collect()
     }
 
--- a/crates/cherrystand_core/src/control/explanation.rs
+++ b/crates/cherrystand_core/src/control/explanation.rs
@@ -44,6 +44,11 @@
     },
     /// An engine reported that its replica has come apart.
     CameApart,
+    /// Members answered but did not get ready in time.
+    LoadStalled {
+        /// Those members.
+        boxes: Vec<BoxId>,
+    },
     /// The platform announced that members will leave.
     MembersLeaving {
         /// Those members.
@@ -83,6 +88,7 @@
             Evidence::AllAcknowledged => f.write_str("every member acknowledged the epoch"),
             Evidence::MembersLost { boxes } => write!(f, "lost {}", names(boxes)),
             Evidence::CameApart => f.write_str("an engine reported that it came apart"),
+            Evidence::LoadStalled { boxes } => write!(f, "not ready in time {}", names(boxes)),
             Evidence::MembersLeaving { boxes } => write!(f, "leaving {}", names(boxes)),
             Evidence::MembersReturned => f.write_str("every member is there again"),
             Evidence::Drained => f.write_str("the engine is idle"),
--- a/crates/cherrystand_core/src/control/observation.rs
+++ b/crates/cherrystand_core/src/control/observation.rs
@@ -60,6 +60,8 @@
 pub struct MemberSummary {
     /// Members that do not answer, or that answer for no or another epoch although they served.
     pub lost: Vec<BoxId>,
+    /// Members that answer, but have yet to get ready for the epoch.
+    pub unready: Vec<BoxId>,
     /// Whether a member reports that the replica has come apart.
     pub apart: bool,
     /// Members whose acknowledgement of the epoch is fresh and that are ready.
@@ -89,6 +91,8 @@
                 summary.apart = true;
             } else if served {
                 summary.lost.push(id.clone());
+            } else {
+                summary.unready.push(id.clone());
             }
             if rank == 0 && acts {
                 summary.in_flight = report.in_flight + report.waiting;
--- a/crates/cherrystand_core/tests/replica_life.rs
+++ b/crates/cherrystand_core/tests/replica_life.rs
@@ -83,6 +83,21 @@
             whole: &[0, 1],
             broken: &[],
         },
+        Case {
+            name: "a box whose load does not end is swapped for a spare",
+            boxes: 5,
+            replicas: 2,
+            span: 2,
+            act: |domain| {
+                domain.desired = vec![desired(0, 2, "2"), desired(1, 2, "1")];
+                if let Some(fake) = domain.boxes.get_mut(&box_id(1)) {
+                    fake.stuck = true;
+                }
+            },
+            run: Millis(120_000),
+            whole: &[0, 1],
+            broken: &[],
+        },
         Case {
             name: "when most boxes are silent nothing is formed anew",
             boxes: 10,
--- a/crates/cherrystand_testkit/src/domain/fake_box.rs
+++ b/crates/cherrystand_testkit/src/domain/fake_box.rs
@@ -15,6 +15,8 @@
     pub silent_until: Millis,
     /// Whether the engine reports but follows no orders.
     pub deaf: bool,
+    /// Whether the engine answers but never ends a load.
+    pub stuck: bool,
     /// Whether the engine refuses orders of an old epoch.
     pub checks_orders: bool,
     /// The epoch that the engine acts on; 0 while idle.
@@ -41,6 +43,7 @@
             back_at: None,
             silent_until: Millis(0),
             deaf: false,
+            stuck: false,
             checks_orders,
             epoch: Epoch(0),
             replica: None,
@@ -99,7 +102,7 @@
 
     /// Loads for a while.
     pub fn load_for(&mut self, span: Millis) {
-        if self.state != EngineState::Loading {
+        if self.state != EngineState::Loading || self.stuck {
             return;
         }
         self.load_left = self.load_left - span;
