--- /dev/null
+++ b/crates/cherrystand_core/src/control/domain_change.rs
@@ -0,0 +1,304 @@
+//! The next record of a domain, in the making.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    Assignment, BoxId, Desired, DomainRecord, EngineState, Epoch, Evidence, Explanation, Millis,
+    Phase, Prices, RepairPolicy, ReplicaId, Situation, fresh_report,
+};
+
+/// The share of a domain's listed boxes that may be missing before repairs are held back.
+///
+/// Beyond it the likelier cause is the observer's own connection or the list.
+pub const HOLD_BACK_SHARE: f64 = 0.5;
+
+/// Builds the next record from the one that was read.
+pub(crate) struct DomainChange<'a> {
+    /// What is decided from.
+    pub(crate) at: Situation<'a>,
+    /// The record as it will be.
+    pub(crate) next: DomainRecord,
+    changed: bool,
+    stalled: BTreeSet<BoxId>,
+}
+
+impl<'a> DomainChange<'a> {
+    pub(crate) fn new(at: Situation<'a>, stalled: BTreeSet<BoxId>) -> Self {
+        let next = at.record.clone();
+        Self { at, next, changed: false, stalled }
+    }
+
+    pub(crate) fn finish(self) -> Option<DomainRecord> {
+        let sound = self.next.check().is_ok();
+        (self.changed && sound).then_some(self.next)
+    }
+
+    pub(crate) fn replicas(&self) -> Vec<ReplicaId> {
+        self.next.replicas.keys().cloned().collect()
+    }
+
+    /// Frees boxes that answer that they are idle, so that no earlier order acts on them any more.
+    pub(crate) fn collect_released(&mut self) {
+        let idle = |id: &BoxId| {
+            let report = fresh_report(self.at.seen, id, self.at.now);
+            report.is_some_and(|report| report.state == EngineState::Idle)
+        };
+        let before = self.next.releasing.len();
+        self.next.releasing.retain(|id, _| !idle(id));
+        self.changed |= self.next.releasing.len() != before;
+    }
+
+    pub(crate) fn holds_back(&self) -> bool {
+        let listed = self.at.fleet.of_domain(&self.next.domain);
+        let (mut all, mut missing) = (0.0, 0.0);
+        for info in listed {
+            all += 1.0;
+            if fresh_report(self.at.seen, &info.id, self.at.now).is_none() {
+                missing += 1.0;
+            }
+        }
+        missing > all * HOLD_BACK_SHARE
+    }
+
+    pub(crate) fn leaving(&self, boxes: &[BoxId]) -> Vec<BoxId> {
+        let leaving = |id: &&BoxId| self.at.fleet.get(id).is_some_and(|info| info.leaving);
+        boxes.iter().filter(leaving).cloned().collect()
+    }
+
+    /// Returns the boxes that cannot be members now: silent, stalled, or about to leave.
+    pub(crate) fn unusable(&self, boxes: &[BoxId]) -> Vec<BoxId> {
+        let leaving = self.leaving(boxes);
+        let silent = |id: &BoxId| fresh_report(self.at.seen, id, self.at.now).is_none();
+        let unusable = boxes
+            .iter()
+            .filter(|id| silent(id) || leaving.contains(id) || self.stalled.contains(*id));
+        unusable.cloned().collect()
+    }
+
+    /// Tells whether a box that passes for usable has yet to answer after the replica broke.
+    ///
+    /// Until then it may be the very one that is gone.
+    pub(crate) fn awaits_answer(
+        &self,
+        boxes: &[BoxId],
+        unusable: &[BoxId],
+        broken_since: Millis,
+    ) -> bool {
+        let answered = |id: &BoxId| {
+            let seen = self.at.seen.get(id);
+            seen.is_some_and(|seen| seen.heard > broken_since)
+        };
+        boxes.iter().any(|id| !unusable.contains(id) && !answered(id))
+    }
+
+    pub(crate) fn free_boxes(&self) -> Vec<BoxId> {
+        let listed = self.at.fleet.of_domain(&self.next.domain);
+        let idle = |id: &BoxId| {
+            let report = fresh_report(self.at.seen, id, self.at.now);
+            report.is_some_and(|report| report.state == EngineState::Idle)
+        };
+        let usable = listed
+            .filter(|info| !info.leaving && self.next.is_free(&info.id) && idle(&info.id))
+            .filter(|info| !self.stalled.contains(&info.id));
+        usable.map(|info| info.id.clone()).collect()
+    }
+
+    pub(crate) fn missing_secs(&self, boxes: &[BoxId]) -> f64 {
+        let ages = boxes.iter().filter_map(|id| self.at.seen.get(id));
+        let longest = ages.map(|seen| self.at.now.since(seen.heard)).max();
+        longest.unwrap_or_default().as_secs_f64()
+    }
+
+    /// Counts the boxes of an assignment that do not have their weights yet.
+    fn loads_needed(&self, held: &Assignment) -> usize {
+        let lacks = |id: &&BoxId| {
+            let report = fresh_report(self.at.seen, id, self.at.now);
+            report.is_none_or(|report| report.loaded.as_ref() != Some(&held.load))
+        };
+        held.boxes.iter().filter(lacks).count()
+    }
+
+    fn loads_in(&self, phase: Phase) -> usize {
+        let held = self.next.replicas.values().filter(|held| held.phase == phase);
+        held.map(|held| self.loads_needed(held)).sum()
+    }
+
+    /// Counts the boxes that have to load before any other can.
+    pub(crate) fn loads_queued(&self) -> usize {
+        self.loads_in(Phase::Reserved) + self.loads_in(Phase::Loading)
+    }
+
+    pub(crate) fn broken(&self) -> Vec<Desired> {
+        let is_broken = |desired: &&Desired| {
+            let held = self.next.replicas.get(&desired.replica);
+            held.is_some_and(|held| held.phase == Phase::Broken)
+        };
+        self.at.desired.iter().filter(is_broken).cloned().collect()
+    }
+
+    pub(crate) fn set_phase(&mut self, replica: &ReplicaId, phase: Phase, evidence: Evidence) {
+        let Some(assignment) = self.next.replicas.get_mut(replica) else {
+            return;
+        };
+        assignment.phase = phase;
+        let epoch = assignment.epoch;
+        self.record(replica, epoch, Some(phase), evidence, None);
+    }
+
+    pub(crate) fn remove(&mut self, replica: &ReplicaId, evidence: Evidence) {
+        let Some(assignment) = self.next.replicas.remove(replica) else {
+            return;
+        };
+        let epoch = assignment.epoch;
+        self.release(assignment.boxes, epoch);
+        self.record(replica, epoch, None, evidence, None);
+    }
+
+    fn release(&mut self, boxes: impl IntoIterator<Item = BoxId>, epoch: Epoch) {
+        for id in boxes {
+            self.next.releasing.insert(id, epoch);
+        }
+    }
+
+    /// Gives a replica its boxes under a new epoch and releases those it no longer has.
+    pub(crate) fn assign(
+        &mut self,
+        desired: &Desired,
+        boxes: Vec<BoxId>,
+        evidence: Evidence,
+        prices: Option<Prices>,
+    ) {
+        let epoch = self.next.take_epoch();
+        let assignment = Assignment {
+            epoch,
+            boxes: boxes.clone(),
+            load: desired.load.clone(),
+            phase: Phase::Reserved,
+        };
+        let old = self.next.replicas.insert(desired.replica.clone(), assignment);
+        if let Some(old) = old {
+            let given_up = old.boxes.into_iter().filter(|id| !boxes.contains(id));
+            self.release(given_up, old.epoch);
+        }
+        self.record(&desired.replica, epoch, Some(Phase::Reserved), evidence, prices);
+    }
+
+    pub(crate) fn swap(
+        &mut self,
+        desired: &Desired,
+        assignment: &Assignment,
+        lost: &[BoxId],
+        free: &[BoxId],
+        prices: Prices,
+    ) {
+        let spares = free[..lost.len()].to_vec();
+        let mut replacements = spares.iter();
+        let mut boxes = assignment.boxes.clone();
+        for member in boxes.iter_mut().filter(|id| lost.contains(id)) {
+            if let Some(spare) = replacements.next() {
+                *member = spare.clone();
+            }
+        }
+        let lost = lost.to_vec();
+        self.assign(desired, boxes, Evidence::Swapped { lost, spares }, Some(prices));
+    }
+
+    /// Frees the healthy boxes of one broken replica when they can mend another one and neither
+    /// is likely to get its own boxes back soon.
+    pub(crate) fn dissolve_for_another(&mut self, broken: &[Desired], policy: &RepairPolicy) {
+        let still: Vec<&Desired> =
+            broken.iter().filter(|desired| self.is_broken(desired)).collect();
+        let (Some(first), Some(last)) = (still.first(), still.last()) else {
+            return;
+        };
+        if still.len() < 2 || !self.releasing_idle_soon() {
+            return;
+        }
+        let needed = self.unusable_of(first);
+        let donor = self.unusable_of(last);
+        let donated = last.span as usize - donor.len().min(last.span as usize);
+        let gone = policy.returns.restarting(self.missing_secs(&needed)) < 0.5;
+        if gone && donated + self.free_boxes().len() >= needed.len() {
+            let beneficiary = first.replica.clone();
+            let donor = last.replica.clone();
+            self.remove(&donor, Evidence::Dissolved { beneficiary });
+        }
+    }
+
+    fn is_broken(&self, desired: &Desired) -> bool {
+        let held = self.next.replicas.get(&desired.replica);
+        held.is_some_and(|held| held.phase == Phase::Broken)
+    }
+
+    fn unusable_of(&self, desired: &Desired) -> Vec<BoxId> {
+        let held = self.next.replicas.get(&desired.replica);
+        held.map(|held| self.unusable(&held.boxes)).unwrap_or_default()
+    }
+
+    /// Tells whether no healthy box is on its way to be free, which would make giving up a
+    /// replica premature.
+    fn releasing_idle_soon(&self) -> bool {
+        let mut releasing = self.next.releasing.keys();
+        releasing.all(|id| fresh_report(self.at.seen, id, self.at.now).is_none())
+    }
+
+    pub(crate) fn form_missing(&mut self) {
+        for desired in self.at.desired {
+            if self.next.replicas.contains_key(&desired.replica) {
+                continue;
+            }
+            let free = self.free_boxes();
+            if let Some(boxes) = pick_boxes(desired, &free) {
+                self.assign(desired, boxes, Evidence::Desired, None);
+            }
+        }
+    }
+
+    pub(crate) fn start_loads(&mut self, loads_at_once: u32) {
+        let mut running = self.loads_in(Phase::Loading);
+        for replica in self.replicas() {
+            let Some(assignment) = self.next.replicas.get(&replica) else {
+                continue;
+            };
+            let needed = self.loads_needed(assignment);
+            let fits = running == 0 || running + needed <= loads_at_once as usize;
+            if assignment.phase == Phase::Reserved && (fits || needed == 0) {
+                running += needed;
+                self.set_phase(&replica, Phase::Loading, Evidence::LoadTurn);
+            }
+        }
+    }
+
+    fn record(
+        &mut self,
+        replica: &ReplicaId,
+        epoch: Epoch,
+        phase: Option<Phase>,
+        evidence: Evidence,
+        prices: Option<Prices>,
+    ) {
+        self.changed = true;
+        self.next.explain(Explanation {
+            at_unix_secs: self.at.unix_secs,
+            replica: replica.clone(),
+            epoch,
+            phase,
+            evidence,
+            prices,
+        });
+    }
+}
+
+/// Picks the planned boxes where they are free, and others for the rest.
+fn pick_boxes(desired: &Desired, free: &[BoxId]) -> Option<Vec<BoxId>> {
+    let span = desired.span as usize;
+    if free.len() < span {
+        return None;
+    }
+    let planned = desired.planned.iter().filter(|id| free.contains(id));
+    let mut boxes: Vec<BoxId> = planned.take(span).cloned().collect();
+    let chosen: BTreeSet<BoxId> = boxes.iter().cloned().collect();
+    let others = free.iter().filter(|id| !chosen.contains(id));
+    boxes.extend(others.take(span - boxes.len()).cloned());
+    Some(boxes)
+}
--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -23,15 +23,20 @@
 
 mod control {
     pub(crate) mod controller;
+    pub(crate) mod desired;
+    pub(crate) mod domain_change;
     pub(crate) mod domain_record;
     pub(crate) mod explanation;
     pub(crate) mod fleet;
     pub(crate) mod formed;
+    pub(crate) mod lifecycle;
     pub(crate) mod observation;
     pub(crate) mod order;
+    pub(crate) mod orders;
     pub(crate) mod placement;
     pub(crate) mod plan;
     pub(crate) mod repair;
+    pub(crate) mod repair_policy;
     pub(crate) mod rollout;
     pub(crate) mod settling;
     pub(crate) mod workspace_record;
@@ -64,9 +69,9 @@
 pub use config::service_group::{ServiceEndpoint, ServiceGroup};
 pub use config::settings_error::{SettingsError, SettingsErrorKind, settings_from_toml};
 pub use config::workspace_config::{MAX_BOXES_PER_REPLICA, WorkspaceConfig};
-pub use control::controller::{
-    Controller, DRAIN_GRACE, Desired, HOLD_BACK_SHARE, RepairPolicy, RepairRule, Situation, Step,
-};
+pub use control::controller::{Controller, DRAIN_GRACE, Situation, Step};
+pub use control::desired::Desired;
+pub use control::domain_change::HOLD_BACK_SHARE;
 pub use control::domain_record::{Assignment, DomainRecord, MAX_EXPLANATIONS, Phase, RecordFault};
 pub use control::explanation::{Evidence, Explanation};
 pub use control::fleet::{BoxInfo, Fleet};
@@ -81,6 +86,7 @@
     CapacityCost, Change, HeldBoxes, Plan, PlanError, ServiceChange, make_plan,
 };
 pub use control::repair::{Prices, Repair, RepairCase, ReturnModel, choose_repair};
+pub use control::repair_policy::{RepairPolicy, RepairRule};
 pub use control::rollout::{InService, desired_in_domain, may_reload};
 pub use control::settling::{SETTLED_AFTER, Settling};
 pub use control::workspace_record::{
--- a/crates/cherrystand_testkit/src/engine/stand_in.rs
+++ b/crates/cherrystand_testkit/src/engine/stand_in.rs
@@ -9,14 +9,14 @@
 use bytes::Bytes;
 use cherrystand_core::{EngineReport, EngineState, Epoch, LoadSpec, Order, Task, hash_bytes};
 use cherrystand_platform::{EPOCH_HEADER, HttpPool, NOT_RUN_HEADER, call};
+use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
 
 use crate::engine::answer::Prompt;
+use crate::engine::run::Run;
 use crate::http::{empty, json, read_body, read_json};
 
 /// How often a leader looks after its members.
@@ -25,9 +25,6 @@
 /// After this long without an answer a leader takes a member for dead.
 const MEMBER_WITHIN: Duration = Duration::from_millis(400);
 
-/// How many tokens of an answer may wait for a slow reader.
-const BUFFERED_TOKENS: usize = 16;
-
 /// The length of the prefix that the cache goes by, in bytes.
 const PREFIX_BYTES: usize = 32;
 
@@ -143,7 +140,8 @@
         }
     }
 
-    async fn thaw(&self) {
+    /// Waits until the engine is no longer frozen.
+    pub(crate) async fn thaw(&self) {
         loop {
             let until = self.state.borrow().frozen_until;
             match until {
@@ -311,8 +309,7 @@
         }
         let epoch = self.state.borrow().epoch;
         self.count(&id);
-        let run = Run { engine: self.clone(), epoch, prompt, done: false };
-        if run.prompt.stream { run.stream() } else { run.whole().await }
+        Run::new(self.clone(), epoch, prompt).answer().await
     }
 
     fn admit(&self, meant: Option<Epoch>) -> Result<(), StatusCode> {
@@ -335,8 +332,25 @@
         *executions.by_request.entry(id.to_owned()).or_default() += 1;
     }
 
+    /// Tells whether answers are to be cut before their `number`th token.
+    pub(crate) fn is_told_to_cut(&self, number: u64) -> bool {
+        let cut = self.state.borrow().knobs.cut_after.unwrap_or(0);
+        cut > 0 && number >= cut
+    }
+
+    /// Counts a request as ended, whole or not.
+    pub(crate) fn count_end(&self, whole: bool) {
+        let mut state = self.state.borrow_mut();
+        state.in_flight -= 1;
+        if whole {
+            state.executions.whole += 1;
+        } else {
+            state.executions.cancelled += 1;
+        }
+    }
+
     /// Returns the time until the first token, less for a prefix that was seen lately.
-    fn prefill(&self, text: &str) -> Duration {
+    pub(crate) fn prefill(&self, text: &str) -> Duration {
         let mut state = self.state.borrow_mut();
         let end = text.len().min(PREFIX_BYTES);
         let prefix = hash_bytes(&text.as_bytes()[..end]);
@@ -352,108 +366,21 @@
     }
 
     /// Returns the time until the next token, which grows with the batch.
-    fn token_time(&self) -> Duration {
+    pub(crate) fn token_time(&self) -> Duration {
         let state = self.state.borrow();
         let lone = state.knobs.token_us.unwrap_or(2_000);
         let batch = u64::from(state.knobs.batch.unwrap_or(32));
         Duration::from_micros(lone + lone * u64::from(state.in_flight) / batch.max(1))
     }
 
-    fn serves(&self, epoch: Epoch) -> bool {
+    /// Tells whether the engine still runs requests of an epoch.
+    pub(crate) fn serves(&self, epoch: Epoch) -> bool {
         let state = self.state.borrow();
         let able = matches!(state.state, EngineState::Ready | EngineState::Draining);
         state.epoch == epoch && able
     }
 }
 
-/// One request being run; counted as in flight for as long as it lives.
-struct Run {
-    engine: EngineStandIn,
-    epoch: Epoch,
-    prompt: Prompt,
-    done: bool,
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        let mut state = self.engine.state.borrow_mut();
-        state.in_flight -= 1;
-        if self.done {
-            state.executions.whole += 1;
-        } else {
-            state.executions.cancelled += 1;
-        }
-    }
-}
-
-impl Run {
-    /// Makes the tokens one by one; fails when the replica comes apart or is told to cut.
-    async fn make(&self, number: u64) -> Result<(), std::io::Error> {
-        let time = match number {
-            0 => self.engine.prefill(&self.prompt.text),
-            _ => self.engine.token_time(),
-        };
-        tokio::time::sleep(time).await;
-        self.engine.thaw().await;
-        let cut = self.engine.state.borrow().knobs.cut_after.unwrap_or(0);
-        let told_to_cut = cut > 0 && number >= cut;
-        if told_to_cut || !self.engine.serves(self.epoch) {
-            return Err(std::io::ErrorKind::ConnectionAborted.into());
-        }
-        Ok(())
-    }
-
-    async fn whole(mut self) -> Response<EngineBody> {
-        for number in 0..self.prompt.tokens {
-            if let Err(err) = self.make(number).await {
-                return cut_answer(err);
-            }
-        }
-        self.done = true;
-        boxed(json(StatusCode::OK, &self.prompt.whole_body()))
-    }
-
-    fn stream(self) -> Response<EngineBody> {
-        let (tx, rx) = mpsc::channel(BUFFERED_TOKENS);
-        tokio::task::spawn_local(self.feed(tx));
-        let mut answer = Response::new(receiver_body(rx));
-        let kind = hyper::header::HeaderValue::from_static("text/event-stream");
-        answer.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
-        answer
-    }
-
-    async fn feed(mut self, tx: mpsc::Sender<Result<Bytes, std::io::Error>>) {
-        for number in 0..self.prompt.tokens {
-            let made = tokio::select! {
-                made = self.make(number) => made,
-                () = tx.closed() => return,
-            };
-            let event = made.map(|()| Bytes::from(self.prompt.event(number)));
-            let failed = event.is_err();
-            if tx.send(event).await.is_err() || failed {
-                return;
-            }
-        }
-        let last = Bytes::from_static(b"data: [DONE]\n\n");
-        self.done = tx.send(Ok(last)).await.is_ok();
-    }
-}
-
-fn receiver_body(mut rx: mpsc::Receiver<Result<Bytes, std::io::Error>>) -> EngineBody {
-    let frames = futures_util::stream::poll_fn(move |cx| {
-        rx.poll_recv(cx).map(|item| item.map(|bytes| bytes.map(Frame::data)))
-    });
-    BodyExt::boxed_unsync(StreamBody::new(frames))
-}
-
-/// An answer that breaks off after its head.
-fn cut_answer(err: std::io::Error) -> Response<EngineBody> {
-    let (tx, rx) = mpsc::channel(1);
-    // The channel has room for this one item.
-    let _ = tx.try_send(Err(err));
-    Response::new(receiver_body(rx))
-}
-
 fn not_run(status: StatusCode) -> Response<EngineBody> {
     let mut answer = boxed(empty(status));
     let yes = hyper::header::HeaderValue::from_static("true");
@@ -461,6 +388,7 @@
     answer
 }
 
-fn boxed(answer: Response<crate::http::Whole>) -> Response<EngineBody> {
+/// Gives a whole answer the type of all answers.
+pub(crate) fn boxed(answer: Response<crate::http::Whole>) -> Response<EngineBody> {
     answer.map(|body| BodyExt::boxed_unsync(body.map_err(|never| match never {})))
 }
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -9,6 +9,7 @@
 }
 mod engine {
     pub(crate) mod answer;
+    pub(crate) mod run;
     pub(crate) mod stand_in;
 }
 mod http;
--- /dev/null
+++ b/crates/cherrystandd/src/relay/admitted.rs
@@ -0,0 +1,53 @@
+//! The room that a request takes on the node.
+
+use std::rc::Rc;
+
+use cherrystand_core::{Outcome, Refusal, RefusalReason};
+
+use crate::claims;
+use crate::relay::call::Call;
+use crate::relay::relay_state::Relay;
+
+/// The room that a request takes on the node, given back once when it is done.
+pub(crate) struct Admitted {
+    relay: Rc<Relay>,
+    call: Rc<Call>,
+    /// Whether the call's key is claimed.
+    pub(crate) claimed: bool,
+    ended: bool,
+}
+
+impl Admitted {
+    /// Takes the room.
+    pub(crate) fn enter(relay: &Rc<Relay>, call: &Rc<Call>) -> Result<Self, Refusal> {
+        let mut core = relay.core.borrow_mut();
+        core.admission.enter(call.class, &call.workspace)?;
+        relay.cx.metrics.in_flight.inc();
+        Ok(Self { relay: relay.clone(), call: call.clone(), claimed: false, ended: false })
+    }
+
+    /// Gives the room back and notes what became of the request.
+    pub(crate) fn end(&mut self, outcome: Outcome, refusal: Option<RefusalReason>) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let call = &self.call;
+        self.relay.cx.metrics.in_flight.dec();
+        self.relay.core.borrow_mut().admission.leave(call.class, &call.workspace);
+        self.relay.note_end(call, outcome, refusal);
+        if let Some(key) = call.key.filter(|_| self.claimed) {
+            match outcome {
+                Outcome::NotRun => claims::give_up(&self.relay.cx, key),
+                other => claims::settle(&self.relay.cx, key, other),
+            }
+        }
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        // Nobody ended it: the caller left while the request may have been running.
+        self.end(Outcome::Unknown, None);
+    }
+}
--- a/crates/cherrystandd/src/relay/answer.rs
+++ b/crates/cherrystandd/src/relay/answer.rs
@@ -75,6 +75,14 @@
     }
 }
 
+/// When a caller may come back who met no endpoint in service, or only failing ones.
+pub(crate) const COME_BACK: Millis = Millis(1_000);
+
+/// A request that was not run and may be sent again.
+pub(crate) fn come_back(reason: RefusalReason) -> Failure {
+    Failure::not_run(Refusal::with_retry_after(reason, COME_BACK))
+}
+
 /// Makes the answer to a request that got none from an endpoint.
 pub(crate) fn failure(failure: &Failure, request: &str) -> Response<RelayBody> {
     let reason = failure.refusal.reason;
--- a/crates/cherrystandd/src/relay/attempt.rs
+++ b/crates/cherrystandd/src/relay/attempt.rs
@@ -14,8 +14,8 @@
 
 use crate::relay::call::Call;
 use crate::relay::core::Target;
-use crate::relay::flow::Relay;
 use crate::relay::headers;
+use crate::relay::relay_state::Relay;
 
 /// How long a connection may take to come about.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
--- a/crates/cherrystandd/src/relay/mod.rs
+++ b/crates/cherrystandd/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! The way of a request from its caller to an endpoint and back.
 
+mod admitted;
 mod answer;
 mod attempt;
 mod body;
@@ -8,9 +9,13 @@
 mod flow;
 mod headers;
 mod notes;
+mod relay_state;
+mod status_pages;
 mod stream;
+mod waiting;
 
 pub(crate) use answer::plain_text;
 pub(crate) use body::RelayBody;
-pub(crate) use flow::{Relay, handle};
+pub(crate) use flow::handle;
 pub(crate) use notes::NoteQuestion;
+pub(crate) use relay_state::Relay;
--- /dev/null
+++ b/crates/cherrystandd/src/relay/relay_state.rs
@@ -0,0 +1,93 @@
+//! What the relay keeps while it serves.
+
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cherrystand_core::{Millis, Outcome, RefusalReason};
+use cherrystand_platform::HttpPool;
+use hyper::Request;
+use hyper::body::Incoming;
+
+use crate::relay::call::Call;
+use crate::relay::core::RelayCore;
+use crate::relay::headers;
+use crate::relay::notes::{Notes, RequestNote};
+use crate::state::View;
+use crate::{DutyContext, clock};
+
+/// A view older than this tells that the process was paused or its state duty is held up.
+pub(crate) const VIEW_LIFE: Millis = Millis(1_500);
+
+/// How long a request waits for a newer view.
+const NEW_VIEW_WITHIN: Duration = Duration::from_millis(300);
+
+/// Serves callers on one thread.
+pub(crate) struct Relay {
+    /// The duty's context.
+    pub(crate) cx: DutyContext,
+    /// What it decides from.
+    pub(crate) core: RefCell<RelayCore>,
+    /// Its connections to endpoints.
+    pub(crate) pool: HttpPool,
+    /// What it decided lately.
+    pub(crate) notes: RefCell<Notes>,
+    made: Cell<u64>,
+}
+
+impl Relay {
+    /// Creates a relay that knows no group yet.
+    pub(crate) fn new(cx: DutyContext) -> Self {
+        let room = cx.settings.limits.room();
+        Self {
+            core: RefCell::new(RelayCore::new(room, clock::unix_millis())),
+            pool: HttpPool::default(),
+            notes: RefCell::default(),
+            made: Cell::new(0),
+            cx,
+        }
+    }
+
+    /// Returns the time now.
+    pub(crate) fn now(&self) -> Millis {
+        self.cx.clock.now()
+    }
+
+    /// Remembers what became of a request.
+    pub(crate) fn note_end(&self, call: &Call, outcome: Outcome, refusal: Option<RefusalReason>) {
+        self.notes.borrow_mut().push(RequestNote {
+            request: call.id.clone(),
+            group: call.group_id.to_string(),
+            attempts: call.attempts.take(),
+            outcome: outcome.as_str().to_owned(),
+            refusal: refusal.map(|reason| reason.as_str().to_owned()),
+        });
+    }
+
+    /// Returns the id that the caller gave the request, or a new one.
+    pub(crate) fn request_id(&self, req: &Request<Incoming>) -> Result<String, RefusalReason> {
+        let kept = headers::name_in(req.headers(), &headers::REQUEST_ID);
+        let kept = kept.map_err(|_| RefusalReason::BadRequest)?;
+        Ok(kept.unwrap_or_else(|| self.make_id()))
+    }
+
+    fn make_id(&self) -> String {
+        let number = self.made.get();
+        self.made.set(number + 1);
+        let own = &self.cx.view_now().own;
+        format!("{}-{:x}-{number:x}", own.node, own.incarnation.0)
+    }
+
+    /// Returns the newest view, waiting a moment for one where the last one is old.
+    pub(crate) async fn fresh_view(&self) -> Option<Arc<View>> {
+        let is_fresh = |view: &View| self.now().since(view.made) <= VIEW_LIFE;
+        let mut view = self.cx.view.clone();
+        let known = view.borrow().clone();
+        if is_fresh(&known) {
+            return Some(known);
+        }
+        let newer = view.wait_for(|view| is_fresh(view));
+        let newer = tokio::time::timeout(NEW_VIEW_WITHIN, newer).await.ok()?.ok()?;
+        Some(newer.clone())
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/relay/status_pages.rs
@@ -0,0 +1,47 @@
+//! What the balancer, the metrics' collector and callers ask the node itself.
+
+use hyper::{Response, StatusCode};
+use serde_json::json;
+
+use crate::StopPhase;
+use crate::relay::answer::{json as json_answer, plain_text};
+use crate::relay::body::RelayBody;
+use crate::relay::relay_state::{Relay, VIEW_LIFE};
+use crate::state::RouteKind;
+
+/// Tells whether the node takes requests.
+pub(crate) fn readiness(relay: &Relay) -> Response<RelayBody> {
+    let view = relay.cx.view_now();
+    let fresh = relay.now().since(view.made) <= VIEW_LIFE;
+    if relay.cx.stop_phase() > StopPhase::Running {
+        return plain_text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
+    }
+    if !fresh || !view.serve_by.may_serve() {
+        let text = format!("not ready: {:?}\n", view.serve_by);
+        return plain_text(StatusCode::SERVICE_UNAVAILABLE, text);
+    }
+    plain_text(StatusCode::OK, "ready\n")
+}
+
+/// Gives all metrics.
+pub(crate) fn metrics(relay: &Relay) -> Response<RelayBody> {
+    match relay.cx.metrics.render() {
+        Ok(text) => plain_text(StatusCode::OK, text),
+        Err(err) => plain_text(StatusCode::INTERNAL_SERVER_ERROR, err.to_string()),
+    }
+}
+
+/// Lists the models that can be asked for.
+pub(crate) fn models(relay: &Relay) -> Response<RelayBody> {
+    let view = relay.cx.view_now();
+    relay.core.borrow_mut().follow(&view.routes, relay.now());
+    let core = relay.core.borrow();
+    let models = core.groups().filter_map(|group| match &group.kind {
+        RouteKind::Model { model } => Some(json!({
+            "id": model, "object": "model", "owned_by": group.id.workspace.as_str(),
+        })),
+        RouteKind::Service { .. } => None,
+    });
+    let list = json!({"object": "list", "data": models.collect::<Vec<_>>()});
+    json_answer(StatusCode::OK, &list)
+}
--- a/crates/cherrystandd/src/relay/stream.rs
+++ b/crates/cherrystandd/src/relay/stream.rs
@@ -10,8 +10,8 @@
 use hyper::body::{Body, Frame};
 use tokio::time::{Instant, Sleep};
 
+use crate::relay::admitted::Admitted;
 use crate::relay::attempt::InFlight;
-use crate::relay::flow::Admitted;
 
 /// A stream that brings nothing for this long counts as broken.
 const LONGEST_SILENCE: Duration = Duration::from_secs(10);
--- a/crates/cherrystandd/tests/claims.rs
+++ b/crates/cherrystandd/tests/claims.rs
@@ -1,5 +1,7 @@
 //! Claims on calls that must not be repeated, against a platform that loses answers.
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use cherrystand_core::{
@@ -9,6 +11,7 @@
 use cherrystand_testkit::{CallFault, FakeKeyValue};
 use cherrystandd::ClaimWriter;
 use proptest::prelude::*;
+use support::run_on_virtual_time as run;
 
 const RECORD: &str = "claims";
 
@@ -30,16 +33,6 @@
     ]
 }
 
-/// Runs a future to its end on virtual time.
-fn run<F: Future>(future: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, future)
-}
-
 /// Has each daemon claim its keys, a batch at a time, all daemons at once.
 async fn claim_all(
     service: &FakeKeyValue,
--- a/crates/cherrystandd/tests/operators.rs
+++ b/crates/cherrystandd/tests/operators.rs
@@ -1,5 +1,7 @@
 //! Operators who race, over a platform that loses answers.
 
+mod support;
+
 use cherrystand_core::{
     Fleet, Generation, HeldBoxes, Incarnation, NodeId, PlanId, WorkspaceConfig, WorkspaceRecord,
     WriteId,
@@ -7,6 +9,7 @@
 use cherrystand_testkit::{CallFault, FakeKeyValue};
 use cherrystandd::{OperatorError, WorkspaceChange};
 use proptest::prelude::*;
+use support::run_on_virtual_time as run;
 
 const RECORD: &str = "cherrystand/shared/workspace/w";
 
@@ -28,15 +31,6 @@
     ]
 }
 
-fn run<F: Future>(future: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .start_paused(true)
-        .build()
-        .expect("a runtime");
-    tokio::task::LocalSet::new().block_on(&runtime, future)
-}
-
 /// What an operator was told of one change.
 #[derive(Debug)]
 enum Told {
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -114,6 +114,13 @@
     tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), test)
 }
 
+/// Runs a test on one thread and virtual time, without processes.
+pub(crate) fn run_on_virtual_time<F: Future>(test: F) -> F::Output {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), test)
+}
+
 fn program(name: &str) -> PathBuf {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cherrystandd"));
     let path = daemon.with_file_name(name);
@@ -261,24 +268,23 @@
         asked.is_ok_and(|answer| answer.status == StatusCode::OK)
     }
 
+    /// Returns what a daemon tells operators; nothing while it does not answer.
+    async fn status(&self, operators: SocketAddr) -> Value {
+        let told = self.send(operators, Method::GET, "/operator/status", &[], "").await;
+        let told = told.ok().and_then(|answer| serde_json::from_slice(&answer.body).ok());
+        told.unwrap_or_default()
+    }
+
     /// Returns how many replicas a daemon routes to.
     pub(crate) async fn serving_replicas(&self, operators: SocketAddr) -> u64 {
-        let Ok(answer) = self.send(operators, Method::GET, "/operator/status", &[], "").await
-        else {
-            return 0;
-        };
-        let status: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let status = self.status(operators).await;
         let replicas = status["replicas"].as_array().into_iter().flatten();
         replicas.filter(|replica| replica["serving"] == json!(true)).count() as u64
     }
 
     /// Returns how many daemons one of them hears, itself included.
     pub(crate) async fn daemons_heard(&self, daemon: usize) -> u64 {
-        let at = self.daemons[daemon].operators;
-        let Ok(answer) = self.send(at, Method::GET, "/operator/status", &[], "").await else {
-            return 0;
-        };
-        let status: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let status = self.status(self.daemons[daemon].operators).await;
         status["node"]["heard"].as_u64().unwrap_or(0)
     }
 
