feat: log requests that end unknown, tell of unsound records, let reported loads lag

A controller that would write a record in which a box belongs to two replicas dropped it without a word; the step now carries the fault and the daemon logs it. Requests whose outcome is unknown are logged with their id and group. The engine stand-in's reported load is up to 500 ms old, as engines' are; states are not. Operators' calls build their change in one place.

--- a/crates/cherrystand_core/src/control/controller.rs
+++ b/crates/cherrystand_core/src/control/controller.rs
@@ -17,7 +17,8 @@
 use crate::control::orders::orders_of;
 use crate::{
     BoxId, Desired, DomainRecord, Epoch, Evidence, Fleet, MemberSummary, Millis, Observations,
-    Order, Phase, Prices, Repair, RepairCase, RepairPolicy, RepairRule, ReplicaId, choose_repair,
+    Order, Phase, Prices, RecordFault, Repair, RepairCase, RepairPolicy, RepairRule, ReplicaId,
+    choose_repair,
 };
 
 /// How long a draining replica is given for the news to reach every node that may still route to
@@ -57,6 +58,8 @@
     pub write: Option<DomainRecord>,
     /// The orders to send, which follow from the record as read.
     pub orders: Vec<Order>,
+    /// The rule that the record read, or the one made from it, breaks; nothing is written then.
+    pub fault: Option<RecordFault>,
 }
 
 /// Decides for one fabric domain.
@@ -93,7 +96,11 @@
             change.form_missing();
         }
         change.start_loads(self.policy.loads_at_once);
-        Step { orders: orders_of(at), write: change.finish() }
+        let orders = orders_of(at);
+        match change.finish() {
+            Ok(write) => Step { write, orders, fault: None },
+            Err(fault) => Step { write: None, orders, fault: Some(fault) },
+        }
     }
 
     fn note_phases(&mut self, at: &Situation<'_>) {
--- a/crates/cherrystand_core/src/control/domain_change.rs
+++ b/crates/cherrystand_core/src/control/domain_change.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Assignment, BoxId, Desired, DomainRecord, EngineState, Epoch, Evidence, Explanation, Millis,
-    Phase, Prices, RepairPolicy, ReplicaId, Situation, fresh_report,
+    Phase, Prices, RecordFault, RepairPolicy, ReplicaId, Situation, fresh_report,
 };
 
 /// The share of a domain's listed boxes that may be missing before repairs are held back.
@@ -23,31 +23,39 @@
 }
 
 impl<'a> DomainChange<'a> {
+    /// Begins with the record as it was read.
     pub(crate) fn new(at: Situation<'a>, stalled: BTreeSet<BoxId>) -> Self {
         let next = at.record.clone();
         Self { at, next, changed: false, stalled }
     }
 
-    pub(crate) fn finish(self) -> Option<DomainRecord> {
-        let sound = self.next.check().is_ok();
-        (self.changed && sound).then_some(self.next)
+    /// Returns the next record, if it differs from the one read.
+    ///
+    /// A record that breaks a rule is never returned; the fault is.
+    pub(crate) fn finish(self) -> Result<Option<DomainRecord>, RecordFault> {
+        self.next.check()?;
+        Ok(self.changed.then_some(self.next))
     }
 
+    /// Returns the replicas that the record has now.
     pub(crate) fn replicas(&self) -> Vec<ReplicaId> {
         self.next.replicas.keys().cloned().collect()
     }
 
     /// Frees boxes that answer that they are idle, so that no earlier order acts on them any more.
     pub(crate) fn collect_released(&mut self) {
-        let idle = |id: &BoxId| {
-            let report = fresh_report(self.at.seen, id, self.at.now);
-            report.is_some_and(|report| report.state == EngineState::Idle)
-        };
-        let before = self.next.releasing.len();
-        self.next.releasing.retain(|id, _| !idle(id));
-        self.changed |= self.next.releasing.len() != before;
+        let idle: Vec<BoxId> =
+            self.next.releasing.keys().filter(|id| self.is_idle(id)).cloned().collect();
+        self.changed |= !idle.is_empty();
+        self.next.releasing.retain(|id, _| !idle.contains(id));
     }
 
+    fn is_idle(&self, id: &BoxId) -> bool {
+        let report = fresh_report(self.at.seen, id, self.at.now);
+        report.is_some_and(|report| report.state == EngineState::Idle)
+    }
+
+    /// Tells whether so many boxes are silent that nothing should be formed.
     pub(crate) fn holds_back(&self) -> bool {
         let listed = self.at.fleet.of_domain(&self.next.domain);
         let (mut all, mut missing) = (0.0, 0.0);
@@ -60,6 +68,7 @@
         missing > all * HOLD_BACK_SHARE
     }
 
+    /// Returns those boxes that the list marks as leaving.
     pub(crate) fn leaving(&self, boxes: &[BoxId]) -> Vec<BoxId> {
         let leaving = |id: &&BoxId| self.at.fleet.get(id).is_some_and(|info| info.leaving);
         boxes.iter().filter(leaving).cloned().collect()
@@ -91,18 +100,17 @@
         boxes.iter().any(|id| !unusable.contains(id) && !answered(id))
     }
 
+    /// Returns the boxes that a replica could be formed on now.
     pub(crate) fn free_boxes(&self) -> Vec<BoxId> {
         let listed = self.at.fleet.of_domain(&self.next.domain);
-        let idle = |id: &BoxId| {
-            let report = fresh_report(self.at.seen, id, self.at.now);
-            report.is_some_and(|report| report.state == EngineState::Idle)
-        };
         let usable = listed
-            .filter(|info| !info.leaving && self.next.is_free(&info.id) && idle(&info.id))
+            .filter(|info| !info.leaving && self.next.is_free(&info.id))
+            .filter(|info| self.is_idle(&info.id))
             .filter(|info| !self.stalled.contains(&info.id));
         usable.map(|info| info.id.clone()).collect()
     }
 
+    /// Returns for how long the longest missing of some boxes has been silent.
     pub(crate) fn missing_secs(&self, boxes: &[BoxId]) -> f64 {
         let ages = boxes.iter().filter_map(|id| self.at.seen.get(id));
         let longest = ages.map(|seen| self.at.now.since(seen.heard)).max();
@@ -128,6 +136,7 @@
         self.loads_in(Phase::Reserved) + self.loads_in(Phase::Loading)
     }
 
+    /// Returns what the broken replicas should be.
     pub(crate) fn broken(&self) -> Vec<Desired> {
         let is_broken = |desired: &&Desired| {
             let held = self.next.replicas.get(&desired.replica);
@@ -136,6 +145,7 @@
         self.at.desired.iter().filter(is_broken).cloned().collect()
     }
 
+    /// Moves a replica to a phase.
     pub(crate) fn set_phase(&mut self, replica: &ReplicaId, phase: Phase, evidence: Evidence) {
         let Some(assignment) = self.next.replicas.get_mut(replica) else {
             return;
@@ -145,6 +155,7 @@
         self.record(replica, epoch, Some(phase), evidence, None);
     }
 
+    /// Takes a replica out of the record and releases its boxes.
     pub(crate) fn remove(&mut self, replica: &ReplicaId, evidence: Evidence) {
         let Some(assignment) = self.next.replicas.remove(replica) else {
             return;
@@ -183,6 +194,7 @@
         self.record(&desired.replica, epoch, Some(Phase::Reserved), evidence, prices);
     }
 
+    /// Puts spares in the places of lost members.
     pub(crate) fn swap(
         &mut self,
         desired: &Desired,
@@ -242,6 +254,7 @@
         releasing.all(|id| fresh_report(self.at.seen, id, self.at.now).is_none())
     }
 
+    /// Forms the replicas that are asked for and not in the record.
     pub(crate) fn form_missing(&mut self) {
         for desired in self.at.desired {
             if self.next.replicas.contains_key(&desired.replica) {
@@ -254,6 +267,7 @@
         }
     }
 
+    /// Lets reserved replicas load as far as turns allow.
     pub(crate) fn start_loads(&mut self, loads_at_once: u32) {
         let mut running = self.loads_in(Phase::Loading);
         for replica in self.replicas() {
--- a/crates/cherrystand_core/tests/replica_life.rs
+++ b/crates/cherrystand_core/tests/replica_life.rs
@@ -261,3 +261,25 @@
     assert!(domain.is_whole(&replica(0)), "{:?}", domain.record);
     assert_eq!(domain.record.replicas[&replica(0)].boxes.len(), 3);
 }
+
+#[test]
+fn a_record_that_breaks_a_rule_is_told_and_never_written_over() {
+    let setup = DomainSetup { boxes: 4, ..DomainSetup::default() };
+    let mut domain = formed(setup, quick_policy(), 2, 2);
+    let twice = domain.record.replicas[&replica(0)].boxes.clone();
+    if let Some(held) = domain.record.replicas.get_mut(&replica(1)) {
+        held.boxes = twice.clone();
+    }
+    let fleet = cherrystand_core::Fleet::default();
+    let step =
+        cherrystand_core::Controller::new(quick_policy()).step(cherrystand_core::Situation {
+            record: &domain.record,
+            desired: &domain.desired,
+            fleet: &fleet,
+            seen: &Default::default(),
+            now: domain.now,
+            unix_secs: 0,
+        });
+    assert_eq!(step.write, None);
+    assert_eq!(step.fault, Some(cherrystand_core::RecordFault::BoxTwice(twice[0].clone())));
+}
--- a/crates/cherrystand_testkit/src/engine/stand_in.rs
+++ b/crates/cherrystand_testkit/src/engine/stand_in.rs
@@ -25,6 +25,12 @@
 /// After this long without an answer a leader takes a member for dead.
 const MEMBER_WITHIN: Duration = Duration::from_millis(400);
 
+/// How many requests run in one batch where no knob says otherwise.
+const USUAL_BATCH: u32 = 32;
+
+/// How old reported loads may be where no knob says otherwise, in milliseconds.
+const USUAL_LAG_MS: u64 = 500;
+
 /// The length of the prefix that the cache goes by, in bytes.
 const PREFIX_BYTES: usize = 32;
 
@@ -47,6 +53,9 @@
     /// After how many tokens the next answers are cut; 0 for never.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cut_after: Option<u64>,
+    /// How old reported loads may be, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub report_lag_ms: Option<u64>,
     /// How many requests run in one batch.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub batch: Option<u32>,
@@ -86,7 +95,7 @@
     loaded: Option<LoadSpec>,
     rank: u32,
     in_flight: u32,
-    waiting: u32,
+    reported: Option<(tokio::time::Instant, u32)>,
     prefixes: VecDeque<u64>,
     frozen_until: Option<tokio::time::Instant>,
     executions: Executions,
@@ -111,7 +120,7 @@
             loaded: None,
             rank: 0,
             in_flight: 0,
-            waiting: 0,
+            reported: None,
             prefixes: VecDeque::new(),
             frozen_until: None,
             executions: Executions::default(),
@@ -153,14 +162,21 @@
         }
     }
 
+    /// Reports the state as it is and the load as it was a while ago.
     fn report(&self) -> EngineReport {
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
+        let batch = state.knobs.batch.unwrap_or(USUAL_BATCH);
+        let lag = Duration::from_millis(state.knobs.report_lag_ms.unwrap_or(USUAL_LAG_MS));
+        let now = tokio::time::Instant::now();
+        let last = state.reported.filter(|(at, _)| now.duration_since(*at) < lag);
+        let (at, load) = last.unwrap_or((now, state.in_flight));
+        state.reported = Some((at, load));
         EngineReport {
             epoch: state.epoch,
             state: state.state,
             loaded: state.loaded.clone(),
-            in_flight: state.in_flight,
-            waiting: state.waiting,
+            in_flight: load.min(batch),
+            waiting: load.saturating_sub(batch),
         }
     }
 
@@ -186,6 +202,7 @@
             token_us: knobs.token_us.or(old.token_us),
             prefill_ms: knobs.prefill_ms.or(old.prefill_ms),
             cut_after: knobs.cut_after.or(old.cut_after),
+            report_lag_ms: knobs.report_lag_ms.or(old.report_lag_ms),
             batch: knobs.batch.or(old.batch),
             queue: knobs.queue.or(old.queue),
         };
@@ -318,7 +335,7 @@
         if state.state != EngineState::Ready || state.rank != 0 || wrong_epoch {
             return Err(StatusCode::CONFLICT);
         }
-        let most = state.knobs.batch.unwrap_or(32) + state.knobs.queue.unwrap_or(32);
+        let most = state.knobs.batch.unwrap_or(USUAL_BATCH) + state.knobs.queue.unwrap_or(32);
         if state.in_flight >= most {
             return Err(StatusCode::TOO_MANY_REQUESTS);
         }
@@ -369,7 +386,7 @@
     pub(crate) fn token_time(&self) -> Duration {
         let state = self.state.borrow();
         let lone = state.knobs.token_us.unwrap_or(2_000);
-        let batch = u64::from(state.knobs.batch.unwrap_or(32));
+        let batch = u64::from(state.knobs.batch.unwrap_or(USUAL_BATCH));
         Duration::from_micros(lone + lone * u64::from(state.in_flight) / batch.max(1))
     }
 
--- a/crates/cherrystandd/src/duties/controller.rs
+++ b/crates/cherrystandd/src/duties/controller.rs
@@ -167,6 +167,9 @@
             return;
         };
         let step = watched.controller.step(situation);
+        if let Some(fault) = step.fault {
+            log::error!(domain = domain.as_str(); "nothing is written: {fault}");
+        }
         for order in step.orders {
             self.send_order(view, order);
         }
--- a/crates/cherrystandd/src/operator/api.rs
+++ b/crates/cherrystandd/src/operator/api.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cherrystand_core::{Document, PlanId, ReplicaId, WorkspaceConfig};
+use cherrystand_core::{Document, HeldBoxes, PlanId, ReplicaId, WorkspaceConfig};
 use cherrystand_platform::PlatformClient;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -50,12 +50,7 @@
         let config = WorkspaceConfig::from_toml(&text)?;
         let view = self.cx.view_now();
         let held = view.formed().boxes();
-        let changes = WorkspaceChange {
-            service: &self.platform,
-            write: writer::next_write(&view),
-            fleet: &view.fleet,
-            held: &held,
-        };
+        let changes = self.change(&view, &held);
         let written = changes.plan(config).await?;
         self.cx.tell_state(StateEvent::Records(vec![written.record]));
         Ok(plan_for_people(&written.told))
@@ -70,12 +65,7 @@
             return Err(OperatorError::TooFewDaemons { heard, all });
         }
         let held = view.formed().boxes();
-        let changes = WorkspaceChange {
-            service: &self.platform,
-            write: writer::next_write(&view),
-            fleet: &view.fleet,
-            held: &held,
-        };
+        let changes = self.change(&view, &held);
         let written = changes.confirm(&PlanId::new(id), operator).await?;
         let accepted = written.told;
         let record = written.record;
@@ -88,6 +78,15 @@
         Ok(json!(accepted))
     }
 
+    fn change<'a>(
+        &'a self,
+        view: &'a View,
+        held: &'a HeldBoxes,
+    ) -> WorkspaceChange<'a, Counted<PlatformClient>> {
+        let write = writer::next_write(view);
+        WorkspaceChange { service: &self.platform, write, fleet: &view.fleet, held }
+    }
+
     /// Waits until a majority of the daemons holds a record as it was written, or a newer one.
     ///
     /// Only then can no daemon go on by the old one for long, whatever fails from here on.
--- a/crates/cherrystandd/src/relay/admitted.rs
+++ b/crates/cherrystandd/src/relay/admitted.rs
@@ -35,6 +35,12 @@
         let call = &self.call;
         self.relay.cx.metrics.in_flight.dec();
         self.relay.core.borrow_mut().admission.leave(call.class, &call.workspace);
+        if outcome == Outcome::Unknown {
+            log::warn!(
+                request = call.id.as_str(), group = call.group_id.to_string();
+                "the request may have been run, and its caller cannot know"
+            );
+        }
         self.relay.note_end(call, outcome, refusal);
         if let Some(key) = call.key.filter(|_| self.claimed) {
             match outcome {
