--- a/crates/cherrystand_platform/src/platform_client.rs
+++ b/crates/cherrystand_platform/src/platform_client.rs
@@ -84,11 +84,13 @@
     }
 }
 
-fn document(record: WireRecord) -> Document {
-    Document {
-        key: Arc::from(record.key),
-        revision: record.revision,
-        body: Arc::from(record.value),
+impl From<WireRecord> for Document {
+    fn from(record: WireRecord) -> Self {
+        Self {
+            key: Arc::from(record.key),
+            revision: record.revision,
+            body: Arc::from(record.value),
+        }
     }
 }
 
@@ -96,7 +98,7 @@
     let wire: WireRecords = answer.json()?;
     Ok(Changes {
         revision: wire.revision,
-        records: wire.records.into_iter().map(document).collect(),
+        records: wire.records.into_iter().map(Document::from).collect(),
     })
 }
 
@@ -106,7 +108,8 @@
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        Ok(Some(document(answer.json()?)))
+        let record: WireRecord = answer.json()?;
+        Ok(Some(record.into()))
     }
 
     async fn list(&self, prefix: &str) -> Result<Changes, PlatformError> {
--- a/crates/cherrystand_testkit/src/platform/fake_key_value.rs
+++ b/crates/cherrystand_testkit/src/platform/fake_key_value.rs
@@ -3,11 +3,10 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use cherrystand_core::{Document, Revision};
-use cherrystand_platform::{CallError, Changes, KeyValue, Lease, PlatformError, Swap, WireRecord};
+use cherrystand_platform::{CallError, Changes, KeyValue, Lease, PlatformError, Swap};
 
 use crate::Store;
 
@@ -99,18 +98,10 @@
     PlatformError::NoAnswer(CallError::TimedOut(Duration::from_secs(1)))
 }
 
-fn document(record: WireRecord) -> Document {
-    Document {
-        key: Arc::from(record.key),
-        revision: record.revision,
-        body: Arc::from(record.value),
-    }
-}
-
 impl KeyValue for FakeKeyValue {
     async fn get(&self, key: &str) -> Result<Option<Document>, PlatformError> {
         match self.begin().await? {
-            CallFault::None => Ok(self.state.borrow().store.get(key).map(document)),
+            CallFault::None => Ok(self.state.borrow().store.get(key).map(Document::from)),
             _ => Err(no_answer()),
         }
     }
@@ -127,7 +118,7 @@
     ) -> Result<Changes, PlatformError> {
         self.begin().await?;
         let state = self.state.borrow();
-        let records = state.store.changed(prefix, after.0).into_iter().map(document);
+        let records = state.store.changed(prefix, after.0).into_iter().map(Document::from);
         Ok(Changes { revision: state.store.revision(), records: records.collect() })
     }
 
