fix: never free a key after a claim whose answer did not come in time

Cause: a claim is held by a daemon's life, not by a request. When a second sending of a key timed out at the daemon on which the first still ran, giving its claim up freed the first one's, and another daemon could run the call again. What it costs: such a key may answer 'unknown' for an hour although it was not run (docs/PROMISES.md).

Test a_second_sending_that_times_out..., before: another daemon sent the call, left: (unknown, deadline-passed), right: (unknown, key-in-use); after: passes, with the outage and keyed tests (4 passed).

--- a/crates/cherrystandd/src/relay/flow.rs
+++ b/crates/cherrystandd/src/relay/flow.rs
@@ -122,12 +122,9 @@
     match answer.ok().flatten() {
         Some(ClaimAnswer::Granted) => Ok(()),
         Some(ClaimAnswer::Taken(claim)) => Err(Failure::claimed(&claim)),
-        Some(ClaimAnswer::Full | ClaimAnswer::Noted) => {
-            Err(come_back(RefusalReason::KeysOutOfReach))
-        }
-        None => {
-            // The claim may yet be written; it is not used, so the key is set free again.
-            claims::give_up(&relay.cx, key);
+        // Should the claim yet be written, it stays: this daemon may hold the key for an earlier
+        // sending that still runs, and giving it up here would let another daemon run it again.
+        Some(ClaimAnswer::Full | ClaimAnswer::Noted) | None => {
             Err(come_back(RefusalReason::KeysOutOfReach))
         }
     }
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -267,3 +267,34 @@
         }
     });
 }
+
+#[test]
+fn a_second_sending_that_times_out_does_not_free_the_key_of_the_first() {
+    run(async {
+        let cluster = Cluster::serving(Setup::default()).await;
+        for service in &cluster.services {
+            cluster.set(service.address, json!({"delay_ms": 7_000})).await;
+        }
+        let key = ("idempotency-key", "twice");
+        let to = cluster.daemons[0].callers;
+        let patient = [key, ("cherrystand-deadline-ms", "20000")];
+        let first = cluster.send(to, Method::POST, "/consent/t", &patient, "once");
+        let others = async {
+            tokio::time::sleep(Duration::from_millis(600)).await;
+            cluster.set(cluster.platform.address, json!({"down": true})).await;
+            let hasty = [key, ("cherrystand-deadline-ms", "500")];
+            let second = cluster.send(to, Method::POST, "/consent/t", &hasty, "once").await;
+            let told = second.expect("an answer").told();
+            assert_eq!(told, ("not-run".to_owned(), "keys-out-of-reach".to_owned()));
+            cluster.set(cluster.platform.address, json!({"down": false})).await;
+            tokio::time::sleep(Duration::from_secs(3)).await;
+            let elsewhere = cluster.daemons[1].callers;
+            let third = cluster.send(elsewhere, Method::POST, "/consent/t", &hasty, "once").await;
+            let told = third.expect("an answer").told();
+            assert_eq!(told, ("unknown".to_owned(), "key-in-use".to_owned()));
+        };
+        let (first, ()) = tokio::join!(first, others);
+        assert_eq!(first.expect("an answer").status, StatusCode::OK);
+        assert_eq!(cluster.service_executions().await["twice"], 1);
+    });
+}
