--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `config`: what operators state.
 //! - `control`: plans, placement, the life of replicas, repair and rollout.
 //! - `requests`: admission, routing, retries, outcomes and claims.
+//! - `site`: routes, replicas and choices where the store holds one configuration for all.
 //! - `nodes`: membership, records passed on between daemons, evidence and its age.
 
 mod counters;
@@ -64,6 +65,18 @@
     pub(crate) mod replica_evidence;
 }
 
+mod site {
+    pub(crate) mod chooser;
+    pub(crate) mod engine_spec;
+    pub(crate) mod event_cutter;
+    pub(crate) mod formation;
+    pub(crate) mod member_order;
+    pub(crate) mod retry_share;
+    pub(crate) mod route_table;
+    pub(crate) mod site_box;
+    pub(crate) mod site_config;
+}
+
 pub use config::class::Class;
 pub use config::model_group::{LoadSpec, ModelGroup};
 pub use config::service_group::{ServiceEndpoint, ServiceGroup};
@@ -95,7 +108,8 @@
 pub use counters::{Epoch, Generation, Incarnation, RecentWrites, Revision, WriteId};
 pub use millis::Millis;
 pub use names::{
-    BoxId, DomainId, GroupId, NameError, NodeId, PlanId, ReplicaId, WorkspaceId, ZoneId,
+    BoxId, DomainId, GroupId, NameError, NodeId, PlanId, ReplicaId, ServiceName, WorkspaceId,
+    ZoneId,
 };
 pub use nodes::documents::{Document, Documents, Version};
 pub use nodes::duty_share::{owner_of, ranked};
@@ -120,3 +134,12 @@
 pub use requests::seed::{Seed, hash_bytes, mix};
 pub use requests::usual_time::UsualTime;
 pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
+pub use site::chooser::{Ask, Chooser, TargetKey, TargetSpec};
+pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
+pub use site::event_cutter::{EventCutter, LARGEST_EVENT, WholeEvent};
+pub use site::formation::{Formation, FormationInput, FormationStep, replica_name};
+pub use site::member_order::{MemberOrder, MemberTask, OrderEnd};
+pub use site::retry_share::{RetryBounds, RetryShare};
+pub use site::route_table::{Allowed, NotAllowed, RouteTable};
+pub use site::site_box::{Member, MemberState, SiteBox};
+pub use site::site_config::{CallerLimits, Route, RouteKind, Service, SiteConfig, Tenant};
--- a/crates/cherrystand_core/src/names.rs
+++ b/crates/cherrystand_core/src/names.rs
@@ -51,6 +51,10 @@
     /// Names one daemon.
     NodeId
 );
+name_type!(
+    /// Names a service behind routes.
+    ServiceName
+);
 name_type!(
     /// Names a plan that awaits confirmation.
     PlanId
--- /dev/null
+++ b/crates/cherrystand_core/src/site/engine_spec.rs
@@ -0,0 +1,100 @@
+//! The published figures of a model engine, and what they predict.
+
+use crate::Millis;
+
+/// Describes a model that an engine can serve.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelSpec {
+    /// The model's name.
+    pub name: String,
+    /// How many boxes one replica spans.
+    pub span: u32,
+    /// The factor on all its times.
+    pub pace: f64,
+    /// Its part of the work.
+    pub share: f64,
+    /// How long a load from the weight store takes.
+    pub load: Millis,
+    /// How long a load from the box's own host takes.
+    pub warm: Millis,
+}
+
+/// Describes the engine of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineSpec {
+    /// Requests that one replica works on at a time.
+    pub slots: u32,
+    /// Steps in a pass that has writers.
+    pub stride: u32,
+    /// Milliseconds of one step.
+    pub step_ms: f64,
+    /// Milliseconds more for each writing request.
+    pub per_request_ms: f64,
+    /// Milliseconds more for each 1,000 tokens of context.
+    pub context_ms_per_k: f64,
+    /// Prompt tokens read in a second.
+    pub read_per_s: f64,
+    /// Milliseconds for each million pairs of a token and a token before it.
+    pub pairs_ms_per_m: f64,
+    /// The factor on the pace of a replica that spans domains.
+    pub far_factor: f64,
+    /// How long a replica takes to open.
+    pub form: Millis,
+    /// Loads from the weight store that may begin each second.
+    pub loads_per_s: f64,
+    /// Loads from the weight store that run at full speed together.
+    pub loads_at_once: u32,
+    /// The usual tokens of a prompt.
+    pub usual_prompt: f64,
+    /// The usual tokens of an answer.
+    pub usual_answer: f64,
+    /// The models.
+    pub models: Vec<ModelSpec>,
+}
+
+/// What a replica is busy with, as far as one node knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineLoad {
+    /// Requests in flight.
+    pub requests: f64,
+    /// Tokens of prompts that have yet to be read.
+    pub unread: f64,
+}
+
+impl EngineSpec {
+    /// Returns a model by its name.
+    pub fn model(&self, name: &str) -> Option<&ModelSpec> {
+        self.models.iter().find(|model| model.name == name)
+    }
+
+    /// Returns the milliseconds of one step at a number of writing requests.
+    pub fn step(&self, writing: f64) -> f64 {
+        let context = writing * (self.usual_prompt + self.usual_answer / 2.0) / 1_000.0;
+        self.step_ms + self.per_request_ms * writing + self.context_ms_per_k * context
+    }
+
+    /// Returns the milliseconds that reading a prompt takes by itself.
+    pub fn read(&self, tokens: f64) -> f64 {
+        let pairs = tokens * tokens / 2.0 / 1_000_000.0;
+        tokens / self.read_per_s * 1_000.0 + pairs * self.pairs_ms_per_m
+    }
+
+    /// Returns the milliseconds between two events of a stream while nothing is read.
+    pub fn pass(&self, model: &ModelSpec, writing: f64) -> f64 {
+        f64::from(self.stride) * self.step(writing) * model.pace
+    }
+
+    /// Predicts the milliseconds until the first token of a prompt sent now.
+    ///
+    /// A prompt waits for half of the pass under way on average, is read together with those
+    /// that wait before it, and its first token comes within the pass after that. Requests beyond
+    /// the slots wait for others to end.
+    pub fn first_token(&self, model: &ModelSpec, load: EngineLoad, prompt: f64) -> f64 {
+        let writing = load.requests.min(f64::from(self.slots));
+        let passes = 1.5 * self.pass(model, writing);
+        let reading = (self.read(load.unread) + self.read(prompt)) * model.pace;
+        let excess = (load.requests + 1.0 - f64::from(self.slots)).max(0.0);
+        let answer = self.usual_answer * self.step(writing) * model.pace;
+        passes + reading + excess / f64::from(self.slots.max(1)) * answer
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/site/event_cutter.rs
@@ -0,0 +1,74 @@
+//! Cuts a stream of bytes into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// The largest event that is held until it is whole, in bytes.
+pub const LARGEST_EVENT: usize = 1 << 20;
+
+/// One whole event, its closing blank line included.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WholeEvent {
+    /// The bytes as they came.
+    pub bytes: Bytes,
+    /// Its id, where it has a number for one.
+    pub id: Option<u64>,
+}
+
+/// Holds back what has come of an event until the rest is there.
+///
+/// Only whole events go to a caller, so that a stream that breaks off can go on elsewhere.
+#[derive(Debug, Default)]
+pub struct EventCutter {
+    held: BytesMut,
+    searched: usize,
+}
+
+impl EventCutter {
+    /// Takes in bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event, if there is one.
+    pub fn next_event(&mut self) -> Option<WholeEvent> {
+        let end = self.find_end()?;
+        let bytes = self.held.split_to(end).freeze();
+        self.searched = 0;
+        let id = event_id(&bytes);
+        Some(WholeEvent { bytes, id })
+    }
+
+    /// Returns how many bytes of an unfinished event are held.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Gives up an unfinished event.
+    pub fn clear(&mut self) {
+        self.held.clear();
+        self.searched = 0;
+    }
+
+    fn find_end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        let held = &self.held[from..];
+        let ends = held.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+        for (at, _) in ends {
+            let rest = &held[at + 1..];
+            if rest.starts_with(b"\n") {
+                return Some(from + at + 2);
+            }
+            if rest.starts_with(b"\r\n") {
+                return Some(from + at + 3);
+            }
+        }
+        self.searched = self.held.len();
+        None
+    }
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let line = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -0,0 +1,448 @@
+//! Which boxes of a domain form which replicas, where boxes tell of themselves through the store.
+//!
+//! Each step compares the domain's record with what its boxes tell, and answers with at most one
+//! new record, to be written by compare-and-swap, and the orders that follow from the record as
+//! it is. What is safe rests on three things: the record gives a box to one replica only, epochs
+//! only grow, and a member joins anew only once the leader of its last replica is known to serve
+//! no more.
+//!
+//! Source: docs/design/0009-users-machines.md.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    Assignment, BoxId, DomainId, DomainRecord, EngineSpec, Epoch, GroupId, LoadSpec, MemberOrder,
+    MemberState, MemberTask, Millis, ModelSpec, Phase, ReplicaId, ServiceName, SiteBox,
+    WorkspaceId,
+};
+
+/// How many boxes a domain keeps free beyond one replica of each model.
+const SPARES: usize = 2;
+
+/// After this time without effect an order is sent again.
+const ORDER_AGAIN: Millis = Millis(1_200);
+
+/// How long a leader may finish what it has before it is made to leave.
+const CLOSE_WITHIN: Millis = Millis(8_000);
+
+/// Holds what a step decides from.
+#[derive(Clone, Copy, Debug)]
+pub struct FormationInput<'a> {
+    /// The time now.
+    pub now: Millis,
+    /// The domain.
+    pub domain: &'a DomainId,
+    /// The service that its boxes belong to.
+    pub service: &'a ServiceName,
+    /// The domain's record as it was last read.
+    pub record: &'a DomainRecord,
+    /// The engine's figures.
+    pub engine: &'a EngineSpec,
+    /// The boxes of the domain that are listed.
+    pub boxes: &'a [&'a SiteBox],
+    /// Boxes that were listed lately and are not any more, as they were.
+    pub departed: &'a [&'a SiteBox],
+    /// Boxes that are listed but have gone silent.
+    pub silent: &'a BTreeSet<BoxId>,
+    /// Leaders known to serve no more, by replica and epoch.
+    pub ended: &'a BTreeSet<(String, Epoch)>,
+    /// How many loads from the weight store may begin now.
+    pub loads_allowed: u32,
+}
+
+/// Holds what a step decided.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FormationStep {
+    /// The record to write, where it changes.
+    pub write: Option<DomainRecord>,
+    /// The orders to send, which follow from the record as read.
+    pub orders: Vec<MemberOrder>,
+    /// Loads from the weight store that the orders begin.
+    pub loads: u32,
+    /// What was decided and why, for the log.
+    pub reasons: Vec<String>,
+}
+
+/// An order that was sent.
+#[derive(Clone, Debug)]
+struct Sent {
+    task: MemberTask,
+    epoch: Epoch,
+    at: Millis,
+}
+
+/// Decides for one domain.
+///
+/// It keeps only when orders were sent; another node decides from the record and the boxes alone.
+#[derive(Clone, Debug, Default)]
+pub struct Formation {
+    sent: BTreeMap<BoxId, Sent>,
+    closing: BTreeMap<(String, Epoch), Millis>,
+}
+
+impl Formation {
+    /// Decides what to write and order now.
+    pub fn step(&mut self, at: FormationInput<'_>) -> FormationStep {
+        self.sent.retain(|_, sent| at.now.since(sent.at) < ORDER_AGAIN);
+        let mut draft = Draft::new(at);
+        let replicas: Vec<ReplicaId> = at.record.replicas.keys().cloned().collect();
+        for replica in &replicas {
+            self.advance(&mut draft, replica);
+        }
+        draft.form_missing();
+        draft.stage_spares();
+        self.finish(draft)
+    }
+
+    /// Forgets that an order was sent, since it certainly had no effect.
+    pub fn order_failed(&mut self, target: &BoxId) {
+        self.sent.remove(target);
+    }
+
+    fn advance(&mut self, draft: &mut Draft<'_>, replica: &ReplicaId) {
+        let Some(held) = draft.at.record.replicas.get(replica).cloned() else {
+            return;
+        };
+        let name = replica_name(draft.at.domain, replica);
+        let Some(model) = draft.at.engine.model(&replica.group.name).cloned() else {
+            draft.end_serving(&name, &held);
+            return draft.remove(replica, "its model is not configured");
+        };
+        match draft.standing(&name, &held) {
+            Standing::Whole => {}
+            Standing::Joining => draft.join_or_open(&name, &held, &model),
+            Standing::Leaving => self.close(draft, replica, &name, &held, &model),
+            Standing::Apart(reason) => {
+                draft.end_serving(&name, &held);
+                draft.mend(replica, &held, &model, reason);
+            }
+        }
+    }
+
+    /// Empties a replica that loses a member as planned, then mends it.
+    fn close(
+        &mut self,
+        draft: &mut Draft<'_>,
+        replica: &ReplicaId,
+        name: &str,
+        held: &Assignment,
+        model: &ModelSpec,
+    ) {
+        let Some(leader) = draft.leader_of(name, held.epoch) else {
+            return draft.mend(replica, held, model, "a member leaves");
+        };
+        let state = leader.member.as_ref().map(|member| member.state);
+        let began = *self.closing.entry((name.to_owned(), held.epoch)).or_insert(draft.at.now);
+        match state {
+            Some(MemberState::Open) => draft.order(leader, name, held.epoch, MemberTask::Close),
+            Some(MemberState::Closing) if draft.at.now.since(began) < CLOSE_WITHIN => {}
+            Some(MemberState::Closing) => {
+                draft.order(leader, name, held.epoch, MemberTask::Leave);
+            }
+            _ => draft.mend(replica, held, model, "a member leaves"),
+        }
+    }
+
+    fn finish(&mut self, draft: Draft<'_>) -> FormationStep {
+        let now = draft.at.now;
+        let mut step = FormationStep { reasons: draft.reasons, ..FormationStep::default() };
+        if draft.changed && draft.next.check().is_ok() {
+            step.write = Some(draft.next);
+        }
+        for (order, is_load) in draft.orders {
+            let known = self.sent.get(&order.target);
+            let repeated =
+                known.is_some_and(|sent| sent.task == order.task && sent.epoch == order.epoch);
+            if repeated || (is_load && step.loads >= draft.at.loads_allowed) {
+                continue;
+            }
+            step.loads += u32::from(is_load);
+            let sent = Sent { task: order.task.clone(), epoch: order.epoch, at: now };
+            self.sent.insert(order.target.clone(), sent);
+            step.orders.push(order);
+        }
+        step
+    }
+}
+
+/// Returns the name that members of a replica know it by.
+pub fn replica_name(domain: &DomainId, replica: &ReplicaId) -> String {
+    format!("{domain}.{}.{}", replica.group.name, replica.slot)
+}
+
+/// Says how a replica stands.
+enum Standing {
+    /// It serves.
+    Whole,
+    /// It is on its way to serve.
+    Joining,
+    /// A member will leave as planned.
+    Leaving,
+    /// It cannot serve, or serves no more.
+    Apart(&'static str),
+}
+
+struct Draft<'a> {
+    at: FormationInput<'a>,
+    next: DomainRecord,
+    changed: bool,
+    orders: Vec<(MemberOrder, bool)>,
+    reasons: Vec<String>,
+    /// Boxes that this step ordered something already.
+    ordered: BTreeSet<BoxId>,
+}
+
+impl<'a> Draft<'a> {
+    fn new(at: FormationInput<'a>) -> Self {
+        let mut next = at.record.clone();
+        let told = at.boxes.iter().filter_map(|known| known.member.as_ref());
+        let highest = told.map(|member| member.epoch).max().unwrap_or_default();
+        next.last_epoch = next.last_epoch.max(highest);
+        Self {
+            at,
+            next,
+            changed: false,
+            orders: Vec::new(),
+            reasons: Vec::new(),
+            ordered: BTreeSet::new(),
+        }
+    }
+
+    fn find(&self, id: &BoxId) -> Option<&'a SiteBox> {
+        self.at.boxes.iter().copied().find(|known| &known.id == id)
+    }
+
+    /// Returns a box that is listed and not silent.
+    fn alive(&self, id: &BoxId) -> Option<&'a SiteBox> {
+        self.find(id).filter(|known| !self.at.silent.contains(&known.id))
+    }
+
+    /// Returns the leader of a replica under an epoch, as far as it is listed or was lately.
+    fn leader_of(&self, name: &str, epoch: Epoch) -> Option<&'a SiteBox> {
+        let leads = |known: &&&SiteBox| {
+            let member = known.member.as_ref();
+            known.is_in(name, epoch) && member.is_some_and(|member| member.rank == 0)
+        };
+        let all = self.at.boxes.iter().chain(self.at.departed);
+        all.copied().find(|known| leads(&known))
+    }
+
+    fn standing(&self, name: &str, held: &Assignment) -> Standing {
+        let members: Vec<_> = held.boxes.iter().map(|id| self.alive(id)).collect();
+        if members.iter().any(Option::is_none) {
+            return Standing::Apart("a member is lost");
+        }
+        let members: Vec<&SiteBox> = members.into_iter().flatten().collect();
+        let leader = members[0];
+        let state = leader.member.as_ref().filter(|_| leader.is_in(name, held.epoch));
+        let state = state.map(|member| member.state);
+        if state == Some(MemberState::Broken) {
+            return Standing::Apart("its leader says that it came apart");
+        }
+        let serves = matches!(state, Some(MemberState::Open | MemberState::Closing));
+        let all_in = members.iter().all(|member| member.is_in(name, held.epoch));
+        if serves && !all_in {
+            return Standing::Apart("a member belongs to it no more");
+        }
+        if members.iter().any(|member| member.leaving) {
+            return Standing::Leaving;
+        }
+        match state {
+            Some(MemberState::Open) => Standing::Whole,
+            // Nobody here wants it closed: whoever began that is gone.
+            Some(MemberState::Closing) => Standing::Leaving,
+            _ => Standing::Joining,
+        }
+    }
+
+    /// Makes the leader of a replica that came apart serve no more.
+    fn end_serving(&mut self, name: &str, held: &Assignment) {
+        if let Some(leader) = self.leader_of(name, held.epoch)
+            && self.may_serve(leader)
+        {
+            self.order(leader, name, held.epoch, MemberTask::Leave);
+        }
+    }
+
+    /// Tells whether a leader may still serve, as far as is known.
+    fn may_serve(&self, leader: &SiteBox) -> bool {
+        let Some(member) = &leader.member else {
+            return false;
+        };
+        let ended = self.at.ended.contains(&(member.replica.clone(), member.epoch));
+        !ended && matches!(member.state, MemberState::Open | MemberState::Closing)
+    }
+
+    /// Tells whether a box may join anew: the leader of its last replica serves no more.
+    fn may_join(&self, known: &SiteBox) -> bool {
+        let Some(member) = &known.member else {
+            return true;
+        };
+        let leader = self.leader_of(&member.replica, member.epoch);
+        leader.is_none_or(|leader| !self.may_serve(leader))
+    }
+
+    fn join_or_open(&mut self, name: &str, held: &Assignment, model: &ModelSpec) {
+        let members: Vec<&SiteBox> = held.boxes.iter().filter_map(|id| self.alive(id)).collect();
+        let is_ready = |member: &&SiteBox| {
+            let state = member.member.as_ref().map(|member| member.state);
+            member.is_in(name, held.epoch) && state == Some(MemberState::Ready)
+        };
+        if members.iter().all(is_ready) {
+            return self.order(members[0], name, held.epoch, MemberTask::Open);
+        }
+        for member in members {
+            if !member.is_in(name, held.epoch) && self.may_join(member) {
+                let task =
+                    MemberTask::Join { model: model.name.clone(), members: held.boxes.clone() };
+                self.order(member, name, held.epoch, task);
+            }
+        }
+    }
+
+    /// Gives a replica that came apart its boxes anew, or gives it up.
+    fn mend(&mut self, replica: &ReplicaId, held: &Assignment, model: &ModelSpec, why: &str) {
+        let usable = |id: &&BoxId| self.alive(id).is_some_and(|known| !known.leaving);
+        let kept: Vec<BoxId> = held.boxes.iter().filter(usable).cloned().collect();
+        let missing = (model.span as usize).saturating_sub(kept.len());
+        let free = self.free_boxes(&model.name);
+        if kept.is_empty() || free.len() < missing {
+            return self.remove(replica, why);
+        }
+        let mut boxes = kept;
+        boxes.extend(free.into_iter().take(missing));
+        boxes.truncate(model.span as usize);
+        self.assign(replica.clone(), boxes, model, why);
+    }
+
+    /// Returns the boxes that belong to no replica, those that join a model soonest first.
+    fn free_boxes(&self, model: &str) -> Vec<BoxId> {
+        let usable = |known: &&&SiteBox| {
+            !known.leaving && self.alive(&known.id).is_some() && self.next.is_free(&known.id)
+        };
+        let mut free: Vec<&SiteBox> = self.at.boxes.iter().filter(usable).copied().collect();
+        free.sort_by_key(|known| (join_rank(known, model), known.id.clone()));
+        free.into_iter().map(|known| known.id.clone()).collect()
+    }
+
+    fn assign(&mut self, replica: ReplicaId, boxes: Vec<BoxId>, model: &ModelSpec, why: &str) {
+        let epoch = self.next.take_epoch();
+        self.reasons
+            .push(format!("{replica} has {} boxes under epoch {epoch}: {why}", boxes.len()));
+        let load = LoadSpec {
+            model: model.name.clone(),
+            version: String::new(),
+            adapters: Vec::new(),
+            role: String::new(),
+        };
+        let assignment = Assignment { epoch, boxes, load, phase: Phase::Loading };
+        self.next.replicas.insert(replica, assignment);
+        self.changed = true;
+    }
+
+    fn remove(&mut self, replica: &ReplicaId, why: &str) {
+        self.next.replicas.remove(replica);
+        self.changed = true;
+        self.reasons.push(format!("{replica} is given up: {why}"));
+    }
+
+    /// Forms further replicas out of free boxes.
+    fn form_missing(&mut self) {
+        while let Some(model) = self.next_model() {
+            let group = GroupId::new(WorkspaceId::new(self.at.service.as_str()), &model.name);
+            let slots = 0..=self.next.replicas.len() as u32;
+            let ids = slots.map(|slot| ReplicaId::new(group.clone(), slot));
+            let Some(id) = ids.into_iter().find(|id| !self.next.replicas.contains_key(id)) else {
+                return;
+            };
+            let mut boxes = self.free_boxes(&model.name);
+            boxes.truncate(model.span as usize);
+            self.assign(id, boxes, &model, "the domain has boxes for it");
+        }
+    }
+
+    /// Returns the model that another replica is worth most for, if the free boxes allow one.
+    fn next_model(&self) -> Option<ModelSpec> {
+        let free = self.free_boxes("").len();
+        let count = |model: &ModelSpec| {
+            let names = self.next.replicas.keys().map(|id| &id.group.name);
+            names.filter(|name| **name == model.name).count()
+        };
+        let fits = |model: &&ModelSpec| {
+            let kept = if count(model) == 0 { 0 } else { SPARES };
+            free >= model.span as usize + kept
+        };
+        let worth = |model: &ModelSpec| {
+            let count = count(model) as f64;
+            model.share * ((count + 2.0) / (count + 1.0)).ln()
+        };
+        let models = self.at.engine.models.iter().filter(fits);
+        models.max_by(|a, b| worth(a).total_cmp(&worth(b))).cloned()
+    }
+
+    /// Lets free boxes load a model to their hosts.
+    fn stage_spares(&mut self) {
+        let joining = self.at.record.replicas.iter().any(|(id, held)| {
+            let name = replica_name(self.at.domain, id);
+            matches!(self.standing(&name, held), Standing::Joining)
+        });
+        if joining || self.changed {
+            return;
+        }
+        let free = self.free_boxes("");
+        let free: Vec<&SiteBox> = free.iter().filter_map(|id| self.find(id)).collect();
+        let staged = |model: &ModelSpec| {
+            free.iter().filter(|known| known.staged.contains(&model.name)).count()
+        };
+        let models = &self.at.engine.models;
+        let mut counts: Vec<usize> = models.iter().map(staged).collect();
+        for known in free.iter().filter(|known| known.staged.is_empty()) {
+            let least = (0..models.len()).min_by_key(|index| counts[*index]);
+            let Some(index) = least else { return };
+            counts[index] += 1;
+            let task = MemberTask::Stage { model: models[index].name.clone() };
+            self.order(known, "", Epoch(0), task);
+        }
+    }
+
+    fn order(&mut self, known: &SiteBox, name: &str, epoch: Epoch, task: MemberTask) {
+        if !self.ordered.insert(known.id.clone()) {
+            return;
+        }
+        let is_load = match &task {
+            MemberTask::Join { model, .. } => join_rank(known, model) == JoinRank::Load,
+            MemberTask::Stage { .. } => true,
+            _ => false,
+        };
+        let order = MemberOrder {
+            target: known.id.clone(),
+            address: known.address,
+            replica: name.to_owned(),
+            epoch,
+            task,
+        };
+        self.orders.push((order, is_load));
+    }
+}
+
+/// Says how soon a box can join a model, the soonest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum JoinRank {
+    /// Its memory holds the model.
+    Loaded,
+    /// Its host holds the model.
+    Staged,
+    /// It has to load it from the weight store.
+    Load,
+}
+
+fn join_rank(known: &SiteBox, model: &str) -> JoinRank {
+    let holds = |models: &[String]| models.iter().any(|held| held == model);
+    if holds(&known.loaded) {
+        JoinRank::Loaded
+    } else if holds(&known.staged) {
+        JoinRank::Staged
+    } else {
+        JoinRank::Load
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/site/retry_share.rs
@@ -0,0 +1,66 @@
+//! One node's share of a retry budget that all nodes have together.
+
+use std::collections::VecDeque;
+
+use crate::Millis;
+
+/// The part of the budget that is handed out; the rest covers what nodes count that were lost.
+const HANDED_OUT: f64 = 0.7;
+
+/// States the budget of all nodes together for one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RetryBounds {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond that in one window, over all nodes.
+    pub slack: f64,
+    /// The window that slides over both.
+    pub window: Millis,
+}
+
+/// Counts one node's requests and repeats for one service over a sliding window.
+///
+/// Each node earns by the requests that it took itself and has its part of the slack, so that the
+/// sum over all nodes stays within the budget whoever is lost.
+#[derive(Clone, Debug)]
+pub struct RetryShare {
+    bounds: RetryBounds,
+    requests: VecDeque<Millis>,
+    repeats: VecDeque<Millis>,
+}
+
+impl RetryShare {
+    /// Creates an unused share.
+    pub fn new(bounds: RetryBounds) -> Self {
+        Self { bounds, requests: VecDeque::new(), repeats: VecDeque::new() }
+    }
+
+    /// Counts a request that this node took.
+    pub fn request(&mut self, now: Millis) {
+        self.forget(now);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat out of the share of a node among `nodes`, where it holds one.
+    pub fn spend(&mut self, now: Millis, nodes: usize) -> bool {
+        self.forget(now);
+        let earned = self.bounds.ratio * self.requests.len() as f64;
+        let slack = self.bounds.slack / nodes.max(1) as f64;
+        let allowed = (earned + slack) * HANDED_OUT;
+        let fits = (self.repeats.len() + 1) as f64 <= allowed;
+        if fits {
+            self.repeats.push_back(now);
+        }
+        fits
+    }
+
+    fn forget(&mut self, now: Millis) {
+        let old = |at: &Millis| now.since(*at) > self.bounds.window;
+        while self.requests.front().is_some_and(old) {
+            self.requests.pop_front();
+        }
+        while self.repeats.front().is_some_and(old) {
+            self.repeats.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/site/route_table.rs
@@ -0,0 +1,104 @@
+//! A configuration, indexed for requests.
+
+use std::collections::HashMap;
+
+use crate::{Route, ServiceName, SiteConfig, mix};
+
+/// Finds routes and tenants of one configuration.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    config: SiteConfig,
+    /// The routes of each host, those with the longest prefix first.
+    hosts: HashMap<String, Vec<usize>>,
+    /// The tenant of each key.
+    keys: HashMap<String, usize>,
+}
+
+/// Tells why a request is not allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NotAllowed {
+    /// No route covers it.
+    #[error("no route covers the request")]
+    NoRoute,
+    /// Its key is missing or not known.
+    #[error("the key is missing or not known")]
+    NoKey,
+}
+
+/// A request's route and tenant.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowed<'a> {
+    /// The route.
+    pub route: &'a Route,
+    /// The tenant's name, where the route asks for a key.
+    pub tenant: Option<&'a str>,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    pub fn new(config: SiteConfig) -> Self {
+        let mut hosts: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in config.routes.iter().enumerate() {
+            hosts.entry(route.host.to_ascii_lowercase()).or_default().push(index);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|index| std::cmp::Reverse(config.routes[*index].prefix.len()));
+        }
+        let mut keys = HashMap::new();
+        for (index, tenant) in config.tenants.iter().flatten().enumerate() {
+            for key in &tenant.keys {
+                keys.insert(key.clone(), index);
+            }
+        }
+        Self { config, hosts, keys }
+    }
+
+    /// Returns the configuration.
+    pub fn config(&self) -> &SiteConfig {
+        &self.config
+    }
+
+    /// Finds the route of a request and the tenant that its key stands for.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NotAllowed`] where no route covers it or its key is not known.
+    pub fn find(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<Allowed<'_>, NotAllowed> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.hosts.get(&name).ok_or(NotAllowed::NoRoute)?;
+        let routes = routes.iter().map(|index| &self.config.routes[*index]);
+        let mut covering = routes.filter(|route| path.starts_with(&route.prefix));
+        let route = covering.next().ok_or(NotAllowed::NoRoute)?;
+        let Some(tenants) = self.config.tenants.as_ref().filter(|_| !route.public) else {
+            return Ok(Allowed { route, tenant: None });
+        };
+        let tenant = key.and_then(|key| self.keys.get(key)).ok_or(NotAllowed::NoKey)?;
+        Ok(Allowed { route, tenant: Some(&tenants[*tenant].name) })
+    }
+}
+
+impl Route {
+    /// Returns the service that a request goes to, by the weights of the split.
+    ///
+    /// The same request goes to the same service on every node.
+    pub fn service_of(&self, request: u64) -> Option<&ServiceName> {
+        let total: u64 = self.split.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut point = mix(request) % total;
+        for (service, weight) in &self.split {
+            let weight = u64::from(*weight);
+            if point < weight {
+                return Some(service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/src/site/site_box.rs
@@ -0,0 +1,66 @@
+//! A box or plain endpoint as it tells of itself.
+
+use std::net::SocketAddr;
+
+use crate::{BoxId, DomainId, Epoch, ServiceName, ZoneId};
+
+/// Says how far a box is with its replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MemberState {
+    /// It loads or connects.
+    Joining,
+    /// It has joined.
+    Ready,
+    /// It leads a replica that serves.
+    Open,
+    /// It leads a replica that finishes what it has.
+    Closing,
+    /// It leads a replica that came apart.
+    Broken,
+}
+
+/// Says which replica a box belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The replica's name.
+    pub replica: String,
+    /// The epoch it joined.
+    pub epoch: Epoch,
+    /// Its rank; rank 0 leads.
+    pub rank: u32,
+    /// How far it is.
+    pub state: MemberState,
+}
+
+/// Describes one box, or one endpoint of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SiteBox {
+    /// Its name, new at every start.
+    pub id: BoxId,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it takes requests and orders.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// How many requests it works on at a time.
+    pub slots: u32,
+    /// Whether it will leave.
+    pub leaving: bool,
+    /// Its fabric domain, where it has one.
+    pub domain: Option<DomainId>,
+    /// The models staged on its host.
+    pub staged: Vec<String>,
+    /// The models in its memory.
+    pub loaded: Vec<String>,
+    /// The replica it belongs to.
+    pub member: Option<Member>,
+}
+
+impl SiteBox {
+    /// Tells whether it belongs to a replica under an epoch.
+    pub fn is_in(&self, replica: &str, epoch: Epoch) -> bool {
+        let member = self.member.as_ref();
+        member.is_some_and(|member| member.replica == replica && member.epoch == epoch)
+    }
+}
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -153,6 +153,13 @@
     pool: HttpPool,
 }
 
+impl PooledBody {
+    /// Gives the body up and closes its connection.
+    pub fn discard(mut self) {
+        self.conn = None;
+    }
+}
+
 impl Body for PooledBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/crates/cherrystand_platform/src/key_value.rs
+++ b/crates/cherrystand_platform/src/key_value.rs
@@ -28,6 +28,9 @@
         /// The size in bytes.
         bytes: usize,
     },
+    /// The service does not remember what changed since the revision asked for.
+    #[error("the platform has forgotten its changes since then; read everything anew")]
+    Forgotten,
     /// The service answered with a status that the protocol does not know.
     #[error("the platform answered with status {0}")]
     Status(u16),
@@ -58,6 +61,8 @@
     pub revision: Revision,
     /// The records, as they are now.
     pub records: Vec<Document>,
+    /// The keys that are gone, where the service tells of these.
+    pub gone: Vec<String>,
 }
 
 /// Reads and writes records that all daemons share.
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -11,6 +11,7 @@
 mod json_call;
 mod key_value;
 mod platform_client;
+mod site_driver;
 
 pub use engine_client::{EPOCH_HEADER, EngineClient, EngineError, NOT_RUN_HEADER};
 pub use http_pool::{HttpPool, PooledBody, SendError};
@@ -19,3 +20,4 @@
 pub use json_call::{Answer, CallError, call, to_json};
 pub use key_value::{Changes, KeyValue, Lease, MAX_VALUE_BYTES, PlatformError, Swap};
 pub use platform_client::{PlatformClient, WireLease, WireRecord, WireRecords, WireRevision};
+pub use site_driver::{AnswerFacts, AttemptFacts, BoxCall, FormatError, RequestFacts, SiteDriver};
--- a/crates/cherrystand_platform/src/platform_client.rs
+++ b/crates/cherrystand_platform/src/platform_client.rs
@@ -99,6 +99,7 @@
     Ok(Changes {
         revision: wire.revision,
         records: wire.records.into_iter().map(Document::from).collect(),
+        gone: Vec::new(),
     })
 }
 
--- a/crates/cherrystand_testkit/src/platform/fake_key_value.rs
+++ b/crates/cherrystand_testkit/src/platform/fake_key_value.rs
@@ -119,7 +119,11 @@
         self.begin().await?;
         let state = self.state.borrow();
         let records = state.store.changed(prefix, after.0).into_iter().map(Document::from);
-        Ok(Changes { revision: state.store.revision(), records: records.collect() })
+        Ok(Changes {
+            revision: state.store.revision(),
+            records: records.collect(),
+            gone: Vec::new(),
+        })
     }
 
     async fn swap(&self, key: &str, expected: Revision, body: &str) -> Result<Swap, PlatformError> {
--- a/crates/cherrystandd/src/counted.rs
+++ b/crates/cherrystandd/src/counted.rs
@@ -22,11 +22,16 @@
     /// Creates a client of the platform that the settings name.
     pub(crate) fn new(cx: &DutyContext, duty: &'static str) -> Self {
         let inner = PlatformClient::new(cx.settings.platform.address);
-        Self { inner, metrics: cx.metrics.clone(), duty }
+        Self::over(inner, cx, duty)
     }
 }
 
 impl<K> Counted<K> {
+    /// Counts the calls of a client for a duty.
+    pub(crate) fn over(inner: K, cx: &DutyContext, duty: &'static str) -> Self {
+        Self { inner, metrics: cx.metrics.clone(), duty }
+    }
+
     fn count<T>(&self, outcome: Result<T, PlatformError>) -> Result<T, PlatformError> {
         let result = match &outcome {
             Ok(_) => "done",
--- a/crates/cherrystandd/src/duties/claim_keeper.rs
+++ b/crates/cherrystandd/src/duties/claim_keeper.rs
@@ -9,14 +9,14 @@
 use crate::claim_writer::ClaimWriter;
 use crate::claims::ClaimCall;
 use crate::counted::Counted;
-use crate::kernel::Duty;
+use crate::kernel::{Duty, Serves};
 use crate::{DutyContext, DutyError, StopPhase, keys, writer};
 
 /// How long calls gather before they are written together.
 const GATHER: Duration = Duration::from_millis(15);
 
 inventory::submit! {
-    Duty { name: "claims", run }
+    Duty { name: "claims", serves: Serves::Workspaces, run }
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/duties/controller.rs
+++ b/crates/cherrystandd/src/duties/controller.rs
@@ -15,7 +15,7 @@
 
 use crate::counted::Counted;
 use crate::duties::prober::{Prober, boxes_to_ask};
-use crate::kernel::Duty;
+use crate::kernel::{Duty, Serves};
 use crate::state::{StateEvent, View};
 use crate::{DutyContext, DutyError, StopPhase, clock, keys, writer};
 
@@ -38,7 +38,7 @@
 const LOOK_FIRST: Millis = Millis(1_500);
 
 inventory::submit! {
-    Duty { name: "controller", run }
+    Duty { name: "controller", serves: Serves::Workspaces, run }
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/duties/gossip.rs
+++ b/crates/cherrystandd/src/duties/gossip.rs
@@ -7,7 +7,7 @@
 use cherrystand_peer::{PeerDialer, PeerError, Question, Reply};
 use tokio::sync::oneshot;
 
-use crate::kernel::Duty;
+use crate::kernel::{Duty, Serves};
 use crate::state::{StateEvent, View};
 use crate::{DutyContext, DutyError, StopPhase, clock};
 
@@ -19,7 +19,7 @@
 const ROUNDS_TO_REUNITE: usize = 8;
 
 inventory::submit! {
-    Duty { name: "gossip", run }
+    Duty { name: "gossip", serves: Serves::All, run }
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/duties/operator_api.rs
+++ b/crates/cherrystandd/src/duties/operator_api.rs
@@ -6,12 +6,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::kernel::Duty;
+use crate::kernel::{Duty, Serves};
 use crate::operator::{Operators, handle};
 use crate::{DutyContext, DutyError, StopPhase};
 
 inventory::submit! {
-    Duty { name: "operator-api", run }
+    Duty { name: "operator-api", serves: Serves::Workspaces, run }
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/duties/peer_answers.rs
+++ b/crates/cherrystandd/src/duties/peer_answers.rs
@@ -3,12 +3,12 @@
 use cherrystand_peer::{PeerListener, Question, Reply};
 use tokio::sync::oneshot;
 
-use crate::kernel::Duty;
+use crate::kernel::{Duty, Serves};
 use crate::state::StateEvent;
 use crate::{DutyContext, DutyError, StopPhase};
 
 inventory::submit! {
-    Duty { name: "peer-answers", run }
+    Duty { name: "peer-answers", serves: Serves::All, run }
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/duties/platform_watch.rs
+++ b/crates/cherrystandd/src/duties/platform_watch.rs
@@ -9,7 +9,7 @@
 use cherrystand_platform::{BoxList, KeyValue, PlatformClient, PlatformError};
 
 use crate::counted::Counted;
-use crate::kernel::Duty;
+use crate::kernel::{Duty, Serves};
 use crate::keys;
 use crate::state::{StateEvent, View};
 use crate::{DutyContext, DutyError, StopPhase};
@@ -36,7 +36,7 @@
 const READ_WHEN_OLDER: Millis = Millis(FRESH_FOR.0 / 2);
 
 inventory::submit! {
-    Duty { name: "platform-watch", run }
+    Duty { name: "platform-watch", serves: Serves::Workspaces, run }
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/duties/relay.rs
+++ b/crates/cherrystandd/src/duties/relay.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::kernel::Duty;
+use crate::kernel::{Duty, Serves};
 use crate::relay::{NoteQuestion, Relay, handle};
 use crate::{DutyContext, DutyError, StopPhase};
 
@@ -15,7 +15,7 @@
 const FLUSH: Duration = Duration::from_millis(200);
 
 inventory::submit! {
-    Duty { name: "relay", run }
+    Duty { name: "relay", serves: Serves::Workspaces, run }
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/duties/state_keeper.rs
+++ b/crates/cherrystandd/src/duties/state_keeper.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::kernel::Duty;
+use crate::kernel::{Duty, Serves};
 use crate::state::NodeState;
 use crate::state::StateEvent;
 use crate::{DutyContext, DutyError, StopPhase};
@@ -15,7 +15,7 @@
 const EVENTS_PER_VIEW: usize = 64;
 
 inventory::submit! {
-    Duty { name: "state", run }
+    Duty { name: "state", serves: Serves::All, run }
 }
 
 fn run(cx: DutyContext) -> Result<(), DutyError> {
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -6,6 +6,7 @@
 
 use crate::claims::ClaimCall;
 use crate::relay::NoteQuestion;
+use crate::site::{Hint, SiteView};
 use crate::state::{StateEvent, View};
 use crate::{Clock, Metrics, Settings};
 
@@ -86,6 +87,14 @@
     pub(crate) view: watch::Receiver<Arc<View>>,
     /// Where the state duty publishes it.
     pub(crate) publish: Arc<watch::Sender<Arc<View>>>,
+    /// What is known of the site, as last published.
+    pub(crate) site: watch::Receiver<Arc<SiteView>>,
+    /// Where the duty that reads the site publishes it.
+    pub(crate) publish_site: Arc<watch::Sender<Arc<SiteView>>>,
+    /// The ring by which the request path has boxes looked at.
+    pub(crate) hints: async_channel::Sender<Hint>,
+    /// The other end of that ring; only the duty that reads the site reads it.
+    pub(crate) hint_events: async_channel::Receiver<Hint>,
     /// How far the daemon is with stopping.
     pub(crate) stop: Arc<watch::Sender<StopPhase>>,
 }
@@ -99,6 +108,8 @@
         let clock = Clock::start();
         let first = View::at_start(&settings, clock.now());
         let (publish, view) = watch::channel(Arc::new(first));
+        let (publish_site, site) = watch::channel(Arc::default());
+        let (hints, hint_events) = async_channel::bounded(RING_SLOTS);
         let (stop, _) = watch::channel(StopPhase::Running);
         Self {
             settings: Arc::new(settings),
@@ -112,6 +123,10 @@
             note_questions,
             view,
             publish: Arc::new(publish),
+            site,
+            publish_site: Arc::new(publish_site),
+            hints,
+            hint_events,
             stop: Arc::new(stop),
         }
     }
--- a/crates/cherrystandd/src/kernel.rs
+++ b/crates/cherrystandd/src/kernel.rs
@@ -9,10 +9,33 @@
 
 use crate::{DutyContext, DutyError, StopPhase};
 
+/// Says in which kind of deployment a duty runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Serves {
+    /// In every one.
+    All,
+    /// Where operators state workspaces through the daemon.
+    Workspaces,
+    /// Where the platform's store holds one configuration of routes.
+    Routes,
+}
+
+impl Serves {
+    fn fits(self, cx: &DutyContext) -> bool {
+        match self {
+            Self::All => true,
+            Self::Workspaces => cx.settings.site.is_none(),
+            Self::Routes => cx.settings.site.is_some(),
+        }
+    }
+}
+
 /// A duty that the kernel runs on a thread of its own.
 pub struct Duty {
     /// The duty's name, which its thread carries.
     pub name: &'static str,
+    /// Where it runs.
+    pub serves: Serves,
     /// Runs the duty until its context says that it is time to stop.
     pub run: fn(DutyContext) -> Result<(), DutyError>,
 }
@@ -33,7 +56,7 @@
     /// Returns a [`DutyError`] where a thread cannot be started.
     pub fn start(cx: &DutyContext) -> Result<Self, DutyError> {
         let mut threads = Vec::new();
-        for duty in inventory::iter::<Duty> {
+        for duty in inventory::iter::<Duty>.into_iter().filter(|duty| duty.serves.fits(cx)) {
             threads.push((duty.name, start_thread(duty, cx.clone())?));
         }
         Ok(Self { stop: cx.stop.clone(), threads })
--- a/crates/cherrystandd/src/keys.rs
+++ b/crates/cherrystandd/src/keys.rs
@@ -14,6 +14,15 @@
 /// Names the box list among the records that daemons pass on; the platform keeps it elsewhere.
 pub(crate) const INVENTORY: &str = "platform/inventory";
 
+/// Below this stand the copies that daemons pass on where routes are configured.
+pub(crate) const PASSED_ON: &str = "site/";
+
+/// Names the copy of the operators' configuration.
+pub(crate) const SITE_CONFIG: &str = "site/config";
+
+/// Names the copy of what boxes tell of themselves.
+pub(crate) const SITE_BOXES: &str = "site/boxes";
+
 /// Below this stand the claims on calls.
 const CLAIMS: &str = "cherrystand/claims/";
 
--- a/crates/cherrystandd/src/lib.rs
+++ b/crates/cherrystandd/src/lib.rs
@@ -15,14 +15,17 @@
 mod operator;
 mod relay;
 mod settings;
+mod site;
 mod state;
 mod writer;
 
 pub use claim_writer::ClaimWriter;
 pub use clock::Clock;
 pub use duty_context::{DutyContext, DutyError, StopPhase};
-pub use kernel::{Duty, Kernel};
+pub use kernel::{Duty, Kernel, Serves};
 pub use logging::start_logging;
 pub use metrics::Metrics;
 pub use operator::{OperatorError, WorkspaceChange, Written};
-pub use settings::{Limits, Listen, LoadSettingsError, Platform, Repair, Settings, Stop};
+pub use settings::{
+    Limits, Listen, LoadSettingsError, Platform, Repair, Settings, SiteSettings, Stop,
+};
--- a/crates/cherrystandd/src/relay/mod.rs
+++ b/crates/cherrystandd/src/relay/mod.rs
@@ -7,7 +7,7 @@
 mod call;
 mod core;
 mod flow;
-mod headers;
+pub(crate) mod headers;
 mod notes;
 mod relay_state;
 mod status_pages;
--- a/crates/cherrystandd/src/settings.rs
+++ b/crates/cherrystandd/src/settings.rs
@@ -4,8 +4,8 @@
 use std::path::Path;
 
 use cherrystand_core::{
-    NodeId, RepairPolicy, RepairRule, ReturnModel, Room, SettingsError, SettingsErrorKind, ZoneId,
-    settings_from_toml,
+    Millis, NodeId, RepairPolicy, RepairRule, RetryBounds, ReturnModel, Room, SettingsError,
+    SettingsErrorKind, ZoneId, settings_from_toml,
 };
 use serde::Deserialize;
 
@@ -35,6 +35,40 @@
     /// How it stops.
     #[serde(default)]
     pub stop: Stop,
+    /// How it serves where the platform's store holds one configuration of routes; left out where
+    /// operators state workspaces.
+    #[serde(default)]
+    pub site: Option<SiteSettings>,
+}
+
+/// Says how the daemon serves routes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SiteSettings {
+    /// The address at which the balancer asks whether the daemon is ready.
+    pub ready: SocketAddr,
+    /// Whether this is the very first start of all daemons.
+    #[serde(default)]
+    pub first_start: bool,
+    /// How long a stop may take, in milliseconds.
+    pub grace_ms: u64,
+    /// Repeats for each request, over all daemons.
+    pub retry_ratio: f64,
+    /// Repeats beyond that in one window, over all daemons.
+    pub retry_slack: f64,
+    /// The window that slides over both, in seconds.
+    pub retry_window_s: u64,
+}
+
+impl SiteSettings {
+    /// Returns the retry budget of all daemons together.
+    pub fn retry_bounds(&self) -> RetryBounds {
+        RetryBounds {
+            ratio: self.retry_ratio,
+            slack: self.retry_slack,
+            window: Millis::from_secs(self.retry_window_s),
+        }
+    }
 }
 
 /// Says where the daemon listens.
--- /dev/null
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -0,0 +1,128 @@
+//! One attempt to have a request run by an endpoint.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cherrystand_core::{AttemptEnd, Millis};
+use cherrystand_platform::{PooledBody, SendError, SiteDriver};
+use http_body_util::BodyExt;
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+
+use crate::site::Driver;
+use crate::site::flight::Flight;
+use crate::site::front::Front;
+use crate::site::request::SiteRequest;
+
+/// How long a connection may take to come about.
+const CONNECT_WITHIN: Duration = Duration::from_millis(250);
+
+/// How often a waiting request looks whether its endpoint still makes progress.
+const LOOK_EVERY: Duration = Duration::from_millis(60);
+
+/// The head of an answer that an endpoint gave, and the body that follows.
+pub(crate) struct Begun {
+    /// The head.
+    pub(crate) head: Parts,
+    /// The body.
+    pub(crate) body: PooledBody,
+    /// Counts the request.
+    pub(crate) flight: Flight,
+}
+
+/// Sends a request to an endpoint and waits for the head of the answer.
+///
+/// With a silence, the attempt ends as timed out once neither the request nor the endpoint as a
+/// whole has made progress for that long.
+pub(crate) async fn send(
+    front: &Rc<Front>,
+    req: &SiteRequest,
+    flight: Flight,
+    last_event: Option<u64>,
+    silence: Option<Millis>,
+) -> Result<Begun, AttemptEnd> {
+    let Some(address) = front.address_of(&flight.target) else {
+        return Err(AttemptEnd::NotSent);
+    };
+    let sent = front.now();
+    let out = req.attempt::<Driver>(&flight.target, last_event, sent);
+    let exchange = front.pool.send(address, out, CONNECT_WITHIN);
+    let mut exchange = std::pin::pin!(exchange);
+    let answer = loop {
+        match tokio::time::timeout(LOOK_EVERY, &mut exchange).await {
+            Ok(answer) => break answer,
+            Err(_) if front.now() >= req.deadline => return Err(AttemptEnd::TimedOut),
+            Err(_) if is_silent(front, &flight, sent, silence) => {
+                front.stalled(&flight);
+                return Err(AttemptEnd::TimedOut);
+            }
+            Err(_) => {}
+        }
+    };
+    let answer = answer.map_err(|err| {
+        if matches!(err, SendError::Connect { .. } | SendError::ConnectTimedOut(_)) {
+            front.unreachable(&flight);
+        } else {
+            flight.failed();
+            flight.avoid();
+        }
+        end_of(&err)
+    })?;
+    check_head(req, answer, flight)
+}
+
+fn is_silent(front: &Front, flight: &Flight, sent: Millis, silence: Option<Millis>) -> bool {
+    let Some(silence) = silence else {
+        return false;
+    };
+    let now = front.now();
+    let heard = front.chooser.borrow().last_progress(flight.key).unwrap_or_default();
+    now.since(sent.max(heard)) > silence
+}
+
+fn end_of(err: &SendError) -> AttemptEnd {
+    match err {
+        SendError::Connect { .. } | SendError::ConnectTimedOut(_) => AttemptEnd::ConnectFailed,
+        SendError::NotSent(_) => AttemptEnd::NotSent,
+        SendError::Cut(_) => AttemptEnd::CutBeforeAnswer,
+    }
+}
+
+/// Takes only an answer that names the request; any other belongs to somebody else.
+fn check_head(
+    req: &SiteRequest,
+    answer: Response<PooledBody>,
+    flight: Flight,
+) -> Result<Begun, AttemptEnd> {
+    let facts = Driver::read_answer(answer.status(), answer.headers());
+    let (head, body) = answer.into_parts();
+    if facts.not_run {
+        return Err(match head.status {
+            StatusCode::MISDIRECTED_REQUEST => AttemptEnd::NotServing,
+            _ => AttemptEnd::Refused,
+        });
+    }
+    if facts.request != req.facts.id {
+        body.discard();
+        flight.failed();
+        return Err(AttemptEnd::CutBeforeAnswer);
+    }
+    let promise = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::REQUEST_TIMEOUT,
+    ];
+    if promise.contains(&head.status) {
+        // It does not say that it did not run the request, and so neither may this node.
+        flight.failed();
+        return Err(AttemptEnd::AnswerCut);
+    }
+    Ok(Begun { head, body, flight })
+}
+
+/// Reads the rest of an answer whole.
+pub(crate) async fn read_whole(body: PooledBody) -> Result<Bytes, AttemptEnd> {
+    let whole = body.collect().await.map_err(|_| AttemptEnd::AnswerCut)?;
+    Ok(whole.to_bytes())
+}
--- /dev/null
+++ b/crates/cherrystandd/src/site/control.rs
@@ -0,0 +1,355 @@
+//! The duty that watches over the store and over this node's share of domains.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use cherrystand_core::{
+    DomainId, DomainRecord, Formation, FormationInput, FormationStep, MemberOrder, MemberTask,
+    Millis, OrderEnd, Revision, ServiceName, SiteBox, owner_of,
+};
+use cherrystand_platform::{CallError, HttpPool, KeyValue, SendError, SiteDriver, Swap, call};
+use tokio::sync::Notify;
+
+use crate::counted::Counted;
+use crate::kernel::{Duty, Serves};
+use crate::site::known::Known;
+use crate::site::watching::{entries_in, follow_store};
+use crate::site::{Driver, Hint};
+use crate::state::{StateEvent, View};
+use crate::{DutyContext, DutyError, StopPhase, keys};
+
+/// The time between two steps where nothing happens.
+const STEP: Duration = Duration::from_millis(250);
+
+/// The time that news gathers before a step.
+const GATHER: Duration = Duration::from_millis(4);
+
+/// How long a box may take to answer an order.
+const ORDER_WITHIN: Duration = Duration::from_millis(500);
+
+/// How long a box may take to answer whether it is there.
+const ASK_WITHIN: Duration = Duration::from_millis(200);
+
+/// How long a box is not asked again.
+const ASK_PAUSE: Millis = Millis(1_000);
+
+/// The window over which loads are counted.
+const LOAD_WINDOW: Millis = Millis(5_000);
+
+/// For how long after its first start a site loads without bounds, since nothing is asked yet.
+const EARLY_FOR: Millis = Millis(8_500);
+
+/// How long a node that just started learns who else there is before it decides.
+const LOOK_FIRST: Millis = Millis(700);
+
+/// How often peers are given the newest list of boxes.
+const PASS_ON_EVERY: Millis = Millis(1_000);
+
+/// After this time without an answer of the store, peers' copies of the boxes count.
+const STORE_SILENT: Millis = Millis(1_500);
+
+inventory::submit! {
+    Duty { name: "site-control", serves: Serves::Routes, run }
+}
+
+fn run(cx: DutyContext) -> Result<(), DutyError> {
+    cx.run_local(async {
+        let control = Rc::new(Control::new(cx.clone()));
+        tokio::task::spawn_local(follow_store(control.clone()));
+        tokio::task::spawn_local(follow_hints(control.clone()));
+        tokio::select! {
+            () = control.clone().steps() => {}
+            () = cx.stopping(StopPhase::Stopped) => {}
+        }
+    })
+}
+
+/// Keeps what the duty knows and does.
+pub(crate) struct Control {
+    cx: DutyContext,
+    /// The store.
+    pub(crate) store: Counted<<Driver as SiteDriver>::Store>,
+    /// What is known of the site.
+    pub(crate) known: RefCell<Known>,
+    pool: HttpPool,
+    wake: Notify,
+    formations: RefCell<BTreeMap<DomainId, Formation>>,
+    loads: RefCell<BTreeMap<DomainId, VecDeque<Millis>>>,
+    asked: RefCell<BTreeMap<String, Millis>>,
+    heard_store: Cell<Option<Millis>>,
+    passed_on: Cell<Millis>,
+    config_passed: Cell<Revision>,
+}
+
+impl Control {
+    fn new(cx: DutyContext) -> Self {
+        let store = Driver::store(cx.settings.platform.address);
+        Self {
+            store: Counted::over(store, &cx, "site"),
+            known: RefCell::default(),
+            pool: HttpPool::default(),
+            wake: Notify::new(),
+            formations: RefCell::default(),
+            loads: RefCell::default(),
+            asked: RefCell::default(),
+            heard_store: Cell::default(),
+            passed_on: Cell::default(),
+            config_passed: Cell::default(),
+            cx,
+        }
+    }
+
+    /// Returns the time now.
+    pub(crate) fn now(&self) -> Millis {
+        self.cx.clock.now()
+    }
+
+    /// Notes that the store answered, and has the news looked at.
+    pub(crate) fn store_answered(&self) {
+        self.heard_store.set(Some(self.now()));
+        self.publish();
+        self.wake.notify_one();
+    }
+
+    fn publish(&self) {
+        let nodes = self.cx.view.borrow().alive().count();
+        let view = self.known.borrow().view(nodes);
+        self.cx.publish_site.send_replace(std::sync::Arc::new(view));
+    }
+
+    async fn steps(self: Rc<Self>) {
+        loop {
+            let woken = tokio::time::timeout(STEP, self.wake.notified()).await.is_ok();
+            if woken {
+                tokio::time::sleep(GATHER).await;
+            }
+            let view = self.cx.view_now();
+            self.known.borrow_mut().forget(self.now());
+            self.exchange_with_peers(&view);
+            if self.cx.stop_phase() == StopPhase::Running && self.now() >= LOOK_FIRST {
+                self.step_domains(&view).await;
+            }
+        }
+    }
+
+    /// Takes in what peers passed on, and hands out what the store told.
+    fn exchange_with_peers(&self, view: &View) {
+        let now = self.now();
+        let mut known = self.known.borrow_mut();
+        let mut news = false;
+        for document in &view.passed_on {
+            if &*document.key == keys::SITE_CONFIG {
+                news |= known.take_config(document);
+            } else if &*document.key == keys::SITE_BOXES
+                && self.store_is_silent()
+                && document.revision > known.revision()
+                && let Some(entries) = entries_in(document)
+            {
+                known.take_list(&entries, document.revision, now);
+                news = true;
+            }
+        }
+        let due = now.since(self.passed_on.get()) >= PASS_ON_EVERY;
+        let documents = known.to_pass_on();
+        drop(known);
+        let config = documents.iter().find(|document| &*document.key == keys::SITE_CONFIG);
+        let config = config.map(|document| document.revision).unwrap_or_default();
+        if due || config > self.config_passed.get() {
+            self.passed_on.set(now);
+            self.config_passed.set(config);
+            self.cx.tell_state(StateEvent::Records(documents));
+        }
+        if news {
+            self.publish();
+        }
+    }
+
+    fn store_is_silent(&self) -> bool {
+        let heard = self.heard_store.get();
+        heard.is_none_or(|heard| self.now().since(heard) > STORE_SILENT)
+    }
+
+    async fn step_domains(self: &Rc<Self>, view: &View) {
+        let domains = self.known.borrow().domains();
+        for domain in domains {
+            let serving = view.alive().filter(|beat| beat.serving);
+            if owner_of(domain.as_str(), serving) == Some(&view.own.node) {
+                self.step_domain(&domain).await;
+            }
+        }
+    }
+
+    async fn step_domain(self: &Rc<Self>, domain: &DomainId) {
+        let Some((revision, step)) = self.decide(domain) else {
+            return;
+        };
+        for reason in &step.reasons {
+            log::info!(domain = domain.as_str(); "{reason}");
+        }
+        if step.loads > 0 {
+            let mut loads = self.loads.borrow_mut();
+            let begun = loads.entry(domain.clone()).or_default();
+            begun.extend(std::iter::repeat_n(self.now(), step.loads as usize));
+        }
+        for order in step.orders {
+            let control = self.clone();
+            let domain = domain.clone();
+            tokio::task::spawn_local(async move {
+                control.send_order(&domain, order, revision).await;
+            });
+        }
+        if let Some(next) = step.write {
+            self.write(domain, revision, next).await;
+        }
+    }
+
+    fn decide(&self, domain: &DomainId) -> Option<(Revision, FormationStep)> {
+        let known = self.known.borrow();
+        let boxes = known.boxes_of(domain);
+        let service = service_of(&boxes)?;
+        let engine = known.table()?.config().engine(&service)?.clone();
+        let (revision, record) = known.record(domain);
+        let silent = known.silent();
+        let departed = known.departed_of(domain);
+        let domains = known.domains().len();
+        let input = FormationInput {
+            now: self.now(),
+            domain,
+            service: &service,
+            record: &record,
+            engine: &engine,
+            boxes: &boxes,
+            departed: &departed,
+            silent: &silent,
+            ended: known.ended_replicas(),
+            loads_allowed: self.loads_allowed(domain, engine.loads_per_s, domains),
+        };
+        let mut formations = self.formations.borrow_mut();
+        let step = formations.entry(domain.clone()).or_default().step(input);
+        Some((revision, step))
+    }
+
+    /// Returns how many loads a domain may begin now: its even part of the store's rate.
+    fn loads_allowed(&self, domain: &DomainId, per_s: f64, domains: usize) -> u32 {
+        let now = self.now();
+        let first = self.cx.settings.site.as_ref().is_some_and(|site| site.first_start);
+        if first && now < EARLY_FOR {
+            return u32::MAX;
+        }
+        let share = (per_s * LOAD_WINDOW.as_secs_f64() / domains.max(1) as f64).max(1.0) as u32;
+        let mut loads = self.loads.borrow_mut();
+        let begun = loads.entry(domain.clone()).or_default();
+        begun.retain(|at| now.since(*at) < LOAD_WINDOW);
+        share.saturating_sub(begun.len() as u32)
+    }
+
+    /// Writes a record; whatever comes of it, the next step decides from what then stands.
+    async fn write(&self, domain: &DomainId, expected: Revision, next: DomainRecord) {
+        let Ok(body) = serde_json::to_string(&next) else {
+            return;
+        };
+        let key = keys::domain(domain);
+        match self.store.swap(&key, expected, &body).await {
+            Ok(Swap::Done(revision)) => {
+                self.known.borrow_mut().put_domain(revision, next);
+                self.wake.notify_one();
+            }
+            Ok(Swap::Conflict(_)) => self.read_back(&key).await,
+            Err(err) => {
+                log::warn!(domain = domain.as_str(); "a record may not be written: {err}");
+                self.read_back(&key).await;
+            }
+        }
+    }
+
+    async fn read_back(&self, key: &str) {
+        match self.store.get(key).await {
+            Ok(Some(record)) => {
+                let changes = cherrystand_platform::Changes {
+                    revision: Revision(0),
+                    records: vec![record],
+                    gone: Vec::new(),
+                };
+                self.known.borrow_mut().take_changes(&changes, self.now());
+            }
+            Ok(None) => {}
+            Err(err) => log::warn!("a record could not be read back: {err}"),
+        }
+    }
+
+    async fn send_order(&self, domain: &DomainId, order: MemberOrder, fence: Revision) {
+        let out = Driver::order_call(&order, fence.0);
+        let sent =
+            call(&self.pool, order.address, out.method, &out.path, out.body, ORDER_WITHIN).await;
+        let end = match &sent {
+            Ok(answer) => Driver::order_end(answer.status),
+            Err(CallError::Send(SendError::Connect { .. })) => OrderEnd::Refused,
+            Err(_) => OrderEnd::Silent,
+        };
+        let result = if end == OrderEnd::Taken { "followed" } else { "failed" };
+        self.cx.metrics.orders.with_label_values(&[result]).inc();
+        log::info!(
+            target_box = order.target.as_str(), replica = order.replica.as_str(),
+            epoch = order.epoch.0, task = order.task.as_str();
+            "order {end:?}"
+        );
+        let ended = matches!(order.task, MemberTask::Leave)
+            && matches!(end, OrderEnd::Taken | OrderEnd::Refused | OrderEnd::Silent);
+        if ended {
+            self.known.borrow_mut().ended(order.replica.clone(), order.epoch);
+            self.wake.notify_one();
+        }
+        if end != OrderEnd::Taken && end != OrderEnd::Silent {
+            let mut formations = self.formations.borrow_mut();
+            if let Some(formation) = formations.get_mut(domain) {
+                formation.order_failed(&order.target);
+            }
+        }
+    }
+
+    /// Asks boxes that may be gone whether they are there.
+    async fn ask(&self, known: SiteBox) {
+        let now = self.now();
+        let name = known.id.as_str().to_owned();
+        let asked = self.asked.borrow().get(&name).copied();
+        if asked.is_some_and(|asked| now.since(asked) < ASK_PAUSE) {
+            return;
+        }
+        self.asked.borrow_mut().insert(name, now);
+        let out = Driver::report_call();
+        let answer =
+            call(&self.pool, known.address, out.method, &out.path, out.body, ASK_WITHIN).await;
+        let answered = answer.is_ok();
+        self.cx
+            .metrics
+            .probes
+            .with_label_values(&[if answered { "answered" } else { "silent" }])
+            .inc();
+        if !answered {
+            log::info!(target_box = known.id.as_str(); "a box of a stalled replica is silent");
+        }
+        self.known.borrow_mut().heard(&known.id, answered, self.now());
+        if !answered {
+            self.publish();
+            self.wake.notify_one();
+        }
+    }
+}
+
+/// Has boxes looked at that the request path found silent.
+async fn follow_hints(control: Rc<Control>) {
+    while let Ok(hint) = control.cx.hint_events.recv().await {
+        let (Hint::Stalled(id) | Hint::Unreachable(id)) = hint;
+        let members = control.known.borrow().members_with(&id);
+        for member in members {
+            let control = control.clone();
+            tokio::task::spawn_local(async move { control.ask(member).await });
+        }
+    }
+}
+
+fn service_of(boxes: &[&SiteBox]) -> Option<ServiceName> {
+    boxes.first().map(|known| known.service.clone())
+}
--- /dev/null
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -0,0 +1,180 @@
+//! Passing a stream of events on, across replicas where one breaks off.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cherrystand_core::{AttemptEnd, BoxId, EventCutter, LARGEST_EVENT, Millis, WholeEvent};
+use cherrystand_platform::PooledBody;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+
+use crate::site::attempt::Begun;
+use crate::site::body::{BrokeOff, EventSender};
+use crate::site::flight::Flight;
+use crate::site::front::Front;
+use crate::site::request::SiteRequest;
+
+/// How often a silent stream looks whether its endpoint makes progress at all.
+const LOOK_EVERY: Duration = Duration::from_millis(60);
+
+/// How a run of a stream ended.
+enum RunEnd {
+    /// The stream is whole.
+    Whole,
+    /// The endpoint broke it off, or went silent.
+    Broken(AttemptEnd),
+    /// The caller left, or its time is over.
+    Over,
+}
+
+/// Passes one answer on to a caller.
+pub(crate) struct EventStream {
+    pub(crate) front: Rc<Front>,
+    pub(crate) req: Rc<SiteRequest>,
+    pub(crate) tx: EventSender,
+    /// The boxes that were sent the request.
+    pub(crate) tried: Vec<BoxId>,
+    /// How many of them may have run it.
+    pub(crate) runs: u32,
+    /// The id of the last event passed on.
+    pub(crate) last: Option<u64>,
+}
+
+impl EventStream {
+    /// Passes on the answer that has begun, and goes on elsewhere where it breaks off.
+    pub(crate) async fn pass_on(mut self, first: Begun) {
+        let mut begun = first;
+        loop {
+            match self.run(begun).await {
+                RunEnd::Whole | RunEnd::Over => return,
+                RunEnd::Broken(end) => match self.go_on(end).await {
+                    Some(next) => begun = next,
+                    None => {
+                        self.front.count_broken_stream();
+                        // The caller learns by the cut connection that the answer is not whole.
+                        let _ = self.tx.send(Err(BrokeOff)).await;
+                        return;
+                    }
+                },
+            }
+        }
+    }
+
+    async fn run(&mut self, begun: Begun) -> RunEnd {
+        let Begun { mut body, mut flight, .. } = begun;
+        let mut cutter = EventCutter::default();
+        let mut heard = self.front.now();
+        loop {
+            let left = self.req.deadline.since(self.front.now());
+            if left == Millis(0) {
+                let _ = self.tx.send(Err(BrokeOff)).await;
+                return RunEnd::Over;
+            }
+            let wait = LOOK_EVERY.min(Duration::from_millis(left.0));
+            let frame = tokio::select! {
+                frame = tokio::time::timeout(wait, body.frame()) => frame,
+                () = self.tx.closed() => return RunEnd::Over,
+            };
+            match frame {
+                Err(_) if self.is_stalled(&flight, heard) => {
+                    self.front.stalled(&flight);
+                    return RunEnd::Broken(AttemptEnd::TimedOut);
+                }
+                Err(_) => {}
+                Ok(None) => return self.end(&cutter, &flight),
+                Ok(Some(Err(_))) => {
+                    flight.failed();
+                    flight.avoid();
+                    return RunEnd::Broken(AttemptEnd::AnswerCut);
+                }
+                Ok(Some(Ok(frame))) => {
+                    heard = self.front.now();
+                    flight.event();
+                    let Ok(data) = frame.into_data() else { continue };
+                    cutter.push(&data);
+                    if let Some(end) = self.pass_events(&mut cutter, &body).await {
+                        return end;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes on the events that are whole by now.
+    async fn pass_events(&mut self, cutter: &mut EventCutter, _: &PooledBody) -> Option<RunEnd> {
+        let mut out: Vec<Bytes> = Vec::new();
+        while let Some(event) = cutter.next_event() {
+            if self.follows(&event) {
+                self.last = event.id.or(self.last);
+                out.push(event.bytes);
+            } else if event.id.is_some_and(|id| self.last.is_some_and(|last| id > last + 1)) {
+                return Some(RunEnd::Broken(AttemptEnd::AnswerCut));
+            }
+        }
+        if cutter.held() > LARGEST_EVENT {
+            return Some(RunEnd::Broken(AttemptEnd::AnswerCut));
+        }
+        if out.is_empty() {
+            return None;
+        }
+        let out = if out.len() == 1 { out.remove(0) } else { Bytes::from(out.concat()) };
+        match self.tx.send(Ok(out)).await {
+            Ok(()) => None,
+            Err(_) => Some(RunEnd::Over),
+        }
+    }
+
+    /// Tells whether an event is the next one.
+    fn follows(&self, event: &WholeEvent) -> bool {
+        match (event.id, self.last) {
+            (Some(id), Some(last)) => id == last + 1,
+            _ => true,
+        }
+    }
+
+    fn end(&self, cutter: &EventCutter, flight: &Flight) -> RunEnd {
+        if cutter.held() > 0 {
+            flight.failed();
+            return RunEnd::Broken(AttemptEnd::AnswerCut);
+        }
+        flight.succeeded();
+        RunEnd::Whole
+    }
+
+    fn is_stalled(&self, flight: &Flight, heard: Millis) -> bool {
+        let progress = self.front.chooser.borrow().last_progress(flight.key).unwrap_or_default();
+        let silence = self.front.silence_of(&self.req);
+        self.may_go_on() && self.front.now().since(heard.max(progress)) > silence
+    }
+
+    fn may_go_on(&self) -> bool {
+        self.req.route.resumable && self.runs < self.req.route.attempts
+    }
+
+    /// Takes the stream up at another replica.
+    async fn go_on(&mut self, end: AttemptEnd) -> Option<Begun> {
+        let mut sent = 0;
+        while self.may_go_on() && sent < 3 && self.front.now() < self.req.deadline {
+            sent += 1;
+            let flight = self.front.choose(&self.req, &self.tried)?;
+            if self.tried.contains(&flight.target) || !self.front.may_repeat(&self.req, end) {
+                return None;
+            }
+            self.tried.push(flight.target.clone());
+            let silence = Some(self.front.silence_of(&self.req));
+            let began =
+                crate::site::attempt::send(&self.front, &self.req, flight, self.last, silence);
+            match began.await {
+                Ok(begun) if begun.head.status == StatusCode::OK => {
+                    self.runs += 1;
+                    return Some(begun);
+                }
+                Ok(_) => self.runs += 1,
+                Err(end) if end.outcome() != cherrystand_core::Outcome::NotRun => self.runs += 1,
+                Err(_) => {}
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/site/front.rs
@@ -0,0 +1,401 @@
+//! The duty that serves callers by routes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cherrystand_core::{
+    Ask, AttemptEnd, BoxId, Chooser, Millis, Outcome, RetryShare, RouteKind, Seed, ServiceName,
+};
+use cherrystand_platform::{HttpPool, SiteDriver, serve_http};
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response, StatusCode};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::kernel::{Duty, Serves};
+use crate::relay::headers::strip_connection;
+use crate::site::attempt::{self, Begun};
+use crate::site::body::SiteBody;
+use crate::site::event_stream::EventStream;
+use crate::site::flight::Flight;
+use crate::site::request::{SiteRequest, allow, read_body};
+use crate::site::{Driver, Hint, SiteView};
+use crate::{DutyContext, DutyError, StopPhase, clock};
+
+/// How many endpoints one request is sent to at the most, those that did not run it included.
+const MOST_SENT: u32 = 3;
+
+/// The time that a caller waits where it says nothing.
+const USUAL_WAIT: Millis = Millis(30_000);
+
+/// When a caller may come back who met no endpoint in service.
+const COME_BACK: Millis = Millis(300);
+
+/// The least silence of a replica that tells that it stands still.
+const LEAST_SILENCE: Millis = Millis(250);
+
+/// How much of its grace a stopping node keeps in hand.
+const GRACE_IN_HAND: Millis = Millis(700);
+
+inventory::submit! {
+    Duty { name: "site-front", serves: Serves::Routes, run }
+}
+
+fn run(cx: DutyContext) -> Result<(), DutyError> {
+    cx.run_local(serve(&cx))?
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, DutyError> {
+    TcpListener::bind(address).await.map_err(|source| DutyError::Listen { address, source })
+}
+
+async fn serve(cx: &DutyContext) -> Result<(), DutyError> {
+    let Some(site) = &cx.settings.site else {
+        return Ok(());
+    };
+    let callers = listen(cx.settings.listen.callers).await?;
+    let ready = listen(site.ready).await?;
+    let front = Rc::new(Front::new(cx.clone()));
+    let (stop, stopped) = watch::channel(false);
+    let answers = front.clone();
+    let ready = serve_http(
+        ready,
+        move |req| {
+            let answer = answers.ready(&req);
+            async move { answer }
+        },
+        stopped.clone(),
+    );
+    tokio::task::spawn_local(ready);
+    let handler = front.clone();
+    let serving = serve_http(callers, move |req| handle(handler.clone(), req), stopped);
+    let stopping = async {
+        cx.stopping(StopPhase::Draining).await;
+        log::info!("draining: not ready any more, finishing what is in flight");
+        tokio::time::sleep(Duration::from_millis(cx.settings.stop.linger_ms)).await;
+        stop.send_replace(true);
+        let rest = site.grace_ms.saturating_sub(cx.settings.stop.linger_ms + GRACE_IN_HAND.0);
+        tokio::time::sleep(Duration::from_millis(rest)).await;
+    };
+    let finished = async { tokio::join!(serving, cx.stopping(StopPhase::Draining)) };
+    tokio::select! {
+        _ = finished => {}
+        () = stopping => {}
+        () = cx.stopping(StopPhase::Stopped) => {}
+    }
+    cx.stop.send_replace(StopPhase::Stopped);
+    Ok(())
+}
+
+/// Serves callers on one thread.
+pub(crate) struct Front {
+    cx: DutyContext,
+    /// What the choice of an endpoint needs.
+    pub(crate) chooser: RefCell<Chooser>,
+    /// Its connections to endpoints.
+    pub(crate) pool: HttpPool,
+    view: RefCell<Arc<SiteView>>,
+    addresses: RefCell<BTreeMap<BoxId, SocketAddr>>,
+    shares: RefCell<BTreeMap<ServiceName, RetryShare>>,
+    seed: Cell<Seed>,
+}
+
+impl Front {
+    fn new(cx: DutyContext) -> Self {
+        Self {
+            chooser: RefCell::default(),
+            pool: HttpPool::default(),
+            view: RefCell::default(),
+            addresses: RefCell::default(),
+            shares: RefCell::default(),
+            seed: Cell::new(Seed::new(clock::unix_millis())),
+            cx,
+        }
+    }
+
+    /// Returns the time now.
+    pub(crate) fn now(&self) -> Millis {
+        self.cx.clock.now()
+    }
+
+    /// Takes over the newest view.
+    fn follow(&self) -> Arc<SiteView> {
+        let newest = self.cx.site.borrow().clone();
+        if Arc::ptr_eq(&newest, &self.view.borrow()) {
+            return newest;
+        }
+        let targets = newest.targets(&self.cx.settings.zone);
+        let mut addresses = self.addresses.borrow_mut();
+        addresses.clear();
+        addresses.extend(targets.iter().map(|(spec, address)| (spec.id.clone(), *address)));
+        let specs = targets.into_iter().map(|(spec, _)| spec).collect();
+        self.chooser.borrow_mut().follow(specs);
+        self.view.replace(newest.clone());
+        newest
+    }
+
+    /// Returns where a box takes requests.
+    pub(crate) fn address_of(&self, target: &BoxId) -> Option<SocketAddr> {
+        self.addresses.borrow().get(target).copied()
+    }
+
+    fn ready(&self, req: &Request<Incoming>) -> Response<SiteBody> {
+        let view = self.cx.site.borrow();
+        let running = self.cx.stop_phase() == StopPhase::Running;
+        let ready = running && view.table.is_some() && view.listed;
+        let status = match req.uri().path() {
+            Driver::READY_PATH if ready => StatusCode::OK,
+            Driver::READY_PATH => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        plain(status)
+    }
+
+    /// Chooses an endpoint and counts the request there.
+    pub(crate) fn choose(self: &Rc<Self>, req: &SiteRequest, not: &[BoxId]) -> Option<Flight> {
+        let view = self.follow();
+        let engine = view.table.as_ref()?.config().engine(&req.service);
+        let model = req.facts.model.as_deref().filter(|_| engine.is_some());
+        let ask = Ask { service: &req.service, model, prompt: req.prompt() };
+        let mut seed = self.seed.get();
+        let chooser = self.chooser.borrow();
+        let key = chooser.choose(ask, engine, not, self.now(), &mut seed);
+        self.seed.set(seed);
+        let key = key.or_else(|| chooser.choose(ask, engine, &[], self.now(), &mut seed))?;
+        let target = chooser.id(key)?.clone();
+        drop(chooser);
+        Some(Flight::start(self.clone(), key, target, req.prompt()))
+    }
+
+    /// Returns the silence that tells that the replica of a request stands still.
+    pub(crate) fn silence_of(&self, req: &SiteRequest) -> Millis {
+        let view = self.view.borrow();
+        let engine = view.table.as_ref().and_then(|table| table.config().engine(&req.service));
+        let model = req.facts.model.as_deref();
+        let predicted = engine.and_then(|engine| {
+            let model = engine.model(model?)?;
+            let writing = f64::from(engine.slots);
+            Some(3.0 * engine.pass(model, writing) + engine.read(4_000.0) * model.pace)
+        });
+        LEAST_SILENCE.max(Millis(predicted.unwrap_or_default() as u64))
+    }
+
+    /// Takes a repeat out of this node's share of the budget.
+    pub(crate) fn may_repeat(&self, req: &SiteRequest, end: AttemptEnd) -> bool {
+        let nodes = self.view.borrow().nodes;
+        let now = self.now();
+        let may = self.with_share(&req.service, |share| share.spend(now, nodes));
+        let metrics = &self.cx.metrics;
+        if may {
+            metrics.retries.with_label_values(&[end.as_str()]).inc();
+        } else {
+            metrics.retries_withheld.with_label_values(&["budget-spent"]).inc();
+        }
+        may
+    }
+
+    fn with_share<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryShare) -> T) -> T {
+        let bounds = self.cx.settings.site.as_ref().map(|site| site.retry_bounds());
+        let mut shares = self.shares.borrow_mut();
+        let fresh = || RetryShare::new(bounds.unwrap_or_default());
+        act(shares.entry(service.clone()).or_insert_with(fresh))
+    }
+
+    /// Leaves a replica out that stands still, and has its members looked at.
+    pub(crate) fn stalled(&self, flight: &Flight) {
+        flight.avoid();
+        self.hint(Hint::Stalled(flight.target.clone()));
+    }
+
+    /// Leaves a box out that cannot be connected to, and has it looked at.
+    pub(crate) fn unreachable(&self, flight: &Flight) {
+        flight.failed();
+        flight.avoid();
+        self.hint(Hint::Unreachable(flight.target.clone()));
+    }
+
+    fn hint(&self, hint: Hint) {
+        if self.cx.hints.try_send(hint).is_err() {
+            self.cx.metrics.ring_full.with_label_values(&["hints"]).inc();
+        }
+    }
+
+    /// Counts a stream that ended before it was whole.
+    pub(crate) fn count_broken_stream(&self) {
+        let labels = [Outcome::Unknown.as_str(), "broken-stream"];
+        self.cx.metrics.answers.with_label_values(&labels).inc();
+    }
+}
+
+fn plain(status: StatusCode) -> Response<SiteBody> {
+    let mut answer = Response::new(SiteBody::whole(""));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Answers one request of a caller.
+async fn handle(front: Rc<Front>, req: Request<Incoming>) -> Response<SiteBody> {
+    let id = Driver::read_request(req.headers()).id.unwrap_or_default();
+    let mut answer = match serve_request(&front, req).await {
+        Ok(answer) => return answer,
+        Err(status) => plain(status),
+    };
+    let status = answer.status();
+    front.cx.metrics.refusals.with_label_values(&[status.as_str()]).inc();
+    if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+        Driver::write_retry_after(answer.headers_mut(), COME_BACK);
+    }
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        Driver::write_request_id(answer.headers_mut(), &id);
+    }
+    answer
+}
+
+async fn serve_request(
+    front: &Rc<Front>,
+    req: Request<Incoming>,
+) -> Result<Response<SiteBody>, StatusCode> {
+    let came = front.now();
+    let view = front.follow();
+    let table = view.table.as_ref().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let (head, body) = req.into_parts();
+    let facts = Driver::read_request(&head.headers);
+    let (route, tenant, service) = allow(table, &head, &facts)?;
+    let body = read_body(body, table.config().limits.body_bytes).await?;
+    let wait = facts.wait.unwrap_or(USUAL_WAIT).min(route.timeout);
+    let deadline = came + wait;
+    let req = Rc::new(SiteRequest { facts, head, body, route, tenant, service, deadline });
+    let now = front.now();
+    front.with_share(&req.service, |share| share.request(now));
+    if req.route.kind == RouteKind::Streaming {
+        stream(front, req).await
+    } else {
+        whole(front, &req).await
+    }
+}
+
+/// Says what a caller is told after an attempt that failed.
+fn status_after(end: AttemptEnd) -> StatusCode {
+    match (end.outcome(), end) {
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (_, AttemptEnd::TimedOut) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Keeps count of what one request was sent to.
+#[derive(Default)]
+struct Tries {
+    tried: Vec<BoxId>,
+    sent: u32,
+    runs: u32,
+}
+
+impl Tries {
+    fn may_send(&self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> bool {
+        let may_run_again = end.outcome() == Outcome::NotRun || req.route.may_repeat();
+        let in_time = front.now() < req.deadline;
+        may_run_again
+            && in_time
+            && self.sent < MOST_SENT
+            && self.runs < req.route.attempts.max(1)
+            && front.may_repeat(req, end)
+    }
+
+    fn ended(&mut self, end: AttemptEnd) {
+        self.runs += u32::from(end.outcome() != Outcome::NotRun);
+    }
+}
+
+async fn stream(front: &Rc<Front>, req: Rc<SiteRequest>) -> Result<Response<SiteBody>, StatusCode> {
+    let mut tries = Tries::default();
+    let begun = loop {
+        let flight = front.choose(&req, &tries.tried).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        tries.tried.push(flight.target.clone());
+        tries.sent += 1;
+        let may_leave = req.route.resumable && tries.runs + 1 < req.route.attempts;
+        let silence = may_leave.then(|| front.silence_of(&req));
+        match attempt::send(front, &req, flight, req.facts.last_event, silence).await {
+            Ok(begun) => break begun,
+            Err(end) => {
+                tries.ended(end);
+                if !tries.may_send(front, &req, end) {
+                    return Err(status_after(end));
+                }
+            }
+        }
+    };
+    if begun.head.status != StatusCode::OK {
+        return pass_whole(begun).await.map_err(status_after);
+    }
+    let (tx, body) = SiteBody::events();
+    let mut head = begun.head.clone();
+    strip_connection(&mut head.headers);
+    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    let stream = EventStream {
+        front: front.clone(),
+        last: req.facts.last_event,
+        req,
+        tx,
+        tried: tries.tried,
+        runs: tries.runs + 1,
+    };
+    tokio::task::spawn_local(stream.pass_on(begun));
+    Ok(Response::from_parts(head, body))
+}
+
+async fn whole(front: &Rc<Front>, req: &Rc<SiteRequest>) -> Result<Response<SiteBody>, StatusCode> {
+    let mut tries = Tries::default();
+    loop {
+        let flight = front.choose(req, &tries.tried).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        tries.tried.push(flight.target.clone());
+        tries.sent += 1;
+        let end = match attempt_whole(front, req, flight).await {
+            Ok(answer) => {
+                tries.ended(AttemptEnd::Answered);
+                let failed = answer.status().is_server_error();
+                let end = AttemptEnd::AnswerCut;
+                if !failed || !req.route.may_repeat() || !tries.may_send(front, req, end) {
+                    return Ok(answer);
+                }
+                continue;
+            }
+            Err(end) => end,
+        };
+        tries.ended(end);
+        if !tries.may_send(front, req, end) {
+            return Err(status_after(end));
+        }
+    }
+}
+
+async fn attempt_whole(
+    front: &Rc<Front>,
+    req: &Rc<SiteRequest>,
+    flight: Flight,
+) -> Result<Response<SiteBody>, AttemptEnd> {
+    let left = Duration::from_millis(req.deadline.since(front.now()).0);
+    let exchange = async {
+        let begun = attempt::send(front, req, flight, None, None).await?;
+        pass_whole(begun).await
+    };
+    tokio::time::timeout(left, exchange).await.unwrap_or(Err(AttemptEnd::TimedOut))
+}
+
+/// Reads an answer whole before its caller gets a byte of it.
+async fn pass_whole(begun: Begun) -> Result<Response<SiteBody>, AttemptEnd> {
+    let Begun { mut head, body, flight } = begun;
+    let bytes = attempt::read_whole(body).await.inspect_err(|_| flight.failed())?;
+    if head.status.is_server_error() {
+        flight.failed();
+    } else {
+        flight.succeeded();
+    }
+    strip_connection(&mut head.headers);
+    Ok(Response::from_parts(head, SiteBody::whole(bytes)))
+}
--- /dev/null
+++ b/crates/cherrystandd/src/site/known.rs
@@ -0,0 +1,254 @@
+//! What a node knows of the site, and how news changes it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use cherrystand_core::{
+    BoxId, Document, DomainId, DomainRecord, Epoch, Millis, Revision, RouteTable, SiteBox,
+};
+use cherrystand_platform::{Changes, SiteDriver};
+
+use crate::keys;
+use crate::site::{Driver, SiteView};
+
+/// For how long a box that is listed no more is remembered.
+const DEPARTED_FOR: Millis = Millis(12_000);
+
+/// For how long a box counts as silent after it did not answer.
+const SILENT_FOR: Millis = Millis(6_000);
+
+/// A box that is listed no more.
+#[derive(Clone, Debug)]
+struct Departed {
+    known: SiteBox,
+    at: Millis,
+}
+
+/// Keeps what one node knows of the site; it does no I/O.
+#[derive(Default)]
+pub(crate) struct Known {
+    config: Option<Document>,
+    table: Option<Arc<RouteTable>>,
+    /// What boxes tell of themselves, as it stands in the store.
+    entries: BTreeMap<BoxId, Document>,
+    boxes: BTreeMap<BoxId, SiteBox>,
+    departed: BTreeMap<BoxId, Departed>,
+    records: BTreeMap<DomainId, (Revision, DomainRecord)>,
+    silent: BTreeMap<BoxId, Millis>,
+    ended: BTreeSet<(String, Epoch)>,
+    listed: bool,
+    /// The revision up to which the entries are known.
+    revision: Revision,
+}
+
+impl Known {
+    /// Takes in a copy of the configuration, from the store or from a peer.
+    ///
+    /// Only a later one counts, whoever brings it.
+    pub(crate) fn take_config(&mut self, document: &Document) -> bool {
+        let known = self.config.as_ref().map(|held| held.revision).unwrap_or_default();
+        if document.revision <= known {
+            return false;
+        }
+        match Driver::read_config(&document.body) {
+            Ok(config) => {
+                let held = self.table.as_ref().map(|table| table.config().version);
+                if held.is_some_and(|held| held > config.version) {
+                    return false;
+                }
+                log::info!(version = config.version; "a configuration is in force");
+                self.table = Some(Arc::new(RouteTable::new(config)));
+                self.config = Some(document.clone());
+                true
+            }
+            Err(err) => {
+                log::error!("the configuration is kept as it was: {err}");
+                false
+            }
+        }
+    }
+
+    /// Takes in what changed in the store.
+    pub(crate) fn take_changes(&mut self, changes: &Changes, now: Millis) {
+        for record in &changes.records {
+            self.take_record(record, now);
+        }
+        for key in &changes.gone {
+            if let Some(id) = key.strip_prefix(Driver::BOXES) {
+                self.take_departure(&BoxId::new(id), now);
+            }
+        }
+        self.revision = self.revision.max(changes.revision);
+    }
+
+    /// Takes in all boxes that are listed now.
+    pub(crate) fn take_list(&mut self, list: &[Document], revision: Revision, now: Millis) {
+        let there: BTreeSet<&str> = list.iter().map(|entry| entry.key.as_ref()).collect();
+        let gone: Vec<BoxId> = self
+            .boxes
+            .keys()
+            .filter(|id| !there.contains(Driver::box_key(id).as_str()))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.take_departure(&id, now);
+        }
+        for entry in list {
+            self.take_record(entry, now);
+        }
+        self.listed = true;
+        self.revision = self.revision.max(revision);
+    }
+
+    fn take_record(&mut self, record: &Document, now: Millis) {
+        if &*record.key == Driver::CONFIG_KEY {
+            self.take_config(record);
+        } else if record.key.starts_with(Driver::BOXES) {
+            self.take_entry(record, now);
+        } else if record.key.starts_with(keys::DOMAINS) {
+            self.take_domain(record);
+        }
+    }
+
+    fn take_entry(&mut self, entry: &Document, _: Millis) {
+        match Driver::read_box(&entry.key, &entry.body) {
+            Ok(known) => {
+                let older = |held: &Document| held.revision >= entry.revision;
+                if self.entries.get(&known.id).is_some_and(older) {
+                    return;
+                }
+                self.departed.remove(&known.id);
+                self.entries.insert(known.id.clone(), entry.clone());
+                self.boxes.insert(known.id.clone(), known);
+            }
+            Err(err) => log::error!("a box's entry is kept as it was: {err}"),
+        }
+    }
+
+    fn take_departure(&mut self, id: &BoxId, now: Millis) {
+        self.entries.remove(id);
+        self.silent.remove(id);
+        if let Some(known) = self.boxes.remove(id) {
+            self.departed.insert(id.clone(), Departed { known, at: now });
+        }
+    }
+
+    fn take_domain(&mut self, record: &Document) {
+        match serde_json::from_str::<DomainRecord>(&record.body) {
+            Ok(read) => self.put_domain(record.revision, read),
+            Err(err) => log::error!(key = &*record.key; "a domain's record is malformed: {err}"),
+        }
+    }
+
+    /// Takes in a domain's record at a revision.
+    pub(crate) fn put_domain(&mut self, revision: Revision, record: DomainRecord) {
+        let held = self.records.get(&record.domain).map(|(held, _)| *held).unwrap_or_default();
+        if held < revision {
+            self.records.insert(record.domain.clone(), (revision, record));
+        }
+    }
+
+    /// Notes that a box did not answer, or that it did.
+    pub(crate) fn heard(&mut self, id: &BoxId, answered: bool, now: Millis) {
+        if answered {
+            self.silent.remove(id);
+        } else if self.boxes.contains_key(id) {
+            self.silent.insert(id.clone(), now);
+        }
+    }
+
+    /// Notes that the leader of a replica serves no more.
+    pub(crate) fn ended(&mut self, replica: String, epoch: Epoch) {
+        self.ended.insert((replica, epoch));
+    }
+
+    /// Forgets what is too old.
+    pub(crate) fn forget(&mut self, now: Millis) {
+        self.departed.retain(|_, gone| now.since(gone.at) < DEPARTED_FOR);
+        self.silent.retain(|_, since| now.since(*since) < SILENT_FOR);
+    }
+
+    /// Returns the domains of the listed boxes and of the records.
+    pub(crate) fn domains(&self) -> BTreeSet<DomainId> {
+        let listed = self.boxes.values().filter_map(|known| known.domain.clone());
+        listed.chain(self.records.keys().cloned()).collect()
+    }
+
+    /// Returns a domain's record and its revision.
+    pub(crate) fn record(&self, domain: &DomainId) -> (Revision, DomainRecord) {
+        let held = self.records.get(domain).cloned();
+        held.unwrap_or_else(|| (Revision(0), DomainRecord::empty(domain.clone())))
+    }
+
+    /// Returns the boxes of a domain that are listed.
+    pub(crate) fn boxes_of(&self, domain: &DomainId) -> Vec<&SiteBox> {
+        let all = self.boxes.values();
+        all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
+    }
+
+    /// Returns the boxes of a domain that were listed lately.
+    pub(crate) fn departed_of(&self, domain: &DomainId) -> Vec<&SiteBox> {
+        let all = self.departed.values().map(|gone| &gone.known);
+        all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
+    }
+
+    /// Returns the members of the replica that a box leads, itself among them.
+    pub(crate) fn members_with(&self, id: &BoxId) -> Vec<SiteBox> {
+        let Some(known) = self.boxes.get(id) else {
+            return Vec::new();
+        };
+        let Some(member) = &known.member else {
+            return vec![known.clone()];
+        };
+        let all = self.boxes.values();
+        all.filter(|other| other.is_in(&member.replica, member.epoch)).cloned().collect()
+    }
+
+    /// Returns the boxes that went silent.
+    pub(crate) fn silent(&self) -> BTreeSet<BoxId> {
+        self.silent.keys().cloned().collect()
+    }
+
+    /// Returns the leaders that serve no more.
+    pub(crate) fn ended_replicas(&self) -> &BTreeSet<(String, Epoch)> {
+        &self.ended
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Returns the revision up to which everything is known.
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the copies that peers are to have.
+    pub(crate) fn to_pass_on(&self) -> Vec<Document> {
+        let config = self.config.iter().map(|held| Document {
+            key: Arc::from(keys::SITE_CONFIG),
+            revision: held.revision,
+            body: held.body.clone(),
+        });
+        let entries: Vec<&Document> = self.entries.values().collect();
+        let body = serde_json::to_string(&entries).ok().filter(|_| self.listed);
+        let boxes = body.map(|body| Document {
+            key: Arc::from(keys::SITE_BOXES),
+            revision: self.revision,
+            body: Arc::from(body),
+        });
+        config.chain(boxes).collect()
+    }
+
+    /// Returns all of it as one value.
+    pub(crate) fn view(&self, nodes: usize) -> SiteView {
+        SiteView {
+            table: self.table.clone(),
+            boxes: Arc::new(self.boxes.clone()),
+            silent: Arc::new(self.silent()),
+            listed: self.listed,
+            nodes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/site/request.rs
@@ -0,0 +1,97 @@
+//! A caller's request, read whole and allowed.
+
+use bytes::{Bytes, BytesMut};
+use cherrystand_core::{BoxId, Millis, NotAllowed, Route, RouteTable, ServiceName, hash_bytes};
+use cherrystand_platform::{AttemptFacts, RequestFacts, SiteDriver};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::http::request::Parts;
+use hyper::{Request, StatusCode};
+
+use crate::relay::headers::strip_connection;
+
+/// A request on its way.
+pub(crate) struct SiteRequest {
+    /// What its head says.
+    pub(crate) facts: RequestFacts,
+    /// Its head.
+    pub(crate) head: Parts,
+    /// Its whole body.
+    pub(crate) body: Bytes,
+    /// The route that it takes.
+    pub(crate) route: Route,
+    /// The tenant that its key stands for.
+    pub(crate) tenant: Option<String>,
+    /// The service that it goes to.
+    pub(crate) service: ServiceName,
+    /// When its caller, or its route, gives it up.
+    pub(crate) deadline: Millis,
+}
+
+impl SiteRequest {
+    /// Returns the tokens of its prompt.
+    pub(crate) fn prompt(&self) -> f64 {
+        f64::from(self.facts.prompt.unwrap_or_default())
+    }
+
+    /// Makes the request that is sent to a box.
+    pub(crate) fn attempt<D: SiteDriver>(
+        &self,
+        target: &BoxId,
+        last_event: Option<u64>,
+        now: Millis,
+    ) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.head.method.clone();
+        let path = self.head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
+        *req.uri_mut() = path.unwrap_or_default();
+        let mut headers = self.head.headers.clone();
+        strip_connection(&mut headers);
+        headers.remove(CONTENT_LENGTH);
+        let left = self.deadline.since(now);
+        let tenant = self.tenant.as_deref();
+        D::write_attempt(&mut headers, &AttemptFacts { target, left, tenant, last_event });
+        *req.headers_mut() = headers;
+        req
+    }
+}
+
+/// Finds a request's route, tenant and service.
+pub(crate) fn allow(
+    table: &RouteTable,
+    head: &Parts,
+    facts: &RequestFacts,
+) -> Result<(Route, Option<String>, ServiceName), StatusCode> {
+    let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| head.uri.host()).unwrap_or_default();
+    let found = table.find(host, head.uri.path(), facts.key.as_deref());
+    let allowed = found.map_err(|reason| match reason {
+        NotAllowed::NoRoute => StatusCode::NOT_FOUND,
+        NotAllowed::NoKey => StatusCode::UNAUTHORIZED,
+    })?;
+    let id = facts.id.as_deref().unwrap_or_default();
+    let service = allowed.route.service_of(hash_bytes(id.as_bytes()));
+    let service = service.ok_or(StatusCode::NOT_FOUND)?.clone();
+    Ok((allowed.route.clone(), allowed.tenant.map(str::to_owned), service))
+}
+
+/// Reads a body whole, up to a size.
+pub(crate) async fn read_body(mut body: Incoming, most: usize) -> Result<Bytes, StatusCode> {
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if announced > most {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let mut read = BytesMut::with_capacity(announced);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if read.len() + data.len() > most {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        read.extend_from_slice(&data);
+    }
+    Ok(read.freeze())
+}
--- a/crates/cherrystandd/src/state/node_state.rs
+++ b/crates/cherrystandd/src/state/node_state.rs
@@ -103,6 +103,7 @@
             workspaces: self.workspaces.clone(),
             domains: self.domains.clone(),
             fleet: self.fleet.clone(),
+            passed_on: self.documents.with_prefix(keys::PASSED_ON).cloned().collect(),
             routes: Arc::new(routes),
             own,
         }
--- a/crates/cherrystandd/src/state/view.rs
+++ b/crates/cherrystandd/src/state/view.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    DomainRecord, Fleet, Formed, Heartbeat, Incarnation, Millis, Revision, ServeBy, Standing,
-    WorkspaceRecord,
+    Document, DomainRecord, Fleet, Formed, Heartbeat, Incarnation, Millis, Revision, ServeBy,
+    Standing, WorkspaceRecord,
 };
 
 use crate::state::RouteGroup;
@@ -45,6 +45,8 @@
     pub domains: BTreeMap<Arc<str>, Arc<Held<DomainRecord>>>,
     /// The listed boxes.
     pub fleet: Arc<Fleet>,
+    /// The copies passed on where routes are configured.
+    pub passed_on: Vec<Document>,
     /// Where requests can go.
     pub routes: Arc<Vec<RouteGroup>>,
 }
@@ -64,6 +66,7 @@
             workspaces: BTreeMap::new(),
             domains: BTreeMap::new(),
             fleet: Arc::default(),
+            passed_on: Vec::new(),
             routes: Arc::default(),
         }
     }
