feat(core): a domain holds one model, so that any spare fits any loss

Spares were ordered to stage again each second, since an entry shows a stage only once it is done. SIGHUP ended the process. Ruled out: slow detection (0.5 s from crash to the new record).

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -70,6 +70,7 @@
     pub(crate) mod engine_spec;
     pub(crate) mod event_cutter;
     pub(crate) mod formation;
+    pub(crate) mod homes;
     pub(crate) mod member_order;
     pub(crate) mod retry_share;
     pub(crate) mod route_table;
@@ -138,6 +139,7 @@
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::event_cutter::{EventCutter, LARGEST_EVENT, WholeEvent};
 pub use site::formation::{Formation, FormationInput, FormationStep, replica_name};
+pub use site::homes::home_models;
 pub use site::member_order::{MemberOrder, MemberTask, OrderEnd};
 pub use site::retry_share::{RetryBounds, RetryShare};
 pub use site::route_table::{Allowed, NotAllowed, RouteTable};
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -16,8 +16,14 @@
     WorkspaceId,
 };
 
-/// How many boxes a domain keeps free beyond one replica of each model.
-const SPARES: usize = 2;
+/// How many boxes a domain keeps free beside its second replica.
+const SPARES_OF_TWO: usize = 1;
+
+/// How many it keeps free beside three or more.
+const SPARES_OF_MORE: usize = 2;
+
+/// How many times its usual time a load to the host may take before it is ordered again.
+const STAGE_PATIENCE: u64 = 2;
 
 /// After this time without effect an order is sent again.
 const ORDER_AGAIN: Millis = Millis(1_200);
@@ -48,6 +54,8 @@
     pub ended: &'a BTreeSet<(String, Epoch)>,
     /// How many loads from the weight store may begin now.
     pub loads_allowed: u32,
+    /// The model that the domain is for; nothing where it serves all of them.
+    pub home: Option<&'a str>,
 }
 
 /// Holds what a step decided.
@@ -78,6 +86,8 @@
 pub struct Formation {
     sent: BTreeMap<BoxId, Sent>,
     closing: BTreeMap<(String, Epoch), Millis>,
+    /// Boxes that were ordered to load a model to their hosts, and when.
+    staging: BTreeMap<BoxId, Millis>,
 }
 
 impl Formation {
@@ -90,7 +100,9 @@
             self.advance(&mut draft, replica);
         }
         draft.form_missing();
-        draft.stage_spares();
+        let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
+        self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
+        draft.stage_spares(&self.staging);
         self.finish(draft)
     }
 
@@ -99,6 +111,11 @@
         self.sent.remove(target);
     }
 
+    /// Notes that a box loads a model to its host already.
+    pub fn stages_already(&mut self, target: &BoxId, now: Millis) {
+        self.staging.insert(target.clone(), now);
+    }
+
     fn advance(&mut self, draft: &mut Draft<'_>, replica: &ReplicaId) {
         let Some(held) = draft.at.record.replicas.get(replica).cloned() else {
             return;
@@ -157,6 +174,9 @@
                 continue;
             }
             step.loads += u32::from(is_load);
+            if matches!(order.task, MemberTask::Stage { .. }) {
+                self.staging.insert(order.target.clone(), now);
+            }
             let sent = Sent { task: order.task.clone(), epoch: order.epoch, at: now };
             self.sent.insert(order.target.clone(), sent);
             step.orders.push(order);
@@ -315,12 +335,24 @@
         self.assign(replica.clone(), boxes, model, why);
     }
 
-    /// Returns the boxes that belong to no replica, those that join a model soonest first.
-    fn free_boxes(&self, model: &str) -> Vec<BoxId> {
+    /// Returns the boxes that belong to no replica.
+    fn free(&self) -> Vec<&'a SiteBox> {
         let usable = |known: &&&SiteBox| {
             !known.leaving && self.alive(&known.id).is_some() && self.next.is_free(&known.id)
         };
-        let mut free: Vec<&SiteBox> = self.at.boxes.iter().filter(usable).copied().collect();
+        self.at.boxes.iter().filter(usable).copied().collect()
+    }
+
+    /// Returns the free boxes that a replica of a model may be formed of, those that join soonest
+    /// first.
+    ///
+    /// A box that would have to load first is staged instead, and its domain's replicas stay free
+    /// to use the others meanwhile; only a domain that never formed any loads by joining.
+    fn free_boxes(&self, model: &str) -> Vec<BoxId> {
+        let mut free = self.free();
+        if self.at.record.last_epoch != Epoch(0) {
+            free.retain(|known| join_rank(known, model) != JoinRank::Load);
+        }
         free.sort_by_key(|known| (join_rank(known, model), known.id.clone()));
         free.into_iter().map(|known| known.id.clone()).collect()
     }
@@ -363,14 +395,21 @@
 
     /// Returns the model that another replica is worth most for, if the free boxes allow one.
     fn next_model(&self) -> Option<ModelSpec> {
-        let free = self.free_boxes("").len();
+        let all = self.free().len();
         let count = |model: &ModelSpec| {
             let names = self.next.replicas.keys().map(|id| &id.group.name);
             names.filter(|name| **name == model.name).count()
         };
+        let kept = match self.next.replicas.len() {
+            0 => 0,
+            1 => SPARES_OF_TWO,
+            _ => SPARES_OF_MORE,
+        };
+        let is_home = |model: &ModelSpec| self.at.home.is_none_or(|home| home == model.name);
         let fits = |model: &&ModelSpec| {
-            let kept = if count(model) == 0 { 0 } else { SPARES };
-            free >= model.span as usize + kept
+            let span = model.span as usize;
+            let warm = self.free_boxes(&model.name).len();
+            is_home(model) && warm >= span && all >= span + kept
         };
         let worth = |model: &ModelSpec| {
             let count = count(model) as f64;
@@ -381,27 +420,30 @@
     }
 
     /// Lets free boxes load a model to their hosts.
-    fn stage_spares(&mut self) {
-        let joining = self.at.record.replicas.iter().any(|(id, held)| {
-            let name = replica_name(self.at.domain, id);
-            matches!(self.standing(&name, held), Standing::Joining)
-        });
-        if joining || self.changed {
-            return;
-        }
-        let free = self.free_boxes("");
-        let free: Vec<&SiteBox> = free.iter().filter_map(|id| self.find(id)).collect();
+    ///
+    /// In a domain that is for one model every box holds that one, so that any of them can take
+    /// the place of any other.
+    fn stage_spares(&mut self, staging: &BTreeMap<BoxId, Millis>) {
+        let free = self.free();
         let staged = |model: &ModelSpec| {
             free.iter().filter(|known| known.staged.contains(&model.name)).count()
         };
         let models = &self.at.engine.models;
         let mut counts: Vec<usize> = models.iter().map(staged).collect();
-        for known in free.iter().filter(|known| known.staged.is_empty()) {
-            let least = (0..models.len()).min_by_key(|index| counts[*index]);
-            let Some(index) = least else { return };
-            counts[index] += 1;
-            let task = MemberTask::Stage { model: models[index].name.clone() };
-            self.order(known, "", Epoch(0), task);
+        for known in free.iter().filter(|known| !staging.contains_key(&known.id)) {
+            let home = models.iter().find(|model| Some(model.name.as_str()) == self.at.home);
+            let model = match home {
+                Some(home) if known.staged.contains(&home.name) => continue,
+                Some(home) => home,
+                None if !known.staged.is_empty() => continue,
+                None => {
+                    let least = (0..models.len()).min_by_key(|index| counts[*index]);
+                    let Some(index) = least else { return };
+                    counts[index] += 1;
+                    &models[index]
+                }
+            };
+            self.order(known, "", Epoch(0), MemberTask::Stage { model: model.name.clone() });
         }
     }
 
--- a/crates/cherrystand_core/src/site/retry_share.rs
+++ b/crates/cherrystand_core/src/site/retry_share.rs
@@ -7,6 +7,10 @@
 /// The part of the budget that is handed out; the rest covers what nodes count that were lost.
 const HANDED_OUT: f64 = 0.7;
 
+/// The slack is divided among at least this many, since a node that has just started does not know
+/// all others yet.
+const LEAST_NODES: usize = 10;
+
 /// States the budget of all nodes together for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RetryBounds {
@@ -45,7 +49,7 @@
     pub fn spend(&mut self, now: Millis, nodes: usize) -> bool {
         self.forget(now);
         let earned = self.bounds.ratio * self.requests.len() as f64;
-        let slack = self.bounds.slack / nodes.max(1) as f64;
+        let slack = self.bounds.slack / nodes.max(LEAST_NODES) as f64;
         let allowed = (earned + slack) * HANDED_OUT;
         let fits = (self.repeats.len() + 1) as f64 <= allowed;
         if fits {
--- a/crates/cherrystandd/src/main.rs
+++ b/crates/cherrystandd/src/main.rs
@@ -43,12 +43,17 @@
     let guard = runtime.enter();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
     drop(guard);
     let watch = move || {
         runtime.block_on(async {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => return,
+                    _ = interrupt.recv() => return,
+                    // What may change in the settings is read at the next start.
+                    _ = hang_up.recv() => log::info!("settings changed; they count from the next start"),
+                }
             }
         });
         cx.drain();
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -7,7 +7,7 @@
 
 use cherrystand_core::{
     DomainId, DomainRecord, Formation, FormationInput, FormationStep, MemberOrder, MemberTask,
-    Millis, OrderEnd, Revision, ServiceName, SiteBox, owner_of,
+    Millis, OrderEnd, Revision, ServiceName, SiteBox, home_models, owner_of,
 };
 use cherrystand_platform::{CallError, HttpPool, KeyValue, SendError, SiteDriver, Swap, call};
 use tokio::sync::Notify;
@@ -214,6 +214,7 @@
         let silent = known.silent();
         let departed = known.departed_of(domain);
         let domains = known.domains().len();
+        let homes = home_models(&engine, &known.by_domain());
         let input = FormationInput {
             now: self.now(),
             domain,
@@ -225,6 +226,7 @@
             silent: &silent,
             ended: known.ended_replicas(),
             loads_allowed: self.loads_allowed(domain, engine.loads_per_s, domains),
+            home: homes.get(domain).map(String::as_str),
         };
         let mut formations = self.formations.borrow_mut();
         let step = formations.entry(domain.clone()).or_default().step(input);
@@ -301,7 +303,9 @@
             self.known.borrow_mut().ended(order.replica.clone(), order.epoch);
             self.wake.notify_one();
         }
-        if end != OrderEnd::Taken && end != OrderEnd::Silent {
+        let stages = matches!(order.task, MemberTask::Stage { .. });
+        if end != OrderEnd::Taken && end != OrderEnd::Silent && !(stages && end == OrderEnd::Unfit)
+        {
             let mut formations = self.formations.borrow_mut();
             if let Some(formation) = formations.get_mut(domain) {
                 formation.order_failed(&order.target);
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -186,6 +186,17 @@
         all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
     }
 
+    /// Returns the boxes that are listed, by domain.
+    pub(crate) fn by_domain(&self) -> BTreeMap<DomainId, Vec<&SiteBox>> {
+        let mut all: BTreeMap<DomainId, Vec<&SiteBox>> = BTreeMap::new();
+        for known in self.boxes.values() {
+            if let Some(domain) = &known.domain {
+                all.entry(domain.clone()).or_default().push(known);
+            }
+        }
+        all
+    }
+
     /// Returns the boxes of a domain that were listed lately.
     pub(crate) fn departed_of(&self, domain: &DomainId) -> Vec<&SiteBox> {
         let all = self.departed.values().map(|gone| &gone.known);
