--- a/crates/cherrystand_core/src/nodes/membership.rs
+++ b/crates/cherrystand_core/src/nodes/membership.rs
@@ -34,6 +34,8 @@
     pub address: SocketAddr,
     /// Whether it takes requests.
     pub serving: bool,
+    /// Whether it reaches the platform, and so may decide for domains.
+    pub decides: bool,
     /// The sum of the versions of the configurations that it holds.
     pub config: u64,
 }
@@ -81,6 +83,11 @@
         self.own.serving = serving;
     }
 
+    /// Says whether this daemon may decide for domains.
+    pub fn set_decides(&mut self, decides: bool) {
+        self.own.decides = decides;
+    }
+
     /// Beats once, and tells whether the daemon was paused since the last time.
     ///
     /// After a pause it is a new life: what it held or knew before counts for nothing.
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -91,10 +91,17 @@
         }
     }
 
-    /// Takes over what peers have in flight at an endpoint.
-    pub fn others(&mut self, id: &BoxId, load: EngineLoad) {
-        if let Some(target) = self.ids.get(id).and_then(|key| self.targets.get_mut(*key)) {
-            target.others = load;
+    /// Takes over what peers have in flight, by endpoint.
+    pub fn follow_others(&mut self, loads: &BTreeMap<BoxId, EngineLoad>) {
+        for target in self.targets.values_mut() {
+            target.others = loads.get(&target.spec.id).copied().unwrap_or_default();
+        }
+    }
+
+    /// Leaves the endpoint of a box out for a while, as [`Chooser::avoid`] does.
+    pub fn avoid_box(&mut self, id: &BoxId, now: Millis) {
+        if let Some(key) = self.ids.get(id).copied() {
+            self.avoid(key, now);
         }
     }
 
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -16,12 +16,6 @@
     WorkspaceId,
 };
 
-/// How many boxes a domain keeps free beside its second replica.
-const SPARES_OF_TWO: usize = 1;
-
-/// How many it keeps free beside three or more.
-const SPARES_OF_MORE: usize = 2;
-
 /// How many times its usual time a load to the host may take before it is ordered again.
 const STAGE_PATIENCE: u64 = 2;
 
@@ -284,22 +278,33 @@
         }
     }
 
-    /// Tells whether a leader may still serve, as far as is known.
+    /// Tells whether a leader may serve, now or once an order takes effect that was sent before.
     fn may_serve(&self, leader: &SiteBox) -> bool {
         let Some(member) = &leader.member else {
             return false;
         };
         let ended = self.at.ended.contains(&(member.replica.clone(), member.epoch));
-        !ended && matches!(member.state, MemberState::Open | MemberState::Closing)
+        !ended && member.state != MemberState::Broken
     }
 
-    /// Tells whether a box may join anew: the leader of its last replica serves no more.
-    fn may_join(&self, known: &SiteBox) -> bool {
-        let Some(member) = &known.member else {
-            return true;
-        };
-        let leader = self.leader_of(&member.replica, member.epoch);
-        leader.is_none_or(|leader| !self.may_serve(leader))
+    /// Returns the leader that keeps a box from joining anew: that of its last replica, while it
+    /// may serve.
+    fn held_by(&self, known: &SiteBox) -> Option<&'a SiteBox> {
+        let member = known.member.as_ref()?;
+        let leader = self.leader_of(&member.replica, member.epoch)?;
+        self.may_serve(leader).then_some(leader)
+    }
+
+    fn join(&mut self, known: &SiteBox, name: &str, held: &Assignment, model: &ModelSpec) {
+        if let Some(leader) = self.held_by(known)
+            && let Some(member) = &leader.member
+        {
+            let (replica, epoch) = (member.replica.clone(), member.epoch);
+            return self.order(leader, &replica, epoch, MemberTask::Leave);
+        }
+        let members = held.boxes.clone();
+        let task = MemberTask::Join { model: model.name.clone(), members };
+        self.order(known, name, held.epoch, task);
     }
 
     fn join_or_open(&mut self, name: &str, held: &Assignment, model: &ModelSpec) {
@@ -312,10 +317,8 @@
             return self.order(members[0], name, held.epoch, MemberTask::Open);
         }
         for member in members {
-            if !member.is_in(name, held.epoch) && self.may_join(member) {
-                let task =
-                    MemberTask::Join { model: model.name.clone(), members: held.boxes.clone() };
-                self.order(member, name, held.epoch, task);
+            if !member.is_in(name, held.epoch) {
+                self.join(member, name, held, model);
             }
         }
     }
@@ -395,21 +398,13 @@
 
     /// Returns the model that another replica is worth most for, if the free boxes allow one.
     fn next_model(&self) -> Option<ModelSpec> {
-        let all = self.free().len();
         let count = |model: &ModelSpec| {
             let names = self.next.replicas.keys().map(|id| &id.group.name);
             names.filter(|name| **name == model.name).count()
         };
-        let kept = match self.next.replicas.len() {
-            0 => 0,
-            1 => SPARES_OF_TWO,
-            _ => SPARES_OF_MORE,
-        };
         let is_home = |model: &ModelSpec| self.at.home.is_none_or(|home| home == model.name);
         let fits = |model: &&ModelSpec| {
-            let span = model.span as usize;
-            let warm = self.free_boxes(&model.name).len();
-            is_home(model) && warm >= span && all >= span + kept
+            is_home(model) && self.free_boxes(&model.name).len() >= model.span as usize
         };
         let worth = |model: &ModelSpec| {
             let count = count(model) as f64;
--- a/crates/cherrystand_core/src/site/member_order.rs
+++ b/crates/cherrystand_core/src/site/member_order.rs
@@ -70,6 +70,8 @@
     Unknown,
     /// Nothing listens there.
     Refused,
+    /// No connection came about; the order was not sent.
+    Dark,
     /// No answer came; the order may be carried out later.
     Silent,
 }
--- a/crates/cherrystand_core/tests/nodes.rs
+++ b/crates/cherrystand_core/tests/nodes.rs
@@ -22,6 +22,7 @@
         zone: ZoneId::new("z"),
         address: ([127, 0, 0, 1], 1).into(),
         serving: true,
+        decides: true,
         config: 0,
     }
 }
--- a/crates/cherrystand_peer/src/lib.rs
+++ b/crates/cherrystand_peer/src/lib.rs
@@ -3,8 +3,10 @@
 //! Messages are `postcard` over `nng` requests and replies. See docs/design/0006 for what is
 //! exchanged and why.
 
+mod load_news;
 mod message;
 mod transport;
 
+pub use load_news::{EndpointLoad, LoadNews};
 pub use message::{CodecError, Greeting, News, PROTOCOL, Question, Reply, decode, encode};
 pub use transport::{ANSWER_WITHIN, MAX_MESSAGE_BYTES, PeerDialer, PeerError, PeerListener};
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -14,6 +14,10 @@
 /// The largest answer that is read, in bytes; the platform's lists are the largest.
 const LARGEST_ANSWER: usize = 32 << 20;
 
+/// A connection may take this part of a call's time, so that one that does not come about is told
+/// from an answer that does not come.
+const CONNECT_PART: u32 = 2;
+
 /// Tells why a call brought no usable answer.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -76,7 +80,7 @@
         .body(Full::new(body))
         .map_err(CallError::BadRequest)?;
     let exchange = async {
-        let answer = pool.send(address, req, within).await?;
+        let answer = pool.send(address, req, within / CONNECT_PART).await?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), LARGEST_ANSWER)
             .collect()
--- a/crates/cherrystandd/benches/slopes.rs
+++ b/crates/cherrystandd/benches/slopes.rs
@@ -40,6 +40,7 @@
         zone: ZoneId::new("amman-a"),
         address: ([10, 0, 0, 1], 7_433).into(),
         serving: true,
+        decides: true,
         config: u64::MAX / 3,
     }
 }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    DomainId, DomainRecord, Formation, FormationInput, FormationStep, MemberOrder, MemberTask,
-    Millis, OrderEnd, Revision, ServiceName, SiteBox, home_models, owner_of,
+    DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep, MemberOrder,
+    MemberTask, Millis, OrderEnd, Revision, ServiceName, SiteBox, home_models, owner_of,
 };
 use cherrystand_platform::{CallError, HttpPool, KeyValue, SendError, SiteDriver, Swap, call};
 use tokio::sync::Notify;
@@ -44,6 +44,10 @@
 /// How long a node that just started learns who else there is before it decides.
 const LOOK_FIRST: Millis = Millis(700);
 
+/// Nothing is formed in a domain that never formed any before no box has come for this long, so
+/// that all nodes see the same boxes and give each domain the same home.
+const SETTLED_AFTER: Millis = Millis(500);
+
 /// How often peers are given the newest list of boxes.
 const PASS_ON_EVERY: Millis = Millis(1_000);
 
@@ -79,6 +83,8 @@
     loads: RefCell<BTreeMap<DomainId, VecDeque<Millis>>>,
     asked: RefCell<BTreeMap<String, Millis>>,
     heard_store: Cell<Option<Millis>>,
+    store_fails: Cell<bool>,
+    said_decides: Cell<bool>,
     passed_on: Cell<Millis>,
     config_passed: Cell<Revision>,
 }
@@ -95,6 +101,8 @@
             loads: RefCell::default(),
             asked: RefCell::default(),
             heard_store: Cell::default(),
+            store_fails: Cell::default(),
+            said_decides: Cell::new(true),
             passed_on: Cell::default(),
             config_passed: Cell::default(),
             cx,
@@ -109,6 +117,7 @@
     /// Notes that the store answered, and has the news looked at.
     pub(crate) fn store_answered(&self) {
         self.heard_store.set(Some(self.now()));
+        self.store_fails.set(false);
         self.publish();
         self.wake.notify_one();
     }
@@ -127,6 +136,7 @@
             }
             let view = self.cx.view_now();
             self.known.borrow_mut().forget(self.now());
+            self.say_whether_it_decides();
             self.exchange_with_peers(&view);
             if self.cx.stop_phase() == StopPhase::Running && self.now() >= LOOK_FIRST {
                 self.step_domains(&view).await;
@@ -166,6 +176,20 @@
         }
     }
 
+    /// Lets peers decide for this node's domains while the store does not answer it.
+    fn say_whether_it_decides(&self) {
+        let decides = !self.store_fails.get();
+        if self.said_decides.replace(decides) != decides {
+            self.cx.tell_state(StateEvent::Decides(decides));
+        }
+    }
+
+    /// Notes that the store failed this node.
+    pub(crate) fn store_failed(&self) {
+        self.store_fails.set(true);
+        self.wake.notify_one();
+    }
+
     fn store_is_silent(&self) -> bool {
         let heard = self.heard_store.get();
         heard.is_none_or(|heard| self.now().since(heard) > STORE_SILENT)
@@ -174,13 +198,18 @@
     async fn step_domains(self: &Rc<Self>, view: &View) {
         let domains = self.known.borrow().domains();
         for domain in domains {
-            let serving = view.alive().filter(|beat| beat.serving);
-            if owner_of(domain.as_str(), serving) == Some(&view.own.node) {
+            if self.owns(view, &domain) {
                 self.step_domain(&domain).await;
             }
         }
     }
 
+    /// Tells whether this node decides for a domain.
+    fn owns(&self, view: &View, domain: &DomainId) -> bool {
+        let able = view.alive().filter(|beat| beat.serving && beat.decides);
+        owner_of(domain.as_str(), able) == Some(&view.own.node)
+    }
+
     async fn step_domain(self: &Rc<Self>, domain: &DomainId) {
         let Some((revision, step)) = self.decide(domain) else {
             return;
@@ -211,6 +240,9 @@
         let service = service_of(&boxes)?;
         let engine = known.table()?.config().engine(&service)?.clone();
         let (revision, record) = known.record(domain);
+        if record.last_epoch == Epoch(0) && known.settled_for(self.now()) < SETTLED_AFTER {
+            return None;
+        }
         let silent = known.silent();
         let departed = known.departed_of(domain);
         let domains = known.domains().len();
@@ -288,6 +320,7 @@
         let end = match &sent {
             Ok(answer) => Driver::order_end(answer.status),
             Err(CallError::Send(SendError::Connect { .. })) => OrderEnd::Refused,
+            Err(CallError::Send(SendError::ConnectTimedOut(_))) => OrderEnd::Dark,
             Err(_) => OrderEnd::Silent,
         };
         let result = if end == OrderEnd::Taken { "followed" } else { "failed" };
@@ -298,14 +331,15 @@
             "order {end:?}"
         );
         let ended = matches!(order.task, MemberTask::Leave)
-            && matches!(end, OrderEnd::Taken | OrderEnd::Refused | OrderEnd::Silent);
+            && matches!(end, OrderEnd::Taken | OrderEnd::Refused | OrderEnd::Dark);
         if ended {
             self.known.borrow_mut().ended(order.replica.clone(), order.epoch);
             self.wake.notify_one();
         }
         let stages = matches!(order.task, MemberTask::Stage { .. });
-        if end != OrderEnd::Taken && end != OrderEnd::Silent && !(stages && end == OrderEnd::Unfit)
-        {
+        let settled = matches!(end, OrderEnd::Taken | OrderEnd::Silent | OrderEnd::Dark)
+            || (stages && end == OrderEnd::Unfit);
+        if !settled {
             let mut formations = self.formations.borrow_mut();
             if let Some(formation) = formations.get_mut(domain) {
                 formation.order_failed(&order.target);
@@ -347,6 +381,11 @@
     while let Ok(hint) = control.cx.hint_events.recv().await {
         let (Hint::Stalled(id) | Hint::Unreachable(id)) = hint;
         let members = control.known.borrow().members_with(&id);
+        let view = control.cx.view_now();
+        let domain = members.first().and_then(|member| member.domain.clone());
+        if domain.is_some_and(|domain| !control.owns(&view, &domain)) {
+            continue;
+        }
         for member in members {
             let control = control.clone();
             tokio::task::spawn_local(async move { control.ask(member).await });
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -23,6 +23,7 @@
 use crate::site::body::SiteBody;
 use crate::site::event_stream::EventStream;
 use crate::site::flight::Flight;
+use crate::site::load_exchange::{LoadExchange, exchange_loads};
 use crate::site::request::{SiteRequest, allow, read_body};
 use crate::site::{Driver, Hint, SiteView};
 use crate::{DutyContext, DutyError, StopPhase, clock};
@@ -61,6 +62,7 @@
     let callers = listen(cx.settings.listen.callers).await?;
     let ready = listen(site.ready).await?;
     let front = Rc::new(Front::new(cx.clone()));
+    tokio::task::spawn_local(exchange_loads(front.clone(), cx.clone()));
     let (stop, stopped) = watch::channel(false);
     let answers = front.clone();
     let ready = serve_http(
@@ -103,6 +105,8 @@
     addresses: RefCell<BTreeMap<BoxId, SocketAddr>>,
     shares: RefCell<BTreeMap<ServiceName, RetryShare>>,
     seed: Cell<Seed>,
+    /// What peers have in flight.
+    pub(crate) loads: LoadExchange,
 }
 
 impl Front {
@@ -114,6 +118,7 @@
             addresses: RefCell::default(),
             shares: RefCell::default(),
             seed: Cell::new(Seed::new(clock::unix_millis())),
+            loads: LoadExchange::default(),
             cx,
         }
     }
@@ -210,6 +215,7 @@
     pub(crate) fn stalled(&self, flight: &Flight) {
         flight.avoid();
         self.hint(Hint::Stalled(flight.target.clone()));
+        self.loads.tell_stalled(flight.target.clone());
     }
 
     /// Leaves a box out that cannot be connected to, and has it looked at.
@@ -219,7 +225,8 @@
         self.hint(Hint::Unreachable(flight.target.clone()));
     }
 
-    fn hint(&self, hint: Hint) {
+    /// Has the duty that watches over boxes look at one.
+    pub(crate) fn hint(&self, hint: Hint) {
         if self.cx.hints.try_send(hint).is_err() {
             self.cx.metrics.ring_full.with_label_values(&["hints"]).inc();
         }
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -37,6 +37,8 @@
     silent: BTreeMap<BoxId, Millis>,
     ended: BTreeSet<(String, Epoch)>,
     listed: bool,
+    /// When a box last came that was not known.
+    grew: Millis,
     /// The revision up to which the entries are known.
     revision: Revision,
 }
@@ -110,7 +112,7 @@
         }
     }
 
-    fn take_entry(&mut self, entry: &Document, _: Millis) {
+    fn take_entry(&mut self, entry: &Document, now: Millis) {
         match Driver::read_box(&entry.key, &entry.body) {
             Ok(known) => {
                 let older = |held: &Document| held.revision >= entry.revision;
@@ -118,6 +120,9 @@
                     return;
                 }
                 self.departed.remove(&known.id);
+                if !self.boxes.contains_key(&known.id) {
+                    self.grew = now;
+                }
                 self.entries.insert(known.id.clone(), entry.clone());
                 self.boxes.insert(known.id.clone(), known);
             }
@@ -203,6 +208,11 @@
         all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
     }
 
+    /// Returns for how long no box has come that was not known.
+    pub(crate) fn settled_for(&self, now: Millis) -> Millis {
+        now.since(self.grew)
+    }
+
     /// Returns the members of the replica that a box leads, itself among them.
     pub(crate) fn members_with(&self, id: &BoxId) -> Vec<SiteBox> {
         let Some(known) = self.boxes.get(id) else {
--- /dev/null
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -0,0 +1,130 @@
+//! Telling peers what this node has in flight, and hearing the same of them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cherrystand_core::{BoxId, EngineLoad, Millis, NodeId};
+use cherrystand_peer::{EndpointLoad, LoadNews, decode, encode};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::DutyContext;
+use crate::site::Hint;
+use crate::site::front::Front;
+
+/// The time between two tellings while requests are in flight.
+const TELL_EVERY: Duration = Duration::from_millis(200);
+
+/// For how long what a peer told counts.
+const NEWS_LIFE: Millis = Millis(1_000);
+
+/// The largest datagram that is read, in bytes.
+const LARGEST_NEWS: usize = 8 << 10;
+
+/// Keeps what peers told, and what is to be told to them at once.
+#[derive(Default)]
+pub(crate) struct LoadExchange {
+    heard: RefCell<BTreeMap<NodeId, (Millis, Vec<EndpointLoad>)>>,
+    stalled: RefCell<Vec<BoxId>>,
+    urgent: Notify,
+}
+
+impl LoadExchange {
+    /// Tells peers at once that a replica stands still.
+    pub(crate) fn tell_stalled(&self, leader: BoxId) {
+        self.stalled.borrow_mut().push(leader);
+        self.urgent.notify_one();
+    }
+
+    /// Sums what peers have in flight, by endpoint.
+    fn sums(&self, now: Millis) -> BTreeMap<BoxId, EngineLoad> {
+        let mut heard = self.heard.borrow_mut();
+        heard.retain(|_, (at, _)| now.since(*at) < NEWS_LIFE);
+        let mut sums: BTreeMap<BoxId, EngineLoad> = BTreeMap::new();
+        for load in heard.values().flat_map(|(_, loads)| loads) {
+            let sum = sums.entry(load.id.clone()).or_default();
+            sum.requests += f64::from(load.requests);
+            sum.unread += f64::from(load.unread);
+        }
+        sums
+    }
+}
+
+/// Exchanges loads with peers for as long as the front runs.
+pub(crate) async fn exchange_loads(front: Rc<Front>, cx: DutyContext) {
+    let address = cx.settings.listen.peers;
+    let socket = match UdpSocket::bind(address).await {
+        Ok(socket) => Rc::new(socket),
+        // Loads only make the choice better.
+        Err(err) => return log::error!("no loads are exchanged, {address} cannot be bound: {err}"),
+    };
+    tokio::join!(hear(&front, &cx, &socket), tell(&front, &cx, &socket));
+}
+
+async fn hear(front: &Rc<Front>, cx: &DutyContext, socket: &UdpSocket) {
+    let mut buf = vec![0; LARGEST_NEWS];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buf).await else {
+            tokio::time::sleep(TELL_EVERY).await;
+            continue;
+        };
+        cx.metrics.peer_bytes.with_label_values(&["in"]).inc_by(length as u64);
+        match decode::<LoadNews>(&buf[..length]) {
+            Ok(news) => take(front, news),
+            Err(err) => {
+                cx.metrics.peer_failures.inc();
+                log::debug!("a peer's news cannot be read: {err}");
+            }
+        }
+    }
+}
+
+fn take(front: &Rc<Front>, news: LoadNews) {
+    let now = front.now();
+    front.loads.heard.borrow_mut().insert(news.from, (now, news.loads));
+    for leader in news.stalled {
+        front.chooser.borrow_mut().avoid_box(&leader, now);
+        front.hint(Hint::Stalled(leader));
+    }
+    front.chooser.borrow_mut().follow_others(&front.loads.sums(now));
+}
+
+async fn tell(front: &Rc<Front>, cx: &DutyContext, socket: &UdpSocket) {
+    let mut told_any = false;
+    loop {
+        // Woken early or not, there is something to tell or it is time to.
+        let _ = tokio::time::timeout(TELL_EVERY, front.loads.urgent.notified()).await;
+        let stalled = std::mem::take(&mut *front.loads.stalled.borrow_mut());
+        let loads = own_loads(front);
+        if loads.is_empty() && stalled.is_empty() && !told_any {
+            continue;
+        }
+        told_any = !loads.is_empty();
+        let news = LoadNews { from: cx.settings.node.clone(), loads, stalled };
+        let Ok(bytes) = encode(&news) else { continue };
+        for peer in peers(cx) {
+            // One that is lost is made up for by the next.
+            let _ = socket.send_to(&bytes, peer).await;
+            cx.metrics.peer_bytes.with_label_values(&["out"]).inc_by(bytes.len() as u64);
+        }
+    }
+}
+
+fn own_loads(front: &Front) -> Vec<EndpointLoad> {
+    let chooser = front.chooser.borrow();
+    let own = chooser.own().map(|(id, load)| EndpointLoad {
+        id: id.clone(),
+        requests: load.requests as u32,
+        unread: load.unread as u32,
+    });
+    own.collect()
+}
+
+fn peers(cx: &DutyContext) -> Vec<SocketAddr> {
+    let view = cx.view.borrow();
+    let others = view.alive().filter(|beat| beat.node != view.own.node);
+    others.map(|beat| beat.address).collect()
+}
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod flight;
 mod front;
 mod known;
+mod load_exchange;
 mod request;
 mod site_view;
 mod watching;
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -43,6 +43,7 @@
                     known = None;
                     continue;
                 }
+                control.store_failed();
                 tokio::time::sleep(pause).await;
                 pause = (pause * 2).min(LONGEST_PAUSE);
             }
--- a/crates/cherrystandd/src/state/event.rs
+++ b/crates/cherrystandd/src/state/event.rs
@@ -41,6 +41,8 @@
     Listed(Inventory),
     /// Replicas were looked at.
     Evidence(Vec<ReplicaEvidence>),
+    /// Whether the platform answers this daemon, so that it may decide for domains.
+    Decides(bool),
     /// The daemon begins to stop.
     Draining,
 }
--- a/crates/cherrystandd/src/state/node_state.rs
+++ b/crates/cherrystandd/src/state/node_state.rs
@@ -82,6 +82,7 @@
                     self.evidence.offer(evidence, now);
                 }
             }
+            StateEvent::Decides(decides) => self.membership.set_decides(decides),
             StateEvent::Draining => self.membership.set_serving(false),
         }
     }
--- a/crates/cherrystandd/src/state/view.rs
+++ b/crates/cherrystandd/src/state/view.rs
@@ -94,6 +94,7 @@
         zone: settings.zone.clone(),
         address: settings.listen.peers,
         serving: true,
+        decides: true,
         config: 0,
     }
 }
