--- a/crates/cherrystand_core/src/site/homes.rs
+++ b/crates/cherrystand_core/src/site/homes.rs
@@ -1,14 +1,15 @@
 //! Which model each domain is for.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
-use crate::{DomainId, EngineSpec, SiteBox};
+use crate::{DomainId, EngineSpec, ModelSpec, SiteBox};
 
 /// Gives each domain the model that it is for, or none where there are fewer domains than models.
 ///
 /// A domain whose boxes all hold one model mends any loss without a load. What its boxes hold
-/// already decides; a domain whose boxes hold nothing goes to the model that lacks most against
-/// its share of the work.
+/// already decides; a domain whose boxes hold nothing goes to the model with the fewest replicas
+/// against its share of the work.
 ///
 /// Source: docs/design/0009-users-machines.md.
 pub fn home_models<'a>(
@@ -32,18 +33,25 @@
             homes.insert(domain.clone(), name.clone());
         }
     }
-    let total: f64 = engine.models.iter().map(|model| model.share).sum();
     for domain in domains.keys() {
         if homes.contains_key(domain) {
             continue;
         }
-        let lack = |name: &String, share: f64| {
-            let has = homes.values().filter(|home| *home == name).count();
-            share / total.max(f64::EPSILON) * domains.len() as f64 - has as f64
+        let served = |model: &ModelSpec| {
+            let at_home = domains.iter().filter(|(id, _)| homes.get(*id) == Some(&model.name));
+            let replicas: usize = at_home.map(|(_, boxes)| boxes.len() / span_of(model)).sum();
+            replicas as f64 / model.share.max(f64::EPSILON)
         };
-        let lacks = engine.models.iter().map(|model| (lack(&model.name, model.share), &model.name));
-        let most = lacks.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, name)| name.clone());
-        homes.extend(most.map(|name| (domain.clone(), name)));
+        // Of two that are served alike, the one with the larger share.
+        let order = |model: &&ModelSpec| (served(model), -model.share);
+        let models = engine.models.iter();
+        let least =
+            models.min_by(|a, b| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal));
+        homes.extend(least.map(|model| (domain.clone(), model.name.clone())));
     }
     homes
 }
+
+fn span_of(model: &ModelSpec) -> usize {
+    model.span.max(1) as usize
+}
