--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -93,6 +93,7 @@
         for replica in &replicas {
             self.advance(&mut draft, replica);
         }
+        draft.adopt_serving();
         draft.form_missing();
         let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
         self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
@@ -362,6 +363,17 @@
 
     fn assign(&mut self, replica: ReplicaId, boxes: Vec<BoxId>, model: &ModelSpec, why: &str) {
         let epoch = self.next.take_epoch();
+        self.put(replica, epoch, boxes, model, why);
+    }
+
+    fn put(
+        &mut self,
+        replica: ReplicaId,
+        epoch: Epoch,
+        boxes: Vec<BoxId>,
+        model: &ModelSpec,
+        why: &str,
+    ) {
         self.reasons
             .push(format!("{replica} has {} boxes under epoch {epoch}: {why}", boxes.len()));
         let load = LoadSpec {
@@ -381,13 +393,49 @@
         self.reasons.push(format!("{replica} is given up: {why}"));
     }
 
+    /// Takes whole replicas back into the record that serve and are not in it, as after a
+    /// partition that the record took for their end.
+    fn adopt_serving(&mut self) {
+        for leader in self.free() {
+            let Some(member) = leader.member.as_ref() else {
+                continue;
+            };
+            let Some(model) = leader.loaded.first().and_then(|name| self.at.engine.model(name))
+            else {
+                continue;
+            };
+            let id = self.replica_ids(model).find(|id| {
+                replica_name(self.at.domain, id) == member.replica
+                    && !self.next.replicas.contains_key(id)
+            });
+            let epochs = self.next.replicas.values().map(|held| held.epoch);
+            let known = epochs.into_iter().any(|epoch| epoch == member.epoch);
+            let leads = member.state == MemberState::Open && member.rank == 0 && !known;
+            let Some(id) = id.filter(|_| leads) else {
+                continue;
+            };
+            let mut members: Vec<&SiteBox> = self.free();
+            members.retain(|known| known.is_in(&member.replica, member.epoch));
+            members.sort_by_key(|known| known.member.as_ref().map(|member| member.rank));
+            if members.len() == model.span as usize {
+                let boxes = members.into_iter().map(|known| known.id.clone()).collect();
+                self.put(id, member.epoch, boxes, model, "it serves and was not in the record");
+            }
+        }
+    }
+
+    /// Returns the ids that replicas of a model may have here.
+    fn replica_ids(&self, model: &ModelSpec) -> impl Iterator<Item = ReplicaId> + use<> {
+        let group = GroupId::new(WorkspaceId::new(self.at.service.as_str()), &model.name);
+        let most = self.at.boxes.len() as u32;
+        (0..=most).map(move |slot| ReplicaId::new(group.clone(), slot))
+    }
+
     /// Forms further replicas out of free boxes.
     fn form_missing(&mut self) {
         while let Some(model) = self.next_model() {
-            let group = GroupId::new(WorkspaceId::new(self.at.service.as_str()), &model.name);
-            let slots = 0..=self.next.replicas.len() as u32;
-            let ids = slots.map(|slot| ReplicaId::new(group.clone(), slot));
-            let Some(id) = ids.into_iter().find(|id| !self.next.replicas.contains_key(id)) else {
+            let mut ids = self.replica_ids(&model);
+            let Some(id) = ids.find(|id| !self.next.replicas.contains_key(id)) else {
                 return;
             };
             let mut boxes = self.free_boxes(&model.name);
