fix(core): members of a leader out of reach leave by themselves first

Change: each member of such a leader is ordered to leave before it joins anew; a leader that answers is told instead, as before.

--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -105,10 +105,10 @@
         }
     }
 
-    /// Lists what this node has in flight by endpoint, and when each last made progress.
-    pub fn own(&self) -> impl Iterator<Item = (&BoxId, EngineLoad, Millis)> {
+    /// Lists what this node has in flight, by endpoint.
+    pub fn own(&self) -> impl Iterator<Item = (&BoxId, EngineLoad)> {
         let busy = self.targets.values().filter(|target| target.in_flight > 0);
-        busy.map(|target| (&target.spec.id, target.own(), target.last_event))
+        busy.map(|target| (&target.spec.id, target.own()))
     }
 
     /// Chooses the endpoint that is predicted to answer first, other than those in `not`.
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -44,7 +44,7 @@
     pub departed: &'a [&'a SiteBox],
     /// Boxes that are listed but have gone silent.
     pub silent: &'a BTreeSet<BoxId>,
-    /// Leaders known to serve no more, by replica and epoch.
+    /// Replicas whose leaders said that they serve no more, with their epochs.
     pub ended: &'a BTreeSet<(String, Epoch)>,
     /// How many loads from the weight store may begin now.
     pub loads_allowed: u32,
@@ -288,20 +288,30 @@
         !ended && member.state != MemberState::Broken
     }
 
-    /// Returns the leader that keeps a box from joining anew: that of its last replica, while it
-    /// may serve.
-    fn held_by(&self, known: &SiteBox) -> Option<&'a SiteBox> {
+    /// Returns the box that has to leave its replica before `known` may join anew.
+    ///
+    /// A leader that answers is told first, and its members are free at once. One that is out of
+    /// reach may be cut off and serve on, which nobody here can tell from its end; each of its
+    /// members then leaves by itself.
+    fn held_by(&self, known: &'a SiteBox) -> Option<&'a SiteBox> {
         let member = known.member.as_ref()?;
-        let leader = self.leader_of(&member.replica, member.epoch)?;
-        self.may_serve(leader).then_some(leader)
+        if self.at.ended.contains(&(member.replica.clone(), member.epoch)) {
+            return None;
+        }
+        match self.leader_of(&member.replica, member.epoch) {
+            Some(leader) if self.alive(&leader.id).is_some() => {
+                self.may_serve(leader).then_some(leader)
+            }
+            _ => Some(known),
+        }
     }
 
-    fn join(&mut self, known: &SiteBox, name: &str, held: &Assignment, model: &ModelSpec) {
-        if let Some(leader) = self.held_by(known)
-            && let Some(member) = &leader.member
+    fn join(&mut self, known: &'a SiteBox, name: &str, held: &Assignment, model: &ModelSpec) {
+        if let Some(holder) = self.held_by(known)
+            && let Some(member) = &holder.member
         {
             let (replica, epoch) = (member.replica.clone(), member.epoch);
-            return self.order(leader, &replica, epoch, MemberTask::Leave);
+            return self.order(holder, &replica, epoch, MemberTask::Leave);
         }
         let members = held.boxes.clone();
         let task = MemberTask::Join { model: model.name.clone(), members };
@@ -309,7 +319,7 @@
     }
 
     fn join_or_open(&mut self, name: &str, held: &Assignment, model: &ModelSpec) {
-        let members: Vec<&SiteBox> = held.boxes.iter().filter_map(|id| self.alive(id)).collect();
+        let members: Vec<&'a SiteBox> = held.boxes.iter().filter_map(|id| self.alive(id)).collect();
         let is_ready = |member: &&SiteBox| {
             let state = member.member.as_ref().map(|member| member.state);
             member.is_in(name, held.epoch) && state == Some(MemberState::Ready)
--- a/crates/cherrystand_peer/src/load_news.rs
+++ b/crates/cherrystand_peer/src/load_news.rs
@@ -12,8 +12,6 @@
     pub requests: u32,
     /// Tokens of prompts that have yet to be read.
     pub unread: u32,
-    /// Milliseconds since the endpoint last made progress with any of them.
-    pub silent_ms: u32,
 }
 
 /// Says what one daemon has in flight, and what it found standing still.
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -6,7 +6,7 @@
 
 use crate::claims::ClaimCall;
 use crate::relay::NoteQuestion;
-use crate::site::{Hint, Progress, SiteView};
+use crate::site::{Hint, SiteView};
 use crate::state::{StateEvent, View};
 use crate::{Clock, Metrics, Settings};
 
@@ -91,10 +91,6 @@
     pub(crate) site: watch::Receiver<Arc<SiteView>>,
     /// Where the duty that reads the site publishes it.
     pub(crate) publish_site: Arc<watch::Sender<Arc<SiteView>>>,
-    /// When each endpoint last made progress with a request that a node saw.
-    pub(crate) progress: watch::Receiver<Arc<Progress>>,
-    /// Where the request path publishes it.
-    pub(crate) publish_progress: Arc<watch::Sender<Arc<Progress>>>,
     /// The ring by which the request path has boxes looked at.
     pub(crate) hints: async_channel::Sender<Hint>,
     /// The other end of that ring; only the duty that reads the site reads it.
@@ -113,7 +109,6 @@
         let first = View::at_start(&settings, clock.now());
         let (publish, view) = watch::channel(Arc::new(first));
         let (publish_site, site) = watch::channel(Arc::default());
-        let (publish_progress, progress) = watch::channel(Arc::default());
         let (hints, hint_events) = async_channel::bounded(RING_SLOTS);
         let (stop, _) = watch::channel(StopPhase::Running);
         Self {
@@ -130,8 +125,6 @@
             publish: Arc::new(publish),
             site,
             publish_site: Arc::new(publish_site),
-            progress,
-            publish_progress: Arc::new(publish_progress),
             hints,
             hint_events,
             stop: Arc::new(stop),
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    BoxId, DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep, MemberOrder,
+    DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep, MemberOrder,
     MemberTask, Millis, OrderEnd, Revision, ServiceName, SiteBox, home_models, owner_of,
 };
 use cherrystand_platform::{CallError, HttpPool, KeyValue, SendError, SiteDriver, Swap, call};
@@ -44,9 +44,6 @@
 /// How long a node that just started learns who else there is before it decides.
 const LOOK_FIRST: Millis = Millis(700);
 
-/// Progress that is older than this says nothing of an endpoint being alive now.
-const PROGRESS_FRESH: Millis = Millis(450);
-
 /// Nothing is formed in a domain that never formed any before no box has come for this long, so
 /// that all nodes see the same boxes and give each domain the same home.
 const SETTLED_AFTER: Millis = Millis(500);
@@ -247,7 +244,6 @@
             return None;
         }
         let silent = known.silent();
-        let ended = known.ended_replicas();
         let departed = known.departed_of(domain);
         let domains = known.domains().len();
         let homes = home_models(&engine, &known.by_domain());
@@ -260,7 +256,7 @@
             boxes: &boxes,
             departed: &departed,
             silent: &silent,
-            ended: &ended,
+            ended: known.ended_replicas(),
             loads_allowed: self.loads_allowed(domain, engine.loads_per_s, domains),
             home: homes.get(domain).map(String::as_str),
         };
@@ -334,8 +330,9 @@
             epoch = order.epoch.0, task = order.task.as_str();
             "order {end:?}"
         );
-        if matches!(order.task, MemberTask::Leave) {
-            self.leader_was_told(&order, end);
+        if order.task == MemberTask::Leave && end == OrderEnd::Taken {
+            self.known.borrow_mut().left(&order.target, &order.replica, order.epoch);
+            self.wake.notify_one();
         }
         let stages = matches!(order.task, MemberTask::Stage { .. });
         let settled = matches!(end, OrderEnd::Taken | OrderEnd::Silent | OrderEnd::Dark)
@@ -348,28 +345,6 @@
         }
     }
 
-    /// Notes whether the leader of a replica serves no more.
-    fn leader_was_told(&self, order: &MemberOrder, end: OrderEnd) {
-        let (replica, epoch) = (order.replica.clone(), order.epoch);
-        let mut known = self.known.borrow_mut();
-        match end {
-            OrderEnd::Taken | OrderEnd::Refused => known.ended(replica, epoch),
-            OrderEnd::Dark
-                if !known.is_listed(&order.target) || !self.progresses(&order.target) =>
-            {
-                known.gone_dark(order.target.clone(), replica, epoch);
-            }
-            _ => return,
-        }
-        self.wake.notify_one();
-    }
-
-    /// Tells whether some node saw an endpoint make progress just now, or none can tell.
-    fn progresses(&self, id: &BoxId) -> bool {
-        let progress = self.cx.progress.borrow();
-        progress.get(id).is_none_or(|at| self.now().since(*at) < PROGRESS_FRESH)
-    }
-
     /// Asks boxes that may be gone whether they are there.
     async fn ask(&self, known: SiteBox) {
         let now = self.now();
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -36,7 +36,6 @@
     records: BTreeMap<DomainId, (Revision, DomainRecord)>,
     silent: BTreeMap<BoxId, Millis>,
     ended: BTreeSet<(String, Epoch)>,
-    dark: BTreeMap<BoxId, (String, Epoch)>,
     listed: bool,
     /// When a box last came that was not known.
     grew: Millis,
@@ -120,9 +119,7 @@
                 if self.entries.get(&known.id).is_some_and(older) {
                     return;
                 }
-                if self.departed.remove(&known.id).is_some() {
-                    self.dark.remove(&known.id);
-                }
+                self.departed.remove(&known.id);
                 if !self.boxes.contains_key(&known.id) {
                     self.grew = now;
                 }
@@ -165,16 +162,15 @@
         }
     }
 
-    /// Notes that the leader of a replica serves no more, by its own answer.
-    pub(crate) fn ended(&mut self, replica: String, epoch: Epoch) {
-        self.ended.insert((replica, epoch));
-    }
-
-    /// Notes that the leader of a replica is out of reach and makes no progress.
-    ///
-    /// That counts only until the leader tells of itself again.
-    pub(crate) fn gone_dark(&mut self, leader: BoxId, replica: String, epoch: Epoch) {
-        self.dark.insert(leader, (replica, epoch));
+    /// Notes that a box said that it left a replica; what it tells of itself follows.
+    pub(crate) fn left(&mut self, id: &BoxId, replica: &str, epoch: Epoch) {
+        if let Some(known) = self.boxes.get_mut(id)
+            && let Some(member) =
+                known.member.take_if(|member| member.replica == replica && member.epoch == epoch)
+            && member.rank == 0
+        {
+            self.ended.insert((member.replica, epoch));
+        }
     }
 
     /// Forgets what is too old.
@@ -241,15 +237,8 @@
     }
 
     /// Returns the replicas whose leaders serve no more.
-    pub(crate) fn ended_replicas(&self) -> BTreeSet<(String, Epoch)> {
-        let is_dark = |id: &BoxId| !self.boxes.contains_key(id) || self.silent.contains_key(id);
-        let dark = self.dark.iter().filter(|(id, _)| is_dark(id));
-        self.ended.iter().chain(dark.map(|(_, replica)| replica)).cloned().collect()
-    }
-
-    /// Tells whether a box is listed.
-    pub(crate) fn is_listed(&self, id: &BoxId) -> bool {
-        self.boxes.contains_key(id)
+    pub(crate) fn ended_replicas(&self) -> &BTreeSet<(String, Epoch)> {
+        &self.ended
     }
 
     /// Returns the configuration in force.
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use cherrystand_core::{BoxId, EngineLoad, Millis, NodeId};
@@ -40,20 +39,6 @@
         self.urgent.notify_one();
     }
 
-    /// Returns when each endpoint last made progress that a peer saw.
-    fn progress(&self) -> BTreeMap<BoxId, Millis> {
-        let heard = self.heard.borrow();
-        let mut progress: BTreeMap<BoxId, Millis> = BTreeMap::new();
-        for (at, loads) in heard.values() {
-            for load in loads {
-                let seen = *at - Millis(u64::from(load.silent_ms));
-                let newest = progress.entry(load.id.clone()).or_default();
-                *newest = seen.max(*newest);
-            }
-        }
-        progress
-    }
-
     /// Sums what peers have in flight, by endpoint.
     fn sums(&self, now: Millis) -> BTreeMap<BoxId, EngineLoad> {
         let mut heard = self.heard.borrow_mut();
@@ -118,7 +103,6 @@
             continue;
         }
         told_any = !loads.is_empty();
-        publish_progress(front, cx);
         let news = LoadNews { from: cx.settings.node.clone(), loads, stalled };
         let Ok(bytes) = encode(&news) else { continue };
         for peer in peers(cx) {
@@ -129,24 +113,12 @@
     }
 }
 
-/// Lets the duty that watches over boxes know which leaders are alive.
-fn publish_progress(front: &Front, cx: &DutyContext) {
-    let mut progress = front.loads.progress();
-    for (id, _, at) in front.chooser.borrow().own() {
-        let newest = progress.entry(id.clone()).or_default();
-        *newest = at.max(*newest);
-    }
-    cx.publish_progress.send_replace(Arc::new(progress));
-}
-
 fn own_loads(front: &Front) -> Vec<EndpointLoad> {
-    let now = front.now();
     let chooser = front.chooser.borrow();
-    let own = chooser.own().map(|(id, load, progress)| EndpointLoad {
+    let own = chooser.own().map(|(id, load)| EndpointLoad {
         id: id.clone(),
         requests: load.requests as u32,
         unread: load.unread as u32,
-        silent_ms: now.since(progress).0 as u32,
     });
     own.collect()
 }
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -12,7 +12,7 @@
 mod site_view;
 mod watching;
 
-pub(crate) use site_view::{Hint, Progress, SiteView};
+pub(crate) use site_view::{Hint, SiteView};
 
 /// The platform that is spoken to.
 pub(crate) type Driver = cherrystand_site::Site;
--- a/crates/cherrystandd/src/site/site_view.rs
+++ b/crates/cherrystandd/src/site/site_view.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cherrystand_core::{BoxId, MemberState, Millis, RouteTable, SiteBox, TargetSpec, ZoneId};
+use cherrystand_core::{BoxId, MemberState, RouteTable, SiteBox, TargetSpec, ZoneId};
 
 /// What the request path tells the duty that watches over boxes.
 #[derive(Clone, Debug)]
@@ -15,9 +15,6 @@
     Unreachable(BoxId),
 }
 
-/// When each endpoint last made progress, on this node's clock.
-pub(crate) type Progress = BTreeMap<BoxId, Millis>;
-
 /// Holds what a node knows of the site at one moment.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SiteView {
