--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -10,11 +10,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::site::model_mix::{best_model, count_of, span_of};
 use crate::{
     Assignment, BoxId, DomainId, DomainRecord, EngineSpec, Epoch, GroupId, LoadSpec, MemberOrder,
-    MemberState, MemberTask, Millis, ModelCounts, ModelSpec, Phase, ReplicaId, ServiceName,
-    SiteBox, WorkspaceId, fill_boxes,
+    MemberState, MemberTask, Millis, ModelSpec, Phase, ReplicaId, ServiceName, SiteBox,
+    WorkspaceId,
 };
 
 /// How many times its usual time a load to the host may take before it is ordered again.
@@ -49,8 +48,8 @@
     pub ended: &'a BTreeSet<(String, Epoch)>,
     /// How many loads from the weight store may begin now.
     pub loads_allowed: u32,
-    /// The replicas of each model that other domains have, or are about to form.
-    pub elsewhere: &'a ModelCounts,
+    /// The model that the domain is for; nothing where it serves all of them.
+    pub home: Option<&'a str>,
 }
 
 /// Holds what a step decided.
@@ -81,8 +80,8 @@
 pub struct Formation {
     sent: BTreeMap<BoxId, Sent>,
     closing: BTreeMap<(String, Epoch), Millis>,
-    /// Boxes that were ordered to load a model to their hosts, which one, and when.
-    staging: BTreeMap<BoxId, (String, Millis)>,
+    /// Boxes that were ordered to load a model to their hosts, and when.
+    staging: BTreeMap<BoxId, Millis>,
 }
 
 impl Formation {
@@ -97,12 +96,7 @@
         draft.adopt_serving();
         draft.form_missing();
         let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
-        self.staging.retain(|_, (_, since)| at.now.since(*since).0 < STAGE_PATIENCE * longest);
-        let done = |id: &BoxId, model: &String| {
-            let known = at.boxes.iter().find(|known| &known.id == id);
-            known.is_some_and(|known| known.staged.contains(model))
-        };
-        self.staging.retain(|id, (model, _)| !done(id, model));
+        self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
         draft.stage_spares(&self.staging);
         self.finish(draft)
     }
@@ -112,6 +106,11 @@
         self.sent.remove(target);
     }
 
+    /// Notes that a box loads a model to its host already.
+    pub fn stages_already(&mut self, target: &BoxId, now: Millis) {
+        self.staging.insert(target.clone(), now);
+    }
+
     fn advance(&mut self, draft: &mut Draft<'_>, replica: &ReplicaId) {
         let Some(held) = draft.at.record.replicas.get(replica).cloned() else {
             return;
@@ -170,8 +169,8 @@
                 continue;
             }
             step.loads += u32::from(is_load);
-            if let MemberTask::Stage { model } = &order.task {
-                self.staging.insert(order.target.clone(), (model.clone(), now));
+            if matches!(order.task, MemberTask::Stage { .. }) {
+                self.staging.insert(order.target.clone(), now);
             }
             let sent = Sent { task: order.task.clone(), epoch: order.epoch, at: now };
             self.sent.insert(order.target.clone(), sent);
@@ -457,73 +456,50 @@
 
     /// Returns the model that another replica is worth most for, if the free boxes allow one.
     fn next_model(&self) -> Option<ModelSpec> {
-        let here = self.replicas_here();
-        let fits = |model: &&ModelSpec| self.free_boxes(&model.name).len() >= span_of(model);
+        let count = |model: &ModelSpec| {
+            let names = self.next.replicas.keys().map(|id| &id.group.name);
+            names.filter(|name| **name == model.name).count()
+        };
+        let is_home = |model: &ModelSpec| self.at.home.is_none_or(|home| home == model.name);
+        let fits = |model: &&ModelSpec| {
+            is_home(model) && self.free_boxes(&model.name).len() >= model.span as usize
+        };
+        let worth = |model: &ModelSpec| {
+            let count = count(model) as f64;
+            model.share * ((count + 2.0) / (count + 1.0)).ln()
+        };
         let models = self.at.engine.models.iter().filter(fits);
-        best_model(models, |model| count_of(&here, model), self.at.elsewhere).cloned()
+        models.max_by(|a, b| worth(a).total_cmp(&worth(b))).cloned()
     }
 
-    fn replicas_here(&self) -> ModelCounts {
-        let mut counts = ModelCounts::new();
-        for id in self.next.replicas.keys() {
-            *counts.entry(id.group.name.clone()).or_default() += 1;
-        }
-        counts
-    }
-
-    /// Lets free boxes load the models to their hosts that the domain lacks most boxes of.
-    fn stage_spares(&mut self, staging: &BTreeMap<BoxId, (String, Millis)>) {
-        let mut lack = self.lack_of_boxes(staging);
-        for known in self.free() {
-            if staging.contains_key(&known.id) {
-                continue;
-            }
-            let most = lack.iter().max_by_key(|(_, lack)| **lack);
-            let Some((model, most)) = most.map(|(model, lack)| (model.clone(), *lack)) else {
-                return;
+    /// Lets free boxes load a model to their hosts.
+    ///
+    /// In a domain that is for one model every box holds that one, so that any of them can take
+    /// the place of any other.
+    fn stage_spares(&mut self, staging: &BTreeMap<BoxId, Millis>) {
+        let free = self.free();
+        let staged = |model: &ModelSpec| {
+            free.iter().filter(|known| known.staged.contains(&model.name)).count()
+        };
+        let models = &self.at.engine.models;
+        let mut counts: Vec<usize> = models.iter().map(staged).collect();
+        for known in free.iter().filter(|known| !staging.contains_key(&known.id)) {
+            let home = models.iter().find(|model| Some(model.name.as_str()) == self.at.home);
+            let model = match home {
+                Some(home) if known.staged.contains(&home.name) => continue,
+                Some(home) => home,
+                None if !known.staged.is_empty() => continue,
+                None => {
+                    let least = (0..models.len()).min_by_key(|index| counts[*index]);
+                    let Some(index) = least else { return };
+                    counts[index] += 1;
+                    &models[index]
+                }
             };
-            let held = known.staged.first().cloned();
-            let spared = held.as_ref().and_then(|held| lack.get(held)).copied();
-            // A box that holds what the domain has enough of goes over to what it lacks.
-            let idle = held.is_none() || (most > 0 && spared.is_some_and(|spared| spared < 0));
-            if !idle {
-                continue;
-            }
-            lack.entry(model.clone()).and_modify(|lack| *lack -= 1);
-            if let Some(held) = held {
-                lack.entry(held).and_modify(|lack| *lack += 1);
-            }
-            self.order(known, "", Epoch(0), MemberTask::Stage { model });
+            self.order(known, "", Epoch(0), MemberTask::Stage { model: model.name.clone() });
         }
     }
 
-    /// Returns how many boxes that hold each model the domain lacks for the replicas that it has
-    /// or has boxes for; below zero where it has more.
-    fn lack_of_boxes(&self, staging: &BTreeMap<BoxId, (String, Millis)>) -> BTreeMap<String, i64> {
-        let here = self.replicas_here();
-        let more = fill_boxes(self.at.engine, self.free().len(), &here, self.at.elsewhere);
-        let usable = self.at.boxes.iter().filter(|known| self.alive(&known.id).is_some());
-        let usable: Vec<&&SiteBox> = usable.filter(|known| !known.leaving).collect();
-        let member_of = |known: &SiteBox| {
-            let mut replicas = self.next.replicas.values();
-            replicas.find(|held| held.boxes.contains(&known.id)).map(|held| &held.load.model)
-        };
-        let holds = |known: &SiteBox, name: &str| {
-            let loading = staging.get(&known.id).map(|(model, _)| model);
-            match member_of(known).or(loading) {
-                Some(model) => model == name,
-                None => known.staged.iter().any(|held| held == name),
-            }
-        };
-        let lack = |model: &ModelSpec| {
-            let replicas = count_of(&here, model) + count_of(&more, model);
-            let wanted = replicas * span_of(model);
-            let held = usable.iter().filter(|known| holds(known, &model.name)).count();
-            wanted as i64 - held as i64
-        };
-        self.at.engine.models.iter().map(|model| (model.name.clone(), lack(model))).collect()
-    }
-
     fn order(&mut self, known: &SiteBox, name: &str, epoch: Epoch, task: MemberTask) {
         if !self.ordered.insert(known.id.clone()) {
             return;
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -7,7 +7,7 @@
 
 use cherrystand_core::{
     DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep, MemberOrder,
-    MemberTask, Millis, OrderEnd, Revision, ServiceName, SiteBox, owner_of,
+    MemberTask, Millis, OrderEnd, Revision, ServiceName, SiteBox, home_models, owner_of,
 };
 use cherrystand_platform::{CallError, HttpPool, KeyValue, SendError, SiteDriver, Swap, call};
 use tokio::sync::Notify;
@@ -246,7 +246,7 @@
         let silent = known.silent();
         let departed = known.departed_of(domain);
         let domains = known.domains().len();
-        let elsewhere = known.replicas_elsewhere(domain, &engine);
+        let homes = home_models(&engine, &known.by_domain());
         let input = FormationInput {
             now: self.now(),
             domain,
@@ -258,7 +258,7 @@
             silent: &silent,
             ended: known.ended_replicas(),
             loads_allowed: self.loads_allowed(domain, engine.loads_per_s, domains),
-            elsewhere: &elsewhere,
+            home: homes.get(domain).map(String::as_str),
         };
         let mut formations = self.formations.borrow_mut();
         let step = formations.entry(domain.clone()).or_default().step(input);
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, Document, DomainId, DomainRecord, EngineSpec, Epoch, Millis, ModelCounts, Revision,
-    RouteTable, SiteBox, fill_boxes,
+    BoxId, Document, DomainId, DomainRecord, Epoch, Millis, Revision, RouteTable, SiteBox,
 };
 use cherrystand_platform::{Changes, SiteDriver};
 
@@ -198,26 +197,15 @@
         all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
     }
 
-    /// Counts the replicas that other domains have, and those that domains before this one in
-    /// the order of names will form where they have none yet.
-    pub(crate) fn replicas_elsewhere(&self, own: &DomainId, engine: &EngineSpec) -> ModelCounts {
-        let mut counts = ModelCounts::new();
-        for (_, (_, record)) in self.records.iter().filter(|(domain, _)| *domain != own) {
-            for id in record.replicas.keys() {
-                *counts.entry(id.group.name.clone()).or_default() += 1;
+    /// Returns the boxes that are listed, by domain.
+    pub(crate) fn by_domain(&self) -> BTreeMap<DomainId, Vec<&SiteBox>> {
+        let mut all: BTreeMap<DomainId, Vec<&SiteBox>> = BTreeMap::new();
+        for known in self.boxes.values() {
+            if let Some(domain) = &known.domain {
+                all.entry(domain.clone()).or_default().push(known);
             }
         }
-        let formed = |domain: &DomainId| {
-            self.records.get(domain).is_some_and(|(_, record)| record.last_epoch != Epoch(0))
-        };
-        for domain in self.domains().into_iter().filter(|domain| domain < own && !formed(domain)) {
-            let boxes = self.boxes_of(&domain).len();
-            let here = ModelCounts::new();
-            for (model, count) in fill_boxes(engine, boxes, &here, &counts) {
-                *counts.entry(model).or_default() += count;
-            }
-        }
-        counts
+        all
     }
 
     /// Returns the boxes of a domain that were listed lately.
