--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -105,10 +105,10 @@
         }
     }
 
-    /// Lists what this node has in flight, by endpoint.
-    pub fn own(&self) -> impl Iterator<Item = (&BoxId, EngineLoad)> {
+    /// Lists what this node has in flight by endpoint, and when each last made progress.
+    pub fn own(&self) -> impl Iterator<Item = (&BoxId, EngineLoad, Millis)> {
         let busy = self.targets.values().filter(|target| target.in_flight > 0);
-        busy.map(|target| (&target.spec.id, target.own()))
+        busy.map(|target| (&target.spec.id, target.own(), target.last_event))
     }
 
     /// Chooses the endpoint that is predicted to answer first, other than those in `not`.
@@ -173,6 +173,11 @@
         self.targets.get(key).map(|target| target.last_event)
     }
 
+    /// Returns what all nodes have in flight at an endpoint, as far as is known.
+    pub fn load(&self, key: TargetKey) -> EngineLoad {
+        self.targets.get(key).map(Target::load).unwrap_or_default()
+    }
+
     /// Counts a request as ended; `unread` is what was not read of its prompt.
     pub fn finish(&mut self, key: TargetKey, unread: f64) {
         if let Some(target) = self.targets.get_mut(key) {
@@ -225,6 +230,14 @@
         EngineLoad { requests: f64::from(self.in_flight), unread: self.unread }
     }
 
+    fn load(&self) -> EngineLoad {
+        let own = self.own();
+        EngineLoad {
+            requests: own.requests + self.others.requests,
+            unread: own.unread + self.others.unread,
+        }
+    }
+
     /// Returns the predicted milliseconds until its answer begins, with what speaks against it.
     fn cost(
         &self,
@@ -236,11 +249,7 @@
         /// Beyond all times that are predicted.
         const AVOIDED: f64 = 100_000.0;
         const FAR_MS: f64 = 3.0;
-        let own = self.own();
-        let load = EngineLoad {
-            requests: own.requests + self.others.requests,
-            unread: own.unread + self.others.unread,
-        };
+        let load = self.load();
         let far = if self.spec.near { 0.0 } else { FAR_MS };
         let avoided = if now < self.avoid_until { AVOIDED } else { 0.0 };
         let time = match (engine, model) {
--- a/crates/cherrystand_core/src/site/engine_spec.rs
+++ b/crates/cherrystand_core/src/site/engine_spec.rs
@@ -32,6 +32,8 @@
     pub per_request_ms: f64,
     /// Milliseconds more for each 1,000 tokens of context.
     pub context_ms_per_k: f64,
+    /// The most prompt tokens read in one step.
+    pub chunk: u32,
     /// Prompt tokens read in a second.
     pub read_per_s: f64,
     /// Milliseconds for each million pairs of a token and a token before it.
@@ -84,6 +86,17 @@
         f64::from(self.stride) * self.step(writing) * model.pace
     }
 
+    /// Returns the longest silence, in milliseconds, of a replica that works on a load.
+    ///
+    /// All of its streams write in each pass, so that it is never silent for much longer than
+    /// one that also reads everything that waits, up to a chunk a step.
+    pub fn longest_silence(&self, model: &ModelSpec, load: EngineLoad) -> f64 {
+        let read_in_pass = f64::from(self.stride * self.chunk);
+        let reading = self.read(self.usual_prompt) / self.usual_prompt.max(1.0);
+        let reading = reading * load.unread.min(read_in_pass) * model.pace;
+        2.0 * self.pass(model, f64::from(self.slots)) + reading
+    }
+
     /// Predicts the milliseconds until the first token of a prompt sent now.
     ///
     /// A prompt waits for half of the pass under way on average, is read together with those
--- a/crates/cherrystand_peer/src/load_news.rs
+++ b/crates/cherrystand_peer/src/load_news.rs
@@ -12,6 +12,8 @@
     pub requests: u32,
     /// Tokens of prompts that have yet to be read.
     pub unread: u32,
+    /// Milliseconds since the endpoint last made progress with any of them.
+    pub silent_ms: u32,
 }
 
 /// Says what one daemon has in flight, and what it found standing still.
@@ -23,6 +25,8 @@
     pub from: NodeId,
     /// What it has in flight.
     pub loads: Vec<EndpointLoad>,
+    /// Leaders that it saw no progress of for long; peers answer with their own news at once.
+    pub asked: Vec<BoxId>,
     /// Leaders whose replicas it found standing still since its last news.
     pub stalled: Vec<BoxId>,
 }
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{AttemptEnd, Millis};
+use cherrystand_core::AttemptEnd;
 use cherrystand_platform::{PooledBody, SendError, SiteDriver};
 use http_body_util::BodyExt;
 use hyper::http::response::Parts;
@@ -19,7 +19,7 @@
 const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 
 /// How often a waiting request looks whether its endpoint still makes progress.
-const LOOK_EVERY: Duration = Duration::from_millis(60);
+const LOOK_EVERY: Duration = Duration::from_millis(40);
 
 /// The head of an answer that an endpoint gave, and the body that follows.
 pub(crate) struct Begun {
@@ -33,14 +33,14 @@
 
 /// Sends a request to an endpoint and waits for the head of the answer.
 ///
-/// With a silence, the attempt ends as timed out once neither the request nor the endpoint as a
-/// whole has made progress for that long.
+/// A request that may leave does so once its replica stands still; the attempt then ends as timed
+/// out.
 pub(crate) async fn send(
     front: &Rc<Front>,
     req: &SiteRequest,
     flight: Flight,
     last_event: Option<u64>,
-    silence: Option<Millis>,
+    may_leave: bool,
 ) -> Result<Begun, AttemptEnd> {
     let Some(address) = front.address_of(&flight.target) else {
         return Err(AttemptEnd::NotSent);
@@ -53,7 +53,7 @@
         match tokio::time::timeout(LOOK_EVERY, &mut exchange).await {
             Ok(answer) => break answer,
             Err(_) if front.now() >= req.deadline => return Err(AttemptEnd::TimedOut),
-            Err(_) if is_silent(front, &flight, sent, silence) => {
+            Err(_) if may_leave && front.stands_still(req, &flight, sent) => {
                 front.stalled(&flight);
                 return Err(AttemptEnd::TimedOut);
             }
@@ -72,15 +72,6 @@
     check_head(req, answer, flight)
 }
 
-fn is_silent(front: &Front, flight: &Flight, sent: Millis, silence: Option<Millis>) -> bool {
-    let Some(silence) = silence else {
-        return false;
-    };
-    let now = front.now();
-    let heard = front.chooser.borrow().last_progress(flight.key).unwrap_or_default();
-    now.since(sent.max(heard)) > silence
-}
-
 fn end_of(err: &SendError) -> AttemptEnd {
     match err {
         SendError::Connect { .. } | SendError::ConnectTimedOut(_) => AttemptEnd::ConnectFailed,
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -16,7 +16,7 @@
 use crate::site::request::SiteRequest;
 
 /// How often a silent stream looks whether its endpoint makes progress at all.
-const LOOK_EVERY: Duration = Duration::from_millis(60);
+const LOOK_EVERY: Duration = Duration::from_millis(40);
 
 /// How a run of a stream ended.
 enum RunEnd {
@@ -143,9 +143,7 @@
     }
 
     fn is_stalled(&self, flight: &Flight, heard: Millis) -> bool {
-        let progress = self.front.chooser.borrow().last_progress(flight.key).unwrap_or_default();
-        let silence = self.front.silence_of(&self.req);
-        self.may_go_on() && self.front.now().since(heard.max(progress)) > silence
+        self.may_go_on() && self.front.stands_still(&self.req, flight, heard)
     }
 
     fn may_go_on(&self) -> bool {
@@ -162,9 +160,7 @@
                 return None;
             }
             self.tried.push(flight.target.clone());
-            let silence = Some(self.front.silence_of(&self.req));
-            let began =
-                crate::site::attempt::send(&self.front, &self.req, flight, self.last, silence);
+            let began = crate::site::attempt::send(&self.front, &self.req, flight, self.last, true);
             match began.await {
                 Ok(begun) if begun.head.status == StatusCode::OK => {
                     self.runs += 1;
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    Ask, AttemptEnd, BoxId, Chooser, Millis, Outcome, RetryShare, RouteKind, Seed, ServiceName,
+    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Millis, Outcome, RetryShare, RouteKind, Seed,
+    ServiceName,
 };
 use cherrystand_platform::{HttpPool, SiteDriver, serve_http};
 use hyper::body::Incoming;
@@ -37,8 +38,8 @@
 /// When a caller may come back who met no endpoint in service.
 const COME_BACK: Millis = Millis(300);
 
-/// The least silence of a replica that tells that it stands still.
-const LEAST_SILENCE: Millis = Millis(250);
+/// A silence this much longer than the engine's longest tells that a replica stands still.
+const LEAST_SILENCE: Millis = Millis(100);
 
 /// How much of its grace a stopping node keeps in hand.
 const GRACE_IN_HAND: Millis = Millis(700);
@@ -177,17 +178,27 @@
         Some(Flight::start(self.clone(), key, target, req.prompt()))
     }
 
-    /// Returns the silence that tells that the replica of a request stands still.
-    pub(crate) fn silence_of(&self, req: &SiteRequest) -> Millis {
+    /// Tells whether the replica that a request is at stands still: neither the request nor any
+    /// other one there, on this node or a peer, has made progress for longer than its engine can
+    /// take.
+    pub(crate) fn stands_still(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> bool {
+        let now = self.now();
+        let chooser = self.chooser.borrow();
+        let progress = chooser.last_progress(flight.key).unwrap_or_default().max(heard);
+        let longest = self.longest_silence(req, chooser.load(flight.key));
+        let silent = now.since(progress) > longest;
+        silent && self.loads.peers_see_none(&flight.target, now - longest, now)
+    }
+
+    fn longest_silence(&self, req: &SiteRequest, load: EngineLoad) -> Millis {
         let view = self.view.borrow();
         let engine = view.table.as_ref().and_then(|table| table.config().engine(&req.service));
         let model = req.facts.model.as_deref();
         let predicted = engine.and_then(|engine| {
             let model = engine.model(model?)?;
-            let writing = f64::from(engine.slots);
-            Some(3.0 * engine.pass(model, writing) + engine.read(4_000.0) * model.pace)
+            Some(engine.longest_silence(model, load))
         });
-        LEAST_SILENCE.max(Millis(predicted.unwrap_or_default() as u64))
+        LEAST_SILENCE + Millis(predicted.unwrap_or_default() as u64)
     }
 
     /// Takes a repeat out of this node's share of the budget.
@@ -326,8 +337,7 @@
         tries.tried.push(flight.target.clone());
         tries.sent += 1;
         let may_leave = req.route.resumable && tries.runs + 1 < req.route.attempts;
-        let silence = may_leave.then(|| front.silence_of(&req));
-        match attempt::send(front, &req, flight, req.facts.last_event, silence).await {
+        match attempt::send(front, &req, flight, req.facts.last_event, may_leave).await {
             Ok(begun) => break begun,
             Err(end) => {
                 tries.ended(end);
@@ -388,7 +398,7 @@
 ) -> Result<Response<SiteBody>, AttemptEnd> {
     let left = Duration::from_millis(req.deadline.since(front.now()).0);
     let exchange = async {
-        let begun = attempt::send(front, req, flight, None, None).await?;
+        let begun = attempt::send(front, req, flight, None, false).await?;
         pass_whole(begun).await
     };
     tokio::time::timeout(left, exchange).await.unwrap_or(Err(AttemptEnd::TimedOut))
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -21,6 +21,12 @@
 /// For how long what a peer told counts.
 const NEWS_LIFE: Millis = Millis(1_000);
 
+/// Within this time peers answer what they were asked.
+const ANSWERED_WITHIN: Millis = Millis(25);
+
+/// After this time they are asked anew.
+const ASKED_FOR: Millis = Millis(400);
+
 /// The largest datagram that is read, in bytes.
 const LARGEST_NEWS: usize = 8 << 10;
 
@@ -29,6 +35,9 @@
 pub(crate) struct LoadExchange {
     heard: RefCell<BTreeMap<NodeId, (Millis, Vec<EndpointLoad>)>>,
     stalled: RefCell<Vec<BoxId>>,
+    to_ask: RefCell<Vec<BoxId>>,
+    /// When peers were last asked about a leader.
+    asked: RefCell<BTreeMap<BoxId, Millis>>,
     urgent: Notify,
 }
 
@@ -39,6 +48,35 @@
         self.urgent.notify_one();
     }
 
+    /// Tells whether no peer has seen progress of an endpoint since `since`, asking them first.
+    ///
+    /// Silence on this node alone says little: its own requests may all wait for others.
+    pub(crate) fn peers_see_none(&self, id: &BoxId, since: Millis, now: Millis) -> bool {
+        if self.seen_by_peers(id).is_some_and(|seen| seen > since) {
+            return false;
+        }
+        let asked = self.asked.borrow().get(id).copied();
+        match asked.filter(|asked| now.since(*asked) < ASKED_FOR) {
+            Some(asked) => now.since(asked) >= ANSWERED_WITHIN,
+            None => {
+                self.asked.borrow_mut().insert(id.clone(), now);
+                self.to_ask.borrow_mut().push(id.clone());
+                self.urgent.notify_one();
+                false
+            }
+        }
+    }
+
+    /// Returns when a peer last saw an endpoint make progress.
+    fn seen_by_peers(&self, id: &BoxId) -> Option<Millis> {
+        let heard = self.heard.borrow();
+        let seen = heard.values().flat_map(|(at, loads)| {
+            let of_endpoint = loads.iter().filter(|load| &load.id == id);
+            of_endpoint.map(|load| *at - Millis(u64::from(load.silent_ms)))
+        });
+        seen.max()
+    }
+
     /// Sums what peers have in flight, by endpoint.
     fn sums(&self, now: Millis) -> BTreeMap<BoxId, EngineLoad> {
         let mut heard = self.heard.borrow_mut();
@@ -85,6 +123,9 @@
 fn take(front: &Rc<Front>, news: LoadNews) {
     let now = front.now();
     front.loads.heard.borrow_mut().insert(news.from, (now, news.loads));
+    if !news.asked.is_empty() {
+        front.loads.urgent.notify_one();
+    }
     for leader in news.stalled {
         front.chooser.borrow_mut().avoid_box(&leader, now);
         front.hint(Hint::Stalled(leader));
@@ -98,12 +139,13 @@
         // Woken early or not, there is something to tell or it is time to.
         let _ = tokio::time::timeout(TELL_EVERY, front.loads.urgent.notified()).await;
         let stalled = std::mem::take(&mut *front.loads.stalled.borrow_mut());
+        let asked = std::mem::take(&mut *front.loads.to_ask.borrow_mut());
         let loads = own_loads(front);
-        if loads.is_empty() && stalled.is_empty() && !told_any {
+        if loads.is_empty() && stalled.is_empty() && asked.is_empty() && !told_any {
             continue;
         }
         told_any = !loads.is_empty();
-        let news = LoadNews { from: cx.settings.node.clone(), loads, stalled };
+        let news = LoadNews { from: cx.settings.node.clone(), loads, asked, stalled };
         let Ok(bytes) = encode(&news) else { continue };
         for peer in peers(cx) {
             // One that is lost is made up for by the next.
@@ -114,11 +156,13 @@
 }
 
 fn own_loads(front: &Front) -> Vec<EndpointLoad> {
+    let now = front.now();
     let chooser = front.chooser.borrow();
-    let own = chooser.own().map(|(id, load)| EndpointLoad {
+    let own = chooser.own().map(|(id, load, progress)| EndpointLoad {
         id: id.clone(),
         requests: load.requests as u32,
         unread: load.unread as u32,
+        silent_ms: now.since(progress).0 as u32,
     });
     own.collect()
 }
