--- /dev/null
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -0,0 +1,268 @@
+//! Replicas formed by orders to their members, under failures.
+
+use std::collections::BTreeSet;
+
+use cherrystand_core::{
+    BoxId, DomainRecord, EngineSpec, Epoch, Formation, FormationInput, MemberTask, Millis,
+    ModelSpec, OrderEnd, Seed, ServiceName, SiteBox,
+};
+use cherrystand_testkit::FakeSiteDomain;
+use proptest::prelude::*;
+
+const STEP: Millis = Millis(100);
+
+fn model(name: &str, span: u32, share: f64) -> ModelSpec {
+    ModelSpec {
+        name: name.to_owned(),
+        span,
+        pace: 1.0,
+        share,
+        load: Millis(16_000),
+        warm: Millis(1_600),
+    }
+}
+
+fn engine() -> EngineSpec {
+    EngineSpec {
+        slots: 26,
+        stride: 7,
+        step_ms: 6.0,
+        per_request_ms: 0.04,
+        context_ms_per_k: 0.01,
+        chunk: 2_048,
+        read_per_s: 50_000.0,
+        pairs_ms_per_m: 0.4,
+        far_factor: 2.5,
+        form: Millis(300),
+        loads_per_s: 4.5,
+        loads_at_once: 6,
+        usual_prompt: 1_000.0,
+        usual_answer: 180.0,
+        models: vec![model("large", 4, 0.6), model("small", 3, 0.4)],
+    }
+}
+
+/// What two nodes decide for one domain, each from what it read last.
+struct Site {
+    domain: FakeSiteDomain,
+    record: DomainRecord,
+    revision: u64,
+    nodes: Vec<Node>,
+    seed: Seed,
+    /// The share of orders that get no answer and are carried out later, in percent.
+    late: usize,
+}
+
+struct Node {
+    formation: Formation,
+    /// The record as this node read it last.
+    read: (u64, DomainRecord),
+    ended: BTreeSet<(String, Epoch)>,
+}
+
+impl Site {
+    fn new(boxes: usize, nodes: usize, seed: u64) -> Self {
+        let domain = FakeSiteDomain::new(boxes);
+        let record = DomainRecord::empty(domain.domain().clone());
+        let node = || Node {
+            formation: Formation::default(),
+            read: (0, record.clone()),
+            ended: BTreeSet::new(),
+        };
+        let nodes = (0..nodes).map(|_| node()).collect();
+        Self { domain, record, revision: 0, nodes, seed: Seed::new(seed), late: 0 }
+    }
+
+    /// Lets one node decide from what it knows; a node that does not read keeps an old record.
+    fn decide(&mut self, number: usize, reads: bool) {
+        let listed = self.domain.listed();
+        let departed = self.domain.departed();
+        let silent = self.domain.silent();
+        let node = &mut self.nodes[number];
+        if reads {
+            node.read = (self.revision, self.record.clone());
+        }
+        let boxes: Vec<&SiteBox> = listed.iter().collect();
+        let departed: Vec<&SiteBox> = departed.iter().collect();
+        let engine = engine();
+        let step = node.formation.step(FormationInput {
+            now: self.domain.now(),
+            domain: self.domain.domain(),
+            service: &ServiceName::new("captions"),
+            record: &node.read.1,
+            engine: &engine,
+            boxes: &boxes,
+            departed: &departed,
+            silent: &silent,
+            ended: &node.ended,
+            loads_allowed: u32::MAX,
+            home: Some("large"),
+        });
+        for order in &step.orders {
+            let is_late = self.seed.below(100) < self.late;
+            let delay = is_late.then(|| Millis(2_000 + self.seed.below(10_000) as u64));
+            let end = self.domain.order(order, delay);
+            let led = boxes.iter().any(|known| {
+                let member = known.member.as_ref();
+                known.id == order.target && member.is_some_and(|member| member.rank == 0)
+            });
+            if order.task == MemberTask::Leave && end == OrderEnd::Taken && led {
+                node.ended.insert((order.replica.clone(), order.epoch));
+            }
+        }
+        if let Some(next) = step.write
+            && node.read.0 == self.revision
+        {
+            next.check().expect("a sound record");
+            self.revision += 1;
+            self.record = next;
+        }
+    }
+
+    fn run(&mut self, span: Millis) {
+        let until = self.domain.now() + span;
+        while self.domain.now() < until {
+            self.decide(0, true);
+            self.domain.pass(STEP);
+        }
+    }
+}
+
+fn leader_of(site: &Site, replica: usize) -> BoxId {
+    let held = site.record.replicas.values().nth(replica).expect("a replica");
+    held.boxes[0].clone()
+}
+
+fn number_of(site: &Site, id: &BoxId) -> usize {
+    let listed = site.domain.listed();
+    listed.iter().position(|known| &known.id == id).expect("listed")
+}
+
+#[test]
+fn a_domain_forms_what_it_has_boxes_for_and_mends_losses_from_spares() {
+    struct Case {
+        name: &'static str,
+        boxes: usize,
+        /// Which members of the first replica die, by rank.
+        die: &'static [usize],
+        serving_before: usize,
+        serving_after: usize,
+    }
+    let cases = [
+        Case { name: "nothing lost", boxes: 9, die: &[], serving_before: 2, serving_after: 2 },
+        Case { name: "a member", boxes: 9, die: &[2], serving_before: 2, serving_after: 2 },
+        Case { name: "the leader", boxes: 9, die: &[0], serving_before: 2, serving_after: 2 },
+        Case {
+            name: "two, one spare",
+            boxes: 9,
+            die: &[0, 1],
+            serving_before: 2,
+            serving_after: 1,
+        },
+        Case { name: "no spare", boxes: 8, die: &[3], serving_before: 2, serving_after: 1 },
+        Case { name: "too few boxes", boxes: 3, die: &[], serving_before: 0, serving_after: 0 },
+    ];
+    for case in cases {
+        let mut site = Site::new(case.boxes, 1, 1);
+        site.run(Millis(40_000));
+        assert_eq!(site.domain.serving(), case.serving_before, "{}", case.name);
+        let held = site.record.replicas.values().next().map(|held| held.boxes.clone());
+        let numbers: Vec<usize> = case
+            .die
+            .iter()
+            .map(|rank| number_of(&site, &held.as_ref().expect("a replica")[*rank]))
+            .collect();
+        for number in numbers {
+            site.domain.kill(number);
+        }
+        site.run(Millis(4_000));
+        assert_eq!(site.domain.serving(), case.serving_after, "{}", case.name);
+        assert_eq!(site.domain.faults, Vec::<String>::new(), "{}", case.name);
+    }
+}
+
+#[test]
+fn members_of_a_leader_that_is_cut_off_leave_before_they_join_another() {
+    let mut site = Site::new(8, 1, 1);
+    site.run(Millis(40_000));
+    let (first, second) = (leader_of(&site, 0), leader_of(&site, 1));
+    // The leader serves on, unseen; the other replica's loss makes its members useful elsewhere.
+    let number = number_of(&site, &first);
+    site.domain.cut(number, true);
+    site.run(Millis(1_000));
+    let number = number_of(&site, &second);
+    site.domain.kill(number);
+    site.run(Millis(30_000));
+    assert_eq!(site.domain.faults, Vec::<String>::new());
+    assert_eq!(site.domain.serving(), 1);
+    site.domain.heal();
+    site.run(Millis(30_000));
+    assert_eq!(site.domain.faults, Vec::<String>::new());
+}
+
+#[test]
+fn a_whole_replica_that_the_record_lost_is_taken_back() {
+    let mut site = Site::new(9, 1, 1);
+    site.run(Millis(40_000));
+    let before = site.record.clone();
+    site.record.replicas.clear();
+    site.revision += 1;
+    site.run(STEP);
+    assert_eq!(site.record.replicas, before.replicas);
+}
+
+#[test]
+fn epochs_grow_past_those_that_boxes_tell_where_the_record_is_lost() {
+    let mut site = Site::new(9, 1, 1);
+    site.run(Millis(40_000));
+    let highest = site.record.last_epoch;
+    site.record = DomainRecord::empty(site.domain.domain().clone());
+    site.revision += 1;
+    let number = number_of(&site, &leader_of_listed(&site));
+    site.domain.kill(number);
+    site.run(Millis(30_000));
+    assert!(site.record.last_epoch > highest, "{:?}", site.record.last_epoch);
+    assert_eq!(site.domain.faults, Vec::<String>::new());
+}
+
+fn leader_of_listed(site: &Site) -> BoxId {
+    let listed = site.domain.listed();
+    let leader = listed.iter().find(|known| known.member.as_ref().is_some_and(|m| m.rank == 0));
+    leader.expect("a leader").id.clone()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 192, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_box_joins_out_of_a_serving_replica_and_none_opens_unready(
+        seed in any::<u64>(),
+        late in 0_usize..50,
+        events in prop::collection::vec((0_usize..6, any::<usize>(), 1_u64..30), 1..40),
+    ) {
+        let mut site = Site::new(9, 2, seed);
+        site.late = late;
+        for (kind, number, steps) in events {
+            match kind {
+                0 if site.domain.alive() > 5 => site.domain.kill(number),
+                1 => site.domain.cut(number, true),
+                2 => site.domain.heal(),
+                3 => site.domain.add_box(),
+                _ => {}
+            }
+            for _ in 0..steps {
+                let number = site.seed.below(2);
+                let reads = site.seed.below(4) > 0;
+                site.decide(number, reads);
+                site.domain.pass(STEP);
+            }
+        }
+        prop_assert_eq!(&site.domain.faults, &Vec::<String>::new());
+        // Once failures end, what has boxes serves.
+        site.late = 0;
+        site.domain.heal();
+        site.run(Millis(60_000));
+        prop_assert_eq!(&site.domain.faults, &Vec::<String>::new());
+        prop_assert!(site.domain.serving() >= 1, "nothing serves on {} boxes", site.domain.alive());
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -0,0 +1,380 @@
+//! Routes, retries, streams and choices where the store holds one configuration.
+
+use std::collections::BTreeMap;
+
+use cherrystand_core::{
+    Ask, BoxId, CallerLimits, Chooser, DomainId, EngineLoad, EngineSpec, EventCutter, Millis,
+    ModelSpec, NotAllowed, RetryBounds, RetryShare, Route, RouteKind, RouteTable, Seed,
+    ServiceName, SiteBox, SiteConfig, TargetSpec, Tenant, ZoneId, home_models,
+};
+use proptest::prelude::*;
+
+const NOW: Millis = Millis(60_000);
+
+fn route(host: &str, prefix: &str, service: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        split: vec![(ServiceName::new(service), 1)],
+        kind: RouteKind::Repeatable,
+        timeout: Millis(1_000),
+        aim: Millis(100),
+        gap_aim: None,
+        attempts: 2,
+        priority: 1,
+        public: false,
+        resumable: false,
+    }
+}
+
+fn table(tenants: Option<Vec<Tenant>>) -> RouteTable {
+    let mut open = route("albums.example", "/open/", "app");
+    open.public = true;
+    let routes = vec![
+        route("albums.example", "/", "app"),
+        route("albums.example", "/stories/", "models"),
+        route("albums.example", "/stories/old/", "archive"),
+        open,
+    ];
+    let limits = CallerLimits { body_bytes: 1_000 };
+    RouteTable::new(SiteConfig { version: 1, routes, services: Vec::new(), limits, tenants })
+}
+
+fn tenant() -> Vec<Tenant> {
+    vec![Tenant { name: "families".to_owned(), keys: vec!["k1".to_owned(), "k2".to_owned()] }]
+}
+
+#[test]
+fn a_request_takes_the_longest_route_that_its_key_allows() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        key: Option<&'static str>,
+        found: Result<(&'static str, Option<&'static str>), NotAllowed>,
+    }
+    let families = Some("families");
+    let cases = [
+        Case { host: "albums.example", path: "/a", key: Some("k1"), found: Ok(("app", families)) },
+        Case {
+            host: "Albums.Example:80",
+            path: "/a",
+            key: Some("k2"),
+            found: Ok(("app", families)),
+        },
+        Case {
+            host: "albums.example",
+            path: "/stories/1",
+            key: Some("k1"),
+            found: Ok(("models", families)),
+        },
+        Case {
+            host: "albums.example",
+            path: "/stories/old/1",
+            key: Some("k1"),
+            found: Ok(("archive", families)),
+        },
+        Case {
+            host: "albums.example",
+            path: "/stories",
+            key: Some("k1"),
+            found: Ok(("app", families)),
+        },
+        Case { host: "albums.example", path: "/open/1", key: None, found: Ok(("app", None)) },
+        Case { host: "albums.example", path: "/a", key: None, found: Err(NotAllowed::NoKey) },
+        Case { host: "albums.example", path: "/a", key: Some("k3"), found: Err(NotAllowed::NoKey) },
+        Case {
+            host: "other.example",
+            path: "/a",
+            key: Some("k1"),
+            found: Err(NotAllowed::NoRoute),
+        },
+    ];
+    let table = table(Some(tenant()));
+    for case in cases {
+        let found = table.find(case.host, case.path, case.key);
+        let found = found.map(|allowed| (allowed.route.split[0].0.as_str(), allowed.tenant));
+        assert_eq!(found, case.found, "{} {} {:?}", case.host, case.path, case.key);
+    }
+}
+
+#[test]
+fn without_tenants_no_request_needs_a_key() {
+    let table = table(None);
+    let found = table.find("albums.example", "/a", None).expect("allowed");
+    assert_eq!(found.tenant, None);
+}
+
+#[test]
+fn a_split_sends_requests_by_weight_and_each_request_to_one_service() {
+    let mut route = route("albums.example", "/", "a");
+    route.split = vec![(ServiceName::new("a"), 90), (ServiceName::new("b"), 10)];
+    let to_b = (0..10_000).filter(|id| route.service_of(*id).expect("one").as_str() == "b").count();
+    assert!((800..1_200).contains(&to_b), "{to_b}");
+    assert!((0..100).all(|id| route.service_of(id) == route.service_of(id)));
+    route.split = Vec::new();
+    assert_eq!(route.service_of(1), None);
+}
+
+proptest! {
+    #[test]
+    fn the_repeats_of_all_nodes_stay_within_the_budget_of_all(
+        nodes in 1_usize..30,
+        steps in prop::collection::vec((0_usize..30, 0_u64..400, any::<bool>(), any::<bool>()), 1..600),
+    ) {
+        let bounds = RetryBounds { ratio: 0.2, slack: 136.0, window: Millis(10_000) };
+        let mut shares: Vec<RetryShare> = (0..nodes).map(|_| RetryShare::new(bounds)).collect();
+        let (mut now, mut requests, mut repeats) = (NOW, Vec::new(), Vec::new());
+        for (node, gap, asks, restarts) in steps {
+            now = now + Millis(gap / 10);
+            let share = &mut shares[node % nodes];
+            if restarts && gap > 395 {
+                // A node that restarts forgets what it spent.
+                *share = RetryShare::new(bounds);
+            }
+            if asks {
+                share.request(now);
+                requests.push(now);
+            }
+            if share.spend(now, nodes) {
+                repeats.push(now);
+            }
+            let within = |list: &[Millis]| {
+                list.iter().filter(|at| now.since(**at) <= bounds.window).count() as f64
+            };
+            let allowed = bounds.ratio * within(&requests) + bounds.slack;
+            prop_assert!(within(&repeats) <= allowed, "{} repeats", within(&repeats));
+        }
+    }
+
+    #[test]
+    fn events_come_out_whole_wherever_the_bytes_are_cut(
+        events in prop::collection::vec("[a-z]{0,12}", 1..12),
+        ends in prop::bool::ANY,
+        cuts in prop::collection::vec(1_usize..9, 1..80),
+    ) {
+        let end = if ends { "\r\n" } else { "\n" };
+        let whole = |(number, text): (usize, &String)| {
+            format!("id: {number}{end}data: {text}{end}{end}").into_bytes()
+        };
+        let events: Vec<Vec<u8>> = events.iter().enumerate().map(whole).collect();
+        let bytes = events.concat();
+        let mut cutter = EventCutter::default();
+        let (mut from, mut out) = (0, Vec::new());
+        for cut in cuts.iter().cycle() {
+            let to = (from + cut).min(bytes.len());
+            cutter.push(&bytes[from..to]);
+            while let Some(event) = cutter.next_event() {
+                out.push(event);
+            }
+            from = to;
+            if from == bytes.len() {
+                break;
+            }
+        }
+        let ids: Vec<_> = out.iter().map(|event| event.id).collect();
+        prop_assert_eq!(ids, (0..events.len() as u64).map(Some).collect::<Vec<_>>());
+        let out: Vec<Vec<u8>> = out.into_iter().map(|event| event.bytes.to_vec()).collect();
+        prop_assert_eq!(out, events);
+        prop_assert_eq!(cutter.held(), 0);
+    }
+}
+
+#[test]
+fn an_event_that_broke_off_is_held_back() {
+    let mut cutter = EventCutter::default();
+    cutter.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n");
+    assert_eq!(cutter.next_event().and_then(|event| event.id), Some(1));
+    assert_eq!(cutter.next_event(), None);
+    assert!(cutter.held() > 0);
+    cutter.clear();
+    assert_eq!(cutter.held(), 0);
+}
+
+fn model(name: &str, span: u32, share: f64) -> ModelSpec {
+    ModelSpec {
+        name: name.to_owned(),
+        span,
+        pace: 1.0,
+        share,
+        load: Millis(16_000),
+        warm: Millis(1_600),
+    }
+}
+
+fn engine() -> EngineSpec {
+    EngineSpec {
+        slots: 26,
+        stride: 7,
+        step_ms: 6.0,
+        per_request_ms: 0.04,
+        context_ms_per_k: 0.01,
+        chunk: 2_048,
+        read_per_s: 50_000.0,
+        pairs_ms_per_m: 0.4,
+        far_factor: 2.5,
+        form: Millis(300),
+        loads_per_s: 4.5,
+        loads_at_once: 6,
+        usual_prompt: 1_000.0,
+        usual_answer: 180.0,
+        models: vec![model("large", 4, 0.57), model("small", 3, 0.43)],
+    }
+}
+
+fn target(id: &str, model: Option<&str>) -> TargetSpec {
+    TargetSpec {
+        id: BoxId::new(id),
+        service: ServiceName::new("models"),
+        model: model.map(str::to_owned),
+        near: true,
+        slots: 26,
+    }
+}
+
+fn chosen(chooser: &Chooser, model: &str, not: &[BoxId], now: Millis) -> Option<String> {
+    let service = ServiceName::new("models");
+    let ask = Ask { service: &service, model: Some(model), prompt: 1_000.0 };
+    let engine = engine();
+    let key = chooser.choose(ask, Some(&engine), not, now, &mut Seed::new(1))?;
+    chooser.id(key).map(|id| id.as_str().to_owned())
+}
+
+#[test]
+fn the_replica_that_will_answer_first_is_chosen_whoever_loads_it() {
+    let mut chooser = Chooser::default();
+    chooser.follow(vec![
+        target("a", Some("large")),
+        target("b", Some("large")),
+        target("c", Some("small")),
+    ]);
+    let busy = EngineLoad { requests: 20.0, unread: 9_000.0 };
+    chooser.follow_others(&BTreeMap::from([(BoxId::new("a"), busy)]));
+    assert_eq!(chosen(&chooser, "large", &[], NOW).as_deref(), Some("b"));
+    assert_eq!(chosen(&chooser, "small", &[], NOW).as_deref(), Some("c"));
+    assert_eq!(chosen(&chooser, "other", &[], NOW), None);
+    assert_eq!(chosen(&chooser, "large", &[BoxId::new("b")], NOW).as_deref(), Some("a"));
+    chooser.avoid_box(&BoxId::new("b"), NOW);
+    assert_eq!(chosen(&chooser, "large", &[], NOW).as_deref(), Some("a"));
+    assert_eq!(chosen(&chooser, "large", &[], NOW + Millis(400)).as_deref(), Some("b"));
+}
+
+#[test]
+fn what_is_in_flight_is_counted_until_it_ends_even_where_the_list_changes() {
+    let mut chooser = Chooser::default();
+    chooser.follow(vec![target("a", Some("large")), target("b", Some("large"))]);
+    let service = ServiceName::new("models");
+    let ask = Ask { service: &service, model: Some("large"), prompt: 500.0 };
+    let key = chooser.choose(ask, Some(&engine()), &[], NOW, &mut Seed::new(1)).expect("one");
+    chooser.start(key, 500.0, NOW);
+    assert_eq!(chooser.load(key), EngineLoad { requests: 1.0, unread: 500.0 });
+    chooser.first_event(key, 500.0);
+    assert_eq!(chooser.load(key), EngineLoad { requests: 1.0, unread: 0.0 });
+    chooser.follow(vec![target("a", Some("large")), target("b", Some("large"))]);
+    assert_eq!(chooser.load(key).requests, 1.0);
+    chooser.finish(key, 0.0);
+    assert_eq!(chooser.load(key), EngineLoad::default());
+    chooser.follow(Vec::new());
+    // What ends after its endpoint has left the list is without effect.
+    chooser.finish(key, 0.0);
+    assert_eq!(chosen(&chooser, "large", &[], NOW), None);
+}
+
+#[test]
+fn a_plain_endpoint_that_fails_some_requests_is_chosen_less() {
+    let mut chooser = Chooser::default();
+    chooser.follow(vec![target("a", None), target("b", None)]);
+    let service = ServiceName::new("models");
+    let ask = Ask { service: &service, model: None, prompt: 0.0 };
+    let mut seed = Seed::new(3);
+    let mut to_a = 0;
+    for _ in 0..200 {
+        let key = chooser.choose(ask, None, &[], NOW, &mut seed).expect("one");
+        if chooser.id(key).expect("known").as_str() == "a" {
+            to_a += 1;
+            chooser.failed(key);
+        } else {
+            chooser.succeeded(key);
+        }
+    }
+    assert!(to_a < 10, "{to_a}");
+}
+
+#[test]
+fn a_silence_is_long_only_beyond_what_the_load_explains() {
+    let engine = engine();
+    let (large, mut fast) = (model("large", 4, 0.5), model("large", 4, 0.5));
+    fast.pace = 0.5;
+    let idle = engine.longest_silence(&large, EngineLoad::default());
+    let reading = EngineLoad { requests: 9.0, unread: 10_000.0 };
+    let flooded = EngineLoad { requests: 9.0, unread: 1_000_000.0 };
+    assert!((80.0..150.0).contains(&idle), "{idle}");
+    assert!(engine.longest_silence(&large, reading) > idle + 150.0);
+    assert!(engine.longest_silence(&large, flooded) < 600.0);
+    assert!(engine.longest_silence(&fast, EngineLoad::default()) < idle);
+}
+
+#[test]
+fn the_first_token_is_predicted_later_the_more_waits_before_it() {
+    let engine = engine();
+    let large = model("large", 4, 0.5);
+    let load = |requests, unread| EngineLoad { requests, unread };
+    let times = [load(0.0, 0.0), load(10.0, 0.0), load(10.0, 5_000.0), load(30.0, 5_000.0)]
+        .map(|load| engine.first_token(&large, load, 1_000.0));
+    assert!(times.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
+}
+
+fn domain_box(domain: &str, number: usize, staged: &[&str]) -> SiteBox {
+    SiteBox {
+        id: BoxId::new(format!("{domain}-{number}")),
+        service: ServiceName::new("models"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: ZoneId::new("hall"),
+        slots: 26,
+        leaving: false,
+        domain: Some(DomainId::new(domain)),
+        staged: staged.iter().map(|name| (*name).to_owned()).collect(),
+        loaded: Vec::new(),
+        member: None,
+    }
+}
+
+#[test]
+fn each_domain_is_for_one_model_by_the_share_of_the_work() {
+    struct Case {
+        name: &'static str,
+        /// The boxes of each domain and what they hold.
+        domains: &'static [(usize, &'static [&'static str])],
+        homes: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "nothing staged",
+            domains: &[(9, &[]), (9, &[]), (9, &[]), (9, &[]), (9, &[]), (9, &[])],
+            homes: &["large", "small", "large", "small", "large", "large"],
+        },
+        Case {
+            name: "what boxes hold decides",
+            domains: &[(9, &["small"]), (9, &[])],
+            homes: &["small", "large"],
+        },
+        Case { name: "fewer domains than models", domains: &[(9, &[])], homes: &[] },
+    ];
+    for case in cases {
+        let boxes: Vec<(DomainId, Vec<SiteBox>)> = case
+            .domains
+            .iter()
+            .enumerate()
+            .map(|(number, (count, staged))| {
+                let name = format!("d{number}");
+                let boxes = (0..*count).map(|number| domain_box(&name, number, staged)).collect();
+                (DomainId::new(name), boxes)
+            })
+            .collect();
+        let domains =
+            boxes.iter().map(|(id, boxes)| (id.clone(), boxes.iter().collect())).collect();
+        let homes = home_models(&engine(), &domains);
+        let homes: Vec<&str> = homes.values().map(String::as_str).collect();
+        assert_eq!(homes, case.homes, "{}", case.name);
+    }
+}
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -24,6 +24,9 @@
     pub(crate) mod store;
 }
 mod service_stand_in;
+mod site {
+    pub(crate) mod fake_site_domain;
+}
 
 pub use domain::fake_box::FakeBox;
 pub use domain::fake_domain::{
@@ -39,3 +42,4 @@
 pub use platform::stand_in::{CallCounts, PlatformKnobs, PlatformStandIn};
 pub use platform::store::{Rate, Store};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
+pub use site::fake_site_domain::FakeSiteDomain;
