--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -20,8 +20,12 @@
 /// How much a failure counts against the ones before it.
 const FAILURE_WEIGHT: f64 = 0.25;
 
+/// After this time what failed counts half as much, so that an endpoint that is left out for its
+/// failures is tried again.
+const FAILURE_HALVES: Millis = Millis(2_000);
+
 /// How much one sure failure counts in requests in flight.
-const FAILURE_COST: f64 = 12.0;
+const FAILURE_COST: f64 = 24.0;
 
 /// Describes an endpoint to choose.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,6 +60,8 @@
     unread: f64,
     others: EngineLoad,
     failures: f64,
+    /// As of when.
+    failures_at: Millis,
     avoid_until: Millis,
     avoid_next: Millis,
     last_event: Millis,
@@ -187,17 +193,17 @@
     }
 
     /// Takes in that an endpoint answered well.
-    pub fn succeeded(&mut self, key: TargetKey) {
+    pub fn succeeded(&mut self, key: TargetKey, now: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
-            target.failures *= 1.0 - FAILURE_WEIGHT;
+            target.note_failure(0.0, now);
             target.avoid_next = FIRST_AVOID;
         }
     }
 
     /// Takes in that an endpoint failed a request.
-    pub fn failed(&mut self, key: TargetKey) {
+    pub fn failed(&mut self, key: TargetKey, now: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
-            target.failures = target.failures * (1.0 - FAILURE_WEIGHT) + FAILURE_WEIGHT;
+            target.note_failure(1.0, now);
         }
     }
 
@@ -220,6 +226,7 @@
             unread: 0.0,
             others: EngineLoad::default(),
             failures: 0.0,
+            failures_at: Millis(0),
             avoid_until: Millis(0),
             avoid_next: FIRST_AVOID,
             last_event: Millis(0),
@@ -230,6 +237,17 @@
         EngineLoad { requests: f64::from(self.in_flight), unread: self.unread }
     }
 
+    fn note_failure(&mut self, failed: f64, now: Millis) {
+        self.failures = self.failures(now) * (1.0 - FAILURE_WEIGHT) + failed * FAILURE_WEIGHT;
+        self.failures_at = now;
+    }
+
+    /// Returns the share of requests that failed lately.
+    fn failures(&self, now: Millis) -> f64 {
+        let halvings = now.since(self.failures_at).0 as f64 / FAILURE_HALVES.0 as f64;
+        self.failures * 0.5_f64.powf(halvings)
+    }
+
     fn load(&self) -> EngineLoad {
         let own = self.own();
         EngineLoad {
@@ -249,13 +267,15 @@
         /// Beyond all times that are predicted.
         const AVOIDED: f64 = 100_000.0;
         const FAR_MS: f64 = 3.0;
+        /// What a request in flight at a plain endpoint counts for.
+        const PLAIN_MS: f64 = 10.0;
         let load = self.load();
         let far = if self.spec.near { 0.0 } else { FAR_MS };
         let avoided = if now < self.avoid_until { AVOIDED } else { 0.0 };
         let time = match (engine, model) {
             (Some(engine), Some(model)) => engine.first_token(model, load, ask.prompt),
-            _ => (load.requests + self.failures * FAILURE_COST) * 10.0,
+            _ => load.requests * PLAIN_MS,
         };
-        time + far + avoided + self.failures * FAILURE_COST * 10.0
+        time + far + avoided + self.failures(now) * FAILURE_COST * PLAIN_MS
     }
 }
--- a/crates/cherrystand_core/src/site/homes.rs
+++ b/crates/cherrystand_core/src/site/homes.rs
@@ -12,9 +12,9 @@
 /// against its share of the work.
 ///
 /// Source: docs/design/0009-users-machines.md.
-pub fn home_models<'a>(
+pub fn home_models(
     engine: &EngineSpec,
-    domains: &BTreeMap<DomainId, Vec<&'a SiteBox>>,
+    domains: &BTreeMap<DomainId, Vec<&SiteBox>>,
 ) -> BTreeMap<DomainId, String> {
     let mut homes = BTreeMap::new();
     if domains.len() < engine.models.len() || engine.models.is_empty() {
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -292,12 +292,17 @@
         let key = chooser.choose(ask, None, &[], NOW, &mut seed).expect("one");
         if chooser.id(key).expect("known").as_str() == "a" {
             to_a += 1;
-            chooser.failed(key);
+            chooser.failed(key, NOW);
         } else {
-            chooser.succeeded(key);
+            chooser.succeeded(key, NOW);
         }
     }
     assert!(to_a < 10, "{to_a}");
+    // In time it is tried again.
+    let later = NOW + Millis(60_000);
+    let choose = |seed: &mut Seed| chooser.choose(ask, None, &[], later, seed).expect("one");
+    let keys: Vec<_> = (0..50).map(|_| choose(&mut seed)).collect();
+    assert!(keys.iter().any(|key| chooser.id(*key).expect("known").as_str() == "a"));
 }
 
 #[test]
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -26,6 +26,8 @@
 mod service_stand_in;
 mod site {
     pub(crate) mod fake_site_domain;
+    pub(crate) mod metadata_stand_in;
+    pub(crate) mod site_stand_in;
 }
 
 pub use domain::fake_box::FakeBox;
@@ -43,3 +45,5 @@
 pub use platform::store::{Rate, Store};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
 pub use site::fake_site_domain::FakeSiteDomain;
+pub use site::metadata_stand_in::{Door, MetadataStandIn};
+pub use site::site_stand_in::{BoxMood, EVENTS, SiteStandIn};
--- /dev/null
+++ b/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
@@ -0,0 +1,218 @@
+//! Stands in for the users' metadata store.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::http::{Whole, empty, json as answer, query_number, read_json};
+
+/// How often a watch that waits looks for changes.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+/// One change, as watches tell it.
+#[derive(Clone, Debug)]
+struct Change {
+    key: String,
+    revision: u64,
+    value: Option<String>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (u64, String)>,
+    changes: Vec<Change>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    /// What the next writes get: done without an answer.
+    lose_answers: u32,
+    calls: u64,
+}
+
+/// A store that all nodes share; each node may be given a door of its own.
+#[derive(Clone, Debug, Default)]
+pub struct MetadataStandIn {
+    state: Rc<RefCell<State>>,
+}
+
+/// Says how one door to the store behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Door {
+    /// It answers.
+    #[default]
+    Open,
+    /// It turns calls away.
+    Busy,
+    /// It never answers.
+    Silent,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    expect_rev: Vec<Expected>,
+    #[serde(default)]
+    set_keys: Vec<Setting>,
+}
+
+#[derive(Deserialize)]
+struct Expected {
+    tls_key: String,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Setting {
+    tls_key: String,
+    value: String,
+}
+
+impl MetadataStandIn {
+    /// Writes an item, whose value is in base64 already.
+    pub fn put(&self, key: &str, value: String) {
+        let mut state = self.state.borrow_mut();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.insert(key.to_owned(), (revision, value.clone()));
+        state.changes.push(Change { key: key.to_owned(), revision, value: Some(value) });
+    }
+
+    /// Takes an item away.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.borrow_mut();
+        if state.items.remove(key).is_some() {
+            state.revision += 1;
+            let revision = state.revision;
+            state.changes.push(Change { key: key.to_owned(), revision, value: None });
+        }
+    }
+
+    /// Forgets the history, so that watches from before have to read anew.
+    pub fn forget(&self) {
+        let mut state = self.state.borrow_mut();
+        state.forgotten = state.revision;
+        state.changes.clear();
+    }
+
+    /// Lets the next writes be done and not answered.
+    pub fn lose_answers(&self, count: u32) {
+        self.state.borrow_mut().lose_answers = count;
+    }
+
+    /// Returns how many calls came.
+    pub fn calls(&self) -> u64 {
+        self.state.borrow().calls
+    }
+
+    /// Answers one call that came through a door.
+    pub async fn handle(self, door: Door, req: Request<Incoming>) -> Response<Whole> {
+        self.state.borrow_mut().calls += 1;
+        match door {
+            Door::Open => {}
+            Door::Busy => return empty(StatusCode::SERVICE_UNAVAILABLE),
+            Door::Silent => std::future::pending().await,
+        }
+        let parameter = |name| text(&req, name);
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/kv-key") => self.key(&parameter("tls_key")),
+            (&Method::GET, "/kv-range") => self.range(&parameter("path_prefix")),
+            (&Method::GET, "/kv-watch") => self.watch(&req).await,
+            (&Method::POST, "/kv-txn") => match read_json(req).await {
+                Some(transaction) => self.write(transaction).await,
+                None => empty(StatusCode::BAD_REQUEST),
+            },
+            _ => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn key(&self, key: &str) -> Response<Whole> {
+        let state = self.state.borrow();
+        match state.items.get(key) {
+            Some((revision, value)) => answer(StatusCode::OK, &item(key, *revision, value)),
+            None => empty(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn range(&self, prefix: &str) -> Response<Whole> {
+        let state = self.state.borrow();
+        let found = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        let items: Vec<Value> =
+            found.map(|(key, (revision, value))| item(key, *revision, value)).collect();
+        let page = json!({"items": items, "has_more": false, "timestamp": state.revision});
+        answer(StatusCode::OK, &page)
+    }
+
+    async fn watch(&self, req: &Request<Incoming>) -> Response<Whole> {
+        let prefix = text(req, "path_prefix");
+        let since = query_number(req, "since_rev").unwrap_or_default();
+        let wait = query_number(req, "wait_ms").unwrap_or_default();
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait);
+        loop {
+            {
+                let state = self.state.borrow();
+                if since < state.forgotten {
+                    return empty(StatusCode::GONE);
+                }
+                let new = state.changes.iter().filter(|change| change.revision > since);
+                let new = new.filter(|change| change.key.starts_with(&prefix));
+                let events: Vec<Value> = new.map(event).collect();
+                if !events.is_empty() || tokio::time::Instant::now() >= until {
+                    let found = json!({"events": events, "timestamp": state.revision});
+                    return answer(StatusCode::OK, &found);
+                }
+            }
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
+    async fn write(&self, transaction: Transaction) -> Response<Whole> {
+        let revision_of = |key: &String| {
+            let state = self.state.borrow();
+            state.items.get(key).map_or(0, |(revision, _)| *revision)
+        };
+        let mut conditions = transaction.expect_rev.iter();
+        if conditions.any(|row| revision_of(&row.tls_key) != row.revision) {
+            let items: Vec<Value> = transaction
+                .expect_rev
+                .iter()
+                .map(|row| item(&row.tls_key, revision_of(&row.tls_key), ""))
+                .collect();
+            return answer(StatusCode::PRECONDITION_FAILED, &json!({"items": items}));
+        }
+        for setting in transaction.set_keys {
+            self.put(&setting.tls_key, setting.value);
+        }
+        let lost = {
+            let mut state = self.state.borrow_mut();
+            let lost = state.lose_answers > 0;
+            state.lose_answers = state.lose_answers.saturating_sub(1);
+            lost
+        };
+        if lost {
+            std::future::pending::<()>().await;
+        }
+        answer(StatusCode::OK, &json!({"revision": self.state.borrow().revision}))
+    }
+}
+
+fn text(req: &Request<Incoming>, name: &str) -> String {
+    let value = crate::http::query(req, name).unwrap_or_default();
+    value.replace("%2F", "/")
+}
+
+fn item(key: &str, revision: u64, value: &str) -> Value {
+    json!({"tls_key": key, "value": value, "revision": revision, "created": revision, "lease": 0})
+}
+
+fn event(change: &Change) -> Value {
+    match &change.value {
+        Some(value) => item(&change.key, change.revision, value),
+        None => json!({"tls_key": change.key, "revision": change.revision, "is_gone": true}),
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -0,0 +1,398 @@
+//! Stands in for a whole site: its store, boxes with engines, and plain endpoints.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use cherrystand_platform::serve_http;
+use futures_util::stream;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use crate::http::read_json;
+use crate::site::metadata_stand_in::{Door, MetadataStandIn};
+
+type OutBody = Pin<Box<dyn Body<Data = Bytes, Error = std::io::Error>>>;
+
+type Out = Response<OutBody>;
+
+/// How many events a stream has.
+pub const EVENTS: u64 = 40;
+
+/// The time between two events.
+const EVENT_EVERY: Duration = Duration::from_millis(20);
+
+/// How long a join takes.
+const JOIN: Duration = Duration::from_millis(30);
+
+/// What a box does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BoxMood {
+    /// It serves.
+    #[default]
+    Well,
+    /// It says and does nothing, as without power.
+    Dark,
+    /// It refuses every request without running it.
+    Sheds,
+    /// It runs every request and cuts the connection instead of an answer.
+    LosesAnswers,
+    /// It fails every request.
+    Fails,
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    group: String,
+    epoch: u64,
+    members: Vec<String>,
+    state: &'static str,
+}
+
+struct SiteBoxState {
+    address: SocketAddr,
+    service: &'static str,
+    mood: BoxMood,
+    staged: Option<String>,
+    held: Option<Held>,
+    highest: u64,
+    /// Requests run, by id, and the event each began after.
+    runs: Vec<(String, Option<u64>)>,
+    /// Tenants and headers that reached it.
+    heads: Vec<BTreeMap<String, String>>,
+}
+
+#[derive(Default)]
+struct World {
+    boxes: BTreeMap<String, SiteBoxState>,
+    doors: BTreeMap<usize, Door>,
+}
+
+/// A site on loopback addresses; it runs on the test's own thread.
+#[derive(Clone)]
+pub struct SiteStandIn {
+    /// The store.
+    pub store: MetadataStandIn,
+    world: Rc<RefCell<World>>,
+    tasks: Rc<RefCell<Vec<JoinHandle<()>>>>,
+}
+
+impl SiteStandIn {
+    /// Creates a site with nothing in it.
+    pub fn new() -> Self {
+        Self { store: MetadataStandIn::default(), world: Rc::default(), tasks: Rc::default() }
+    }
+
+    /// Opens a door to the store and returns its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no address can be listened at.
+    pub async fn open_door(&self) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        let number = self.world.borrow().doors.len();
+        self.world.borrow_mut().doors.insert(number, Door::Open);
+        let site = self.clone();
+        self.serve(listener, move |req| {
+            let door = site.world.borrow().doors.get(&number).copied().unwrap_or_default();
+            let store = site.store.clone();
+            async move { store.handle(door, req).await.map(whole) }
+        });
+        Ok(address)
+    }
+
+    /// Says how a door behaves from now on.
+    pub fn set_door(&self, number: usize, door: Door) {
+        self.world.borrow_mut().doors.insert(number, door);
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, config: &Value) {
+        self.store.put("op/config", STANDARD.encode(config.to_string()));
+    }
+
+    /// Adds a box, or a plain endpoint, of a service and lists it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no address can be listened at.
+    pub async fn add_box(&self, id: &str, service: &'static str) -> std::io::Result<()> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let state = SiteBoxState {
+            address: listener.local_addr()?,
+            service,
+            mood: BoxMood::Well,
+            staged: None,
+            held: None,
+            highest: 0,
+            runs: Vec::new(),
+            heads: Vec::new(),
+        };
+        self.world.borrow_mut().boxes.insert(id.to_owned(), state);
+        let (site, id) = (self.clone(), id.to_owned());
+        self.tell(&id);
+        self.serve(listener, move |req| {
+            let (site, id) = (site.clone(), id.clone());
+            async move { site.answer(&id, req).await }
+        });
+        Ok(())
+    }
+
+    /// Changes what a box does.
+    pub fn set_mood(&self, id: &str, mood: BoxMood) {
+        if let Some(held) = self.world.borrow_mut().boxes.get_mut(id) {
+            held.mood = mood;
+        }
+    }
+
+    /// Takes a box out of the list.
+    pub fn unlist(&self, id: &str) {
+        self.store.remove(&format!("servers/{id}"));
+    }
+
+    /// Returns the leaders that serve and the members of each.
+    pub fn leaders(&self) -> BTreeMap<String, Vec<String>> {
+        let world = self.world.borrow();
+        let leads = |(id, held): (&String, &SiteBoxState)| {
+            let group = held.held.as_ref().filter(|group| group.state == "open")?;
+            Some((id.clone(), group.members.clone()))
+        };
+        world.boxes.iter().filter_map(leads).collect()
+    }
+
+    /// Returns who ran a request, and after which event each run began.
+    pub fn runs_of(&self, request: &str) -> Vec<(String, Option<u64>)> {
+        let world = self.world.borrow();
+        let runs = world.boxes.iter().flat_map(|(id, held)| {
+            let own = held.runs.iter().filter(|(ran, _)| ran == request);
+            own.map(|(_, after)| (id.clone(), *after))
+        });
+        runs.collect()
+    }
+
+    /// Returns the heads of requests that reached any box.
+    pub fn heads(&self) -> Vec<BTreeMap<String, String>> {
+        let world = self.world.borrow();
+        world.boxes.values().flat_map(|held| held.heads.clone()).collect()
+    }
+
+    fn serve<H, F>(&self, listener: TcpListener, handle: H)
+    where
+        H: Fn(Request<Incoming>) -> F + 'static,
+        F: Future<Output = Out> + 'static,
+    {
+        let (stop, stopped) = tokio::sync::watch::channel(false);
+        let serving = async move {
+            serve_http(listener, handle, stopped).await;
+            drop(stop);
+        };
+        self.tasks.borrow_mut().push(tokio::task::spawn_local(serving));
+    }
+
+    /// Writes what a box tells of itself.
+    fn tell(&self, id: &str) {
+        let world = self.world.borrow();
+        let Some(held) = world.boxes.get(id) else { return };
+        let group = held.held.as_ref().map(|group| {
+            let rank = group.members.iter().position(|member| member == id);
+            json!({"name": group.group, "epoch": group.epoch, "rank": rank, "state": group.state})
+        });
+        let loaded = held.held.is_some().then(|| held.staged.clone()).flatten();
+        let entry = json!({
+            "service": held.service, "address": held.address.to_string(), "zone": "z1",
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq_no": 0,
+            "domain": (held.service == "models").then_some("z1-d0"),
+            "staged": held.staged.iter().collect::<Vec<_>>(), "group": group,
+            "models": loaded.iter().map(|name| json!({"name": name})).collect::<Vec<_>>(),
+        });
+        self.store.put(&format!("servers/{id}"), STANDARD.encode(entry.to_string()));
+    }
+
+    fn mood(&self, id: &str) -> BoxMood {
+        self.world.borrow().boxes.get(id).map(|held| held.mood).unwrap_or(BoxMood::Dark)
+    }
+
+    async fn answer(&self, id: &str, req: Request<Incoming>) -> Out {
+        if self.mood(id) == BoxMood::Dark {
+            std::future::pending::<()>().await;
+        }
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/report") => plain(StatusCode::OK, "{}"),
+            (&Method::POST, "/order") => match read_json::<Value>(req).await {
+                Some(order) => self.order(id, &order),
+                None => plain(StatusCode::BAD_REQUEST, ""),
+            },
+            _ => self.run(id, req).await,
+        }
+    }
+
+    fn order(&self, id: &str, order: &Value) -> Out {
+        let status = self.follow(id, order);
+        if status == StatusCode::ACCEPTED {
+            self.tell(id);
+        }
+        plain(status, "")
+    }
+
+    fn follow(&self, id: &str, order: &Value) -> StatusCode {
+        let mut world = self.world.borrow_mut();
+        let Some(held) = world.boxes.get_mut(id) else {
+            return StatusCode::NOT_FOUND;
+        };
+        let name = order["group"].as_str().unwrap_or_default().to_owned();
+        let epoch = order["epoch"].as_u64().unwrap_or_default();
+        let model = order["model"].as_str().map(str::to_owned);
+        let in_group =
+            held.held.as_ref().is_some_and(|held| held.group == name && held.epoch == epoch);
+        match order["operation"].as_str().unwrap_or_default() {
+            "stage" => held.staged = model,
+            "join" if epoch < held.highest => return StatusCode::PRECONDITION_FAILED,
+            "join" if in_group => return StatusCode::OK,
+            "join" => {
+                let members = order["members"].as_array().cloned().unwrap_or_default();
+                let members = members.iter().filter_map(|id| id.as_str().map(str::to_owned));
+                held.staged = model;
+                held.highest = epoch;
+                let members = members.collect();
+                held.held = Some(Held { group: name, epoch, members, state: "joining" });
+                let (site, id) = (self.clone(), id.to_owned());
+                tokio::task::spawn_local(async move { site.get_ready(&id, epoch).await });
+            }
+            _ if !in_group => return StatusCode::CONFLICT,
+            "leave" => held.held = None,
+            "open" | "close" => {
+                let opens = order["operation"] == "open";
+                if let Some(group) = held.held.as_mut() {
+                    group.state = if opens { "open" } else { "ready" };
+                }
+            }
+            _ => return StatusCode::BAD_REQUEST,
+        }
+        StatusCode::ACCEPTED
+    }
+
+    async fn get_ready(&self, id: &str, epoch: u64) {
+        tokio::time::sleep(JOIN).await;
+        if let Some(held) = self.world.borrow_mut().boxes.get_mut(id)
+            && let Some(group) = held.held.as_mut().filter(|group| group.epoch == epoch)
+        {
+            group.state = "ready";
+        }
+        self.tell(id);
+    }
+
+    /// Tells whether the replica that a box leads has all its members.
+    fn is_whole(&self, leader: &str) -> bool {
+        let world = self.world.borrow();
+        let Some(group) = world.boxes.get(leader).and_then(|held| held.held.clone()) else {
+            return false;
+        };
+        group.members.iter().all(|id| {
+            let member = world.boxes.get(id).filter(|held| held.mood != BoxMood::Dark);
+            let held = member.and_then(|held| held.held.as_ref());
+            held.is_some_and(|held| held.group == group.group && held.epoch == group.epoch)
+        })
+    }
+
+    async fn run(&self, id: &str, req: Request<Incoming>) -> Out {
+        let head: BTreeMap<String, String> = req
+            .headers()
+            .iter()
+            .map(|(name, value)| {
+                (name.to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned())
+            })
+            .collect();
+        let request = head.get("cherrystand-request-id").cloned().unwrap_or_default();
+        let meant = head.get("cherrystand-expect-instance").is_some_and(|meant| meant == id);
+        let last: Option<u64> = head.get("last-event-id").and_then(|id| id.parse().ok());
+        let (service, leads) = {
+            let world = self.world.borrow();
+            let held = &world.boxes[id];
+            let open = held.held.as_ref().is_some_and(|group| group.state == "open");
+            (held.service, open)
+        };
+        if !meant || (service == "models" && !leads) {
+            return plain(StatusCode::MISDIRECTED_REQUEST, "");
+        }
+        // A caller whose body does not come whole has left.
+        let _ = req.into_body().collect().await;
+        if self.mood(id) == BoxMood::Sheds {
+            let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "");
+            set(&mut answer, "cherrystand-not-executed", "1");
+            return answer;
+        }
+        if let Some(held) = self.world.borrow_mut().boxes.get_mut(id) {
+            held.runs.push((request.clone(), last));
+            held.heads.push(head);
+        }
+        let mut answer = match self.mood(id) {
+            BoxMood::LosesAnswers => broken(),
+            BoxMood::Fails => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+            _ if service == "models" => self.stream(id, &request, last.map_or(0, |id| id + 1)),
+            _ => plain(StatusCode::OK, &format!("answer to {request}")),
+        };
+        set(&mut answer, "cherrystand-request-id", &request);
+        set(&mut answer, "cherrystand-response-seal", &format!("seal.{id}"));
+        answer
+    }
+
+    fn stream(&self, id: &str, request: &str, first: u64) -> Out {
+        let (site, id, request) = (self.clone(), id.to_owned(), request.to_owned());
+        let events = stream::unfold(first, move |number| {
+            let (site, id, request) = (site.clone(), id.clone(), request.clone());
+            async move {
+                if number >= EVENTS {
+                    return None;
+                }
+                tokio::time::sleep(EVENT_EVERY).await;
+                while !site.is_whole(&id) {
+                    tokio::time::sleep(EVENT_EVERY).await;
+                }
+                let event = Bytes::from(format!("id: {number}\ndata: {request} {number}\n\n"));
+                Some((Ok::<_, std::io::Error>(Frame::data(event)), number + 1))
+            }
+        });
+        let mut answer = Response::new(Box::pin(StreamBody::new(events)) as OutBody);
+        set(&mut answer, "content-type", "text/event-stream");
+        answer
+    }
+}
+
+impl Default for SiteStandIn {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn whole(body: Full<Bytes>) -> OutBody {
+    Box::pin(body.map_err(|never| match never {}))
+}
+
+fn plain(status: StatusCode, text: &str) -> Out {
+    let mut answer = Response::new(whole(Full::new(Bytes::from(text.to_owned()))));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Makes an answer whose body breaks off at once.
+fn broken() -> Out {
+    let failed = stream::once(async { Err(std::io::ErrorKind::ConnectionReset.into()) });
+    Response::new(Box::pin(StreamBody::new(failed)))
+}
+
+fn set(answer: &mut Out, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        answer.headers_mut().insert(name, value);
+    }
+}
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -37,12 +37,14 @@
 
     /// Notes that the endpoint answered well.
     pub(crate) fn succeeded(&self) {
-        self.front.chooser.borrow_mut().succeeded(self.key);
+        let now = self.front.now();
+        self.front.chooser.borrow_mut().succeeded(self.key, now);
     }
 
     /// Notes that the endpoint failed the request.
     pub(crate) fn failed(&self) {
-        self.front.chooser.borrow_mut().failed(self.key);
+        let now = self.front.now();
+        self.front.chooser.borrow_mut().failed(self.key, now);
     }
 
     /// Leaves the endpoint out of the choice for a while.
--- /dev/null
+++ b/crates/cherrystandd/tests/site.rs
@@ -0,0 +1,341 @@
+//! The whole path where the platform's store holds one configuration of routes.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cherrystand_testkit::{BoxMood, Door, EVENTS, SiteStandIn};
+use hyper::StatusCode;
+use serde_json::{Value, json};
+use support::{Answer, Process, call_at, free_addresses, start_in, until};
+
+const CALL: &str = "/calls/1";
+const STREAM: &str = "/stories/1";
+
+fn config(version: u64, call_prefix: &str, keys: &[&str]) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({"name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
+            "timeout_ms": 6000, "latency_goal_ms": 300, "max_attempts": 2, "service": service,
+            "resumable": kind == "streaming", "gap_target_ms": 300})
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("story", "/stories/", "streaming", "models"),
+            route("call", call_prefix, "non_idempotent", "app"),
+            route("look", "/looks/", "idempotent", "app"),
+        ],
+        "services": [
+            {"name": "models", "engine": {"slots": 8, "stride": 2, "step_ms": 10.0, "chunk": 64,
+                "read_per_s": 100000.0, "loads_per_s": 1000.0, "loads_at_once": 9, "form_ms": 0.0,
+                "usual": {"prompt": 100, "answer": 80},
+                "models": [{"name": "m", "size": 2, "share": 1.0, "pace": 1.0, "load_s": 0.1,
+                    "warm_s": 0.1}]}},
+            {"name": "app"}],
+        "limits": {"max_body_bytes": 2000},
+        "tenants": [{"name": "families", "api_keys": keys}],
+    })
+}
+
+struct Node {
+    process: Process,
+    callers: SocketAddr,
+    ready: SocketAddr,
+}
+
+struct Site {
+    site: SiteStandIn,
+    nodes: Vec<Node>,
+}
+
+impl Site {
+    /// Starts daemons before a site of five model boxes and two plain endpoints.
+    async fn start(daemons: usize) -> Self {
+        let site = SiteStandIn::new();
+        let all = free_addresses(daemons * 4);
+        let mut nodes = Vec::new();
+        for (number, own) in all.chunks(4).enumerate() {
+            let door = site.open_door().await.expect("a door");
+            nodes.push(start_node(number, own, all[3], door));
+        }
+        for id in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
+            site.add_box(id, "models").await.expect("a box");
+        }
+        for id in ["a-1", "a-2"] {
+            site.add_box(id, "app").await.expect("an endpoint");
+        }
+        Self { site, nodes }
+    }
+
+    /// Puts a configuration in force and waits until everything serves.
+    async fn serving(daemons: usize) -> Self {
+        let site = Self::start(daemons).await;
+        site.site.configure(&config(1, "/calls/", &["k1"]));
+        until("two replicas serve", async || site.site.leaders().len() == 2).await;
+        for node in &site.nodes {
+            until("a node is ready", async || is_ready(node).await).await;
+            until("a node serves", async || {
+                call(node, "GET", STREAM, "warm", "k1").await.status == StatusCode::OK
+            })
+            .await;
+        }
+        site
+    }
+}
+
+fn start_node(number: usize, own: &[SocketAddr], seed: SocketAddr, store: SocketAddr) -> Node {
+    let settings = format!(
+        "node = \"n{number}\"\nzone = \"z1\"\nseeds = [\"{seed}\"]\n[listen]\ncallers = \"{}\"\n\
+         operators = \"{}\"\npeers = \"{}\"\n[platform]\naddress = \"{store}\"\n[stop]\n\
+         linger_ms = 300\n[site]\nready = \"{}\"\nfirst_start = true\ngrace_ms = 8000\n\
+         retry_ratio = 0.2\nretry_slack = 136.0\nretry_window_s = 10\n",
+        own[0], own[1], own[3], own[2]
+    );
+    let process = start_in("cherrystandd", &settings, own[0]);
+    Node { process, callers: own[0], ready: own[2] }
+}
+
+async fn is_ready(node: &Node) -> bool {
+    call_at(node.ready, "GET", "/ready", &[], "").await.status == StatusCode::OK
+}
+
+async fn call(node: &Node, method: &str, path: &str, id: &str, key: &str) -> Answer {
+    send(node, method, path, id, &[("authorization", &format!("Bearer {key}"))], "body").await
+}
+
+async fn send(
+    node: &Node,
+    method: &str,
+    path: &str,
+    id: &str,
+    more: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let mut headers = vec![
+        ("host", "site.example"),
+        ("cherrystand-request-id", id),
+        ("cherrystand-deadline-ms", "5000"),
+        ("cherrystand-model", "m"),
+        ("cherrystand-token-usage", "100,80"),
+        ("cherrystand-tenant", "forged"),
+    ];
+    headers.extend(more);
+    call_at(node.callers, method, path, &headers, body).await
+}
+
+fn whole_stream(id: &str) -> String {
+    (0..EVENTS).map(|number| format!("id: {number}\ndata: {id} {number}\n\n")).collect()
+}
+
+#[test]
+fn requests_are_served_whole_by_route_key_and_model() {
+    support::run(async {
+        let site = Site::start(1).await;
+        let node = &site.nodes[0];
+        until("it listens", async || {
+            call_at(node.ready, "GET", "/ready", &[], "").await.status != StatusCode::BAD_GATEWAY
+        })
+        .await;
+        assert!(!is_ready(node).await);
+        // A node that knows no configuration says so, and when to come back.
+        let early = call(node, "POST", CALL, "early", "k1").await;
+        assert_eq!(early.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(!early.header("retry-after").is_empty());
+        site.site.configure(&config(1, "/calls/", &["k1"]));
+        until("it is ready", async || is_ready(node).await).await;
+        until("two replicas serve", async || site.site.leaders().len() == 2).await;
+        until("models answer", async || {
+            call(node, "GET", STREAM, "warm", "k1").await.status == StatusCode::OK
+        })
+        .await;
+        let story = call(node, "POST", STREAM, "s1", "k1").await;
+        assert_eq!((story.status, story.text()), (StatusCode::OK, whole_stream("s1")));
+        assert!(story.header("cherrystand-response-seal").starts_with("seal."));
+        let answer = call(node, "POST", CALL, "c1", "k1").await;
+        assert_eq!((answer.status, answer.text().as_str()), (StatusCode::OK, "answer to c1"));
+        for (path, key, status) in
+            [(CALL, "k2", StatusCode::UNAUTHORIZED), ("/elsewhere", "k1", StatusCode::NOT_FOUND)]
+        {
+            assert_eq!(call(node, "POST", path, "x", key).await.status, status, "{path} {key}");
+        }
+        let bearer = [("authorization", "Bearer k1")];
+        let large = send(node, "POST", CALL, "l1", &bearer, &"x".repeat(3_000)).await;
+        assert_eq!(large.status, StatusCode::PAYLOAD_TOO_LARGE);
+        assert!(site.site.runs_of("l1").is_empty() && site.site.runs_of("x").is_empty());
+        for head in site.site.heads() {
+            assert!(!head.contains_key("authorization"), "the key was handed on");
+            assert_eq!(head["cherrystand-tenant"], "families");
+            assert!(head["cherrystand-deadline-ms"].parse::<u64>().expect("a number") <= 5_000);
+        }
+    });
+}
+
+#[test]
+fn a_stream_goes_on_elsewhere_when_a_member_goes_dark_and_the_replica_is_mended() {
+    support::run(async {
+        let site = Site::serving(1).await;
+        let node = &site.nodes[0];
+        let streams = async {
+            let all = (0..6).map(|number| {
+                let id = format!("s{number}");
+                async move { (call(node, "POST", STREAM, &id, "k1").await, id) }
+            });
+            futures_util::future::join_all(all).await
+        };
+        let strike = async {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            let (_, members) = site.site.leaders().pop_first().expect("a leader");
+            site.site.set_mood(&members[1], BoxMood::Dark);
+        };
+        let (answers, ()) = tokio::join!(streams, strike);
+        let mut moved = 0;
+        for (answer, id) in answers {
+            assert_eq!((answer.status, answer.text()), (StatusCode::OK, whole_stream(&id)));
+            let runs = site.site.runs_of(&id);
+            assert!(runs.len() <= 2, "{id} ran {runs:?}");
+            moved += runs.len() - 1;
+        }
+        assert!(moved > 0, "no stream was at the replica that stood still");
+        // The spare takes the dark member's place.
+        until("both replicas serve", async || {
+            let leaders = site.site.leaders();
+            leaders.len() == 2
+                && leaders.values().any(|members| members.contains(&"i-5".to_owned()))
+        })
+        .await;
+    });
+}
+
+#[test]
+fn what_may_run_once_is_sent_again_only_if_it_was_not_run() {
+    struct Case {
+        name: &'static str,
+        mood: BoxMood,
+        path: &'static str,
+        status: StatusCode,
+        runs: usize,
+    }
+    let cases = [
+        Case { name: "shed", mood: BoxMood::Sheds, path: CALL, status: StatusCode::OK, runs: 1 },
+        Case {
+            name: "lost",
+            mood: BoxMood::LosesAnswers,
+            path: CALL,
+            status: StatusCode::BAD_GATEWAY,
+            runs: 1,
+        },
+        Case {
+            name: "lost, repeatable",
+            mood: BoxMood::LosesAnswers,
+            path: "/looks/1",
+            status: StatusCode::OK,
+            runs: 2,
+        },
+        Case {
+            name: "failed",
+            mood: BoxMood::Fails,
+            path: CALL,
+            status: StatusCode::INTERNAL_SERVER_ERROR,
+            runs: 1,
+        },
+        Case {
+            name: "failed, repeatable",
+            mood: BoxMood::Fails,
+            path: "/looks/1",
+            status: StatusCode::OK,
+            runs: 2,
+        },
+    ];
+    support::run(async {
+        for (number, case) in cases.iter().enumerate() {
+            // Endpoints that failed are left out for a while, so each case has a site of its own.
+            let site = Site::serving(1).await;
+            let node = &site.nodes[0];
+            site.site.set_mood("a-1", case.mood);
+            // Enough of them that some meet the endpoint with the mood.
+            let mut met = false;
+            for attempt in 0..12 {
+                let id = format!("r{number}-{attempt}");
+                let answer = call(node, "POST", case.path, &id, "k1").await;
+                let runs = site.site.runs_of(&id);
+                assert!(runs.len() <= 2, "{}: {runs:?}", case.name);
+                let hit = match case.mood {
+                    BoxMood::Sheds => true,
+                    _ => runs.iter().any(|(id, _)| id == "a-1"),
+                };
+                if hit && !met {
+                    met = true;
+                    assert_eq!(
+                        (answer.status, runs.len()),
+                        (case.status, case.runs),
+                        "{}",
+                        case.name
+                    );
+                }
+            }
+            assert!(met, "{}: no request met the endpoint", case.name);
+        }
+    });
+}
+
+#[test]
+fn a_configuration_reaches_a_node_that_the_store_turns_away_through_its_peers() {
+    support::run(async {
+        let site = Site::serving(2).await;
+        site.site.set_door(1, Door::Busy);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        site.site.configure(&config(2, "/moved/", &["k2"]));
+        for node in &site.nodes {
+            until("the new key is in force", async || {
+                call(node, "POST", "/moved/1", "m", "k2").await.status == StatusCode::OK
+            })
+            .await;
+            assert_eq!(
+                call(node, "POST", "/moved/1", "m", "k1").await.status,
+                StatusCode::UNAUTHORIZED
+            );
+            assert_eq!(call(node, "POST", CALL, "m", "k2").await.status, StatusCode::NOT_FOUND);
+        }
+    });
+}
+
+#[test]
+fn nodes_serve_on_while_the_store_is_out_and_after_it_forgot_its_history() {
+    support::run(async {
+        let site = Site::serving(1).await;
+        let node = &site.nodes[0];
+        site.site.set_door(0, Door::Silent);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(call(node, "POST", STREAM, "s1", "k1").await.text(), whole_stream("s1"));
+        assert!(is_ready(node).await);
+        site.site.store.forget();
+        site.site.configure(&config(2, "/moved/", &["k1"]));
+        site.site.set_door(0, Door::Open);
+        until("the change is in force", async || {
+            call(node, "POST", "/moved/1", "m", "k1").await.status == StatusCode::OK
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_stop_finishes_streams_and_turns_not_ready_at_once() {
+    support::run(async {
+        let mut site = Site::serving(1).await;
+        let node = &site.nodes[0];
+        let stop = async {
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            node.process.signal("TERM");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert!(!is_ready(node).await);
+        };
+        let (story, ()) = tokio::join!(call(node, "POST", STREAM, "s1", "k1"), stop);
+        assert_eq!((story.status, story.text()), (StatusCode::OK, whole_stream("s1")));
+        until("it ends", || {
+            let ended = site.nodes[0].process.has_ended();
+            async move { ended }
+        })
+        .await;
+    });
+}
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -133,7 +133,7 @@
 const PORTS: std::ops::Range<u16> = 11_000..31_000;
 
 /// Returns addresses that no other test of this process was given and that nobody listens at.
-fn free_addresses(count: usize) -> Vec<SocketAddr> {
+pub(crate) fn free_addresses(count: usize) -> Vec<SocketAddr> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let span = u32::from(PORTS.end - PORTS.start);
     let first = std::process::id() * 257;
@@ -256,11 +256,8 @@
         F: FnMut() -> B,
         B: Future<Output = bool>,
     {
-        let until = Instant::now() + PATIENCE;
-        while !is_so().await {
-            assert!(Instant::now() < until, "gave up waiting until {what}; see {:?}", self.dir);
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
+        let at = format!("{what}; see {:?}", self.dir);
+        until(&at, &mut is_so).await;
     }
 
     pub(crate) async fn is_ready(&self, daemon: SocketAddr) -> bool {
@@ -424,3 +421,52 @@
         peers: own[2],
     }
 }
+
+/// Waits until something is so.
+pub(crate) async fn until<F, B>(what: &str, mut is_so: F)
+where
+    F: FnMut() -> B,
+    B: Future<Output = bool>,
+{
+    let until = Instant::now() + PATIENCE;
+    while !is_so().await {
+        assert!(Instant::now() < until, "gave up waiting until {what}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Starts a program with settings of its own.
+pub(crate) fn start_in(name: &str, settings: &str, address: SocketAddr) -> Process {
+    let dir = std::env::temp_dir().join(format!("cherrystand-test-{}", address.port()));
+    std::fs::create_dir_all(&dir).expect("a directory");
+    let file = dir.join("settings.toml");
+    std::fs::write(&file, settings).expect("a file");
+    let file = file.display().to_string();
+    start(name, &["--settings", &file], address, &dir.join("log"))
+}
+
+/// Sends a request over a connection of its own and reads the whole answer; one that cannot be
+/// read counts as a bad gateway.
+pub(crate) async fn call_at(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Answer {
+    let mut req = Request::builder().method(method).uri(path);
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req.body(Full::new(Bytes::from(body.to_owned()))).expect("a request");
+    let none =
+        Answer { status: StatusCode::BAD_GATEWAY, headers: HeaderMap::new(), body: Bytes::new() };
+    let Ok(answer) = HttpPool::default().send(to, req, Duration::from_secs(1)).await else {
+        return none;
+    };
+    let (head, body) = answer.into_parts();
+    match body.collect().await {
+        Ok(body) => Answer { status: head.status, headers: head.headers, body: body.to_bytes() },
+        Err(_) => none,
+    }
+}
