--- a/crates/cherrystandd/src/settings.rs
+++ b/crates/cherrystandd/src/settings.rs
@@ -249,7 +249,8 @@
         check_word("zone", self.zone.as_str())?;
         self.check_addresses()?;
         self.check_limits()?;
-        self.check_repair()
+        self.check_repair()?;
+        self.check_site()
     }
 
     fn check_addresses(&self) -> Result<(), SettingsError> {
@@ -267,6 +268,32 @@
         Ok(())
     }
 
+    fn check_site(&self) -> Result<(), SettingsError> {
+        let Some(site) = &self.site else {
+            return Ok(());
+        };
+        let ratio = site.retry_ratio;
+        if !(0.0..=1.0).contains(&ratio) {
+            return Err(impossible("retry_ratio", ratio, "0 to 1"));
+        }
+        let slack = site.retry_slack;
+        if !slack.is_finite() || slack < 0.0 {
+            return Err(impossible("retry_slack", slack, "a number, 0 or more"));
+        }
+        if site.retry_window_s == 0 {
+            return Err(impossible("retry_window_s", 0, "a whole number, 1 or more"));
+        }
+        if site.grace_ms <= self.stop.linger_ms {
+            return Err(SettingsError::new(
+                SettingsErrorKind::Clash,
+                "grace_ms",
+                site.grace_ms,
+                "more than `stop.linger_ms`",
+            ));
+        }
+        Ok(())
+    }
+
     fn check_limits(&self) -> Result<(), SettingsError> {
         let limits = &self.limits;
         if limits.requests == 0 {
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -187,6 +187,7 @@
     /// Notes that the store failed this node.
     pub(crate) fn store_failed(&self) {
         self.store_fails.set(true);
+        self.known.borrow_mut().store_failed();
         self.wake.notify_one();
     }
 
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -14,6 +14,16 @@
 /// For how long a box that is listed no more is remembered.
 const DEPARTED_FOR: Millis = Millis(12_000);
 
+/// After this time without an answer the store counts as having been out; a watch that waits is
+/// answered sooner.
+const OUTAGE: Millis = Millis(2_800);
+
+/// For how long after an outage a box that is listed no more is kept.
+///
+/// Entries run out while the store is out, though their boxes serve on, and come back within a
+/// few heartbeats.
+const KEPT_AFTER_OUTAGE: Millis = Millis(4_000);
+
 /// For how long a box counts as silent after it did not answer.
 const SILENT_FOR: Millis = Millis(6_000);
 
@@ -37,8 +47,16 @@
     silent: BTreeMap<BoxId, Millis>,
     ended: BTreeSet<(String, Epoch)>,
     listed: bool,
+    /// Whether the store did not answer the last call.
+    outage: bool,
     /// When a box last came that was not known.
     grew: Millis,
+    /// When the store last answered.
+    answered: Option<Millis>,
+    /// Until when boxes that are listed no more are kept.
+    keeps_until: Millis,
+    /// Boxes that are kept though they are listed no more.
+    unlisted: BTreeSet<BoxId>,
     /// The revision up to which the entries are known.
     revision: Revision,
 }
@@ -72,12 +90,13 @@
 
     /// Takes in what changed in the store.
     pub(crate) fn take_changes(&mut self, changes: &Changes, now: Millis) {
+        self.store_answered(now);
         for record in &changes.records {
             self.take_record(record, now);
         }
         for key in &changes.gone {
             if let Some(id) = key.strip_prefix(Driver::BOXES) {
-                self.take_departure(&BoxId::new(id), now);
+                self.unlist(BoxId::new(id), now);
             }
         }
         self.revision = self.revision.max(changes.revision);
@@ -85,6 +104,7 @@
 
     /// Takes in all boxes that are listed now.
     pub(crate) fn take_list(&mut self, list: &[Document], revision: Revision, now: Millis) {
+        self.store_answered(now);
         let there: BTreeSet<&str> = list.iter().map(|entry| entry.key.as_ref()).collect();
         let gone: Vec<BoxId> = self
             .boxes
@@ -93,7 +113,7 @@
             .cloned()
             .collect();
         for id in gone {
-            self.take_departure(&id, now);
+            self.unlist(id, now);
         }
         for entry in list {
             self.take_record(entry, now);
@@ -120,6 +140,7 @@
                     return;
                 }
                 self.departed.remove(&known.id);
+                self.unlisted.remove(&known.id);
                 if !self.boxes.contains_key(&known.id) {
                     self.grew = now;
                 }
@@ -130,6 +151,29 @@
         }
     }
 
+    fn store_answered(&mut self, now: Millis) {
+        let late = self.answered.is_some_and(|answered| now.since(answered) > OUTAGE);
+        if late || self.outage {
+            self.keeps_until = now + KEPT_AFTER_OUTAGE;
+        }
+        self.outage = false;
+        self.answered = Some(now);
+    }
+
+    /// Notes that the store does not answer.
+    pub(crate) fn store_failed(&mut self) {
+        self.outage = true;
+    }
+
+    /// Takes a box out, or keeps it for a while where the store may only have lost its entry.
+    fn unlist(&mut self, id: BoxId, now: Millis) {
+        if now < self.keeps_until && self.boxes.contains_key(&id) {
+            self.unlisted.insert(id);
+        } else {
+            self.take_departure(&id, now);
+        }
+    }
+
     fn take_departure(&mut self, id: &BoxId, now: Millis) {
         self.entries.remove(id);
         self.silent.remove(id);
@@ -175,6 +219,11 @@
 
     /// Forgets what is too old.
     pub(crate) fn forget(&mut self, now: Millis) {
+        if now >= self.keeps_until {
+            for id in std::mem::take(&mut self.unlisted) {
+                self.take_departure(&id, now);
+            }
+        }
         self.departed.retain(|_, gone| now.since(gone.at) < DEPARTED_FOR);
         self.silent.retain(|_, since| now.since(*since) < SILENT_FOR);
     }
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -11,7 +11,7 @@
 use crate::site::control::Control;
 
 /// How long one watch waits for a change.
-const WATCH_FOR: Duration = Duration::from_millis(10_000);
+const WATCH_FOR: Duration = Duration::from_millis(2_500);
 
 /// The least time between two watches; changes that come faster arrive together.
 const LEAST_BETWEEN: Duration = Duration::from_millis(60);
--- a/crates/cherrystandd/tests/settings.rs
+++ b/crates/cherrystandd/tests/settings.rs
@@ -7,6 +7,10 @@
 const SOUND: &str = "node = \"n\"\nzone = \"z\"\n[listen]\ncallers = \"127.0.0.1:1\"\n\
     operators = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n[platform]\naddress = \"127.0.0.1:4\"\n";
 
+fn site(more: &str) -> String {
+    format!("{SOUND}[site]\ngrace_ms = 8000\nretry_slack = 136.0\nretry_window_s = 10\n{more}\n")
+}
+
 #[test]
 fn faults_name_the_line_the_key_and_what_is_allowed() {
     let cases = [
@@ -24,6 +28,11 @@
         format!("{SOUND}[repair]\nrestart_share = 1.5\n"),
         format!("{SOUND}[repair]\nprobe_ms = 5000\n"),
         format!("{SOUND}[stop]\nlinger_ms = \"long\"\n"),
+        site(""),
+        site("ready = \"ready.example\""),
+        site("ready = \"127.0.0.1:5\"\nretry_ratio = 2.0"),
+        site("ready = \"127.0.0.1:5\"\nretry_ratio = 0.2\nlinger = 1"),
+        site("ready = \"127.0.0.1:5\"\nretry_ratio = 0.2").replace("8000", "5000"),
     ];
     let rendered: Vec<String> =
         cases.iter().map(|text| Settings::from_toml(text).expect_err(text).to_string()).collect();
@@ -75,13 +84,14 @@
         ("limits.", format!("{SOUND}[limits]\n{unknown}")),
         ("repair.", format!("{SOUND}[repair]\n{unknown}")),
         ("stop.", format!("{SOUND}[stop]\n{unknown}")),
+        ("site.", format!("{SOUND}[site]\n{unknown}")),
     ];
     let mut keys: Vec<String> = Vec::new();
     for (table, text) in tables {
         let err = Settings::from_toml(&text).expect_err("an unknown key").to_string();
         keys.extend(expected_keys(&err).into_iter().map(|key| format!("{table}{key}")));
     }
-    let sections = ["listen", "platform", "limits", "repair", "stop"];
+    let sections = ["listen", "platform", "limits", "repair", "stop", "site"];
     keys.retain(|key| !sections.contains(&key.as_str()));
     assert_eq!(sorted(documented(daemon)), sorted(keys));
 
