--- a/crates/cherrystand_core/src/site/homes.rs
+++ b/crates/cherrystand_core/src/site/homes.rs
@@ -44,7 +44,9 @@
         };
         // Of two that are served alike, the one with the larger share.
         let order = |model: &&ModelSpec| (served(model), -model.share);
-        let models = engine.models.iter();
+        // A domain is for no model that it cannot hold.
+        let held = domains[domain].len();
+        let models = engine.models.iter().filter(|model| span_of(model) <= held);
         let least =
             models.min_by(|a, b| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal));
         homes.extend(least.map(|model| (domain.clone(), model.name.clone())));
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -363,6 +363,11 @@
             domains: &[(9, &["small"]), (9, &[])],
             homes: &["small", "large"],
         },
+        Case {
+            name: "a model that only some domains can hold",
+            domains: &[(3, &[]), (3, &[]), (4, &[])],
+            homes: &["small", "small", "large"],
+        },
         Case { name: "fewer domains than models", domains: &[(9, &[])], homes: &[] },
     ];
     for case in cases {
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Lists a box again as it is.
+    pub fn list(&self, id: &str) {
+        self.tell(id);
+    }
+
     /// Takes a box out of the list.
     pub fn unlist(&self, id: &str) {
         self.store.remove(&format!("servers/{id}"));
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -319,6 +319,30 @@
     });
 }
 
+#[test]
+fn replicas_outlive_entries_that_run_out_while_the_store_is_out() {
+    support::run(async {
+        let site = Site::serving(1).await;
+        let node = &site.nodes[0];
+        let before = site.site.leaders();
+        site.site.set_door(0, Door::Silent);
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        let all = ["i-1", "i-2", "i-3", "i-4", "i-5", "a-1", "a-2"];
+        for id in all {
+            site.site.unlist(id);
+        }
+        site.site.set_door(0, Door::Open);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(call(node, "POST", STREAM, "s1", "k1").await.text(), whole_stream("s1"));
+        for id in all {
+            site.site.list(id);
+        }
+        tokio::time::sleep(Duration::from_millis(4_500)).await;
+        assert_eq!(site.site.leaders(), before);
+        assert_eq!(call(node, "POST", CALL, "c1", "k1").await.status, StatusCode::OK);
+    });
+}
+
 #[test]
 fn a_stop_finishes_streams_and_turns_not_ready_at_once() {
     support::run(async {
