perf: boxes travel only while a peer wants them, loads to a few peers at a time

Change: the list of boxes is offered only while a peer says that the store fails it; loads go to twelve peers at a time in turn, urgent news to all.

--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -162,7 +162,9 @@
             }
         }
         let due = now.since(self.passed_on.get()) >= PASS_ON_EVERY;
-        let documents = known.to_pass_on();
+        // The boxes change all the time; they travel only while some peer cannot read the store.
+        let wanted = view.alive().any(|beat| !beat.decides);
+        let documents = known.to_pass_on(wanted);
         drop(known);
         let config = documents.iter().find(|document| &*document.key == keys::SITE_CONFIG);
         let config = config.map(|document| document.revision).unwrap_or_default();
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -300,23 +300,24 @@
         self.revision
     }
 
-    /// Returns the copies that peers are to have.
-    pub(crate) fn to_pass_on(&self) -> Vec<Document> {
+    /// Returns the copies that peers are to have, the boxes only where some want them.
+    pub(crate) fn to_pass_on(&self, with_boxes: bool) -> Vec<Document> {
         let config = self.config.iter().map(|held| Document {
             key: Arc::from(keys::SITE_CONFIG),
             revision: held.revision,
             body: held.body.clone(),
         });
-        let entries: Vec<&Document> = self.entries.values().collect();
-        let body = serde_json::to_string(&entries).ok().filter(|_| self.listed);
-        let boxes = body.map(|body| Document {
-            key: Arc::from(keys::SITE_BOXES),
-            revision: self.revision,
-            body: Arc::from(body),
-        });
+        let boxes = (with_boxes && self.listed).then(|| self.boxes_document()).flatten();
         config.chain(boxes).collect()
     }
 
+    fn boxes_document(&self) -> Option<Document> {
+        let entries: Vec<&Document> = self.entries.values().collect();
+        let body = serde_json::to_string(&entries).ok()?;
+        let key = Arc::from(keys::SITE_BOXES);
+        Some(Document { key, revision: self.revision, body: Arc::from(body) })
+    }
+
     /// Returns all of it as one value.
     pub(crate) fn view(&self, nodes: usize) -> SiteView {
         SiteView {
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -18,7 +18,10 @@
 /// The time between two tellings while requests are in flight.
 const TELL_EVERY: Duration = Duration::from_millis(200);
 
-/// For how long what a peer told counts.
+/// How many peers are told at a time, in turn; among more, each is told less often.
+const TOLD_AT_ONCE: usize = 12;
+
+/// For how long what a peer told counts, where all are told at a time.
 const NEWS_LIFE: Millis = Millis(1_000);
 
 /// Within this time peers answer what they were asked.
@@ -80,7 +83,8 @@
     /// Sums what peers have in flight, by endpoint.
     fn sums(&self, now: Millis) -> BTreeMap<BoxId, EngineLoad> {
         let mut heard = self.heard.borrow_mut();
-        heard.retain(|_, (at, _)| now.since(*at) < NEWS_LIFE);
+        let life = Millis(NEWS_LIFE.0 * heard.len().div_ceil(TOLD_AT_ONCE).max(1) as u64);
+        heard.retain(|_, (at, _)| now.since(*at) < life);
         let mut sums: BTreeMap<BoxId, EngineLoad> = BTreeMap::new();
         for load in heard.values().flat_map(|(_, loads)| loads) {
             let sum = sums.entry(load.id.clone()).or_default();
@@ -134,7 +138,7 @@
 }
 
 async fn tell(front: &Rc<Front>, cx: &DutyContext, socket: &UdpSocket) {
-    let mut told_any = false;
+    let (mut told_any, mut turn) = (false, 0);
     loop {
         // Woken early or not, there is something to tell or it is time to.
         let _ = tokio::time::timeout(TELL_EVERY, front.loads.urgent.notified()).await;
@@ -147,7 +151,8 @@
         told_any = !loads.is_empty();
         let news = LoadNews { from: cx.settings.node.clone(), loads, asked, stalled };
         let Ok(bytes) = encode(&news) else { continue };
-        for peer in peers(cx) {
+        let urgent = !news.asked.is_empty() || !news.stalled.is_empty();
+        for peer in told_now(&peers(cx), &mut turn, urgent) {
             // One that is lost is made up for by the next.
             let _ = socket.send_to(&bytes, peer).await;
             cx.metrics.peer_bytes.with_label_values(&["out"]).inc_by(bytes.len() as u64);
@@ -167,6 +172,16 @@
     own.collect()
 }
 
+/// Returns the peers that are told this time: all where it is urgent, else the next few in turn.
+fn told_now(peers: &[SocketAddr], turn: &mut usize, urgent: bool) -> Vec<SocketAddr> {
+    if urgent || peers.len() <= TOLD_AT_ONCE {
+        return peers.to_vec();
+    }
+    let first = *turn % peers.len();
+    *turn = first + TOLD_AT_ONCE;
+    peers.iter().cycle().skip(first).take(TOLD_AT_ONCE).copied().collect()
+}
+
 fn peers(cx: &DutyContext) -> Vec<SocketAddr> {
     let view = cx.view.borrow();
     let others = view.alive().filter(|beat| beat.node != view.own.node);
