refactor: the domain's draft apart from its formation, one check of store answers

Twins made one: the check of a store's status, the tests' engine. Closings, ends of replicas and asked boxes are forgotten in time.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -67,6 +67,7 @@
 
 mod site {
     pub(crate) mod chooser;
+    pub(crate) mod domain_draft;
     pub(crate) mod engine_spec;
     pub(crate) mod event_cutter;
     pub(crate) mod formation;
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -10,10 +10,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::site::domain_draft::{DomainDraft, Standing};
 use crate::{
-    Assignment, BoxId, DomainId, DomainRecord, EngineSpec, Epoch, GroupId, LoadSpec, MemberOrder,
-    MemberState, MemberTask, Millis, ModelSpec, Phase, ReplicaId, ServiceName, SiteBox,
-    WorkspaceId,
+    Assignment, BoxId, DomainId, DomainRecord, EngineSpec, Epoch, MemberOrder, MemberState,
+    MemberTask, Millis, ModelSpec, ReplicaId, ServiceName, SiteBox,
 };
 
 /// How many times its usual time a load to the host may take before it is ordered again.
@@ -22,6 +22,9 @@
 /// After this time without effect an order is sent again.
 const ORDER_AGAIN: Millis = Millis(1_200);
 
+/// For how long it is remembered since when a replica closes.
+const CLOSING_KNOWN_FOR: Millis = Millis(60_000);
+
 /// How long a leader may finish what it has before it is made to leave.
 const CLOSE_WITHIN: Millis = Millis(8_000);
 
@@ -88,7 +91,7 @@
     /// Decides what to write and order now.
     pub fn step(&mut self, at: FormationInput<'_>) -> FormationStep {
         self.sent.retain(|_, sent| at.now.since(sent.at) < ORDER_AGAIN);
-        let mut draft = Draft::new(at);
+        let mut draft = DomainDraft::new(at);
         let replicas: Vec<ReplicaId> = at.record.replicas.keys().cloned().collect();
         for replica in &replicas {
             self.advance(&mut draft, replica);
@@ -98,6 +101,7 @@
         let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
         self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
         draft.stage_spares(&self.staging);
+        self.closing.retain(|_, began| at.now.since(*began) < CLOSING_KNOWN_FOR);
         self.finish(draft)
     }
 
@@ -111,7 +115,7 @@
         self.staging.insert(target.clone(), now);
     }
 
-    fn advance(&mut self, draft: &mut Draft<'_>, replica: &ReplicaId) {
+    fn advance(&mut self, draft: &mut DomainDraft<'_>, replica: &ReplicaId) {
         let Some(held) = draft.at.record.replicas.get(replica).cloned() else {
             return;
         };
@@ -134,7 +138,7 @@
     /// Empties a replica that loses a member as planned, then mends it.
     fn close(
         &mut self,
-        draft: &mut Draft<'_>,
+        draft: &mut DomainDraft<'_>,
         replica: &ReplicaId,
         name: &str,
         held: &Assignment,
@@ -155,7 +159,7 @@
         }
     }
 
-    fn finish(&mut self, draft: Draft<'_>) -> FormationStep {
+    fn finish(&mut self, draft: DomainDraft<'_>) -> FormationStep {
         let now = draft.at.now;
         let mut step = FormationStep { reasons: draft.reasons, ..FormationStep::default() };
         if draft.changed && draft.next.check().is_ok() {
@@ -184,360 +188,3 @@
 pub fn replica_name(domain: &DomainId, replica: &ReplicaId) -> String {
     format!("{domain}.{}.{}", replica.group.name, replica.slot)
 }
-
-/// Says how a replica stands.
-enum Standing {
-    /// It serves.
-    Whole,
-    /// It is on its way to serve.
-    Joining,
-    /// A member will leave as planned.
-    Leaving,
-    /// It cannot serve, or serves no more.
-    Apart(&'static str),
-}
-
-struct Draft<'a> {
-    at: FormationInput<'a>,
-    next: DomainRecord,
-    changed: bool,
-    orders: Vec<(MemberOrder, bool)>,
-    reasons: Vec<String>,
-    /// Boxes that this step ordered something already.
-    ordered: BTreeSet<BoxId>,
-}
-
-impl<'a> Draft<'a> {
-    fn new(at: FormationInput<'a>) -> Self {
-        let mut next = at.record.clone();
-        let told = at.boxes.iter().filter_map(|known| known.member.as_ref());
-        let highest = told.map(|member| member.epoch).max().unwrap_or_default();
-        next.last_epoch = next.last_epoch.max(highest);
-        Self {
-            at,
-            next,
-            changed: false,
-            orders: Vec::new(),
-            reasons: Vec::new(),
-            ordered: BTreeSet::new(),
-        }
-    }
-
-    fn find(&self, id: &BoxId) -> Option<&'a SiteBox> {
-        self.at.boxes.iter().copied().find(|known| &known.id == id)
-    }
-
-    /// Returns a box that is listed and not silent.
-    fn alive(&self, id: &BoxId) -> Option<&'a SiteBox> {
-        self.find(id).filter(|known| !self.at.silent.contains(&known.id))
-    }
-
-    /// Returns the leader of a replica under an epoch, as far as it is listed or was lately.
-    fn leader_of(&self, name: &str, epoch: Epoch) -> Option<&'a SiteBox> {
-        let leads = |known: &&&SiteBox| {
-            let member = known.member.as_ref();
-            known.is_in(name, epoch) && member.is_some_and(|member| member.rank == 0)
-        };
-        let all = self.at.boxes.iter().chain(self.at.departed);
-        all.copied().find(|known| leads(&known))
-    }
-
-    fn standing(&self, name: &str, held: &Assignment) -> Standing {
-        let members: Vec<_> = held.boxes.iter().map(|id| self.alive(id)).collect();
-        if members.iter().any(Option::is_none) {
-            return Standing::Apart("a member is lost");
-        }
-        let members: Vec<&SiteBox> = members.into_iter().flatten().collect();
-        let leader = members[0];
-        let state = leader.member.as_ref().filter(|_| leader.is_in(name, held.epoch));
-        let state = state.map(|member| member.state);
-        if state == Some(MemberState::Broken) {
-            return Standing::Apart("its leader says that it came apart");
-        }
-        let serves = matches!(state, Some(MemberState::Open | MemberState::Closing));
-        let all_in = members.iter().all(|member| member.is_in(name, held.epoch));
-        if serves && !all_in {
-            return Standing::Apart("a member belongs to it no more");
-        }
-        if members.iter().any(|member| member.leaving) {
-            return Standing::Leaving;
-        }
-        match state {
-            Some(MemberState::Open) => Standing::Whole,
-            // Nobody here wants it closed: whoever began that is gone.
-            Some(MemberState::Closing) => Standing::Leaving,
-            _ => Standing::Joining,
-        }
-    }
-
-    /// Makes the leader of a replica that came apart serve no more.
-    fn end_serving(&mut self, name: &str, held: &Assignment) {
-        if let Some(leader) = self.leader_of(name, held.epoch)
-            && self.may_serve(leader)
-        {
-            self.order(leader, name, held.epoch, MemberTask::Leave);
-        }
-    }
-
-    /// Tells whether a leader may serve, now or once an order takes effect that was sent before.
-    fn may_serve(&self, leader: &SiteBox) -> bool {
-        let Some(member) = &leader.member else {
-            return false;
-        };
-        let ended = self.at.ended.contains(&(member.replica.clone(), member.epoch));
-        !ended && member.state != MemberState::Broken
-    }
-
-    /// Returns the box that has to leave its replica before `known` may join anew.
-    ///
-    /// A leader that answers is told first, and its members are free at once. One that is out of
-    /// reach may be cut off and serve on, which nobody here can tell from its end; each of its
-    /// members then leaves by itself.
-    fn held_by(&self, known: &'a SiteBox) -> Option<&'a SiteBox> {
-        let member = known.member.as_ref()?;
-        if self.at.ended.contains(&(member.replica.clone(), member.epoch)) {
-            return None;
-        }
-        match self.leader_of(&member.replica, member.epoch) {
-            Some(leader) if self.alive(&leader.id).is_some() => {
-                self.may_serve(leader).then_some(leader)
-            }
-            _ => Some(known),
-        }
-    }
-
-    fn join(&mut self, known: &'a SiteBox, name: &str, held: &Assignment, model: &ModelSpec) {
-        if let Some(holder) = self.held_by(known)
-            && let Some(member) = &holder.member
-        {
-            let (replica, epoch) = (member.replica.clone(), member.epoch);
-            return self.order(holder, &replica, epoch, MemberTask::Leave);
-        }
-        let members = held.boxes.clone();
-        let task = MemberTask::Join { model: model.name.clone(), members };
-        self.order(known, name, held.epoch, task);
-    }
-
-    fn join_or_open(&mut self, name: &str, held: &Assignment, model: &ModelSpec) {
-        let members: Vec<&'a SiteBox> = held.boxes.iter().filter_map(|id| self.alive(id)).collect();
-        let is_ready = |member: &&SiteBox| {
-            let state = member.member.as_ref().map(|member| member.state);
-            member.is_in(name, held.epoch) && state == Some(MemberState::Ready)
-        };
-        if members.iter().all(is_ready) {
-            return self.order(members[0], name, held.epoch, MemberTask::Open);
-        }
-        for member in members {
-            if !member.is_in(name, held.epoch) {
-                self.join(member, name, held, model);
-            }
-        }
-    }
-
-    /// Gives a replica that came apart its boxes anew, or gives it up.
-    fn mend(&mut self, replica: &ReplicaId, held: &Assignment, model: &ModelSpec, why: &str) {
-        let usable = |id: &&BoxId| self.alive(id).is_some_and(|known| !known.leaving);
-        let kept: Vec<BoxId> = held.boxes.iter().filter(usable).cloned().collect();
-        let missing = (model.span as usize).saturating_sub(kept.len());
-        let free = self.free_boxes(&model.name);
-        if kept.is_empty() || free.len() < missing {
-            return self.remove(replica, why);
-        }
-        let mut boxes = kept;
-        boxes.extend(free.into_iter().take(missing));
-        boxes.truncate(model.span as usize);
-        self.assign(replica.clone(), boxes, model, why);
-    }
-
-    /// Returns the boxes that belong to no replica.
-    fn free(&self) -> Vec<&'a SiteBox> {
-        let usable = |known: &&&SiteBox| {
-            !known.leaving && self.alive(&known.id).is_some() && self.next.is_free(&known.id)
-        };
-        self.at.boxes.iter().filter(usable).copied().collect()
-    }
-
-    /// Returns the free boxes that a replica of a model may be formed of, those that join soonest
-    /// first.
-    ///
-    /// A box that would have to load first is staged instead, and its domain's replicas stay free
-    /// to use the others meanwhile; only a domain that never formed any loads by joining.
-    fn free_boxes(&self, model: &str) -> Vec<BoxId> {
-        let mut free = self.free();
-        if self.at.record.last_epoch != Epoch(0) {
-            free.retain(|known| join_rank(known, model) != JoinRank::Load);
-        }
-        free.sort_by_key(|known| (join_rank(known, model), known.id.clone()));
-        free.into_iter().map(|known| known.id.clone()).collect()
-    }
-
-    fn assign(&mut self, replica: ReplicaId, boxes: Vec<BoxId>, model: &ModelSpec, why: &str) {
-        let epoch = self.next.take_epoch();
-        self.put(replica, epoch, boxes, model, why);
-    }
-
-    fn put(
-        &mut self,
-        replica: ReplicaId,
-        epoch: Epoch,
-        boxes: Vec<BoxId>,
-        model: &ModelSpec,
-        why: &str,
-    ) {
-        self.reasons
-            .push(format!("{replica} has {} boxes under epoch {epoch}: {why}", boxes.len()));
-        let load = LoadSpec {
-            model: model.name.clone(),
-            version: String::new(),
-            adapters: Vec::new(),
-            role: String::new(),
-        };
-        let assignment = Assignment { epoch, boxes, load, phase: Phase::Loading };
-        self.next.replicas.insert(replica, assignment);
-        self.changed = true;
-    }
-
-    fn remove(&mut self, replica: &ReplicaId, why: &str) {
-        self.next.replicas.remove(replica);
-        self.changed = true;
-        self.reasons.push(format!("{replica} is given up: {why}"));
-    }
-
-    /// Takes whole replicas back into the record that serve and are not in it, as after a
-    /// partition that the record took for their end.
-    fn adopt_serving(&mut self) {
-        for leader in self.free() {
-            let Some(member) = leader.member.as_ref() else {
-                continue;
-            };
-            let Some(model) = leader.loaded.first().and_then(|name| self.at.engine.model(name))
-            else {
-                continue;
-            };
-            let id = self.replica_ids(model).find(|id| {
-                replica_name(self.at.domain, id) == member.replica
-                    && !self.next.replicas.contains_key(id)
-            });
-            let epochs = self.next.replicas.values().map(|held| held.epoch);
-            let known = epochs.into_iter().any(|epoch| epoch == member.epoch);
-            let leads = member.state == MemberState::Open && member.rank == 0 && !known;
-            let Some(id) = id.filter(|_| leads) else {
-                continue;
-            };
-            let mut members: Vec<&SiteBox> = self.free();
-            members.retain(|known| known.is_in(&member.replica, member.epoch));
-            members.sort_by_key(|known| known.member.as_ref().map(|member| member.rank));
-            if members.len() == model.span as usize {
-                let boxes = members.into_iter().map(|known| known.id.clone()).collect();
-                self.put(id, member.epoch, boxes, model, "it serves and was not in the record");
-            }
-        }
-    }
-
-    /// Returns the ids that replicas of a model may have here.
-    fn replica_ids(&self, model: &ModelSpec) -> impl Iterator<Item = ReplicaId> + use<> {
-        let group = GroupId::new(WorkspaceId::new(self.at.service.as_str()), &model.name);
-        let most = self.at.boxes.len() as u32;
-        (0..=most).map(move |slot| ReplicaId::new(group.clone(), slot))
-    }
-
-    /// Forms further replicas out of free boxes.
-    fn form_missing(&mut self) {
-        while let Some(model) = self.next_model() {
-            let mut ids = self.replica_ids(&model);
-            let Some(id) = ids.find(|id| !self.next.replicas.contains_key(id)) else {
-                return;
-            };
-            let mut boxes = self.free_boxes(&model.name);
-            boxes.truncate(model.span as usize);
-            self.assign(id, boxes, &model, "the domain has boxes for it");
-        }
-    }
-
-    /// Returns the model that another replica is worth most for, if the free boxes allow one.
-    fn next_model(&self) -> Option<ModelSpec> {
-        let count = |model: &ModelSpec| {
-            let names = self.next.replicas.keys().map(|id| &id.group.name);
-            names.filter(|name| **name == model.name).count()
-        };
-        let is_home = |model: &ModelSpec| self.at.home.is_none_or(|home| home == model.name);
-        let fits = |model: &&ModelSpec| {
-            is_home(model) && self.free_boxes(&model.name).len() >= model.span as usize
-        };
-        let worth = |model: &ModelSpec| {
-            let count = count(model) as f64;
-            model.share * ((count + 2.0) / (count + 1.0)).ln()
-        };
-        let models = self.at.engine.models.iter().filter(fits);
-        models.max_by(|a, b| worth(a).total_cmp(&worth(b))).cloned()
-    }
-
-    /// Lets free boxes load a model to their hosts.
-    ///
-    /// In a domain that is for one model every box holds that one, so that any of them can take
-    /// the place of any other.
-    fn stage_spares(&mut self, staging: &BTreeMap<BoxId, Millis>) {
-        let free = self.free();
-        let staged = |model: &ModelSpec| {
-            free.iter().filter(|known| known.staged.contains(&model.name)).count()
-        };
-        let models = &self.at.engine.models;
-        let mut counts: Vec<usize> = models.iter().map(staged).collect();
-        for known in free.iter().filter(|known| !staging.contains_key(&known.id)) {
-            let home = models.iter().find(|model| Some(model.name.as_str()) == self.at.home);
-            let model = match home {
-                Some(home) if known.staged.contains(&home.name) => continue,
-                Some(home) => home,
-                None if !known.staged.is_empty() => continue,
-                None => {
-                    let least = (0..models.len()).min_by_key(|index| counts[*index]);
-                    let Some(index) = least else { return };
-                    counts[index] += 1;
-                    &models[index]
-                }
-            };
-            self.order(known, "", Epoch(0), MemberTask::Stage { model: model.name.clone() });
-        }
-    }
-
-    fn order(&mut self, known: &SiteBox, name: &str, epoch: Epoch, task: MemberTask) {
-        if !self.ordered.insert(known.id.clone()) {
-            return;
-        }
-        let is_load = match &task {
-            MemberTask::Join { model, .. } => join_rank(known, model) == JoinRank::Load,
-            MemberTask::Stage { .. } => true,
-            _ => false,
-        };
-        let order = MemberOrder {
-            target: known.id.clone(),
-            address: known.address,
-            replica: name.to_owned(),
-            epoch,
-            task,
-        };
-        self.orders.push((order, is_load));
-    }
-}
-
-/// Says how soon a box can join a model, the soonest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum JoinRank {
-    /// Its memory holds the model.
-    Loaded,
-    /// Its host holds the model.
-    Staged,
-    /// It has to load it from the weight store.
-    Load,
-}
-
-fn join_rank(known: &SiteBox, model: &str) -> JoinRank {
-    let holds = |models: &[String]| models.iter().any(|held| held == model);
-    if holds(&known.loaded) {
-        JoinRank::Loaded
-    } else if holds(&known.staged) {
-        JoinRank::Staged
-    } else {
-        JoinRank::Load
-    }
-}
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -1,47 +1,19 @@
 //! Replicas formed by orders to their members, under failures.
 
+mod support;
+
 use std::collections::BTreeSet;
 
 use cherrystand_core::{
-    BoxId, DomainRecord, EngineSpec, Epoch, Formation, FormationInput, MemberTask, Millis,
-    ModelSpec, OrderEnd, Seed, ServiceName, SiteBox,
+    BoxId, DomainRecord, Epoch, Formation, FormationInput, MemberTask, Millis, OrderEnd, Seed,
+    ServiceName, SiteBox,
 };
 use cherrystand_testkit::FakeSiteDomain;
 use proptest::prelude::*;
+use support::site_engine;
 
 const STEP: Millis = Millis(100);
 
-fn model(name: &str, span: u32, share: f64) -> ModelSpec {
-    ModelSpec {
-        name: name.to_owned(),
-        span,
-        pace: 1.0,
-        share,
-        load: Millis(16_000),
-        warm: Millis(1_600),
-    }
-}
-
-fn engine() -> EngineSpec {
-    EngineSpec {
-        slots: 26,
-        stride: 7,
-        step_ms: 6.0,
-        per_request_ms: 0.04,
-        context_ms_per_k: 0.01,
-        chunk: 2_048,
-        read_per_s: 50_000.0,
-        pairs_ms_per_m: 0.4,
-        far_factor: 2.5,
-        form: Millis(300),
-        loads_per_s: 4.5,
-        loads_at_once: 6,
-        usual_prompt: 1_000.0,
-        usual_answer: 180.0,
-        models: vec![model("large", 4, 0.6), model("small", 3, 0.4)],
-    }
-}
-
 /// What two nodes decide for one domain, each from what it read last.
 struct Site {
     domain: FakeSiteDomain,
@@ -84,7 +56,7 @@
         }
         let boxes: Vec<&SiteBox> = listed.iter().collect();
         let departed: Vec<&SiteBox> = departed.iter().collect();
-        let engine = engine();
+        let engine = site_engine();
         let step = node.formation.step(FormationInput {
             now: self.domain.now(),
             domain: self.domain.domain(),
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -1,13 +1,16 @@
 //! Routes, retries, streams and choices where the store holds one configuration.
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use cherrystand_core::{
-    Ask, BoxId, CallerLimits, Chooser, DomainId, EngineLoad, EngineSpec, EventCutter, Millis,
-    ModelSpec, NotAllowed, RetryBounds, RetryShare, Route, RouteKind, RouteTable, Seed,
-    ServiceName, SiteBox, SiteConfig, TargetSpec, Tenant, ZoneId, home_models,
+    Ask, BoxId, CallerLimits, Chooser, DomainId, EngineLoad, EventCutter, Millis, NotAllowed,
+    RetryBounds, RetryShare, Route, RouteKind, RouteTable, Seed, ServiceName, SiteBox, SiteConfig,
+    TargetSpec, Tenant, ZoneId, home_models,
 };
 use proptest::prelude::*;
+use support::{site_engine, site_model};
 
 const NOW: Millis = Millis(60_000);
 
@@ -191,37 +194,6 @@
     assert_eq!(cutter.held(), 0);
 }
 
-fn model(name: &str, span: u32, share: f64) -> ModelSpec {
-    ModelSpec {
-        name: name.to_owned(),
-        span,
-        pace: 1.0,
-        share,
-        load: Millis(16_000),
-        warm: Millis(1_600),
-    }
-}
-
-fn engine() -> EngineSpec {
-    EngineSpec {
-        slots: 26,
-        stride: 7,
-        step_ms: 6.0,
-        per_request_ms: 0.04,
-        context_ms_per_k: 0.01,
-        chunk: 2_048,
-        read_per_s: 50_000.0,
-        pairs_ms_per_m: 0.4,
-        far_factor: 2.5,
-        form: Millis(300),
-        loads_per_s: 4.5,
-        loads_at_once: 6,
-        usual_prompt: 1_000.0,
-        usual_answer: 180.0,
-        models: vec![model("large", 4, 0.57), model("small", 3, 0.43)],
-    }
-}
-
 fn target(id: &str, model: Option<&str>) -> TargetSpec {
     TargetSpec {
         id: BoxId::new(id),
@@ -235,7 +207,7 @@
 fn chosen(chooser: &Chooser, model: &str, not: &[BoxId], now: Millis) -> Option<String> {
     let service = ServiceName::new("models");
     let ask = Ask { service: &service, model: Some(model), prompt: 1_000.0 };
-    let engine = engine();
+    let engine = site_engine();
     let key = chooser.choose(ask, Some(&engine), not, now, &mut Seed::new(1))?;
     chooser.id(key).map(|id| id.as_str().to_owned())
 }
@@ -265,7 +237,7 @@
     chooser.follow(vec![target("a", Some("large")), target("b", Some("large"))]);
     let service = ServiceName::new("models");
     let ask = Ask { service: &service, model: Some("large"), prompt: 500.0 };
-    let key = chooser.choose(ask, Some(&engine()), &[], NOW, &mut Seed::new(1)).expect("one");
+    let key = chooser.choose(ask, Some(&site_engine()), &[], NOW, &mut Seed::new(1)).expect("one");
     chooser.start(key, 500.0, NOW);
     assert_eq!(chooser.load(key), EngineLoad { requests: 1.0, unread: 500.0 });
     chooser.first_event(key, 500.0);
@@ -307,8 +279,8 @@
 
 #[test]
 fn a_silence_is_long_only_beyond_what_the_load_explains() {
-    let engine = engine();
-    let (large, mut fast) = (model("large", 4, 0.5), model("large", 4, 0.5));
+    let engine = site_engine();
+    let (large, mut fast) = (site_model("large", 4, 0.5), site_model("large", 4, 0.5));
     fast.pace = 0.5;
     let idle = engine.longest_silence(&large, EngineLoad::default());
     let reading = EngineLoad { requests: 9.0, unread: 10_000.0 };
@@ -321,8 +293,8 @@
 
 #[test]
 fn the_first_token_is_predicted_later_the_more_waits_before_it() {
-    let engine = engine();
-    let large = model("large", 4, 0.5);
+    let engine = site_engine();
+    let large = site_model("large", 4, 0.5);
     let load = |requests, unread| EngineLoad { requests, unread };
     let times = [load(0.0, 0.0), load(10.0, 0.0), load(10.0, 5_000.0), load(30.0, 5_000.0)]
         .map(|load| engine.first_token(&large, load, 1_000.0));
@@ -383,7 +355,7 @@
             .collect();
         let domains =
             boxes.iter().map(|(id, boxes)| (id.clone(), boxes.iter().collect())).collect();
-        let homes = home_models(&engine(), &domains);
+        let homes = home_models(&site_engine(), &domains);
         let homes: Vec<&str> = homes.values().map(String::as_str).collect();
         assert_eq!(homes, case.homes, "{}", case.name);
     }
--- a/crates/cherrystand_core/tests/support/mod.rs
+++ b/crates/cherrystand_core/tests/support/mod.rs
@@ -2,7 +2,8 @@
 #![allow(dead_code, reason = "each area uses its own part")]
 
 use cherrystand_core::{
-    BoxId, Desired, GroupId, LoadSpec, Millis, RepairPolicy, ReplicaId, WorkspaceId,
+    BoxId, Desired, EngineSpec, GroupId, LoadSpec, Millis, ModelSpec, RepairPolicy, ReplicaId,
+    WorkspaceId,
 };
 use cherrystand_testkit::{DomainSetup, FakeDomain};
 
@@ -55,3 +56,36 @@
     domain.losses = Default::default();
     domain
 }
+
+/// A model that loads in 16 s, or in 1.6 s from its box's host.
+pub(crate) fn site_model(name: &str, span: u32, share: f64) -> ModelSpec {
+    ModelSpec {
+        name: name.to_owned(),
+        span,
+        pace: 1.0,
+        share,
+        load: Millis(16_000),
+        warm: Millis(1_600),
+    }
+}
+
+/// An engine with two models.
+pub(crate) fn site_engine() -> EngineSpec {
+    EngineSpec {
+        slots: 26,
+        stride: 7,
+        step_ms: 6.0,
+        per_request_ms: 0.04,
+        context_ms_per_k: 0.01,
+        chunk: 2_048,
+        read_per_s: 50_000.0,
+        pairs_ms_per_m: 0.4,
+        far_factor: 2.5,
+        form: Millis(300),
+        loads_per_s: 4.5,
+        loads_at_once: 6,
+        usual_prompt: 1_000.0,
+        usual_answer: 180.0,
+        models: vec![site_model("large", 4, 0.57), site_model("small", 3, 0.43)],
+    }
+}
--- a/crates/cherrystand_platform/src/key_value.rs
+++ b/crates/cherrystand_platform/src/key_value.rs
@@ -4,7 +4,9 @@
 
 use cherrystand_core::{Document, Revision};
 
-use crate::CallError;
+use hyper::StatusCode;
+
+use crate::{Answer, CallError};
 
 /// The largest value that the service holds, in bytes.
 ///
@@ -36,6 +38,22 @@
     Status(u16),
 }
 
+impl PlatformError {
+    /// Takes an answer of the service, unless its status says that the service failed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`PlatformError`] that the status stands for.
+    pub fn check(answer: Answer) -> Result<Answer, Self> {
+        match answer.status {
+            StatusCode::TOO_MANY_REQUESTS => Err(Self::RateLimited),
+            StatusCode::GONE => Err(Self::Forgotten),
+            status if status.is_server_error() => Err(Self::Status(status.as_u16())),
+            _ => Ok(answer),
+        }
+    }
+}
+
 /// Says what became of a compare-and-swap.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Swap {
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -348,15 +348,24 @@
         }
     }
 
+    /// Tells whether a box was not asked just now, and notes that it is.
+    fn may_ask(&self, name: String) -> bool {
+        let now = self.now();
+        let mut asked = self.asked.borrow_mut();
+        asked.retain(|_, at| now.since(*at) < ASK_PAUSE);
+        if asked.contains_key(&name) {
+            return false;
+        }
+        asked.insert(name, now);
+        true
+    }
+
     /// Asks boxes that may be gone whether they are there.
     async fn ask(&self, known: SiteBox) {
-        let now = self.now();
         let name = known.id.as_str().to_owned();
-        let asked = self.asked.borrow().get(&name).copied();
-        if asked.is_some_and(|asked| now.since(asked) < ASK_PAUSE) {
+        if !self.may_ask(name) {
             return;
         }
-        self.asked.borrow_mut().insert(name, now);
         let out = Driver::report_call();
         let answer =
             call(&self.pool, known.address, out.method, &out.path, out.body, ASK_WITHIN).await;
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{AttemptEnd, BoxId, EventCutter, LARGEST_EVENT, Millis, WholeEvent};
-use cherrystand_platform::PooledBody;
+use cherrystand_core::{
+    AttemptEnd, BoxId, EventCutter, LARGEST_EVENT, Millis, Outcome, WholeEvent,
+};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 
-use crate::site::attempt::Begun;
+use crate::site::attempt::{self, Begun};
 use crate::site::body::{BrokeOff, EventSender};
 use crate::site::flight::Flight;
 use crate::site::front::Front;
@@ -93,7 +94,7 @@
                     flight.event();
                     let Ok(data) = frame.into_data() else { continue };
                     cutter.push(&data);
-                    if let Some(end) = self.pass_events(&mut cutter, &body).await {
+                    if let Some(end) = self.pass_events(&mut cutter).await {
                         return end;
                     }
                 }
@@ -102,7 +103,7 @@
     }
 
     /// Passes on the events that are whole by now.
-    async fn pass_events(&mut self, cutter: &mut EventCutter, _: &PooledBody) -> Option<RunEnd> {
+    async fn pass_events(&mut self, cutter: &mut EventCutter) -> Option<RunEnd> {
         let mut out: Vec<Bytes> = Vec::new();
         while let Some(event) = cutter.next_event() {
             if self.follows(&event) {
@@ -160,14 +161,14 @@
                 return None;
             }
             self.tried.push(flight.target.clone());
-            let began = crate::site::attempt::send(&self.front, &self.req, flight, self.last, true);
+            let began = attempt::send(&self.front, &self.req, flight, self.last, true);
             match began.await {
                 Ok(begun) if begun.head.status == StatusCode::OK => {
                     self.runs += 1;
                     return Some(begun);
                 }
                 Ok(_) => self.runs += 1,
-                Err(end) if end.outcome() != cherrystand_core::Outcome::NotRun => self.runs += 1,
+                Err(end) if end.outcome() != Outcome::NotRun => self.runs += 1,
                 Err(_) => {}
             }
         }
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -225,9 +225,18 @@
             }
         }
         self.departed.retain(|_, gone| now.since(gone.at) < DEPARTED_FOR);
+        self.forget_ended();
         self.silent.retain(|_, since| now.since(*since) < SILENT_FOR);
     }
 
+    /// Forgets the end of replicas that no box tells of any more.
+    fn forget_ended(&mut self) {
+        let departed = self.departed.values().map(|gone| &gone.known);
+        let told = self.boxes.values().chain(departed).filter_map(|known| known.member.as_ref());
+        let told: BTreeSet<_> = told.map(|member| (&member.replica, member.epoch)).collect();
+        self.ended.retain(|(replica, epoch)| told.contains(&(replica, *epoch)));
+    }
+
     /// Returns the domains of the listed boxes and of the records.
     pub(crate) fn domains(&self) -> BTreeSet<DomainId> {
         let listed = self.boxes.values().filter_map(|known| known.domain.clone());
