--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -176,6 +176,11 @@
         world.boxes.iter().filter_map(leads).collect()
     }
 
+    /// Tells whether a box holds a model on its host.
+    pub fn staged(&self, id: &str) -> bool {
+        self.world.borrow().boxes.get(id).is_some_and(|held| held.staged.is_some())
+    }
+
     /// Returns who ran a request, and after which event each run began.
     pub fn runs_of(&self, request: &str) -> Vec<(String, Option<u64>)> {
         let world = self.world.borrow();
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -337,6 +337,19 @@
             self.known.borrow_mut().left(&order.target, &order.replica, order.epoch);
             self.wake.notify_one();
         }
+        if matches!(end, OrderEnd::Dark | OrderEnd::Refused | OrderEnd::OtherBox) {
+            // It is listed for seconds yet, but it is not there.
+            self.known.borrow_mut().heard(&order.target, false, self.now());
+            self.publish();
+            self.wake.notify_one();
+        }
+        if end == OrderEnd::Silent {
+            // It may carry the order out later, or not be there at all.
+            let known = self.known.borrow().find(&order.target);
+            if let Some(known) = known {
+                self.ask(known).await;
+            }
+        }
         let stages = matches!(order.task, MemberTask::Stage { .. });
         let settled = matches!(end, OrderEnd::Taken | OrderEnd::Silent | OrderEnd::Dark)
             || (stages && end == OrderEnd::Unfit);
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -277,6 +277,11 @@
         now.since(self.grew)
     }
 
+    /// Returns a box that is listed.
+    pub(crate) fn find(&self, id: &BoxId) -> Option<SiteBox> {
+        self.boxes.get(id).cloned()
+    }
+
     /// Returns the members of the replica that a box leads, itself among them.
     pub(crate) fn members_with(&self, id: &BoxId) -> Vec<SiteBox> {
         let Some(known) = self.boxes.get(id) else {
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -207,6 +207,32 @@
     });
 }
 
+#[test]
+fn a_spare_that_is_dark_is_found_out_by_its_first_order() {
+    support::run(async {
+        let site = Site::serving(1).await;
+        site.site.add_box("i-6", "models").await.expect("a box");
+        until("the new box is staged", async || site.site.staged("i-6")).await;
+        // It is listed still, as a box is for seconds after it lost power.
+        site.site.set_mood("i-5", BoxMood::Dark);
+        let (_, members) = site.site.leaders().pop_first().expect("a leader");
+        site.site.set_mood(&members[1], BoxMood::Dark);
+        // Requests find the replica that stands still.
+        let calls = (0..6).map(|number| {
+            let id = format!("s{number}");
+            let node = &site.nodes[0];
+            async move { call(node, "POST", STREAM, &id, "k1").await.status }
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        assert!(answers.iter().all(|status| *status == StatusCode::OK), "{answers:?}");
+        until("the other spare took the place", async || {
+            let leaders = site.site.leaders();
+            leaders.values().any(|members| members.contains(&"i-6".to_owned()))
+        })
+        .await;
+    });
+}
+
 #[test]
 fn what_may_run_once_is_sent_again_only_if_it_was_not_run() {
     struct Case {
