--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -24,8 +24,9 @@
 /// few heartbeats.
 const KEPT_AFTER_OUTAGE: Millis = Millis(4_000);
 
-/// For how long a box counts as silent after it did not answer.
-const SILENT_FOR: Millis = Millis(6_000);
+/// For how long a box counts as silent after it did not answer; the entry of one that is dead goes
+/// sooner.
+const SILENT_FOR: Millis = Millis(4_500);
 
 /// A box that is listed no more.
 #[derive(Clone, Debug)]
@@ -141,6 +142,8 @@
                 }
                 self.departed.remove(&known.id);
                 self.unlisted.remove(&known.id);
+                // What it tells now, it tells after it was silent.
+                self.silent.remove(&known.id);
                 if !self.boxes.contains_key(&known.id) {
                     self.grew = now;
                 }
