--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -72,6 +72,7 @@
     pub(crate) mod event_cutter;
     pub(crate) mod formation;
     pub(crate) mod homes;
+    pub(crate) mod log_gate;
     pub(crate) mod member_order;
     pub(crate) mod retry_share;
     pub(crate) mod route_table;
@@ -141,6 +142,7 @@
 pub use site::event_cutter::{EventCutter, LARGEST_EVENT, WholeEvent};
 pub use site::formation::{Formation, FormationInput, FormationStep, replica_name};
 pub use site::homes::home_models;
+pub use site::log_gate::LogGate;
 pub use site::member_order::{MemberOrder, MemberTask, OrderEnd};
 pub use site::retry_share::{RetryBounds, RetryShare};
 pub use site::route_table::{Allowed, NotAllowed, RouteTable};
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 
 use cherrystand_core::{
-    Ask, BoxId, CallerLimits, Chooser, DomainId, EngineLoad, EventCutter, Millis, NotAllowed,
-    RetryBounds, RetryShare, Route, RouteKind, RouteTable, Seed, ServiceName, SiteBox, SiteConfig,
-    TargetSpec, Tenant, ZoneId, home_models,
+    Ask, BoxId, CallerLimits, Chooser, DomainId, EngineLoad, EventCutter, LogGate, Millis,
+    NotAllowed, RetryBounds, RetryShare, Route, RouteKind, RouteTable, Seed, ServiceName, SiteBox,
+    SiteConfig, TargetSpec, Tenant, ZoneId, home_models,
 };
 use proptest::prelude::*;
 use support::{site_engine, site_model};
@@ -360,3 +360,11 @@
         assert_eq!(homes, case.homes, "{}", case.name);
     }
 }
+
+#[test]
+fn a_log_gets_so_many_lines_a_second_and_learns_how_many_were_left_out() {
+    let mut gate = LogGate::new(2);
+    let at = |ms| NOW + Millis(ms);
+    let passed = [0, 1, 2, 3, 1_100, 1_101, 1_102].map(|ms| gate.pass(at(ms)));
+    assert_eq!(passed, [Some(0), Some(0), None, None, Some(2), Some(0), None]);
+}
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Millis, Outcome, RetryShare, RouteKind, Seed,
-    ServiceName,
+    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, LogGate, Millis, Outcome, RetryShare, RouteKind,
+    Seed, ServiceName,
 };
 use cherrystand_platform::{HttpPool, SiteDriver, serve_http};
 use hyper::body::Incoming;
@@ -41,6 +41,9 @@
 /// A silence this much longer than the engine's longest tells that a replica stands still.
 const LEAST_SILENCE: Millis = Millis(100);
 
+/// How many failed requests are logged each second; the others are counted.
+const FAILURES_LOGGED: u32 = 10;
+
 /// How much of its grace a stopping node keeps in hand.
 const GRACE_IN_HAND: Millis = Millis(700);
 
@@ -108,6 +111,7 @@
     seed: Cell<Seed>,
     /// What peers have in flight.
     pub(crate) loads: LoadExchange,
+    gate: RefCell<LogGate>,
 }
 
 impl Front {
@@ -120,6 +124,7 @@
             shares: RefCell::default(),
             seed: Cell::new(Seed::new(clock::unix_millis())),
             loads: LoadExchange::default(),
+            gate: RefCell::new(LogGate::new(FAILURES_LOGGED)),
             cx,
         }
     }
@@ -243,6 +248,20 @@
         }
     }
 
+    /// Writes down what became of a request that failed, as far as the log has room.
+    pub(crate) fn note_failed(&self, req: &SiteRequest, tried: &[BoxId], end: &str, told: &str) {
+        let Some(left_out) = self.gate.borrow_mut().pass(self.now()) else {
+            return;
+        };
+        let tried: Vec<&str> = tried.iter().map(BoxId::as_str).collect();
+        log::warn!(
+            request = req.facts.id.as_deref().unwrap_or_default(),
+            route = req.route.name.as_str(), tried = tried.join(" "), end = end,
+            left_ms = req.deadline.since(self.now()).0, left_out = left_out;
+            "a request failed: {told}"
+        );
+    }
+
     /// Counts a stream that ended before it was whole.
     pub(crate) fn count_broken_stream(&self) {
         let labels = [Outcome::Unknown.as_str(), "broken-stream"];
@@ -306,6 +325,13 @@
     }
 }
 
+/// Writes a failure down and says what the caller is told.
+fn failed(front: &Front, req: &SiteRequest, tries: &Tries, end: AttemptEnd) -> StatusCode {
+    let status = status_after(end);
+    front.note_failed(req, &tries.tried, end.as_str(), status.as_str());
+    status
+}
+
 /// Keeps count of what one request was sent to.
 #[derive(Default)]
 struct Tries {
@@ -342,7 +368,7 @@
             Err(end) => {
                 tries.ended(end);
                 if !tries.may_send(front, &req, end) {
-                    return Err(status_after(end));
+                    return Err(failed(front, &req, &tries, end));
                 }
             }
         }
@@ -386,7 +412,7 @@
         };
         tries.ended(end);
         if !tries.may_send(front, req, end) {
-            return Err(status_after(end));
+            return Err(failed(front, req, &tries, end));
         }
     }
 }
