--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -65,6 +65,7 @@
     };
     let callers = listen(cx.settings.listen.callers).await?;
     let ready = listen(site.ready).await?;
+    let operators = listen(cx.settings.listen.operators).await?;
     let front = Rc::new(Front::new(cx.clone()));
     tokio::task::spawn_local(exchange_loads(front.clone(), cx.clone()));
     let (stop, stopped) = watch::channel(false);
@@ -78,6 +79,16 @@
         stopped.clone(),
     );
     tokio::task::spawn_local(ready);
+    let pages = front.clone();
+    let operators = serve_http(
+        operators,
+        move |req| {
+            let answer = pages.page(&req);
+            async move { answer }
+        },
+        stopped.clone(),
+    );
+    tokio::task::spawn_local(operators);
     let handler = front.clone();
     let serving = serve_http(callers, move |req| handle(handler.clone(), req), stopped);
     let stopping = async {
@@ -167,6 +178,18 @@
         plain(status)
     }
 
+    /// Answers operators, who read the daemon's counters.
+    fn page(&self, req: &Request<Incoming>) -> Response<SiteBody> {
+        match req.uri().path() {
+            "/livez" => plain(StatusCode::OK),
+            "/metrics" => match self.cx.metrics.render() {
+                Ok(text) => Response::new(SiteBody::whole(text)),
+                Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR),
+            },
+            _ => plain(StatusCode::NOT_FOUND),
+        }
+    }
+
     /// Chooses an endpoint and counts the request there.
     pub(crate) fn choose(self: &Rc<Self>, req: &SiteRequest, not: &[BoxId]) -> Option<Flight> {
         let view = self.follow();
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -42,6 +42,7 @@
     process: Process,
     callers: SocketAddr,
     ready: SocketAddr,
+    operators: SocketAddr,
 }
 
 struct Site {
@@ -93,7 +94,7 @@
         own[0], own[1], own[3], own[2]
     );
     let process = start_in("cherrystandd", &settings, own[0]);
-    Node { process, callers: own[0], ready: own[2] }
+    Node { process, callers: own[0], ready: own[2], operators: own[1] }
 }
 
 async fn is_ready(node: &Node) -> bool {
@@ -163,6 +164,12 @@
         let large = send(node, "POST", CALL, "l1", &bearer, &"x".repeat(3_000)).await;
         assert_eq!(large.status, StatusCode::PAYLOAD_TOO_LARGE);
         assert!(site.site.runs_of("l1").is_empty() && site.site.runs_of("x").is_empty());
+        let told = call_at(node.operators, "GET", "/metrics", &[], "").await;
+        assert!(
+            told.text().contains("cherrystand_refusals_total{reason=\"401\"} 1"),
+            "{}",
+            told.text()
+        );
         for head in site.site.heads() {
             assert!(!head.contains_key("authorization"), "the key was handed on");
             assert_eq!(head["cherrystand-tenant"], "families");
