--- /dev/null
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -0,0 +1,208 @@
+//! One request from its arrival to its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cherrystand_core::{AttemptEnd, BoxId, Millis, Outcome, RefusalReason, RouteKind};
+use cherrystand_platform::SiteDriver;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::{Request, Response, StatusCode};
+
+use crate::relay::headers::strip_connection;
+use crate::site::Driver;
+use crate::site::attempt::{self, Begun};
+use crate::site::body::SiteBody;
+use crate::site::event_stream::EventStream;
+use crate::site::flight::Flight;
+use crate::site::front::{Front, plain};
+use crate::site::request::{SiteRequest, allow, read_body};
+
+/// How many endpoints one request is sent to at the most, those that did not run it included.
+const MOST_SENT: u32 = 3;
+
+/// The time that a caller waits where it says nothing.
+const USUAL_WAIT: Millis = Millis(30_000);
+
+/// When a caller may come back who met no endpoint in service.
+const COME_BACK: Millis = Millis(300);
+
+/// Answers one request of a caller.
+pub(crate) async fn handle(front: Rc<Front>, req: Request<Incoming>) -> Response<SiteBody> {
+    let id = Driver::read_request(req.headers()).id.unwrap_or_default();
+    let mut answer = match serve_request(&front, req).await {
+        Ok(answer) => return answer,
+        Err(status) => plain(status),
+    };
+    let status = answer.status();
+    front.count_refusal(refusal_reason(status));
+    if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+        Driver::write_retry_after(answer.headers_mut(), COME_BACK);
+    }
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        Driver::write_request_id(answer.headers_mut(), &id);
+    }
+    answer
+}
+
+/// Returns the reason for an answer of the node's own, as metrics name it.
+fn refusal_reason(status: StatusCode) -> &'static str {
+    match status {
+        StatusCode::UNAUTHORIZED => "no-key",
+        StatusCode::NOT_FOUND => "no-route",
+        StatusCode::PAYLOAD_TOO_LARGE => RefusalReason::TooLarge.as_str(),
+        StatusCode::SERVICE_UNAVAILABLE => RefusalReason::NoneServing.as_str(),
+        StatusCode::GATEWAY_TIMEOUT => RefusalReason::DeadlinePassed.as_str(),
+        StatusCode::BAD_REQUEST => RefusalReason::BadRequest.as_str(),
+        _ => RefusalReason::EndpointsFailed.as_str(),
+    }
+}
+
+async fn serve_request(
+    front: &Rc<Front>,
+    req: Request<Incoming>,
+) -> Result<Response<SiteBody>, StatusCode> {
+    let came = front.now();
+    let view = front.follow();
+    let table = view.table.as_ref().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let (head, body) = req.into_parts();
+    let facts = Driver::read_request(&head.headers);
+    let (route, tenant, service) = allow(table, &head, &facts)?;
+    let body = read_body(body, table.config().limits.body_bytes).await?;
+    let wait = facts.wait.unwrap_or(USUAL_WAIT).min(route.timeout);
+    let deadline = came + wait;
+    let req = Rc::new(SiteRequest { facts, head, body, route, tenant, service, deadline });
+    front.count_request(&req.service);
+    if req.route.kind == RouteKind::Streaming {
+        stream(front, req).await
+    } else {
+        whole(front, &req).await
+    }
+}
+
+/// Says what a caller is told after an attempt that failed.
+fn status_after(end: AttemptEnd) -> StatusCode {
+    match (end.outcome(), end) {
+        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (_, AttemptEnd::TimedOut) => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Writes a failure down and says what the caller is told.
+fn failed(front: &Front, req: &SiteRequest, tries: &Tries, end: AttemptEnd) -> StatusCode {
+    let status = status_after(end);
+    front.note_failed(req, &tries.tried, end.as_str(), status.as_str());
+    status
+}
+
+/// Keeps count of what one request was sent to.
+#[derive(Default)]
+struct Tries {
+    tried: Vec<BoxId>,
+    sent: u32,
+    runs: u32,
+}
+
+impl Tries {
+    fn may_send(&self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> bool {
+        let may_run_again = end.outcome() == Outcome::NotRun || req.route.may_repeat();
+        let in_time = front.now() < req.deadline;
+        may_run_again
+            && in_time
+            && self.sent < MOST_SENT
+            && self.runs < req.route.attempts.max(1)
+            && front.may_repeat(req, end)
+    }
+
+    fn ended(&mut self, end: AttemptEnd) {
+        self.runs += u32::from(end.outcome() != Outcome::NotRun);
+    }
+}
+
+async fn stream(front: &Rc<Front>, req: Rc<SiteRequest>) -> Result<Response<SiteBody>, StatusCode> {
+    let mut tries = Tries::default();
+    let begun = loop {
+        let flight = front.choose(&req, &tries.tried).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        tries.tried.push(flight.target.clone());
+        tries.sent += 1;
+        let may_leave = req.route.resumable && tries.runs + 1 < req.route.attempts;
+        match attempt::send(front, &req, flight, req.facts.last_event, may_leave).await {
+            Ok(begun) => break begun,
+            Err(end) => {
+                tries.ended(end);
+                if !tries.may_send(front, &req, end) {
+                    return Err(failed(front, &req, &tries, end));
+                }
+            }
+        }
+    };
+    if begun.head.status != StatusCode::OK {
+        return pass_whole(begun).await.map_err(status_after);
+    }
+    let (tx, body) = SiteBody::events();
+    let mut head = begun.head.clone();
+    strip_connection(&mut head.headers);
+    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    let stream = EventStream {
+        front: front.clone(),
+        last: req.facts.last_event,
+        req,
+        tx,
+        tried: tries.tried,
+        runs: tries.runs + 1,
+    };
+    tokio::task::spawn_local(stream.pass_on(begun));
+    Ok(Response::from_parts(head, body))
+}
+
+async fn whole(front: &Rc<Front>, req: &Rc<SiteRequest>) -> Result<Response<SiteBody>, StatusCode> {
+    let mut tries = Tries::default();
+    loop {
+        let flight = front.choose(req, &tries.tried).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+        tries.tried.push(flight.target.clone());
+        tries.sent += 1;
+        let end = match attempt_whole(front, req, flight).await {
+            Ok(answer) => {
+                tries.ended(AttemptEnd::Answered);
+                let failed = answer.status().is_server_error();
+                let end = AttemptEnd::AnswerCut;
+                if !failed || !req.route.may_repeat() || !tries.may_send(front, req, end) {
+                    return Ok(answer);
+                }
+                continue;
+            }
+            Err(end) => end,
+        };
+        tries.ended(end);
+        if !tries.may_send(front, req, end) {
+            return Err(failed(front, req, &tries, end));
+        }
+    }
+}
+
+async fn attempt_whole(
+    front: &Rc<Front>,
+    req: &Rc<SiteRequest>,
+    flight: Flight,
+) -> Result<Response<SiteBody>, AttemptEnd> {
+    let left = Duration::from_millis(req.deadline.since(front.now()).0);
+    let exchange = async {
+        let begun = attempt::send(front, req, flight, None, false).await?;
+        pass_whole(begun).await
+    };
+    tokio::time::timeout(left, exchange).await.unwrap_or(Err(AttemptEnd::TimedOut))
+}
+
+/// Reads an answer whole before its caller gets a byte of it.
+async fn pass_whole(begun: Begun) -> Result<Response<SiteBody>, AttemptEnd> {
+    let Begun { mut head, body, flight } = begun;
+    let bytes = attempt::read_whole(body).await.inspect_err(|_| flight.failed())?;
+    if head.status.is_server_error() {
+        flight.failed();
+    } else {
+        flight.succeeded();
+    }
+    strip_connection(&mut head.headers);
+    Ok(Response::from_parts(head, SiteBody::whole(bytes)))
+}
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod event_stream;
 mod flight;
+mod flow;
 mod front;
 mod known;
 mod load_exchange;
