--- a/crates/cherrystand_core/tests/assignment_safety.rs
+++ b/crates/cherrystand_core/tests/assignment_safety.rs
@@ -4,10 +4,13 @@
 
 use std::collections::BTreeMap;
 
-use cherrystand_core::{Epoch, Millis, RepairPolicy, ReplicaId};
+use cherrystand_core::{
+    Assignment, BoxId, DomainId, DomainRecord, Epoch, Millis, Phase, RecordFault, RepairPolicy,
+    ReplicaId,
+};
 use cherrystand_testkit::{DomainSetup, FakeDomain, epochs_in_use};
 use proptest::prelude::*;
-use support::{box_id, desired, quick_policy, replica};
+use support::{box_id, desired, load, quick_policy, replica};
 
 const BOXES: u32 = 9;
 const CONTROLLERS: usize = 3;
@@ -201,3 +204,60 @@
     domain.run_for(Millis(10_000));
     assert!(domain.is_whole(&replica(0)));
 }
+
+#[test]
+fn a_record_that_breaks_a_rule_is_found_out() {
+    struct Case {
+        name: &'static str,
+        /// The boxes and epoch of each replica.
+        replicas: &'static [(&'static [u32], u64)],
+        releasing: &'static [u32],
+        fault: Option<fn(BoxId) -> RecordFault>,
+    }
+    let cases = [
+        Case {
+            name: "sound",
+            replicas: &[(&[1, 2], 1), (&[3, 4], 2)],
+            releasing: &[5],
+            fault: None,
+        },
+        Case {
+            name: "a box twice",
+            replicas: &[(&[1, 2], 1), (&[2, 3], 2)],
+            releasing: &[],
+            fault: Some(RecordFault::BoxTwice),
+        },
+        Case {
+            name: "a box that is being released",
+            replicas: &[(&[1, 2], 1)],
+            releasing: &[2],
+            fault: Some(RecordFault::BoxReleasing),
+        },
+        Case {
+            name: "an epoch twice",
+            replicas: &[(&[1], 1), (&[2], 1)],
+            releasing: &[],
+            fault: Some(|_| RecordFault::EpochNotGivenOut(Epoch(1))),
+        },
+        Case {
+            name: "an epoch never given out",
+            replicas: &[(&[1], 9)],
+            releasing: &[],
+            fault: Some(|_| RecordFault::EpochNotGivenOut(Epoch(9))),
+        },
+    ];
+    for case in cases {
+        let mut record = DomainRecord::empty(DomainId::new("d"));
+        record.last_epoch = Epoch(5);
+        for (slot, (boxes, epoch)) in case.replicas.iter().enumerate() {
+            let boxes = boxes.iter().map(|number| box_id(*number)).collect();
+            let held =
+                Assignment { epoch: Epoch(*epoch), boxes, load: load("1"), phase: Phase::Ready };
+            record.replicas.insert(replica(slot as u32), held);
+        }
+        let releasing = case.releasing.iter().map(|number| (box_id(*number), Epoch(1)));
+        record.releasing.extend(releasing);
+        let fault = case.fault.map(|fault| fault(box_id(2)));
+        assert_eq!(record.check().err(), fault, "{}", case.name);
+    }
+}
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -57,26 +57,8 @@
     let front = Rc::new(Front::new(cx.clone()));
     tokio::task::spawn_local(exchange_loads(front.clone(), cx.clone()));
     let (stop, stopped) = watch::channel(false);
-    let answers = front.clone();
-    let ready = serve_http(
-        ready,
-        move |req| {
-            let answer = answers.ready(&req);
-            async move { answer }
-        },
-        stopped.clone(),
-    );
-    tokio::task::spawn_local(ready);
-    let pages = front.clone();
-    let operators = serve_http(
-        operators,
-        move |req| {
-            let answer = pages.page(&req);
-            async move { answer }
-        },
-        stopped.clone(),
-    );
-    tokio::task::spawn_local(operators);
+    serve_pages(ready, front.clone(), Front::ready, stopped.clone());
+    serve_pages(operators, front.clone(), Front::page, stopped.clone());
     let handler = front.clone();
     let serving = serve_http(callers, move |req| handle(handler.clone(), req), stopped);
     let stopping = async {
@@ -97,6 +79,17 @@
     Ok(())
 }
 
+/// Serves pages that the daemon makes itself, beside the requests.
+fn serve_pages(
+    listener: TcpListener,
+    front: Rc<Front>,
+    page: fn(&Front, &Request<Incoming>) -> Response<SiteBody>,
+    stopped: watch::Receiver<bool>,
+) {
+    let answer = move |req: Request<Incoming>| std::future::ready(page(&front, &req));
+    tokio::task::spawn_local(serve_http(listener, answer, stopped));
+}
+
 /// Serves callers on one thread.
 pub(crate) struct Front {
     cx: DutyContext,
