feat: heads beyond the configured size are refused; bytes that are no request tested

Cause: a head of 80,000 bytes was served: only the parser's own bound held, not the operators' max_header_bytes. bytes_that_are_no_request... failed first ('HTTP/1.1 200 OK', wanted 431).

--- a/crates/cherrystand_core/src/site/site_config.rs
+++ b/crates/cherrystand_core/src/site/site_config.rs
@@ -65,6 +65,8 @@
 /// Bounds what a caller may send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
+    /// The largest head, in bytes.
+    pub head_bytes: usize,
     /// The largest body, in bytes.
     pub body_bytes: usize,
 }
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -40,7 +40,7 @@
         route("albums.example", "/stories/old/", "archive"),
         open,
     ];
-    let limits = CallerLimits { body_bytes: 1_000 };
+    let limits = CallerLimits { head_bytes: 1_000, body_bytes: 1_000 };
     RouteTable::new(SiteConfig { version: 1, routes, services: Vec::new(), limits, tenants })
 }
 
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -16,7 +16,7 @@
 use crate::site::event_stream::EventStream;
 use crate::site::flight::Flight;
 use crate::site::front::{Front, plain};
-use crate::site::request::{SiteRequest, allow, read_body};
+use crate::site::request::{SiteRequest, allow, head_bytes, read_body};
 
 /// How many endpoints one request is sent to at the most, those that did not run it included.
 const MOST_SENT: u32 = 3;
@@ -50,7 +50,9 @@
     match status {
         StatusCode::UNAUTHORIZED => "no-key",
         StatusCode::NOT_FOUND => "no-route",
-        StatusCode::PAYLOAD_TOO_LARGE => RefusalReason::TooLarge.as_str(),
+        StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => {
+            RefusalReason::TooLarge.as_str()
+        }
         StatusCode::SERVICE_UNAVAILABLE => RefusalReason::NoneServing.as_str(),
         StatusCode::GATEWAY_TIMEOUT => RefusalReason::DeadlinePassed.as_str(),
         StatusCode::BAD_REQUEST => RefusalReason::BadRequest.as_str(),
@@ -66,6 +68,9 @@
     let view = front.follow();
     let table = view.table.as_ref().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let (head, body) = req.into_parts();
+    if head_bytes(&head) > table.config().limits.head_bytes {
+        return Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
     let facts = Driver::read_request(&head.headers);
     let (route, tenant, service) = allow(table, &head, &facts)?;
     let body = read_body(body, table.config().limits.body_bytes).await?;
--- a/crates/cherrystandd/src/site/request.rs
+++ b/crates/cherrystandd/src/site/request.rs
@@ -76,6 +76,14 @@
     Ok((allowed.route.clone(), allowed.tenant.map(str::to_owned), service))
 }
 
+/// Returns about how many bytes a head has on the wire.
+pub(crate) fn head_bytes(head: &Parts) -> usize {
+    /// The colon, the space and the line's end beside each header.
+    const AROUND: usize = 4;
+    let lines = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + AROUND);
+    lines.sum::<usize>() + head.uri.path().len() + head.uri.query().map_or(0, str::len)
+}
+
 /// Reads a body whole, up to a size.
 pub(crate) async fn read_body(mut body: Incoming, most: usize) -> Result<Bytes, StatusCode> {
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -178,6 +178,85 @@
     });
 }
 
+/// Sends bytes as they are and returns the first line of what comes back; nothing where the
+/// connection ends without an answer.
+async fn raw(node: &Node, bytes: &[u8]) -> String {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(node.callers).await.expect("a connection");
+    // A node that refuses early may close before all is written.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = vec![0; 1_024];
+    let read = tokio::time::timeout(Duration::from_secs(5), stream.read(&mut answer)).await;
+    let read = read.expect("an answer at once").unwrap_or_default();
+    let text = String::from_utf8_lossy(&answer[..read]).into_owned();
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+#[test]
+fn bytes_that_are_no_request_get_a_clear_end_and_touch_no_other() {
+    struct Case {
+        name: &'static str,
+        bytes: Vec<u8>,
+        answer: &'static str,
+    }
+    let head = |more: &str| {
+        format!(
+            "POST /calls/1 HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer k1\r\n\
+             cherrystand-request-id: raw\r\n{more}\r\n\r\n"
+        )
+    };
+    let large = format!("x-large: {}", "x".repeat(80_000));
+    let cases = [
+        Case {
+            name: "no HTTP",
+            bytes: b"hello\r\n\r\n".to_vec(),
+            answer: "HTTP/1.1 400 Bad Request",
+        },
+        Case {
+            name: "a head too large",
+            bytes: head(&large).into_bytes(),
+            answer: "HTTP/1.1 431 Request Header Fields Too Large",
+        },
+        Case {
+            name: "two lengths",
+            bytes: head("Content-Length: 1\r\nContent-Length: 9").into_bytes(),
+            answer: "HTTP/1.1 400 Bad Request",
+        },
+        Case {
+            name: "a length that is none",
+            bytes: head("Content-Length: -1").into_bytes(),
+            answer: "HTTP/1.1 400 Bad Request",
+        },
+        Case {
+            name: "a chunk that is none",
+            bytes: [head("Transfer-Encoding: chunked").as_bytes(), b"zz\r\n"].concat(),
+            answer: "HTTP/1.1 400 Bad Request",
+        },
+        Case {
+            name: "a body too large",
+            bytes: head("Content-Length: 1000000").into_bytes(),
+            answer: "HTTP/1.1 413 Payload Too Large",
+        },
+        Case {
+            name: "a method nobody has",
+            bytes: b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n".to_vec(),
+            answer: "HTTP/1.1 400 Bad Request",
+        },
+    ];
+    support::run(async {
+        let mut site = Site::serving(1).await;
+        let node = &site.nodes[0];
+        for case in &cases {
+            let (answer, story) =
+                tokio::join!(raw(node, &case.bytes), call(node, "POST", STREAM, case.name, "k1"));
+            assert_eq!(answer, case.answer, "{}", case.name);
+            assert_eq!(story.text(), whole_stream(case.name), "{}", case.name);
+        }
+        assert!(site.site.runs_of("raw").is_empty(), "{:?}", site.site.runs_of("raw"));
+        assert!(!site.nodes[0].process.has_ended());
+    });
+}
+
 #[test]
 fn a_stream_goes_on_elsewhere_when_a_member_goes_dark_and_the_replica_is_mended() {
     support::run(async {
