fix(test): no port is tried while a process starts

A process that starts in another thread has every listener open until it becomes its program, and so keeps a port that was just tried. Ruled out: two tests with one port (numbers are given out once), outgoing connections (other range). Shown by a program of its own, 3 threads starting processes: 4,323 of 453,208 ports in use right after they were tried; with one lock around trying and starting 0 of 164,776.

--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -25,8 +26,8 @@
 impl Process {
     pub(crate) fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill").args([&format!("-{name}"), &id]).status();
-        assert!(sent.expect("kill").success());
+        let mut kill = spawn(Command::new("kill").args([&format!("-{name}"), &id]));
+        assert!(kill.wait().expect("kill").success());
     }
 
     pub(crate) fn has_ended(&mut self) -> bool {
@@ -132,6 +133,22 @@
 /// could take a port between its choice and its use.
 const PORTS: std::ops::Range<u16> = 11_000..31_000;
 
+/// Held while a port is tried and while a process starts.
+///
+/// A process that starts has the listeners of all threads open for a moment, until it becomes the
+/// program; a port tried just then would stay in use.
+static TRY_OR_START: Mutex<()> = Mutex::new(());
+
+fn try_or_start() -> MutexGuard<'static, ()> {
+    // A test that failed while it held the lock leaves nothing half done.
+    TRY_OR_START.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn spawn(command: &mut Command) -> Child {
+    let _guard = try_or_start();
+    command.spawn().expect("a process")
+}
+
 /// Returns addresses that no other test of this process was given and that nobody listens at.
 pub(crate) fn free_addresses(count: usize) -> Vec<SocketAddr> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -141,6 +158,7 @@
     while addresses.len() < count {
         let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % span;
         let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + number as u16));
+        let _guard = try_or_start();
         if TcpListener::bind(address).is_ok() {
             addresses.push(address);
         }
@@ -150,12 +168,9 @@
 
 fn start(name: &str, args: &[&str], address: SocketAddr, log: &Path) -> Process {
     let log = std::fs::File::create(log).expect("a log file");
-    let child = Command::new(program(name))
-        .args(args)
-        .stdout(Stdio::null())
-        .stderr(log)
-        .spawn()
-        .expect("a process");
+    let mut command = Command::new(program(name));
+    command.args(args).stdout(Stdio::null()).stderr(log);
+    let child = spawn(&mut command);
     Process { child, address }
 }
 
@@ -224,7 +239,9 @@
         let at = at.to_string();
         let mut all = vec!["--at", &at];
         all.extend(args);
-        Command::new(program("cherrystand")).args(all).output().expect("the command")
+        let mut command = Command::new(program("cherrystand"));
+        command.args(all).stdout(Stdio::piped()).stderr(Stdio::piped());
+        spawn(&mut command).wait_with_output().expect("the command")
     }
 
     /// Writes a file for the command to read.
