perf(core): domains follow the share of the work by the boxes that replicas use

Cause: homes were dealt out by replicas against a model's share of the work. The share is of accelerators: a model of 4 boxes beside one of 16 got one domain of six for half of the work.

--- a/crates/cherrystand_core/src/site/homes.rs
+++ b/crates/cherrystand_core/src/site/homes.rs
@@ -39,8 +39,8 @@
         }
         let served = |model: &ModelSpec| {
             let at_home = domains.iter().filter(|(id, _)| homes.get(*id) == Some(&model.name));
-            let replicas: usize = at_home.map(|(_, boxes)| boxes.len() / span_of(model)).sum();
-            replicas as f64 / model.share.max(f64::EPSILON)
+            let used: usize = at_home.map(|(_, boxes)| boxes_used(boxes.len(), model)).sum();
+            used as f64 / model.share.max(f64::EPSILON)
         };
         // Of two that are served alike, the one with the larger share.
         let order = |model: &&ModelSpec| (served(model), -model.share);
@@ -54,6 +54,11 @@
     homes
 }
 
+/// Returns how many of a domain's boxes replicas of a model can use.
+fn boxes_used(boxes: usize, model: &ModelSpec) -> usize {
+    boxes / span_of(model) * span_of(model)
+}
+
 fn span_of(model: &ModelSpec) -> usize {
     model.span.max(1) as usize
 }
