fix(core): the slack of repeats is divided by all nodes ever known; domains by boxes with two lost

After all nodes were killed each knew itself only and took a tenth of the slack: 60 x 17.5. Ruled out: the share of each node's own requests, which the property test bounds. Now a node that started within 1.2 s has no part, and it divides by the most nodes it knew.

--- a/crates/cherrystand_core/src/site/homes.rs
+++ b/crates/cherrystand_core/src/site/homes.rs
@@ -5,11 +5,16 @@
 
 use crate::{DomainId, EngineSpec, ModelSpec, SiteBox};
 
+/// How many boxes of a domain are usually lost and not yet replaced.
+///
+/// Source: docs/design/0009-users-machines.md.
+const USUALLY_LOST: usize = 2;
+
 /// Gives each domain the model that it is for, or none where there are fewer domains than models.
 ///
 /// A domain whose boxes all hold one model mends any loss without a load. What its boxes hold
-/// already decides; a domain whose boxes hold nothing goes to the model with the fewest replicas
-/// against its share of the work.
+/// already decides; a domain whose boxes hold nothing goes to the model whose replicas use the
+/// fewest boxes against its share of the work.
 ///
 /// Source: docs/design/0009-users-machines.md.
 pub fn home_models(
@@ -54,9 +59,11 @@
     homes
 }
 
-/// Returns how many of a domain's boxes replicas of a model can use.
+/// Returns how many of a domain's boxes replicas of a model use on an ordinary day, on which some
+/// boxes are lost and the remainder waits for others.
 fn boxes_used(boxes: usize, model: &ModelSpec) -> usize {
-    boxes / span_of(model) * span_of(model)
+    let left = boxes.saturating_sub(USUALLY_LOST).max(span_of(model));
+    left / span_of(model) * span_of(model)
 }
 
 fn span_of(model: &ModelSpec) -> usize {
--- a/crates/cherrystand_core/src/site/retry_share.rs
+++ b/crates/cherrystand_core/src/site/retry_share.rs
@@ -7,10 +7,13 @@
 /// The part of the budget that is handed out; the rest covers what nodes count that were lost.
 const HANDED_OUT: f64 = 0.7;
 
-/// The slack is divided among at least this many, since a node that has just started does not know
-/// all others yet.
+/// The slack is divided among at least this many, so that a node more or less does not matter.
 const LEAST_NODES: usize = 10;
 
+/// A node that started more recently than this has no part of the slack, since it does not know
+/// all others yet.
+const KNOWS_OTHERS_AFTER: Millis = Millis(1_200);
+
 /// States the budget of all nodes together for one service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RetryBounds {
@@ -31,12 +34,19 @@
     bounds: RetryBounds,
     requests: VecDeque<Millis>,
     repeats: VecDeque<Millis>,
+    /// The most nodes that were known at a time; those that are out of reach may repeat as well.
+    most_nodes: usize,
 }
 
 impl RetryShare {
     /// Creates an unused share.
     pub fn new(bounds: RetryBounds) -> Self {
-        Self { bounds, requests: VecDeque::new(), repeats: VecDeque::new() }
+        Self {
+            bounds,
+            requests: VecDeque::new(),
+            repeats: VecDeque::new(),
+            most_nodes: LEAST_NODES,
+        }
     }
 
     /// Counts a request that this node took.
@@ -46,10 +56,14 @@
     }
 
     /// Takes one repeat out of the share of a node among `nodes`, where it holds one.
+    ///
+    /// The time `now` counts from the node's start.
     pub fn spend(&mut self, now: Millis, nodes: usize) -> bool {
         self.forget(now);
+        self.most_nodes = self.most_nodes.max(nodes);
         let earned = self.bounds.ratio * self.requests.len() as f64;
-        let slack = self.bounds.slack / nodes.max(LEAST_NODES) as f64;
+        let knows_others = now >= KNOWS_OTHERS_AFTER;
+        let slack = if knows_others { self.bounds.slack / self.most_nodes as f64 } else { 0.0 };
         let allowed = (earned + slack) * HANDED_OUT;
         let fits = (self.repeats.len() + 1) as f64 <= allowed;
         if fits {
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -316,6 +316,44 @@
     }
 }
 
+#[test]
+fn a_model_of_small_replicas_gets_the_boxes_that_its_work_needs() {
+    let mut engine = site_engine();
+    let figures = [(16, 0.5), (4, 0.5)];
+    for (model, (span, share)) in engine.models.iter_mut().zip(figures) {
+        (model.span, model.share) = (span, share);
+    }
+    let boxes: Vec<(DomainId, Vec<SiteBox>)> = (0..6)
+        .map(|domain| {
+            let name = format!("d{domain}");
+            let boxes = (0..37).map(|number| domain_box(&name, number, &[])).collect();
+            (DomainId::new(name), boxes)
+        })
+        .collect();
+    let domains = boxes.iter().map(|(id, boxes)| (id.clone(), boxes.iter().collect())).collect();
+    let homes = home_models(&engine, &domains);
+    let of_first = homes.values().filter(|home| **home == engine.models[0].name).count();
+    assert_eq!(of_first, 3, "half of the work, half of the domains, whatever a replica spans");
+}
+
+#[test]
+fn nodes_that_all_just_started_do_not_spend_the_slack_of_the_others() {
+    let bounds = RetryBounds { ratio: 0.2, slack: 250.0, window: Millis(10_000) };
+    let mut shares = vec![RetryShare::new(bounds); 60];
+    // Each knows itself only, as after the loss of all.
+    let spent: usize = shares.iter_mut().map(|share| spend_all(share, Millis(500), 1)).sum();
+    assert_eq!(spent, 0);
+    let spent: usize = shares.iter_mut().map(|share| spend_all(share, Millis(1_500), 60)).sum();
+    assert!(spent > 60, "{spent} of the slack once the others are known");
+    // Those that are cut off count the others still.
+    let spent: usize = shares.iter_mut().map(|share| spend_all(share, Millis(2_000), 1)).sum();
+    assert_eq!(spent, 0);
+}
+
+fn spend_all(share: &mut RetryShare, now: Millis, nodes: usize) -> usize {
+    std::iter::repeat_with(|| share.spend(now, nodes)).take_while(|spent| *spent).count()
+}
+
 #[test]
 fn each_domain_is_for_one_model_by_the_share_of_the_work() {
     struct Case {
