feat(core): spares hold the model in memory, and a repair takes 0.2 s to join instead of 1.6 s

Cause: a repair waited for its spare, which loaded from its host (1.6 s at the model of four) while the other members joined in 0.2 s. A spare now joins a replica of its own once, that is never opened, under the domain's last epoch; its members may be taken at once. A test on the fake domain: serving again within 1.0 s, failed before.

--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -4,8 +4,8 @@
 
 use crate::site::formation::replica_name;
 use crate::{
-    Assignment, BoxId, DomainRecord, Epoch, FormationInput, FormerPlace, GroupId, LoadSpec,
-    MemberOrder, MemberState, MemberTask, Millis, ModelSpec, Phase, ReplicaId, SiteBox,
+    Assignment, BoxId, DomainId, DomainRecord, Epoch, FormationInput, FormerPlace, GroupId,
+    LoadSpec, MemberOrder, MemberState, MemberTask, Millis, ModelSpec, Phase, ReplicaId, SiteBox,
     WorkspaceId,
 };
 
@@ -119,7 +119,8 @@
             return false;
         };
         let ended = self.at.ended.contains(&(member.replica.clone(), member.epoch));
-        !ended && member.state != MemberState::Broken
+        let is_spare = member.replica.starts_with(&spare_prefix(self.at.domain));
+        !ended && !is_spare && member.state != MemberState::Broken
     }
 
     /// Returns the box that has to leave its replica before `known` may join anew.
@@ -398,6 +399,23 @@
         }
     }
 
+    /// Lets free boxes take the home model from their hosts into memory, each in a replica of its
+    /// own that is never opened, so that it joins at once where it is needed.
+    pub(crate) fn warm_spares(&mut self) {
+        let home = self.at.engine.models.iter().find(|model| Some(&*model.name) == self.at.home);
+        let Some(home) = home.filter(|_| self.at.record.last_epoch != Epoch(0)) else {
+            return;
+        };
+        for known in self.free() {
+            if known.member.is_none() && join_rank(known, &home.name) == JoinRank::Staged {
+                let name = format!("{}{}", spare_prefix(self.at.domain), known.id);
+                let members = vec![known.id.clone()];
+                let task = MemberTask::Join { model: home.name.clone(), members };
+                self.order(known, &name, self.at.record.last_epoch, task);
+            }
+        }
+    }
+
     pub(crate) fn order(&mut self, known: &SiteBox, name: &str, epoch: Epoch, task: MemberTask) {
         if !self.ordered.insert(known.id.clone()) {
             return;
@@ -420,6 +438,11 @@
     }
 }
 
+/// Returns what the names of replicas begin with that spares of a domain are kept warm in.
+fn spare_prefix(domain: &DomainId) -> String {
+    format!("{domain}.spare.")
+}
+
 /// Returns the epoch that a box tells of; 0 where it belongs to nothing.
 fn told_epoch(known: &SiteBox) -> Epoch {
     known.member.as_ref().map(|member| member.epoch).unwrap_or_default()
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -110,6 +110,7 @@
         let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
         self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
         draft.stage_spares(&self.staging);
+        draft.warm_spares();
         self.closing.retain(|_, began| at.now.since(*began) < CLOSING_KNOWN_FOR);
         self.finish(draft)
     }
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -97,6 +97,7 @@
             {
                 continue;
             }
+            node.formation.order_failed(&order.target);
             if led {
                 node.ended.insert((order.replica.clone(), order.epoch));
             }
@@ -173,6 +174,19 @@
     }
 }
 
+#[test]
+fn a_loss_is_mended_by_a_spare_that_holds_the_model_in_memory() {
+    let mut site = Site::new(9, 1, 1);
+    site.run(Millis(40_000));
+    assert_eq!(site.domain.serving(), 2);
+    let number = number_of(&site, &leader_of(&site, 0));
+    site.domain.kill(number);
+    // Steps, 0.2 s to join and 0.3 s to open; a spare that loads from its host takes 1.6 s.
+    site.run(Millis(1_000));
+    assert_eq!(site.domain.serving(), 2);
+    assert_eq!(site.domain.faults, Vec::<String>::new());
+}
+
 #[test]
 fn members_of_a_leader_that_is_cut_off_leave_before_they_join_another() {
     let mut site = Site::new(8, 1, 1);
--- a/crates/cherrystand_testkit/src/site/fake_site_domain.rs
+++ b/crates/cherrystand_testkit/src/site/fake_site_domain.rs
@@ -19,6 +19,9 @@
 /// How long a join takes that loads from the host.
 const WARM: Millis = Millis(1_600);
 
+/// How long a join takes of a box whose memory holds the model since its last one.
+const AGAIN: Millis = Millis(200);
+
 /// How long a load from the weight store takes.
 const LOAD: Millis = Millis(16_000);
 
@@ -48,6 +51,8 @@
     /// When it was last heard by the store.
     heard: Millis,
     staged: Option<String>,
+    /// The model of its last replica.
+    loaded: Option<String>,
     staging: Option<(String, Millis)>,
     highest: Epoch,
     /// The highest fence seen.
@@ -109,6 +114,7 @@
             cut: false,
             heard: self.now,
             staged: None,
+            loaded: None,
             staging: None,
             highest: Epoch(0),
             fence: 0,
@@ -186,7 +192,7 @@
             leaving: false,
             domain: Some(self.domain.clone()),
             staged: held.staged.iter().cloned().collect(),
-            loaded: held.staged.iter().filter(|_| held.belongs.is_some()).cloned().collect(),
+            loaded: held.loaded.iter().filter(|_| held.belongs.is_some()).cloned().collect(),
             member: held.told.clone(),
         }
     }
@@ -329,7 +335,14 @@
                 order.target, order.replica, order.epoch, left.replica, left.epoch
             ));
         }
-        let took = if held.staged.as_deref() == Some(model) { WARM } else { LOAD };
+        let took = if held.loaded.as_deref() == Some(model) {
+            AGAIN
+        } else if held.staged.as_deref() == Some(model) {
+            WARM
+        } else {
+            LOAD
+        };
+        held.loaded = Some(model.to_owned());
         held.staged = Some(model.to_owned());
         held.highest = order.epoch;
         let rank = members.iter().position(|id| *id == order.target).unwrap_or_default();
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -451,7 +451,10 @@
         let stages = matches!(order.task, MemberTask::Stage { .. });
         // A box that answers and left an order unanswered is ordered again, under a later fence.
         let lost = end == OrderEnd::Silent && !self.known.borrow().is_silent(&order.target);
-        let settled = matches!(end, OrderEnd::Taken | OrderEnd::Dark)
+        // What was followed at once may be ordered again at once, under a later record.
+        let followed = end == OrderEnd::Taken && order.task == MemberTask::Leave;
+        let settled = (end == OrderEnd::Taken && !followed)
+            || end == OrderEnd::Dark
             || (end == OrderEnd::Silent && !lost)
             || (stages && end == OrderEnd::Unfit);
         if !settled {
