--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -49,9 +49,9 @@
 /// A node decides only by what the store told within this time.
 const DECIDES_WITHIN: Millis = Millis(1_700);
 
-/// How long a node has to know the store's state freshly before it decides: one that just started,
-/// or was cut off, learns meanwhile who else there is.
-const LOOK_FIRST: Millis = Millis(700);
+/// How long the store has to answer a node, and its state to be known freshly, before the node
+/// decides: one that just started, or was cut off, learns meanwhile who else decides.
+const LOOK_FIRST: Millis = Millis(1_200);
 
 /// Nothing is formed in a domain that never formed any before no box has come for this long, so
 /// that all nodes see the same boxes and give each domain the same home.
@@ -288,6 +288,7 @@
     fn may_decide(&self) -> bool {
         let now = self.now();
         let fresh = self.store_age().is_some_and(|age| age <= DECIDES_WITHIN);
+        let fresh = fresh && !self.store_fails.get();
         let since = self.fresh_since.get().unwrap_or(now);
         self.fresh_since.set(fresh.then_some(since));
         fresh && now.since(since) >= LOOK_FIRST
