--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -13,7 +13,7 @@
 use crate::site::domain_draft::{DomainDraft, Standing};
 use crate::{
     Assignment, BoxId, DomainId, DomainRecord, EngineSpec, Epoch, MemberOrder, MemberState,
-    MemberTask, Millis, ModelSpec, ReplicaId, ServiceName, SiteBox,
+    MemberTask, Millis, ModelSpec, OrderEnd, ReplicaId, ServiceName, SiteBox,
 };
 
 /// How many times its usual time a load to the host may take before it is ordered again.
@@ -115,15 +115,25 @@
         self.finish(draft)
     }
 
-    /// Forgets that an order was sent, so that it is sent again where it is still wanted.
-    pub fn order_failed(&mut self, target: &BoxId) {
-        self.sent.remove(target);
-    }
-
-    /// Notes that a box has seen a later fence, as of another sender under the same record.
-    pub fn order_fenced(&mut self, target: &BoxId) {
-        *self.orders.entry(target.clone()).or_default() += FENCES_PASSED;
-        self.sent.remove(target);
+    /// Takes in how an order ended, which tells whether it is sent again at once where it is still
+    /// wanted.
+    pub fn order_ended(&mut self, order: &MemberOrder, end: OrderEnd, is_silent: bool) {
+        let again = match (end, &order.task) {
+            // What was followed at once may be wanted again at once, by a later record.
+            (OrderEnd::Taken, MemberTask::Leave) => true,
+            (OrderEnd::Taken | OrderEnd::Dark, _) => false,
+            // It loads something already.
+            (OrderEnd::Unfit, MemberTask::Stage { .. }) => false,
+            // A box that answers and left an order unanswered is ordered again, under a later fence.
+            (OrderEnd::Silent, _) => !is_silent,
+            _ => true,
+        };
+        if end == OrderEnd::Fenced {
+            *self.orders.entry(order.target.clone()).or_default() += FENCES_PASSED;
+        }
+        if again {
+            self.sent.remove(&order.target);
+        }
     }
 
     /// Notes that a box loads a model to its host already.
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -86,9 +86,7 @@
             let delay = is_late.then(|| Millis(2_000 + self.seed.below(10_000) as u64));
             let fence = order.fence(Revision(node.read.0));
             let end = self.domain.order(order, fence, delay);
-            if end == OrderEnd::Fenced {
-                node.formation.order_fenced(&order.target);
-            }
+            node.formation.order_ended(order, end, silent.contains(&order.target));
             let led = boxes.iter().any(|known| {
                 let member = known.member.as_ref();
                 known.id == order.target && member.is_some_and(|member| member.rank == 0)
@@ -97,7 +95,6 @@
             {
                 continue;
             }
-            node.formation.order_failed(&order.target);
             if led {
                 node.ended.insert((order.replica.clone(), order.epoch));
             }
--- /dev/null
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -0,0 +1,125 @@
+//! Calls to boxes: orders, and asking whether they are there.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cherrystand_core::{DomainId, MemberOrder, MemberTask, Millis, OrderEnd, Revision, SiteBox};
+use cherrystand_platform::{CallError, SendError, SiteDriver, call};
+
+use crate::site::control::Control;
+use crate::site::{Driver, Hint};
+
+/// How long a box may take to answer an order.
+const ORDER_WITHIN: Duration = Duration::from_millis(250);
+
+/// How long a box may take to answer whether it is there.
+const ASK_WITHIN: Duration = Duration::from_millis(200);
+
+/// How long a box is not asked again.
+const ASK_PAUSE: Millis = Millis(1_000);
+
+impl Control {
+    /// Sends an order that follows from a record at a revision, and learns from how it ends.
+    pub(super) async fn send_order(&self, domain: &DomainId, order: MemberOrder, record: Revision) {
+        let end = self.call_box(&order, record).await;
+        match end {
+            OrderEnd::Taken | OrderEnd::Unfit if order.task == MemberTask::Leave => {
+                // A box that says that the order does not fit is not in the replica.
+                self.known.borrow_mut().left(&order);
+                self.wake.notify_one();
+            }
+            // It is listed for seconds yet, but it is not there.
+            OrderEnd::Dark | OrderEnd::Refused | OrderEnd::OtherBox => {
+                self.known.borrow_mut().heard(&order.target, false, self.now());
+                self.publish();
+                self.wake.notify_one();
+            }
+            // It may carry the order out later, or not be there at all.
+            OrderEnd::Silent => {
+                let known = self.known.borrow().find(&order.target);
+                if let Some(known) = known {
+                    self.ask(known).await;
+                }
+            }
+            _ => {}
+        }
+        let is_silent = self.known.borrow().is_silent(&order.target);
+        if let Some(formation) = self.formations.borrow_mut().get_mut(domain) {
+            formation.order_ended(&order, end, is_silent);
+        }
+    }
+
+    async fn call_box(&self, order: &MemberOrder, record: Revision) -> OrderEnd {
+        let out = Driver::order_call(order, order.fence(record));
+        let sent =
+            call(&self.pool, order.address, out.method, &out.path, out.body, ORDER_WITHIN).await;
+        let end = match &sent {
+            Ok(answer) => Driver::order_end(answer.status),
+            Err(CallError::Send(SendError::Connect { .. })) => OrderEnd::Refused,
+            Err(CallError::Send(SendError::ConnectTimedOut(_))) => OrderEnd::Dark,
+            Err(_) => OrderEnd::Silent,
+        };
+        let result = if end == OrderEnd::Taken { "followed" } else { "failed" };
+        self.cx.metrics.orders.with_label_values(&[result]).inc();
+        log::info!(
+            target_box = order.target.as_str(), replica = order.replica.as_str(),
+            epoch = order.epoch.0, task = order.task.as_str();
+            "order {end:?}"
+        );
+        end
+    }
+
+    /// Tells whether a box was not asked just now, and notes that it is.
+    fn may_ask(&self, name: String) -> bool {
+        let now = self.now();
+        let mut asked = self.asked.borrow_mut();
+        asked.retain(|_, at| now.since(*at) < ASK_PAUSE);
+        if asked.contains_key(&name) {
+            return false;
+        }
+        asked.insert(name, now);
+        true
+    }
+
+    /// Asks boxes that may be gone whether they are there.
+    async fn ask(&self, known: SiteBox) {
+        let name = known.id.as_str().to_owned();
+        if !self.may_ask(name) {
+            return;
+        }
+        let out = Driver::report_call();
+        let answer =
+            call(&self.pool, known.address, out.method, &out.path, out.body, ASK_WITHIN).await;
+        let answered = answer.is_ok();
+        self.cx
+            .metrics
+            .probes
+            .with_label_values(&[if answered { "answered" } else { "silent" }])
+            .inc();
+        if !answered {
+            log::info!(target_box = known.id.as_str(); "a box of a stalled replica is silent");
+        }
+        self.known.borrow_mut().heard(&known.id, answered, self.now());
+        if !answered {
+            self.publish();
+            self.wake.notify_one();
+        }
+    }
+}
+
+/// Has boxes looked at that the request path found silent.
+pub(super) async fn follow_hints(control: Rc<Control>) {
+    while let Ok(hint) = control.cx.hint_events.recv().await {
+        let (Hint::Stalled(id) | Hint::Unreachable(id)) = hint;
+        let members = control.known.borrow().members_with(&id);
+        let view = control.cx.view_now();
+        let domain = members.first().and_then(|member| member.domain.clone());
+        if domain.is_some_and(|domain| !control.owns(&view, &domain)) {
+            continue;
+        }
+        for member in members {
+            let control = control.clone();
+            tokio::task::spawn_local(async move { control.ask(member).await });
+        }
+    }
+}
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -9,19 +9,20 @@
 
 use cherrystand_core::{
     Document, DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep, Heartbeat,
-    MemberOrder, MemberTask, Millis, NodeId, OrderEnd, Revision, ServiceName, SiteBox, Source,
-    SourceChooser, all_readers, home_models, owner_of,
+    Millis, NodeId, Revision, ServiceName, SiteBox, Source, SourceChooser, all_readers,
+    home_models, owner_of,
 };
-use cherrystand_platform::{CallError, HttpPool, KeyValue, SendError, SiteDriver, Swap, call};
+use cherrystand_platform::{HttpPool, KeyValue, SiteDriver, Swap};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
 use crate::counted::Counted;
 use crate::kernel::{Duty, Serves};
+use crate::site::Driver;
+use crate::site::box_calls::follow_hints;
 use crate::site::change_sharing::share_changes;
 use crate::site::known::Known;
 use crate::site::watching::{entries_in, follow_config, follow_store};
-use crate::site::{Driver, Hint};
 use crate::state::{StateEvent, View};
 use crate::{DutyContext, DutyError, StopPhase, keys};
 
@@ -31,15 +32,6 @@
 /// The time that news gathers before a step.
 const GATHER: Duration = Duration::from_millis(4);
 
-/// How long a box may take to answer an order.
-const ORDER_WITHIN: Duration = Duration::from_millis(250);
-
-/// How long a box may take to answer whether it is there.
-const ASK_WITHIN: Duration = Duration::from_millis(200);
-
-/// How long a box is not asked again.
-const ASK_PAUSE: Millis = Millis(1_000);
-
 /// The window over which loads are counted.
 const LOAD_WINDOW: Millis = Millis(5_000);
 
@@ -91,16 +83,16 @@
 
 /// Keeps what the duty knows and does.
 pub(crate) struct Control {
-    cx: DutyContext,
+    pub(super) cx: DutyContext,
     /// The store.
     pub(crate) store: Counted<<Driver as SiteDriver>::Store>,
     /// What is known of the site.
     pub(crate) known: RefCell<Known>,
-    pool: HttpPool,
-    wake: Notify,
-    formations: RefCell<BTreeMap<DomainId, Formation>>,
+    pub(super) pool: HttpPool,
+    pub(super) wake: Notify,
+    pub(super) formations: RefCell<BTreeMap<DomainId, Formation>>,
     loads: RefCell<BTreeMap<DomainId, VecDeque<Millis>>>,
-    asked: RefCell<BTreeMap<String, Millis>>,
+    pub(super) asked: RefCell<BTreeMap<String, Millis>>,
     heard_store: Cell<Option<Millis>>,
     /// Since when the store's state has been known freshly.
     fresh_since: Cell<Option<Millis>>,
@@ -205,7 +197,7 @@
         self.cx.view.borrow().own.incarnation.0
     }
 
-    fn publish(&self) {
+    pub(super) fn publish(&self) {
         let nodes = self.cx.view.borrow().alive().count();
         let known = self.known.borrow();
         self.cx.publish_site.send_replace(std::sync::Arc::new(known.view(nodes)));
@@ -304,7 +296,7 @@
     }
 
     /// Tells whether this node decides for a domain.
-    fn owns(&self, view: &View, domain: &DomainId) -> bool {
+    pub(super) fn owns(&self, view: &View, domain: &DomainId) -> bool {
         let alive: Vec<&Heartbeat> = view.alive().collect();
         owner_of(domain.as_str(), all_readers(&alive)) == Some(&view.own.node)
     }
@@ -413,115 +405,6 @@
             Err(err) => log::warn!("a record could not be read back: {err}"),
         }
     }
-
-    async fn send_order(&self, domain: &DomainId, order: MemberOrder, fence: Revision) {
-        let out = Driver::order_call(&order, order.fence(fence));
-        let sent =
-            call(&self.pool, order.address, out.method, &out.path, out.body, ORDER_WITHIN).await;
-        let end = match &sent {
-            Ok(answer) => Driver::order_end(answer.status),
-            Err(CallError::Send(SendError::Connect { .. })) => OrderEnd::Refused,
-            Err(CallError::Send(SendError::ConnectTimedOut(_))) => OrderEnd::Dark,
-            Err(_) => OrderEnd::Silent,
-        };
-        let result = if end == OrderEnd::Taken { "followed" } else { "failed" };
-        self.cx.metrics.orders.with_label_values(&[result]).inc();
-        log::info!(
-            target_box = order.target.as_str(), replica = order.replica.as_str(),
-            epoch = order.epoch.0, task = order.task.as_str();
-            "order {end:?}"
-        );
-        // A box that says that the order does not fit is not in the replica.
-        if order.task == MemberTask::Leave && matches!(end, OrderEnd::Taken | OrderEnd::Unfit) {
-            self.known.borrow_mut().left(&order);
-            self.wake.notify_one();
-        }
-        if matches!(end, OrderEnd::Dark | OrderEnd::Refused | OrderEnd::OtherBox) {
-            // It is listed for seconds yet, but it is not there.
-            self.known.borrow_mut().heard(&order.target, false, self.now());
-            self.publish();
-            self.wake.notify_one();
-        }
-        if end == OrderEnd::Silent {
-            // It may carry the order out later, or not be there at all.
-            let known = self.known.borrow().find(&order.target);
-            if let Some(known) = known {
-                self.ask(known).await;
-            }
-        }
-        let stages = matches!(order.task, MemberTask::Stage { .. });
-        // A box that answers and left an order unanswered is ordered again, under a later fence.
-        let lost = end == OrderEnd::Silent && !self.known.borrow().is_silent(&order.target);
-        // What was followed at once may be ordered again at once, under a later record.
-        let followed = end == OrderEnd::Taken && order.task == MemberTask::Leave;
-        let settled = (end == OrderEnd::Taken && !followed)
-            || end == OrderEnd::Dark
-            || (end == OrderEnd::Silent && !lost)
-            || (stages && end == OrderEnd::Unfit);
-        if !settled {
-            let mut formations = self.formations.borrow_mut();
-            if let Some(formation) = formations.get_mut(domain) {
-                match end {
-                    OrderEnd::Fenced => formation.order_fenced(&order.target),
-                    _ => formation.order_failed(&order.target),
-                }
-            }
-        }
-    }
-
-    /// Tells whether a box was not asked just now, and notes that it is.
-    fn may_ask(&self, name: String) -> bool {
-        let now = self.now();
-        let mut asked = self.asked.borrow_mut();
-        asked.retain(|_, at| now.since(*at) < ASK_PAUSE);
-        if asked.contains_key(&name) {
-            return false;
-        }
-        asked.insert(name, now);
-        true
-    }
-
-    /// Asks boxes that may be gone whether they are there.
-    async fn ask(&self, known: SiteBox) {
-        let name = known.id.as_str().to_owned();
-        if !self.may_ask(name) {
-            return;
-        }
-        let out = Driver::report_call();
-        let answer =
-            call(&self.pool, known.address, out.method, &out.path, out.body, ASK_WITHIN).await;
-        let answered = answer.is_ok();
-        self.cx
-            .metrics
-            .probes
-            .with_label_values(&[if answered { "answered" } else { "silent" }])
-            .inc();
-        if !answered {
-            log::info!(target_box = known.id.as_str(); "a box of a stalled replica is silent");
-        }
-        self.known.borrow_mut().heard(&known.id, answered, self.now());
-        if !answered {
-            self.publish();
-            self.wake.notify_one();
-        }
-    }
-}
-
-/// Has boxes looked at that the request path found silent.
-async fn follow_hints(control: Rc<Control>) {
-    while let Ok(hint) = control.cx.hint_events.recv().await {
-        let (Hint::Stalled(id) | Hint::Unreachable(id)) = hint;
-        let members = control.known.borrow().members_with(&id);
-        let view = control.cx.view_now();
-        let domain = members.first().and_then(|member| member.domain.clone());
-        if domain.is_some_and(|domain| !control.owns(&view, &domain)) {
-            continue;
-        }
-        for member in members {
-            let control = control.clone();
-            tokio::task::spawn_local(async move { control.ask(member).await });
-        }
-    }
 }
 
 fn service_of(boxes: &[&SiteBox]) -> Option<ServiceName> {
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod body;
+mod box_calls;
 mod change_sharing;
 mod control;
 mod event_stream;
