--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -6,7 +6,7 @@
 use cherrystand_core::{DomainId, MemberOrder, MemberTask, Millis, OrderEnd, Revision, SiteBox};
 use cherrystand_platform::{CallError, SendError, SiteDriver, call};
 
-use crate::site::control::Control;
+use crate::site::control::{Control, owns, readers_in};
 use crate::site::{Driver, Hint};
 
 /// How long a box may take to answer an order.
@@ -31,8 +31,7 @@
             // It is listed for seconds yet, but it is not there.
             OrderEnd::Dark | OrderEnd::Refused | OrderEnd::OtherBox => {
                 self.known.borrow_mut().heard(&order.target, false, self.now());
-                self.publish();
-                self.wake.notify_one();
+                self.spread_news();
             }
             // It may carry the order out later, or not be there at all.
             OrderEnd::Silent => {
@@ -101,8 +100,7 @@
         }
         self.known.borrow_mut().heard(&known.id, answered, self.now());
         if !answered {
-            self.publish();
-            self.wake.notify_one();
+            self.spread_news();
         }
     }
 }
@@ -114,7 +112,7 @@
         let members = control.known.borrow().members_with(&id);
         let view = control.cx.view_now();
         let domain = members.first().and_then(|member| member.domain.clone());
-        if domain.is_some_and(|domain| !control.owns(&view, &domain)) {
+        if domain.is_some_and(|domain| !owns(&view, &readers_in(&view), &domain)) {
             continue;
         }
         for member in members {
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -130,7 +130,7 @@
     let within = Duration::from_millis(WAIT.0) + ANSWER_WITHIN;
     let asked = control.now();
     let body = Bytes::from(question);
-    let answer = call(control.pool(), peer, Method::POST, "/changes", body, within).await?;
+    let answer = call(&control.pool, peer, Method::POST, "/changes", body, within).await?;
     if answer.status != StatusCode::OK {
         return Err(ChangesError::NotServed(answer.status));
     }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -43,7 +43,7 @@
 
 /// How long the store has to answer a node, and its state to be known freshly, before the node
 /// decides: one that just started, or was cut off, learns meanwhile who else decides.
-const LOOK_FIRST: Millis = Millis(1_200);
+const SETTLES_FOR: Millis = Millis(1_200);
 
 /// Nothing is formed in a domain that never formed any before no box has come for this long, so
 /// that all nodes see the same boxes and give each domain the same home.
@@ -88,6 +88,7 @@
     pub(crate) store: Counted<<Driver as SiteDriver>::Store>,
     /// What is known of the site.
     pub(crate) known: RefCell<Known>,
+    /// Connections to boxes and peers.
     pub(super) pool: HttpPool,
     pub(super) wake: Notify,
     pub(super) formations: RefCell<BTreeMap<DomainId, Formation>>,
@@ -148,17 +149,14 @@
     pub(crate) fn learned(&self, age: Millis, changes: bool) {
         self.heard_store.set(Some(self.now() - age));
         if changes {
-            self.publish();
-            self.wake.notify_one();
+            self.spread_news();
         }
     }
 
-    /// Has a configuration taken over that came by itself.
-    pub(crate) fn config_came(&self, is_new: bool) {
-        if is_new {
-            self.publish();
-            self.wake.notify_one();
-        }
+    /// Hands what is known now to the request path and to peers, and has it looked at.
+    pub(crate) fn spread_news(&self) {
+        self.publish();
+        self.wake.notify_one();
     }
 
     /// Returns how long ago the store is known to have answered, this node or one that it reads
@@ -167,11 +165,6 @@
         self.heard_store.get().map(|heard| self.now().since(heard))
     }
 
-    /// Returns the pool of connections to boxes and peers.
-    pub(crate) fn pool(&self) -> &HttpPool {
-        &self.pool
-    }
-
     /// Returns where this node reads now: the peer's name and address, or nothing for the store.
     pub(crate) fn source(&self) -> Option<(NodeId, SocketAddr)> {
         let view = self.cx.view_now();
@@ -197,10 +190,10 @@
         self.cx.view.borrow().own.incarnation.0
     }
 
-    pub(super) fn publish(&self) {
+    fn publish(&self) {
         let nodes = self.cx.view.borrow().alive().count();
         let known = self.known.borrow();
-        self.cx.publish_site.send_replace(std::sync::Arc::new(known.view(nodes)));
+        self.cx.publish_site.send_replace(Arc::new(known.view(nodes)));
         self.changed.send_replace(known.changes());
     }
 
@@ -242,15 +235,13 @@
         let due = now.since(self.passed_on.get()) >= PASS_ON_EVERY;
         // The boxes change all the time; they travel only while some peer cannot read the store.
         let wanted = view.alive().any(|beat| !beat.decides);
-        let documents = known.to_pass_on(wanted);
-        drop(known);
-        let config = documents.iter().find(|document| &*document.key == keys::SITE_CONFIG);
-        let config = config.map(|document| document.revision).unwrap_or_default();
+        let config = known.config_revision();
         if due || config > self.config_passed.get() {
             self.passed_on.set(now);
             self.config_passed.set(config);
-            self.cx.tell_state(StateEvent::Records(documents));
+            self.cx.tell_state(StateEvent::Records(known.to_pass_on(wanted)));
         }
+        drop(known);
         if news {
             self.publish();
         }
@@ -266,14 +257,12 @@
 
     /// Notes that the store failed this node.
     pub(crate) fn store_failed(&self) {
-        self.store_fails.set(true);
         self.known.borrow_mut().store_failed();
-        self.wake.notify_one();
+        self.store_missed();
     }
 
     fn store_is_silent(&self) -> bool {
-        let heard = self.heard_store.get();
-        heard.is_none_or(|heard| self.now().since(heard) > STORE_SILENT)
+        self.store_age().is_none_or(|age| age > STORE_SILENT)
     }
 
     /// Tells whether this node has known the store's state freshly for long enough.
@@ -283,24 +272,18 @@
         let fresh = fresh && !self.store_fails.get();
         let since = self.fresh_since.get().unwrap_or(now);
         self.fresh_since.set(fresh.then_some(since));
-        fresh && now.since(since) >= LOOK_FIRST
+        fresh && now.since(since) >= SETTLES_FOR
     }
 
     async fn step_domains(self: &Rc<Self>, view: &View) {
-        let domains = self.known.borrow().domains();
+        let mut domains = self.known.borrow().domains();
+        let readers = readers_in(view);
+        domains.retain(|domain| owns(view, &readers, domain));
         for domain in domains {
-            if self.owns(view, &domain) {
-                self.step_domain(&domain).await;
-            }
+            self.step_domain(&domain).await;
         }
     }
 
-    /// Tells whether this node decides for a domain.
-    pub(super) fn owns(&self, view: &View, domain: &DomainId) -> bool {
-        let alive: Vec<&Heartbeat> = view.alive().collect();
-        owner_of(domain.as_str(), all_readers(&alive)) == Some(&view.own.node)
-    }
-
     async fn step_domain(self: &Rc<Self>, domain: &DomainId) {
         let Some((revision, step)) = self.decide(domain) else {
             return;
@@ -380,8 +363,7 @@
             Ok(Swap::Done(revision)) => {
                 let copy = Document { key: Arc::from(key), revision, body: Arc::from(body) };
                 self.known.borrow_mut().take_domain(&copy);
-                self.publish();
-                self.wake.notify_one();
+                self.spread_news();
             }
             Ok(Swap::Conflict(_)) => self.read_back(&key).await,
             Err(err) => {
@@ -407,6 +389,17 @@
     }
 }
 
+/// Returns the daemons that decide for domains.
+pub(super) fn readers_in(view: &View) -> Vec<&Heartbeat> {
+    let alive: Vec<&Heartbeat> = view.alive().collect();
+    all_readers(&alive)
+}
+
+/// Tells whether this node, among the readers, decides for a domain.
+pub(super) fn owns(view: &View, readers: &[&Heartbeat], domain: &DomainId) -> bool {
+    owner_of(domain.as_str(), readers.iter().copied()) == Some(&view.own.node)
+}
+
 fn service_of(boxes: &[&SiteBox]) -> Option<ServiceName> {
     boxes.first().map(|known| known.service.clone())
 }
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -124,7 +124,9 @@
                     news |= known.take_config(record);
                 }
                 drop(known);
-                control.config_came(news);
+                if news {
+                    control.spread_news();
+                }
             }
             Err(PlatformError::Forgotten) => {}
             Err(err) => {
