fix: a refusal promises 'not run' only if that is true of every attempt

Cause: the status followed from the last attempt's end alone. A request that one endpoint may have run and a second one refused, or that found no endpoint left, was answered 503, which promises that it was not run. AttemptLedger (core) keeps the worst of all ends; whole answers, streams and an empty choice ask it. An endpoint's own 500 that was thrown away for a second try is passed on where that try brings nothing. A stream at its deadline passes on what has arrived before it is broken off.

Test first: site::a_refusal_that_promises_not_run... failed on 'one loses its answer, one refuses' (503, run at a-1); attempt_ledger: all pairs of ends.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -68,6 +68,7 @@
 }
 
 mod site {
+    pub(crate) mod attempt_ledger;
     pub(crate) mod chooser;
     pub(crate) mod domain_draft;
     pub(crate) mod engine_spec;
@@ -143,6 +144,7 @@
 pub use requests::seed::{Seed, hash_bytes, mix};
 pub use requests::usual_time::UsualTime;
 pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
+pub use site::attempt_ledger::{AttemptLedger, FinalFailure};
 pub use site::chooser::{Ask, Chooser, TargetKey, TargetSpec};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::event_cutter::{EventCutter, LARGEST_EVENT, WholeEvent};
--- /dev/null
+++ b/crates/cherrystand_core/src/site/attempt_ledger.rs
@@ -0,0 +1,68 @@
+//! What became of all the attempts that one request got.
+
+use crate::{AttemptEnd, Millis, Outcome, Route};
+
+/// How many endpoints one request is sent to at the most, those that did not run it included.
+///
+/// Source: a third endpoint that refuses tells of a shortage that a fourth one shares.
+const MOST_SENT: u32 = 3;
+
+/// Says what a caller is told of a request that no endpoint answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinalFailure {
+    /// No endpoint ran it, and none will: the caller may come back.
+    NotRun,
+    /// An endpoint may have run it, and did not answer in time.
+    TimedOut,
+    /// An endpoint may have run it, and its answer is lost.
+    AnswerLost,
+}
+
+/// Counts the attempts of one request and remembers the worst of their ends.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AttemptLedger {
+    sent: u32,
+    runs: u32,
+    /// The last end after which the request may have been run.
+    may_have_run: Option<AttemptEnd>,
+}
+
+impl AttemptLedger {
+    /// Counts an attempt as begun.
+    pub fn sent(&mut self) {
+        self.sent += 1;
+    }
+
+    /// Takes in how an attempt ended, or that its answer has begun.
+    pub fn ended(&mut self, end: AttemptEnd) {
+        if end.outcome() != Outcome::NotRun {
+            self.runs += 1;
+            self.may_have_run = Some(end);
+        }
+    }
+
+    /// Returns on how many endpoints the request may have been run.
+    pub fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    /// Tells whether the request may go to a further endpoint, as far as its route, its earlier
+    /// attempts and its deadline go.
+    pub fn may_send(&self, route: &Route, now: Millis, deadline: Millis) -> bool {
+        let may_run_again = self.may_have_run.is_none() || route.may_repeat();
+        let runs_left = self.runs < route.attempts.max(1);
+        may_run_again && runs_left && self.sent < MOST_SENT && now < deadline
+    }
+
+    /// Returns what the caller is told where no attempt brought an answer.
+    ///
+    /// It follows from all attempts: one that was certainly not run says nothing about another
+    /// that may have been.
+    pub fn failure(&self) -> FinalFailure {
+        match self.may_have_run {
+            None => FinalFailure::NotRun,
+            Some(AttemptEnd::TimedOut) => FinalFailure::TimedOut,
+            Some(_) => FinalFailure::AnswerLost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/tests/attempt_ledger.rs
@@ -0,0 +1,137 @@
+//! What a caller is told after several attempts, by the ends of all of them.
+
+use cherrystand_core::{
+    AttemptEnd, AttemptLedger, FinalFailure, Millis, Outcome, Route, RouteKind, ServiceName,
+};
+
+const NOW: Millis = Millis(1_000);
+const DEADLINE: Millis = Millis(5_000);
+
+fn route(kind: RouteKind, resumable: bool, attempts: u32) -> Route {
+    Route {
+        name: "r".to_owned(),
+        host: "albums.example".to_owned(),
+        prefix: "/".to_owned(),
+        split: vec![(ServiceName::new("app"), 1)],
+        kind,
+        timeout: Millis(6_000),
+        aim: Millis(300),
+        gap_aim: None,
+        attempts,
+        priority: 1,
+        public: true,
+        resumable,
+    }
+}
+
+fn after(ends: &[AttemptEnd]) -> AttemptLedger {
+    let mut ledger = AttemptLedger::default();
+    for end in ends {
+        ledger.sent();
+        ledger.ended(*end);
+    }
+    ledger
+}
+
+#[test]
+fn not_run_is_told_only_if_no_attempt_may_have_run_over_all_pairs_of_ends() {
+    for first in AttemptEnd::ALL {
+        for second in AttemptEnd::ALL {
+            let told = after(&[first, second]).failure();
+            let none_ran = [first, second].iter().all(|end| end.outcome() == Outcome::NotRun);
+            assert_eq!(told == FinalFailure::NotRun, none_ran, "{first:?}, {second:?}");
+            let last = if second.outcome() == Outcome::NotRun { first } else { second };
+            if !none_ran {
+                let timed_out = last == AttemptEnd::TimedOut;
+                assert_eq!(told == FinalFailure::TimedOut, timed_out, "{first:?}, {second:?}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_request_goes_on_while_its_route_its_runs_and_its_time_allow() {
+    struct Case {
+        name: &'static str,
+        route: Route,
+        ends: &'static [AttemptEnd],
+        now: Millis,
+        may_send: bool,
+    }
+    let repeatable = || route(RouteKind::Repeatable, false, 2);
+    let once = || route(RouteKind::Once, false, 2);
+    let cases = [
+        Case {
+            name: "not run, runs at most once",
+            route: once(),
+            ends: &[AttemptEnd::Refused],
+            now: NOW,
+            may_send: true,
+        },
+        Case {
+            name: "may have run, runs at most once",
+            route: once(),
+            ends: &[AttemptEnd::CutBeforeAnswer],
+            now: NOW,
+            may_send: false,
+        },
+        Case {
+            name: "may have run before one that did not",
+            route: once(),
+            ends: &[AttemptEnd::CutBeforeAnswer, AttemptEnd::Refused],
+            now: NOW,
+            may_send: false,
+        },
+        Case {
+            name: "may have run, repeatable",
+            route: repeatable(),
+            ends: &[AttemptEnd::CutBeforeAnswer],
+            now: NOW,
+            may_send: true,
+        },
+        Case {
+            name: "may have run, a stream that may be resumed",
+            route: route(RouteKind::Streaming, true, 2),
+            ends: &[AttemptEnd::TimedOut],
+            now: NOW,
+            may_send: true,
+        },
+        Case {
+            name: "may have run, a stream that may not",
+            route: route(RouteKind::Streaming, false, 2),
+            ends: &[AttemptEnd::TimedOut],
+            now: NOW,
+            may_send: false,
+        },
+        Case {
+            name: "ran as often as the route allows",
+            route: repeatable(),
+            ends: &[AttemptEnd::CutBeforeAnswer, AttemptEnd::Answered],
+            now: NOW,
+            may_send: false,
+        },
+        Case {
+            name: "refused three times",
+            route: repeatable(),
+            ends: &[AttemptEnd::Refused, AttemptEnd::NotServing, AttemptEnd::ConnectFailed],
+            now: NOW,
+            may_send: false,
+        },
+        Case {
+            name: "no time left",
+            route: repeatable(),
+            ends: &[AttemptEnd::Refused],
+            now: DEADLINE,
+            may_send: false,
+        },
+    ];
+    for case in cases {
+        let ledger = after(case.ends);
+        assert_eq!(
+            ledger.may_send(&case.route, case.now, DEADLINE),
+            case.may_send,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -70,16 +70,17 @@
         let mut heard = self.front.now();
         loop {
             let left = self.req.deadline.since(self.front.now());
-            if left == Millis(0) {
-                let _ = self.tx.send(Err(BrokeOff)).await;
-                return RunEnd::Over;
-            }
             let wait = LOOK_EVERY.min(Duration::from_millis(left.0));
             let frame = tokio::select! {
                 frame = tokio::time::timeout(wait, body.frame()) => frame,
                 () = self.tx.closed() => return RunEnd::Over,
             };
             match frame {
+                // What has arrived by the deadline was passed on before this.
+                Err(_) if left == Millis(0) => {
+                    let _ = self.tx.send(Err(BrokeOff)).await;
+                    return RunEnd::Over;
+                }
                 Err(_) if self.is_stalled(&flight, heard) => {
                     self.front.stalled(&flight);
                     return RunEnd::Broken(AttemptEnd::TimedOut);
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cherrystand_core::{AttemptEnd, BoxId, Millis, Outcome, RefusalReason, RouteKind};
+use cherrystand_core::{
+    AttemptEnd, AttemptLedger, BoxId, FinalFailure, Millis, RefusalReason, RouteKind,
+};
 use cherrystand_platform::SiteDriver;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -18,9 +20,6 @@
 use crate::site::front::{Front, plain};
 use crate::site::request::{SiteRequest, allow, head_bytes, read_body};
 
-/// How many endpoints one request is sent to at the most, those that did not run it included.
-const MOST_SENT: u32 = 3;
-
 /// The time that a caller waits where it says nothing.
 const USUAL_WAIT: Millis = Millis(30_000);
 
@@ -85,73 +84,71 @@
     }
 }
 
-/// Says what a caller is told after an attempt that failed.
-fn status_after(end: AttemptEnd) -> StatusCode {
-    match (end.outcome(), end) {
-        (Outcome::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
-        (_, AttemptEnd::TimedOut) => StatusCode::GATEWAY_TIMEOUT,
-        _ => StatusCode::BAD_GATEWAY,
+/// Says what a caller is told of a request that no endpoint answered.
+fn status_of(failure: FinalFailure) -> StatusCode {
+    match failure {
+        FinalFailure::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        FinalFailure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        FinalFailure::AnswerLost => StatusCode::BAD_GATEWAY,
     }
 }
 
-/// Chooses an endpoint that was not tried, or else one that was.
-fn choose(front: &Rc<Front>, req: &SiteRequest, tries: &Tries) -> Result<Flight, StatusCode> {
-    front.choose(req, &tries.tried).ok_or_else(|| {
-        front.note_none_serving(req);
-        StatusCode::SERVICE_UNAVAILABLE
-    })
-}
-
-/// Writes a failure down and says what the caller is told.
-fn failed(front: &Front, req: &SiteRequest, tries: &Tries, end: AttemptEnd) -> StatusCode {
-    let status = status_after(end);
-    front.note_failed(req, &tries.tried, end.as_str(), status.as_str());
-    status
-}
-
-/// Keeps count of what one request was sent to.
+/// Keeps what one request was sent to, and what became of it there.
 #[derive(Default)]
 struct Tries {
     tried: Vec<BoxId>,
-    sent: u32,
-    runs: u32,
+    ledger: AttemptLedger,
 }
 
 impl Tries {
-    fn may_send(&self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> bool {
-        let may_run_again = end.outcome() == Outcome::NotRun || req.route.may_repeat();
-        let in_time = front.now() < req.deadline;
-        may_run_again
-            && in_time
-            && self.sent < MOST_SENT
-            && self.runs < req.route.attempts.max(1)
-            && front.may_repeat(req, end)
+    /// Chooses an endpoint that was not tried, or else one that was, and counts the attempt.
+    fn begin(&mut self, front: &Rc<Front>, req: &SiteRequest) -> Option<Flight> {
+        let flight = front.choose(req, &self.tried);
+        let Some(flight) = flight else {
+            front.note_none_serving(req);
+            return None;
+        };
+        self.tried.push(flight.target.clone());
+        self.ledger.sent();
+        Some(flight)
     }
 
-    fn ended(&mut self, end: AttemptEnd) {
-        self.runs += u32::from(end.outcome() != Outcome::NotRun);
+    /// Takes in how an attempt ended, and tells whether another one follows.
+    fn go_on(&mut self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> bool {
+        self.ledger.ended(end);
+        let may_send = self.ledger.may_send(&req.route, front.now(), req.deadline);
+        may_send && front.may_repeat(req, end)
+    }
+
+    /// Writes the failure down and says what the caller is told.
+    fn failed(&self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> StatusCode {
+        let status = status_of(self.ledger.failure());
+        front.note_failed(req, &self.tried, end.as_str(), status.as_str());
+        status
+    }
+
+    fn status(&self) -> StatusCode {
+        status_of(self.ledger.failure())
     }
 }
 
 async fn stream(front: &Rc<Front>, req: Rc<SiteRequest>) -> Result<Response<SiteBody>, StatusCode> {
     let mut tries = Tries::default();
     let begun = loop {
-        let flight = choose(front, &req, &tries)?;
-        tries.tried.push(flight.target.clone());
-        tries.sent += 1;
-        let may_leave = req.route.resumable && tries.runs + 1 < req.route.attempts;
+        let flight = tries.begin(front, &req).ok_or_else(|| tries.status())?;
+        let may_leave = req.route.resumable && tries.ledger.runs() + 1 < req.route.attempts;
         match attempt::send(front, &req, flight, req.facts.last_event, may_leave).await {
             Ok(begun) => break begun,
-            Err(end) => {
-                tries.ended(end);
-                if !tries.may_send(front, &req, end) {
-                    return Err(failed(front, &req, &tries, end));
-                }
-            }
+            Err(end) if tries.go_on(front, &req, end) => {}
+            Err(end) => return Err(tries.failed(front, &req, end)),
         }
     };
+    tries.ledger.ended(AttemptEnd::Answered);
     if begun.head.status != StatusCode::OK {
-        return pass_whole(begun).await.map_err(status_after);
+        return pass_whole(begun).await.map_err(|end| {
+            tries.ledger.ended(end);
+            tries.failed(front, &req, end)
+        });
     }
     let (tx, body) = SiteBody::events();
     let mut head = begun.head.clone();
@@ -163,7 +160,7 @@
         req,
         tx,
         tried: tries.tried,
-        runs: tries.runs + 1,
+        runs: tries.ledger.runs(),
     };
     tokio::task::spawn_local(stream.pass_on(begun));
     Ok(Response::from_parts(head, body))
@@ -171,25 +168,22 @@
 
 async fn whole(front: &Rc<Front>, req: &Rc<SiteRequest>) -> Result<Response<SiteBody>, StatusCode> {
     let mut tries = Tries::default();
+    // An endpoint's own failure, which is passed on unless a later attempt brings a better answer.
+    let mut kept: Option<Response<SiteBody>> = None;
     loop {
-        let flight = choose(front, req, &tries)?;
-        tries.tried.push(flight.target.clone());
-        tries.sent += 1;
+        let Some(flight) = tries.begin(front, req) else {
+            return kept.ok_or_else(|| tries.status());
+        };
         let end = match attempt_whole(front, req, flight).await {
+            Ok(answer) if !answer.status().is_server_error() => return Ok(answer),
             Ok(answer) => {
-                tries.ended(AttemptEnd::Answered);
-                let failed = answer.status().is_server_error();
-                let end = AttemptEnd::AnswerCut;
-                if !failed || !req.route.may_repeat() || !tries.may_send(front, req, end) {
-                    return Ok(answer);
-                }
-                continue;
+                kept = Some(answer);
+                AttemptEnd::Answered
             }
             Err(end) => end,
         };
-        tries.ended(end);
-        if !tries.may_send(front, req, end) {
-            return Err(failed(front, req, &tries, end));
+        if !tries.go_on(front, req, end) {
+            return kept.ok_or_else(|| tries.failed(front, req, end));
         }
     }
 }
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -394,6 +394,59 @@
     });
 }
 
+#[test]
+fn a_refusal_that_promises_not_run_is_true_of_every_attempt() {
+    struct Case {
+        name: &'static str,
+        moods: [BoxMood; 2],
+        /// What callers may be told.
+        told: &'static [StatusCode],
+    }
+    const LOST: StatusCode = StatusCode::BAD_GATEWAY;
+    const FAILED: StatusCode = StatusCode::INTERNAL_SERVER_ERROR;
+    const NOT_RUN: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+    let cases = [
+        Case { name: "both refuse", moods: [BoxMood::Sheds, BoxMood::Sheds], told: &[NOT_RUN] },
+        Case {
+            name: "one loses its answer, one refuses",
+            moods: [BoxMood::LosesAnswers, BoxMood::Sheds],
+            told: &[LOST, NOT_RUN],
+        },
+        Case {
+            name: "one fails, one refuses",
+            moods: [BoxMood::Fails, BoxMood::Sheds],
+            told: &[FAILED, NOT_RUN],
+        },
+        Case {
+            name: "one fails, one loses its answer",
+            moods: [BoxMood::Fails, BoxMood::LosesAnswers],
+            told: &[FAILED],
+        },
+    ];
+    support::run(async {
+        for (number, case) in cases.iter().enumerate() {
+            let site = Site::serving(1).await;
+            let node = &site.nodes[0];
+            let leaders: Vec<String> = site.site.leaders().into_keys().collect();
+            for (index, mood) in case.moods.into_iter().enumerate() {
+                site.site.set_mood(["a-1", "a-2"][index], mood);
+                site.site.set_mood(&leaders[index], mood);
+            }
+            for path in ["/looks/1", STREAM] {
+                for attempt in 0..6 {
+                    let id = format!("t{number}-{attempt}{path}").replace('/', "-");
+                    let answer = call(node, "POST", path, &id, "k1").await;
+                    let runs = site.site.runs_of(&id);
+                    let told = (case.name, path, answer.status, &runs);
+                    assert!(case.told.contains(&answer.status), "{told:?}");
+                    let promised = answer.status == NOT_RUN;
+                    assert_eq!(promised, runs.is_empty(), "not true: {told:?}");
+                }
+            }
+        }
+    });
+}
+
 #[test]
 fn a_configuration_reaches_a_node_that_the_store_turns_away_through_its_peers() {
     support::run(async {
