feat(core): a replica serves on while a member's entry is out and nobody found it silent

Ruled out: too few spares (there are none after the second loss); the choice (loads even). Change: standing() and the request path count a member that is listed no more while the leader is listed and open and the member was not found silent. The domain's owner asks it once as its entry goes; a stall asks all members; one of which nothing but its name is known counts as silent then. Leaders have to be listed, since nothing may be sent to an endpoint that is gone. Found by the test: the number of orders sent to a box was forgotten as its entry went, so that the order to leave met a fence. Kept for departed boxes now.

--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -79,27 +79,47 @@
         all.copied().find(|known| leads(&known))
     }
 
+    /// Tells whether a box that is listed no more may still do its work: its entry runs out as well
+    /// where it is cut off from the store, and nobody found it silent.
+    fn may_be_there(&self, id: &BoxId) -> bool {
+        self.find(id).is_none() && !self.at.silent.contains(id)
+    }
+
+    /// Returns what a box that is listed no more last told of itself.
+    fn last_told(&self, id: &BoxId) -> Option<&'a SiteBox> {
+        self.at.departed.iter().copied().find(|known| &known.id == id)
+    }
+
+    /// Says how a replica stands.
+    ///
+    /// One that serves goes on while its leader is listed and none of its members was found silent:
+    /// a member's entry may run out though it works on, and one that is gone is noticed by the
+    /// silence of the streams.
     pub(crate) fn standing(&self, name: &str, held: &Assignment) -> Standing {
-        let members: Vec<_> = held.boxes.iter().map(|id| self.alive(id)).collect();
-        if members.iter().any(Option::is_none) {
-            return Standing::Apart("a member is lost");
-        }
-        let members: Vec<&SiteBox> = members.into_iter().flatten().collect();
-        let leader = members[0];
+        let Some(leader) = held.boxes.first().and_then(|id| self.alive(id)) else {
+            return Standing::Apart("its leader is lost");
+        };
         let state = leader.member.as_ref().filter(|_| leader.is_in(name, held.epoch));
         let state = state.map(|member| member.state);
         if state == Some(MemberState::Broken) {
             return Standing::Apart("its leader says that it came apart");
         }
         let serves = matches!(state, Some(MemberState::Open | MemberState::Closing));
-        let all_in = members.iter().all(|member| member.is_in(name, held.epoch));
-        if serves && !all_in {
-            return Standing::Apart("a member belongs to it no more");
-        }
-        if members.iter().any(|member| member.leaving) {
-            return Standing::Leaving;
+        let mut leaves = false;
+        for id in &held.boxes {
+            match self.alive(id) {
+                Some(member) if serves && !member.is_in(name, held.epoch) => {
+                    return Standing::Apart("a member belongs to it no more");
+                }
+                Some(member) => leaves |= member.leaving,
+                None if serves && self.may_be_there(id) => {
+                    leaves |= self.last_told(id).is_some_and(|known| known.leaving);
+                }
+                None => return Standing::Apart("a member is lost"),
+            }
         }
         match state {
+            _ if leaves => Standing::Leaving,
             Some(MemberState::Open) => Standing::Whole,
             // Nobody here wants it closed: whoever began that is gone.
             Some(MemberState::Closing) => Standing::Leaving,
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -102,9 +102,10 @@
     /// Decides what to write and order now.
     pub fn step(&mut self, at: FormationInput<'_>) -> FormationStep {
         self.sent.retain(|_, sent| at.now.since(sent.at) < ORDER_AGAIN);
-        let listed = |id: &BoxId| at.boxes.iter().any(|known| &known.id == id);
-        self.orders.retain(|id, _| listed(id));
-        self.warmed.retain(listed);
+        // A box that is only cut off from the store still compares fences.
+        let known = |id: &BoxId| at.boxes.iter().chain(at.departed).any(|known| &known.id == id);
+        self.orders.retain(|id, _| known(id));
+        self.warmed.retain(known);
         let mut draft = DomainDraft::new(at);
         let replicas: Vec<ReplicaId> = at.record.replicas.keys().cloned().collect();
         for replica in &replicas {
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -203,6 +203,42 @@
     assert_eq!(site.domain.faults, Vec::<String>::new());
 }
 
+#[test]
+fn a_replica_serves_on_while_a_member_is_cut_off_from_the_store_and_answers() {
+    struct Case {
+        name: &'static str,
+        /// Which member's entry runs out, by rank.
+        rank: usize,
+        /// Whether it is found silent as well.
+        silent: bool,
+        serves_on: bool,
+    }
+    let cases = [
+        Case { name: "a member that answers", rank: 2, silent: false, serves_on: true },
+        Case { name: "a member that is silent", rank: 2, silent: true, serves_on: false },
+        // Nothing may be sent to a leader that is listed no more.
+        Case { name: "the leader", rank: 0, silent: false, serves_on: false },
+    ];
+    for case in cases {
+        let mut site = Site::new(8, 1, 1);
+        site.run(Millis(40_000));
+        let before = site.record.replicas.values().next().expect("a replica").clone();
+        let number = number_of(&site, &before.boxes[case.rank]);
+        if case.silent {
+            site.domain.kill(number);
+        } else {
+            site.domain.unhear(number);
+        }
+        site.run(Millis(10_000));
+        let kept = site.record.replicas.values().any(|held| held == &before);
+        assert_eq!(kept, case.serves_on, "{}", case.name);
+        assert_eq!(site.domain.serving(), if case.serves_on { 2 } else { 1 }, "{}", case.name);
+        site.domain.heal();
+        site.run(Millis(20_000));
+        assert_eq!(site.domain.faults, Vec::<String>::new(), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_whole_replica_that_the_record_lost_is_taken_back() {
     let mut site = Site::new(9, 1, 1);
@@ -241,7 +277,7 @@
     fn no_box_joins_out_of_a_serving_replica_and_none_opens_unready(
         seed in any::<u64>(),
         late in 0_usize..50,
-        events in prop::collection::vec((0_usize..6, any::<usize>(), 1_u64..60), 1..40),
+        events in prop::collection::vec((0_usize..7, any::<usize>(), 1_u64..60), 1..40),
     ) {
         let mut site = Site::new(9, 2, seed);
         site.late = late;
@@ -251,6 +287,7 @@
                 1 => site.domain.cut(number, true),
                 2 => site.domain.heal(),
                 3 => site.domain.add_box(),
+                5 => site.domain.unhear(number),
                 _ => {}
             }
             // A node may read the record anew and yet have an old list of boxes for seconds.
--- a/crates/cherrystand_testkit/src/site/fake_site_domain.rs
+++ b/crates/cherrystand_testkit/src/site/fake_site_domain.rs
@@ -48,6 +48,8 @@
     alive: bool,
     /// Cut off from the store and from orders, while requests still reach it.
     cut: bool,
+    /// Cut off from the store alone, while orders and requests reach it.
+    unheard: bool,
     /// When it was last heard by the store.
     heard: Millis,
     staged: Option<String>,
@@ -112,6 +114,7 @@
         let fresh = FakeMember {
             alive: true,
             cut: false,
+            unheard: false,
             heard: self.now,
             staged: None,
             loaded: None,
@@ -143,10 +146,18 @@
         }
     }
 
+    /// Cuts a box off from the store alone.
+    pub fn unhear(&mut self, number: usize) {
+        if let Some(member) = self.nth(number) {
+            member.unheard = true;
+        }
+    }
+
     /// Heals every cut.
     pub fn heal(&mut self) {
         for member in self.boxes.values_mut() {
             member.cut = false;
+            member.unheard = false;
         }
     }
 
@@ -245,7 +256,7 @@
                 belongs.state = MemberState::Broken;
             }
         }
-        if !held.cut {
+        if !held.cut && !held.unheard {
             held.heard = now;
             held.told = held.belongs.as_ref().map(|belongs| Member {
                 replica: belongs.replica.clone(),
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -68,6 +68,13 @@
         end
     }
 
+    /// Tells whether this node decides for the domain of a box, where it has one.
+    fn decides_for(&self, known: &SiteBox) -> bool {
+        let view = self.cx.view_now();
+        let domain = known.domain.as_ref();
+        domain.is_none_or(|domain| owns(&view, &readers_in(&view), domain))
+    }
+
     /// Tells whether a box was not asked just now, and notes that it is.
     fn may_ask(&self, name: String) -> bool {
         let now = self.now();
@@ -110,14 +117,31 @@
     while let Ok(hint) = control.cx.hint_events.recv().await {
         let (Hint::Stalled(id) | Hint::Unreachable(id)) = hint;
         let members = control.known.borrow().members_with(&id);
-        let view = control.cx.view_now();
-        let domain = members.first().and_then(|member| member.domain.clone());
-        if domain.is_some_and(|domain| !owns(&view, &readers_in(&view), &domain)) {
+        if !members.iter().all(|member| control.decides_for(member)) {
             continue;
         }
-        for member in members {
-            let control = control.clone();
-            tokio::task::spawn_local(async move { control.ask(member).await });
+        ask_each(&control, members);
+        let unknown = control.known.borrow().members_unknown(&id);
+        for member in &unknown {
+            control.known.borrow_mut().heard(member, false, control.now());
         }
+        if !unknown.is_empty() {
+            control.spread_news();
+        }
+    }
+}
+
+/// Asks members of replicas whose entries went whether they are there: one that is only cut off
+/// from the store works on.
+pub(super) fn ask_unlisted(control: &Rc<Control>) {
+    let mut unlisted = control.known.borrow_mut().take_unasked();
+    unlisted.retain(|known| control.decides_for(known));
+    ask_each(control, unlisted);
+}
+
+fn ask_each(control: &Rc<Control>, boxes: Vec<SiteBox>) {
+    for known in boxes {
+        let control = control.clone();
+        tokio::task::spawn_local(async move { control.ask(known).await });
     }
 }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -19,7 +19,7 @@
 use crate::counted::Counted;
 use crate::kernel::{Duty, Serves};
 use crate::site::Driver;
-use crate::site::box_calls::follow_hints;
+use crate::site::box_calls::{ask_unlisted, follow_hints};
 use crate::site::change_sharing::share_changes;
 use crate::site::known::Known;
 use crate::site::watching::{entries_in, follow_config, follow_store};
@@ -207,6 +207,7 @@
             if self.known.borrow_mut().forget(self.now()) {
                 self.publish();
             }
+            ask_unlisted(&self);
             self.say_whether_it_decides();
             self.exchange_with_peers(&view);
             if self.cx.stop_phase() == StopPhase::Running && self.may_decide() {
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -5,7 +5,7 @@
 
 use cherrystand_core::{
     BoxId, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch, MemberOrder,
-    MemberState, Millis, Revision, RouteTable, SiteBox,
+    MemberState, Millis, Revision, RouteTable, SiteBox, replica_name,
 };
 use cherrystand_peer::ChangeNews;
 use cherrystand_platform::{Changes, SiteDriver};
@@ -55,6 +55,8 @@
     departed: BTreeMap<BoxId, Departed>,
     records: BTreeMap<DomainId, HeldDomain>,
     silent: BTreeMap<BoxId, Millis>,
+    /// Members of replicas whose entries went, and that nobody asked since whether they are there.
+    unasked: Vec<SiteBox>,
     /// Replicas whose leaders left them, with the last epoch of the record that they were ordered
     /// to by.
     ended: BTreeMap<(String, Epoch), Epoch>,
@@ -230,11 +232,13 @@
 
     fn take_departure(&mut self, id: &BoxId, now: Millis) {
         self.entries.remove(id);
-        self.silent.remove(id);
         self.left.retain(|(left, _), _| left != id);
         self.unlisted.remove(id);
         if let Some(known) = self.boxes.remove(id) {
             self.log.gone(&Driver::box_key(id), id.clone());
+            if known.member.is_some() && !self.silent.contains_key(id) {
+                self.unasked.push(known.clone());
+            }
             self.departed.insert(id.clone(), Departed { known, at: now });
         }
     }
@@ -259,11 +263,17 @@
     pub(crate) fn heard(&mut self, id: &BoxId, answered: bool, now: Millis) {
         if answered {
             self.silent.remove(id);
-        } else if self.boxes.contains_key(id) {
+        } else {
             self.silent.insert(id.clone(), now);
         }
     }
 
+    /// Returns the members of replicas whose entries went since the last call; whether they are
+    /// there has to be asked of them.
+    pub(crate) fn take_unasked(&mut self) -> Vec<SiteBox> {
+        std::mem::take(&mut self.unasked)
+    }
+
     /// Notes that a box followed an order to leave; what it tells of itself follows.
     pub(crate) fn left(&mut self, order: &MemberOrder) {
         let (id, replica, epoch) = (&order.target, &order.replica, order.epoch);
@@ -296,7 +306,9 @@
         }
         self.departed.retain(|_, gone| now.since(gone.at) < DEPARTED_FOR);
         self.forget_ended();
-        self.silent.retain(|_, since| now.since(*since) < SILENT_FOR);
+        let boxes = &self.boxes;
+        let life = |id: &BoxId| if boxes.contains_key(id) { SILENT_FOR } else { DEPARTED_FOR };
+        self.silent.retain(|id, since| now.since(*since) < life(id));
         self.changes() != changes
     }
 
@@ -355,7 +367,7 @@
         self.boxes.get(id).cloned()
     }
 
-    /// Returns the members of the replica that a box leads, itself among them.
+    /// Returns the members of the replica that a box leads, itself among them, listed or not.
     pub(crate) fn members_with(&self, id: &BoxId) -> Vec<SiteBox> {
         let Some(known) = self.boxes.get(id) else {
             return Vec::new();
@@ -363,10 +375,34 @@
         let Some(member) = &known.member else {
             return vec![known.clone()];
         };
-        let all = self.boxes.values();
+        let departed = self.departed.values().map(|gone| &gone.known);
+        let all = self.boxes.values().chain(departed);
         all.filter(|other| other.is_in(&member.replica, member.epoch)).cloned().collect()
     }
 
+    /// Returns the members of the replica that a box leads of which nothing but their names is
+    /// known, so that nobody here can ask them.
+    pub(crate) fn members_unknown(&self, leader: &BoxId) -> Vec<BoxId> {
+        let member = self.boxes.get(leader).and_then(|known| known.member.as_ref());
+        let assigned = self.assigned();
+        let members =
+            member.and_then(|member| assigned.get(&(member.replica.clone(), member.epoch)));
+        let is_known =
+            |id: &&BoxId| self.boxes.contains_key(*id) || self.departed.contains_key(*id);
+        members.into_iter().flatten().filter(|id| !is_known(id)).cloned().collect()
+    }
+
+    /// Returns the boxes of each replica, by its name and epoch, as the domains' records have them.
+    fn assigned(&self) -> BTreeMap<(String, Epoch), Vec<BoxId>> {
+        let records = self.records.values().map(|held| &held.record);
+        let replicas = records.flat_map(|record| {
+            record.replicas.iter().map(|(id, held)| {
+                ((replica_name(&record.domain, id), held.epoch), held.boxes.clone())
+            })
+        });
+        replicas.collect()
+    }
+
     /// Tells whether a box went silent.
     pub(crate) fn is_silent(&self, id: &BoxId) -> bool {
         self.silent.contains_key(id)
@@ -452,6 +488,7 @@
             table: self.table.clone(),
             boxes: Arc::new(self.boxes.clone()),
             silent: Arc::new(self.silent()),
+            assigned: self.assigned(),
             listed: self.listed,
             nodes,
         }
--- a/crates/cherrystandd/src/site/site_view.rs
+++ b/crates/cherrystandd/src/site/site_view.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cherrystand_core::{BoxId, MemberState, RouteTable, SiteBox, TargetSpec, ZoneId};
+use cherrystand_core::{
+    BoxId, Epoch, Member, MemberState, RouteTable, SiteBox, TargetSpec, ZoneId,
+};
 
 /// What the request path tells the duty that watches over boxes.
 #[derive(Clone, Debug)]
@@ -24,6 +26,8 @@
     pub boxes: Arc<BTreeMap<BoxId, SiteBox>>,
     /// Boxes that are listed but silent.
     pub silent: Arc<BTreeSet<BoxId>>,
+    /// The boxes of each replica, by its name and epoch, as the domains' records have them.
+    pub assigned: BTreeMap<(String, Epoch), Vec<BoxId>>,
     /// Whether the boxes were listed at least once.
     pub listed: bool,
     /// How many nodes are alive, this one included.
@@ -70,10 +74,19 @@
         let model = leader.loaded.first()?;
         let table = self.table.as_ref()?;
         let span = table.config().engine(&leader.service)?.model(model)?.span;
-        let members = self
-            .boxes
-            .values()
-            .filter(|known| known.is_in(&member.replica, member.epoch) && self.is_usable(known));
-        (members.count() >= span as usize).then(|| model.clone())
+        let in_it = |known: &&SiteBox| known.is_in(&member.replica, member.epoch);
+        let listed: Vec<&SiteBox> = self.boxes.values().filter(in_it).collect();
+        let all_usable = listed.iter().all(|known| self.is_usable(known));
+        let there = listed.len() + self.unlisted_members(member);
+        (all_usable && there >= span as usize).then(|| model.clone())
+    }
+
+    /// Returns how many members of a replica are listed no more and may still do their work, since
+    /// nobody found them silent.
+    fn unlisted_members(&self, member: &Member) -> usize {
+        let assigned = self.assigned.get(&(member.replica.clone(), member.epoch));
+        let may_be_there =
+            |id: &&BoxId| !self.boxes.contains_key(*id) && !self.silent.contains(*id);
+        assigned.into_iter().flatten().filter(may_be_there).count()
     }
 }
