feat(core): a replica is chosen by expected credit among a few drawn by chance; pace is learned

Change: two near replicas and two others are drawn; each is worth the chance of its first event within the objective (the error of the prediction is learned, mean and spread), less its failures; a far one has to be better by what its bytes cost. Pace follows from the pauses of streams, halved every 1.5 s. Baselines in the same code: [policy] choice = earliest, fewest-in-flight, two-at-random. [policy] switches for what was believed in already as well, each on by default.

perf: only the readers of a zone watch the configuration in the store; a node that the store turned away asks again after 1 to 8 s; others than readers pause up to 4 s in an outage. Not measured yet.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -79,10 +79,13 @@
     pub(crate) mod load_book;
     pub(crate) mod log_gate;
     pub(crate) mod member_order;
+    pub(crate) mod policy;
     pub(crate) mod retry_share;
     pub(crate) mod route_table;
     pub(crate) mod site_box;
     pub(crate) mod site_config;
+    pub(crate) mod target;
+    pub(crate) mod time_model;
 }
 
 pub use config::class::Class;
@@ -148,7 +151,7 @@
 pub use requests::usual_time::UsualTime;
 pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
 pub use site::attempt_ledger::{AttemptLedger, FinalFailure};
-pub use site::chooser::{Ask, Chooser, TargetKey, TargetSpec};
+pub use site::chooser::{Ask, Chooser, TargetKey};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::event_cutter::{EventCutter, LARGEST_EVENT, WholeEvent};
 pub use site::formation::{Formation, FormationInput, FormationStep, replica_name};
@@ -156,7 +159,10 @@
 pub use site::load_book::{EndpointLoad, LoadBook, ZoneLoads};
 pub use site::log_gate::LogGate;
 pub use site::member_order::{MemberOrder, MemberTask, OrderEnd};
+pub use site::policy::{ChoiceRule, Policy};
 pub use site::retry_share::{RetryBounds, RetryShare};
 pub use site::route_table::{Allowed, NotAllowed, RouteTable};
 pub use site::site_box::{Member, MemberState, SiteBox};
 pub use site::site_config::{CallerLimits, Route, RouteKind, Service, SiteConfig, Tenant};
+pub use site::target::TargetSpec;
+pub use site::time_model::TimeModel;
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -1,46 +1,33 @@
 //! The choice among replicas and endpoints, by what their engine is predicted to do.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::{BoxId, EngineLoad, EngineSpec, Millis, ModelSpec, Seed, ServiceName};
+use crate::site::target::{Target, TargetSpec};
+use crate::{
+    BoxId, ChoiceRule, EngineLoad, EngineSpec, Millis, ModelSpec, Policy, Seed, ServiceName,
+    SiteConfig, TimeModel,
+};
 
 new_key_type! {
     /// Points to an endpoint in the chooser's arena.
     pub struct TargetKey;
 }
 
-/// For how long an endpoint that failed is left out, at first.
-const FIRST_AVOID: Millis = Millis(300);
+/// How many replicas of the own zone, and of others, are drawn for one choice.
+///
+/// What is known of the others' loads is up to half a second old. If all daemons took the replica
+/// that looks best, they would all take the same one; the better of two drawn by chance is nearly
+/// as good and does not gather them.
+const DRAWN: usize = 2;
 
-/// For how long it is left out at the most.
-const LONGEST_AVOID: Millis = Millis(2_000);
+/// How many draws are made to find those, since some may be left out.
+const DRAWS: usize = 4;
 
-/// How much a failure counts against the ones before it.
-const FAILURE_WEIGHT: f64 = 0.25;
-
-/// After this time what failed counts half as much, so that an endpoint that is left out for its
-/// failures is tried again.
-const FAILURE_HALVES: Millis = Millis(2_000);
-
-/// How much one sure failure counts in requests in flight.
-const FAILURE_COST: f64 = 24.0;
-
-/// Describes an endpoint to choose.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TargetSpec {
-    /// The box that takes the requests.
-    pub id: BoxId,
-    /// The service.
-    pub service: ServiceName,
-    /// The model that it serves, where it serves one.
-    pub model: Option<String>,
-    /// Whether it is in the chooser's zone.
-    pub near: bool,
-    /// How many requests it works on at a time.
-    pub slots: u32,
-}
+/// How much of the credit one whole objective of expected time costs, so that of two that are both
+/// in time the sooner one is taken.
+const TIME_COST: f64 = 0.05;
 
 /// What a request asks of an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -51,30 +38,50 @@
     pub model: Option<&'a str>,
     /// The tokens of its prompt.
     pub prompt: f64,
+    /// The time within which its answer, or its first event, is in time.
+    pub objective: Millis,
+}
+
+/// The endpoints of one service and model, by distance.
+#[derive(Clone, Debug, Default)]
+struct Candidates {
+    near: Vec<TargetKey>,
+    far: Vec<TargetKey>,
+}
+
+/// The endpoints of one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceTargets {
+    by_model: HashMap<String, Candidates>,
+    plain: Candidates,
 }
 
-#[derive(Clone, Debug)]
-struct Target {
-    spec: TargetSpec,
-    in_flight: u32,
-    unread: f64,
-    others: EngineLoad,
-    failures: f64,
-    /// As of when.
-    failures_at: Millis,
-    avoid_until: Millis,
-    avoid_next: Millis,
-    last_event: Millis,
+/// What one choice goes by.
+#[derive(Clone, Copy)]
+struct Choice<'a> {
+    ask: Ask<'a>,
+    engine: Option<(&'a EngineSpec, &'a ModelSpec)>,
+    not: &'a [BoxId],
+    now: Millis,
+    times: TimeModel,
 }
 
 /// Chooses endpoints and keeps what the choice needs.
 #[derive(Clone, Debug, Default)]
 pub struct Chooser {
+    policy: Policy,
     targets: SlotMap<TargetKey, Target>,
     ids: BTreeMap<BoxId, TargetKey>,
+    services: HashMap<ServiceName, ServiceTargets>,
+    times: HashMap<String, TimeModel>,
 }
 
 impl Chooser {
+    /// Creates a chooser that knows no endpoints.
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
     /// Takes over the endpoints that serve now.
     pub fn follow(&mut self, specs: Vec<TargetSpec>) {
         let wanted: BTreeMap<BoxId, TargetSpec> =
@@ -95,6 +102,21 @@
                 }
             }
         }
+        self.index();
+    }
+
+    fn index(&mut self) {
+        self.services.clear();
+        for (key, target) in &self.targets {
+            let spec = &target.spec;
+            let service = self.services.entry(spec.service.clone()).or_default();
+            let candidates = match &spec.model {
+                Some(model) => service.by_model.entry(model.clone()).or_default(),
+                None => &mut service.plain,
+            };
+            let list = if spec.near { &mut candidates.near } else { &mut candidates.far };
+            list.push(key);
+        }
     }
 
     /// Takes over what peers have in flight, by endpoint.
@@ -117,7 +139,7 @@
         busy.map(|target| (&target.spec.id, target.own(), target.last_event))
     }
 
-    /// Chooses the endpoint that is predicted to answer first, other than those in `not`.
+    /// Chooses an endpoint other than those in `not`, by the policy's rule.
     pub fn choose(
         &self,
         ask: Ask<'_>,
@@ -126,29 +148,157 @@
         now: Millis,
         seed: &mut Seed,
     ) -> Option<TargetKey> {
-        let model = ask.model.and_then(|model| engine?.model(model));
-        let fits = |target: &Target| {
-            &target.spec.service == ask.service
-                && (engine.is_none() || target.spec.model.as_deref() == ask.model)
-                && !not.contains(&target.spec.id)
+        let service = self.services.get(ask.service)?;
+        let (candidates, engine) = match (engine, ask.model) {
+            (Some(engine), Some(model)) => {
+                let spec = engine.model(model);
+                (service.by_model.get(model)?, spec.map(|spec| (engine, spec)))
+            }
+            _ => (&service.plain, None),
         };
+        let times = ask.model.and_then(|model| self.times.get(model)).copied();
+        let times = times.unwrap_or_default();
+        let choice = Choice { ask, engine, not, now, times };
+        match (self.policy.choice, engine) {
+            (ChoiceRule::ExpectedCredit, Some(_)) => self
+                .best_credit(candidates, &choice, seed)
+                .or_else(|| self.least(candidates, &choice, seed)),
+            (ChoiceRule::TwoAtRandom, Some(_)) => self
+                .earlier_of_two(candidates, &choice, seed)
+                .or_else(|| self.least(candidates, &choice, seed)),
+            _ => self.least(candidates, &choice, seed),
+        }
+    }
+
+    /// Returns the endpoint with the least cost of all.
+    fn least(
+        &self,
+        candidates: &Candidates,
+        choice: &Choice<'_>,
+        seed: &mut Seed,
+    ) -> Option<TargetKey> {
         let mut best: Option<(f64, TargetKey)> = None;
-        for (key, target) in self.targets.iter().filter(|(_, target)| fits(target)) {
+        for key in candidates.near.iter().chain(&candidates.far) {
+            let target = self.targets.get(*key)?;
+            if choice.not.contains(&target.spec.id) {
+                continue;
+            }
             // Ties are broken by chance, so that nodes that know the same do not all agree.
             let chance = seed.below(1_000) as f64 / 1_000.0;
-            let cost = target.cost(ask, engine, model, now) + chance;
+            let cost = self.cost(target, choice) + chance;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, *key));
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    fn cost(&self, target: &Target, choice: &Choice<'_>) -> f64 {
+        let by_count = self.policy.choice == ChoiceRule::FewestInFlight;
+        let engine = choice.engine.filter(|_| !by_count);
+        target.cost(choice.ask.prompt, engine, choice.now)
+    }
+
+    fn earlier_of_two(
+        &self,
+        candidates: &Candidates,
+        choice: &Choice<'_>,
+        seed: &mut Seed,
+    ) -> Option<TargetKey> {
+        let count = candidates.near.len() + candidates.far.len();
+        let mut best: Option<(f64, TargetKey)> = None;
+        for _ in 0..DRAWN {
+            let place = seed.below(count);
+            let near = candidates.near.get(place);
+            let key = near.or_else(|| candidates.far.get(place - candidates.near.len()))?;
+            let Some(target) = self.usable(*key, choice) else { continue };
+            let cost = self.cost(target, choice);
             if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, key));
+                best = Some((cost, *key));
             }
         }
         best.map(|(_, key)| key)
     }
 
+    /// Returns the best of a few near endpoints and a few others by expected credit.
+    fn best_credit(
+        &self,
+        candidates: &Candidates,
+        choice: &Choice<'_>,
+        seed: &mut Seed,
+    ) -> Option<TargetKey> {
+        let near = self.draw(&candidates.near, choice, seed);
+        let far = self.draw(&candidates.far, choice, seed);
+        match (near, far) {
+            (Some((near_credit, _)), Some((far_credit, key)))
+                if far_credit - self.policy.far_cost > near_credit =>
+            {
+                Some(key)
+            }
+            (Some((_, key)), _) | (None, Some((_, key))) => Some(key),
+            (None, None) => None,
+        }
+    }
+
+    fn draw(
+        &self,
+        list: &[TargetKey],
+        choice: &Choice<'_>,
+        seed: &mut Seed,
+    ) -> Option<(f64, TargetKey)> {
+        let mut best: Option<(f64, TargetKey)> = None;
+        let mut drawn = 0;
+        let mut place = seed.below(list.len());
+        for _ in 0..DRAWS.min(list.len()) {
+            let key = list[place];
+            // Another one each time, any of the rest as likely as the next.
+            place = (place + 1 + seed.below(list.len().saturating_sub(1))) % list.len();
+            let Some(target) = self.usable(key, choice) else { continue };
+            let credit = self.credit(target, choice);
+            if best.is_none_or(|(most, _)| credit > most) {
+                best = Some((credit, key));
+            }
+            drawn += 1;
+            if drawn == DRAWN {
+                break;
+            }
+        }
+        best
+    }
+
+    fn usable(&self, key: TargetKey, choice: &Choice<'_>) -> Option<&Target> {
+        let target = self.targets.get(key)?;
+        let excluded = choice.not.contains(&target.spec.id) || target.is_avoided(choice.now);
+        (!excluded).then_some(target)
+    }
+
+    /// Returns the share of a request's credit that a replica is expected to bring.
+    fn credit(&self, target: &Target, choice: &Choice<'_>) -> f64 {
+        let Some((engine, model)) = choice.engine else {
+            return 0.0;
+        };
+        let mut predicted = target.first_event(engine, model, choice.ask.prompt);
+        if self.policy.learn_pace {
+            predicted *= target.slowness(choice.now);
+        }
+        let objective = choice.ask.objective.0 as f64;
+        let in_time = choice.times.chance(predicted, objective);
+        let time = choice.times.expected(predicted) / objective.max(1.0);
+        in_time * (1.0 - target.failures(choice.now)) - TIME_COST * time
+    }
+
     /// Returns the box behind an endpoint.
     pub fn id(&self, key: TargetKey) -> Option<&BoxId> {
         self.targets.get(key).map(|target| &target.spec.id)
     }
 
+    /// Returns the predicted milliseconds until an endpoint's first event, before what was learned.
+    pub fn predicted(&self, key: TargetKey, ask: Ask<'_>, engine: &EngineSpec) -> Option<f64> {
+        let target = self.targets.get(key)?;
+        let model = engine.model(ask.model?)?;
+        Some(target.first_event(engine, model, ask.prompt))
+    }
+
     /// Counts a request as on its way.
     pub fn start(&mut self, key: TargetKey, prompt: f64, now: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
@@ -167,6 +317,35 @@
         }
     }
 
+    /// Learns from how long a first event took, against what was predicted for it.
+    pub fn learn_first_event(&mut self, key: TargetKey, took: Millis, predicted: f64) {
+        let Some(model) = self.targets.get(key).and_then(|target| target.spec.model.as_ref())
+        else {
+            return;
+        };
+        if !self.times.contains_key(model) {
+            self.times.insert(model.clone(), TimeModel::default());
+        }
+        if let Some(times) = self.times.get_mut(model) {
+            times.learn(took.0 as f64, predicted);
+        }
+    }
+
+    /// Learns a replica's pace from a pause between two events of one of its streams.
+    pub fn learn_pause(&mut self, key: TargetKey, config: &SiteConfig, pause: Millis, now: Millis) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        let Some(engine) = config.engine(&target.spec.service) else {
+            return;
+        };
+        let model = target.spec.model.as_deref().and_then(|model| engine.model(model));
+        if let Some(model) = model {
+            let writing = target.load().requests.min(f64::from(engine.slots));
+            target.paused(pause, engine.pass(model, writing), now);
+        }
+    }
+
     /// Notes that an endpoint made progress with anything at all.
     pub fn progress(&mut self, key: TargetKey, now: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
@@ -195,87 +374,21 @@
     /// Takes in that an endpoint answered well.
     pub fn succeeded(&mut self, key: TargetKey, now: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
-            target.note_failure(0.0, now);
-            target.avoid_next = FIRST_AVOID;
+            target.succeeded(now);
         }
     }
 
     /// Takes in that an endpoint failed a request.
     pub fn failed(&mut self, key: TargetKey, now: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
-            target.note_failure(1.0, now);
+            target.failed(now);
         }
     }
 
     /// Leaves an endpoint out for a while, longer each time until it answers well.
     pub fn avoid(&mut self, key: TargetKey, now: Millis) {
-        if let Some(target) = self.targets.get_mut(key)
-            && now >= target.avoid_until
-        {
-            target.avoid_until = now + target.avoid_next;
-            target.avoid_next = Millis(target.avoid_next.0 * 2).min(LONGEST_AVOID);
-        }
-    }
-}
-
-impl Target {
-    fn new(spec: TargetSpec) -> Self {
-        Self {
-            spec,
-            in_flight: 0,
-            unread: 0.0,
-            others: EngineLoad::default(),
-            failures: 0.0,
-            failures_at: Millis(0),
-            avoid_until: Millis(0),
-            avoid_next: FIRST_AVOID,
-            last_event: Millis(0),
-        }
-    }
-
-    fn own(&self) -> EngineLoad {
-        EngineLoad { requests: f64::from(self.in_flight), unread: self.unread }
-    }
-
-    fn note_failure(&mut self, failed: f64, now: Millis) {
-        self.failures = self.failures(now) * (1.0 - FAILURE_WEIGHT) + failed * FAILURE_WEIGHT;
-        self.failures_at = now;
-    }
-
-    /// Returns the share of requests that failed lately.
-    fn failures(&self, now: Millis) -> f64 {
-        let halvings = now.since(self.failures_at).0 as f64 / FAILURE_HALVES.0 as f64;
-        self.failures * 0.5_f64.powf(halvings)
-    }
-
-    fn load(&self) -> EngineLoad {
-        let own = self.own();
-        EngineLoad {
-            requests: own.requests + self.others.requests,
-            unread: own.unread + self.others.unread,
+        if let Some(target) = self.targets.get_mut(key) {
+            target.avoid(now);
         }
     }
-
-    /// Returns the predicted milliseconds until its answer begins, with what speaks against it.
-    fn cost(
-        &self,
-        ask: Ask<'_>,
-        engine: Option<&EngineSpec>,
-        model: Option<&ModelSpec>,
-        now: Millis,
-    ) -> f64 {
-        /// Beyond all times that are predicted.
-        const AVOIDED: f64 = 100_000.0;
-        const FAR_MS: f64 = 3.0;
-        /// What a request in flight at a plain endpoint counts for.
-        const PLAIN_MS: f64 = 10.0;
-        let load = self.load();
-        let far = if self.spec.near { 0.0 } else { FAR_MS };
-        let avoided = if now < self.avoid_until { AVOIDED } else { 0.0 };
-        let time = match (engine, model) {
-            (Some(engine), Some(model)) => engine.first_token(model, load, ask.prompt),
-            _ => load.requests * PLAIN_MS,
-        };
-        time + far + avoided + self.failures(now) * FAILURE_COST * PLAIN_MS
-    }
 }
--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -82,7 +82,8 @@
     /// Tells whether a box that is listed no more may still do its work: its entry runs out as well
     /// where it is cut off from the store, and nobody found it silent.
     fn may_be_there(&self, id: &BoxId) -> bool {
-        self.find(id).is_none() && !self.at.silent.contains(id)
+        let counts = self.at.policy.serve_unlisted;
+        counts && self.find(id).is_none() && !self.at.silent.contains(id)
     }
 
     /// Returns what a box that is listed no more last told of itself.
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -13,7 +13,7 @@
 use crate::site::domain_draft::{DomainDraft, SPARE_EPOCH, Standing};
 use crate::{
     Assignment, BoxId, DomainId, DomainRecord, EngineSpec, Epoch, MemberOrder, MemberState,
-    MemberTask, Millis, ModelSpec, OrderEnd, ReplicaId, ServiceName, SiteBox,
+    MemberTask, Millis, ModelSpec, OrderEnd, Policy, ReplicaId, ServiceName, SiteBox,
 };
 
 /// How many times its usual time a load to the host may take before it is ordered again.
@@ -60,6 +60,8 @@
     pub loads_allowed: u32,
     /// The model that the domain is for; nothing where it serves all of them.
     pub home: Option<&'a str>,
+    /// Which decisions are made how.
+    pub policy: Policy,
 }
 
 /// Holds what a step decided.
@@ -116,7 +118,9 @@
         let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
         self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
         draft.stage_spares(&self.staging);
-        draft.warm_spares(&self.warmed);
+        if at.policy.warm_spares {
+            draft.warm_spares(&self.warmed);
+        }
         self.closing.retain(|_, began| at.now.since(*began) < CLOSING_KNOWN_FOR);
         self.finish(draft)
     }
--- /dev/null
+++ b/crates/cherrystand_core/src/site/target.rs
@@ -0,0 +1,180 @@
+//! One endpoint as the choice sees it.
+
+use crate::{BoxId, EngineLoad, EngineSpec, Millis, ModelSpec, ServiceName};
+
+/// For how long an endpoint that failed is left out, at first.
+const FIRST_AVOID: Millis = Millis(300);
+
+/// For how long it is left out at the most.
+const LONGEST_AVOID: Millis = Millis(2_000);
+
+/// How much a failure counts against the ones before it.
+const FAILURE_WEIGHT: f64 = 0.25;
+
+/// After this time what failed counts half as much, so that an endpoint that is left out for its
+/// failures is tried again.
+const FAILURE_HALVES: Millis = Millis(2_000);
+
+/// How much one sure failure counts, in milliseconds.
+const FAILURE_COST_MS: f64 = 240.0;
+
+/// Beyond all times that are predicted, in milliseconds.
+const AVOIDED_MS: f64 = 100_000.0;
+
+/// What an answer from another zone counts for where nothing else is known, in milliseconds.
+const FAR_MS: f64 = 3.0;
+
+/// What a request in flight at a plain endpoint counts for, in milliseconds.
+const PLAIN_MS: f64 = 10.0;
+
+/// How much one pause of a stream counts in a replica's pace.
+const PACE_WEIGHT: f64 = 0.1;
+
+/// After this time without a pause to learn from, half of what was learned is forgotten, so that a
+/// replica that was slow is tried again.
+const PACE_HALVES: Millis = Millis(1_500);
+
+/// A pause counts as at most this many times the predicted one.
+const LONGEST_PACE: f64 = 10.0;
+
+/// A pace up to this is what reading others' prompts explains.
+const USUAL_PACE: f64 = 2.0;
+
+/// Describes an endpoint to choose.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetSpec {
+    /// The box that takes the requests.
+    pub id: BoxId,
+    /// The service.
+    pub service: ServiceName,
+    /// The model that it serves, where it serves one.
+    pub model: Option<String>,
+    /// Whether it is in the chooser's zone.
+    pub near: bool,
+    /// How many requests it works on at a time.
+    pub slots: u32,
+}
+
+/// An endpoint, what is in flight there and how it did lately.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) spec: TargetSpec,
+    pub(crate) in_flight: u32,
+    pub(crate) unread: f64,
+    pub(crate) others: EngineLoad,
+    pub(crate) last_event: Millis,
+    failures: f64,
+    /// As of when.
+    failures_at: Millis,
+    avoid_until: Millis,
+    avoid_next: Millis,
+    /// Its pauses against the predicted ones, averaged.
+    pace: f64,
+    /// As of when.
+    pace_at: Millis,
+}
+
+impl Target {
+    pub(crate) fn new(spec: TargetSpec) -> Self {
+        Self {
+            spec,
+            in_flight: 0,
+            unread: 0.0,
+            others: EngineLoad::default(),
+            last_event: Millis(0),
+            failures: 0.0,
+            failures_at: Millis(0),
+            avoid_until: Millis(0),
+            avoid_next: FIRST_AVOID,
+            pace: 1.0,
+            pace_at: Millis(0),
+        }
+    }
+
+    /// Returns what this node has in flight there.
+    pub(crate) fn own(&self) -> EngineLoad {
+        EngineLoad { requests: f64::from(self.in_flight), unread: self.unread }
+    }
+
+    /// Returns what all nodes have in flight there, as far as is known.
+    pub(crate) fn load(&self) -> EngineLoad {
+        let own = self.own();
+        EngineLoad {
+            requests: own.requests + self.others.requests,
+            unread: own.unread + self.others.unread,
+        }
+    }
+
+    pub(crate) fn succeeded(&mut self, now: Millis) {
+        self.note_failure(0.0, now);
+        self.avoid_next = FIRST_AVOID;
+    }
+
+    pub(crate) fn failed(&mut self, now: Millis) {
+        self.note_failure(1.0, now);
+    }
+
+    fn note_failure(&mut self, failed: f64, now: Millis) {
+        self.failures = self.failures(now) * (1.0 - FAILURE_WEIGHT) + failed * FAILURE_WEIGHT;
+        self.failures_at = now;
+    }
+
+    /// Returns the share of requests that failed lately.
+    pub(crate) fn failures(&self, now: Millis) -> f64 {
+        self.failures * halved(now.since(self.failures_at), FAILURE_HALVES)
+    }
+
+    /// Leaves it out for a while, longer each time until it answers well.
+    pub(crate) fn avoid(&mut self, now: Millis) {
+        if now >= self.avoid_until {
+            self.avoid_until = now + self.avoid_next;
+            self.avoid_next = Millis(self.avoid_next.0 * 2).min(LONGEST_AVOID);
+        }
+    }
+
+    pub(crate) fn is_avoided(&self, now: Millis) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Takes in a pause of one of its streams and what was predicted for its load.
+    pub(crate) fn paused(&mut self, pause: Millis, predicted_ms: f64, now: Millis) {
+        let ratio = (pause.0 as f64 / predicted_ms.max(1.0)).min(LONGEST_PACE);
+        self.pace = self.pace(now) + PACE_WEIGHT * (ratio - self.pace(now));
+        self.pace_at = now;
+    }
+
+    fn pace(&self, now: Millis) -> f64 {
+        1.0 + (self.pace - 1.0) * halved(now.since(self.pace_at), PACE_HALVES)
+    }
+
+    /// Returns the factor by which it is slower than its engine's figures say, at least 1.
+    pub(crate) fn slowness(&self, now: Millis) -> f64 {
+        (self.pace(now) / USUAL_PACE).max(1.0)
+    }
+
+    /// Returns the predicted milliseconds until its answer begins.
+    pub(crate) fn first_event(&self, engine: &EngineSpec, model: &ModelSpec, prompt: f64) -> f64 {
+        engine.first_token(model, self.load(), prompt)
+    }
+
+    /// Returns the predicted milliseconds until its answer begins, with what speaks against it.
+    pub(crate) fn cost(
+        &self,
+        prompt: f64,
+        engine: Option<(&EngineSpec, &ModelSpec)>,
+        now: Millis,
+    ) -> f64 {
+        let far = if self.spec.near { 0.0 } else { FAR_MS };
+        let avoided = if self.is_avoided(now) { AVOIDED_MS } else { 0.0 };
+        let time = match engine {
+            Some((engine, model)) => self.first_event(engine, model, prompt),
+            None => self.load().requests * PLAIN_MS,
+        };
+        time + far + avoided + self.failures(now) * FAILURE_COST_MS
+    }
+}
+
+/// Returns what is left of something after a time, of which a span halves it.
+fn halved(age: Millis, span: Millis) -> f64 {
+    0.5_f64.powf(age.0 as f64 / span.0 as f64)
+}
--- /dev/null
+++ b/crates/cherrystand_core/tests/choice.rs
@@ -0,0 +1,182 @@
+//! Which replica a request goes to, by what each rule knows.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use cherrystand_core::{
+    Ask, BoxId, CallerLimits, ChoiceRule, Chooser, EngineLoad, Millis, Policy, Seed, Service,
+    ServiceName, SiteConfig, TargetSpec, TimeModel,
+};
+use support::site_engine;
+
+const NOW: Millis = Millis(60_000);
+const PROMPT: f64 = 700.0;
+
+fn target(id: &str, near: bool) -> TargetSpec {
+    TargetSpec {
+        id: BoxId::new(id),
+        service: ServiceName::new("models"),
+        model: Some("large".to_owned()),
+        near,
+        slots: 26,
+    }
+}
+
+fn config() -> SiteConfig {
+    let service = Service { name: ServiceName::new("models"), engine: Some(site_engine()) };
+    SiteConfig {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        limits: CallerLimits { head_bytes: 1_000, body_bytes: 1_000 },
+        tenants: None,
+    }
+}
+
+/// Chooses `count` times without telling the chooser of it, as nodes do that know the same.
+fn choices(
+    chooser: &Chooser,
+    objective: Millis,
+    count: usize,
+    now: Millis,
+) -> BTreeMap<String, usize> {
+    let service = ServiceName::new("models");
+    let ask = Ask { service: &service, model: Some("large"), prompt: PROMPT, objective };
+    let engine = site_engine();
+    let mut seed = Seed::new(5);
+    let mut chosen = BTreeMap::new();
+    for _ in 0..count {
+        let key = chooser.choose(ask, Some(&engine), &[], now, &mut seed).expect("a replica");
+        let id = chooser.id(key).expect("known").as_str().to_owned();
+        *chosen.entry(id).or_default() += 1;
+    }
+    chosen
+}
+
+fn policy(choice: ChoiceRule) -> Policy {
+    Policy { choice, ..Policy::default() }
+}
+
+#[test]
+fn nodes_that_know_the_same_gather_at_one_replica_only_by_the_rules_that_take_the_best_of_all() {
+    struct Case {
+        rule: ChoiceRule,
+        /// The most choices of 400 that one of 20 replicas may get.
+        most: usize,
+        /// The fewest that the busiest gets.
+        least: usize,
+    }
+    let cases = [
+        Case { rule: ChoiceRule::ExpectedCredit, most: 100, least: 20 },
+        Case { rule: ChoiceRule::TwoAtRandom, most: 100, least: 20 },
+        Case { rule: ChoiceRule::Earliest, most: 400, least: 400 },
+        Case { rule: ChoiceRule::FewestInFlight, most: 400, least: 400 },
+    ];
+    for case in cases {
+        let mut chooser = Chooser::new(policy(case.rule));
+        let id = |number: usize| format!("b{number:02}");
+        chooser.follow((0..20).map(|number| target(&id(number), number % 3 == 0)).collect());
+        // One was idle when the others were told of last.
+        let load = |number: usize| match number {
+            7 => EngineLoad::default(),
+            _ => EngineLoad { requests: 12.0, unread: 0.0 },
+        };
+        let loads = (0..20).map(|number| (BoxId::new(id(number)), load(number)));
+        chooser.follow_others(&loads.collect());
+        let chosen = choices(&chooser, Millis(300), 400, NOW);
+        let busiest = chosen.values().copied().max().unwrap_or_default();
+        assert!((case.least..=case.most).contains(&busiest), "{:?}: {chosen:?}", case.rule);
+    }
+}
+
+#[test]
+fn a_far_replica_is_taken_only_for_what_the_near_one_would_lose() {
+    struct Case {
+        name: &'static str,
+        near: EngineLoad,
+        far: EngineLoad,
+        /// The share of choices that go far, in percent.
+        far_percent: std::ops::RangeInclusive<usize>,
+    }
+    let load = |requests, unread| EngineLoad { requests, unread };
+    let cases = [
+        Case { name: "alike", near: load(5.0, 0.0), far: load(5.0, 0.0), far_percent: 0..=0 },
+        Case {
+            name: "the near one is a little busier and in time",
+            near: load(12.0, 500.0),
+            far: load(2.0, 0.0),
+            far_percent: 0..=0,
+        },
+        Case {
+            name: "the near one would be late",
+            near: load(26.0, 20_000.0),
+            far: load(2.0, 0.0),
+            far_percent: 100..=100,
+        },
+    ];
+    for case in cases {
+        let mut chooser = Chooser::default();
+        chooser.follow(vec![target("near", true), target("far", false)]);
+        chooser.follow_others(&BTreeMap::from([
+            (BoxId::new("near"), case.near),
+            (BoxId::new("far"), case.far),
+        ]));
+        let chosen = choices(&chooser, Millis(300), 100, NOW);
+        let far = chosen.get("far").copied().unwrap_or_default();
+        assert!(case.far_percent.contains(&far), "{}: {far}", case.name);
+    }
+}
+
+#[test]
+fn a_replica_whose_streams_pause_long_is_left_until_that_is_forgotten() {
+    struct Case {
+        name: &'static str,
+        /// How much longer its pauses are than predicted.
+        factor: f64,
+        after: Millis,
+        chosen: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case { name: "as predicted", factor: 1.0, after: Millis(0), chosen: 20..=80 },
+        Case { name: "reads others' prompts", factor: 1.8, after: Millis(0), chosen: 20..=80 },
+        Case { name: "five times slower", factor: 5.0, after: Millis(0), chosen: 0..=0 },
+        Case { name: "it was", factor: 5.0, after: Millis(20_000), chosen: 20..=80 },
+    ];
+    for case in cases {
+        let mut chooser = Chooser::default();
+        chooser.follow(vec![target("a", true), target("b", true)]);
+        let config = config();
+        let engine = site_engine();
+        let model = engine.model("large").expect("a model");
+        let service = ServiceName::new("models");
+        let objective = Millis(150);
+        let ask = Ask { service: &service, model: Some("large"), prompt: PROMPT, objective };
+        let not = [BoxId::new("b")];
+        let key = chooser.choose(ask, Some(&engine), &not, NOW, &mut Seed::new(1)).expect("a");
+        let pause = Millis((engine.pass(model, 0.0) * case.factor) as u64);
+        for _ in 0..40 {
+            chooser.learn_pause(key, &config, pause, NOW);
+        }
+        let chosen = choices(&chooser, objective, 100, NOW + case.after);
+        let to_it = chosen.get("a").copied().unwrap_or_default();
+        assert!(case.chosen.contains(&to_it), "{}: {to_it}", case.name);
+    }
+}
+
+#[test]
+fn what_the_published_figures_leave_out_is_learned() {
+    let mut times = TimeModel::default();
+    assert!(times.chance(50.0, 160.0) > 0.9);
+    for number in 0..400 {
+        // 120 ms more than predicted, give or take 20; one in fifty meets a stall.
+        let error =
+            if number % 50 == 0 { 4_000.0 } else { 120.0 + f64::from(number % 5 - 2) * 10.0 };
+        times.learn(50.0 + error, 50.0);
+    }
+    let expected = times.expected(50.0);
+    assert!((160.0..190.0).contains(&expected), "{expected}");
+    assert!(times.chance(50.0, 160.0) < 0.5);
+    assert!(times.chance(50.0, 300.0) > 0.95);
+    assert!(times.chance(50.0, 300.0) > times.chance(90.0, 300.0));
+}
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use cherrystand_core::{
-    BoxId, DomainRecord, Epoch, Formation, FormationInput, MemberTask, Millis, OrderEnd, Revision,
-    Seed, ServiceName, SiteBox,
+    BoxId, DomainRecord, Epoch, Formation, FormationInput, MemberTask, Millis, OrderEnd, Policy,
+    Revision, Seed, ServiceName, SiteBox,
 };
 use cherrystand_testkit::FakeSiteDomain;
 use proptest::prelude::*;
@@ -80,6 +80,7 @@
             left: &node.left,
             loads_allowed: u32::MAX,
             home: Some("large"),
+            policy: Policy::default(),
         });
         for order in &step.orders {
             let is_late = self.seed.below(100) < self.late;
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -13,6 +13,7 @@
 use support::{site_engine, site_model};
 
 const NOW: Millis = Millis(60_000);
+const OBJECTIVE: Millis = Millis(300);
 
 fn route(host: &str, prefix: &str, service: &str) -> Route {
     Route {
@@ -206,7 +207,7 @@
 
 fn chosen(chooser: &Chooser, model: &str, not: &[BoxId], now: Millis) -> Option<String> {
     let service = ServiceName::new("models");
-    let ask = Ask { service: &service, model: Some(model), prompt: 1_000.0 };
+    let ask = Ask { service: &service, model: Some(model), prompt: 1_000.0, objective: OBJECTIVE };
     let engine = site_engine();
     let key = chooser.choose(ask, Some(&engine), not, now, &mut Seed::new(1))?;
     chooser.id(key).map(|id| id.as_str().to_owned())
@@ -236,7 +237,7 @@
     let mut chooser = Chooser::default();
     chooser.follow(vec![target("a", Some("large")), target("b", Some("large"))]);
     let service = ServiceName::new("models");
-    let ask = Ask { service: &service, model: Some("large"), prompt: 500.0 };
+    let ask = Ask { service: &service, model: Some("large"), prompt: 500.0, objective: OBJECTIVE };
     let key = chooser.choose(ask, Some(&site_engine()), &[], NOW, &mut Seed::new(1)).expect("one");
     chooser.start(key, 500.0, NOW);
     assert_eq!(chooser.load(key), EngineLoad { requests: 1.0, unread: 500.0 });
@@ -257,7 +258,7 @@
     let mut chooser = Chooser::default();
     chooser.follow(vec![target("a", None), target("b", None)]);
     let service = ServiceName::new("models");
-    let ask = Ask { service: &service, model: None, prompt: 0.0 };
+    let ask = Ask { service: &service, model: None, prompt: 0.0, objective: OBJECTIVE };
     let mut seed = Seed::new(3);
     let mut to_a = 0;
     for _ in 0..200 {
--- a/crates/cherrystandd/src/settings.rs
+++ b/crates/cherrystandd/src/settings.rs
@@ -4,8 +4,8 @@
 use std::path::Path;
 
 use cherrystand_core::{
-    Millis, NodeId, RepairPolicy, RepairRule, RetryBounds, ReturnModel, Room, SettingsError,
-    SettingsErrorKind, ZoneId, settings_from_toml,
+    Millis, NodeId, Policy, RepairPolicy, RepairRule, RetryBounds, ReturnModel, Room,
+    SettingsError, SettingsErrorKind, ZoneId, settings_from_toml,
 };
 use serde::Deserialize;
 
@@ -39,6 +39,9 @@
     /// operators state workspaces.
     #[serde(default)]
     pub site: Option<SiteSettings>,
+    /// Which decisions are made how where routes are served.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 /// Says how the daemon serves routes.
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -10,7 +10,7 @@
 use cherrystand_core::{
     Document, DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep, Heartbeat,
     Millis, NodeId, Revision, Seed, ServiceName, SiteBox, Source, SourceChooser, all_readers,
-    home_models, owner_of,
+    home_models, owner_of, readers_of,
 };
 use cherrystand_platform::{HttpPool, KeyValue, SiteDriver, Swap};
 use tokio::net::TcpListener;
@@ -144,6 +144,26 @@
         self.store_fails.set(false);
     }
 
+    /// Tells whether the store did not answer this node the last time.
+    pub(crate) fn is_turned_away(&self) -> bool {
+        self.store_fails.get()
+    }
+
+    /// Tells whether this node is a reader of its zone.
+    pub(crate) fn is_reader(&self) -> bool {
+        let view = self.cx.view_now();
+        let alive: Vec<&Heartbeat> = view.alive().collect();
+        readers_of(&view.own.zone, &alive).iter().any(|beat| beat.node == view.own.node)
+    }
+
+    /// Returns a time between half of a pause and one and a half, by chance.
+    pub(crate) fn jittered(&self, pause: Duration) -> Duration {
+        let mut seed = self.seed.get();
+        let more = seed.below(pause.as_millis() as usize) as u64;
+        self.seed.set(seed);
+        pause / 2 + Duration::from_millis(more)
+    }
+
     /// Notes that the store does not answer this node itself, which reads from a peer.
     pub(crate) fn store_missed(&self) {
         self.store_fails.set(true);
@@ -172,6 +192,9 @@
 
     /// Returns where this node reads now: the peer's name and address, or nothing for the store.
     pub(crate) fn source(&self) -> Option<(NodeId, SocketAddr)> {
+        if !self.cx.settings.policy.readers {
+            return None;
+        }
         let view = self.cx.view_now();
         let alive: Vec<&Heartbeat> = view.alive().collect();
         match self.sources.borrow_mut().choose(&view.own, &alive, self.now()) {
@@ -198,7 +221,8 @@
     fn publish(&self) {
         let nodes = self.cx.view.borrow().alive().count();
         let known = self.known.borrow();
-        self.cx.publish_site.send_replace(Arc::new(known.view(nodes)));
+        let view = known.view(nodes, self.cx.settings.policy.serve_unlisted);
+        self.cx.publish_site.send_replace(Arc::new(view));
         self.changed.send_replace(known.changes());
     }
 
@@ -337,7 +361,11 @@
         let silent = known.silent();
         let departed = known.departed_of(domain);
         let domains = known.domains().len();
-        let homes = home_models(&engine, &known.by_domain());
+        let policy = self.cx.settings.policy;
+        let homes = match policy.home_models {
+            true => home_models(&engine, &known.by_domain()),
+            false => BTreeMap::new(),
+        };
         let input = FormationInput {
             now: self.now(),
             domain,
@@ -351,6 +379,7 @@
             left: known.epochs_left(),
             loads_allowed: self.loads_allowed(domain, engine.loads_per_s, domains),
             home: homes.get(domain).map(String::as_str),
+            policy,
         };
         let mut formations = self.formations.borrow_mut();
         let step = formations.entry(domain.clone()).or_default().step(input);
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -151,7 +151,7 @@
     }
 
     fn may_go_on(&self) -> bool {
-        self.req.route.resumable && self.runs < self.req.route.attempts
+        self.front.may_resume(&self.req.route, self.runs)
     }
 
     /// Takes the stream up at another replica.
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use cherrystand_core::{BoxId, TargetKey};
+use cherrystand_core::{BoxId, Millis, TargetKey};
 
 use crate::site::front::Front;
 
@@ -14,25 +14,43 @@
     /// The box behind it.
     pub(crate) target: BoxId,
     unread: f64,
+    /// When the last event came, or else when the request was sent.
+    heard: Millis,
+    /// The predicted milliseconds until the first event, where its engine is known.
+    predicted: Option<f64>,
 }
 
 impl Flight {
     /// Counts a request as on its way.
-    pub(crate) fn start(front: Rc<Front>, key: TargetKey, target: BoxId, prompt: f64) -> Self {
+    pub(crate) fn start(
+        front: Rc<Front>,
+        key: TargetKey,
+        target: BoxId,
+        prompt: f64,
+        predicted: Option<f64>,
+    ) -> Self {
         let now = front.now();
         front.chooser.borrow_mut().start(key, prompt, now);
-        Self { front, key, target, unread: prompt }
+        Self { front, key, target, unread: prompt, heard: now, predicted }
     }
 
     /// Notes that an event of its answer came.
     pub(crate) fn event(&mut self) {
         let now = self.front.now();
+        let pause = now.since(self.heard);
+        self.heard = now;
         let mut chooser = self.front.chooser.borrow_mut();
+        chooser.progress(self.key, now);
         if self.unread > 0.0 {
             chooser.first_event(self.key, self.unread);
             self.unread = 0.0;
+            if let Some(predicted) = self.predicted {
+                chooser.learn_first_event(self.key, pause, predicted);
+            }
+            return;
         }
-        chooser.progress(self.key, now);
+        drop(chooser);
+        self.front.learn_pause(self.key, pause);
     }
 
     /// Notes that the endpoint answered well.
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -136,7 +136,7 @@
     let mut tries = Tries::default();
     let begun = loop {
         let flight = tries.begin(front, &req).ok_or_else(|| tries.status())?;
-        let may_leave = req.route.resumable && tries.ledger.runs() + 1 < req.route.attempts;
+        let may_leave = front.may_resume(&req.route, tries.ledger.runs() + 1);
         match attempt::send(front, &req, flight, req.facts.last_event, may_leave).await {
             Ok(begun) => break begun,
             Err(end) if tries.go_on(front, &req, end) => {}
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, LogGate, Millis, Outcome, RetryShare, Seed,
-    ServiceName,
+    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, LogGate, Millis, Outcome, RetryShare, Route, Seed,
+    ServiceName, TargetKey,
 };
 use cherrystand_platform::{HttpPool, SiteDriver, serve_http};
 use hyper::body::Incoming;
@@ -109,7 +109,7 @@
 impl Front {
     fn new(cx: DutyContext) -> Self {
         Self {
-            chooser: RefCell::default(),
+            chooser: RefCell::new(Chooser::new(cx.settings.policy)),
             pool: HttpPool::default(),
             view: RefCell::default(),
             addresses: RefCell::default(),
@@ -142,6 +142,11 @@
         newest
     }
 
+    /// Tells whether the answer to a request may be taken up at another replica after `runs`.
+    pub(crate) fn may_resume(&self, route: &Route, runs: u32) -> bool {
+        self.cx.settings.policy.resume_elsewhere && route.resumable && runs < route.attempts
+    }
+
     /// Returns where a box takes requests.
     pub(crate) fn address_of(&self, target: &BoxId) -> Option<SocketAddr> {
         self.addresses.borrow().get(target).copied()
@@ -176,15 +181,26 @@
         let view = self.follow();
         let engine = view.table.as_ref()?.config().engine(&req.service);
         let model = req.facts.model.as_deref().filter(|_| engine.is_some());
-        let ask = Ask { service: &req.service, model, prompt: req.prompt() };
+        let objective = req.route.aim;
+        let ask = Ask { service: &req.service, model, prompt: req.prompt(), objective };
         let mut seed = self.seed.get();
         let chooser = self.chooser.borrow();
         let key = chooser.choose(ask, engine, not, self.now(), &mut seed);
         self.seed.set(seed);
         let key = key.or_else(|| chooser.choose(ask, engine, &[], self.now(), &mut seed))?;
         let target = chooser.id(key)?.clone();
+        let predicted = engine.and_then(|engine| chooser.predicted(key, ask, engine));
         drop(chooser);
-        Some(Flight::start(self.clone(), key, target, req.prompt()))
+        Some(Flight::start(self.clone(), key, target, req.prompt(), predicted))
+    }
+
+    /// Learns the pace of a replica from a pause of one of its streams.
+    pub(crate) fn learn_pause(&self, key: TargetKey, pause: Millis) {
+        let view = self.view.borrow();
+        if let Some(table) = &view.table {
+            let now = self.now();
+            self.chooser.borrow_mut().learn_pause(key, table.config(), pause, now);
+        }
     }
 
     /// Writes down that no endpoint serves what a request asks for, as far as the log has room.
@@ -210,7 +226,8 @@
         let progress = chooser.last_progress(flight.key).unwrap_or_default().max(heard);
         let longest = self.longest_silence(req, chooser.load(flight.key));
         let silent = now.since(progress) > longest;
-        silent && self.loads.peers_see_none(&flight.target, now - longest, now)
+        let asks = self.cx.settings.policy.ask_peers;
+        silent && (!asks || self.loads.peers_see_none(&flight.target, now - longest, now))
     }
 
     fn longest_silence(&self, req: &SiteRequest, load: EngineLoad) -> Millis {
@@ -228,7 +245,8 @@
     pub(crate) fn may_repeat(&self, req: &SiteRequest, end: AttemptEnd) -> bool {
         let nodes = self.view.borrow().nodes;
         let now = self.now();
-        let may = self.with_share(&req.service, |share| share.spend(now, nodes));
+        let within = self.with_share(&req.service, |share| share.spend(now, nodes));
+        let may = within || !self.cx.settings.policy.retry_share;
         let metrics = &self.cx.metrics;
         if may {
             metrics.retries.with_label_values(&[end.as_str()]).inc();
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -474,13 +474,14 @@
         config.collect()
     }
 
-    /// Returns all of it as one value.
-    pub(crate) fn view(&self, nodes: usize) -> SiteView {
+    /// Returns all of it as one value; where unlisted members do not count, whose replicas' boxes
+    /// are which is left out.
+    pub(crate) fn view(&self, nodes: usize, serve_unlisted: bool) -> SiteView {
         SiteView {
             table: self.table.clone(),
             boxes: Arc::new(self.boxes.clone()),
             silent: Arc::new(self.silent()),
-            assigned: self.assigned(),
+            assigned: if serve_unlisted { self.assigned() } else { BTreeMap::new() },
             listed: self.listed,
             nodes,
         }
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -163,7 +163,7 @@
             due = Instant::now() + TELL_EVERY;
             let loads = own_loads(&self.front);
             let any = !loads.is_empty();
-            if any || told_any {
+            if self.cx.settings.policy.tell_loads && (any || told_any) {
                 self.tell_loads(loads, &mut turn).await;
             }
             told_any = any;
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -6,6 +6,7 @@
 use cherrystand_core::{Millis, NodeId, Revision};
 use cherrystand_peer::ChangeCursor;
 use cherrystand_platform::{KeyValue, PlatformError, SiteDriver};
+use tokio::time::Instant;
 
 use crate::keys;
 use crate::site::Driver;
@@ -24,12 +25,25 @@
 /// How long it pauses at the most.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// How long a node pauses at the most that is no reader: the readers notice that the store answers
+/// again, and it reads from them then.
+const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(4_000);
+
+/// How often such a node looks meanwhile whether a peer is a source again.
+const LOOK_FOR_SOURCE: Duration = Duration::from_millis(250);
+
 /// How long a watch over the configuration alone waits.
 const CONFIG_WATCH_FOR: Duration = Duration::from_secs(15);
 
-/// How long such a watch waits after one that failed.
+/// How long such a watch waits after one that failed, so that an answer is noticed soon.
 const CONFIG_RETRY_FOR: Duration = Duration::from_millis(500);
 
+/// How long a node that the store turned away pauses before it asks again, at first.
+const TURNED_AWAY_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// How long it pauses at the most; it reads from peers meanwhile, and each refused call is paid for.
+const LONGEST_TURNED_AWAY: Duration = Duration::from_millis(8_000);
+
 /// The least time between two such watches.
 const CONFIG_BETWEEN: Duration = Duration::from_millis(1_000);
 
@@ -67,8 +81,10 @@
                     log::warn!("the store could not be read: {err}");
                     control.store_failed();
                     take_copy(&control).await;
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    pause_for_store(&control, pause).await;
+                    let reads = control.is_reader();
+                    let longest = if reads { LONGEST_PAUSE } else { LONGEST_PAUSE_OF_OTHERS };
+                    pause = (pause * 2).min(longest);
                 }
             },
             Some((peer, address)) => {
@@ -89,6 +105,14 @@
     }
 }
 
+/// Pauses before the store is asked again, until a peer is a source at the longest.
+async fn pause_for_store(control: &Control, pause: Duration) {
+    let until = Instant::now() + control.jittered(pause);
+    while Instant::now() < until && control.source().is_none() {
+        tokio::time::sleep_until(until.min(Instant::now() + LOOK_FOR_SOURCE)).await;
+    }
+}
+
 /// Takes over what some peer knew last, where this node has heard nothing for long.
 async fn take_copy(control: &Control) {
     let Some(peer) = control.any_peer().filter(|_| control.store_is_silent()) else {
@@ -116,38 +140,50 @@
     }
 }
 
-/// Watches the configuration in the store while everything else is read from a peer, so that it
-/// has two ways to each node.
+/// Watches the configuration in the store while everything else is read from a peer.
+///
+/// Only the readers of a zone do, so that two of its nodes have a way of their own to the store;
+/// all others have a reader and what peers pass on. A node that the store turned away asks now and
+/// then whether it still does.
 pub(crate) async fn follow_config(control: Rc<Control>) {
-    let mut wait = CONFIG_WATCH_FOR;
+    let mut pause = TURNED_AWAY_PAUSE;
     loop {
         tokio::time::sleep(CONFIG_BETWEEN).await;
         let after = control.known.borrow().revision();
         if control.source().is_none() || after == Revision(0) {
             continue;
         }
-        match control.store.watch(Driver::CONFIG_KEY, after, wait).await {
-            Ok(changes) => {
-                wait = CONFIG_WATCH_FOR;
-                control.store_reached();
-                let mut known = control.known.borrow_mut();
-                let mut news = false;
-                for record in &changes.records {
-                    news |= known.take_config(record);
-                }
-                drop(known);
-                if news {
-                    control.spread_news();
-                }
+        let wait = if control.is_turned_away() {
+            tokio::time::sleep(control.jittered(pause)).await;
+            pause = (pause * 2).min(LONGEST_TURNED_AWAY);
+            CONFIG_RETRY_FOR
+        } else {
+            pause = TURNED_AWAY_PAUSE;
+            CONFIG_WATCH_FOR
+        };
+        if control.is_turned_away() || control.is_reader() {
+            watch_config(&control, after, wait).await;
+        }
+    }
+}
+
+async fn watch_config(control: &Control, after: Revision, wait: Duration) {
+    match control.store.watch(Driver::CONFIG_KEY, after, wait).await {
+        Ok(changes) => {
+            control.store_reached();
+            let mut news = false;
+            for record in &changes.records {
+                news |= control.known.borrow_mut().take_config(record);
             }
-            Err(PlatformError::Forgotten) => {}
-            Err(err) => {
-                log::warn!("the configuration could not be watched: {err}");
-                control.store_missed();
-                // That the store answers again is to be noticed soon.
-                wait = CONFIG_RETRY_FOR;
+            if news {
+                control.spread_news();
             }
         }
+        Err(PlatformError::Forgotten) => {}
+        Err(err) => {
+            log::warn!("the configuration could not be watched: {err}");
+            control.store_missed();
+        }
     }
 }
 
