--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -72,6 +72,7 @@
     pub(crate) mod attempt_ledger;
     pub(crate) mod chooser;
     pub(crate) mod domain_draft;
+    pub(crate) mod engine_priority;
     pub(crate) mod engine_spec;
     pub(crate) mod event_cutter;
     pub(crate) mod formation;
@@ -151,7 +152,8 @@
 pub use requests::usual_time::UsualTime;
 pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
 pub use site::attempt_ledger::{AttemptLedger, FinalFailure};
-pub use site::chooser::{Ask, Chooser, TargetKey};
+pub use site::chooser::{Ask, Chooser, Expected, TargetKey};
+pub use site::engine_priority::{engine_priority, is_deferred};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::event_cutter::{EventCutter, LARGEST_EVENT, WholeEvent};
 pub use site::formation::{Formation, FormationInput, FormationStep, replica_name};
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -7,7 +7,7 @@
 use crate::site::target::{Target, TargetSpec};
 use crate::{
     BoxId, ChoiceRule, EngineLoad, EngineSpec, Millis, ModelSpec, Policy, Seed, ServiceName,
-    SiteConfig, TimeModel,
+    SiteConfig, TimeModel, is_deferred,
 };
 
 new_key_type! {
@@ -42,6 +42,15 @@
     pub objective: Millis,
 }
 
+/// What is expected of a request at one replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Expected {
+    /// The predicted milliseconds until its first event, before what was learned.
+    pub predicted: f64,
+    /// Whether it is put behind those that can still be in time.
+    pub deferred: bool,
+}
+
 /// The endpoints of one service and model, by distance.
 #[derive(Clone, Debug, Default)]
 struct Candidates {
@@ -277,10 +286,8 @@
         let Some((engine, model)) = choice.engine else {
             return 0.0;
         };
-        let mut predicted = target.first_event(engine, model, choice.ask.prompt);
-        if self.policy.learn_pace {
-            predicted *= target.slowness(choice.now);
-        }
+        let predicted = target.first_event(engine, model, choice.ask.prompt);
+        let predicted = predicted * self.slowness(target, choice.now);
         let objective = choice.ask.objective.0 as f64;
         let in_time = choice.times.chance(predicted, objective);
         let time = choice.times.expected(predicted) / objective.max(1.0);
@@ -292,16 +299,31 @@
         self.targets.get(key).map(|target| &target.spec.id)
     }
 
-    /// Returns the predicted milliseconds until an endpoint's first event, before what was learned.
-    pub fn predicted(&self, key: TargetKey, ask: Ask<'_>, engine: &EngineSpec) -> Option<f64> {
+    /// Returns what is expected of a request at a replica.
+    pub fn expected(
+        &self,
+        key: TargetKey,
+        ask: Ask<'_>,
+        engine: &EngineSpec,
+        now: Millis,
+    ) -> Option<Expected> {
         let target = self.targets.get(key)?;
         let model = engine.model(ask.model?)?;
-        Some(target.first_event(engine, model, ask.prompt))
+        let predicted = target.first_event(engine, model, ask.prompt);
+        let times = self.times.get(&model.name).copied().unwrap_or_default();
+        let objective = ask.objective.0 as f64;
+        let chance = times.chance(predicted * self.slowness(target, now), objective);
+        Some(Expected { predicted, deferred: self.policy.defer_late && is_deferred(chance) })
     }
 
-    /// Counts a request as on its way.
-    pub fn start(&mut self, key: TargetKey, prompt: f64, now: Millis) {
-        if let Some(target) = self.targets.get_mut(key) {
+    fn slowness(&self, target: &Target, now: Millis) -> f64 {
+        if self.policy.learn_pace { target.slowness(now) } else { 1.0 }
+    }
+
+    /// Counts a request as on its way; one that waits behind the others delays none of them until
+    /// it runs.
+    pub fn start(&mut self, key: TargetKey, prompt: f64, waits_behind: bool, now: Millis) {
+        if let Some(target) = self.targets.get_mut(key).filter(|_| !waits_behind) {
             if target.in_flight == 0 {
                 target.last_event = now;
             }
@@ -311,8 +333,13 @@
     }
 
     /// Counts a prompt as read.
-    pub fn first_event(&mut self, key: TargetKey, prompt: f64) {
-        if let Some(target) = self.targets.get_mut(key) {
+    pub fn first_event(&mut self, key: TargetKey, prompt: f64, waited_behind: bool) {
+        let Some(target) = self.targets.get_mut(key) else {
+            return;
+        };
+        if waited_behind {
+            target.in_flight += 1;
+        } else {
             target.unread = (target.unread - prompt).max(0.0);
         }
     }
@@ -364,8 +391,8 @@
     }
 
     /// Counts a request as ended; `unread` is what was not read of its prompt.
-    pub fn finish(&mut self, key: TargetKey, unread: f64) {
-        if let Some(target) = self.targets.get_mut(key) {
+    pub fn finish(&mut self, key: TargetKey, unread: f64, waits_behind: bool) {
+        if let Some(target) = self.targets.get_mut(key).filter(|_| !waits_behind) {
             target.in_flight = target.in_flight.saturating_sub(1);
             target.unread = (target.unread - unread).max(0.0);
         }
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -239,17 +239,17 @@
     let service = ServiceName::new("models");
     let ask = Ask { service: &service, model: Some("large"), prompt: 500.0, objective: OBJECTIVE };
     let key = chooser.choose(ask, Some(&site_engine()), &[], NOW, &mut Seed::new(1)).expect("one");
-    chooser.start(key, 500.0, NOW);
+    chooser.start(key, 500.0, false, NOW);
     assert_eq!(chooser.load(key), EngineLoad { requests: 1.0, unread: 500.0 });
-    chooser.first_event(key, 500.0);
+    chooser.first_event(key, 500.0, false);
     assert_eq!(chooser.load(key), EngineLoad { requests: 1.0, unread: 0.0 });
     chooser.follow(vec![target("a", Some("large")), target("b", Some("large"))]);
     assert_eq!(chooser.load(key).requests, 1.0);
-    chooser.finish(key, 0.0);
+    chooser.finish(key, 0.0, false);
     assert_eq!(chooser.load(key), EngineLoad::default());
     chooser.follow(Vec::new());
     // What ends after its endpoint has left the list is without effect.
-    chooser.finish(key, 0.0);
+    chooser.finish(key, 0.0, false);
     assert_eq!(chosen(&chooser, "large", &[], NOW), None);
 }
 
--- a/crates/cherrystand_platform/src/site_driver.rs
+++ b/crates/cherrystand_platform/src/site_driver.rs
@@ -48,6 +48,8 @@
     pub tenant: Option<&'a str>,
     /// The id of the last event that the caller has.
     pub last_event: Option<u64>,
+    /// Its priority among those that wait at the engine, 0 the most urgent of ten.
+    pub priority: Option<u8>,
 }
 
 /// What the head of an endpoint's answer says.
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -46,7 +46,7 @@
         return Err(AttemptEnd::NotSent);
     };
     let sent = front.now();
-    let out = req.attempt::<Driver>(&flight.target, last_event, sent);
+    let out = req.attempt::<Driver>(&flight.target, last_event, flight.priority, sent);
     let exchange = front.pool.send(address, out, CONNECT_WITHIN);
     let mut exchange = std::pin::pin!(exchange);
     let answer = loop {
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -13,7 +13,7 @@
 use crate::site::attempt::{self, Begun};
 use crate::site::body::{BrokeOff, EventSender};
 use crate::site::flight::Flight;
-use crate::site::front::Front;
+use crate::site::front::{Front, Urgency};
 use crate::site::request::SiteRequest;
 
 /// How often a silent stream looks whether its endpoint makes progress at all.
@@ -159,7 +159,8 @@
         let mut sent = 0;
         while self.may_go_on() && sent < 3 && self.front.now() < self.req.deadline {
             sent += 1;
-            let flight = self.front.choose(&self.req, &self.tried)?;
+            // Its caller waits for the next event and leaves soon: it is never put behind.
+            let flight = self.front.choose(&self.req, &self.tried, Urgency::GoesOn)?;
             if self.tried.contains(&flight.target) || !self.front.may_repeat(&self.req, end) {
                 return None;
             }
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use cherrystand_core::{BoxId, Millis, TargetKey};
+use cherrystand_core::{BoxId, Expected, Millis, TargetKey};
 
 use crate::site::front::Front;
 
@@ -16,8 +16,12 @@
     unread: f64,
     /// When the last event came, or else when the request was sent.
     heard: Millis,
-    /// The predicted milliseconds until the first event, where its engine is known.
-    predicted: Option<f64>,
+    /// What was expected of it, where its engine is known.
+    expected: Option<Expected>,
+    /// Its priority at the engine, where it has one.
+    pub(crate) priority: Option<u8>,
+    /// Whether it waits behind those that can still be in time.
+    waits_behind: bool,
 }
 
 impl Flight {
@@ -27,11 +31,13 @@
         key: TargetKey,
         target: BoxId,
         prompt: f64,
-        predicted: Option<f64>,
+        expected: Option<Expected>,
+        priority: Option<u8>,
     ) -> Self {
         let now = front.now();
-        front.chooser.borrow_mut().start(key, prompt, now);
-        Self { front, key, target, unread: prompt, heard: now, predicted }
+        let waits_behind = expected.is_some_and(|expected| expected.deferred);
+        front.chooser.borrow_mut().start(key, prompt, waits_behind, now);
+        Self { front, key, target, unread: prompt, heard: now, expected, priority, waits_behind }
     }
 
     /// Notes that an event of its answer came.
@@ -42,11 +48,13 @@
         let mut chooser = self.front.chooser.borrow_mut();
         chooser.progress(self.key, now);
         if self.unread > 0.0 {
-            chooser.first_event(self.key, self.unread);
-            self.unread = 0.0;
-            if let Some(predicted) = self.predicted {
-                chooser.learn_first_event(self.key, pause, predicted);
+            chooser.first_event(self.key, self.unread, self.waits_behind);
+            // What was put behind tells nothing of how long others take.
+            if let Some(expected) = self.expected.filter(|_| !self.waits_behind) {
+                chooser.learn_first_event(self.key, pause, expected.predicted);
             }
+            self.unread = 0.0;
+            self.waits_behind = false;
             return;
         }
         drop(chooser);
@@ -74,6 +82,6 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.front.chooser.borrow_mut().finish(self.key, self.unread);
+        self.front.chooser.borrow_mut().finish(self.key, self.unread, self.waits_behind);
     }
 }
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -17,7 +17,7 @@
 use crate::site::body::SiteBody;
 use crate::site::event_stream::EventStream;
 use crate::site::flight::Flight;
-use crate::site::front::{Front, plain};
+use crate::site::front::{Front, Urgency, plain};
 use crate::site::request::{SiteRequest, allow, head_bytes, read_body};
 
 /// The time that a caller waits where it says nothing.
@@ -75,7 +75,8 @@
     let body = read_body(body, table.config().limits.body_bytes).await?;
     let wait = facts.wait.unwrap_or(USUAL_WAIT).min(route.timeout);
     let deadline = came + wait;
-    let req = Rc::new(SiteRequest { facts, head, body, route, tenant, service, deadline });
+    let req = SiteRequest { facts, head, body, route, tenant, service, came, deadline };
+    let req = Rc::new(req);
     front.count_request(&req.service);
     if req.route.kind == RouteKind::Streaming {
         stream(front, req).await
@@ -103,7 +104,7 @@
 impl Tries {
     /// Chooses an endpoint that was not tried, or else one that was, and counts the attempt.
     fn begin(&mut self, front: &Rc<Front>, req: &SiteRequest) -> Option<Flight> {
-        let flight = front.choose(req, &self.tried);
+        let flight = front.choose(req, &self.tried, Urgency::Begins);
         let Some(flight) = flight else {
             front.note_none_serving(req);
             return None;
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, LogGate, Millis, Outcome, RetryShare, Route, Seed,
-    ServiceName, TargetKey,
+    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LogGate, Millis, Outcome, RetryShare,
+    Route, Seed, ServiceName, TargetKey, engine_priority,
 };
 use cherrystand_platform::{HttpPool, SiteDriver, serve_http};
 use hyper::body::Incoming;
@@ -90,6 +90,15 @@
     tokio::task::spawn_local(serve_http(listener, answer, stopped));
 }
 
+/// Says what a replica is chosen for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Urgency {
+    /// An answer that begins.
+    Begins,
+    /// A stream that broke off and goes on.
+    GoesOn,
+}
+
 /// Serves callers on one thread.
 pub(crate) struct Front {
     cx: DutyContext,
@@ -177,11 +186,19 @@
     }
 
     /// Chooses an endpoint and counts the request there.
-    pub(crate) fn choose(self: &Rc<Self>, req: &SiteRequest, not: &[BoxId]) -> Option<Flight> {
+    pub(crate) fn choose(
+        self: &Rc<Self>,
+        req: &SiteRequest,
+        not: &[BoxId],
+        urgency: Urgency,
+    ) -> Option<Flight> {
         let view = self.follow();
         let engine = view.table.as_ref()?.config().engine(&req.service);
         let model = req.facts.model.as_deref().filter(|_| engine.is_some());
-        let objective = req.route.aim;
+        let objective = match urgency {
+            Urgency::Begins => req.objective_left(self.now()),
+            Urgency::GoesOn => req.route.aim,
+        };
         let ask = Ask { service: &req.service, model, prompt: req.prompt(), objective };
         let mut seed = self.seed.get();
         let chooser = self.chooser.borrow();
@@ -189,9 +206,15 @@
         self.seed.set(seed);
         let key = key.or_else(|| chooser.choose(ask, engine, &[], self.now(), &mut seed))?;
         let target = chooser.id(key)?.clone();
-        let predicted = engine.and_then(|engine| chooser.predicted(key, ask, engine));
+        let expected = engine.and_then(|engine| chooser.expected(key, ask, engine, self.now()));
+        let expected = expected.map(|expected| match urgency {
+            Urgency::Begins => expected,
+            Urgency::GoesOn => Expected { deferred: false, ..expected },
+        });
         drop(chooser);
-        Some(Flight::start(self.clone(), key, target, req.prompt(), predicted))
+        let rank = req.route.priority;
+        let priority = expected.map(|expected| engine_priority(rank, expected.deferred));
+        Some(Flight::start(self.clone(), key, target, req.prompt(), expected, priority))
     }
 
     /// Learns the pace of a replica from a pause of one of its streams.
--- a/crates/cherrystandd/src/site/request.rs
+++ b/crates/cherrystandd/src/site/request.rs
@@ -25,11 +25,18 @@
     pub(crate) tenant: Option<String>,
     /// The service that it goes to.
     pub(crate) service: ServiceName,
+    /// When it came.
+    pub(crate) came: Millis,
     /// When its caller, or its route, gives it up.
     pub(crate) deadline: Millis,
 }
 
 impl SiteRequest {
+    /// Returns what is left of the time within which its first event is in time.
+    pub(crate) fn objective_left(&self, now: Millis) -> Millis {
+        self.route.aim - now.since(self.came)
+    }
+
     /// Returns the tokens of its prompt.
     pub(crate) fn prompt(&self) -> f64 {
         f64::from(self.facts.prompt.unwrap_or_default())
@@ -40,6 +47,7 @@
         &self,
         target: &BoxId,
         last_event: Option<u64>,
+        priority: Option<u8>,
         now: Millis,
     ) -> Request<Full<Bytes>> {
         let mut req = Request::new(Full::new(self.body.clone()));
@@ -51,7 +59,10 @@
         headers.remove(CONTENT_LENGTH);
         let left = self.deadline.since(now);
         let tenant = self.tenant.as_deref();
-        D::write_attempt(&mut headers, &AttemptFacts { target, left, tenant, last_event });
+        D::write_attempt(
+            &mut headers,
+            &AttemptFacts { target, left, tenant, last_event, priority },
+        );
         *req.headers_mut() = headers;
         req
     }
