perf: followers wait for a reader that starts instead of reading the store themselves

Change: a reader holds a question up to its wait until it knows the store freshly; a node that is no reader and reads the store while its readers fail does so four times a second at the most.

--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -98,14 +98,15 @@
 ) -> Option<ChangeNews> {
     let life = control.life();
     let after = cursor.filter(|cursor| cursor.life == life).map(|cursor| cursor.count);
-    if let Some(after) = after {
-        let wait = Duration::from_millis(wait.min(LONGEST_WAIT).0);
-        let mut changed = control.changed.subscribe();
-        // Whether a change came or not, the answer says how fresh the store is.
-        let _ = tokio::time::timeout(wait, changed.wait_for(|count| *count > after)).await;
-    }
+    let wait = Duration::from_millis(wait.min(LONGEST_WAIT).0);
+    let mut changed = control.changed.subscribe();
+    // One that has just started, or waits for the store itself, has the answer soon; the asker
+    // would go to the store as well.
+    let is_due = |count: &u64| fresh_age(control).is_some() && after.is_none_or(|at| *count > at);
+    // Whether a change came or not, the answer says how fresh the store is.
+    let _ = tokio::time::timeout(wait, changed.wait_for(is_due)).await;
+    let store_age = fresh_age(control)?;
     let known = control.known.borrow();
-    let store_age = control.store_age().filter(|age| *age <= STORE_FRESH && known.is_listed())?;
     let whole = everything(control, store_age);
     match after.and_then(|after| known.changes_since(after)) {
         Some(since) => {
@@ -115,6 +116,12 @@
     }
 }
 
+/// Returns how long ago the store told this node how it stands, where that is fresh.
+fn fresh_age(control: &Control) -> Option<Millis> {
+    let is_listed = control.known.borrow().is_listed();
+    control.store_age().filter(|age| *age <= STORE_FRESH && is_listed)
+}
+
 /// Makes a copy of everything, where it is newer than what the asker has.
 fn copy_of(control: &Control, newer_than: Revision) -> Option<ChangeNews> {
     let known = control.known.borrow();
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -19,6 +19,9 @@
 /// The least time between two watches; changes that come faster arrive together.
 const LEAST_BETWEEN: Duration = Duration::from_millis(60);
 
+/// The same for a node that is no reader and reads the store while its readers fail.
+const LEAST_BETWEEN_OF_OTHERS: Duration = Duration::from_millis(250);
+
 /// How long a reader pauses after the store failed it, at first.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -74,7 +77,9 @@
                 Ok(revision) => {
                     place = Some(Place::Store(revision));
                     pause = FAILURE_PAUSE;
-                    tokio::time::sleep(LEAST_BETWEEN).await;
+                    let reads = control.is_reader();
+                    let between = if reads { LEAST_BETWEEN } else { LEAST_BETWEEN_OF_OTHERS };
+                    tokio::time::sleep(between).await;
                 }
                 Err(PlatformError::Forgotten) => place = None,
                 Err(err) => {
