feat: requests that will be late are put behind those that can be in time, at the engine

Change: a request whose chance of a first event in time is below 0.6 gets a lower priority at its engine, within the rank of its route; what waits behind counts in nobody's prediction until it runs. A second attempt counts with what is left of the objective; a stream that goes on is never put behind. A leader that answers that it serves no more is left out here and at peers at once.

--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -412,6 +412,11 @@
         }
     }
 
+    /// Tells whether an endpoint is left out now.
+    pub fn is_avoided(&self, key: TargetKey, now: Millis) -> bool {
+        self.targets.get(key).is_some_and(|target| target.is_avoided(now))
+    }
+
     /// Leaves an endpoint out for a while, longer each time until it answers well.
     pub fn avoid(&mut self, key: TargetKey, now: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
--- a/crates/cherrystand_core/tests/choice.rs
+++ b/crates/cherrystand_core/tests/choice.rs
@@ -6,7 +6,7 @@
 
 use cherrystand_core::{
     Ask, BoxId, CallerLimits, ChoiceRule, Chooser, EngineLoad, Millis, Policy, Seed, Service,
-    ServiceName, SiteConfig, TargetSpec, TimeModel,
+    ServiceName, SiteConfig, TargetSpec, TimeModel, engine_priority,
 };
 use support::site_engine;
 
@@ -180,3 +180,61 @@
     assert!(times.chance(50.0, 300.0) > 0.95);
     assert!(times.chance(50.0, 300.0) > times.chance(90.0, 300.0));
 }
+
+#[test]
+fn requests_that_will_be_late_wait_behind_those_that_can_be_in_time() {
+    struct Case {
+        name: &'static str,
+        load: EngineLoad,
+        objective: Millis,
+        defer_late: bool,
+        deferred: bool,
+    }
+    let (idle, full) = (EngineLoad::default(), EngineLoad { requests: 26.0, unread: 30_000.0 });
+    let (usual, none_left) = (Millis(300), Millis(0));
+    let cases = [
+        Case { name: "idle", load: idle, objective: usual, defer_late: true, deferred: false },
+        Case { name: "full", load: full, objective: usual, defer_late: true, deferred: true },
+        Case { name: "off", load: full, objective: usual, defer_late: false, deferred: false },
+        Case { name: "late", load: idle, objective: none_left, defer_late: true, deferred: true },
+    ];
+    for case in cases {
+        let mut chooser = Chooser::new(Policy { defer_late: case.defer_late, ..Policy::default() });
+        chooser.follow(vec![target("a", true)]);
+        chooser.follow_others(&BTreeMap::from([(BoxId::new("a"), case.load)]));
+        let service = ServiceName::new("models");
+        let (model, objective) = (Some("large"), case.objective);
+        let ask = Ask { service: &service, model, prompt: PROMPT, objective };
+        let engine = site_engine();
+        let key = chooser.choose(ask, Some(&engine), &[], NOW, &mut Seed::new(1)).expect("one");
+        let expected = chooser.expected(key, ask, &engine, NOW).expect("an engine");
+        assert_eq!(expected.deferred, case.deferred, "{}", case.name);
+        // It delays nobody until it runs, and counts as everybody does from then on.
+        let before = chooser.load(key).requests;
+        chooser.start(key, PROMPT, expected.deferred, NOW);
+        let waits = chooser.load(key).requests - before;
+        assert_eq!(waits, if case.deferred { 0.0 } else { 1.0 }, "{}", case.name);
+        chooser.first_event(key, PROMPT, expected.deferred);
+        assert_eq!(chooser.load(key).requests, before + 1.0, "{}", case.name);
+        chooser.finish(key, 0.0, false);
+        assert_eq!(chooser.load(key).requests, before, "{}", case.name);
+    }
+}
+
+#[test]
+fn what_is_put_behind_still_goes_before_lower_ranks() {
+    struct Case {
+        first: (u8, bool),
+        then: (u8, bool),
+    }
+    let cases = [
+        Case { first: (0, false), then: (0, true) },
+        Case { first: (0, true), then: (1, false) },
+        Case { first: (1, true), then: (2, false) },
+        Case { first: (2, false), then: (200, true) },
+    ];
+    for Case { first, then } in cases {
+        let (first, then) = (engine_priority(first.0, first.1), engine_priority(then.0, then.1));
+        assert!(first < then && then <= 9, "{first} {then}");
+    }
+}
--- a/crates/cherrystand_peer/src/load_news.rs
+++ b/crates/cherrystand_peer/src/load_news.rs
@@ -28,4 +28,6 @@
     Seen(Vec<EndpointLoad>),
     /// Names leaders whose replicas the sender found standing still.
     Stalled(Vec<BoxId>),
+    /// Names leaders that told the sender that they serve no more.
+    Left(Vec<BoxId>),
 }
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -69,7 +69,7 @@
         }
         end_of(&err)
     })?;
-    check_head(req, answer, flight)
+    check_head(front, req, answer, flight)
 }
 
 fn end_of(err: &SendError) -> AttemptEnd {
@@ -82,6 +82,7 @@
 
 /// Takes only an answer that names the request; any other belongs to somebody else.
 fn check_head(
+    front: &Front,
     req: &SiteRequest,
     answer: Response<PooledBody>,
     flight: Flight,
@@ -89,10 +90,11 @@
     let facts = Driver::read_answer(answer.status(), answer.headers());
     let (head, body) = answer.into_parts();
     if facts.not_run {
-        return Err(match head.status {
-            StatusCode::MISDIRECTED_REQUEST => AttemptEnd::NotServing,
-            _ => AttemptEnd::Refused,
-        });
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            return Err(AttemptEnd::Refused);
+        }
+        front.not_serving(&flight);
+        return Err(AttemptEnd::NotServing);
     }
     if facts.request != req.facts.id {
         body.discard();
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -293,6 +293,14 @@
         self.loads.tell_stalled(flight.target.clone());
     }
 
+    /// Leaves a replica out whose leader says that it serves no more, here and at peers.
+    pub(crate) fn not_serving(&self, flight: &Flight) {
+        if !self.chooser.borrow().is_avoided(flight.key, self.now()) {
+            flight.avoid();
+            self.loads.tell_left(flight.target.clone());
+        }
+    }
+
     /// Leaves a box out that cannot be connected to, and has it looked at.
     pub(crate) fn unreachable(&self, flight: &Flight) {
         flight.failed();
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -40,6 +40,7 @@
 pub(crate) struct LoadExchange {
     book: RefCell<LoadBook>,
     stalled: RefCell<Vec<BoxId>>,
+    left: RefCell<Vec<BoxId>>,
     to_ask: RefCell<Vec<BoxId>>,
     /// When peers were last asked about a leader.
     asked: RefCell<BTreeMap<BoxId, Millis>>,
@@ -53,6 +54,12 @@
         self.urgent.notify_one();
     }
 
+    /// Tells peers at once that a leader serves no more, before the store tells them.
+    pub(crate) fn tell_left(&self, leader: BoxId) {
+        self.left.borrow_mut().push(leader);
+        self.urgent.notify_one();
+    }
+
     /// Tells whether no peer has seen progress of an endpoint since `since`, asking them first.
     ///
     /// Silence on this node alone says little: its own requests may all wait for others.
@@ -129,18 +136,25 @@
             LoadNews::Asked(leaders) => return self.answer(&leaders, sender).await,
             LoadNews::Seen(loads) => return book.borrow_mut().see(&loads, now),
             LoadNews::Stalled(leaders) => return self.take_stalled(leaders, now),
+            LoadNews::Left(leaders) => return self.avoid(&leaders, now),
         }
         let sums = book.borrow().sums();
         self.front.chooser.borrow_mut().follow_others(&sums);
     }
 
     fn take_stalled(&self, leaders: Vec<BoxId>, now: Millis) {
+        self.avoid(&leaders, now);
         for leader in leaders {
-            self.front.chooser.borrow_mut().avoid_box(&leader, now);
             self.front.hint(Hint::Stalled(leader));
         }
     }
 
+    fn avoid(&self, leaders: &[BoxId], now: Millis) {
+        for leader in leaders {
+            self.front.chooser.borrow_mut().avoid_box(leader, now);
+        }
+    }
+
     /// Tells one that asks when this node saw leaders make progress.
     async fn answer(&self, leaders: &[BoxId], asker: SocketAddr) {
         let mut seen = own_loads(&self.front);
@@ -172,14 +186,18 @@
 
     async fn tell_urgent(&self) {
         let stalled = std::mem::take(&mut *self.front.loads.stalled.borrow_mut());
+        let left = std::mem::take(&mut *self.front.loads.left.borrow_mut());
         let asked = std::mem::take(&mut *self.front.loads.to_ask.borrow_mut());
         let view = self.cx.view_now();
         let alive: Vec<&Heartbeat> = view.alive().collect();
         let others = alive.iter().filter(|beat| beat.node != view.own.node);
+        let all: Vec<SocketAddr> = others.clone().map(|beat| beat.address).collect();
         if !stalled.is_empty() {
-            let all: Vec<SocketAddr> = others.clone().map(|beat| beat.address).collect();
             self.send(&LoadNews::Stalled(stalled), &all).await;
         }
+        if !left.is_empty() {
+            self.send(&LoadNews::Left(left), &all).await;
+        }
         if !asked.is_empty() {
             // Those that are near, and of other zones the relays, which know their peers' loads.
             let near = others.filter(|beat| beat.zone == view.own.zone).map(|beat| beat.address);
@@ -236,7 +254,7 @@
             LoadNews::InFlight { .. } => "loads",
             LoadNews::Zone(_) => "zone-loads",
             LoadNews::Asked(_) | LoadNews::Seen(_) => "progress",
-            LoadNews::Stalled(_) => "stalled",
+            LoadNews::Stalled(_) | LoadNews::Left(_) => "out-of-service",
         };
         self.cx.metrics.peer_bytes.with_label_values(&[way, kind]).inc_by(bytes as u64);
     }
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -176,6 +176,9 @@
         for head in site.site.heads() {
             assert!(!head.contains_key("authorization"), "the key was handed on");
             assert_eq!(head["cherrystand-tenant"], "families");
+            // Only engines take requests in the order of their priority.
+            let is_stream = head["cherrystand-request-id"].starts_with(['s', 'w']);
+            assert_eq!(head.contains_key("cherrystand-request-priority"), is_stream, "{head:?}");
             assert!(head["cherrystand-deadline-ms"].parse::<u64>().expect("a number") <= 5_000);
         }
     });
