--- a/crates/cherrystand_core/src/nodes/readers.rs
+++ b/crates/cherrystand_core/src/nodes/readers.rs
@@ -12,6 +12,9 @@
 /// For how long a peer is not read from after it failed.
 const AVOIDED_FOR: Millis = Millis(2_000);
 
+/// For how long it is not after it answered that it knows nothing fresh, as one that starts does.
+const AVOIDED_WHILE_STARTING: Millis = Millis(500);
+
 /// Says where a daemon reads what changes in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source<'a> {
@@ -72,4 +75,9 @@
     pub fn failed(&mut self, peer: &NodeId, now: Millis) {
         self.avoided.insert(peer.clone(), now + AVOIDED_FOR);
     }
+
+    /// Notes that a peer answered that it knows nothing fresh.
+    pub fn knows_nothing(&mut self, peer: &NodeId, now: Millis) {
+        self.avoided.insert(peer.clone(), now + AVOIDED_WHILE_STARTING);
+    }
 }
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -294,6 +294,17 @@
         in_time * (1.0 - target.failures(choice.now)) - TIME_COST * time
     }
 
+    /// Sums what all nodes have in flight, by model.
+    pub fn in_flight_by_model(&self) -> BTreeMap<String, f64> {
+        let mut sums = BTreeMap::new();
+        for target in self.targets.values() {
+            if let Some(model) = &target.spec.model {
+                *sums.entry(model.clone()).or_default() += target.load().requests;
+            }
+        }
+        sums
+    }
+
     /// Returns the box behind an endpoint.
     pub fn id(&self, key: TargetKey) -> Option<&BoxId> {
         self.targets.get(key).map(|target| &target.spec.id)
--- a/crates/cherrystandd/src/settings.rs
+++ b/crates/cherrystandd/src/settings.rs
@@ -255,6 +255,7 @@
         self.check_addresses()?;
         self.check_limits()?;
         self.check_repair()?;
+        self.check_policy()?;
         self.check_site()
     }
 
@@ -273,6 +274,14 @@
         Ok(())
     }
 
+    fn check_policy(&self) -> Result<(), SettingsError> {
+        let cost = self.policy.far_cost;
+        if !(0.0..=1.0).contains(&cost) {
+            return Err(impossible("far_cost", cost, "0 to 1"));
+        }
+        Ok(())
+    }
+
     fn check_site(&self) -> Result<(), SettingsError> {
         let Some(site) = &self.site else {
             return Ok(());
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -100,8 +100,11 @@
     let after = cursor.filter(|cursor| cursor.life == life).map(|cursor| cursor.count);
     let wait = Duration::from_millis(wait.min(LONGEST_WAIT).0);
     let mut changed = control.changed.subscribe();
-    // One that has just started, or waits for the store itself, has the answer soon; the asker
-    // would go to the store as well.
+    // One that asks the store itself has the answer soon, and the asker would go to the store as
+    // well; one that asks a peer in turn would only add to the wait.
+    if fresh_age(control).is_none() && control.source().is_some() {
+        return None;
+    }
     let is_due = |count: &u64| fresh_age(control).is_some() && after.is_none_or(|at| *count > at);
     // Whether a change came or not, the answer says how fresh the store is.
     let _ = tokio::time::timeout(wait, changed.wait_for(is_due)).await;
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -10,7 +10,7 @@
 
 use crate::keys;
 use crate::site::Driver;
-use crate::site::change_sharing::{PlaceAtPeer, read_changes, read_copy};
+use crate::site::change_sharing::{ChangesError, PlaceAtPeer, read_changes, read_copy};
 use crate::site::control::Control;
 
 /// How long one watch waits for a change.
@@ -101,7 +101,8 @@
                     }
                     Err(err) => {
                         log::warn!(peer = peer.as_str(); "a peer is no source of changes: {err}");
-                        control.source_failed(&peer);
+                        let answered = matches!(err, ChangesError::NotServed(_));
+                        control.source_failed(&peer, answered);
                         take_copy(&control).await;
                     }
                 }
--- a/crates/cherrystandd/tests/settings.rs
+++ b/crates/cherrystandd/tests/settings.rs
@@ -28,6 +28,8 @@
         format!("{SOUND}[repair]\nrestart_share = 1.5\n"),
         format!("{SOUND}[repair]\nprobe_ms = 5000\n"),
         format!("{SOUND}[stop]\nlinger_ms = \"long\"\n"),
+        format!("{SOUND}[policy]\nchoice = \"best\"\n"),
+        format!("{SOUND}[policy]\nfar_cost = 1.5\n"),
         site(""),
         site("ready = \"ready.example\""),
         site("ready = \"127.0.0.1:5\"\nchanges = \"127.0.0.1:6\"\nretry_ratio = 2.0"),
@@ -86,13 +88,14 @@
         ("repair.", format!("{SOUND}[repair]\n{unknown}")),
         ("stop.", format!("{SOUND}[stop]\n{unknown}")),
         ("site.", format!("{SOUND}[site]\n{unknown}")),
+        ("policy.", format!("{SOUND}[policy]\n{unknown}")),
     ];
     let mut keys: Vec<String> = Vec::new();
     for (table, text) in tables {
         let err = Settings::from_toml(&text).expect_err("an unknown key").to_string();
         keys.extend(expected_keys(&err).into_iter().map(|key| format!("{table}{key}")));
     }
-    let sections = ["listen", "platform", "limits", "repair", "stop", "site"];
+    let sections = ["listen", "platform", "limits", "repair", "stop", "site", "policy"];
     keys.retain(|key| !sections.contains(&key.as_str()));
     assert_eq!(sorted(documented(daemon)), sorted(keys));
 
