--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -6,8 +6,8 @@
 
 use crate::site::target::{Target, TargetSpec};
 use crate::{
-    BoxId, ChoiceRule, EngineLoad, EngineSpec, Millis, ModelSpec, Policy, Seed, ServiceName,
-    SiteConfig, TimeModel, is_deferred,
+    BoxId, ChoiceRule, EngineLoad, EngineSpec, Millis, ModelLoad, ModelSpec, Policy, Seed,
+    ServiceName, SiteConfig, TimeModel, is_deferred,
 };
 
 new_key_type! {
@@ -295,11 +295,13 @@
     }
 
     /// Sums what all nodes have in flight, by model.
-    pub fn in_flight_by_model(&self) -> BTreeMap<String, f64> {
-        let mut sums = BTreeMap::new();
+    pub fn loads_by_model(&self) -> BTreeMap<String, ModelLoad> {
+        let mut sums: BTreeMap<String, ModelLoad> = BTreeMap::new();
         for target in self.targets.values() {
             if let Some(model) = &target.spec.model {
-                *sums.entry(model.clone()).or_default() += target.load().requests;
+                let sum = sums.entry(model.clone()).or_default();
+                sum.in_flight += target.load().requests;
+                sum.slots += f64::from(target.spec.slots);
             }
         }
         sums
--- a/crates/cherrystand_core/src/site/demand.rs
+++ b/crates/cherrystand_core/src/site/demand.rs
@@ -21,15 +21,22 @@
 /// The time over which what is in flight is averaged.
 const AVERAGED_OVER: Millis = Millis(1_000);
 
+/// What the replicas of a model that serve now have in flight, on all nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ModelLoad {
+    /// Requests in flight.
+    pub in_flight: f64,
+    /// Requests that they work on at a time.
+    pub slots: f64,
+}
+
 /// What a model has to serve with, and what it serves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ModelUse {
-    /// Requests in flight at its replicas, on all nodes.
-    pub in_flight: f64,
+    /// What its replicas have in flight; those that are broken are not among them.
+    pub load: ModelLoad,
     /// The domains that are for it.
     pub domains: usize,
-    /// The requests that the replicas of one domain work on at a time.
-    pub slots_per_domain: f64,
 }
 
 /// Says that one domain of a model is to serve another one.
@@ -44,7 +51,7 @@
 /// Watches how much of its slots each model uses.
 #[derive(Clone, Debug, Default)]
 pub struct DemandTracker {
-    in_flight: BTreeMap<String, f64>,
+    loads: BTreeMap<String, ModelLoad>,
     domains: BTreeMap<String, usize>,
     observed: Option<Millis>,
     wanted: Option<(Shift, Millis)>,
@@ -71,8 +78,9 @@
         let weight = (passed.0 as f64 / AVERAGED_OVER.0 as f64).min(1.0);
         self.observed = Some(now);
         for (model, used) in uses {
-            let average = self.in_flight.entry(model.clone()).or_default();
-            *average += weight * (used.in_flight - *average);
+            let average = self.loads.entry(model.clone()).or_default();
+            average.in_flight += weight * (used.load.in_flight - average.in_flight);
+            average.slots += weight * (used.load.slots - average.slots);
         }
     }
 
@@ -99,7 +107,8 @@
         worthwhile.then(|| Shift { from: from.clone(), to: to.clone() })
     }
 
-    /// Returns the highest use of slots of all models, as it is or after a shift.
+    /// Returns the highest use of slots of all models, as it is or after a shift, by which as large
+    /// a part of a model's replicas serves as does now.
     fn highest_use(
         &self,
         uses: &BTreeMap<String, ModelUse>,
@@ -108,8 +117,9 @@
         let use_of = |(model, used): (&String, &ModelUse)| {
             let more = usize::from(shift.is_some_and(|(_, to)| to == model));
             let fewer = usize::from(shift.is_some_and(|(from, _)| from == model));
-            let slots = (used.domains + more - fewer) as f64 * used.slots_per_domain;
-            self.in_flight.get(model).copied().unwrap_or_default() / slots.max(1.0)
+            let change = (used.domains + more - fewer) as f64 / used.domains.max(1) as f64;
+            let load = self.loads.get(model).copied().unwrap_or_default();
+            load.in_flight / (load.slots * change).max(1.0)
         };
         uses.iter().map(use_of).max_by(f64::total_cmp)
     }
--- a/crates/cherrystand_core/src/site/homes.rs
+++ b/crates/cherrystand_core/src/site/homes.rs
@@ -65,13 +65,6 @@
     homes
 }
 
-/// Returns how many requests the replicas of a model work on at a time in a domain of some boxes, on
-/// an ordinary day.
-pub fn slots_of_domain(engine: &EngineSpec, boxes: usize, model: &ModelSpec) -> f64 {
-    let replicas = boxes_used(boxes, model) / span_of(model);
-    replicas as f64 * f64::from(engine.slots)
-}
-
 /// Returns how many of a domain's boxes replicas of a model use on an ordinary day, on which some
 /// boxes are lost and the remainder waits for others.
 fn boxes_used(boxes: usize, model: &ModelSpec) -> usize {
--- a/crates/cherrystand_core/tests/demand.rs
+++ b/crates/cherrystand_core/tests/demand.rs
@@ -2,13 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use cherrystand_core::{DemandTracker, DomainId, Millis, ModelUse, Shift, swing_domains};
+use cherrystand_core::{
+    DemandTracker, DomainId, Millis, ModelLoad, ModelUse, Shift, swing_domains,
+};
 use proptest::prelude::*;
 
 const STEP: Millis = Millis(250);
 
+/// Returns the use of a model whose domains have some slots in service each.
 fn used(in_flight: f64, domains: usize, slots_per_domain: f64) -> ModelUse {
-    ModelUse { in_flight, domains, slots_per_domain }
+    ModelUse { load: ModelLoad { in_flight, slots: slots_per_domain * domains as f64 }, domains }
 }
 
 fn uses(large: ModelUse, small: ModelUse) -> BTreeMap<String, ModelUse> {
@@ -52,6 +55,13 @@
             steps: 20,
             to: None,
         },
+        Case {
+            name: "most replicas of the large model are broken",
+            large: used(100.0, 5, 30.0),
+            small: used(300.0, 4, 136.0),
+            steps: 20,
+            to: None,
+        },
         Case {
             name: "all have enough",
             large: used(10.0, 5, 68.0),
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use cherrystand_core::ModelLoad;
 use tokio::sync::watch;
 
 use crate::claims::ClaimCall;
@@ -93,9 +94,9 @@
     /// Where the duty that reads the site publishes it.
     pub(crate) publish_site: Arc<watch::Sender<Arc<SiteView>>>,
     /// What is in flight on all nodes, by model, as the request path last summed it.
-    pub(crate) in_flight: watch::Receiver<BTreeMap<String, f64>>,
+    pub(crate) model_loads: watch::Receiver<BTreeMap<String, ModelLoad>>,
     /// Where the request path publishes it.
-    pub(crate) publish_in_flight: Arc<watch::Sender<BTreeMap<String, f64>>>,
+    pub(crate) publish_model_loads: Arc<watch::Sender<BTreeMap<String, ModelLoad>>>,
     /// The ring by which the request path has boxes looked at.
     pub(crate) hints: async_channel::Sender<Hint>,
     /// The other end of that ring; only the duty that reads the site reads it.
@@ -114,7 +115,7 @@
         let first = View::at_start(&settings, clock.now());
         let (publish, view) = watch::channel(Arc::new(first));
         let (publish_site, site) = watch::channel(Arc::default());
-        let (publish_in_flight, in_flight) = watch::channel(BTreeMap::new());
+        let (publish_model_loads, model_loads) = watch::channel(BTreeMap::new());
         let (hints, hint_events) = async_channel::bounded(RING_SLOTS);
         let (stop, _) = watch::channel(StopPhase::Running);
         Self {
@@ -131,8 +132,8 @@
             publish: Arc::new(publish),
             site,
             publish_site: Arc::new(publish_site),
-            in_flight,
-            publish_in_flight: Arc::new(publish_in_flight),
+            model_loads,
+            publish_model_loads: Arc::new(publish_model_loads),
             hints,
             hint_events,
             stop: Arc::new(stop),
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -10,8 +10,7 @@
 use cherrystand_core::{
     DemandTracker, Document, DomainId, DomainRecord, EngineSpec, Epoch, Formation, FormationInput,
     FormationStep, Heartbeat, Millis, ModelSpec, ModelUse, NodeId, Revision, Seed, ServiceName,
-    SiteBox, Source, SourceChooser, all_readers, home_models, owner_of, readers_of,
-    slots_of_domain, swing_domains,
+    SiteBox, Source, SourceChooser, all_readers, home_models, owner_of, readers_of, swing_domains,
 };
 use cherrystand_platform::{HttpPool, KeyValue, SiteDriver, Swap};
 use tokio::net::TcpListener;
@@ -374,7 +373,7 @@
             false => BTreeMap::new(),
         };
         let also = self.also_for(domain, &engine, &homes);
-        let shift = also.as_ref().is_some_and(|to| self.is_shift_due(&known, &engine, &homes, to));
+        let shift = also.as_ref().is_some_and(|to| self.is_shift_due(&engine, &homes, to));
         let input = FormationInput {
             now: self.now(),
             domain,
@@ -417,18 +416,14 @@
     /// Tells whether demand has one domain more serve a model, in place of the one it is for.
     fn is_shift_due(
         &self,
-        known: &Known,
         engine: &EngineSpec,
         homes: &BTreeMap<DomainId, String>,
         to: &str,
     ) -> bool {
-        let by_domain = known.by_domain();
-        let boxes = by_domain.values().map(Vec::len).sum::<usize>() / by_domain.len().max(1);
-        let in_flight = self.cx.in_flight.borrow().clone();
+        let loads = self.cx.model_loads.borrow().clone();
         let use_of = |model: &ModelSpec| ModelUse {
-            in_flight: in_flight.get(&model.name).copied().unwrap_or_default(),
+            load: loads.get(&model.name).copied().unwrap_or_default(),
             domains: homes.values().filter(|home| **home == model.name).count(),
-            slots_per_domain: slots_of_domain(engine, boxes, model),
         };
         let uses = engine.models.iter().map(|model| (model.name.clone(), use_of(model)));
         let shift = self.demand.borrow_mut().observe(&uses.collect(), self.now());
