revert: a domain is given to another model by demand (tried, taken back)

Conclusion: both models are near their limit there; a domain of nine is too coarse, and what one gains the other loses at a higher credit.

--- a/crates/cherrystand_core/src/control/domain_record.rs
+++ b/crates/cherrystand_core/src/control/domain_record.rs
@@ -29,9 +29,6 @@
     /// themselves, oldest first.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub former: BTreeMap<BoxId, Vec<FormerPlace>>,
-    /// The model that the domain is for since it was given to it by demand.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub home: Option<String>,
     /// The last decisions, oldest first.
     pub explanations: Vec<Explanation>,
     /// The identities of the last writes.
@@ -114,7 +111,6 @@
             replicas: BTreeMap::new(),
             releasing: BTreeMap::new(),
             former: BTreeMap::new(),
-            home: None,
             explanations: Vec::new(),
             writes: RecentWrites::default(),
         }
--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -71,7 +71,6 @@
 mod site {
     pub(crate) mod attempt_ledger;
     pub(crate) mod chooser;
-    pub(crate) mod demand;
     pub(crate) mod domain_draft;
     pub(crate) mod engine_priority;
     pub(crate) mod engine_spec;
@@ -154,7 +153,6 @@
 pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
 pub use site::attempt_ledger::{AttemptLedger, FinalFailure};
 pub use site::chooser::{Ask, Chooser, Expected, TargetKey};
-pub use site::demand::{DemandTracker, ModelLoad, ModelUse, Shift, swing_domains};
 pub use site::engine_priority::{engine_priority, is_deferred};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::event_cutter::{EventCutter, LARGEST_EVENT, WholeEvent};
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -6,8 +6,8 @@
 
 use crate::site::target::{Target, TargetSpec};
 use crate::{
-    BoxId, ChoiceRule, EngineLoad, EngineSpec, Millis, ModelLoad, ModelSpec, Policy, Seed,
-    ServiceName, SiteConfig, TimeModel, is_deferred,
+    BoxId, ChoiceRule, EngineLoad, EngineSpec, Millis, ModelSpec, Policy, Seed, ServiceName,
+    SiteConfig, TimeModel, is_deferred,
 };
 
 new_key_type! {
@@ -294,19 +294,6 @@
         in_time * (1.0 - target.failures(choice.now)) - TIME_COST * time
     }
 
-    /// Sums what all nodes have in flight, by model.
-    pub fn loads_by_model(&self) -> BTreeMap<String, ModelLoad> {
-        let mut sums: BTreeMap<String, ModelLoad> = BTreeMap::new();
-        for target in self.targets.values() {
-            if let Some(model) = &target.spec.model {
-                let sum = sums.entry(model.clone()).or_default();
-                sum.in_flight += target.load().requests;
-                sum.slots += f64::from(target.spec.slots);
-            }
-        }
-        sums
-    }
-
     /// Returns the box behind an endpoint.
     pub fn id(&self, key: TargetKey) -> Option<&BoxId> {
         self.targets.get(key).map(|target| &target.spec.id)
--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -233,30 +233,6 @@
         }
     }
 
-    /// Tells whether the domain was given to another model than the one that a replica serves.
-    pub(crate) fn gave_way(&self, model: &ModelSpec) -> bool {
-        self.at.record.home.as_ref().is_some_and(|home| home != &model.name)
-    }
-
-    /// Gives the domain to another model, where enough of its boxes hold that one already.
-    pub(crate) fn shift_home(&mut self) {
-        let Some(model) = self.also().filter(|_| self.at.shift && !self.changed) else {
-            return;
-        };
-        let soon = |known: &&&SiteBox| join_rank(known, &model.name) != JoinRank::Load;
-        let ready = self.at.boxes.iter().filter(soon).count();
-        if ready < self.at.boxes.len() / 2 || ready < model.span as usize {
-            return;
-        }
-        self.next.home = Some(model.name.clone());
-        self.changed = true;
-        self.reasons.push(format!("the domain is for {} now: demand", model.name));
-    }
-
-    fn also(&self) -> Option<&'a ModelSpec> {
-        self.at.also.and_then(|name| self.at.engine.model(name))
-    }
-
     /// Gives a replica that came apart its boxes anew, or gives it up.
     pub(crate) fn mend(
         &mut self,
@@ -265,9 +241,6 @@
         model: &ModelSpec,
         why: &str,
     ) {
-        if self.gave_way(model) {
-            return self.remove(replica, "the domain is for another model");
-        }
         let usable = |id: &&BoxId| {
             self.alive(id).is_some_and(|known| !known.leaving && self.is_placeable(known))
         };
@@ -451,7 +424,7 @@
         let home = self.home();
         for known in free.iter().filter(|known| !staging.contains_key(&known.id)) {
             let model = match home {
-                Some(home) if join_rank(known, &home.name) != JoinRank::Load => continue,
+                Some(home) if known.staged.contains(&home.name) => continue,
                 Some(home) => home,
                 None if !known.staged.is_empty() => continue,
                 None => {
@@ -465,22 +438,6 @@
         }
     }
 
-    /// Lets boxes that hold the domain's model in memory load another one to their hosts, so that
-    /// the domain can be given to that one within seconds.
-    pub(crate) fn stage_also(&mut self, staging: &BTreeMap<BoxId, Millis>) {
-        let (Some(home), Some(also)) = (self.home(), self.also()) else {
-            return;
-        };
-        for known in self.at.boxes.iter().copied() {
-            let holds_home = known.loaded.contains(&home.name);
-            let is_due = holds_home && !known.staged.contains(&also.name);
-            if is_due && !known.leaving && !staging.contains_key(&known.id) {
-                let task = MemberTask::Stage { model: also.name.clone() };
-                self.order(known, "", Epoch(0), task);
-            }
-        }
-    }
-
     /// Lets free boxes that never joined take the home model from their hosts into memory, each in
     /// a replica of its own that is never opened, so that it joins at once where it is needed.
     ///
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -60,10 +60,6 @@
     pub loads_allowed: u32,
     /// The model that the domain is for; nothing where it serves all of them.
     pub home: Option<&'a str>,
-    /// The model that its boxes load to their hosts as well, since it may be given to it next.
-    pub also: Option<&'a str>,
-    /// Whether the domain is given to that model now.
-    pub shift: bool,
     /// Which decisions are made how.
     pub policy: Policy,
 }
@@ -119,11 +115,9 @@
         }
         draft.adopt_serving();
         draft.form_missing();
-        draft.shift_home();
         let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
         self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
         draft.stage_spares(&self.staging);
-        draft.stage_also(&self.staging);
         if at.policy.warm_spares {
             draft.warm_spares(&self.warmed);
         }
@@ -172,15 +166,10 @@
             draft.end_serving(&name, &held);
             return draft.remove(replica, "its model is not configured");
         };
-        let moved = draft.gave_way(&model);
         match draft.standing(&name, &held) {
-            Standing::Whole if !moved => {}
-            // Closed by now, or never opened.
-            Standing::Joining if moved => draft.remove(replica, "the domain is for another model"),
+            Standing::Whole => {}
             Standing::Joining => draft.join_or_open(&name, &held, &model),
-            Standing::Whole | Standing::Leaving => {
-                self.close(draft, replica, &name, &held, &model);
-            }
+            Standing::Leaving => self.close(draft, replica, &name, &held, &model),
             Standing::Apart(reason) => {
                 draft.end_serving(&name, &held);
                 draft.mend(replica, &held, &model, reason);
--- a/crates/cherrystand_core/src/site/homes.rs
+++ b/crates/cherrystand_core/src/site/homes.rs
@@ -12,34 +12,28 @@
 
 /// Gives each domain the model that it is for, or none where there are fewer domains than models.
 ///
-/// A domain whose boxes all hold one model mends any loss without a load. The model that its record
-/// names decides, then what its boxes hold in memory, then on their hosts; a domain whose boxes hold
-/// nothing goes to the model whose replicas use the fewest boxes against its share of the work.
+/// A domain whose boxes all hold one model mends any loss without a load. What its boxes hold
+/// already decides; a domain whose boxes hold nothing goes to the model whose replicas use the
+/// fewest boxes against its share of the work.
 ///
 /// Source: docs/design/0009-users-machines.md.
 pub fn home_models(
     engine: &EngineSpec,
     domains: &BTreeMap<DomainId, Vec<&SiteBox>>,
-    recorded: &BTreeMap<DomainId, String>,
 ) -> BTreeMap<DomainId, String> {
     let mut homes = BTreeMap::new();
     if domains.len() < engine.models.len() || engine.models.is_empty() {
         return homes;
     }
-    // A box in service holds its model in memory, and may hold another one on its host.
     let holds = |boxes: &[&SiteBox], name: &String| {
-        let in_memory = boxes.iter().filter(|known| known.loaded.contains(name)).count();
-        let on_hosts = boxes.iter().filter(|known| known.staged.contains(name)).count();
-        (in_memory, on_hosts)
+        let holding =
+            |known: &&&SiteBox| known.staged.contains(name) || known.loaded.contains(name);
+        boxes.iter().filter(holding).count()
     };
     for (domain, boxes) in domains {
-        if let Some(model) = recorded.get(domain).filter(|model| engine.model(model).is_some()) {
-            homes.insert(domain.clone(), model.clone());
-            continue;
-        }
         let held = engine.models.iter().map(|model| (holds(boxes, &model.name), &model.name));
         if let Some((count, name)) = held.max_by_key(|(count, _)| *count)
-            && count > (0, 0)
+            && count > 0
         {
             homes.insert(domain.clone(), name.clone());
         }
--- a/crates/cherrystand_core/src/site/policy.rs
+++ b/crates/cherrystand_core/src/site/policy.rs
@@ -41,8 +41,6 @@
     pub serve_unlisted: bool,
     /// Whether each domain is for one model.
     pub home_models: bool,
-    /// Whether a domain is given to another model where demand differs from what was stated.
-    pub follow_demand: bool,
     /// Whether spares take their model into memory.
     pub warm_spares: bool,
     /// Whether each daemon keeps to its share of the retry budget.
@@ -64,7 +62,6 @@
             resume_elsewhere: true,
             serve_unlisted: true,
             home_models: true,
-            follow_demand: true,
             warm_spares: true,
             retry_share: true,
             readers: true,
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -1,9 +1,7 @@
 //! What every duty is given.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cherrystand_core::ModelLoad;
 use tokio::sync::watch;
 
 use crate::claims::ClaimCall;
@@ -93,10 +91,6 @@
     pub(crate) site: watch::Receiver<Arc<SiteView>>,
     /// Where the duty that reads the site publishes it.
     pub(crate) publish_site: Arc<watch::Sender<Arc<SiteView>>>,
-    /// What is in flight on all nodes, by model, as the request path last summed it.
-    pub(crate) model_loads: watch::Receiver<BTreeMap<String, ModelLoad>>,
-    /// Where the request path publishes it.
-    pub(crate) publish_model_loads: Arc<watch::Sender<BTreeMap<String, ModelLoad>>>,
     /// The ring by which the request path has boxes looked at.
     pub(crate) hints: async_channel::Sender<Hint>,
     /// The other end of that ring; only the duty that reads the site reads it.
@@ -115,7 +109,6 @@
         let first = View::at_start(&settings, clock.now());
         let (publish, view) = watch::channel(Arc::new(first));
         let (publish_site, site) = watch::channel(Arc::default());
-        let (publish_model_loads, model_loads) = watch::channel(BTreeMap::new());
         let (hints, hint_events) = async_channel::bounded(RING_SLOTS);
         let (stop, _) = watch::channel(StopPhase::Running);
         Self {
@@ -132,8 +125,6 @@
             publish: Arc::new(publish),
             site,
             publish_site: Arc::new(publish_site),
-            model_loads,
-            publish_model_loads: Arc::new(publish_model_loads),
             hints,
             hint_events,
             stop: Arc::new(stop),
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -8,9 +8,9 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    DemandTracker, Document, DomainId, DomainRecord, EngineSpec, Epoch, Formation, FormationInput,
-    FormationStep, Heartbeat, Millis, ModelSpec, ModelUse, NodeId, Revision, Seed, ServiceName,
-    SiteBox, Source, SourceChooser, all_readers, home_models, owner_of, readers_of, swing_domains,
+    Document, DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep, Heartbeat,
+    Millis, NodeId, Revision, Seed, ServiceName, SiteBox, Source, SourceChooser, all_readers,
+    home_models, owner_of, readers_of,
 };
 use cherrystand_platform::{HttpPool, KeyValue, SiteDriver, Swap};
 use tokio::net::TcpListener;
@@ -106,7 +106,6 @@
     seed: Cell<Seed>,
     config_passed: Cell<Revision>,
     sources: RefCell<SourceChooser>,
-    demand: RefCell<DemandTracker>,
     /// Tells how many changes there have been, to peers that wait for one.
     pub(crate) changed: watch::Sender<u64>,
 }
@@ -130,7 +129,6 @@
             seed: Cell::new(Seed::new(clock::unix_millis())),
             config_passed: Cell::default(),
             sources: RefCell::default(),
-            demand: RefCell::default(),
             changed: watch::channel(0).0,
             cx,
         }
@@ -369,11 +367,9 @@
         let domains = known.domains().len();
         let policy = self.cx.settings.policy;
         let homes = match policy.home_models {
-            true => home_models(&engine, &known.by_domain(), &known.recorded_homes()),
+            true => home_models(&engine, &known.by_domain()),
             false => BTreeMap::new(),
         };
-        let also = self.also_for(domain, &engine, &homes);
-        let shift = also.as_ref().is_some_and(|to| self.is_shift_due(&engine, &homes, to));
         let input = FormationInput {
             now: self.now(),
             domain,
@@ -387,8 +383,6 @@
             left: known.epochs_left(),
             loads_allowed: self.loads_allowed(domain, engine.loads_per_s, domains),
             home: homes.get(domain).map(String::as_str),
-            also: also.as_deref(),
-            shift,
             policy,
         };
         let mut formations = self.formations.borrow_mut();
@@ -396,40 +390,6 @@
         Some((revision, step))
     }
 
-    /// Returns the model that a domain may be given to next, where it is the one that would be.
-    fn also_for(
-        &self,
-        domain: &DomainId,
-        engine: &EngineSpec,
-        homes: &BTreeMap<DomainId, String>,
-    ) -> Option<String> {
-        let home = homes.get(domain)?;
-        let swings = swing_domains(homes).get(home) == Some(domain);
-        if !swings || !self.cx.settings.policy.follow_demand {
-            return None;
-        }
-        let others = engine.models.iter().filter(|model| &model.name != home);
-        let other = others.max_by(|a, b| a.share.total_cmp(&b.share))?;
-        Some(other.name.clone())
-    }
-
-    /// Tells whether demand has one domain more serve a model, in place of the one it is for.
-    fn is_shift_due(
-        &self,
-        engine: &EngineSpec,
-        homes: &BTreeMap<DomainId, String>,
-        to: &str,
-    ) -> bool {
-        let loads = self.cx.model_loads.borrow().clone();
-        let use_of = |model: &ModelSpec| ModelUse {
-            load: loads.get(&model.name).copied().unwrap_or_default(),
-            domains: homes.values().filter(|home| **home == model.name).count(),
-        };
-        let uses = engine.models.iter().map(|model| (model.name.clone(), use_of(model)));
-        let shift = self.demand.borrow_mut().observe(&uses.collect(), self.now());
-        shift.is_some_and(|shift| shift.to == to)
-    }
-
     /// Returns how many loads a domain may begin now: its even part of the store's rate.
     fn loads_allowed(&self, domain: &DomainId, per_s: f64, domains: usize) -> u32 {
         let now = self.now();
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -351,13 +351,6 @@
         all
     }
 
-    /// Returns the models that domains were given to by demand.
-    pub(crate) fn recorded_homes(&self) -> BTreeMap<DomainId, String> {
-        let records = self.records.iter();
-        let homes = records.filter_map(|(id, held)| Some((id.clone(), held.record.home.clone()?)));
-        homes.collect()
-    }
-
     /// Returns the boxes of a domain that were listed lately.
     pub(crate) fn departed_of(&self, domain: &DomainId) -> Vec<&SiteBox> {
         let all = self.departed.values().map(|gone| &gone.known);
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -175,8 +175,6 @@
                 continue;
             }
             due = Instant::now() + TELL_EVERY;
-            let by_model = self.front.chooser.borrow().loads_by_model();
-            self.cx.publish_model_loads.send_replace(by_model);
             let loads = own_loads(&self.front);
             let any = !loads.is_empty();
             if self.cx.settings.policy.tell_loads && (any || told_any) {
