--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -19,12 +19,12 @@
 cd "$(dirname "$0")/.."
 mkdir -p "$out"
 copy=$(mktemp -d)
-trap 'rm -rf "$copy"' EXIT
+scratch=$copy
+trap 'rm -rf "$scratch"' EXIT
+mkdir -p "$copy/tree"
+copy=$copy/tree
 git ls-files -z | tar cf - --null -T - | tar xf - -C "$copy"
 cp -r .git "$copy/.git"
-if [ -d target ]; then
-    cp -r target "$copy/target"
-fi
 cd "$copy"
 cp deploy/settings.toml.in default.toml.in
 
@@ -41,5 +41,4 @@
     echo "== $switch"
     scripts/score_sites.py compare "$out/default.json" "$out/$name.json"
 done
-mkdir -p "$out/journal"
-cp journal/*.json "$out/journal/"
+cp -r journal "$out/"
