revert(core): a replica's pace learned from its streams' pauses (tried, taken back)

Long pauses mostly tell of prompts being read; a slow replica keeps its requests longer and is chosen less by their number already.

fix: a datagram of any size is read, and one that cannot be sent is counted: a zone's sum of more than some 300 replicas would have been cut off at 8 KB. bench: the cost of each rule at 10 to 5,000 replicas.

--- a/crates/cherrystand_core/benches/routing.rs
+++ b/crates/cherrystand_core/benches/routing.rs
@@ -3,7 +3,10 @@
 use std::hint::black_box;
 use std::time::Instant;
 
-use cherrystand_core::{AttemptEnd, EndpointKey, EndpointSpec, GroupKey, Millis, Router, Seed};
+use cherrystand_core::{
+    Ask, AttemptEnd, BoxId, ChoiceRule, Chooser, EndpointKey, EndpointSpec, EngineSpec, GroupKey,
+    Millis, ModelSpec, Policy, Router, Seed, ServiceName, TargetSpec,
+};
 
 /// How many choices are timed.
 const CHOICES: u32 = 200_000;
@@ -48,6 +51,78 @@
     }
 }
 
+fn engine() -> EngineSpec {
+    let model = ModelSpec {
+        name: "m".to_owned(),
+        span: 8,
+        pace: 1.0,
+        share: 1.0,
+        load: Millis(16_000),
+        warm: Millis(1_600),
+    };
+    EngineSpec {
+        slots: 34,
+        stride: 5,
+        step_ms: 6.0,
+        per_request_ms: 0.24,
+        context_ms_per_k: 0.005,
+        chunk: 2_048,
+        read_per_s: 46_000.0,
+        pairs_ms_per_m: 0.7,
+        far_factor: 2.5,
+        form: Millis(300),
+        loads_per_s: 4.0,
+        loads_at_once: 6,
+        usual_prompt: 1_000.0,
+        usual_answer: 130.0,
+        models: vec![model],
+    }
+}
+
+fn chooser(rule: ChoiceRule, replicas: usize) -> Chooser {
+    let mut chooser = Chooser::new(Policy { choice: rule, ..Policy::default() });
+    let target = |number: usize| TargetSpec {
+        id: BoxId::new(format!("box-{number}")),
+        service: ServiceName::new("models"),
+        model: Some("m".to_owned()),
+        near: number.is_multiple_of(3),
+        slots: 34,
+    };
+    chooser.follow((0..replicas).map(target).collect());
+    chooser
+}
+
+fn cost_by_rule() {
+    println!("replicas by routes: nanoseconds a choice, counted in and out again");
+    let rules = [
+        ("expected-credit", ChoiceRule::ExpectedCredit),
+        ("two-at-random", ChoiceRule::TwoAtRandom),
+        ("earliest", ChoiceRule::Earliest),
+        ("fewest-in-flight", ChoiceRule::FewestInFlight),
+    ];
+    let (engine, service) = (engine(), ServiceName::new("models"));
+    let objective = Millis(300);
+    let ask = Ask { service: &service, model: Some("m"), prompt: 700.0, objective };
+    for replicas in [10, 100, 1_000, 5_000] {
+        for (name, rule) in rules {
+            let mut chooser = chooser(rule, replicas);
+            let mut seed = Seed::new(1);
+            let choices = if rule == ChoiceRule::ExpectedCredit { CHOICES } else { CHOICES / 100 };
+            let began = Instant::now();
+            for number in 0..u64::from(choices) {
+                let now = Millis(number);
+                if let Some(key) = chooser.choose(ask, Some(&engine), &[], now, &mut seed) {
+                    chooser.start(key, 700.0, false, now);
+                    chooser.first_event(key, 700.0, false);
+                    chooser.finish(black_box(key), 0.0, false);
+                }
+            }
+            let took = began.elapsed().as_nanos() / u128::from(choices);
+            println!("{replicas:>9} {name:<18} {took:>9}");
+        }
+    }
+}
+
 /// Names a way to choose.
 #[derive(Clone, Copy, PartialEq)]
 enum Way {
@@ -135,5 +210,6 @@
 
 fn main() {
     cost();
+    cost_by_rule();
     spread();
 }
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -7,7 +7,7 @@
 use crate::site::target::{Target, TargetSpec};
 use crate::{
     BoxId, ChoiceRule, EngineLoad, EngineSpec, Millis, ModelSpec, Policy, Seed, ServiceName,
-    SiteConfig, TimeModel, is_deferred,
+    TimeModel, is_deferred,
 };
 
 new_key_type! {
@@ -290,7 +290,6 @@
             return 0.0;
         };
         let predicted = target.first_event(engine, model, choice.ask.prompt);
-        let predicted = predicted * self.slowness(target, choice.now);
         let objective = choice.ask.objective.0 as f64;
         let in_time = choice.times.chance(predicted, objective);
         let time = choice.times.expected(predicted) / objective.max(1.0);
@@ -303,26 +302,16 @@
     }
 
     /// Returns what is expected of a request at a replica.
-    pub fn expected(
-        &self,
-        key: TargetKey,
-        ask: Ask<'_>,
-        engine: &EngineSpec,
-        now: Millis,
-    ) -> Option<Expected> {
+    pub fn expected(&self, key: TargetKey, ask: Ask<'_>, engine: &EngineSpec) -> Option<Expected> {
         let target = self.targets.get(key)?;
         let model = engine.model(ask.model?)?;
         let predicted = target.first_event(engine, model, ask.prompt);
         let times = self.times.get(&model.name).copied().unwrap_or_default();
         let objective = ask.objective.0 as f64;
-        let chance = times.chance(predicted * self.slowness(target, now), objective);
+        let chance = times.chance(predicted, objective);
         Some(Expected { predicted, deferred: self.policy.defer_late && is_deferred(chance) })
     }
 
-    fn slowness(&self, target: &Target, now: Millis) -> f64 {
-        if self.policy.learn_pace { target.slowness(now) } else { 1.0 }
-    }
-
     /// Counts a request as on its way; one that waits behind the others delays none of them until
     /// it runs.
     pub fn start(&mut self, key: TargetKey, prompt: f64, waits_behind: bool, now: Millis) {
@@ -361,21 +350,6 @@
         }
     }
 
-    /// Learns a replica's pace from a pause between two events of one of its streams.
-    pub fn learn_pause(&mut self, key: TargetKey, config: &SiteConfig, pause: Millis, now: Millis) {
-        let Some(target) = self.targets.get_mut(key) else {
-            return;
-        };
-        let Some(engine) = config.engine(&target.spec.service) else {
-            return;
-        };
-        let model = target.spec.model.as_deref().and_then(|model| engine.model(model));
-        if let Some(model) = model {
-            let writing = target.load().requests.min(f64::from(engine.slots));
-            target.paused(pause, engine.pass(model, writing), now);
-        }
-    }
-
     /// Notes that an endpoint made progress with anything at all.
     pub fn progress(&mut self, key: TargetKey, now: Millis) {
         if let Some(target) = self.targets.get_mut(key) {
--- a/crates/cherrystand_core/src/site/policy.rs
+++ b/crates/cherrystand_core/src/site/policy.rs
@@ -27,8 +27,6 @@
     pub choice: ChoiceRule,
     /// What an answer from another zone costs, as a share of the request's credit.
     pub far_cost: f64,
-    /// Whether each replica's pace is learned from the pauses of its streams.
-    pub learn_pace: bool,
     /// Whether requests that will be late are put behind those that can still be in time.
     pub defer_late: bool,
     /// Whether peers are told what this daemon has in flight.
@@ -55,7 +53,6 @@
             choice: ChoiceRule::default(),
             // 3.5 KB a request at the users' price of bytes is 0.01 to 0.03 of its credit.
             far_cost: 0.02,
-            learn_pace: true,
             defer_late: true,
             tell_loads: true,
             ask_peers: true,
--- a/crates/cherrystand_core/src/site/target.rs
+++ b/crates/cherrystand_core/src/site/target.rs
@@ -27,19 +27,6 @@
 /// What a request in flight at a plain endpoint counts for, in milliseconds.
 const PLAIN_MS: f64 = 10.0;
 
-/// How much one pause of a stream counts in a replica's pace.
-const PACE_WEIGHT: f64 = 0.1;
-
-/// After this time without a pause to learn from, half of what was learned is forgotten, so that a
-/// replica that was slow is tried again.
-const PACE_HALVES: Millis = Millis(1_500);
-
-/// A pause counts as at most this many times the predicted one.
-const LONGEST_PACE: f64 = 10.0;
-
-/// A pace up to this is what reading others' prompts explains.
-const USUAL_PACE: f64 = 2.0;
-
 /// Describes an endpoint to choose.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetSpec {
@@ -68,10 +55,6 @@
     failures_at: Millis,
     avoid_until: Millis,
     avoid_next: Millis,
-    /// Its pauses against the predicted ones, averaged.
-    pace: f64,
-    /// As of when.
-    pace_at: Millis,
 }
 
 impl Target {
@@ -86,8 +69,6 @@
             failures_at: Millis(0),
             avoid_until: Millis(0),
             avoid_next: FIRST_AVOID,
-            pace: 1.0,
-            pace_at: Millis(0),
         }
     }
 
@@ -121,7 +102,8 @@
 
     /// Returns the share of requests that failed lately.
     pub(crate) fn failures(&self, now: Millis) -> f64 {
-        self.failures * halved(now.since(self.failures_at), FAILURE_HALVES)
+        let halvings = now.since(self.failures_at).0 as f64 / FAILURE_HALVES.0 as f64;
+        self.failures * 0.5_f64.powf(halvings)
     }
 
     /// Leaves it out for a while, longer each time until it answers well.
@@ -136,22 +118,6 @@
         now < self.avoid_until
     }
 
-    /// Takes in a pause of one of its streams and what was predicted for its load.
-    pub(crate) fn paused(&mut self, pause: Millis, predicted_ms: f64, now: Millis) {
-        let ratio = (pause.0 as f64 / predicted_ms.max(1.0)).min(LONGEST_PACE);
-        self.pace = self.pace(now) + PACE_WEIGHT * (ratio - self.pace(now));
-        self.pace_at = now;
-    }
-
-    fn pace(&self, now: Millis) -> f64 {
-        1.0 + (self.pace - 1.0) * halved(now.since(self.pace_at), PACE_HALVES)
-    }
-
-    /// Returns the factor by which it is slower than its engine's figures say, at least 1.
-    pub(crate) fn slowness(&self, now: Millis) -> f64 {
-        (self.pace(now) / USUAL_PACE).max(1.0)
-    }
-
     /// Returns the predicted milliseconds until its answer begins.
     pub(crate) fn first_event(&self, engine: &EngineSpec, model: &ModelSpec, prompt: f64) -> f64 {
         engine.first_token(model, self.load(), prompt)
@@ -173,8 +139,3 @@
         time + far + avoided + self.failures(now) * FAILURE_COST_MS
     }
 }
-
-/// Returns what is left of something after a time, of which a span halves it.
-fn halved(age: Millis, span: Millis) -> f64 {
-    0.5_f64.powf(age.0 as f64 / span.0 as f64)
-}
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -14,8 +14,8 @@
     /// The box behind it.
     pub(crate) target: BoxId,
     unread: f64,
-    /// When the last event came, or else when the request was sent.
-    heard: Millis,
+    /// When it was sent.
+    sent: Millis,
     /// What was expected of it, where its engine is known.
     expected: Option<Expected>,
     /// Its priority at the engine, where it has one.
@@ -37,28 +37,23 @@
         let now = front.now();
         let waits_behind = expected.is_some_and(|expected| expected.deferred);
         front.chooser.borrow_mut().start(key, prompt, waits_behind, now);
-        Self { front, key, target, unread: prompt, heard: now, expected, priority, waits_behind }
+        Self { front, key, target, unread: prompt, sent: now, expected, priority, waits_behind }
     }
 
     /// Notes that an event of its answer came.
     pub(crate) fn event(&mut self) {
         let now = self.front.now();
-        let pause = now.since(self.heard);
-        self.heard = now;
         let mut chooser = self.front.chooser.borrow_mut();
         chooser.progress(self.key, now);
         if self.unread > 0.0 {
             chooser.first_event(self.key, self.unread, self.waits_behind);
             // What was put behind tells nothing of how long others take.
             if let Some(expected) = self.expected.filter(|_| !self.waits_behind) {
-                chooser.learn_first_event(self.key, pause, expected.predicted);
+                chooser.learn_first_event(self.key, now.since(self.sent), expected.predicted);
             }
             self.unread = 0.0;
             self.waits_behind = false;
-            return;
         }
-        drop(chooser);
-        self.front.learn_pause(self.key, pause);
     }
 
     /// Notes that the endpoint answered well.
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, Millis, Outcome, Route, Seed, TargetKey,
+    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, Millis, Outcome, Route, Seed,
     engine_priority,
 };
 use cherrystand_platform::HttpPool;
@@ -122,7 +122,7 @@
         self.seed.set(seed);
         let key = key.or_else(|| chooser.choose(ask, engine, &[], self.now(), &mut seed))?;
         let target = chooser.id(key)?.clone();
-        let expected = engine.and_then(|engine| chooser.expected(key, ask, engine, self.now()));
+        let expected = engine.and_then(|engine| chooser.expected(key, ask, engine));
         let expected = expected.map(|expected| match urgency {
             Urgency::Begins => expected,
             Urgency::GoesOn => Expected { deferred: false, ..expected },
@@ -133,15 +133,6 @@
         Some(Flight::start(self.clone(), key, target, req.prompt(), expected, priority))
     }
 
-    /// Learns the pace of a replica from a pause of one of its streams.
-    pub(crate) fn learn_pause(&self, key: TargetKey, pause: Millis) {
-        let view = self.view.borrow();
-        if let Some(table) = &view.table {
-            let now = self.now();
-            self.chooser.borrow_mut().learn_pause(key, table.config(), pause, now);
-        }
-    }
-
     /// Tells whether the replica that a request is at stands still: neither the request nor any
     /// other one there, on this node or a peer, has made progress for longer than its engine can
     /// take.
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -31,8 +31,8 @@
 /// After this time they are asked anew.
 const ASKED_FOR: Millis = Millis(400);
 
-/// The largest datagram that is read, in bytes.
-const LARGEST_NEWS: usize = 8 << 10;
+/// The largest datagram there is, in bytes: a zone's sum names each replica that it sends to.
+const LARGEST_NEWS: usize = 64 << 10;
 
 /// Keeps what peers told, and what is to be told to them at once.
 #[derive(Default)]
@@ -261,7 +261,10 @@
         };
         for peer in peers {
             // One that is lost is made up for by the next.
-            let _ = self.socket.send_to(&bytes, peer).await;
+            if let Err(err) = self.socket.send_to(&bytes, peer).await {
+                self.cx.metrics.peer_failures.inc();
+                log::debug!("no news could be sent to {peer}: {err}");
+            }
             self.count("out", news, bytes.len());
         }
     }
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -12,7 +12,7 @@
 switches=("$@")
 if [ ${#switches[@]} -eq 0 ]; then
     switches=('choice = "earliest"' 'choice = "fewest-in-flight"' 'choice = "two-at-random"'
-        'far_cost = 0.0' 'learn_pace = false' 'defer_late = false' 'tell_loads = false'
+        'far_cost = 0.0' 'defer_late = false' 'tell_loads = false'
         'ask_peers = false' 'resume_elsewhere = false' 'serve_unlisted = false' 'home_models = false'
         'warm_spares = false' 'retry_share = false' 'readers = false')
 fi
