--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -474,8 +474,8 @@
         config.collect()
     }
 
-    /// Returns all of it as one value; where unlisted members do not count, whose replicas' boxes
-    /// are which is left out.
+    /// Returns all of it as one value; `serve_unlisted` says whether members that are listed no more
+    /// may count as there, for which the assignments are needed.
     pub(crate) fn view(&self, nodes: usize, serve_unlisted: bool) -> SiteView {
         SiteView {
             table: self.table.clone(),
