--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -12,8 +12,7 @@
 /// The epoch that spares join under, below all that are given out.
 pub(crate) const SPARE_EPOCH: Epoch = Epoch(0);
 
-/// How many places of one box may be open at a time; one with more is left alone until it tells of
-/// itself again.
+/// How many places of one box may be open at a time; one with more leaves some before it is used.
 const MOST_OPEN_PLACES: usize = 6;
 
 /// Says how a replica stands.
@@ -184,8 +183,22 @@
 
     /// Tells whether few enough places of a box are open that the record can hold one more.
     fn is_placeable(&self, known: &SiteBox) -> bool {
-        let open = self.next.former.get(&known.id).map_or(0, Vec::len);
-        open < MOST_OPEN_PLACES
+        let places = self.next.former.get(&known.id).into_iter().flatten();
+        places.filter(|place| self.is_open(known, place)).count() < MOST_OPEN_PLACES
+    }
+
+    /// Has boxes that have too many open places leave these one after the other; they would be left
+    /// alone for good otherwise, since nothing else makes them tell of a later epoch.
+    pub(crate) fn close_places(&mut self) {
+        for known in self.at.boxes.iter().copied() {
+            if self.is_placeable(known) || self.alive(&known.id).is_none() {
+                continue;
+            }
+            if let Some(place) = self.may_be_in(known) {
+                let replica = replica_name(self.at.domain, &place.replica);
+                self.order(known, &replica, place.epoch, MemberTask::Leave);
+            }
+        }
     }
 
     /// Tells whether a box may be in a place as far as what it tells of itself goes.
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -115,6 +115,7 @@
         }
         draft.adopt_serving();
         draft.form_missing();
+        draft.close_places();
         let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
         self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
         draft.stage_spares(&self.staging);
