refactor: one count of a request's runs, one list of zones

EventStream kept its own count of runs beside AttemptLedger, which it now carries on; its bound of three endpoints each time that a stream breaks off has a name. Tries says the status in one place.

--- a/crates/cherrystand_core/src/nodes/duty_share.rs
+++ b/crates/cherrystand_core/src/nodes/duty_share.rs
@@ -25,6 +25,14 @@
     beats
 }
 
+/// Returns the zones of daemons, each once and in the same order everywhere.
+pub(crate) fn zones_of<'a>(beats: &[&'a Heartbeat]) -> Vec<&'a ZoneId> {
+    let mut zones: Vec<&ZoneId> = beats.iter().map(|beat| &beat.zone).collect();
+    zones.sort();
+    zones.dedup();
+    zones
+}
+
 /// Returns the daemons of a zone that are able to do a duty of it, in the order of their claim.
 pub(crate) fn ranked_in_zone<'a>(
     duty: &str,
--- a/crates/cherrystand_core/src/nodes/readers.rs
+++ b/crates/cherrystand_core/src/nodes/readers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::nodes::duty_share::ranked_in_zone;
+use crate::nodes::duty_share::{ranked_in_zone, zones_of};
 use crate::{Heartbeat, Millis, NodeId, ZoneId};
 
 /// How many daemons of each zone may read the store for the others: one that does, and one that
@@ -36,10 +36,7 @@
 
 /// Returns the readers of all zones.
 pub fn all_readers<'a>(alive: &[&'a Heartbeat]) -> Vec<&'a Heartbeat> {
-    let mut zones: Vec<&ZoneId> = alive.iter().map(|beat| &beat.zone).collect();
-    zones.sort();
-    zones.dedup();
-    zones.into_iter().flat_map(|zone| readers_of(zone, alive)).collect()
+    zones_of(alive).into_iter().flat_map(|zone| readers_of(zone, alive)).collect()
 }
 
 /// Chooses where one daemon reads.
--- a/crates/cherrystand_core/src/nodes/relays.rs
+++ b/crates/cherrystand_core/src/nodes/relays.rs
@@ -6,7 +6,7 @@
 //!
 //! Source: docs/design/0012-news-between-zones.md.
 
-use crate::nodes::duty_share::ranked_in_zone;
+use crate::nodes::duty_share::{ranked_in_zone, zones_of};
 use crate::{Heartbeat, Seed, Standing, ZoneId};
 
 /// How many daemons of each zone carry news to and from others: one, and one that does while the
@@ -35,10 +35,8 @@
 }
 
 fn other_zones<'a>(zone: &ZoneId, alive: &[&'a Heartbeat]) -> Vec<&'a ZoneId> {
-    let mut zones: Vec<&ZoneId> = alive.iter().map(|beat| &beat.zone).collect();
+    let mut zones = zones_of(alive);
     zones.retain(|other| *other != zone);
-    zones.sort();
-    zones.dedup();
     zones
 }
 
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use cherrystand_core::{
-    AttemptEnd, BoxId, EventCutter, LARGEST_EVENT, Millis, Outcome, WholeEvent,
+    AttemptEnd, AttemptLedger, BoxId, EventCutter, LARGEST_EVENT, Millis, WholeEvent,
 };
 use http_body_util::BodyExt;
 use hyper::StatusCode;
@@ -19,6 +19,10 @@
 /// How often a silent stream looks whether its endpoint makes progress at all.
 const LOOK_EVERY: Duration = Duration::from_millis(40);
 
+/// How many endpoints are tried at the most each time that a stream breaks off, those that did not
+/// run it included.
+const SENT_TO_GO_ON: u32 = 3;
+
 /// How a run of a stream ended.
 enum RunEnd {
     /// The stream is whole.
@@ -36,8 +40,8 @@
     pub(crate) tx: EventSender,
     /// The boxes that were sent the request.
     pub(crate) tried: Vec<BoxId>,
-    /// How many of them may have run it.
-    pub(crate) runs: u32,
+    /// What became of it there.
+    pub(crate) ledger: AttemptLedger,
     /// The id of the last event passed on.
     pub(crate) last: Option<u64>,
 }
@@ -151,13 +155,13 @@
     }
 
     fn may_go_on(&self) -> bool {
-        self.front.may_resume(&self.req.route, self.runs)
+        self.front.may_resume(&self.req.route, self.ledger.runs())
     }
 
     /// Takes the stream up at another replica.
     async fn go_on(&mut self, end: AttemptEnd) -> Option<Begun> {
         let mut sent = 0;
-        while self.may_go_on() && sent < 3 && self.front.now() < self.req.deadline {
+        while self.may_go_on() && sent < SENT_TO_GO_ON && self.front.now() < self.req.deadline {
             sent += 1;
             // Its caller waits for the next event and leaves soon: it is never put behind.
             let flight = self.front.choose(&self.req, &self.tried, Urgency::GoesOn)?;
@@ -167,13 +171,13 @@
             self.tried.push(flight.target.clone());
             let began = attempt::send(&self.front, &self.req, flight, self.last, true);
             match began.await {
-                Ok(begun) if begun.head.status == StatusCode::OK => {
-                    self.runs += 1;
-                    return Some(begun);
+                Ok(begun) => {
+                    self.ledger.ended(AttemptEnd::Answered);
+                    if begun.head.status == StatusCode::OK {
+                        return Some(begun);
+                    }
                 }
-                Ok(_) => self.runs += 1,
-                Err(end) if end.outcome() != Outcome::NotRun => self.runs += 1,
-                Err(_) => {}
+                Err(end) => self.ledger.ended(end),
             }
         }
         None
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -124,11 +124,12 @@
 
     /// Writes the failure down and says what the caller is told.
     fn failed(&self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> StatusCode {
-        let status = status_of(self.ledger.failure());
+        let status = self.status();
         front.failures.failed(req, &self.tried, end.as_str(), status.as_str());
         status
     }
 
+    /// Says what the caller is told if no further attempt is made.
     fn status(&self) -> StatusCode {
         status_of(self.ledger.failure())
     }
@@ -162,7 +163,7 @@
         req,
         tx,
         tried: tries.tried,
-        runs: tries.ledger.runs(),
+        ledger: tries.ledger,
     };
     tokio::task::spawn_local(stream.pass_on(begun));
     Ok(Response::from_parts(head, body))
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -384,12 +384,13 @@
     /// known, so that nobody here can ask them.
     pub(crate) fn members_unknown(&self, leader: &BoxId) -> Vec<BoxId> {
         let member = self.boxes.get(leader).and_then(|known| known.member.as_ref());
-        let assigned = self.assigned();
-        let members =
-            member.and_then(|member| assigned.get(&(member.replica.clone(), member.epoch)));
+        let members = member.and_then(|member| {
+            let key = (member.replica.clone(), member.epoch);
+            self.assigned().remove(&key)
+        });
         let is_known =
             |id: &&BoxId| self.boxes.contains_key(*id) || self.departed.contains_key(*id);
-        members.into_iter().flatten().filter(|id| !is_known(id)).cloned().collect()
+        members.into_iter().flatten().filter(|id| !is_known(&id)).collect()
     }
 
     /// Returns the boxes of each replica, by its name and epoch, as the domains' records have them.
