feat: a verdict of silence says how its judge was doing; bytes and ages of news by kind

Logs could not tell a dead box from a busy judge, nor what fills a link. Counters: calls to boxes by kind and result (histogram), verdicts, bytes of changes split into changes, configuration and whole lists, age of news when it arrives. No decision changes.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -58,6 +58,7 @@
 }
 
 mod nodes {
+    pub(crate) mod call_book;
     pub(crate) mod change_log;
     pub(crate) mod documents;
     pub(crate) mod duty_share;
@@ -125,6 +126,7 @@
     BoxId, DomainId, GroupId, NameError, NodeId, PlanId, ReplicaId, ServiceName, WorkspaceId,
     ZoneId,
 };
+pub use nodes::call_book::{CallBook, CallState, OpenCall};
 pub use nodes::change_log::{ChangeLog, ChangesSince};
 pub use nodes::documents::{Document, Documents, Version};
 pub use nodes::duty_share::{owner_of, ranked};
--- a/crates/cherrystand_peer/src/change_news.rs
+++ b/crates/cherrystand_peer/src/change_news.rs
@@ -36,6 +36,9 @@
     pub cursor: ChangeCursor,
     /// How long ago the store was known to answer.
     pub store_age: Millis,
+    /// How long the sender held the answer back since there was nothing to tell; the rest of the
+    /// time until it arrives was spent on the way and in both daemons.
+    pub held: Millis,
     /// The store's revision as far as the sender knows it.
     pub revision: Revision,
     /// Whether the sender keeps boxes that the store lists no more, as after an outage; the store
--- a/crates/cherrystand_peer/src/message.rs
+++ b/crates/cherrystand_peer/src/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of the messages; daemons that differ refuse each other's.
-pub const PROTOCOL: u16 = 4;
+pub const PROTOCOL: u16 = 5;
 
 /// What a daemon says of itself when it asks a peer for news.
 ///
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use cherrystand_core::{AttemptEnd, Class, NoRetry, Outcome, RefusalReason};
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Bounds of the buckets for times, in seconds.
@@ -41,6 +41,12 @@
     pub probes: IntCounterVec,
     /// Orders to engines, by what became of them.
     pub orders: IntCounterVec,
+    /// Seconds until a box answered an order or a question, or was waited for in vain.
+    pub box_call_time: HistogramVec,
+    /// Verdicts on boxes that did not answer.
+    pub silence_verdicts: IntCounterVec,
+    /// Seconds by which news from a peer was old when it arrived, by kind.
+    pub news_age: HistogramVec,
     /// Replicas in the routing choice.
     pub serving_replicas: IntGauge,
     /// The accepted generation of each workspace known here.
@@ -89,6 +95,21 @@
             peer_failures: make.counter("peer_failures_total", "Exchanges that failed.")?,
             probes: make.counters("probes_total", "Probes of engines.", &["result"])?,
             orders: make.counters("orders_total", "Orders to engines.", &["result"])?,
+            box_call_time: make.histograms(
+                "box_call_seconds",
+                "Time until a box answered or was waited for in vain.",
+                &["call", "result"],
+            )?,
+            silence_verdicts: make.counters(
+                "silence_verdicts_total",
+                "Verdicts on boxes that did not answer.",
+                &["verdict"],
+            )?,
+            news_age: make.histograms(
+                "news_age_seconds",
+                "Age of what a peer passed on when it arrived.",
+                &["kind"],
+            )?,
             serving_replicas: make.gauge("serving_replicas", "Replicas that can be chosen.")?,
             generation: make.gauges("generation", "Accepted generation.", &["workspace"])?,
             platform_age: make.gauge("platform_age_seconds", "Age of the platform's news.")?,
@@ -177,6 +198,18 @@
         Ok(made)
     }
 
+    fn histograms(
+        &self,
+        name: &str,
+        help: &str,
+        labels: &[&str],
+    ) -> Result<HistogramVec, prometheus::Error> {
+        let opts = HistogramOpts::from(Self::opts(name, help)).buckets(TIME_BUCKETS.to_vec());
+        let made = HistogramVec::new(opts, labels)?;
+        self.registry.register(Box::new(made.clone()))?;
+        Ok(made)
+    }
+
     fn histogram(&self, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
         let opts = HistogramOpts::from(Self::opts(name, help)).buckets(TIME_BUCKETS.to_vec());
         let made = Histogram::with_opts(opts)?;
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -1,10 +1,13 @@
 //! Calls to boxes: orders, and asking whether they are there.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use cherrystand_core::{DomainId, MemberOrder, MemberTask, Millis, OrderEnd, Revision, SiteBox};
-use cherrystand_platform::{CallError, SendError, SiteDriver, call};
+use cherrystand_core::{
+    BoxId, DomainId, MemberOrder, MemberTask, Millis, OrderEnd, Revision, SiteBox,
+};
+use cherrystand_platform::{Answer, BoxCall, CallError, SendError, SiteDriver, call};
 
 use crate::site::control::{Control, owns, readers_in};
 use crate::site::{Driver, Hint};
@@ -50,8 +53,7 @@
 
     async fn call_box(&self, order: &MemberOrder, record: Revision) -> OrderEnd {
         let out = Driver::order_call(order, order.fence(record));
-        let sent =
-            call(&self.pool, order.address, out.method, &out.path, out.body, ORDER_WITHIN).await;
+        let sent = self.call_timed(order.task.as_str(), order.address, out, ORDER_WITHIN).await;
         let end = match &sent {
             Ok(answer) => Driver::order_end(answer.status),
             Err(CallError::Send(SendError::Connect { .. })) => OrderEnd::Refused,
@@ -68,6 +70,40 @@
         end
     }
 
+    /// Calls a box, keeping how long the answer took and whether there was one.
+    async fn call_timed(
+        &self,
+        kind: &str,
+        address: SocketAddr,
+        out: BoxCall,
+        within: Duration,
+    ) -> Result<Answer, CallError> {
+        let key = self.calls.borrow_mut().begin(self.now());
+        let answer = call(&self.pool, address, out.method, &out.path, out.body, within).await;
+        let answered = answer.is_ok();
+        let took = self.calls.borrow_mut().end(key, answered, self.now());
+        let result = if answered { "answered" } else { "unanswered" };
+        let times = self.cx.metrics.box_call_time.with_label_values(&[kind, result]);
+        times.observe(took.as_secs_f64());
+        answer
+    }
+
+    /// Writes a verdict of silence down with the state of the one that gives it: where many calls
+    /// are open or unanswered at once, the daemon is busy rather than the box dead.
+    fn log_silence(&self, id: &BoxId, asked: Millis) {
+        self.cx.metrics.silence_verdicts.with_label_values(&["silent"]).inc();
+        let now = self.now();
+        let calls = self.calls.borrow();
+        let state = calls.state(now);
+        log::info!(
+            target_box = id.as_str(), waited_ms = now.since(asked).0, open = state.open,
+            unanswered = state.unanswered, answered = state.answered,
+            slowest_ms = state.slowest.0,
+            quickest_since_ms = calls.answered_since(asked).map_or(-1, |took| took.0 as i64);
+            "a box of a stalled replica is silent"
+        );
+    }
+
     /// Tells whether this node decides for the domain of a box, where it has one.
     fn decides_for(&self, known: &SiteBox) -> bool {
         let view = self.cx.view_now();
@@ -93,9 +129,9 @@
         if !self.may_ask(name) {
             return;
         }
+        let asked = self.now();
         let out = Driver::report_call();
-        let answer =
-            call(&self.pool, known.address, out.method, &out.path, out.body, ASK_WITHIN).await;
+        let answer = self.call_timed("report", known.address, out, ASK_WITHIN).await;
         let answered = answer.is_ok();
         self.cx
             .metrics
@@ -103,7 +139,7 @@
             .with_label_values(&[if answered { "answered" } else { "silent" }])
             .inc();
         if !answered {
-            log::info!(target_box = known.id.as_str(); "a box of a stalled replica is silent");
+            self.log_silence(&known.id, asked);
         }
         self.known.borrow_mut().heard(&known.id, answered, self.now());
         if !answered {
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -86,6 +86,7 @@
     };
     let news = news.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let bytes = encode(&news).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
+    control.count_changes("out", &news, bytes.len());
     Ok(Bytes::from(bytes))
 }
 
@@ -100,6 +101,7 @@
     let after = cursor.filter(|cursor| cursor.life == life).map(|cursor| cursor.count);
     let wait = Duration::from_millis(wait.min(LONGEST_WAIT).0);
     let mut changed = control.changed.subscribe();
+    let asked = control.now();
     // One that asks the store itself has the answer soon, and the asker would go to the store as
     // well; one that asks a peer in turn would only add to the wait.
     if fresh_age(control).is_none() && control.source().is_some() {
@@ -110,7 +112,8 @@
     let _ = tokio::time::timeout(wait, changed.wait_for(is_due)).await;
     let store_age = fresh_age(control)?;
     let known = control.known.borrow();
-    let whole = everything(control, store_age);
+    let held = control.now().since(asked);
+    let whole = ChangeNews { held, ..everything(control, store_age) };
     match after.and_then(|after| known.changes_since(after)) {
         Some(since) => {
             Some(ChangeNews { whole: false, records: since.records, gone: since.gone, ..whole })
@@ -141,6 +144,7 @@
     ChangeNews {
         cursor: ChangeCursor { life: control.life(), count: known.changes() },
         store_age,
+        held: Millis(0),
         revision: known.revision(),
         keeps_unlisted: known.keeps_unlisted(),
         whole: true,
@@ -174,6 +178,9 @@
     if age > STORE_FRESH || now.since(asked) > Millis(within.as_millis() as u64) {
         return Err(ChangesError::Stale(age));
     }
+    let way = now.since(asked).0.saturating_sub(news.held.0);
+    let old = control.cx.metrics.news_age.with_label_values(&["changes"]);
+    old.observe((age + Millis(way)).as_secs_f64());
     let changes = news.whole || !news.records.is_empty() || !news.gone.is_empty();
     control.known.borrow_mut().take_news(&news, now);
     control.learned(age, changes);
@@ -205,6 +212,7 @@
     if answer.status != StatusCode::OK {
         return Err(ChangesError::NotServed(answer.status));
     }
-    control.count_changes_read(answer.body.len());
-    Ok(decode(&answer.body)?)
+    let news: ChangeNews = decode(&answer.body)?;
+    control.count_changes("in", &news, answer.body.len());
+    Ok(news)
 }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    Document, DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep, Heartbeat,
-    Millis, NodeId, Revision, Seed, ServiceName, SiteBox, Source, SourceChooser, all_readers,
-    home_models, owner_of, readers_of,
+    CallBook, Document, DomainId, DomainRecord, Epoch, Formation, FormationInput, FormationStep,
+    Heartbeat, Millis, NodeId, Revision, Seed, ServiceName, SiteBox, Source, SourceChooser,
+    all_readers, home_models, owner_of, readers_of,
 };
+use cherrystand_peer::ChangeNews;
 use cherrystand_platform::{HttpPool, KeyValue, SiteDriver, Swap};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -93,6 +94,8 @@
     pub(crate) known: RefCell<Known>,
     /// Connections to boxes and peers.
     pub(super) pool: HttpPool,
+    /// How its calls to boxes fared lately.
+    pub(super) calls: RefCell<CallBook>,
     pub(super) wake: Notify,
     pub(super) formations: RefCell<BTreeMap<DomainId, Formation>>,
     loads: RefCell<BTreeMap<DomainId, VecDeque<Millis>>>,
@@ -117,6 +120,7 @@
             store: Counted::over(store, &cx, "site"),
             known: RefCell::default(),
             pool: HttpPool::default(),
+            calls: RefCell::default(),
             wake: Notify::new(),
             formations: RefCell::default(),
             loads: RefCell::default(),
@@ -305,9 +309,15 @@
         from.get(pick)?.changes
     }
 
-    /// Counts what was read from a peer.
-    pub(crate) fn count_changes_read(&self, bytes: usize) {
-        self.cx.metrics.peer_bytes.with_label_values(&["in", "changes"]).inc_by(bytes as u64);
+    /// Counts changes that a peer was sent or that were read from one.
+    pub(crate) fn count_changes(&self, way: &str, news: &ChangeNews, bytes: usize) {
+        let has_config = news.records.iter().any(|record| &*record.key == Driver::CONFIG_KEY);
+        let kind = match (has_config, news.whole) {
+            (_, true) => "whole-lists",
+            (true, false) => "configuration",
+            (false, false) => "changes",
+        };
+        self.cx.metrics.peer_bytes.with_label_values(&[way, kind]).inc_by(bytes as u64);
     }
 
     /// Tells whether this node has known the store's state freshly for long enough.
