--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -32,6 +32,9 @@
 /// The time between two events.
 const EVENT_EVERY: Duration = Duration::from_millis(20);
 
+/// How often what is held up looks whether it may go on.
+const LOOK_EVERY: Duration = Duration::from_millis(5);
+
 /// How long a join takes.
 const JOIN: Duration = Duration::from_millis(30);
 
@@ -76,6 +79,8 @@
 struct World {
     boxes: BTreeMap<String, SiteBoxState>,
     doors: BTreeMap<usize, Door>,
+    /// Whether nothing that boxes say arrives for now.
+    held: bool,
 }
 
 /// A site on loopback addresses; it runs on the test's own thread.
@@ -161,6 +166,17 @@
         }
     }
 
+    /// Holds up all that boxes say, as a link does that is full, or lets it through again.
+    pub fn hold(&self, held: bool) {
+        self.world.borrow_mut().held = held;
+    }
+
+    async fn held_up(&self) {
+        while self.world.borrow().held {
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
+    }
+
     /// Lists a box again as it is.
     pub fn list(&self, id: &str) {
         self.tell(id);
@@ -242,6 +258,7 @@
         if self.mood(id) == BoxMood::Dark {
             std::future::pending::<()>().await;
         }
+        self.held_up().await;
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/report") => plain(StatusCode::OK, "{}"),
             (&Method::POST, "/order") => match read_json::<Value>(req).await {
@@ -371,6 +388,7 @@
                     return None;
                 }
                 tokio::time::sleep(EVENT_EVERY).await;
+                site.held_up().await;
                 while !site.is_whole(&id) {
                     tokio::time::sleep(EVENT_EVERY).await;
                 }
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Starts real processes and talks to them.
 #![allow(dead_code, reason = "each area of tests uses its own part")]
 
+pub(crate) mod site;
+
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
