fix: nobody is taken for dead by a daemon that is held up itself; wide links read and pass on

Cause (docs/incidents/0001): a question to a box that ran out of 200 ms, or a connection that did not come about in 125 ms, was a verdict, though the judge's own link was full. Change: docs/design/0014. SilenceCheck (pure): a verdict needs a call to somebody else that began with the question and was answered in a third of the time; else the box is asked again, and after 1.4 s nothing is said. Streams: peers answer also that they saw no progress; a node that hears nobody takes itself for held up, 1.5 s at the most. Readers and relays are those with the widest links (limits.link_mbps). A box that answers any order is not silent. Ruled out: longer times, accrual detectors, Lifeguard (the page says why). The property test fails where a witness may begin late, or take as long as the box (two mutants tried).

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -67,6 +67,7 @@
     pub(crate) mod readers;
     pub(crate) mod relays;
     pub(crate) mod replica_evidence;
+    pub(crate) mod silence_check;
 }
 
 mod site {
@@ -137,6 +138,7 @@
 pub use nodes::readers::{READERS_PER_ZONE, Source, SourceChooser, all_readers, readers_of};
 pub use nodes::relays::{RELAYS_PER_ZONE, choose_exchange, is_relay, relays_elsewhere, relays_of};
 pub use nodes::replica_evidence::{EVIDENCE_LIFE, EvidenceTable, ReplicaEvidence};
+pub use nodes::silence_check::{SilenceCheck, SilenceVerdict, WITNESS_BEFORE};
 pub use requests::admission::{Admission, Room};
 pub use requests::breaker::{Breaker, FIRST_PAUSE, LONGEST_PAUSE};
 pub use requests::claim::{
--- a/crates/cherrystand_core/src/nodes/call_book.rs
+++ b/crates/cherrystand_core/src/nodes/call_book.rs
@@ -66,12 +66,19 @@
         now.since(begun)
     }
 
-    /// Returns how long the quickest answer took among the calls that began at `begun` or later.
-    pub fn answered_since(&self, begun: Millis) -> Option<Millis> {
-        let answered = self.ended.iter().filter(|call| call.answered && call.begun >= begun);
+    /// Returns how long the quickest answer took among the calls that began from `first` to `last`.
+    pub fn answered_between(&self, first: Millis, last: Millis) -> Option<Millis> {
+        let began = |call: &&Ended| call.begun >= first && call.begun <= last;
+        let answered = self.ended.iter().filter(|call| call.answered).filter(began);
         answered.map(|call| call.ended.since(call.begun)).min()
     }
 
+    /// Tells whether a call began at `begun` or later, whatever became of it.
+    pub fn began_since(&self, begun: Millis) -> bool {
+        let open = self.open.values().any(|at| *at >= begun);
+        open || self.ended.iter().any(|call| call.begun >= begun)
+    }
+
     /// Returns how the calls fare.
     pub fn state(&self, now: Millis) -> CallState {
         let lately = self.ended.iter().filter(|call| now.since(call.ended) <= KEPT);
--- a/crates/cherrystand_core/src/nodes/duty_share.rs
+++ b/crates/cherrystand_core/src/nodes/duty_share.rs
@@ -34,6 +34,10 @@
 }
 
 /// Returns the daemons of a zone that are able to do a duty of it, in the order of their claim.
+///
+/// Those with the widest links come first: what a zone reads and passes on goes over them. Where
+/// two of twenty have ten times the link of the others, 20 copies of 0.4 MB are 0.3 s instead of
+/// 3.4 s.
 pub(crate) fn ranked_in_zone<'a>(
     duty: &str,
     zone: &ZoneId,
@@ -41,5 +45,7 @@
     able: impl Fn(&Heartbeat) -> bool,
 ) -> Vec<&'a Heartbeat> {
     let in_zone = alive.iter().copied().filter(|beat| &beat.zone == zone && able(beat));
-    ranked(&format!("{duty}/{zone}"), in_zone)
+    let mut able = ranked(&format!("{duty}/{zone}"), in_zone);
+    able.sort_by_key(|beat| std::cmp::Reverse(beat.link_mbps));
+    able
 }
--- a/crates/cherrystand_core/src/nodes/membership.rs
+++ b/crates/cherrystand_core/src/nodes/membership.rs
@@ -32,6 +32,8 @@
     pub zone: ZoneId,
     /// Where its peers reach it.
     pub address: SocketAddr,
+    /// What its link carries, in Mbit/s; 0 where that is not known.
+    pub link_mbps: u32,
     /// Whether it takes requests.
     pub serving: bool,
     /// Whether it reaches the platform, and so may decide for domains.
--- /dev/null
+++ b/crates/cherrystand_core/src/nodes/silence_check.rs
@@ -0,0 +1,87 @@
+//! Whether a box that does not answer is dead, or the daemon that asks is held up itself.
+//!
+//! A daemon judges only while it is shown to be well: a call to somebody else that began together
+//! with the question was answered in a fraction of the time that the box had. Where none was, the
+//! daemon's link or processor may be what is slow, and it asks again with more time.
+//!
+//! Source: docs/design/0014-who-may-judge.md.
+
+use crate::{CallBook, Millis};
+
+/// How long a box may take to answer, by how often it was asked before: 200 ms finds a dead box
+/// well within the half second in which it has to be known; a daemon that was held up gives more.
+const WITHIN: [Millis; 4] = [Millis(200), Millis(300), Millis(400), Millis(500)];
+
+/// How many times as long as others the box has to have had; a link that is so busy that others
+/// took a third of the time may well have taken all of it.
+const SLOWER: u64 = 3;
+
+/// A call shows how the daemon is doing only if it began within this part of the wait; one that
+/// began later may have met a link that had just become free.
+const EARLY_PART: u64 = 4;
+
+/// A call that began this much before the question shows the same as one that began with it.
+pub const WITNESS_BEFORE: Millis = Millis(20);
+
+/// A timer this much too late tells that the daemon's own processor was busy.
+const LATE: Millis = Millis(60);
+
+/// Says what follows where a box did not answer in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilenceVerdict {
+    /// The box is silent, while others answer.
+    Silent,
+    /// The daemon may be held up itself: the box is asked again.
+    AskAgain,
+    /// The daemon was held up all the time, and says nothing of the box.
+    Undecided,
+}
+
+impl SilenceVerdict {
+    /// Returns the name that metrics use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::AskAgain => "ask-again",
+            Self::Undecided => "undecided",
+        }
+    }
+}
+
+/// Follows the questions to one box until it answers or a verdict is given.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SilenceCheck {
+    asked: usize,
+}
+
+impl SilenceCheck {
+    /// Returns how long the box may take to answer this time.
+    pub fn within(&self) -> Millis {
+        WITHIN[self.asked.min(WITHIN.len() - 1)]
+    }
+
+    /// Takes in that a question that began at `begun` was not answered by `now`, and says what
+    /// follows.
+    pub fn unanswered(&mut self, begun: Millis, now: Millis, calls: &CallBook) -> SilenceVerdict {
+        let within = self.within();
+        self.asked += 1;
+        if is_silent(begun, within, now, calls) {
+            SilenceVerdict::Silent
+        } else if self.asked < WITHIN.len() {
+            SilenceVerdict::AskAgain
+        } else {
+            SilenceVerdict::Undecided
+        }
+    }
+}
+
+/// Tells whether silence over a time that was to last `within` says something of the silent one.
+fn is_silent(begun: Millis, within: Millis, now: Millis, calls: &CallBook) -> bool {
+    let waited = now.since(begun);
+    if waited > within + LATE {
+        return false;
+    }
+    let early = begun + Millis(within.0 / EARLY_PART);
+    let quickest = calls.answered_between(begun - WITNESS_BEFORE, early);
+    quickest.is_some_and(|took| took.0 * SLOWER <= waited.0)
+}
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -151,6 +151,13 @@
         busy.map(|target| (&target.spec.id, target.own(), target.last_event))
     }
 
+    /// Tells whether any endpoint but one made progress since `since` with a request of this node;
+    /// nothing where no other has any.
+    pub fn others_progress(&self, not: TargetKey, since: Millis) -> Option<bool> {
+        let busy = self.targets.iter().filter(|(key, target)| *key != not && target.in_flight > 0);
+        busy.map(|(_, target)| target.last_event >= since).reduce(|one, other| one || other)
+    }
+
     /// Chooses an endpoint other than those in `not`, by the policy's rule.
     pub fn choose(
         &self,
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -138,11 +138,11 @@
         let again = match (end, &order.task) {
             // What was followed at once may be wanted again at once, by a later record.
             (OrderEnd::Taken, MemberTask::Leave) => true,
-            (OrderEnd::Taken | OrderEnd::Dark, _) => false,
+            (OrderEnd::Taken, _) => false,
             // It loads something already.
             (OrderEnd::Unfit, MemberTask::Stage { .. }) => false,
             // A box that answers and left an order unanswered is ordered again, under a later fence.
-            (OrderEnd::Silent, _) => !is_silent,
+            (OrderEnd::Silent | OrderEnd::Dark, _) => !is_silent,
             _ => true,
         };
         if end == OrderEnd::Fenced {
--- a/crates/cherrystand_core/tests/nodes.rs
+++ b/crates/cherrystand_core/tests/nodes.rs
@@ -24,6 +24,7 @@
         serving: true,
         decides: true,
         changes: None,
+        link_mbps: 0,
         config: 0,
     }
 }
--- a/crates/cherrystand_core/tests/readers.rs
+++ b/crates/cherrystand_core/tests/readers.rs
@@ -14,6 +14,7 @@
         zone: ZoneId::new(zone),
         decides,
         serving,
+        link_mbps: 0,
         changes: Some(SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16))),
         node: NodeId::new(format!("n{number}")),
         incarnation: Incarnation(1),
--- a/crates/cherrystand_core/tests/relays.rs
+++ b/crates/cherrystand_core/tests/relays.rs
@@ -125,6 +125,7 @@
         serving: true,
         decides: true,
         changes: None,
+        link_mbps: 0,
         config: 0,
     }
 }
--- /dev/null
+++ b/crates/cherrystand_core/tests/silence.rs
@@ -0,0 +1,159 @@
+//! Who may take another for dead.
+//!
+//! Story: daemons whose links were full of configurations took 83 to 247 boxes for dead that were
+//! well, and gave serving replicas up. A question that ran out of time was all that a verdict took;
+//! nothing asked whether anybody else's answer had arrived meanwhile.
+
+use cherrystand_core::{CallBook, Millis, SilenceCheck, SilenceVerdict};
+use proptest::prelude::*;
+
+/// One call to somebody else: when it began, and when its answer came.
+type Call = (u64, Option<u64>);
+
+/// Returns what a daemon knows of its calls at a time.
+fn book_at(calls: &[Call], now: u64) -> CallBook {
+    let mut book = CallBook::default();
+    for (began, answered) in calls.iter().filter(|(began, _)| *began <= now) {
+        let call = book.begin(Millis(*began));
+        if let Some(at) = answered.filter(|at| *at <= now) {
+            book.end(call, true, Millis(at));
+        }
+    }
+    book
+}
+
+/// Plays the questions to a box until it answers or a verdict is given, and returns the verdict and
+/// when it was given; `answers` says when the box answers a question that begins at a time, and
+/// `late` by how much each of the daemon's timers is too late.
+fn judge(
+    calls: &[Call],
+    late: u64,
+    answers: impl Fn(u64) -> Option<u64>,
+) -> Option<(SilenceVerdict, u64)> {
+    let mut check = SilenceCheck::default();
+    let mut begun = 1_000;
+    loop {
+        let now = begun + check.within().0 + late;
+        if answers(begun).is_some_and(|at| at <= now) {
+            return None;
+        }
+        match check.unanswered(Millis(begun), Millis(now), &book_at(calls, now)) {
+            SilenceVerdict::AskAgain => begun = now,
+            verdict => return Some((verdict, now - 1_000)),
+        }
+    }
+}
+
+#[test]
+fn only_a_daemon_that_is_answered_by_others_judges() {
+    struct Case {
+        name: &'static str,
+        calls: Vec<Call>,
+        late: u64,
+        verdict: SilenceVerdict,
+        /// The latest time of the verdict.
+        within: u64,
+    }
+    let every = |pause: u64, takes: u64| -> Vec<Call> {
+        (0..100)
+            .map(|number| (1_000 + number * pause, Some(1_000 + number * pause + takes)))
+            .collect()
+    };
+    let cases = [
+        Case {
+            name: "a dead box, others answer at once",
+            calls: every(100, 3),
+            late: 0,
+            verdict: SilenceVerdict::Silent,
+            within: 200,
+        },
+        Case {
+            name: "a dead box, others take 60 ms over a lossy link",
+            calls: every(100, 60),
+            late: 5,
+            verdict: SilenceVerdict::Silent,
+            within: 205,
+        },
+        Case {
+            name: "a dead box, a busy link; known within the half second and a little",
+            calls: every(100, 90),
+            late: 0,
+            verdict: SilenceVerdict::Silent,
+            within: 500,
+        },
+        Case {
+            name: "nobody answers",
+            calls: (0..30).map(|number| (1_000 + number * 50, None)).collect(),
+            late: 0,
+            verdict: SilenceVerdict::Undecided,
+            within: 1_400,
+        },
+        Case {
+            name: "nobody is asked",
+            calls: Vec::new(),
+            late: 0,
+            verdict: SilenceVerdict::Undecided,
+            within: 1_400,
+        },
+        Case {
+            name: "all answers wait behind 400 ms of bulk",
+            calls: every(100, 400),
+            late: 0,
+            verdict: SilenceVerdict::Undecided,
+            within: 1_400,
+        },
+        Case {
+            name: "the link becomes free just before time runs out: the box is asked again first",
+            calls: vec![(1_000, None), (1_190, Some(1_193))],
+            late: 0,
+            verdict: SilenceVerdict::Silent,
+            within: 500,
+        },
+        Case {
+            name: "the daemon's own timers are late",
+            calls: every(10, 3),
+            late: 150,
+            verdict: SilenceVerdict::Undecided,
+            within: 2_000,
+        },
+        Case {
+            name: "answers of long ago",
+            calls: vec![(500, Some(503)), (900, Some(905))],
+            late: 0,
+            verdict: SilenceVerdict::Undecided,
+            within: 1_400,
+        },
+    ];
+    for case in cases {
+        let (verdict, at) = judge(&case.calls, case.late, |_| None).expect(case.name);
+        assert_eq!(verdict, case.verdict, "{}", case.name);
+        assert!(at <= case.within, "{}: at {at} ms", case.name);
+    }
+}
+
+proptest! {
+    /// Where every answer takes as long as the link holds it up, a box that is well is never taken
+    #[test]
+    fn a_box_that_answers_as_others_do_is_never_taken_for_dead(
+        held_up in prop::collection::vec(0u64..1_500, 1..40),
+        own in 0u64..30,
+        slower in 0u64..100,
+    ) {
+        // Each call that begins finds the link held up until some moment; calls that follow wait as
+        // long at the least, as a queue serves one after the other.
+        let mut free_at = 1_000;
+        let mut calls: Vec<Call> = Vec::new();
+        for (number, hold) in held_up.iter().enumerate() {
+            let began = 1_000 + number as u64 * 40;
+            free_at = free_at.max(began + hold);
+            calls.push((began, Some(free_at + own)));
+        }
+        // The box's answer comes soon after that of the first call that begins with the question.
+        let answers = |begun: u64| {
+            let with = calls.iter().find(|(began, _)| *began >= begun);
+            with.map_or(Some(begun), |(_, answered)| answered.map(|at| at + slower))
+        };
+        let verdict = judge(&calls, 0, answers).map(|(verdict, _)| verdict);
+        prop_assert_ne!(verdict, Some(SilenceVerdict::Silent));
+    }
+}
--- a/crates/cherrystand_peer/src/load_news.rs
+++ b/crates/cherrystand_peer/src/load_news.rs
@@ -24,7 +24,7 @@
     Zone(ZoneLoads),
     /// Asks when the leaders of some replicas last made progress.
     Asked(Vec<BoxId>),
-    /// Answers that, for those with which the sender has requests.
+    /// Answers that, with those of them at which the sender has requests.
     Seen(Vec<EndpointLoad>),
     /// Names leaders whose replicas the sender found standing still.
     Stalled(Vec<BoxId>),
--- a/crates/cherrystandd/benches/slopes.rs
+++ b/crates/cherrystandd/benches/slopes.rs
@@ -42,6 +42,7 @@
         serving: true,
         decides: true,
         changes: None,
+        link_mbps: 0,
         config: u64::MAX / 3,
     }
 }
--- a/crates/cherrystandd/src/settings.rs
+++ b/crates/cherrystandd/src/settings.rs
@@ -9,6 +9,9 @@
 };
 use serde::Deserialize;
 
+/// The widest link that a box can have, in Mbit/s.
+const MOST_LINK_MBPS: f64 = 1_000_000.0;
+
 /// Holds everything that one daemon is told at its start.
 ///
 /// Source: docs/operators/settings.md, which a test checks against these types.
@@ -108,6 +111,8 @@
     pub batch_percent: u32,
     /// The largest body of a request, in bytes.
     pub body_bytes: usize,
+    /// What the box's link carries, in Mbit/s; 0 where that is not known.
+    pub link_mbps: f64,
     /// The time that a model request gets where its caller names none, in milliseconds.
     pub model_deadline_ms: u64,
     /// The time that a service request gets where its caller names none, in milliseconds.
@@ -122,6 +127,7 @@
             consent_requests: room.for_consent,
             batch_percent: room.batch_percent,
             body_bytes: 8 << 20,
+            link_mbps: 0.0,
             model_deadline_ms: 60_000,
             service_deadline_ms: 5_000,
         }
@@ -321,6 +327,9 @@
                 "less than `requests`",
             ));
         }
+        if !(0.0..=MOST_LINK_MBPS).contains(&limits.link_mbps) {
+            return Err(impossible("link_mbps", limits.link_mbps, "0 to 1000000"));
+        }
         if limits.batch_percent > 100 {
             return Err(impossible("batch_percent", limits.batch_percent, "0 to 100"));
         }
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -50,9 +50,11 @@
     let exchange = front.pool.send(address, out, CONNECT_WITHIN);
     let mut exchange = std::pin::pin!(exchange);
     let answer = loop {
+        let looked = front.now();
         match tokio::time::timeout(LOOK_EVERY, &mut exchange).await {
             Ok(answer) => break answer,
             Err(_) if front.now() >= req.deadline => return Err(AttemptEnd::TimedOut),
+            Err(_) if front.was_busy(looked) => {}
             Err(_) if may_leave && front.stands_still(req, &flight, sent) => {
                 front.stalled(&flight);
                 return Err(AttemptEnd::TimedOut);
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -5,25 +5,32 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    BoxId, DomainId, MemberOrder, MemberTask, Millis, OrderEnd, Revision, SiteBox,
+    BoxId, DomainId, MemberOrder, MemberTask, Millis, OrderEnd, Revision, SilenceCheck,
+    SilenceVerdict, SiteBox, WITNESS_BEFORE,
 };
 use cherrystand_platform::{Answer, BoxCall, CallError, SendError, SiteDriver, call};
 
+use crate::site::change_sharing;
 use crate::site::control::{Control, owns, readers_in};
 use crate::site::{Driver, Hint};
 
 /// How long a box may take to answer an order.
 const ORDER_WITHIN: Duration = Duration::from_millis(250);
 
-/// How long a box may take to answer whether it is there.
-const ASK_WITHIN: Duration = Duration::from_millis(200);
+/// How many others are asked beside a box that may be gone: one may be dead as well.
+const WITNESSES: usize = 2;
 
 /// How long a box is not asked again.
 const ASK_PAUSE: Millis = Millis(1_000);
 
 impl Control {
     /// Sends an order that follows from a record at a revision, and learns from how it ends.
-    pub(super) async fn send_order(&self, domain: &DomainId, order: MemberOrder, record: Revision) {
+    pub(super) async fn send_order(
+        self: &Rc<Self>,
+        domain: &DomainId,
+        order: MemberOrder,
+        record: Revision,
+    ) {
         let end = self.call_box(&order, record).await;
         match end {
             OrderEnd::Taken | OrderEnd::Unfit if order.task == MemberTask::Leave => {
@@ -32,12 +39,12 @@
                 self.wake.notify_one();
             }
             // It is listed for seconds yet, but it is not there.
-            OrderEnd::Dark | OrderEnd::Refused | OrderEnd::OtherBox => {
+            OrderEnd::Refused | OrderEnd::OtherBox => {
                 self.known.borrow_mut().heard(&order.target, false, self.now());
                 self.spread_news();
             }
-            // It may carry the order out later, or not be there at all.
-            OrderEnd::Silent => {
+            // It may carry the order out later, or not be there at all, or this daemon is held up.
+            OrderEnd::Dark | OrderEnd::Silent => {
                 let known = self.known.borrow().find(&order.target);
                 if let Some(known) = known {
                     self.ask(known).await;
@@ -60,6 +67,10 @@
             Err(CallError::Send(SendError::ConnectTimedOut(_))) => OrderEnd::Dark,
             Err(_) => OrderEnd::Silent,
         };
+        let is_there = matches!(end, OrderEnd::Taken | OrderEnd::Unfit | OrderEnd::Fenced);
+        if is_there {
+            self.known.borrow_mut().heard(&order.target, true, self.now());
+        }
         let result = if end == OrderEnd::Taken { "followed" } else { "failed" };
         self.cx.metrics.orders.with_label_values(&[result]).inc();
         log::info!(
@@ -88,19 +99,25 @@
         answer
     }
 
-    /// Writes a verdict of silence down with the state of the one that gives it: where many calls
-    /// are open or unanswered at once, the daemon is busy rather than the box dead.
-    fn log_silence(&self, id: &BoxId, asked: Millis) {
-        self.cx.metrics.silence_verdicts.with_label_values(&["silent"]).inc();
+    /// Writes a verdict down with the state of the one that gives it: where many calls are open or
+    /// unanswered at once, the daemon is busy rather than the box dead.
+    fn log_verdict(&self, id: &BoxId, asked: Millis, verdict: SilenceVerdict) {
+        self.cx.metrics.silence_verdicts.with_label_values(&[verdict.as_str()]).inc();
         let now = self.now();
         let calls = self.calls.borrow();
         let state = calls.state(now);
+        let text = match verdict {
+            SilenceVerdict::Silent => "a box is taken for silent",
+            SilenceVerdict::AskAgain => "a box did not answer; it is asked again",
+            SilenceVerdict::Undecided => "a box did not answer; nothing follows, as nobody did",
+        };
         log::info!(
             target_box = id.as_str(), waited_ms = now.since(asked).0, open = state.open,
             unanswered = state.unanswered, answered = state.answered,
             slowest_ms = state.slowest.0,
-            quickest_since_ms = calls.answered_since(asked).map_or(-1, |took| took.0 as i64);
-            "a box of a stalled replica is silent"
+            quickest_since_ms =
+                calls.answered_between(asked, now).map_or(-1, |took| took.0 as i64);
+            "{text}"
         );
     }
 
@@ -123,29 +140,77 @@
         true
     }
 
-    /// Asks boxes that may be gone whether they are there.
-    async fn ask(&self, known: SiteBox) {
+    /// Asks a box that may be gone whether it is there, again where this daemon may be held up.
+    async fn ask(self: &Rc<Self>, known: SiteBox) {
         let name = known.id.as_str().to_owned();
         if !self.may_ask(name) {
             return;
         }
-        let asked = self.now();
-        let out = Driver::report_call();
-        let answer = self.call_timed("report", known.address, out, ASK_WITHIN).await;
-        let answered = answer.is_ok();
-        self.cx
-            .metrics
-            .probes
-            .with_label_values(&[if answered { "answered" } else { "silent" }])
-            .inc();
-        if !answered {
-            self.log_silence(&known.id, asked);
+        let mut check = SilenceCheck::default();
+        loop {
+            let begun = self.now();
+            self.ask_somebody_else(&known);
+            let within = Duration::from_millis(check.within().0);
+            let answer =
+                self.call_timed("report", known.address, Driver::report_call(), within).await;
+            if answer.is_ok() {
+                self.count_probe("answered");
+                self.known.borrow_mut().heard(&known.id, true, self.now());
+                return;
+            }
+            self.count_probe("silent");
+            let verdict = check.unanswered(begun, self.now(), &self.calls.borrow());
+            self.log_verdict(&known.id, begun, verdict);
+            match verdict {
+                SilenceVerdict::AskAgain => {}
+                SilenceVerdict::Undecided => return,
+                SilenceVerdict::Silent => {
+                    self.known.borrow_mut().heard(&known.id, false, self.now());
+                    return self.spread_news();
+                }
+            }
+        }
+    }
+
+    /// Calls a peer, or another box where there is none, whose answer shows that this daemon is not
+    /// held up itself; unless some call has just begun that shows the same.
+    fn ask_somebody_else(self: &Rc<Self>, doubted: &SiteBox) {
+        let now = self.now();
+        if self.witness_asked.get().is_some_and(|at| now.since(at) <= WITNESS_BEFORE) {
+            return;
         }
-        self.known.borrow_mut().heard(&known.id, answered, self.now());
-        if !answered {
-            self.spread_news();
+        self.witness_asked.set(Some(now));
+        for _ in 0..WITNESSES {
+            let control = self.clone();
+            match self.near_peer() {
+                Some(peer) => {
+                    tokio::task::spawn_local(async move { control.ping(peer).await });
+                }
+                None => {
+                    let Some(other) = self.known.borrow().any_other(doubted) else { return };
+                    tokio::task::spawn_local(async move {
+                        let report = Driver::report_call();
+                        let within = Duration::from_millis(SilenceCheck::default().within().0);
+                        // Only whether it is answered counts, which the call book keeps.
+                        let _ = control.call_timed("witness", other, report, within).await;
+                    });
+                }
+            }
         }
     }
+
+    async fn ping(&self, peer: SocketAddr) {
+        let key = self.calls.borrow_mut().begin(self.now());
+        let answered = change_sharing::ping(self, peer).await;
+        let took = self.calls.borrow_mut().end(key, answered, self.now());
+        let result = if answered { "answered" } else { "unanswered" };
+        let times = self.cx.metrics.box_call_time.with_label_values(&["ping", result]);
+        times.observe(took.as_secs_f64());
+    }
+
+    fn count_probe(&self, result: &str) {
+        self.cx.metrics.probes.with_label_values(&[result]).inc();
+    }
 }
 
 /// Has boxes looked at that the request path found silent.
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -212,6 +212,16 @@
     Ok(())
 }
 
+/// Tells whether a peer answers at all.
+pub(crate) async fn ping(control: &Control, peer: SocketAddr) -> bool {
+    let Ok(body) = encode(&ChangeQuestion::Ping) else {
+        return false;
+    };
+    let body = Bytes::from(body);
+    let answer = call(&control.pool, peer, Method::POST, "/changes", body, ANSWER_WITHIN).await;
+    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+}
+
 async fn ask(
     control: &Control,
     peer: SocketAddr,
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -103,6 +103,8 @@
     pub(super) pool: HttpPool,
     /// How its calls to boxes fared lately.
     pub(super) calls: RefCell<CallBook>,
+    /// When others were last asked beside a box that may be gone.
+    pub(super) witness_asked: Cell<Option<Millis>>,
     pub(super) wake: Notify,
     pub(super) formations: RefCell<BTreeMap<DomainId, Formation>>,
     loads: RefCell<BTreeMap<DomainId, VecDeque<Millis>>>,
@@ -132,6 +134,7 @@
             known: RefCell::default(),
             pool: HttpPool::default(),
             calls: RefCell::default(),
+            witness_asked: Cell::default(),
             wake: Notify::new(),
             formations: RefCell::default(),
             loads: RefCell::default(),
@@ -311,6 +314,20 @@
         self.store_age().is_none_or(|age| age > STORE_SILENT)
     }
 
+    /// Returns any peer of this zone, or of another where there is none.
+    pub(super) fn near_peer(&self) -> Option<SocketAddr> {
+        let view = self.cx.view_now();
+        let others = view.alive().filter(|beat| beat.node != view.own.node);
+        let others: Vec<&Heartbeat> = others.filter(|beat| beat.changes.is_some()).collect();
+        let near = others.iter().copied().filter(|beat| beat.zone == view.own.zone);
+        let near: Vec<&Heartbeat> = near.collect();
+        let from = if near.is_empty() { others } else { near };
+        let mut seed = self.seed.get();
+        let pick = seed.below(from.len());
+        self.seed.set(seed);
+        from.get(pick)?.changes
+    }
+
     /// Returns a peer to take a copy of what it knows from, the near ones more often.
     pub(crate) fn any_peer(&self) -> Option<SocketAddr> {
         let view = self.cx.view_now();
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -75,6 +75,7 @@
         loop {
             let left = self.req.deadline.since(self.front.now());
             let wait = LOOK_EVERY.min(Duration::from_millis(left.0));
+            let looked = self.front.now();
             let frame = tokio::select! {
                 frame = tokio::time::timeout(wait, body.frame()) => frame,
                 () = self.tx.closed() => return RunEnd::Over,
@@ -85,6 +86,8 @@
                     let _ = self.tx.send(Err(BrokeOff)).await;
                     return RunEnd::Over;
                 }
+                // This thread was busy itself: what came meanwhile is read first.
+                Err(_) if self.front.was_busy(looked) => {}
                 Err(_) if self.is_stalled(&flight, heard) => {
                     self.front.stalled(&flight);
                     return RunEnd::Broken(AttemptEnd::TimedOut);
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -14,7 +14,7 @@
 
 use crate::site::failure_log::FailureLog;
 use crate::site::flight::Flight;
-use crate::site::load_exchange::LoadExchange;
+use crate::site::load_exchange::{LoadExchange, PeersTell};
 use crate::site::request::SiteRequest;
 use crate::site::retry_shares::RetryShares;
 use crate::site::{Hint, SiteView};
@@ -23,6 +23,13 @@
 /// A silence this much longer than the engine's longest tells that a replica stands still.
 const LEAST_SILENCE: Millis = Millis(100);
 
+/// A node that hears neither peers nor any other replica takes itself for held up no longer than
+/// this; a link of 20 Mbit/s is full that long with 3.7 MB.
+const HELD_UP_AT_MOST: Millis = Millis(1_500);
+
+/// A look that takes this long tells that the thread was busy; looks are 40 ms apart.
+const BUSY: Millis = Millis(100);
+
 /// Says what a replica is chosen for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Urgency {
@@ -133,6 +140,12 @@
         Some(Flight::start(self.clone(), key, target, req.prompt(), expected, priority))
     }
 
+    /// Tells whether this thread came back so late to a look begun at `looked` that it has yet to
+    /// read what arrived meanwhile.
+    pub(crate) fn was_busy(&self, looked: Millis) -> bool {
+        self.now().since(looked) > BUSY
+    }
+
     /// Tells whether the replica that a request is at stands still: neither the request nor any
     /// other one there, on this node or a peer, has made progress for longer than its engine can
     /// take.
@@ -141,9 +154,22 @@
         let chooser = self.chooser.borrow();
         let progress = chooser.last_progress(flight.key).unwrap_or_default().max(heard);
         let longest = self.longest_silence(req, chooser.load(flight.key));
-        let silent = now.since(progress) > longest;
-        let asks = self.cx.settings.policy.ask_peers;
-        silent && (!asks || self.loads.peers_see_none(&flight.target, now - longest, now))
+        let silence = now.since(progress);
+        if silence <= longest {
+            return false;
+        }
+        if !self.cx.settings.policy.ask_peers {
+            return true;
+        }
+        match self.loads.peers_tell(&flight.target, now - longest, now) {
+            PeersTell::Progress | PeersTell::NotYet => false,
+            PeersTell::None => true,
+            // Nobody says anything here: unless another replica does, it is this node that is held up.
+            PeersTell::Nothing => {
+                silence > HELD_UP_AT_MOST
+                    || chooser.others_progress(flight.key, now - longest).unwrap_or(true)
+            }
+        }
     }
 
     fn longest_silence(&self, req: &SiteRequest, load: EngineLoad) -> Millis {
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -1,6 +1,7 @@
 //! What a node knows of the site, and how news changes it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cherrystand_core::{
@@ -367,6 +368,18 @@
         self.boxes.get(id).cloned()
     }
 
+    /// Returns where a box that is listed and not silent is reached, other than the members of the
+    /// replica of `doubted`.
+    pub(crate) fn any_other(&self, doubted: &SiteBox) -> Option<SocketAddr> {
+        let replica = |known: &SiteBox| known.member.as_ref().map(|member| member.replica.clone());
+        let is_other = |known: &&SiteBox| {
+            known.id != doubted.id
+                && (replica(known).is_none() || replica(known) != replica(doubted))
+                && !self.silent.contains_key(&known.id)
+        };
+        self.boxes.values().find(is_other).map(|known| known.address)
+    }
+
     /// Returns the members of the replica that a box leads, itself among them, listed or not.
     pub(crate) fn members_with(&self, id: &BoxId) -> Vec<SiteBox> {
         let Some(known) = self.boxes.get(id) else {
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -1,6 +1,6 @@
 //! Telling peers what this node has in flight, and hearing the same of them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,6 +34,19 @@
 /// The largest datagram there is, in bytes: a zone's sum names each replica that it sends to.
 const LARGEST_NEWS: usize = 64 << 10;
 
+/// What peers tell of the progress of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeersTell {
+    /// One of them saw some.
+    Progress,
+    /// They were asked just now.
+    NotYet,
+    /// Some answered, and none saw any.
+    None,
+    /// No peer answered: there is none, or what they say does not arrive here.
+    Nothing,
+}
+
 /// Keeps what peers told, and what is to be told to them at once.
 #[derive(Default)]
 pub(crate) struct LoadExchange {
@@ -43,6 +56,8 @@
     to_ask: RefCell<Vec<BoxId>>,
     /// When peers were last asked about a leader.
     asked: RefCell<BTreeMap<BoxId, Millis>>,
+    /// When a peer last answered such a question, whatever it had seen.
+    answered: Cell<Option<Millis>>,
     urgent: Notify,
 }
 
@@ -59,21 +74,23 @@
         self.urgent.notify_one();
     }
 
-    /// Tells whether no peer has seen progress of an endpoint since `since`, asking them first.
+    /// Says what peers tell of the progress of an endpoint since `since`, asking them first.
     ///
     /// Silence on this node alone says little: its own requests may all wait for others.
-    pub(crate) fn peers_see_none(&self, id: &BoxId, since: Millis, now: Millis) -> bool {
+    pub(crate) fn peers_tell(&self, id: &BoxId, since: Millis, now: Millis) -> PeersTell {
         if self.book.borrow().seen(id).is_some_and(|seen| seen > since) {
-            return false;
+            return PeersTell::Progress;
         }
         let asked = self.asked.borrow().get(id).copied();
         match asked.filter(|asked| now.since(*asked) < ASKED_FOR) {
-            Some(asked) => now.since(asked) >= ANSWERED_WITHIN,
+            Some(asked) if now.since(asked) < ANSWERED_WITHIN => PeersTell::NotYet,
+            Some(asked) if self.answered.get().is_some_and(|at| at >= asked) => PeersTell::None,
+            Some(_) => PeersTell::Nothing,
             None => {
                 self.asked.borrow_mut().insert(id.clone(), now);
                 self.to_ask.borrow_mut().push(id.clone());
                 self.urgent.notify_one();
-                false
+                PeersTell::NotYet
             }
         }
     }
@@ -138,7 +155,10 @@
             }
             LoadNews::Zone(told) => book.borrow_mut().hear_zone(told, own_zone, now),
             LoadNews::Asked(leaders) => return self.answer(&leaders, sender).await,
-            LoadNews::Seen(loads) => return book.borrow_mut().see(&loads, now),
+            LoadNews::Seen(loads) => {
+                self.loads.answered.set(Some(now));
+                return book.borrow_mut().see(&loads, now);
+            }
             LoadNews::Stalled(leaders) => return self.take_stalled(leaders, now),
             LoadNews::Left(leaders) => return self.avoid(&leaders, now),
         }
@@ -159,13 +179,12 @@
         }
     }
 
-    /// Tells one that asks when this node saw leaders make progress.
+    /// Tells one that asks when this node saw leaders make progress; that it saw none is an answer
+    /// as well, by which the asker learns that answers reach it.
     async fn answer(&self, leaders: &[BoxId], asker: SocketAddr) {
         let mut seen = self.own_loads();
         seen.retain(|load| leaders.contains(&load.id));
-        if !seen.is_empty() {
-            self.send(&LoadNews::Seen(seen), &[asker]).await;
-        }
+        self.send(&LoadNews::Seen(seen), &[asker]).await;
     }
 
     async fn tell(&self) {
--- a/crates/cherrystandd/src/state/view.rs
+++ b/crates/cherrystandd/src/state/view.rs
@@ -95,6 +95,7 @@
         address: settings.listen.peers,
         serving: true,
         decides: true,
+        link_mbps: settings.limits.link_mbps as u32,
         changes: settings.site.as_ref().map(|site| site.changes),
         config: 0,
     }
