fix(core): a place of a box that the writer does not list is kept

Trace: one controller's list was empty (old); its record gave the replicas up and dropped the places of all boxes, as it listed none of them; an open sent before took effect; the other controller, with a fresh list that did not show that yet, joined the members elsewhere. So it is also where a box lapses that is only cut off from the store. Change: places of boxes not listed are kept for 64 epochs. The seed is kept and failed first; 4,000 fresh cases pass. Properties draw fixed cases in make test, so that the same sources get the same verdict.

--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -15,6 +15,10 @@
 /// How many places of one box may be open at a time; one with more leaves some before it is used.
 const MOST_OPEN_PLACES: usize = 6;
 
+/// For how many epochs of its domain a place of a box that is not listed is kept: a box that is
+/// gone comes back under another id, and its places would pile up.
+const UNLISTED_KEPT_FOR: u64 = 64;
+
 /// Says how a replica stands.
 pub(crate) enum Standing {
     /// It serves.
@@ -334,7 +338,10 @@
         }
         former.retain(|id, places| {
             let Some(known) = self.find(id) else {
-                return false;
+                // It may be gone for good, or cut off from the store, or this list be old: whoever
+                // lists it next has to find where it may be.
+                places.retain(|place| closed_at.0 - place.closed_at.0 < UNLISTED_KEPT_FOR);
+                return !places.is_empty();
             };
             // Other nodes may have an older list, in which the box is not there yet.
             places.retain(|place| told_epoch(known) <= place.epoch && !self.has_left(known, place));
--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -21,4 +21,7 @@
     }
     skip+=(--skip "$name")
 done
+# Properties draw the same cases every time, so that the same sources get the same verdict; fresh ones
+# are drawn by hand: `PROPTEST_CASES=4000 cargo test --release -p cherrystand_core`.
+export PROPTEST_RNG_SEED=${PROPTEST_RNG_SEED:-1}
 cargo test --workspace --quiet -- --test-threads=4 "${skip[@]}"
