refactor: the control duty in rooms: deciding, choice of peers, reach of the store

StoreReach moved into the pure core; PeerChoice holds sources and draws (any and near peer were twins); deciding.rs leads from what is known to records and orders.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -68,6 +68,7 @@
     pub(crate) mod relays;
     pub(crate) mod replica_evidence;
     pub(crate) mod silence_check;
+    pub(crate) mod store_reach;
 }
 
 mod site {
@@ -139,6 +140,7 @@
 pub use nodes::relays::{RELAYS_PER_ZONE, choose_exchange, is_relay, relays_elsewhere, relays_of};
 pub use nodes::replica_evidence::{EVIDENCE_LIFE, EvidenceTable, ReplicaEvidence};
 pub use nodes::silence_check::{SilenceCheck, SilenceVerdict, WITNESS_BEFORE};
+pub use nodes::store_reach::StoreReach;
 pub use requests::admission::{Admission, Room};
 pub use requests::breaker::{Breaker, FIRST_PAUSE, LONGEST_PAUSE};
 pub use requests::claim::{
--- /dev/null
+++ b/crates/cherrystand_core/src/nodes/store_reach.rs
@@ -0,0 +1,62 @@
+//! Whether the store answers a daemon, and since when what it tells is known freshly.
+
+use crate::Millis;
+
+/// A daemon decides only by what the store told within this time.
+const DECIDES_WITHIN: Millis = Millis(1_700);
+
+/// How long the store has to answer a daemon, and its state to be known freshly, before the daemon
+/// decides: one that just started, or was cut off, learns meanwhile who else decides.
+const SETTLES_FOR: Millis = Millis(1_200);
+
+/// After this time without news of the store, peers' copies of what it told count.
+const SILENT_AFTER: Millis = Millis(1_500);
+
+/// Keeps when the store was last heard, directly or by way of a peer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreReach {
+    heard: Option<Millis>,
+    fresh_since: Option<Millis>,
+    fails: bool,
+}
+
+impl StoreReach {
+    /// Notes that the store answered the daemon itself.
+    pub fn reached(&mut self) {
+        self.fails = false;
+    }
+
+    /// Notes that it did not.
+    pub fn missed(&mut self) {
+        self.fails = true;
+    }
+
+    /// Notes that the store told something at `at`, to the daemon or to one that it reads from.
+    pub fn told(&mut self, at: Millis) {
+        self.heard = Some(at);
+    }
+
+    /// Tells whether the store did not answer the daemon itself the last time.
+    pub fn fails(&self) -> bool {
+        self.fails
+    }
+
+    /// Returns how long ago the store told something.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.heard.map(|heard| now.since(heard))
+    }
+
+    /// Tells whether it has told nothing for long.
+    pub fn is_silent(&self, now: Millis) -> bool {
+        self.age(now).is_none_or(|age| age > SILENT_AFTER)
+    }
+
+    /// Tells whether the daemon has known the store's state freshly for long enough to decide by
+    /// it; it is asked at each step.
+    pub fn may_decide(&mut self, now: Millis) -> bool {
+        let fresh = self.age(now).is_some_and(|age| age <= DECIDES_WITHIN) && !self.fails;
+        let since = self.fresh_since.unwrap_or(now);
+        self.fresh_since = fresh.then_some(since);
+        fresh && now.since(since) >= SETTLES_FOR
+    }
+}
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -182,7 +182,7 @@
         self.witness_asked.set(Some(now));
         for _ in 0..WITNESSES {
             let control = self.clone();
-            match self.near_peer() {
+            match self.peers.near() {
                 Some(peer) => {
                     tokio::task::spawn_local(async move { control.ping(peer).await });
                 }
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -110,7 +110,7 @@
     let asked = control.now();
     // One that asks the store itself has the answer soon, and the asker would go to the store as
     // well; one that asks a peer in turn would only add to the wait.
-    if fresh_age(control).is_none() && control.source().is_some() {
+    if fresh_age(control).is_none() && control.peers.source().is_some() {
         return None;
     }
     let is_due = |count: &u64| fresh_age(control).is_some() && after.is_none_or(|at| *count > at);
--- /dev/null
+++ b/crates/cherrystandd/src/site/deciding.rs
@@ -0,0 +1,147 @@
+//! Deciding for domains: from what is known to records written and orders sent.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use cherrystand_core::{
+    Document, DomainId, DomainRecord, Epoch, FormationInput, FormationStep, Millis, Revision,
+    ServiceName, SiteBox, home_models,
+};
+use cherrystand_platform::{Changes, KeyValue, Swap};
+
+use crate::keys;
+use crate::site::control::{Control, owns, readers_in};
+use crate::state::View;
+
+/// The window over which loads are counted.
+const LOAD_WINDOW: Millis = Millis(5_000);
+
+/// For how long after its first start a site loads without bounds, since nothing is asked yet.
+const EARLY_FOR: Millis = Millis(8_500);
+
+/// Nothing is formed in a domain that never formed any before no box has come for this long, so
+/// that all nodes see the same boxes and give each domain the same home.
+const SETTLED_AFTER: Millis = Millis(500);
+
+impl Control {
+    /// Decides for each domain that this node owns.
+    pub(super) async fn step_domains(self: &Rc<Self>, view: &View) {
+        let mut domains = self.known.borrow().domains();
+        let readers = readers_in(view);
+        domains.retain(|domain| owns(view, &readers, domain));
+        for domain in domains {
+            self.step_domain(&domain).await;
+        }
+    }
+
+    async fn step_domain(self: &Rc<Self>, domain: &DomainId) {
+        let Some((revision, step)) = self.decide(domain) else {
+            return;
+        };
+        for reason in &step.reasons {
+            log::info!(domain = domain.as_str(); "{reason}");
+        }
+        if step.loads > 0 {
+            let mut loads = self.loads.borrow_mut();
+            let begun = loads.entry(domain.clone()).or_default();
+            begun.extend(std::iter::repeat_n(self.now(), step.loads as usize));
+        }
+        for order in step.orders {
+            let control = self.clone();
+            let domain = domain.clone();
+            tokio::task::spawn_local(async move {
+                control.send_order(&domain, order, revision).await;
+            });
+        }
+        if let Some(next) = step.write {
+            self.write(domain, revision, next).await;
+        }
+    }
+
+    fn decide(&self, domain: &DomainId) -> Option<(Revision, FormationStep)> {
+        let known = self.known.borrow();
+        let boxes = known.boxes_of(domain);
+        let service = service_of(&boxes)?;
+        let engine = known.table()?.config().engine(&service)?.clone();
+        let (revision, record) = known.record(domain);
+        if record.last_epoch == Epoch(0) && known.settled_for(self.now()) < SETTLED_AFTER {
+            return None;
+        }
+        let silent = known.silent();
+        let departed = known.departed_of(domain);
+        let domains = known.domains().len();
+        let policy = self.cx.settings.policy;
+        let homes = match policy.home_models {
+            true => home_models(&engine, &known.by_domain()),
+            false => BTreeMap::new(),
+        };
+        let input = FormationInput {
+            now: self.now(),
+            domain,
+            service: &service,
+            record: &record,
+            engine: &engine,
+            boxes: &boxes,
+            departed: &departed,
+            silent: &silent,
+            ended: known.ended_replicas(),
+            left: known.epochs_left(),
+            loads_allowed: self.loads_allowed(domain, engine.loads_per_s, domains),
+            home: homes.get(domain).map(String::as_str),
+            policy,
+        };
+        let mut formations = self.formations.borrow_mut();
+        let step = formations.entry(domain.clone()).or_default().step(input);
+        Some((revision, step))
+    }
+
+    /// Returns how many loads a domain may begin now: its even part of the store's rate.
+    fn loads_allowed(&self, domain: &DomainId, per_s: f64, domains: usize) -> u32 {
+        let now = self.now();
+        if self.is_first_start() && now < EARLY_FOR {
+            return u32::MAX;
+        }
+        let share = (per_s * LOAD_WINDOW.as_secs_f64() / domains.max(1) as f64).max(1.0) as u32;
+        let mut loads = self.loads.borrow_mut();
+        let begun = loads.entry(domain.clone()).or_default();
+        begun.retain(|at| now.since(*at) < LOAD_WINDOW);
+        share.saturating_sub(begun.len() as u32)
+    }
+
+    /// Writes a record; whatever comes of it, the next step decides from what then stands.
+    async fn write(&self, domain: &DomainId, expected: Revision, next: DomainRecord) {
+        let Ok(body) = serde_json::to_string(&next) else {
+            return;
+        };
+        let key = keys::domain(domain);
+        match self.store.swap(&key, expected, &body).await {
+            Ok(Swap::Done(revision)) => {
+                let copy = Document { key: Arc::from(key), revision, body: Arc::from(body) };
+                self.known.borrow_mut().take_domain(&copy);
+                self.spread_news();
+            }
+            Ok(Swap::Conflict(_)) => self.read_back(&key).await,
+            Err(err) => {
+                log::warn!(domain = domain.as_str(); "a record may not be written: {err}");
+                self.read_back(&key).await;
+            }
+        }
+    }
+
+    async fn read_back(&self, key: &str) {
+        match self.store.get(key).await {
+            Ok(Some(record)) => {
+                let changes =
+                    Changes { revision: Revision(0), records: vec![record], gone: Vec::new() };
+                self.known.borrow_mut().take_changes(&changes, self.now());
+            }
+            Ok(None) => {}
+            Err(err) => log::warn!("a record could not be read back: {err}"),
+        }
+    }
+}
+
+fn service_of(boxes: &[&SiteBox]) -> Option<ServiceName> {
+    boxes.first().map(|known| known.service.clone())
+}
--- /dev/null
+++ b/crates/cherrystandd/src/site/peer_choice.rs
@@ -0,0 +1,88 @@
+//! Which peers this node reads from, and whom it asks now and then.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cherrystand_core::{Heartbeat, NodeId, Seed, Source, SourceChooser, readers_of};
+
+use crate::{DutyContext, clock};
+
+/// One copy of this many is asked of a peer anywhere, so that a zone that knows nothing learns.
+const FAR_COPY_EVERY: usize = 3;
+
+/// Chooses them from the newest view.
+pub(crate) struct PeerChoice {
+    cx: DutyContext,
+    sources: RefCell<SourceChooser>,
+    seed: Cell<Seed>,
+}
+
+impl PeerChoice {
+    pub(crate) fn new(cx: DutyContext) -> Self {
+        let seed = Cell::new(Seed::new(clock::unix_millis()));
+        Self { cx, sources: RefCell::default(), seed }
+    }
+
+    /// Tells whether this node is a reader of its zone.
+    pub(crate) fn is_reader(&self) -> bool {
+        let view = self.cx.view_now();
+        let alive: Vec<&Heartbeat> = view.alive().collect();
+        readers_of(&view.own.zone, &alive).iter().any(|beat| beat.node == view.own.node)
+    }
+
+    /// Returns where this node reads now: the peer's name and address, or nothing for the store.
+    pub(crate) fn source(&self) -> Option<(NodeId, SocketAddr)> {
+        if !self.cx.settings.policy.readers {
+            return None;
+        }
+        let view = self.cx.view_now();
+        let alive: Vec<&Heartbeat> = view.alive().collect();
+        match self.sources.borrow_mut().choose(&view.own, &alive, self.cx.clock.now()) {
+            Source::Store => None,
+            Source::Peer(peer) => peer.changes.map(|address| (peer.node.clone(), address)),
+        }
+    }
+
+    /// Notes that a peer failed as a source, or that it answered that it knows nothing fresh.
+    pub(crate) fn source_failed(&self, peer: &NodeId, answered: bool) {
+        let mut sources = self.sources.borrow_mut();
+        match answered {
+            true => sources.knows_nothing(peer, self.cx.clock.now()),
+            false => sources.failed(peer, self.cx.clock.now()),
+        }
+    }
+
+    /// Returns any peer of this zone, or of another where there is none.
+    pub(crate) fn near(&self) -> Option<SocketAddr> {
+        self.draw(false)
+    }
+
+    /// Returns any peer, the near ones more often.
+    pub(crate) fn any(&self) -> Option<SocketAddr> {
+        let far = self.below(FAR_COPY_EVERY) == 0;
+        self.draw(far)
+    }
+
+    /// Returns a time between half of a pause and one and a half, by chance.
+    pub(crate) fn jittered(&self, pause: Duration) -> Duration {
+        pause / 2 + Duration::from_millis(self.below(pause.as_millis() as usize) as u64)
+    }
+
+    fn draw(&self, far: bool) -> Option<SocketAddr> {
+        let view = self.cx.view_now();
+        let others = view.alive().filter(|beat| beat.node != view.own.node);
+        let others: Vec<&Heartbeat> = others.filter(|beat| beat.changes.is_some()).collect();
+        let near = others.iter().copied().filter(|beat| beat.zone == view.own.zone);
+        let near: Vec<&Heartbeat> = near.collect();
+        let from = if far || near.is_empty() { others } else { near };
+        from.get(self.below(from.len()))?.changes
+    }
+
+    fn below(&self, bound: usize) -> usize {
+        let mut seed = self.seed.get();
+        let drawn = seed.below(bound);
+        self.seed.set(seed);
+        drawn
+    }
+}
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -72,7 +72,7 @@
     let look_first = if control.is_first_start() { LOOK_FIRST } else { LOOK_FIRST_AGAIN };
     tokio::time::sleep(look_first).await;
     loop {
-        match control.source() {
+        match control.peers.source() {
             None => reading.of_store(&control).await,
             Some((peer, address)) => reading.of_peer(&control, peer, address).await,
         }
@@ -87,7 +87,7 @@
 
 impl Reading {
     async fn of_store(&mut self, control: &Control) {
-        let reads = control.is_reader();
+        let reads = control.peers.is_reader();
         match read_store(control, self.place.as_ref()).await {
             Ok(revision) => {
                 self.place = Some(Place::Store(revision));
@@ -117,7 +117,7 @@
             Err(err) => {
                 log::warn!(peer = peer.as_str(); "a peer is no source of changes: {err}");
                 let answered = matches!(err, ChangesError::NotServed(_));
-                control.source_failed(&peer, answered);
+                control.peers.source_failed(&peer, answered);
                 take_copy(control).await;
             }
         }
@@ -126,15 +126,15 @@
 
 /// Pauses before the store is asked again, until a peer is a source at the longest.
 async fn pause_for_store(control: &Control, pause: Duration) {
-    let until = Instant::now() + control.jittered(pause);
-    while Instant::now() < until && control.source().is_none() {
+    let until = Instant::now() + control.peers.jittered(pause);
+    while Instant::now() < until && control.peers.source().is_none() {
         tokio::time::sleep_until(until.min(Instant::now() + LOOK_FOR_SOURCE)).await;
     }
 }
 
 /// Takes over what some peer knew last, where this node has heard nothing for long.
 async fn take_copy(control: &Control) {
-    let Some(peer) = control.any_peer().filter(|_| control.store_is_silent()) else {
+    let Some(peer) = control.peers.any().filter(|_| control.store_is_silent()) else {
         return;
     };
     if let Err(err) = read_copy(control, peer).await {
@@ -169,18 +169,18 @@
     loop {
         tokio::time::sleep(CONFIG_BETWEEN).await;
         let after = control.known.borrow().revision();
-        if control.source().is_none() || after == Revision(0) {
+        if control.peers.source().is_none() || after == Revision(0) {
             continue;
         }
         let wait = if control.is_turned_away() {
-            tokio::time::sleep(control.jittered(pause)).await;
+            tokio::time::sleep(control.peers.jittered(pause)).await;
             pause = (pause * 2).min(LONGEST_TURNED_AWAY);
             CONFIG_RETRY_FOR
         } else {
             pause = TURNED_AWAY_PAUSE;
             CONFIG_WATCH_FOR
         };
-        if control.is_turned_away() || control.is_reader() {
+        if control.is_turned_away() || control.peers.is_reader() {
             watch_config(&control, after, wait).await;
         }
     }
