--- a/crates/cherrystand_core/benches/routing.rs
+++ b/crates/cherrystand_core/benches/routing.rs
@@ -112,7 +112,7 @@
             for number in 0..u64::from(choices) {
                 let now = Millis(number);
                 if let Some(key) = chooser.choose(ask, Some(&engine), &[], now, &mut seed) {
-                    chooser.start(key, 700.0, false, now);
+                    chooser.start(key, 700.0, false);
                     chooser.first_event(key, 700.0, false);
                     chooser.finish(black_box(key), 0.0, false);
                 }
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -321,11 +321,8 @@
 
     /// Counts a request as on its way; one that waits behind the others delays none of them until
     /// it runs.
-    pub fn start(&mut self, key: TargetKey, prompt: f64, waits_behind: bool, now: Millis) {
+    pub fn start(&mut self, key: TargetKey, prompt: f64, waits_behind: bool) {
         if let Some(target) = self.targets.get_mut(key).filter(|_| !waits_behind) {
-            if target.in_flight == 0 {
-                target.last_event = now;
-            }
             target.in_flight += 1;
             target.unread += prompt;
         }
--- a/crates/cherrystand_core/tests/choice.rs
+++ b/crates/cherrystand_core/tests/choice.rs
@@ -164,7 +164,7 @@
         assert_eq!(expected.deferred, case.deferred, "{}", case.name);
         // It delays nobody until it runs, and counts as everybody does from then on.
         let before = chooser.load(key).requests;
-        chooser.start(key, PROMPT, expected.deferred, NOW);
+        chooser.start(key, PROMPT, expected.deferred);
         let waits = chooser.load(key).requests - before;
         assert_eq!(waits, if case.deferred { 0.0 } else { 1.0 }, "{}", case.name);
         chooser.first_event(key, PROMPT, expected.deferred);
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -239,7 +239,7 @@
     let service = ServiceName::new("models");
     let ask = Ask { service: &service, model: Some("large"), prompt: 500.0, objective: OBJECTIVE };
     let key = chooser.choose(ask, Some(&site_engine()), &[], NOW, &mut Seed::new(1)).expect("one");
-    chooser.start(key, 500.0, false, NOW);
+    chooser.start(key, 500.0, false);
     assert_eq!(chooser.load(key), EngineLoad { requests: 1.0, unread: 500.0 });
     chooser.first_event(key, 500.0, false);
     assert_eq!(chooser.load(key), EngineLoad { requests: 1.0, unread: 0.0 });
@@ -253,6 +253,25 @@
     assert_eq!(chosen(&chooser, "large", &[], NOW), None);
 }
 
+/// Story: a replica whose member had died took requests for 3.7 s. Each daemon had few requests there;
+/// whenever one began at a daemon that had none, it counted as progress, peers were told of it, and
+/// each took the other's beginnings for a sign of life.
+#[test]
+fn a_request_that_begins_is_no_progress_of_its_replica() {
+    let mut chooser = Chooser::default();
+    chooser.follow(vec![target("a", Some("large"))]);
+    let service = ServiceName::new("models");
+    let ask = Ask { service: &service, model: Some("large"), prompt: 500.0, objective: OBJECTIVE };
+    let key = chooser.choose(ask, Some(&site_engine()), &[], NOW, &mut Seed::new(1)).expect("one");
+    chooser.start(key, 500.0, false);
+    chooser.progress(key, NOW);
+    chooser.finish(key, 0.0, false);
+    chooser.start(key, 500.0, false);
+    assert_eq!(chooser.last_progress(key), Some(NOW));
+    let told: Vec<Millis> = chooser.own().map(|(_, _, progress)| progress).collect();
+    assert_eq!(told, [NOW]);
+}
+
 #[test]
 fn a_plain_endpoint_that_fails_some_requests_is_chosen_less() {
     let mut chooser = Chooser::default();
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -153,13 +153,16 @@
             let within = Duration::from_millis(check.within().0);
             let answer =
                 self.call_timed("report", known.address, Driver::report_call(), within).await;
-            if answer.is_ok() {
-                self.count_probe("answered");
-                self.known.borrow_mut().heard(&known.id, true, self.now());
-                return;
-            }
+            let verdict = match &answer {
+                Ok(_) => {
+                    self.count_probe("answered");
+                    return self.known.borrow_mut().heard(&known.id, true, self.now());
+                }
+                // The refusal is an answer: nobody listens there.
+                Err(CallError::Send(SendError::Connect { .. })) => SilenceVerdict::Silent,
+                Err(_) => check.unanswered(begun, self.now(), &self.calls.borrow()),
+            };
             self.count_probe("silent");
-            let verdict = check.unanswered(begun, self.now(), &self.calls.borrow());
             self.log_verdict(&known.id, begun, verdict);
             match verdict {
                 SilenceVerdict::AskAgain => {}
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -36,7 +36,7 @@
     ) -> Self {
         let now = front.now();
         let waits_behind = expected.is_some_and(|expected| expected.deferred);
-        front.chooser.borrow_mut().start(key, prompt, waits_behind, now);
+        front.chooser.borrow_mut().start(key, prompt, waits_behind);
         Self { front, key, target, unread: prompt, sent: now, expected, priority, waits_behind }
     }
 
