feat(core): members and spares are asked together before a record names them

Cause: a domain formed one replica of 16 anew ten times in four seconds: boxes lost together were found one forming after the other, each by the order that it left unanswered.

--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -43,12 +43,14 @@
     pub(crate) orders: Vec<(MemberOrder, bool)>,
     /// What was decided and why.
     pub(crate) reasons: Vec<String>,
+    /// Whether nothing new is formed yet, since boxes of the domain are asked whether they are there.
+    asks_first: bool,
     /// Boxes that this step ordered something already.
     ordered: BTreeSet<BoxId>,
 }
 
 impl<'a> DomainDraft<'a> {
-    pub(crate) fn new(at: FormationInput<'a>) -> Self {
+    pub(crate) fn new(at: FormationInput<'a>, asks_first: bool) -> Self {
         let mut next = at.record.clone();
         let told = at.boxes.iter().filter_map(|known| known.member.as_ref());
         let highest = told.map(|member| member.epoch).max().unwrap_or_default();
@@ -59,6 +61,7 @@
             changed: false,
             orders: Vec::new(),
             reasons: Vec::new(),
+            asks_first,
             ordered: BTreeSet::new(),
         }
     }
@@ -258,6 +261,9 @@
         model: &ModelSpec,
         why: &str,
     ) {
+        if self.asks_first {
+            return;
+        }
         let usable = |id: &&BoxId| {
             self.alive(id).is_some_and(|known| !known.leaving && self.is_placeable(known))
         };
@@ -396,6 +402,9 @@
 
     /// Forms further replicas out of free boxes.
     pub(crate) fn form_missing(&mut self) {
+        if self.asks_first {
+            return;
+        }
         while let Some(model) = self.next_model() {
             let mut ids = self.replica_ids(&model);
             let Some(id) = ids.find(|id| !self.next.replicas.contains_key(id)) else {
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -28,6 +28,10 @@
 /// For how long it is remembered since when a replica closes.
 const CLOSING_KNOWN_FOR: Millis = Millis(60_000);
 
+/// How long nothing is formed while boxes of the domain are asked whether they are there: two
+/// questions and a little. Boxes lost together then cost one forming and not one each.
+const ASKS_FIRST_FOR: Millis = Millis(450);
+
 /// How long a leader may finish what it has before it is made to leave.
 const CLOSE_WITHIN: Millis = Millis(8_000);
 
@@ -50,6 +54,8 @@
     pub departed: &'a [&'a SiteBox],
     /// Boxes that are listed but have gone silent.
     pub silent: &'a BTreeSet<BoxId>,
+    /// Boxes that are being asked whether they are there.
+    pub asked: &'a BTreeSet<BoxId>,
     /// Replicas whose leaders said that they serve no more, with their epochs, and the last epoch of
     /// the record that they were ordered to leave by.
     pub ended: &'a BTreeMap<(String, Epoch), Epoch>,
@@ -98,6 +104,8 @@
     warmed: BTreeSet<BoxId>,
     /// Boxes that were ordered to load a model to their hosts, and when.
     staging: BTreeMap<BoxId, Millis>,
+    /// Since when there have been boxes of the domain that are asked whether they are there.
+    asking_since: Option<Millis>,
 }
 
 impl Formation {
@@ -108,7 +116,7 @@
         let known = |id: &BoxId| at.boxes.iter().chain(at.departed).any(|known| &known.id == id);
         self.orders.retain(|id, _| known(id));
         self.warmed.retain(known);
-        let mut draft = DomainDraft::new(at);
+        let mut draft = DomainDraft::new(at, self.asks_first(&at));
         let replicas: Vec<ReplicaId> = at.record.replicas.keys().cloned().collect();
         for replica in &replicas {
             self.advance(&mut draft, replica);
@@ -126,6 +134,16 @@
         self.finish(draft)
     }
 
+    /// Tells whether what is formed waits for the answers of boxes that are asked.
+    fn asks_first(&mut self, at: &FormationInput<'_>) -> bool {
+        if !at.boxes.iter().any(|known| at.asked.contains(&known.id)) {
+            self.asking_since = None;
+            return false;
+        }
+        let since = *self.asking_since.get_or_insert(at.now);
+        at.now.since(since) < ASKS_FIRST_FOR
+    }
+
     /// Takes in how an order ended, which tells whether it is sent again at once where it is still
     /// wanted.
     pub fn order_ended(&mut self, order: &MemberOrder, end: OrderEnd, is_silent: bool) {
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cherrystand_core::{
     BoxId, DomainRecord, Epoch, Formation, FormationInput, MemberTask, Millis, OrderEnd, Policy,
@@ -67,6 +67,10 @@
         let boxes: Vec<&SiteBox> = node.listed.iter().collect();
         let departed: Vec<&SiteBox> = node.departed.iter().collect();
         let engine = site_engine();
+        // Now and then some box is asked whether it is there.
+        let asked = self.seed.below(6) == 0;
+        let asked = boxes.get(self.seed.below(boxes.len().max(1))).filter(|_| asked);
+        let asked: BTreeSet<BoxId> = asked.iter().map(|known| known.id.clone()).collect();
         let step = node.formation.step(FormationInput {
             now: self.domain.now(),
             domain: self.domain.domain(),
@@ -76,6 +80,7 @@
             boxes: &boxes,
             departed: &departed,
             silent: &silent,
+            asked: &asked,
             ended: &node.ended,
             left: &node.left,
             loads_allowed: u32::MAX,
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -146,10 +146,18 @@
         if !self.may_ask(name) {
             return;
         }
+        self.asking.borrow_mut().insert(known.id.clone());
+        self.ask_until_known(&known).await;
+        self.asking.borrow_mut().remove(&known.id);
+        // What waited for the answer goes on.
+        self.wake.notify_one();
+    }
+
+    async fn ask_until_known(self: &Rc<Self>, known: &SiteBox) {
         let mut check = SilenceCheck::default();
         loop {
             let begun = self.now();
-            self.ask_somebody_else(&known);
+            self.ask_somebody_else(known);
             let within = Duration::from_millis(check.within().0);
             let answer =
                 self.call_timed("report", known.address, Driver::report_call(), within).await;
@@ -220,10 +228,12 @@
 pub(super) async fn follow_hints(control: Rc<Control>) {
     while let Ok(hint) = control.cx.hint_events.recv().await {
         let (Hint::Stalled(id) | Hint::Unreachable(id)) = hint;
-        let members = control.known.borrow().members_with(&id);
+        let mut members = control.known.borrow().members_with(&id);
         if !members.iter().all(|member| control.decides_for(member)) {
             continue;
         }
+        // What is lost together is found together, spares among it that would take the places.
+        members.extend(control.known.borrow().spares_beside(&id));
         ask_each(&control, members);
         let unknown = control.known.borrow().members_unknown(&id);
         for member in &unknown {
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -1,13 +1,14 @@
 //! The duty that watches over the store and over this node's share of domains.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cherrystand_core::{
-    CallBook, DomainId, Formation, Heartbeat, Millis, Revision, StoreReach, all_readers, owner_of,
+    BoxId, CallBook, DomainId, Formation, Heartbeat, Millis, Revision, StoreReach, all_readers,
+    owner_of,
 };
 use cherrystand_peer::{ChangeNews, PackedBody};
 use cherrystand_platform::{HttpPool, SiteDriver};
@@ -84,6 +85,8 @@
     pub(super) formations: RefCell<BTreeMap<DomainId, Formation>>,
     pub(super) loads: RefCell<BTreeMap<DomainId, VecDeque<Millis>>>,
     pub(super) asked: RefCell<BTreeMap<String, Millis>>,
+    /// Boxes that are being asked whether they are there.
+    pub(super) asking: RefCell<BTreeSet<BoxId>>,
     reach: Cell<StoreReach>,
     said_decides: Cell<bool>,
     passed_on: Cell<Millis>,
@@ -111,6 +114,7 @@
             formations: RefCell::default(),
             loads: RefCell::default(),
             asked: RefCell::default(),
+            asking: RefCell::default(),
             reach: Cell::default(),
             said_decides: Cell::new(true),
             passed_on: Cell::default(),
--- a/crates/cherrystandd/src/site/deciding.rs
+++ b/crates/cherrystandd/src/site/deciding.rs
@@ -85,6 +85,7 @@
             boxes: &boxes,
             departed: &departed,
             silent: &silent,
+            asked: &self.asking.borrow(),
             ended: known.ended_replicas(),
             left: known.epochs_left(),
             loads_allowed: self.loads_allowed(domain, engine.loads_per_s, domains),
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -380,6 +380,17 @@
         self.boxes.values().find(is_other).map(|known| known.address)
     }
 
+    /// Returns the boxes of a box's domain that belong to no replica.
+    pub(crate) fn spares_beside(&self, id: &BoxId) -> Vec<SiteBox> {
+        let domain = self.boxes.get(id).and_then(|known| known.domain.clone());
+        let Some(domain) = domain else {
+            return Vec::new();
+        };
+        let (_, record) = self.record(&domain);
+        let boxes = self.boxes_of(&domain).into_iter();
+        boxes.filter(|known| record.is_free(&known.id)).cloned().collect()
+    }
+
     /// Returns the members of the replica that a box leads, itself among them, listed or not.
     pub(crate) fn members_with(&self, id: &BoxId) -> Vec<SiteBox> {
         let Some(known) = self.boxes.get(id) else {
