--- a/crates/cherrystand_core/tests/readers.rs
+++ b/crates/cherrystand_core/tests/readers.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, ChangeLog, ChangesSince, Document, Heartbeat, Incarnation, Millis, NodeId, Revision,
-    Source, SourceChooser, ZoneId, readers_of,
+    BoxId, ChangeLog, ChangesSince, Document, Heartbeat, Incarnation, Millis, NodeId,
+    READERS_PER_ZONE, RELAYS_PER_ZONE, Revision, Source, SourceChooser, ZoneId, readers_of,
+    relays_of,
 };
 
 /// Describes daemons for the choice of readers.
@@ -24,6 +25,27 @@
     }
 }
 
+/// Story: readers with links of 20 Mbit/s passed configurations on to twenty peers and were busy for
+/// seconds, while two daemons of each zone had links of 200.
+#[test]
+fn those_with_the_widest_links_read_and_carry_news() {
+    let links = [20, 200, 20, 0, 200, 20];
+    let zone = ZoneId::new("a");
+    let beats: Vec<Heartbeat> = links
+        .iter()
+        .enumerate()
+        .map(|(number, link)| Heartbeat { link_mbps: *link, ..zone_beat(number, "a", true, true) })
+        .collect();
+    let links_of =
+        |beats: Vec<&Heartbeat>| -> Vec<u32> { beats.iter().map(|beat| beat.link_mbps).collect() };
+    let mut alive: Vec<&Heartbeat> = beats.iter().collect();
+    assert_eq!(links_of(readers_of(&zone, &alive)), [200; READERS_PER_ZONE]);
+    assert_eq!(links_of(relays_of(&zone, &alive)), [200; RELAYS_PER_ZONE]);
+    // Where they are gone, the next ones do it; a link that is not known comes last.
+    alive.retain(|beat| beat.link_mbps < 200);
+    assert_eq!(links_of(readers_of(&zone, &alive)), [20, 20]);
+}
+
 #[test]
 fn one_daemon_of_each_zone_reads_the_store_and_the_others_read_from_it() {
     struct Case {
--- /dev/null
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -0,0 +1,71 @@
+//! Plays faults, drawn from a seed, on real daemons, and checks what callers and boxes see.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use cherrystand_core::Millis;
+use cherrystand_testkit::{Fault, SoakSetup, daemon_program, draw_schedule, play_soak, usual_span};
+use eyre::WrapErr;
+
+/// Plays faults, drawn from a seed, on real daemons, and checks what callers and boxes see.
+#[derive(FromArgs)]
+struct Args {
+    /// the seed
+    #[argh(option)]
+    seed: u64,
+    /// milliseconds in which faults strike
+    #[argh(option, default = "usual_span().0")]
+    span_ms: u64,
+    /// how many daemons run
+    #[argh(option, default = "3")]
+    daemons: usize,
+    /// play only the fault with this number; may be given several times
+    #[argh(option)]
+    only: Vec<usize>,
+    /// where settings and logs go; kept where a promise is broken
+    #[argh(option)]
+    dir: Option<PathBuf>,
+    /// print the schedule and end
+    #[argh(switch)]
+    schedule: bool,
+}
+
+fn main() -> eyre::Result<ExitCode> {
+    let args: Args = argh::from_env();
+    let dir = args.dir.clone().unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("cherrystand-soak-{}-{}", args.seed, std::process::id()))
+    });
+    let program = daemon_program().wrap_err("looking for the daemon")?;
+    let setup = SoakSetup { program, dir, seed: args.seed, daemons: args.daemons };
+    let mut faults = draw_schedule(args.seed, setup.targets(), Millis(args.span_ms));
+    if !args.only.is_empty() {
+        faults.retain(|fault| args.only.contains(&fault.number));
+    }
+    println!("seed {}, {} faults", args.seed, faults.len());
+    faults.iter().for_each(|fault| println!("  {fault}"));
+    if args.schedule {
+        return Ok(ExitCode::SUCCESS);
+    }
+    play(&setup, &faults)
+}
+
+fn play(setup: &SoakSetup, faults: &[Fault]) -> eyre::Result<ExitCode> {
+    std::fs::create_dir_all(&setup.dir).wrap_err("making a directory for logs")?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("starting the runtime")?;
+    let local = tokio::task::LocalSet::new();
+    let outcome =
+        local.block_on(&runtime, play_soak(setup, faults)).wrap_err("playing the faults")?;
+    outcome.ends.iter().for_each(|(end, count)| println!("  {count:>5} {end}"));
+    outcome.broken.iter().for_each(|broken| println!("BROKEN {broken}"));
+    println!("seed {}: {} broken", setup.seed, outcome.broken.len());
+    if outcome.broken.is_empty() {
+        std::fs::remove_dir_all(&setup.dir).wrap_err("removing the logs")?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("settings and logs are in {}", setup.dir.display());
+    Ok(ExitCode::FAILURE)
+}
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -29,6 +29,14 @@
     pub(crate) mod metadata_stand_in;
     pub(crate) mod site_stand_in;
 }
+mod soak {
+    pub(crate) mod callers;
+    pub(crate) mod daemons;
+    pub(crate) mod link;
+    pub(crate) mod run;
+    pub(crate) mod schedule;
+    pub(crate) mod seen;
+}
 
 pub use domain::fake_box::FakeBox;
 pub use domain::fake_domain::{
@@ -46,4 +54,8 @@
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
 pub use site::fake_site_domain::FakeSiteDomain;
 pub use site::metadata_stand_in::{Door, MetadataStandIn};
-pub use site::site_stand_in::{BoxMood, EVENTS, SiteStandIn};
+pub use site::site_stand_in::{Arrival, BoxMood, EVENTS, SiteStandIn};
+pub use soak::link::{Link, LinkMode};
+pub use soak::run::{SoakOutcome, SoakSetup, daemon_program, play_soak, usual_span};
+pub use soak::schedule::{Fault, FaultKind, Targets, draw_schedule};
+pub use soak::seen::{Answered, Call, Disturbed, Gone, Record, Seen};
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -1,11 +1,11 @@
 //! Stands in for a whole site: its store, boxes with engines, and plain endpoints.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -69,6 +69,8 @@
     staged: Option<String>,
     held: Option<Held>,
     highest: u64,
+    /// The highest fence seen.
+    fence: u64,
     /// Requests run, by id, and the event each began after.
     runs: Vec<(String, Option<u64>)>,
     /// Tenants and headers that reached it.
@@ -81,6 +83,23 @@
     doors: BTreeMap<usize, Door>,
     /// Whether nothing that boxes say arrives for now.
     held: bool,
+    /// Which members have ever been ready, by replica and epoch.
+    ready: BTreeSet<(String, u64, String)>,
+    /// What must never happen and did.
+    faults: Vec<String>,
+    /// Every request that reached a box, run or not.
+    arrivals: Vec<Arrival>,
+}
+
+/// A request that reached a box.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request's id.
+    pub request: String,
+    /// The box.
+    pub target: String,
+    /// When it came.
+    pub at: Instant,
 }
 
 /// A site on loopback addresses; it runs on the test's own thread.
@@ -146,6 +165,7 @@
             staged: None,
             held: None,
             highest: 0,
+            fence: 0,
             runs: Vec::new(),
             heads: Vec::new(),
         };
@@ -187,6 +207,29 @@
         self.store.remove(&format!("servers/{id}"));
     }
 
+    /// Returns where a box is reached.
+    pub fn address_of(&self, id: &str) -> Option<SocketAddr> {
+        self.world.borrow().boxes.get(id).map(|held| held.address)
+    }
+
+    /// Has a box tell another address from now on, as one that stands behind a link.
+    pub fn set_address(&self, id: &str, address: SocketAddr) {
+        if let Some(held) = self.world.borrow_mut().boxes.get_mut(id) {
+            held.address = address;
+        }
+        self.tell(id);
+    }
+
+    /// Returns what must never happen and did.
+    pub fn faults(&self) -> Vec<String> {
+        self.world.borrow().faults.clone()
+    }
+
+    /// Returns every request that reached a box.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.world.borrow().arrivals.clone()
+    }
+
     /// Returns the leaders that serve and the members of each.
     pub fn leaders(&self) -> BTreeMap<String, Vec<String>> {
         let world = self.world.borrow();
@@ -278,12 +321,20 @@
     }
 
     fn follow(&self, id: &str, order: &Value) -> StatusCode {
+        let name = order["group"].as_str().unwrap_or_default().to_owned();
+        let epoch = order["epoch"].as_u64().unwrap_or_default();
+        if order["operation"] == "join" {
+            self.note_join(id, &name, epoch);
+        }
         let mut world = self.world.borrow_mut();
         let Some(held) = world.boxes.get_mut(id) else {
             return StatusCode::NOT_FOUND;
         };
-        let name = order["group"].as_str().unwrap_or_default().to_owned();
-        let epoch = order["epoch"].as_u64().unwrap_or_default();
+        let fence = order["fence_token"].as_u64().unwrap_or_default();
+        if fence < held.fence {
+            return StatusCode::PRECONDITION_FAILED;
+        }
+        held.fence = fence;
         let model = order["model"].as_str().map(str::to_owned);
         let in_group =
             held.held.as_ref().is_some_and(|held| held.group == name && held.epoch == epoch);
@@ -314,13 +365,49 @@
         StatusCode::ACCEPTED
     }
 
+    /// Notes a join that a box would take out of a replica whose leader serves.
+    fn note_join(&self, id: &str, name: &str, epoch: u64) {
+        let mut world = self.world.borrow_mut();
+        let Some(held) = world.boxes.get(id) else { return };
+        let Some(last) = held.held.as_ref().filter(|_| epoch >= held.highest) else { return };
+        let leader = last.members.first().and_then(|leader| world.boxes.get(leader));
+        let leads = leader.and_then(|leader| leader.held.as_ref()).is_some_and(|group| {
+            group.group == last.group && group.epoch == last.epoch && group.state == "open"
+        });
+        let another = last.group != name || last.epoch != epoch;
+        let answers = leader.is_some_and(|leader| leader.mood != BoxMood::Dark);
+        if leads && another && answers {
+            let fault = format!("{id} joined {name} {epoch} out of {} {}", last.group, last.epoch);
+            world.faults.push(fault);
+        }
+    }
+
+    /// Notes a request that a leader runs though some member of its replica was never ready.
+    fn note_run(&self, leader: &str) {
+        let mut world = self.world.borrow_mut();
+        let Some(group) = world.boxes.get(leader).and_then(|held| held.held.clone()) else {
+            return;
+        };
+        let was_ready =
+            |id: &String| world.ready.contains(&(group.group.clone(), group.epoch, id.clone()));
+        if let Some(id) = group.members.iter().find(|id| !was_ready(id)) {
+            let fault =
+                format!("{leader} ran a request, and {id} was never ready in {}", group.group);
+            world.faults.push(fault);
+        }
+    }
+
     async fn get_ready(&self, id: &str, epoch: u64) {
         tokio::time::sleep(JOIN).await;
-        if let Some(held) = self.world.borrow_mut().boxes.get_mut(id)
+        let mut world = self.world.borrow_mut();
+        if let Some(held) = world.boxes.get_mut(id)
             && let Some(group) = held.held.as_mut().filter(|group| group.epoch == epoch)
         {
             group.state = "ready";
+            let place = (group.group.clone(), epoch, id.to_owned());
+            world.ready.insert(place);
         }
+        drop(world);
         self.tell(id);
     }
 
@@ -354,6 +441,9 @@
             let open = held.held.as_ref().is_some_and(|group| group.state == "open");
             (held.service, open)
         };
+        let arrival =
+            Arrival { request: request.clone(), target: id.to_owned(), at: Instant::now() };
+        self.world.borrow_mut().arrivals.push(arrival);
         if !meant || (service == "models" && !leads) {
             return plain(StatusCode::MISDIRECTED_REQUEST, "");
         }
@@ -364,6 +454,9 @@
             set(&mut answer, "cherrystand-not-executed", "1");
             return answer;
         }
+        if service == "models" {
+            self.note_run(id);
+        }
         if let Some(held) = self.world.borrow_mut().boxes.get_mut(id) {
             held.runs.push((request.clone(), last));
             held.heads.push(head);
--- /dev/null
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -0,0 +1,339 @@
+//! One run of a soak: everything is started, faults strike, and what was seen is judged.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cherrystand_core::Millis;
+use hyper::StatusCode;
+use serde_json::{Value, json};
+
+use crate::soak::callers::{Callers, Keys};
+use crate::soak::daemons::Daemon;
+use crate::soak::link::{Link, LinkMode};
+use crate::soak::schedule::{Fault, FaultKind, Targets};
+use crate::soak::seen::{Answered, Call, Disturbed, Gone, Record};
+use crate::{BoxMood, Door, SiteStandIn};
+
+/// Boxes that replicas of two are formed of.
+const MODEL_BOXES: usize = 9;
+
+/// Plain endpoints.
+const PLAIN: usize = 3;
+
+/// Callers at each daemon.
+const CALLERS: usize = 3;
+
+/// How long everything may take to serve, at first and after the last fault.
+const SERVES_WITHIN: Duration = Duration::from_secs(15);
+
+/// How long what was sent last may take to end.
+const SETTLE: Duration = Duration::from_millis(6_500);
+
+/// How long requests of a planned stop may take until its process is gone.
+const STOPS_WITHIN: Duration = Duration::from_secs(9);
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct SoakSetup {
+    /// The daemon's program.
+    pub program: PathBuf,
+    /// Where settings and logs go.
+    pub dir: PathBuf,
+    /// The seed of the callers.
+    pub seed: u64,
+    /// How many daemons there are.
+    pub daemons: usize,
+}
+
+impl SoakSetup {
+    /// Returns what there is to strike.
+    pub fn targets(&self) -> Targets {
+        Targets { daemons: self.daemons, boxes: MODEL_BOXES + PLAIN }
+    }
+}
+
+/// What came of a run.
+#[derive(Clone, Debug)]
+pub struct SoakOutcome {
+    /// How many requests ended how, by what they asked for.
+    pub ends: BTreeMap<String, usize>,
+    /// The promises that were broken, in words.
+    pub broken: Vec<String>,
+}
+
+struct Soak {
+    site: SiteStandIn,
+    boxes: Vec<(String, Link)>,
+    doors: Vec<Link>,
+    daemons: RefCell<Vec<Daemon>>,
+    callers: Callers,
+    disturbed: RefCell<Vec<Disturbed>>,
+    gone: RefCell<Vec<Gone>>,
+}
+
+/// Plays faults and judges what was seen.
+///
+/// # Errors
+///
+/// Returns an error where a process or a listener cannot be started.
+pub async fn play_soak(setup: &SoakSetup, faults: &[Fault]) -> std::io::Result<SoakOutcome> {
+    let soak = Rc::new(Soak::start(setup).await?);
+    let mut broken = Vec::new();
+    if !soak.serves().await {
+        broken.push("nothing served before the first fault".to_owned());
+    }
+    let stop = Rc::new(Cell::new(false));
+    for number in 0..setup.daemons * CALLERS {
+        let daemon = number % setup.daemons;
+        let at = soak.daemons.borrow()[daemon].callers;
+        let seed = setup.seed ^ (number as u64 + 1);
+        tokio::task::spawn_local(soak.callers.clone().run(daemon, at, seed, stop.clone()));
+    }
+    let began = Instant::now();
+    let strikes: Vec<_> = faults
+        .iter()
+        .map(|fault| tokio::task::spawn_local(soak.clone().strike(*fault, began)))
+        .collect();
+    for strike in strikes {
+        strike.await.map_err(std::io::Error::other)??;
+    }
+    if !soak.serves().await {
+        broken.push("service did not come back after the last fault".to_owned());
+    }
+    stop.set(true);
+    tokio::time::sleep(SETTLE).await;
+    let record = soak.record();
+    broken.extend(record.broken_promises());
+    Ok(SoakOutcome { ends: record.ends(), broken })
+}
+
+impl Soak {
+    async fn start(setup: &SoakSetup) -> std::io::Result<Self> {
+        let site = SiteStandIn::new();
+        let mut boxes = Vec::new();
+        let models = (0..MODEL_BOXES).map(|number| (format!("i-{number}"), "models"));
+        for (id, service) in models.chain((0..PLAIN).map(|number| (format!("a-{number}"), "app"))) {
+            site.add_box(&id, service).await?;
+            let address = site.address_of(&id).ok_or(std::io::ErrorKind::NotFound)?;
+            let link = Link::open(address).await?;
+            site.set_address(&id, link.address());
+            boxes.push((id, link));
+        }
+        let (mut doors, mut daemons) = (Vec::new(), Vec::new());
+        for number in 0..setup.daemons {
+            let door = Link::open(site.open_door().await?).await?;
+            daemons.push(Daemon::new(number, &setup.program, &setup.dir, door.address())?);
+            doors.push(door);
+        }
+        let seeds: Vec<_> = daemons.iter().take(3).map(|daemon| daemon.peers).collect();
+        for daemon in &mut daemons {
+            daemon.set_seeds(seeds.clone());
+            daemon.start()?;
+        }
+        let callers = Callers::new(Keys::default());
+        let soak = Self {
+            site,
+            boxes,
+            doors,
+            daemons: RefCell::new(daemons),
+            callers,
+            disturbed: RefCell::default(),
+            gone: RefCell::default(),
+        };
+        soak.configure(0);
+        Ok(soak)
+    }
+
+    /// Writes the next version of the configuration.
+    fn configure(&self, more: usize) {
+        let (version, keys) = self.callers.keys.next_version();
+        self.site.configure(&config(version, &keys, more));
+    }
+
+    /// Waits until every daemon answers every kind of call.
+    async fn serves(&self) -> bool {
+        let until = Instant::now() + SERVES_WITHIN;
+        let addresses: Vec<_> = self.daemons.borrow().iter().map(|daemon| daemon.callers).collect();
+        for (daemon, at) in addresses.into_iter().enumerate() {
+            for call in [Call::Once, Call::Repeatable, Call::Stream] {
+                loop {
+                    let answered = self.callers.send(daemon, at, call).await;
+                    if answered == Some(Answered::Whole(StatusCode::OK)) {
+                        break;
+                    }
+                    if Instant::now() > until {
+                        return false;
+                    }
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+        true
+    }
+
+    async fn strike(self: Rc<Self>, fault: Fault, began: Instant) -> std::io::Result<()> {
+        let at = began + Duration::from_millis(fault.at.0);
+        tokio::time::sleep_until(at.into()).await;
+        let lasts = Duration::from_millis(fault.lasts.0);
+        let harm = self.disturb(fault.kind);
+        match fault.kind {
+            FaultKind::Box(number, mood) => {
+                let id = &self.boxes[number].0;
+                self.site.set_mood(id, mood);
+                tokio::time::sleep(lasts).await;
+                self.site.set_mood(id, BoxMood::Well);
+            }
+            FaultKind::BoxLink(number, mode) => harm_link(&self.boxes[number].1, mode, lasts).await,
+            FaultKind::BoxCut(number) => self.boxes[number].1.cut(),
+            FaultKind::Unlisted(number) => self.unlist(&self.boxes[number].0, lasts).await,
+            FaultKind::Door(number, door) => {
+                self.site.set_door(number, door);
+                tokio::time::sleep(lasts).await;
+                self.site.set_door(number, Door::Open);
+            }
+            FaultKind::StoreLink(number, mode) => harm_link(&self.doors[number], mode, lasts).await,
+            FaultKind::StoreOut(door) => {
+                (0..self.doors.len()).for_each(|number| self.site.set_door(number, door));
+                tokio::time::sleep(lasts).await;
+                (0..self.doors.len()).for_each(|number| self.site.set_door(number, Door::Open));
+            }
+            FaultKind::StoreForgets => self.site.store.forget(),
+            FaultKind::StoreLosesAnswers(count) => self.site.store.lose_answers(count),
+            FaultKind::Paused(number) => {
+                self.daemons.borrow()[number].signal("STOP");
+                tokio::time::sleep(lasts).await;
+                self.daemons.borrow()[number].signal("CONT");
+            }
+            FaultKind::Killed(number) => self.kill(&[number], lasts).await?,
+            FaultKind::AllKilled => {
+                let all: Vec<usize> = (0..self.doors.len()).collect();
+                self.kill(&all, lasts).await?;
+            }
+            FaultKind::Stopped(number) => self.stop(number).await?,
+            FaultKind::Configured { more } => self.configure(more),
+        }
+        if let Some(harm) = harm {
+            self.disturbed.borrow_mut()[harm].until = Instant::now();
+        }
+        Ok(())
+    }
+
+    /// Notes that something is harmed from now on, and returns the note's place.
+    fn disturb(&self, kind: FaultKind) -> Option<usize> {
+        let (daemon, planned) = match kind {
+            FaultKind::Configured { .. } | FaultKind::Unlisted(_) => return None,
+            FaultKind::Stopped(number) => (Some(number), true),
+            FaultKind::Door(number, _)
+            | FaultKind::StoreLink(number, _)
+            | FaultKind::Paused(number)
+            | FaultKind::Killed(number) => (Some(number), false),
+            _ => (None, false),
+        };
+        let from = Instant::now();
+        // Until it ends, it has no end.
+        let until = from + Duration::from_secs(3_600);
+        let mut disturbed = self.disturbed.borrow_mut();
+        disturbed.push(Disturbed { daemon, planned, from, until });
+        Some(disturbed.len() - 1)
+    }
+
+    async fn unlist(&self, id: &str, lasts: Duration) {
+        self.site.unlist(id);
+        let from = Instant::now();
+        tokio::time::sleep(lasts).await;
+        let until = Instant::now();
+        self.site.list(id);
+        self.gone.borrow_mut().push(Gone { target: id.to_owned(), from, until });
+    }
+
+    async fn kill(&self, numbers: &[usize], lasts: Duration) -> std::io::Result<()> {
+        numbers.iter().for_each(|number| self.daemons.borrow_mut()[*number].kill());
+        tokio::time::sleep(lasts).await;
+        for number in numbers {
+            let mut daemons = self.daemons.borrow_mut();
+            // Another fault may have started it meanwhile.
+            if daemons[*number].has_ended() {
+                daemons[*number].start()?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn stop(&self, number: usize) -> std::io::Result<()> {
+        self.daemons.borrow()[number].signal("TERM");
+        let until = Instant::now() + STOPS_WITHIN;
+        while !self.daemons.borrow_mut()[number].has_ended() && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.kill(&[number], Duration::ZERO).await
+    }
+
+    fn record(&self) -> Record {
+        let seen = self.callers.seen.borrow().clone();
+        let runs = seen.iter().map(|seen| (seen.id.clone(), self.site.runs_of(&seen.id).len()));
+        Record {
+            runs: runs.collect(),
+            seen,
+            arrivals: self.site.arrivals(),
+            disturbed: self.disturbed.borrow().clone(),
+            gone: self.gone.borrow().clone(),
+            box_faults: self.site.faults(),
+        }
+    }
+}
+
+async fn harm_link(link: &Link, mode: LinkMode, lasts: Duration) {
+    link.set(mode);
+    tokio::time::sleep(lasts).await;
+    link.set(LinkMode::Open);
+}
+
+/// Returns where the daemon's program lies: beside this one.
+///
+/// # Errors
+///
+/// Returns an error where this program's own place is not known or the daemon is not there.
+pub fn daemon_program() -> std::io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let program = own.with_file_name("cherrystandd");
+    if !Path::new(&program).exists() {
+        return Err(std::io::Error::other("cherrystandd is missing: run `cargo build` first"));
+    }
+    Ok(program)
+}
+
+/// Returns how long faults may strike at the least for a schedule to hold some of each kind.
+pub fn usual_span() -> Millis {
+    Millis(12_000)
+}
+
+fn config(version: u64, keys: &[String], more: usize) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({"name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
+            "timeout_ms": 5000, "latency_goal_ms": 300, "max_attempts": 2, "service": service,
+            "resumable": kind == "streaming", "gap_target_ms": 300})
+    };
+    let mut routes = vec![
+        route("story", "/stories/", "streaming", "models"),
+        route("call", "/calls/", "non_idempotent", "app"),
+        route("look", "/looks/", "idempotent", "app"),
+    ];
+    let added = (0..more).map(|number| format!("/more-{number}/"));
+    routes.extend(added.map(|prefix| route("more", &prefix, "idempotent", "app")));
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "models", "engine": {"slots": 8, "stride": 2, "step_ms": 10.0, "chunk": 64,
+                "read_per_s": 100000.0, "loads_per_s": 1000.0, "loads_at_once": 9, "form_ms": 0.0,
+                "usual": {"prompt": 100, "answer": 80},
+                "models": [{"name": "m", "size": 2, "share": 1.0, "pace": 1.0, "load_s": 0.1,
+                    "warm_s": 0.1}]}},
+            {"name": "app"}],
+        "limits": {"max_body_bytes": 2000},
+        "tenants": [{"name": "families", "api_keys": keys}],
+    })
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -0,0 +1,133 @@
+//! Which faults strike when, drawn from a seed.
+
+use std::fmt;
+use std::time::Duration;
+
+use cherrystand_core::{Millis, Seed};
+
+use crate::soak::link::LinkMode;
+use crate::{BoxMood, Door};
+
+/// What strikes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum FaultKind {
+    /// A box behaves in another way.
+    Box(usize, BoxMood),
+    /// The link to a box is harmed.
+    BoxLink(usize, LinkMode),
+    /// All connections to a box break.
+    BoxCut(usize),
+    /// A box's entry is out while the box works on.
+    Unlisted(usize),
+    /// The store turns one daemon away.
+    Door(usize, Door),
+    /// The link of one daemon to the store is harmed.
+    StoreLink(usize, LinkMode),
+    /// The store is out for all.
+    StoreOut(Door),
+    /// The store forgets its history.
+    StoreForgets,
+    /// The store does some writes without an answer.
+    StoreLosesAnswers(u32),
+    /// A daemon stands still.
+    Paused(usize),
+    /// A daemon is killed, and started again.
+    Killed(usize),
+    /// All daemons are killed, and started again.
+    AllKilled,
+    /// A daemon is stopped as planned, and started again.
+    Stopped(usize),
+    /// A new configuration; with more routes where that is so.
+    Configured {
+        /// How many routes are added to the usual ones.
+        more: usize,
+    },
+}
+
+/// One fault.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fault {
+    /// Its number, by which it can be played alone.
+    pub number: usize,
+    /// When it begins.
+    pub at: Millis,
+    /// How long it lasts.
+    pub lasts: Millis,
+    /// What it is.
+    pub kind: FaultKind,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (at, lasts) = (self.at.0, self.lasts.0);
+        write!(f, "{:>2}  {at:>6} ms  for {lasts:>5} ms  {:?}", self.number, self.kind)
+    }
+}
+
+/// What there is to strike.
+#[derive(Clone, Copy, Debug)]
+pub struct Targets {
+    /// Daemons.
+    pub daemons: usize,
+    /// Boxes, plain endpoints among them.
+    pub boxes: usize,
+}
+
+/// The least time between two configurations, so that a key lives through several.
+const BETWEEN_CONFIGS: u64 = 1_100;
+
+/// How many routes a configuration grows by at the most.
+const MOST_MORE_ROUTES: usize = 1_400;
+
+/// Draws the faults of one run; a later fault may begin while earlier ones last, and some come in
+/// quick series.
+pub fn draw_schedule(seed: u64, targets: Targets, span: Millis) -> Vec<Fault> {
+    let mut seed = Seed::new(seed);
+    let mut faults: Vec<Fault> = Vec::new();
+    let mut at = 500;
+    let mut last_config = 0;
+    while at < span.0 {
+        let kind = draw_kind(&mut seed, targets);
+        let is_config = matches!(kind, FaultKind::Configured { .. });
+        if !is_config || at >= last_config + BETWEEN_CONFIGS {
+            last_config = if is_config { at } else { last_config };
+            let lasts = Millis(200 + seed.below(2_500) as u64);
+            faults.push(Fault { number: faults.len(), at: Millis(at), lasts, kind });
+        }
+        // Two in three follow in a moment, the others after a pause.
+        let pause = if seed.below(3) > 0 { 300 } else { 2_000 };
+        at += 50 + seed.below(pause) as u64;
+    }
+    faults
+}
+
+fn draw_kind(seed: &mut Seed, targets: Targets) -> FaultKind {
+    let (a_box, daemon) = (seed.below(targets.boxes), seed.below(targets.daemons));
+    let moods =
+        [BoxMood::Dark, BoxMood::Dark, BoxMood::Sheds, BoxMood::LosesAnswers, BoxMood::Fails];
+    let links =
+        [LinkMode::Slow(Duration::from_millis(30)), LinkMode::SilentThere, LinkMode::SilentBack];
+    let doors = [Door::Busy, Door::Silent];
+    match seed.below(20) {
+        0..=3 => FaultKind::Box(a_box, moods[seed.below(moods.len())]),
+        4..=5 => FaultKind::BoxLink(a_box, links[seed.below(links.len())]),
+        6 => FaultKind::BoxCut(a_box),
+        7 => FaultKind::Unlisted(a_box),
+        8 => FaultKind::Door(daemon, doors[seed.below(doors.len())]),
+        9..=10 => FaultKind::StoreLink(daemon, links[seed.below(links.len())]),
+        11 => FaultKind::StoreOut(doors[seed.below(doors.len())]),
+        12 => FaultKind::StoreForgets,
+        13 => FaultKind::StoreLosesAnswers(1 + seed.below(3) as u32),
+        14 => FaultKind::Paused(daemon),
+        15 => FaultKind::Killed(daemon),
+        16 => match seed.below(3) {
+            0 => FaultKind::AllKilled,
+            _ => FaultKind::Killed(daemon),
+        },
+        17 => FaultKind::Stopped(daemon),
+        _ => {
+            let large = seed.below(3) == 0;
+            FaultKind::Configured { more: if large { seed.below(MOST_MORE_ROUTES) } else { 0 } }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/src/soak/seen.rs
@@ -0,0 +1,219 @@
+//! What callers and boxes saw, and which promises that breaks.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hyper::StatusCode;
+
+use crate::Arrival;
+
+/// What a caller may ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// A call that must not be repeated.
+    Once,
+    /// A call that may be.
+    Repeatable,
+    /// A stream that may be taken up elsewhere.
+    Stream,
+    /// A call with a key that was taken away.
+    OldKey,
+}
+
+/// How an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answered {
+    /// Whole, with a status.
+    Whole(StatusCode),
+    /// A success whose body is not what its endpoint sent for this request.
+    Wrong,
+    /// It broke off, or none came.
+    Broken,
+    /// No connection came about.
+    NotSent,
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Its id.
+    pub id: String,
+    /// The daemon that it was sent to.
+    pub daemon: usize,
+    /// What it asked for.
+    pub call: Call,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When its answer ended.
+    pub ended: Instant,
+    /// How it ended.
+    pub answered: Answered,
+}
+
+/// A time during which something was harmed or stopped.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbed {
+    /// The daemon, or all of them where there is none.
+    pub daemon: Option<usize>,
+    /// Whether it is a planned stop.
+    pub planned: bool,
+    /// From when on.
+    pub from: Instant,
+    /// Until when.
+    pub until: Instant,
+}
+
+/// A time after which a box was to take nothing new, since its entry was gone.
+#[derive(Clone, Debug)]
+pub struct Gone {
+    /// The box.
+    pub target: String,
+    /// When its entry went.
+    pub from: Instant,
+    /// When it came back.
+    pub until: Instant,
+}
+
+/// Everything that was seen in one run.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// The requests of callers.
+    pub seen: Vec<Seen>,
+    /// What reached boxes.
+    pub arrivals: Vec<Arrival>,
+    /// How often boxes ran each request.
+    pub runs: BTreeMap<String, usize>,
+    /// What was harmed when.
+    pub disturbed: Vec<Disturbed>,
+    /// Boxes whose entries were gone.
+    pub gone: Vec<Gone>,
+    /// What boxes noted that must never happen.
+    pub box_faults: Vec<String>,
+}
+
+/// For how long a daemon counts as disturbed after a disturbance ended.
+const CONTACT: Duration = Duration::from_secs(4);
+
+/// Within this time a taken key is refused, and a box that is gone is sent nothing.
+const APPLIED_WITHIN: Duration = Duration::from_secs(3);
+
+/// How many boxes one request may run on.
+const MOST_RUNS: usize = 2;
+
+/// Repeats for each request, and beyond that in each window, as daemons are told.
+pub(crate) const RETRY_RATIO: f64 = 0.2;
+/// The slack of a window.
+pub(crate) const RETRY_SLACK: f64 = 40.0;
+/// The window.
+pub(crate) const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+impl Record {
+    /// Returns each promise that what was seen breaks, in words.
+    pub fn broken_promises(&self) -> Vec<String> {
+        let mut broken = self.box_faults.clone();
+        broken.extend(self.seen.iter().filter_map(|seen| self.broken_by(seen)));
+        broken.extend(self.late_arrivals());
+        broken.extend(self.retry_budget());
+        broken
+    }
+
+    /// Counts how requests ended, by what they asked for.
+    pub fn ends(&self) -> BTreeMap<String, usize> {
+        let mut ends = BTreeMap::new();
+        for seen in &self.seen {
+            *ends.entry(format!("{:?} {:?}", seen.call, seen.answered)).or_default() += 1;
+        }
+        ends
+    }
+
+    fn broken_by(&self, seen: &Seen) -> Option<String> {
+        let runs = self.runs.get(&seen.id).copied().unwrap_or_default();
+        let said = |what: &str| Some(format!("{what}: {seen:?}, run {runs} times"));
+        let promises = [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::MISDIRECTED_REQUEST,
+        ];
+        match seen.answered {
+            Answered::Wrong => return said("an answer that is not this request's, or not whole"),
+            Answered::Whole(status) if promises.contains(&status) && runs > 0 => {
+                return said("said not to have run, and it was run");
+            }
+            Answered::Whole(StatusCode::UNAUTHORIZED | StatusCode::NOT_FOUND)
+                if seen.call != Call::OldKey && self.in_touch(seen.daemon, seen.sent) =>
+            {
+                return said("refused though it is allowed");
+            }
+            Answered::Whole(status)
+                if seen.call == Call::OldKey
+                    && status.is_success()
+                    && self.in_touch(seen.daemon, seen.sent) =>
+            {
+                return said("served with a key that was taken away");
+            }
+            // One that crossed the close of its connection was not passed on.
+            Answered::Broken if runs > 0 && self.is_planned_only(seen) => {
+                return said("a planned stop cut it");
+            }
+            _ => {}
+        }
+        if seen.call == Call::Once && runs > 1 {
+            return said("run more than once");
+        }
+        if runs > MOST_RUNS {
+            return said("run on more boxes than allowed");
+        }
+        None
+    }
+
+    /// Tells whether nothing harmed a daemon for a while before a moment.
+    fn in_touch(&self, daemon: usize, at: Instant) -> bool {
+        let concerns = |harm: &&Disturbed| harm.daemon.is_none_or(|struck| struck == daemon);
+        let near = |harm: &Disturbed| harm.from <= at && at <= harm.until + CONTACT;
+        !self.disturbed.iter().filter(concerns).any(near)
+    }
+
+    /// Tells whether a planned stop of its daemon is all that a request met.
+    fn is_planned_only(&self, seen: &Seen) -> bool {
+        let met = |harm: &&Disturbed| harm.from <= seen.ended && harm.until + CONTACT >= seen.sent;
+        let met: Vec<&Disturbed> = self.disturbed.iter().filter(met).collect();
+        let planned = met.iter().any(|harm| harm.planned && harm.daemon == Some(seen.daemon));
+        planned && met.iter().all(|harm| harm.planned)
+    }
+
+    fn late_arrivals(&self) -> Vec<String> {
+        let daemon_of: BTreeMap<&str, &Seen> =
+            self.seen.iter().map(|seen| (seen.id.as_str(), seen)).collect();
+        let mut late = Vec::new();
+        for gone in &self.gone {
+            for arrival in self.arrivals.iter().filter(|arrival| arrival.target == gone.target) {
+                let too_late = arrival.at > gone.from + APPLIED_WITHIN && arrival.at < gone.until;
+                let sender = daemon_of.get(arrival.request.as_str());
+                if too_late && sender.is_some_and(|seen| self.in_touch(seen.daemon, arrival.at)) {
+                    late.push(format!(
+                        "{arrival:?} came though its box was gone since {:?}",
+                        gone.from
+                    ));
+                }
+            }
+        }
+        late
+    }
+
+    fn retry_budget(&self) -> Option<String> {
+        let (first, last) = (self.seen.first()?, self.seen.last()?);
+        let mut sendings: BTreeMap<&str, usize> = BTreeMap::new();
+        for arrival in &self.arrivals {
+            *sendings.entry(arrival.request.as_str()).or_default() += 1;
+        }
+        let repeats: usize = sendings.values().map(|count| count - 1).sum();
+        let windows =
+            last.ended.duration_since(first.sent).as_secs_f64() / RETRY_WINDOW.as_secs_f64();
+        let allowed = RETRY_RATIO * self.seen.len() as f64 + RETRY_SLACK * (windows + 1.0);
+        let over = repeats as f64 > allowed;
+        over.then(|| {
+            format!("{repeats} repeats of {} requests, allowed {allowed:.0}", self.seen.len())
+        })
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_testkit/tests/soak_checks.rs
@@ -0,0 +1,144 @@
+//! The soak's own checks: each is able to fail, and says nothing of what is in order.
+
+use std::time::{Duration, Instant};
+
+use cherrystand_core::Millis;
+use cherrystand_testkit::{
+    Answered, Arrival, Call, Disturbed, FaultKind, Gone, Record, Seen, Targets, draw_schedule,
+};
+use hyper::StatusCode;
+
+const TARGETS: Targets = Targets { daemons: 3, boxes: 12 };
+
+/// What was seen of one request: by default one that was answered well and run once.
+fn record(change: impl FnOnce(&mut Record, Instant)) -> Record {
+    let began = Instant::now();
+    let sent = began + Duration::from_secs(60);
+    let seen = Seen {
+        id: "r1".to_owned(),
+        daemon: 0,
+        call: Call::Once,
+        sent,
+        ended: sent + Duration::from_millis(20),
+        answered: Answered::Whole(StatusCode::OK),
+    };
+    let arrival = Arrival { request: "r1".to_owned(), target: "a-0".to_owned(), at: sent };
+    let mut record = Record { seen: vec![seen], arrivals: vec![arrival], ..Record::default() };
+    record.runs.insert("r1".to_owned(), 1);
+    change(&mut record, began);
+    record
+}
+
+fn harmed(daemon: Option<usize>, planned: bool, from: Instant, secs: u64) -> Disturbed {
+    Disturbed { daemon, planned, from, until: from + Duration::from_secs(secs) }
+}
+
+#[test]
+fn each_promise_that_is_broken_is_seen() {
+    struct Case {
+        name: &'static str,
+        record: Record,
+        broken: Option<&'static str>,
+    }
+    let not_run = Answered::Whole(StatusCode::SERVICE_UNAVAILABLE);
+    let unknown_key = Answered::Whole(StatusCode::UNAUTHORIZED);
+    let case = |name, broken, change: &dyn Fn(&mut Record, Instant)| Case {
+        name,
+        broken,
+        record: record(|record, began| change(record, began)),
+    };
+    let cases = [
+        case("in order", None, &|_, _| {}),
+        case("another's answer", Some("not this request's"), &|record, _| {
+            record.seen[0].answered = Answered::Wrong;
+        }),
+        case("said not to have run", Some("said not to have run"), &|record, _| {
+            record.seen[0].answered = not_run;
+        }),
+        case("said so, and so it was", None, &|record, _| {
+            record.seen[0].answered = not_run;
+            record.runs.clear();
+        }),
+        case("run twice", Some("run more than once"), &|record, _| {
+            record.runs.insert("r1".to_owned(), 2);
+        }),
+        case("run twice where it may be", None, &|record, _| {
+            record.seen[0].call = Call::Repeatable;
+            record.runs.insert("r1".to_owned(), 2);
+        }),
+        case("run on three boxes", Some("more boxes"), &|record, _| {
+            record.seen[0].call = Call::Stream;
+            record.runs.insert("r1".to_owned(), 3);
+        }),
+        case("a good key refused", Some("refused though"), &|record, _| {
+            record.seen[0].answered = unknown_key;
+        }),
+        case("a good key refused by one that was cut off", None, &|record, began| {
+            record.seen[0].answered = unknown_key;
+            record.disturbed.push(harmed(Some(0), false, began, 58));
+        }),
+        case("a good key refused by another one", Some("refused though"), &|record, began| {
+            record.seen[0].answered = unknown_key;
+            record.disturbed.push(harmed(Some(1), false, began, 58));
+        }),
+        case("an old key served", Some("a key that was taken away"), &|record, _| {
+            record.seen[0].call = Call::OldKey;
+        }),
+        case("an old key refused", None, &|record, _| {
+            record.seen[0].call = Call::OldKey;
+            record.seen[0].answered = unknown_key;
+        }),
+        case("cut by a planned stop", Some("a planned stop"), &|record, began| {
+            record.seen[0].answered = Answered::Broken;
+            record.disturbed.push(harmed(Some(0), true, began, 62));
+        }),
+        case("cut by a planned stop while a box fails", None, &|record, began| {
+            record.seen[0].answered = Answered::Broken;
+            record.disturbed.push(harmed(Some(0), true, began, 62));
+            record.disturbed.push(harmed(None, false, began, 61));
+        }),
+        case("sent to a box that is gone", Some("its box was gone"), &|record, began| {
+            let until = began + Duration::from_secs(90);
+            record.gone.push(Gone { target: "a-0".to_owned(), from: began, until });
+        }),
+        case("sent to a box that has just gone", None, &|record, began| {
+            let from = began + Duration::from_secs(58);
+            let until = began + Duration::from_secs(90);
+            record.gone.push(Gone { target: "a-0".to_owned(), from, until });
+        }),
+        case("too many repeats", Some("repeats"), &|record, _| {
+            let arrival = record.arrivals[0].clone();
+            record.arrivals.extend(vec![arrival; 60]);
+        }),
+        case("a box's own note", Some("joined"), &|record, _| {
+            record.box_faults.push("i-1 joined out of another".to_owned());
+        }),
+    ];
+    for case in cases {
+        let broken = case.record.broken_promises();
+        match case.broken {
+            None => assert_eq!(broken, Vec::<String>::new(), "{}", case.name),
+            Some(words) => {
+                let seen = broken.iter().any(|line| line.contains(words));
+                assert!(seen, "{}: {broken:?}", case.name);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_seed_draws_one_schedule_and_many_seeds_all_kinds() {
+    let span = Millis(12_000);
+    let kind_of = |kind: FaultKind| {
+        let text = format!("{kind:?}");
+        text.split(['(', ' ']).next().unwrap_or_default().to_owned()
+    };
+    let mut kinds = std::collections::BTreeSet::new();
+    for seed in 0..60 {
+        let faults = draw_schedule(seed, TARGETS, span);
+        assert_eq!(faults, draw_schedule(seed, TARGETS, span));
+        assert!(faults.iter().all(|fault| fault.at < span));
+        kinds.extend(faults.into_iter().map(|fault| kind_of(fault.kind)));
+    }
+    assert_eq!(kinds.len(), 14, "{kinds:?}");
+}
