fix(test): two planned stops of one daemon do not kill its next life

Traced by the lives in the logs: the second stop of the schedule found the process ended and killed the one that the first had just started.

--- a/crates/cherrystand_testkit/src/soak/daemons.rs
+++ b/crates/cherrystand_testkit/src/soak/daemons.rs
@@ -94,6 +94,11 @@
         )
     }
 
+    /// Returns the number of its life: how often it was started.
+    pub(crate) fn life(&self) -> u32 {
+        self.lives
+    }
+
     /// Sends the process a signal, where it runs.
     pub(crate) fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -252,23 +252,31 @@
     async fn kill(&self, numbers: &[usize], lasts: Duration) -> std::io::Result<()> {
         numbers.iter().for_each(|number| self.daemons.borrow_mut()[*number].kill());
         tokio::time::sleep(lasts).await;
-        for number in numbers {
-            let mut daemons = self.daemons.borrow_mut();
-            // Another fault may have started it meanwhile.
-            if daemons[*number].has_ended() {
-                daemons[*number].start()?;
-            }
-        }
-        Ok(())
+        numbers.iter().try_for_each(|number| self.start_again(*number))
+    }
+
+    /// Starts a daemon that has ended; another fault may have started it meanwhile.
+    fn start_again(&self, number: usize) -> std::io::Result<()> {
+        let daemon = &mut self.daemons.borrow_mut()[number];
+        if daemon.has_ended() { daemon.start() } else { Ok(()) }
     }
 
     async fn stop(&self, number: usize) -> std::io::Result<()> {
+        // Another fault may start it again before this one looks: its life tells them apart.
+        let life = self.daemons.borrow()[number].life();
         self.daemons.borrow()[number].signal("TERM");
         let until = Instant::now() + STOPS_WITHIN;
-        while !self.daemons.borrow_mut()[number].has_ended() && Instant::now() < until {
+        let goes_on = || {
+            let daemon = &mut self.daemons.borrow_mut()[number];
+            daemon.life() == life && !daemon.has_ended()
+        };
+        while goes_on() {
+            if Instant::now() > until {
+                self.daemons.borrow_mut()[number].kill();
+            }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        self.kill(&[number], Duration::ZERO).await
+        self.start_again(number)
     }
 
     fn record(&self) -> Record {
