--- a/crates/cherrystand_core/src/nodes/call_book.rs
+++ b/crates/cherrystand_core/src/nodes/call_book.rs
@@ -73,12 +73,6 @@
         answered.map(|call| call.ended.since(call.begun)).min()
     }
 
-    /// Tells whether a call began at `begun` or later, whatever became of it.
-    pub fn began_since(&self, begun: Millis) -> bool {
-        let open = self.open.values().any(|at| *at >= begun);
-        open || self.ended.iter().any(|call| call.begun >= begun)
-    }
-
     /// Returns how the calls fare.
     pub fn state(&self, now: Millis) -> CallState {
         let lately = self.ended.iter().filter(|call| now.since(call.ended) <= KEPT);
--- a/crates/cherrystand_core/tests/readers.rs
+++ b/crates/cherrystand_core/tests/readers.rs
@@ -5,8 +5,8 @@
 
 use cherrystand_core::{
     BoxId, ChangeLog, ChangesSince, Document, Heartbeat, Incarnation, Millis, NodeId,
-    READERS_PER_ZONE, RELAYS_PER_ZONE, Revision, Source, SourceChooser, ZoneId, readers_of,
-    relays_of,
+    READERS_PER_ZONE, RELAYS_PER_ZONE, Revision, Source, SourceChooser, StoreReach, ZoneId,
+    readers_of, relays_of,
 };
 
 /// Describes daemons for the choice of readers.
@@ -153,3 +153,36 @@
     }
     assert_eq!(log.since(4), None, "what is too long ago");
 }
+
+#[test]
+fn a_daemon_decides_once_it_has_known_the_store_freshly_for_a_while() {
+    struct Case {
+        name: &'static str,
+        /// When the store told something, and when it did not answer.
+        told: &'static [u64],
+        missed: &'static [u64],
+        decides: bool,
+    }
+    let cases = [
+        Case { name: "never heard", told: &[], missed: &[], decides: false },
+        Case { name: "heard just now", told: &[2_900], missed: &[], decides: false },
+        Case { name: "heard for long", told: &[1_000, 2_000, 2_900], missed: &[], decides: true },
+        Case { name: "turned away since", told: &[1_000, 2_000], missed: &[2_900], decides: false },
+        Case { name: "not heard lately", told: &[500, 1_000], missed: &[], decides: false },
+    ];
+    for case in cases {
+        let mut reach = StoreReach::default();
+        let mut decides = false;
+        for now in (0..=3_000).step_by(100) {
+            if case.told.contains(&now) {
+                reach.reached();
+                reach.told(Millis(now));
+            }
+            if case.missed.contains(&now) {
+                reach.missed();
+            }
+            decides = reach.may_decide(Millis(now));
+        }
+        assert_eq!(decides, case.decides, "{}", case.name);
+    }
+}
--- a/crates/cherrystandd/src/site/deciding.rs
+++ b/crates/cherrystandd/src/site/deciding.rs
@@ -112,8 +112,9 @@
 
     /// Writes a record; whatever comes of it, the next step decides from what then stands.
     async fn write(&self, domain: &DomainId, expected: Revision, next: DomainRecord) {
-        let Ok(body) = serde_json::to_string(&next) else {
-            return;
+        let body = match serde_json::to_string(&next) {
+            Ok(body) => body,
+            Err(err) => return log::error!(domain = domain.as_str(); "no record is written: {err}"),
         };
         let key = keys::domain(domain);
         match self.store.swap(&key, expected, &body).await {
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -163,9 +163,9 @@
         }
         match self.loads.peers_tell(&flight.target, now - longest, now) {
             PeersTell::Progress | PeersTell::NotYet => false,
-            PeersTell::None => true,
+            PeersTell::NoProgress => true,
             // Nobody says anything here: unless another replica does, it is this node that is held up.
-            PeersTell::Nothing => {
+            PeersTell::Unheard => {
                 silence > HELD_UP_AT_MOST
                     || chooser.others_progress(flight.key, now - longest).unwrap_or(true)
             }
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -42,9 +42,9 @@
     /// They were asked just now.
     NotYet,
     /// Some answered, and none saw any.
-    None,
+    NoProgress,
     /// No peer answered: there is none, or what they say does not arrive here.
-    Nothing,
+    Unheard,
 }
 
 /// Keeps what peers told, and what is to be told to them at once.
@@ -84,8 +84,10 @@
         let asked = self.asked.borrow().get(id).copied();
         match asked.filter(|asked| now.since(*asked) < ASKED_FOR) {
             Some(asked) if now.since(asked) < ANSWERED_WITHIN => PeersTell::NotYet,
-            Some(asked) if self.answered.get().is_some_and(|at| at >= asked) => PeersTell::None,
-            Some(_) => PeersTell::Nothing,
+            Some(asked) if self.answered.get().is_some_and(|at| at >= asked) => {
+                PeersTell::NoProgress
+            }
+            Some(_) => PeersTell::Unheard,
             None => {
                 self.asked.borrow_mut().insert(id.clone(), now);
                 self.to_ask.borrow_mut().push(id.clone());
