refactor: one place notes calls, one posts questions to peers, one bounds times

A ping noted its call as the calls to boxes do, line for line, and sent its question as the one for changes does; the two kinds of histograms built their options twice. Same calls, bounds, counters and verdicts.

--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -175,6 +175,10 @@
         Opts::new(name, help).namespace("cherrystand")
     }
 
+    fn time_opts(name: &str, help: &str) -> HistogramOpts {
+        HistogramOpts::from(Self::opts(name, help)).buckets(TIME_BUCKETS.to_vec())
+    }
+
     fn counters(
         &self,
         name: &str,
@@ -215,15 +219,13 @@
         help: &str,
         labels: &[&str],
     ) -> Result<HistogramVec, prometheus::Error> {
-        let opts = HistogramOpts::from(Self::opts(name, help)).buckets(TIME_BUCKETS.to_vec());
-        let made = HistogramVec::new(opts, labels)?;
+        let made = HistogramVec::new(Self::time_opts(name, help), labels)?;
         self.registry.register(Box::new(made.clone()))?;
         Ok(made)
     }
 
     fn histogram(&self, name: &str, help: &str) -> Result<Histogram, prometheus::Error> {
-        let opts = HistogramOpts::from(Self::opts(name, help)).buckets(TIME_BUCKETS.to_vec());
-        let made = Histogram::with_opts(opts)?;
+        let made = Histogram::with_opts(Self::time_opts(name, help))?;
         self.registry.register(Box::new(made.clone()))?;
         Ok(made)
     }
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -10,7 +10,7 @@
 };
 use cherrystand_platform::{Answer, BoxCall, CallError, SendError, SiteDriver, call};
 
-use crate::site::change_sharing;
+use crate::site::change_sharing::ping;
 use crate::site::control::{Control, owns, readers_in};
 use crate::site::{Driver, Hint};
 
@@ -89,8 +89,18 @@
         out: BoxCall,
         within: Duration,
     ) -> Result<Answer, CallError> {
+        let answer = call(&self.pool, address, out.method, &out.path, out.body, within);
+        self.note_call(kind, answer).await
+    }
+
+    /// Waits for the answer to a call and notes how long it took and whether there was one.
+    async fn note_call<T, E>(
+        &self,
+        kind: &str,
+        answer: impl Future<Output = Result<T, E>>,
+    ) -> Result<T, E> {
         let key = self.calls.borrow_mut().begin(self.now());
-        let answer = call(&self.pool, address, out.method, &out.path, out.body, within).await;
+        let answer = answer.await;
         let answered = answer.is_ok();
         let took = self.calls.borrow_mut().end(key, answered, self.now());
         let result = if answered { "answered" } else { "unanswered" };
@@ -195,14 +205,17 @@
             let control = self.clone();
             match self.peers.near() {
                 Some(peer) => {
-                    tokio::task::spawn_local(async move { control.ping(peer).await });
+                    tokio::task::spawn_local(async move {
+                        // Only whether it is answered counts, which the call book keeps.
+                        let _ = control.note_call("ping", ping(&control, peer)).await;
+                    });
                 }
                 None => {
                     let Some(other) = self.known.borrow().any_other(doubted) else { return };
                     tokio::task::spawn_local(async move {
                         let report = Driver::report_call();
                         let within = Duration::from_millis(SilenceCheck::default().within().0);
-                        // Only whether it is answered counts, which the call book keeps.
+                        // As above.
                         let _ = control.call_timed("witness", other, report, within).await;
                     });
                 }
@@ -210,15 +223,6 @@
         }
     }
 
-    async fn ping(&self, peer: SocketAddr) {
-        let key = self.calls.borrow_mut().begin(self.now());
-        let answered = change_sharing::ping(self, peer).await;
-        let took = self.calls.borrow_mut().end(key, answered, self.now());
-        let result = if answered { "answered" } else { "unanswered" };
-        let times = self.cx.metrics.box_call_time.with_label_values(&["ping", result]);
-        times.observe(took.as_secs_f64());
-    }
-
     fn count_probe(&self, result: &str) {
         self.cx.metrics.probes.with_label_values(&[result]).inc();
     }
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -212,14 +212,14 @@
     Ok(())
 }
 
-/// Tells whether a peer answers at all.
-pub(crate) async fn ping(control: &Control, peer: SocketAddr) -> bool {
-    let Ok(body) = encode(&ChangeQuestion::Ping) else {
-        return false;
-    };
-    let body = Bytes::from(body);
-    let answer = call(&control.pool, peer, Method::POST, "/changes", body, ANSWER_WITHIN).await;
-    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+/// Asks a peer for nothing but an answer.
+///
+/// # Errors
+///
+/// Returns a [`ChangesError`] where none comes.
+pub(crate) async fn ping(control: &Control, peer: SocketAddr) -> Result<(), ChangesError> {
+    post(control, peer, &ChangeQuestion::Ping, ANSWER_WITHIN).await?;
+    Ok(())
 }
 
 async fn ask(
@@ -228,12 +228,22 @@
     question: &ChangeQuestion,
     within: Duration,
 ) -> Result<ChangeNews, ChangesError> {
+    let body = post(control, peer, question, within).await?;
+    let news: ChangeNews = decode_compressed(&body)?;
+    control.count_changes("in", &news, body.len());
+    Ok(news)
+}
+
+async fn post(
+    control: &Control,
+    peer: SocketAddr,
+    question: &ChangeQuestion,
+    within: Duration,
+) -> Result<Bytes, ChangesError> {
     let body = Bytes::from(encode(question)?);
     let answer = call(&control.pool, peer, Method::POST, "/changes", body, within).await?;
-    if answer.status != StatusCode::OK {
-        return Err(ChangesError::NotServed(answer.status));
+    match answer.status {
+        StatusCode::OK => Ok(answer.body),
+        status => Err(ChangesError::NotServed(status)),
     }
-    let news: ChangeNews = decode_compressed(&answer.body)?;
-    control.count_changes("in", &news, answer.body.len());
-    Ok(news)
 }
