refactor(test): one site's configuration, settings, ports and heartbeats for tests and the soak

The soak had written again what the tests of sites had: the configuration, a daemon's settings file, the search for free ports (without the lock that keeps a starting process off a port just tried), the body of a whole stream. They stand once in the testkit now; the tests' six streams and their sum of peers' bytes stand once in their support, and the heartbeats of three areas of core tests come from one.

--- a/crates/cherrystand_core/tests/nodes.rs
+++ b/crates/cherrystand_core/tests/nodes.rs
@@ -1,32 +1,23 @@
 //! Membership, records passed on, evidence and freshness.
 
+mod support;
+
 use std::sync::Arc;
 
 use cherrystand_core::{
     DEAD_AFTER, Document, Documents, DomainId, EVIDENCE_LIFE, Epoch, EvidenceTable, FRESH_FOR,
     Freshness, GroupId, Heartbeat, Incarnation, Membership, Millis, NodeId, PAUSE_GAP,
-    ReplicaEvidence, ReplicaId, Revision, SUSPECT_AFTER, ServeBy, Standing, WorkspaceId, ZoneId,
-    owner_of,
+    ReplicaEvidence, ReplicaId, Revision, SUSPECT_AFTER, ServeBy, Standing, WorkspaceId, owner_of,
 };
 use proptest::prelude::*;
+use support::heartbeat;
 
 fn node(number: usize) -> NodeId {
     NodeId::new(format!("n{number}"))
 }
 
 fn beat(number: usize, incarnation: u64, beat: u64) -> Heartbeat {
-    Heartbeat {
-        node: node(number),
-        incarnation: Incarnation(incarnation),
-        beat,
-        zone: ZoneId::new("z"),
-        address: ([127, 0, 0, 1], 1).into(),
-        serving: true,
-        decides: true,
-        changes: None,
-        link_mbps: 0,
-        config: 0,
-    }
+    Heartbeat { incarnation: Incarnation(incarnation), beat, ..heartbeat(number, "z") }
 }
 
 #[test]
--- a/crates/cherrystand_core/tests/readers.rs
+++ b/crates/cherrystand_core/tests/readers.rs
@@ -1,28 +1,20 @@
 //! Who reads the store, where the others read, and the changes that are passed on.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, ChangeLog, ChangesSince, Document, Heartbeat, Incarnation, Millis, NodeId,
-    READERS_PER_ZONE, RELAYS_PER_ZONE, Revision, Source, SourceChooser, StoreReach, ZoneId,
-    readers_of, relays_of,
+    BoxId, ChangeLog, ChangesSince, Document, Heartbeat, Millis, READERS_PER_ZONE, RELAYS_PER_ZONE,
+    Revision, Source, SourceChooser, StoreReach, ZoneId, readers_of, relays_of,
 };
+use support::heartbeat;
 
 /// Describes daemons for the choice of readers.
 fn zone_beat(number: usize, zone: &str, decides: bool, serving: bool) -> Heartbeat {
-    Heartbeat {
-        zone: ZoneId::new(zone),
-        decides,
-        serving,
-        link_mbps: 0,
-        changes: Some(SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16))),
-        node: NodeId::new(format!("n{number}")),
-        incarnation: Incarnation(1),
-        beat: 1,
-        address: ([127, 0, 0, 1], 1).into(),
-        config: 0,
-    }
+    let changes = Some(SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16)));
+    Heartbeat { decides, serving, changes, ..heartbeat(number, zone) }
 }
 
 /// Story: readers with links of 20 Mbit/s passed configurations on to twenty peers and were busy for
--- a/crates/cherrystand_core/tests/relays.rs
+++ b/crates/cherrystand_core/tests/relays.rs
@@ -1,12 +1,15 @@
 //! How news travels between zones by relays, and what it costs while daemons fail.
 
+mod support;
+
 use std::collections::BTreeSet;
 
 use cherrystand_core::{
-    BoxId, EndpointLoad, Heartbeat, Incarnation, LoadBook, Membership, Millis, NodeId,
-    RELAYS_PER_ZONE, Seed, Standing, ZoneId, ZoneLoads, choose_exchange, relays_of,
+    BoxId, EndpointLoad, Heartbeat, LoadBook, Membership, Millis, NodeId, RELAYS_PER_ZONE, Seed,
+    Standing, ZoneId, ZoneLoads, choose_exchange, relays_of,
 };
 use proptest::prelude::*;
+use support::heartbeat;
 
 /// The time between two exchanges of one daemon.
 const ROUND: Millis = Millis(250);
@@ -116,18 +119,7 @@
 }
 
 fn beat(number: usize, zones: usize) -> Heartbeat {
-    Heartbeat {
-        node: NodeId::new(format!("n{number}")),
-        incarnation: Incarnation(1),
-        beat: 1,
-        zone: ZoneId::new(format!("z{}", number % zones)),
-        address: ([127, 0, 0, 1], 1).into(),
-        serving: true,
-        decides: true,
-        changes: None,
-        link_mbps: 0,
-        config: 0,
-    }
+    heartbeat(number, &format!("z{}", number % zones))
 }
 
 fn number_of(beat: &Heartbeat) -> usize {
--- a/crates/cherrystand_core/tests/support/mod.rs
+++ b/crates/cherrystand_core/tests/support/mod.rs
@@ -2,11 +2,27 @@
 #![allow(dead_code, reason = "each area uses its own part")]
 
 use cherrystand_core::{
-    BoxId, Desired, EngineSpec, GroupId, LoadSpec, Millis, ModelSpec, RepairPolicy, ReplicaId,
-    WorkspaceId,
+    BoxId, Desired, EngineSpec, GroupId, Heartbeat, Incarnation, LoadSpec, Millis, ModelSpec,
+    NodeId, RepairPolicy, ReplicaId, WorkspaceId, ZoneId,
 };
 use cherrystand_testkit::{DomainSetup, FakeDomain};
 
+/// The heartbeat of a daemon that serves, decides and passes nothing on.
+pub(crate) fn heartbeat(number: usize, zone: &str) -> Heartbeat {
+    Heartbeat {
+        node: NodeId::new(format!("n{number}")),
+        incarnation: Incarnation(1),
+        beat: 1,
+        zone: ZoneId::new(zone),
+        address: ([127, 0, 0, 1], 1).into(),
+        link_mbps: 0,
+        serving: true,
+        decides: true,
+        changes: None,
+        config: 0,
+    }
+}
+
 pub(crate) fn box_id(number: u32) -> BoxId {
     BoxId::new(format!("b{number:02}"))
 }
--- a/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 use cherrystand_core::Millis;
-use cherrystand_testkit::{Fault, SoakSetup, daemon_program, draw_schedule, play_soak, usual_span};
+use cherrystand_testkit::{Fault, SoakSetup, USUAL_SPAN, daemon_program, draw_schedule, play_soak};
 use eyre::WrapErr;
 
 /// Plays faults, drawn from a seed, on real daemons, and checks what callers and boxes see.
@@ -15,7 +15,7 @@
     #[argh(option)]
     seed: u64,
     /// milliseconds in which faults strike
-    #[argh(option, default = "usual_span().0")]
+    #[argh(option, default = "USUAL_SPAN.0")]
     span_ms: u64,
     /// how many daemons run
     #[argh(option, default = "3")]
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -23,10 +23,12 @@
     pub(crate) mod stand_in;
     pub(crate) mod store;
 }
+mod processes;
 mod service_stand_in;
 mod site {
     pub(crate) mod fake_site_domain;
     pub(crate) mod metadata_stand_in;
+    pub(crate) mod site_setup;
     pub(crate) mod site_stand_in;
 }
 mod soak {
@@ -51,11 +53,13 @@
 pub use platform::fake_key_value::{CallFault, FakeKeyValue};
 pub use platform::stand_in::{CallCounts, PlatformKnobs, PlatformStandIn};
 pub use platform::store::{Rate, Store};
+pub use processes::{free_addresses, spawn};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
 pub use site::fake_site_domain::FakeSiteDomain;
 pub use site::metadata_stand_in::{Door, MetadataStandIn};
+pub use site::site_setup::{NodeSettings, site_config, whole_stream};
 pub use site::site_stand_in::{Arrival, BoxMood, EVENTS, SiteStandIn};
 pub use soak::link::{Link, LinkMode};
-pub use soak::run::{SoakOutcome, SoakSetup, daemon_program, play_soak, usual_span};
+pub use soak::run::{SoakOutcome, SoakSetup, USUAL_SPAN, daemon_program, play_soak};
 pub use soak::schedule::{Fault, FaultKind, Targets, draw_schedule};
 pub use soak::seen::{Answered, Call, Disturbed, Gone, Record, Seen};
--- a/crates/cherrystand_testkit/src/soak/callers.rs
+++ b/crates/cherrystand_testkit/src/soak/callers.rs
@@ -11,8 +11,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode};
 
-use crate::EVENTS;
 use crate::soak::seen::{Answered, Call, Seen};
+use crate::whole_stream;
 
 /// How long a caller waits, in milliseconds.
 const DEADLINE_MS: u64 = 5_000;
@@ -150,9 +150,7 @@
 /// Returns the body that an endpoint sends for a request.
 fn expected(id: &str, call: Call) -> String {
     match call {
-        Call::Stream => {
-            (0..EVENTS).map(|number| format!("id: {number}\ndata: {id} {number}\n\n")).collect()
-        }
+        Call::Stream => whole_stream(id),
         _ => format!("answer to {id}"),
     }
 }
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,7 +15,7 @@
 use crate::soak::link::{Link, LinkMode};
 use crate::soak::schedule::{Fault, FaultKind, Targets};
 use crate::soak::seen::{Answered, Call, Disturbed, Gone, Record};
-use crate::{BoxMood, Door, SiteStandIn};
+use crate::{BoxMood, Door, SiteStandIn, site_config};
 
 /// Boxes that replicas of two are formed of.
 const MODEL_BOXES: usize = 9;
@@ -35,6 +35,12 @@
 /// How long requests of a planned stop may take until its process is gone.
 const STOPS_WITHIN: Duration = Duration::from_secs(9);
 
+/// How long a request may be held, in milliseconds.
+const TIMEOUT_MS: u64 = 5_000;
+
+/// For how long faults strike where nothing else is said.
+pub const USUAL_SPAN: Millis = Millis(12_000);
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub struct SoakSetup {
@@ -88,7 +94,7 @@
     let stop = Rc::new(Cell::new(false));
     for number in 0..setup.daemons * CALLERS {
         let daemon = number % setup.daemons;
-        let at = soak.daemons.borrow()[daemon].callers;
+        let at = soak.daemons.borrow()[daemon].callers();
         let seed = setup.seed ^ (number as u64 + 1);
         tokio::task::spawn_local(soak.callers.clone().run(daemon, at, seed, stop.clone()));
     }
@@ -128,7 +134,7 @@
             daemons.push(Daemon::new(number, &setup.program, &setup.dir, door.address())?);
             doors.push(door);
         }
-        let seeds: Vec<_> = daemons.iter().take(3).map(|daemon| daemon.peers).collect();
+        let seeds: Vec<_> = daemons.iter().take(3).map(Daemon::peers).collect();
         for daemon in &mut daemons {
             daemon.set_seeds(seeds.clone());
             daemon.start()?;
@@ -156,7 +162,7 @@
     /// Waits until every daemon answers every kind of call.
     async fn serves(&self) -> bool {
         let until = Instant::now() + SERVES_WITHIN;
-        let addresses: Vec<_> = self.daemons.borrow().iter().map(|daemon| daemon.callers).collect();
+        let addresses: Vec<_> = self.daemons.borrow().iter().map(Daemon::callers).collect();
         for (daemon, at) in addresses.into_iter().enumerate() {
             for call in [Call::Once, Call::Repeatable, Call::Stream] {
                 loop {
@@ -307,41 +313,24 @@
 pub fn daemon_program() -> std::io::Result<PathBuf> {
     let own = std::env::current_exe()?;
     let program = own.with_file_name("cherrystandd");
-    if !Path::new(&program).exists() {
+    if !program.exists() {
         return Err(std::io::Error::other("cherrystandd is missing: run `cargo build` first"));
     }
     Ok(program)
 }
 
-/// Returns how long faults may strike at the least for a schedule to hold some of each kind.
-pub fn usual_span() -> Millis {
-    Millis(12_000)
-}
-
+/// Makes the usual configuration with some routes more.
 fn config(version: u64, keys: &[String], more: usize) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
-        json!({"name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
-            "timeout_ms": 5000, "latency_goal_ms": 300, "max_attempts": 2, "service": service,
-            "resumable": kind == "streaming", "gap_target_ms": 300})
-    };
-    let mut routes = vec![
-        route("story", "/stories/", "streaming", "models"),
-        route("call", "/calls/", "non_idempotent", "app"),
-        route("look", "/looks/", "idempotent", "app"),
-    ];
-    let added = (0..more).map(|number| format!("/more-{number}/"));
-    routes.extend(added.map(|prefix| route("more", &prefix, "idempotent", "app")));
-    json!({
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "models", "engine": {"slots": 8, "stride": 2, "step_ms": 10.0, "chunk": 64,
-                "read_per_s": 100000.0, "loads_per_s": 1000.0, "loads_at_once": 9, "form_ms": 0.0,
-                "usual": {"prompt": 100, "answer": 80},
-                "models": [{"name": "m", "size": 2, "share": 1.0, "pace": 1.0, "load_s": 0.1,
-                    "warm_s": 0.1}]}},
-            {"name": "app"}],
-        "limits": {"max_body_bytes": 2000},
-        "tenants": [{"name": "families", "api_keys": keys}],
-    })
+    let mut config = site_config(version, "/calls/", keys, TIMEOUT_MS);
+    let added = (0..more).map(|number| {
+        let mut route = config["routes"][2].clone();
+        route["name"] = json!("more");
+        route["path_prefix"] = json!(format!("/more-{number}/"));
+        route
+    });
+    let added: Vec<Value> = added.collect();
+    if let Some(routes) = config["routes"].as_array_mut() {
+        routes.extend(added);
+    }
+    config
 }
--- a/crates/cherrystand_testkit/src/soak/seen.rs
+++ b/crates/cherrystand_testkit/src/soak/seen.rs
@@ -6,6 +6,7 @@
 use hyper::StatusCode;
 
 use crate::Arrival;
+use crate::site::site_setup::{RETRY_RATIO, RETRY_WINDOW_S};
 
 /// What a caller may ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,12 +101,8 @@
 /// How many boxes one request may run on.
 const MOST_RUNS: usize = 2;
 
-/// Repeats for each request, and beyond that in each window, as daemons are told.
-pub(crate) const RETRY_RATIO: f64 = 0.2;
-/// The slack of a window.
+/// Repeats in one window beyond the share of requests, as daemons are told.
 pub(crate) const RETRY_SLACK: f64 = 40.0;
-/// The window.
-pub(crate) const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
 impl Record {
     /// Returns each promise that what was seen breaks, in words.
@@ -208,8 +205,7 @@
             *sendings.entry(arrival.request.as_str()).or_default() += 1;
         }
         let repeats: usize = sendings.values().map(|count| count - 1).sum();
-        let windows =
-            last.ended.duration_since(first.sent).as_secs_f64() / RETRY_WINDOW.as_secs_f64();
+        let windows = last.ended.duration_since(first.sent).as_secs_f64() / RETRY_WINDOW_S as f64;
         let allowed = RETRY_RATIO * self.seen.len() as f64 + RETRY_SLACK * (windows + 1.0);
         let over = repeats as f64 > allowed;
         over.then(|| {
--- a/crates/cherrystandd/tests/costs.rs
+++ b/crates/cherrystandd/tests/costs.rs
@@ -35,9 +35,7 @@
 async fn peer_bytes(cluster: &Cluster, daemon: usize) -> f64 {
     let at = cluster.daemons[daemon].callers;
     let text = cluster.send(at, Method::GET, "/metrics", &[], "").await.expect("metrics").text();
-    let lines = text.lines().filter(|line| line.starts_with("cherrystand_peer_bytes_total{"));
-    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
-    values.sum()
+    support::peer_bytes(&text, "")
 }
 
 #[test]
--- a/crates/cherrystandd/tests/large_configuration.rs
+++ b/crates/cherrystandd/tests/large_configuration.rs
@@ -14,10 +14,11 @@
 
 use std::time::Duration;
 
+use cherrystand_testkit::whole_stream;
 use hyper::{Method, StatusCode};
 use serde_json::{Value, json};
-use support::site::{CALL, Node, STREAM, Site, call, config, whole_stream};
-use support::{call_at, until};
+use support::site::{CALL, Node, Site, call, config, six_streams};
+use support::{call_at, peer_bytes, until};
 
 /// How many routes the configuration grows by.
 const MORE_ROUTES: usize = 1_400;
@@ -46,11 +47,7 @@
 
 async fn bytes_in(node: &Node) -> f64 {
     let text = call_at(node.operators, Method::GET.as_str(), "/metrics", &[], "").await.text();
-    let lines = text
-        .lines()
-        .filter(|line| line.starts_with("cherrystand_peer_bytes_total{"))
-        .filter(|line| line.contains("way=\"in\""));
-    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+    peer_bytes(&text, "way=\"in\"")
 }
 
 #[test]
@@ -94,20 +91,13 @@
         let site = Site::serving(1).await;
         let node = &site.nodes[0];
         let before = site.site.leaders();
-        let streams = async {
-            let all = (0..6).map(|number| {
-                let id = format!("s{number}");
-                async move { (call(node, "POST", STREAM, &id, "k1").await, id) }
-            });
-            futures_util::future::join_all(all).await
-        };
         let hold_up = async {
             tokio::time::sleep(Duration::from_millis(250)).await;
             site.site.hold(true);
             tokio::time::sleep(HELD_UP).await;
             site.site.hold(false);
         };
-        let (answers, ()) = tokio::join!(streams, hold_up);
+        let (answers, ()) = tokio::join!(six_streams(node), hold_up);
         for (answer, id) in answers {
             assert_eq!((answer.status, answer.text()), (StatusCode::OK, whole_stream(&id)));
             assert_eq!(site.site.runs_of(&id).len(), 1, "{id} was taken up elsewhere");
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -4,9 +4,9 @@
 
 use std::time::Duration;
 
-use cherrystand_testkit::{BoxMood, Door};
+use cherrystand_testkit::{BoxMood, Door, whole_stream};
 use hyper::StatusCode;
-use support::site::{CALL, Node, STREAM, Site, call, config, is_ready, send, whole_stream};
+use support::site::{CALL, Node, STREAM, Site, call, config, is_ready, send, six_streams};
 use support::{call_at, until};
 
 #[test]
@@ -145,19 +145,12 @@
     support::run(async {
         let site = Site::serving(1).await;
         let node = &site.nodes[0];
-        let streams = async {
-            let all = (0..6).map(|number| {
-                let id = format!("s{number}");
-                async move { (call(node, "POST", STREAM, &id, "k1").await, id) }
-            });
-            futures_util::future::join_all(all).await
-        };
         let strike = async {
             tokio::time::sleep(Duration::from_millis(250)).await;
             let (_, members) = site.site.leaders().pop_first().expect("a leader");
             site.site.set_mood(&members[1], BoxMood::Dark);
         };
-        let (answers, ()) = tokio::join!(streams, strike);
+        let (answers, ()) = tokio::join!(six_streams(node), strike);
         let mut moved = 0;
         for (answer, id) in answers {
             assert_eq!((answer.status, answer.text()), (StatusCode::OK, whole_stream(&id)));
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -3,11 +3,9 @@
 
 pub(crate) mod site;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -131,41 +129,20 @@
     path
 }
 
-/// The ports that tests use: below those that the system gives to outgoing connections, which
-/// could take a port between its choice and its use.
-const PORTS: std::ops::Range<u16> = 11_000..31_000;
-
-/// Held while a port is tried and while a process starts.
-///
-/// A process that starts has the listeners of all threads open for a moment, until it becomes the
-/// program; a port tried just then would stay in use.
-static TRY_OR_START: Mutex<()> = Mutex::new(());
-
-fn try_or_start() -> MutexGuard<'static, ()> {
-    // A test that failed while it held the lock leaves nothing half done.
-    TRY_OR_START.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn spawn(command: &mut Command) -> Child {
-    let _guard = try_or_start();
-    command.spawn().expect("a process")
+    cherrystand_testkit::spawn(command).expect("a process")
 }
 
 /// Returns addresses that no other test of this process was given and that nobody listens at.
 pub(crate) fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let span = u32::from(PORTS.end - PORTS.start);
-    let first = std::process::id() * 257;
-    let mut addresses = Vec::new();
-    while addresses.len() < count {
-        let number = first.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % span;
-        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + number as u16));
-        let _guard = try_or_start();
-        if TcpListener::bind(address).is_ok() {
-            addresses.push(address);
-        }
-    }
-    addresses
+    cherrystand_testkit::free_addresses(count).expect("free addresses")
+}
+
+/// Sums the bytes between daemons that a page of metrics tells, of the series that have a label.
+pub(crate) fn peer_bytes(metrics: &str, label: &str) -> f64 {
+    let lines = metrics.lines().filter(|line| line.starts_with("cherrystand_peer_bytes_total{"));
+    let lines = lines.filter(|line| line.contains(label));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
 }
 
 fn start(name: &str, args: &[&str], address: SocketAddr, log: &Path) -> Process {
--- a/crates/cherrystandd/tests/support/site.rs
+++ b/crates/cherrystandd/tests/support/site.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use cherrystand_testkit::{EVENTS, SiteStandIn};
+use cherrystand_testkit::{NodeSettings, SiteStandIn, site_config};
 use hyper::StatusCode;
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use super::{Answer, Process, call_at, free_addresses, start_in, until};
 
@@ -14,29 +14,11 @@
 /// How many addresses one daemon listens at.
 const NODE_ADDRESSES: usize = 5;
 
+/// How long a request may be held, in milliseconds.
+const TIMEOUT_MS: u64 = 6_000;
+
 pub(crate) fn config(version: u64, call_prefix: &str, keys: &[&str]) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
-        json!({"name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
-            "timeout_ms": 6000, "latency_goal_ms": 300, "max_attempts": 2, "service": service,
-            "resumable": kind == "streaming", "gap_target_ms": 300})
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("story", "/stories/", "streaming", "models"),
-            route("call", call_prefix, "non_idempotent", "app"),
-            route("look", "/looks/", "idempotent", "app"),
-        ],
-        "services": [
-            {"name": "models", "engine": {"slots": 8, "stride": 2, "step_ms": 10.0, "chunk": 64,
-                "read_per_s": 100000.0, "loads_per_s": 1000.0, "loads_at_once": 9, "form_ms": 0.0,
-                "usual": {"prompt": 100, "answer": 80},
-                "models": [{"name": "m", "size": 2, "share": 1.0, "pace": 1.0, "load_s": 0.1,
-                    "warm_s": 0.1}]}},
-            {"name": "app"}],
-        "limits": {"max_body_bytes": 2000},
-        "tenants": [{"name": "families", "api_keys": keys}],
-    })
+    site_config(version, call_prefix, keys, TIMEOUT_MS)
 }
 
 pub(crate) struct Node {
@@ -87,14 +69,19 @@
 }
 
 fn start_node(number: usize, own: &[SocketAddr], seed: SocketAddr, store: SocketAddr) -> Node {
-    let settings = format!(
-        "node = \"n{number}\"\nzone = \"z1\"\nseeds = [\"{seed}\"]\n[listen]\ncallers = \"{}\"\n\
-         operators = \"{}\"\npeers = \"{}\"\n[platform]\naddress = \"{store}\"\n[stop]\n\
-         linger_ms = 300\n[site]\nready = \"{}\"\nchanges = \"{}\"\nfirst_start = true\ngrace_ms = 8000\n\
-         retry_ratio = 0.2\nretry_slack = 136.0\nretry_window_s = 10\n",
-        own[0], own[1], own[3], own[2], own[4]
-    );
-    let process = start_in("cherrystandd", &settings, own[0]);
+    let settings = NodeSettings {
+        name: format!("n{number}"),
+        seeds: vec![seed],
+        callers: own[0],
+        operators: own[1],
+        ready: own[2],
+        peers: own[3],
+        changes: own[4],
+        store,
+        first_start: true,
+        retry_slack: 136.0,
+    };
+    let process = start_in("cherrystandd", &settings.to_string(), own[0]);
     Node { process, callers: own[0], ready: own[2], operators: own[1] }
 }
 
@@ -126,6 +113,11 @@
     call_at(node.callers, method, path, &headers, body).await
 }
 
-pub(crate) fn whole_stream(id: &str) -> String {
-    (0..EVENTS).map(|number| format!("id: {number}\ndata: {id} {number}\n\n")).collect()
+/// Sends six streams at once, and returns the answer and the id of each.
+pub(crate) async fn six_streams(node: &Node) -> Vec<(Answer, String)> {
+    let all = (0..6).map(|number| {
+        let id = format!("s{number}");
+        async move { (call(node, "POST", STREAM, &id, "k1").await, id) }
+    });
+    futures_util::future::join_all(all).await
 }
