--- /dev/null
+++ b/crates/cherrystand_core/benches/node_costs.rs
@@ -0,0 +1,233 @@
+//! What one daemon spends on the others and on the boxes as both grow, in microseconds.
+//!
+//! Each line is one thing that happens many times a second at every daemon of a large deployment.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use cherrystand_core::{
+    BoxId, CallerLimits, Digest, DomainId, EndpointLoad, EngineSpec, Epoch, Heartbeat, Incarnation,
+    LoadBook, Member, MemberState, Membership, Millis, ModelSpec, NodeId, RouteTable, Service,
+    ServiceName, SiteBox, SiteConfig, SiteView, ZoneId,
+};
+
+/// A deployment's size.
+struct Size {
+    nodes: usize,
+    boxes: usize,
+}
+
+const SIZES: [Size; 3] = [
+    Size { nodes: 60, boxes: 225 },
+    Size { nodes: 295, boxes: 1_107 },
+    Size { nodes: 1_000, boxes: 5_000 },
+];
+
+/// Availability zones.
+const ZONES: usize = 5;
+
+/// Boxes of a replica.
+const SPAN: usize = 8;
+
+/// Endpoints at which one daemon has requests in flight.
+const BUSY_AT: usize = 5;
+
+/// How often each measurement is repeated.
+const ROUNDS: u32 = 50;
+
+fn main() {
+    for size in &SIZES {
+        println!("{} daemons, {} boxes", size.nodes, size.boxes);
+        members(size);
+        loads(size);
+        view(size);
+    }
+}
+
+fn report(what: &str, mut work: impl FnMut()) {
+    work();
+    let began = Instant::now();
+    for _ in 0..ROUNDS {
+        work();
+    }
+    let each = began.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS);
+    println!("  {what}: {each:.1} us");
+}
+
+fn zone(number: usize) -> ZoneId {
+    ZoneId::new(format!("hall-{}", number % ZONES))
+}
+
+fn heartbeat(number: usize, beat: u64) -> Heartbeat {
+    Heartbeat {
+        node: NodeId::new(format!("edge-hall-{}-{number:04}", number % ZONES)),
+        incarnation: Incarnation(1_800_000_000_000),
+        beat,
+        zone: zone(number),
+        address: ([10, 0, (number / 250) as u8, (number % 250) as u8], 7_433).into(),
+        serving: true,
+        decides: true,
+        changes: None,
+        link_mbps: 20,
+        config: u64::MAX / 3,
+    }
+}
+
+fn members(size: &Size) {
+    let mut teller = Membership::new(heartbeat(0, 1), Millis(0));
+    let mut hearer = Membership::new(heartbeat(1, 1), Millis(0));
+    for number in 2..size.nodes {
+        teller.hear(heartbeat(number, 1), Millis(0), Millis(0));
+    }
+    let mut beat = 1;
+    report("a list of members told and heard", || {
+        beat += 1;
+        for number in 2..size.nodes {
+            teller.hear(heartbeat(number, beat), Millis(0), Millis(0));
+        }
+        let told = teller.digest(Millis(10));
+        for (heartbeat, age) in told {
+            hearer.hear(heartbeat, age, Millis(10));
+        }
+    });
+    let mut listed = Membership::new(heartbeat(0, 1), Millis(0));
+    let mut following = Membership::new(heartbeat(1, 1), Millis(0));
+    for members in [&mut listed, &mut following] {
+        for number in 0..size.nodes {
+            members.hear(heartbeat(number, 1), Millis(0), Millis(0));
+        }
+    }
+    report("the beats of members told and heard", || {
+        let told = listed.digest_for(following.roster(Millis(10)), Millis(10));
+        assert!(matches!(told, Digest::Beats { .. }));
+        following.take_digest(told, Millis(0), Millis(10));
+    });
+    report("members as published", || {
+        let all = hearer.all(Millis(10)).into_iter();
+        black_box(all.map(|(beat, _)| beat.clone()).collect::<Vec<Heartbeat>>());
+    });
+}
+
+fn busy(node: usize, replicas: usize) -> Vec<EndpointLoad> {
+    let at = (0..BUSY_AT).map(|turn| EndpointLoad {
+        id: BoxId::new(format!("i-{:08x}", (node * 7 + turn * 13) % replicas)),
+        requests: 2,
+        unread: 900,
+        silent_ms: 40,
+    });
+    at.collect()
+}
+
+fn loads(size: &Size) {
+    let mut book = LoadBook::default();
+    let replicas = size.boxes / SPAN;
+    let near = (0..size.nodes).filter(|number| number % ZONES == 0);
+    let near: Vec<usize> = near.collect();
+    for number in &near {
+        let told = busy(*number, replicas);
+        book.hear_node(heartbeat(*number, 1).node, zone(0), told, Millis(0));
+    }
+    let mut turn = 0;
+    report("a telling of loads taken in", || {
+        turn += 1;
+        let number = near[turn % near.len()];
+        let told = busy(number, replicas);
+        book.hear_node(heartbeat(number, 1).node, zone(0), told, Millis(0));
+    });
+    let mut follower = LoadBook::default();
+    let total = book.sum_of_zone(&zone(0), &[], Millis(0)).loads;
+    report("a relay's total taken in and summed", || {
+        follower.hear_total(total.clone(), Millis(0));
+        black_box(follower.take_sums());
+    });
+    report("a telling of loads taken in and summed", || {
+        turn += 1;
+        let number = near[turn % near.len()];
+        let told = busy(number, replicas);
+        book.hear_node(heartbeat(number, 1).node, zone(0), told, Millis(0));
+        black_box(book.sums());
+    });
+}
+
+fn engine() -> EngineSpec {
+    EngineSpec {
+        slots: 22,
+        stride: 11,
+        step_ms: 5.95,
+        per_request_ms: 0.0445,
+        context_ms_per_k: 0.008,
+        chunk: 2_048,
+        read_per_s: 50_700.0,
+        pairs_ms_per_m: 0.368,
+        far_factor: 2.5,
+        form: Millis(300),
+        loads_per_s: 10.0,
+        loads_at_once: 20,
+        usual_prompt: 900.0,
+        usual_answer: 200.0,
+        models: vec![ModelSpec {
+            name: "m1".to_owned(),
+            span: SPAN as u32,
+            pace: 0.6,
+            load: Millis(12_000),
+            warm: Millis(1_100),
+            share: 1.0,
+        }],
+    }
+}
+
+fn open_box(number: usize) -> SiteBox {
+    let replica = number / SPAN;
+    let rank = (number % SPAN) as u32;
+    let state = if rank == 0 { MemberState::Open } else { MemberState::Ready };
+    let address: SocketAddr = ([10, 1, (number / 250) as u8, (number % 250) as u8], 8_000).into();
+    SiteBox {
+        id: BoxId::new(format!("i-{number:08x}")),
+        service: ServiceName::new("captions"),
+        address,
+        zone: zone(number / 73),
+        slots: 22,
+        leaving: false,
+        domain: Some(DomainId::new(format!("d{}", number / 73))),
+        staged: vec!["m1".to_owned()],
+        loaded: vec!["m1".to_owned()],
+        member: Some(Member {
+            replica: format!("d{}.m1.{replica}", number / 73),
+            epoch: Epoch(1),
+            rank,
+            state,
+        }),
+    }
+}
+
+fn view(size: &Size) {
+    let service = Service { name: ServiceName::new("captions"), engine: Some(engine()) };
+    let limits = CallerLimits { head_bytes: 8_192, body_bytes: 1 << 20 };
+    let config = SiteConfig {
+        version: 1,
+        routes: Vec::new(),
+        services: vec![service],
+        limits,
+        tenants: None,
+    };
+    let boxes = (0..size.boxes).map(open_box);
+    let boxes: BTreeMap<BoxId, Arc<SiteBox>> =
+        boxes.map(|known| (known.id.clone(), Arc::new(known))).collect();
+    let view = SiteView {
+        table: Some(Arc::new(RouteTable::new(config))),
+        boxes: Arc::new(boxes.clone()),
+        silent: BTreeSet::new(),
+        assigned: Arc::default(),
+        listed: true,
+        nodes: size.nodes,
+    };
+    report("all boxes as published", || {
+        black_box(boxes.clone());
+    });
+    report("the endpoints in service", || {
+        black_box(view.targets(&zone(0)));
+    });
+}
--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -60,9 +60,11 @@
 mod nodes {
     pub(crate) mod call_book;
     pub(crate) mod change_log;
+    pub(crate) mod digest;
     pub(crate) mod documents;
     pub(crate) mod duty_share;
     pub(crate) mod freshness;
+    pub(crate) mod load_audience;
     pub(crate) mod membership;
     pub(crate) mod readers;
     pub(crate) mod relays;
@@ -88,6 +90,7 @@
     pub(crate) mod route_table;
     pub(crate) mod site_box;
     pub(crate) mod site_config;
+    pub(crate) mod site_view;
     pub(crate) mod target;
     pub(crate) mod time_model;
 }
@@ -130,13 +133,18 @@
 };
 pub use nodes::call_book::{CallBook, CallState, OpenCall};
 pub use nodes::change_log::{ChangeLog, ChangesSince};
+pub use nodes::digest::Digest;
 pub use nodes::documents::{Document, Documents, Version};
 pub use nodes::duty_share::{owner_of, ranked};
 pub use nodes::freshness::{FRESH_FOR, Freshness, ServeBy};
+pub use nodes::load_audience::{LoadAudience, TOLD_DIRECTLY, load_audience};
 pub use nodes::membership::{
     DEAD_AFTER, FORGET_AFTER, Heartbeat, Membership, PAUSE_GAP, SUSPECT_AFTER, Standing,
 };
-pub use nodes::readers::{READERS_PER_ZONE, Source, SourceChooser, all_readers, readers_of};
+pub use nodes::readers::{
+    READERS_PER_ZONE, Source, SourceChooser, all_readers, between_questions, between_watches,
+    readers_of,
+};
 pub use nodes::relays::{RELAYS_PER_ZONE, choose_exchange, is_relay, relays_elsewhere, relays_of};
 pub use nodes::replica_evidence::{EVIDENCE_LIFE, EvidenceTable, ReplicaEvidence};
 pub use nodes::silence_check::{SilenceCheck, SilenceVerdict, WITNESS_BEFORE};
@@ -172,5 +180,6 @@
 pub use site::route_table::{Allowed, NotAllowed, RouteTable};
 pub use site::site_box::{Member, MemberState, SiteBox};
 pub use site::site_config::{CallerLimits, Route, RouteKind, Service, SiteConfig, Tenant};
+pub use site::site_view::{AssignedBoxes, SiteView};
 pub use site::target::TargetSpec;
 pub use site::time_model::TimeModel;
--- a/crates/cherrystand_core/src/names.rs
+++ b/crates/cherrystand_core/src/names.rs
@@ -1,19 +1,21 @@
 //! Names of the things that the system handles.
 
 use std::fmt;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+// Names are shared, not copied: a published view of 295 daemons and 1,107 boxes holds some 5,000.
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(transparent)]
-        pub struct $name(String);
+        pub struct $name(Arc<str>);
 
         impl $name {
             /// Creates the name from text.
-            pub fn new(name: impl Into<String>) -> Self {
+            pub fn new(name: impl Into<Arc<str>>) -> Self {
                 Self(name.into())
             }
 
--- a/crates/cherrystand_core/src/nodes/change_log.rs
+++ b/crates/cherrystand_core/src/nodes/change_log.rs
@@ -58,11 +58,21 @@
         self.count
     }
 
+    /// Tells whether all changes after the first `count` are kept.
+    pub fn keeps_since(&self, count: u64) -> bool {
+        self.first_after(count).is_some()
+    }
+
+    /// Returns the place of the first change after the first `count`.
+    fn first_after(&self, count: u64) -> Option<usize> {
+        let missed = usize::try_from(self.count.checked_sub(count)?).ok()?;
+        self.changes.len().checked_sub(missed)
+    }
+
     /// Returns the last change of each key after the first `count` changes, or nothing where
     /// these are not all known any more.
     pub fn since(&self, count: u64) -> Option<ChangesSince> {
-        let missed = usize::try_from(self.count.checked_sub(count)?).ok()?;
-        let first = self.changes.len().checked_sub(missed)?;
+        let first = self.first_after(count)?;
         let last: BTreeMap<&str, &Change> =
             self.changes.range(first..).map(|(key, change)| (key.as_ref(), change)).collect();
         let mut since = ChangesSince::default();
--- a/crates/cherrystand_core/src/nodes/freshness.rs
+++ b/crates/cherrystand_core/src/nodes/freshness.rs
@@ -76,9 +76,13 @@
     }
 
     /// Takes in that a peer held, at a time, the configurations that this node holds.
-    pub fn agreed(&mut self, peer: NodeId, at: Millis) {
-        let known = self.peers.entry(peer).or_insert(at);
-        *known = at.max(*known);
+    pub fn agreed(&mut self, peer: &NodeId, at: Millis) {
+        match self.peers.get_mut(peer) {
+            Some(known) => *known = at.max(*known),
+            None => {
+                self.peers.insert(peer.clone(), at);
+            }
+        }
     }
 
     /// Tells whether the daemons given are a majority of those that there should be.
--- a/crates/cherrystand_core/src/nodes/membership.rs
+++ b/crates/cherrystand_core/src/nodes/membership.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Incarnation, Millis, NodeId, ZoneId};
+use crate::{Digest, Incarnation, Millis, NodeId, ZoneId, hash_bytes, mix};
 
 /// After this long without news a daemon is suspected.
 pub const SUSPECT_AFTER: Millis = Millis(2_000);
@@ -44,6 +44,24 @@
     pub config: u64,
 }
 
+impl Heartbeat {
+    /// Sums what it says beside how often the daemon beat.
+    fn without_beat(&self) -> u64 {
+        let flags = u64::from(self.serving) | u64::from(self.decides) << 1;
+        let parts = [
+            hash_bytes(self.node.as_str().as_bytes()),
+            self.incarnation.0,
+            hash_bytes(self.zone.as_str().as_bytes()),
+            hash_bytes(self.address.to_string().as_bytes()),
+            u64::from(self.link_mbps),
+            flags,
+            self.changes.map_or(0, |changes| hash_bytes(changes.to_string().as_bytes())),
+            self.config,
+        ];
+        parts.into_iter().fold(0, |sum, part| mix(sum.wrapping_mul(31) ^ part))
+    }
+}
+
 /// Says what a daemon thinks of another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -59,6 +77,18 @@
 struct Member {
     heartbeat: Heartbeat,
     heard: Millis,
+    /// The sum of the heartbeat without its beat.
+    sum: u64,
+}
+
+impl Member {
+    fn new(heartbeat: Heartbeat, heard: Millis) -> Self {
+        Self { sum: heartbeat.without_beat(), heartbeat, heard }
+    }
+
+    fn is_dead(&self, now: Millis) -> bool {
+        standing_after(now.since(self.heard)) == Standing::Dead
+    }
 }
 
 /// Keeps what one daemon knows of the others, and notices its own pauses.
@@ -112,24 +142,111 @@
         self.own.config = config;
     }
 
-    /// Takes in a heartbeat that came directly or by way of others, `age` after it was given.
-    pub fn hear(&mut self, heartbeat: Heartbeat, age: Millis, now: Millis) {
+    /// Takes in a heartbeat that came directly or by way of others, `age` after it was given, and
+    /// tells whether it says anything new beside its beat.
+    pub fn hear(&mut self, heartbeat: Heartbeat, age: Millis, now: Millis) -> bool {
         if heartbeat.node == self.own.node {
             self.outlive(&heartbeat);
-            return;
+            return false;
         }
         let rank = |beat: &Heartbeat| (beat.incarnation, beat.beat);
         let heard = now - age;
-        match self.members.get_mut(&heartbeat.node) {
-            Some(known) if rank(&known.heartbeat) >= rank(&heartbeat) => {}
-            Some(known) => *known = Member { heartbeat, heard },
-            None => {
-                let node = heartbeat.node.clone();
-                self.members.insert(node, Member { heartbeat, heard });
+        let Some(known) = self.members.get_mut(&heartbeat.node) else {
+            self.members.insert(heartbeat.node.clone(), Member::new(heartbeat, heard));
+            return true;
+        };
+        if rank(&known.heartbeat) >= rank(&heartbeat) {
+            return false;
+        }
+        let before = standing_after(now.since(known.heard));
+        let says_the_same =
+            known.heartbeat == Heartbeat { beat: known.heartbeat.beat, ..heartbeat.clone() };
+        *known = match says_the_same {
+            true => Member { heartbeat, heard, sum: known.sum },
+            false => Member::new(heartbeat, heard),
+        };
+        !says_the_same || before != standing_after(age)
+    }
+
+    /// Returns the sum of what is known of all daemons that are not dead, beside their beats.
+    ///
+    /// Two daemons with the same sum know the same daemons and the same of each.
+    pub fn roster(&self, now: Millis) -> u64 {
+        let known = self.members.values().filter(|member| !member.is_dead(now));
+        known.fold(self.own.without_beat(), |sum, member| sum.wrapping_add(member.sum))
+    }
+
+    /// Returns what a peer with a roster is told: the beats alone where it knows the rest.
+    pub fn digest_for(&self, roster: u64, now: Millis) -> Digest {
+        if roster != self.roster(now) {
+            return Digest::Whole(self.digest(now));
+        }
+        let beats = self.in_order(now).map(|(heartbeat, age)| (heartbeat.beat, age)).collect();
+        Digest::Beats { roster, beats }
+    }
+
+    /// Takes in what a peer told, `on_the_way` before, and tells whether that says anything new
+    /// beside beats.
+    ///
+    /// Beats for another roster than the own one are left out; the next answer brings everything.
+    pub fn take_digest(&mut self, digest: Digest, on_the_way: Millis, now: Millis) -> bool {
+        match digest {
+            Digest::Whole(all) => {
+                let mut news = false;
+                for (heartbeat, age) in all {
+                    news |= self.hear(heartbeat, age + on_the_way, now);
+                }
+                news
+            }
+            Digest::Beats { roster, beats } => {
+                if roster == self.roster(now) {
+                    self.take_beats(&beats, on_the_way, now);
+                }
+                false
+            }
+        }
+    }
+
+    fn take_beats(&mut self, beats: &[(u64, Millis)], on_the_way: Millis, now: Millis) {
+        let place = self.in_order(now).position(|(heartbeat, _)| heartbeat.node == self.own.node);
+        let mut others = beats.to_vec();
+        // A list of another length is not one of this roster.
+        if let Some(place) = place.filter(|place| *place < others.len()) {
+            others.remove(place);
+        }
+        let known: Vec<&mut Member> =
+            self.members.values_mut().filter(|member| !member.is_dead(now)).collect();
+        if known.len() != others.len() {
+            return;
+        }
+        for (member, (beat, age)) in known.into_iter().zip(others) {
+            if beat > member.heartbeat.beat {
+                member.heartbeat.beat = beat;
+                member.heard = now - (age + on_the_way);
             }
         }
     }
 
+    /// Lists the daemons that are not dead in the order of their names, the own one among them.
+    fn in_order(&self, now: Millis) -> impl Iterator<Item = (&Heartbeat, Millis)> {
+        let told = move |member: &Member| now.since(member.heard);
+        let fresh = move |(_, member): &(&NodeId, &Member)| !member.is_dead(now);
+        let own = &self.own.node;
+        let before = self.members.range::<NodeId, _>(..own).filter(fresh);
+        let after = self.members.range::<NodeId, _>(own..).filter(fresh);
+        let before = before.map(move |(_, member)| (&member.heartbeat, told(member)));
+        let after = after.map(move |(_, member)| (&member.heartbeat, told(member)));
+        before.chain(std::iter::once((&self.own, Millis(0)))).chain(after)
+    }
+
+    /// Lists the daemons that hold the configurations that this one holds, and when each last told
+    /// of it.
+    pub fn agreeing_since(&self) -> impl Iterator<Item = (&NodeId, Millis)> {
+        let same =
+            self.members.values().filter(|member| member.heartbeat.config == self.own.config);
+        same.map(|member| (&member.heartbeat.node, member.heard))
+    }
+
     /// Rises above news of a life of this daemon that it does not remember.
     fn outlive(&mut self, heard: &Heartbeat) {
         let own = (self.own.incarnation, self.own.beat);
@@ -152,12 +269,7 @@
     /// Returns the heartbeats to pass on, each with its age: the own one and those of daemons not
     /// dead.
     pub fn digest(&self, now: Millis) -> Vec<(Heartbeat, Millis)> {
-        let known = self.members.values();
-        let aged = known.map(|member| (member.heartbeat.clone(), now.since(member.heard)));
-        let fresh = aged.filter(|(_, age)| standing_after(*age) != Standing::Dead);
-        let mut digest = vec![(self.own.clone(), Millis(0))];
-        digest.extend(fresh);
-        digest
+        self.in_order(now).map(|(heartbeat, age)| (heartbeat.clone(), age)).collect()
     }
 
     /// Returns the daemons known to hold the configurations that this one holds, itself first.
--- a/crates/cherrystand_core/src/nodes/readers.rs
+++ b/crates/cherrystand_core/src/nodes/readers.rs
@@ -15,6 +15,36 @@
 /// For how long it is not after it answered that it knows nothing fresh, as one that starts does.
 const AVOIDED_WHILE_STARTING: Millis = Millis(500);
 
+/// How many watches all readers together begin in a second, at the most, while something changes
+/// all the time; each is a call to the store.
+///
+/// With 16 a second each, five readers made 3,392 calls in 44 s of a deployment of 295 daemons.
+const WATCHES_PER_S: u64 = 50;
+
+/// How many questions the daemons of a zone ask their reader in a second, at the most.
+///
+/// At 16 a second each, 58 daemons asked 930, and each question woke both.
+const QUESTIONS_PER_S: u64 = 250;
+
+/// The longest time between two questions; nothing that is told this way is bounded by less than
+/// seconds.
+const LONGEST_BETWEEN_QUESTIONS: Millis = Millis(250);
+
+/// Returns how long a reader leaves between two watches, so that changes arrive together.
+pub fn between_watches(alive: &[&Heartbeat]) -> Millis {
+    let readers = zones_of(alive).len() as u64;
+    Millis(readers * 1_000 / WATCHES_PER_S)
+}
+
+/// Returns how long a daemon leaves between two questions to the reader of its zone.
+///
+/// The first change after a while of nothing is told at once, as the question waits for it; only
+/// what follows it arrives together.
+pub fn between_questions(zone: &ZoneId, alive: &[&Heartbeat]) -> Millis {
+    let askers = alive.iter().filter(|beat| &beat.zone == zone).count() as u64;
+    Millis(askers * 1_000 / QUESTIONS_PER_S).min(LONGEST_BETWEEN_QUESTIONS)
+}
+
 /// Says where a daemon reads what changes in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source<'a> {
--- a/crates/cherrystandd/src/site/site_view.rs
+++ b/crates/cherrystand_core/src/site/site_view.rs
@@ -1,50 +1,59 @@
 //! What the request path knows of the site, as one immutable value.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cherrystand_core::{
-    BoxId, Epoch, Member, MemberState, RouteTable, SiteBox, TargetSpec, ZoneId,
-};
+use crate::{BoxId, Epoch, Member, MemberState, RouteTable, SiteBox, TargetSpec, ZoneId};
 
-/// What the request path tells the duty that watches over boxes.
-#[derive(Clone, Debug)]
-pub(crate) enum Hint {
-    /// Every stream of a replica has gone silent.
-    Stalled(BoxId),
-    /// A box refuses connections or does not answer any.
-    Unreachable(BoxId),
-}
+/// The boxes of each replica, by its name and epoch.
+pub type AssignedBoxes = BTreeMap<(String, Epoch), Vec<BoxId>>;
 
 /// Holds what a node knows of the site at one moment.
+///
+/// It is published many times a second while boxes come and go, so that it shares all that did not
+/// change since the last time: at 1,107 boxes a copy of each took 381 us.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct SiteView {
+pub struct SiteView {
     /// The configuration in force; nothing before the first one is known.
     pub table: Option<Arc<RouteTable>>,
     /// The boxes listed.
-    pub boxes: Arc<BTreeMap<BoxId, SiteBox>>,
+    pub boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
     /// Boxes that are listed but silent.
-    pub silent: Arc<BTreeSet<BoxId>>,
-    /// The boxes of each replica, by its name and epoch, as the domains' records have them.
-    pub assigned: BTreeMap<(String, Epoch), Vec<BoxId>>,
+    pub silent: BTreeSet<BoxId>,
+    /// The boxes of each replica as the domains' records have them.
+    pub assigned: Arc<AssignedBoxes>,
     /// Whether the boxes were listed at least once.
     pub listed: bool,
     /// How many nodes are alive, this one included.
     pub nodes: usize,
 }
 
+/// What the listed members of one replica amount to.
+#[derive(Clone, Copy, Debug, Default)]
+struct ListedMembers {
+    count: usize,
+    unusable: usize,
+}
+
+/// The listed members by replica and epoch.
+///
+/// It is made in one pass: looking through all boxes for each leader took 943 us at 1,107 boxes and
+/// 15 ms at 5,000, for each view that is published.
+type MembersByReplica<'a> = HashMap<(&'a str, Epoch), ListedMembers>;
+
 impl SiteView {
     /// Lists the endpoints that may be sent requests, and where they are.
-    pub(crate) fn targets(&self, zone: &ZoneId) -> Vec<(TargetSpec, SocketAddr)> {
+    pub fn targets(&self, zone: &ZoneId) -> Vec<(TargetSpec, SocketAddr)> {
         let Some(table) = &self.table else {
             return Vec::new();
         };
+        let members = self.members_by_replica();
         let usable = self.boxes.values().filter(|known| self.is_usable(known));
         let targets = usable.filter_map(|known| {
             let model = match table.config().engine(&known.service) {
                 Some(engine) => {
-                    let model = self.open_model(known)?;
+                    let model = self.open_model(known, &members)?;
                     Some((model, engine.slots))
                 }
                 None => None,
@@ -65,8 +74,19 @@
         !known.leaving && !self.silent.contains(&known.id)
     }
 
+    fn members_by_replica(&self) -> MembersByReplica<'_> {
+        let mut all = MembersByReplica::new();
+        for known in self.boxes.values() {
+            let Some(member) = &known.member else { continue };
+            let listed = all.entry((&member.replica, member.epoch)).or_default();
+            listed.count += 1;
+            listed.unusable += usize::from(!self.is_usable(known));
+        }
+        all
+    }
+
     /// Returns the model of the whole replica that a box leads and serves with.
-    fn open_model(&self, leader: &SiteBox) -> Option<String> {
+    fn open_model(&self, leader: &SiteBox, members: &MembersByReplica<'_>) -> Option<String> {
         let member = leader.member.as_ref()?;
         if member.state != MemberState::Open || member.rank != 0 {
             return None;
@@ -74,11 +94,9 @@
         let model = leader.loaded.first()?;
         let table = self.table.as_ref()?;
         let span = table.config().engine(&leader.service)?.model(model)?.span;
-        let in_it = |known: &&SiteBox| known.is_in(&member.replica, member.epoch);
-        let listed: Vec<&SiteBox> = self.boxes.values().filter(in_it).collect();
-        let all_usable = listed.iter().all(|known| self.is_usable(known));
-        let there = listed.len() + self.unlisted_members(member);
-        (all_usable && there >= span as usize).then(|| model.clone())
+        let listed = members.get(&(member.replica.as_str(), member.epoch))?;
+        let there = listed.count + self.unlisted_members(member);
+        (listed.unusable == 0 && there >= span as usize).then(|| model.clone())
     }
 
     /// Returns how many members of a replica are listed no more and may still do their work, since
--- /dev/null
+++ b/crates/cherrystand_peer/src/change_batch.rs
@@ -0,0 +1,96 @@
+//! Changes as one block of bytes, made once for all peers that ask from the same place.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use cherrystand_core::{BoxId, Document};
+use serde::{Deserialize, Serialize};
+
+use crate::{CodecError, decode_compressed, encode_compressed};
+
+/// How many blocks are kept: peers that were answered together ask again within some 60 ms of each
+/// other, and the whole is asked for beside them.
+const KEPT: usize = 8;
+
+/// Holds the records that changed and the boxes that are gone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeBatch {
+    /// The domains' records and the boxes' entries that changed, as they stand in the store.
+    pub records: Vec<Document>,
+    /// The boxes that are gone.
+    pub gone: Vec<BoxId>,
+}
+
+impl ChangeBatch {
+    /// Tells whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.gone.is_empty()
+    }
+}
+
+/// A [`ChangeBatch`] as it is sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PackedBatch(Arc<[u8]>);
+
+impl PackedBatch {
+    /// Packs a batch, compressed where it is large.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CodecError`] where it has no encoding.
+    pub fn new(batch: &ChangeBatch) -> Result<Self, CodecError> {
+        Ok(Self(encode_compressed(batch)?.into()))
+    }
+
+    /// Unpacks it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CodecError`] where the bytes are no batch of this version or too large a one.
+    pub fn unpack(&self) -> Result<ChangeBatch, CodecError> {
+        decode_compressed(&self.0)
+    }
+}
+
+/// Says which changes a block holds, by how many there had been.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchSpan {
+    /// After how many it begins; nothing for everything as it stands.
+    pub after: Option<u64>,
+    /// With how many it ends.
+    pub until: u64,
+}
+
+/// Keeps the last blocks.
+///
+/// A reader of the store is asked by all daemons of its zone, which were told the same the last
+/// time: 58 of them ask for 58 copies of one block. Packing 30 changes takes 29 us, everything of
+/// 1,107 boxes 0.5 ms (`make slopes`).
+#[derive(Clone, Debug, Default)]
+pub struct ChangeBatches {
+    kept: VecDeque<(BatchSpan, PackedBatch)>,
+}
+
+impl ChangeBatches {
+    /// Returns the block of a span, made by `make` where it is not kept.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CodecError`] where the batch has no encoding.
+    pub fn get_or_pack(
+        &mut self,
+        span: BatchSpan,
+        make: impl FnOnce() -> ChangeBatch,
+    ) -> Result<PackedBatch, CodecError> {
+        if let Some((_, packed)) = self.kept.iter().find(|(kept, _)| *kept == span) {
+            return Ok(packed.clone());
+        }
+        let packed = PackedBatch::new(&make())?;
+        self.kept.push_back((span, packed.clone()));
+        if self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+        Ok(packed)
+    }
+}
--- a/crates/cherrystand_peer/src/change_news.rs
+++ b/crates/cherrystand_peer/src/change_news.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use cherrystand_core::{BoxId, Document, Millis, Revision};
+use cherrystand_core::{Millis, Revision};
 use serde::{Deserialize, Serialize};
 
-use crate::PackedBody;
+use crate::{PackedBatch, PackedBody};
 
 /// Names a place in the changes that one daemon passes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,8 +59,6 @@
     pub whole: bool,
     /// The configuration, where it is newer than the one that the asker holds.
     pub config: Option<Arc<PackedBody>>,
-    /// The domains' records and the boxes' entries that changed, as they stand in the store.
-    pub records: Vec<Document>,
-    /// The boxes that are gone.
-    pub gone: Vec<BoxId>,
+    /// What changed.
+    pub batch: PackedBatch,
 }
--- a/crates/cherrystand_peer/src/lib.rs
+++ b/crates/cherrystand_peer/src/lib.rs
@@ -3,6 +3,7 @@
 //! Messages are `postcard` over `nng` requests and replies. See docs/design/0006 for what is
 //! exchanged and why.
 
+mod change_batch;
 mod change_news;
 mod load_news;
 mod message;
@@ -10,6 +11,7 @@
 mod transport;
 mod versions;
 
+pub use change_batch::{BatchSpan, ChangeBatch, ChangeBatches, PackedBatch};
 pub use change_news::{ChangeCursor, ChangeNews, ChangeQuestion};
 pub use load_news::LoadNews;
 pub use message::{
--- a/crates/cherrystand_peer/src/message.rs
+++ b/crates/cherrystand_peer/src/message.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use cherrystand_core::{Document, Heartbeat, Millis, ReplicaEvidence, Version};
+use cherrystand_core::{Digest, Document, Heartbeat, Millis, ReplicaEvidence, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::PackedBody;
 use crate::packed_body::{compress, decompress};
 
 /// The version of the messages; daemons that differ refuse each other's.
-pub const PROTOCOL: u16 = 5;
+pub const PROTOCOL: u16 = 6;
 
 /// What a daemon says of itself when it asks a peer for news.
 ///
@@ -21,6 +21,8 @@
     pub from: Heartbeat,
     /// The sum of the versions that the sender holds.
     pub fingerprint: u64,
+    /// The sum of what the sender knows of the other daemons beside their beats.
+    pub roster: u64,
 }
 
 /// What a daemon tells a peer that asked.
@@ -32,7 +34,7 @@
     /// The sender.
     pub from: Heartbeat,
     /// The daemons that the sender knows of, and how long ago each gave its heartbeat.
-    pub members: Vec<(Heartbeat, Millis)>,
+    pub members: Digest,
     /// How long ago the platform was last read by anyone the sender heard from.
     pub platform_age: Option<Millis>,
     /// The sum of the versions that the sender holds.
--- a/crates/cherrystandd/src/duties/state_keeper.rs
+++ b/crates/cherrystandd/src/duties/state_keeper.rs
@@ -37,10 +37,15 @@
                 Ok(event) => take_several(cx, &mut state, event),
                 Err(_) => return,
             },
-            _ = tick.tick() => beat(cx, &mut state),
+            _ = tick.tick() => {
+                beat(cx, &mut state);
+                publish(cx, &state);
+            }
             () = cx.stopping(StopPhase::Stopped) => return,
         }
-        publish(cx, &state);
+        if state.take_changed() {
+            publish(cx, &state);
+        }
     }
 }
 
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
+use cherrystand_core::SiteView;
 use tokio::sync::watch;
 
 use crate::claims::ClaimCall;
 use crate::config_versions::ConfigVersions;
 use crate::relay::NoteQuestion;
-use crate::site::{Hint, SiteView};
+use crate::site::Hint;
 use crate::state::{StateEvent, View};
 use crate::{Clock, Metrics, Settings};
 
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cherrystand_core::{Millis, Revision};
 use cherrystand_peer::{
-    ChangeCursor, ChangeNews, ChangeQuestion, decode, decode_compressed, encode, encode_compressed,
+    BatchSpan, ChangeBatch, ChangeCursor, ChangeNews, ChangeQuestion, CodecError, decode, encode,
 };
 use cherrystand_platform::{CallError, call, serve_http};
 use http_body_util::{BodyExt, Full, Limited};
@@ -47,7 +47,7 @@
     NotServed(StatusCode),
     /// The answer is not of this protocol.
     #[error("the peer's answer cannot be read")]
-    Malformed(#[from] cherrystand_peer::CodecError),
+    Malformed(#[from] CodecError),
     /// The answer is too old, or the store last answered the peer too long ago.
     #[error("the answer is too old; the store had answered the peer {} ms before", .0.0)]
     Stale(Millis),
@@ -90,7 +90,11 @@
         ChangeQuestion::Ping => return Ok(Bytes::new()),
     };
     let news = news.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    let bytes = encode_compressed(&news).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
+    let bytes = news.and_then(|news| Ok((encode(&news)?, news)));
+    let (bytes, news) = bytes.map_err(|err| {
+        log::error!("changes cannot be written: {err}");
+        StatusCode::INTERNAL_SERVER_ERROR
+    })?;
     control.count_changes("out", &news, bytes.len());
     Ok(Bytes::from(bytes))
 }
@@ -102,7 +106,7 @@
     cursor: Option<ChangeCursor>,
     wait: Millis,
     config: Revision,
-) -> Option<ChangeNews> {
+) -> Option<Result<ChangeNews, CodecError>> {
     let life = control.life();
     let after = cursor.filter(|cursor| cursor.life == life).map(|cursor| cursor.count);
     let wait = Duration::from_millis(wait.min(LONGEST_WAIT).0);
@@ -117,15 +121,8 @@
     // Whether a change came or not, the answer says how fresh the store is.
     let _ = tokio::time::timeout(wait, changed.wait_for(is_due)).await;
     let store_age = fresh_age(control)?;
-    let known = control.known.borrow();
     let held = control.now().since(asked);
-    let whole = ChangeNews { held, ..everything(control, store_age, config) };
-    match after.and_then(|after| known.changes_since(after)) {
-        Some(since) => {
-            Some(ChangeNews { whole: false, records: since.records, gone: since.gone, ..whole })
-        }
-        None => Some(ChangeNews { records: known.everything(), ..whole }),
-    }
+    Some(news_of(control, after, store_age, config).map(|news| ChangeNews { held, ..news }))
 }
 
 /// Returns how long ago the store told this node how it stands, where that is fresh.
@@ -135,29 +132,46 @@
 }
 
 /// Makes a copy of everything, where it is newer than what the asker has.
-fn copy_of(control: &Control, newer_than: Revision, config: Revision) -> Option<ChangeNews> {
+fn copy_of(
+    control: &Control,
+    newer_than: Revision,
+    config: Revision,
+) -> Option<Result<ChangeNews, CodecError>> {
     let known = control.known.borrow();
     if !known.is_listed() || known.revision() <= newer_than {
         return None;
     }
     let store_age = control.store_age().unwrap_or(NEVER_HEARD);
-    Some(ChangeNews { records: known.everything(), ..everything(control, store_age, config) })
+    drop(known);
+    Some(news_of(control, None, store_age, config))
 }
 
-/// Returns the news of everything for a peer that holds a configuration, with the records left out.
-fn everything(control: &Control, store_age: Millis, config: Revision) -> ChangeNews {
+/// Returns the news after the first `after` changes, or of everything, for a peer that holds a
+/// configuration.
+fn news_of(
+    control: &Control,
+    after: Option<u64>,
+    store_age: Millis,
+    config: Revision,
+) -> Result<ChangeNews, CodecError> {
     let known = control.known.borrow();
-    ChangeNews {
+    let after = after.filter(|after| known.keeps_changes_since(*after));
+    let span = BatchSpan { after, until: known.changes() };
+    let make = || match after.and_then(|after| known.changes_since(after)) {
+        Some(since) => ChangeBatch { records: since.records, gone: since.gone },
+        None => ChangeBatch { records: known.everything(), gone: Vec::new() },
+    };
+    let batch = control.batches.borrow_mut().get_or_pack(span, make)?;
+    Ok(ChangeNews {
         cursor: ChangeCursor { life: control.life(), count: known.changes() },
         store_age,
         held: Millis(0),
         revision: known.revision(),
         keeps_unlisted: known.keeps_unlisted(),
-        whole: true,
+        whole: after.is_none(),
         config: control.cx.config_versions.newer_than(config),
-        records: Vec::new(),
-        gone: Vec::new(),
-    }
+        batch,
+    })
 }
 
 /// How far a node has read at a peer.
@@ -188,10 +202,11 @@
     let way = now.since(asked).0.saturating_sub(news.held.0);
     let old = control.cx.metrics.news_age.with_label_values(&["changes"]);
     old.observe((age + Millis(way)).as_secs_f64());
-    let mut changes = news.whole || !news.records.is_empty() || !news.gone.is_empty();
+    let batch = news.batch.unpack()?;
+    let mut changes = news.whole || !batch.is_empty();
     control.timed(|| {
         changes |= control.take_packed_config(news.config.as_deref());
-        control.known.borrow_mut().take_news(&news, now);
+        control.known.borrow_mut().take_news(&news, &batch, now);
     });
     control.learned(age, changes);
     let store = (!news.keeps_unlisted).then_some(news.revision);
@@ -207,7 +222,7 @@
     let news = ask(control, peer, &question, ANSWER_WITHIN).await?;
     let now = control.now();
     control.take_packed_config(news.config.as_deref());
-    control.known.borrow_mut().take_copy(&news.records, news.revision, now);
+    control.known.borrow_mut().take_copy(&news.batch.unpack()?.records, news.revision, now);
     control.spread_news();
     Ok(())
 }
@@ -229,7 +244,7 @@
     within: Duration,
 ) -> Result<ChangeNews, ChangesError> {
     let body = post(control, peer, question, within).await?;
-    let news: ChangeNews = decode_compressed(&body)?;
+    let news: ChangeNews = decode(&body)?;
     control.count_changes("in", &news, body.len());
     Ok(news)
 }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -10,7 +10,7 @@
     BoxId, CallBook, DomainId, Formation, Heartbeat, Millis, Revision, StoreReach, all_readers,
     owner_of,
 };
-use cherrystand_peer::{ChangeNews, PackedBody};
+use cherrystand_peer::{ChangeBatches, ChangeNews, PackedBody};
 use cherrystand_platform::{HttpPool, SiteDriver};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -75,6 +75,8 @@
     pub(crate) store: Counted<<Driver as SiteDriver>::Store>,
     /// What is known of the site.
     pub(crate) known: RefCell<Known>,
+    /// What was passed on of it last.
+    pub(super) batches: RefCell<ChangeBatches>,
     /// Connections to boxes and peers.
     pub(super) pool: HttpPool,
     /// How its calls to boxes fared lately.
@@ -89,6 +91,8 @@
     pub(super) asking: RefCell<BTreeSet<BoxId>>,
     reach: Cell<StoreReach>,
     said_decides: Cell<bool>,
+    /// How many nodes the request path was last told of.
+    nodes_told: Cell<usize>,
     passed_on: Cell<Millis>,
     config_passed: Cell<Revision>,
     /// How long the last news took to be taken in.
@@ -107,6 +111,7 @@
         Self {
             store: Counted::over(store, &cx, "site"),
             known: RefCell::default(),
+            batches: RefCell::default(),
             pool: HttpPool::default(),
             calls: RefCell::default(),
             witness_asked: Cell::default(),
@@ -117,6 +122,7 @@
             asking: RefCell::default(),
             reach: Cell::default(),
             said_decides: Cell::new(true),
+            nodes_told: Cell::default(),
             passed_on: Cell::default(),
             config_passed: Cell::default(),
             reading_took: Cell::default(),
@@ -188,6 +194,7 @@
 
     fn publish(&self) {
         let nodes = self.cx.view.borrow().alive().count();
+        self.nodes_told.set(nodes);
         let known = self.known.borrow();
         if let Some(config) = known.config() {
             self.cx.config_versions.note(config);
@@ -204,7 +211,9 @@
                 tokio::time::sleep(GATHER).await;
             }
             let view = self.cx.view_now();
-            if self.known.borrow_mut().forget(self.now()) {
+            let forgot = self.known.borrow_mut().forget(self.now());
+            // The share of the repeats that a node may make hangs on how many there are.
+            if forgot || self.nodes_told.get() != view.alive().count() {
                 self.publish();
             }
             ask_unlisted(&self);
--- a/crates/cherrystandd/src/site/deciding.rs
+++ b/crates/cherrystandd/src/site/deciding.rs
@@ -27,8 +27,12 @@
 impl Control {
     /// Decides for each domain that this node owns.
     pub(super) async fn step_domains(self: &Rc<Self>, view: &View) {
-        let mut domains = self.known.borrow().domains();
         let readers = readers_in(view);
+        // Most daemons are no readers and own nothing; they need not look at the domains.
+        if !readers.iter().any(|beat| beat.node == view.own.node) {
+            return;
+        }
+        let mut domains = self.known.borrow().domains();
         domains.retain(|domain| owns(view, &readers, domain));
         for domain in domains {
             self.step_domain(&domain).await;
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -7,17 +7,17 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, Millis, Outcome, Route, Seed,
+    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, Millis, Outcome, Route, Seed, SiteView,
     engine_priority,
 };
 use cherrystand_platform::HttpPool;
 
+use crate::site::Hint;
 use crate::site::failure_log::FailureLog;
 use crate::site::flight::Flight;
 use crate::site::load_exchange::{LoadExchange, PeersTell};
 use crate::site::request::SiteRequest;
 use crate::site::retry_shares::RetryShares;
-use crate::site::{Hint, SiteView};
 use crate::{DutyContext, clock};
 
 /// A silence this much longer than the engine's longest tells that a replica stands still.
@@ -124,6 +124,7 @@
         };
         let ask = Ask { service: &req.service, model, prompt: req.prompt(), objective };
         let mut seed = self.seed.get();
+        self.loads.hand_over(&mut self.chooser.borrow_mut());
         let chooser = self.chooser.borrow();
         let key = chooser.choose(ask, engine, not, self.now(), &mut seed);
         self.seed.set(seed);
@@ -151,10 +152,16 @@
     /// take.
     pub(crate) fn stands_still(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> bool {
         let now = self.now();
+        let progress = self.chooser.borrow().last_progress(flight.key);
+        let progress = progress.unwrap_or_default().max(heard);
+        let silence = now.since(progress);
+        // Most looks end here, and need not know what peers have in flight.
+        if silence <= LEAST_SILENCE {
+            return false;
+        }
+        self.loads.hand_over(&mut self.chooser.borrow_mut());
         let chooser = self.chooser.borrow();
-        let progress = chooser.last_progress(flight.key).unwrap_or_default().max(heard);
         let longest = self.longest_silence(req, chooser.load(flight.key));
-        let silence = now.since(progress);
         if silence <= longest {
             return false;
         }
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch, MemberOrder,
-    MemberState, Millis, Revision, RouteTable, SiteBox, replica_name,
+    AssignedBoxes, BoxId, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch,
+    MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, replica_name,
 };
-use cherrystand_peer::ChangeNews;
+use cherrystand_peer::{ChangeBatch, ChangeNews};
 use cherrystand_platform::{Changes, SiteDriver};
 
 use crate::keys;
-use crate::site::{Driver, SiteView};
+use crate::site::Driver;
 
 /// For how long a box that is listed no more is remembered.
 const DEPARTED_FOR: Millis = Millis(12_000);
@@ -34,7 +34,7 @@
 /// A box that is listed no more.
 #[derive(Clone, Debug)]
 struct Departed {
-    known: SiteBox,
+    known: Arc<SiteBox>,
     at: Millis,
 }
 
@@ -52,9 +52,11 @@
     table: Option<Arc<RouteTable>>,
     /// What boxes tell of themselves, as it stands in the store.
     entries: BTreeMap<BoxId, Document>,
-    boxes: BTreeMap<BoxId, SiteBox>,
+    boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
     departed: BTreeMap<BoxId, Departed>,
     records: BTreeMap<DomainId, HeldDomain>,
+    /// The boxes of each replica, as the records have them.
+    assigned: Arc<AssignedBoxes>,
     silent: BTreeMap<BoxId, Millis>,
     /// Members of replicas whose entries went, and that nobody asked since whether they are there.
     unasked: Vec<SiteBox>,
@@ -142,16 +144,16 @@
     /// Takes in what a peer that reads the store passes on.
     ///
     /// The peer has judged which boxes to keep after an outage of the store.
-    pub(crate) fn take_news(&mut self, news: &ChangeNews, now: Millis) {
+    pub(crate) fn take_news(&mut self, news: &ChangeNews, batch: &ChangeBatch, now: Millis) {
         self.outage = false;
         self.answered = Some(now - news.store_age);
         if news.whole {
-            return self.take_copy(&news.records, news.revision, now);
+            return self.take_copy(&batch.records, news.revision, now);
         }
-        for record in &news.records {
+        for record in &batch.records {
             self.take_record(record, now);
         }
-        for id in &news.gone {
+        for id in &batch.gone {
             self.take_departure(id, now);
         }
         self.revision = self.revision.max(news.revision);
@@ -198,9 +200,9 @@
                     self.grew = now;
                 }
                 self.entries.insert(known.id.clone(), entry.clone());
-                let held = self.boxes.insert(known.id.clone(), known.clone());
                 // Peers need not hear of a heartbeat that says nothing new.
-                if held.as_ref() != Some(&known) {
+                if self.boxes.get(&known.id).map(Arc::as_ref) != Some(&known) {
+                    Arc::make_mut(&mut self.boxes).insert(known.id.clone(), Arc::new(known));
                     self.log.record(entry.clone());
                 }
             }
@@ -235,10 +237,12 @@
         self.entries.remove(id);
         self.left.retain(|(left, _), _| left != id);
         self.unlisted.remove(id);
-        if let Some(known) = self.boxes.remove(id) {
+        if self.boxes.contains_key(id)
+            && let Some(known) = Arc::make_mut(&mut self.boxes).remove(id)
+        {
             self.log.gone(&Driver::box_key(id), id.clone());
             if known.member.is_some() && !self.silent.contains_key(id) {
-                self.unasked.push(known.clone());
+                self.unasked.push(SiteBox::clone(&known));
             }
             self.departed.insert(id.clone(), Departed { known, at: now });
         }
@@ -255,6 +259,7 @@
                 self.log.record(copy.clone());
                 let held = HeldDomain { copy: copy.clone(), record };
                 self.records.insert(held.record.domain.clone(), held);
+                self.assigned = Arc::new(self.assigned_now());
             }
             Err(err) => log::error!(key = &*copy.key; "a domain's record is malformed: {err}"),
         }
@@ -282,9 +287,10 @@
             let as_of = self.left.entry((id.clone(), epoch)).or_default();
             *as_of = order.record_epoch.max(*as_of);
         }
-        let Some(known) = self.boxes.get_mut(id) else {
+        let Some(known) = Arc::make_mut(&mut self.boxes).get_mut(id) else {
             return;
         };
+        let known = Arc::make_mut(known);
         match known.member.as_mut().filter(|member| &member.replica == replica) {
             Some(member) if member.epoch == epoch && member.rank == 0 => {
                 // It serves no more; that it led is needed until it tells of itself again.
@@ -315,6 +321,9 @@
 
     /// Forgets the end of replicas that no box tells of any more.
     fn forget_ended(&mut self) {
+        if self.ended.is_empty() {
+            return;
+        }
         let departed = self.departed.values().map(|gone| &gone.known);
         let told = self.boxes.values().chain(departed).filter_map(|known| known.member.as_ref());
         let told: BTreeSet<_> = told.map(|member| (&member.replica, member.epoch)).collect();
@@ -337,7 +346,7 @@
 
     /// Returns the boxes of a domain that are listed.
     pub(crate) fn boxes_of(&self, domain: &DomainId) -> Vec<&SiteBox> {
-        let all = self.boxes.values();
+        let all = self.boxes.values().map(Arc::as_ref);
         all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
     }
 
@@ -346,7 +355,7 @@
         let mut all: BTreeMap<DomainId, Vec<&SiteBox>> = BTreeMap::new();
         for known in self.boxes.values() {
             if let Some(domain) = &known.domain {
-                all.entry(domain.clone()).or_default().push(known);
+                all.entry(domain.clone()).or_default().push(known.as_ref());
             }
         }
         all
@@ -354,7 +363,7 @@
 
     /// Returns the boxes of a domain that were listed lately.
     pub(crate) fn departed_of(&self, domain: &DomainId) -> Vec<&SiteBox> {
-        let all = self.departed.values().map(|gone| &gone.known);
+        let all = self.departed.values().map(|gone| gone.known.as_ref());
         all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
     }
 
@@ -365,14 +374,14 @@
 
     /// Returns a box that is listed.
     pub(crate) fn find(&self, id: &BoxId) -> Option<SiteBox> {
-        self.boxes.get(id).cloned()
+        self.boxes.get(id).map(|known| SiteBox::clone(known))
     }
 
     /// Returns where a box that is listed and not silent is reached, other than the members of the
     /// replica of `doubted`.
     pub(crate) fn any_other(&self, doubted: &SiteBox) -> Option<SocketAddr> {
         let replica = |known: &SiteBox| known.member.as_ref().map(|member| member.replica.clone());
-        let is_other = |known: &&SiteBox| {
+        let is_other = |known: &&Arc<SiteBox>| {
             known.id != doubted.id
                 && (replica(known).is_none() || replica(known) != replica(doubted))
                 && !self.silent.contains_key(&known.id)
@@ -397,10 +406,10 @@
             return Vec::new();
         };
         let Some(member) = &known.member else {
-            return vec![known.clone()];
+            return vec![SiteBox::clone(known)];
         };
         let departed = self.departed.values().map(|gone| &gone.known);
-        let all = self.boxes.values().chain(departed);
+        let all = self.boxes.values().chain(departed).map(Arc::as_ref);
         all.filter(|other| other.is_in(&member.replica, member.epoch)).cloned().collect()
     }
 
@@ -410,15 +419,15 @@
         let member = self.boxes.get(leader).and_then(|known| known.member.as_ref());
         let members = member.and_then(|member| {
             let key = (member.replica.clone(), member.epoch);
-            self.assigned().remove(&key)
+            self.assigned.get(&key)
         });
-        let is_known =
-            |id: &&BoxId| self.boxes.contains_key(*id) || self.departed.contains_key(*id);
-        members.into_iter().flatten().filter(|id| !is_known(&id)).collect()
+        let is_unknown =
+            |id: &&BoxId| !self.boxes.contains_key(*id) && !self.departed.contains_key(*id);
+        members.into_iter().flatten().filter(is_unknown).cloned().collect()
     }
 
-    /// Returns the boxes of each replica, by its name and epoch, as the domains' records have them.
-    fn assigned(&self) -> BTreeMap<(String, Epoch), Vec<BoxId>> {
+    /// Works out the boxes of each replica from the domains' records.
+    fn assigned_now(&self) -> AssignedBoxes {
         let records = self.records.values().map(|held| &held.record);
         let replicas = records.flat_map(|record| {
             record.replicas.iter().map(|(id, held)| {
@@ -463,6 +472,11 @@
         self.log.count()
     }
 
+    /// Tells whether all changes after the first `count` are kept.
+    pub(crate) fn keeps_changes_since(&self, count: u64) -> bool {
+        self.log.keeps_since(count)
+    }
+
     /// Returns what changed after the first `count` changes, where that is known.
     ///
     /// The configuration travels by itself.
@@ -513,9 +527,9 @@
     pub(crate) fn view(&self, nodes: usize, serve_unlisted: bool) -> SiteView {
         SiteView {
             table: self.table.clone(),
-            boxes: Arc::new(self.boxes.clone()),
-            silent: Arc::new(self.silent()),
-            assigned: if serve_unlisted { self.assigned() } else { BTreeMap::new() },
+            boxes: self.boxes.clone(),
+            silent: self.silent(),
+            assigned: if serve_unlisted { self.assigned.clone() } else { Arc::default() },
             listed: self.listed,
             nodes,
         }
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -12,16 +12,16 @@
 mod flow;
 mod front;
 mod front_duty;
+mod hint;
 mod known;
 mod load_exchange;
 mod pages;
 mod peer_choice;
 mod request;
 mod retry_shares;
-mod site_view;
 mod watching;
 
-pub(crate) use site_view::{Hint, SiteView};
+pub(crate) use hint::Hint;
 
 /// The platform that is spoken to.
 pub(crate) type Driver = cherrystand_site::Site;
--- a/crates/cherrystandd/src/site/peer_choice.rs
+++ b/crates/cherrystandd/src/site/peer_choice.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cherrystand_core::{Heartbeat, NodeId, Seed, Source, SourceChooser, readers_of};
+use cherrystand_core::{
+    Heartbeat, NodeId, Seed, Source, SourceChooser, between_questions, between_watches, readers_of,
+};
 
 use crate::{DutyContext, clock};
 
@@ -44,6 +46,23 @@
         }
     }
 
+    /// Returns how long a reader of the store leaves between two watches.
+    pub(crate) fn between_watches(&self) -> Duration {
+        let view = self.cx.view_now();
+        let alive: Vec<&Heartbeat> = view.alive().collect();
+        Duration::from_millis(between_watches(&alive).0)
+    }
+
+    /// Returns how long this node leaves between two questions to the peer that it reads from.
+    pub(crate) fn between_questions(&self) -> Duration {
+        if self.is_reader() {
+            return Duration::ZERO;
+        }
+        let view = self.cx.view_now();
+        let alive: Vec<&Heartbeat> = view.alive().collect();
+        Duration::from_millis(between_questions(&view.own.zone, &alive).0)
+    }
+
     /// Notes that a peer failed as a source, or that it answered that it knows nothing fresh.
     pub(crate) fn source_failed(&self, peer: &NodeId, answered: bool) {
         let mut sources = self.sources.borrow_mut();
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -92,7 +92,10 @@
             Ok(revision) => {
                 self.place = Some(Place::Store(revision));
                 self.pause = FAILURE_PAUSE;
-                let between = if reads { LEAST_BETWEEN } else { LEAST_BETWEEN_OF_OTHERS };
+                let between = match reads {
+                    true => control.peers.between_watches().max(LEAST_BETWEEN),
+                    false => LEAST_BETWEEN_OF_OTHERS,
+                };
                 tokio::time::sleep(control.rest_after_reading(between)).await;
             }
             Err(PlatformError::Forgotten) => self.place = None,
@@ -112,7 +115,8 @@
         match read_changes(control, address, after).await {
             Ok(read) => {
                 self.place = Some(Place::Peer(peer, read));
-                tokio::time::sleep(control.rest_after_reading(LEAST_BETWEEN)).await;
+                let between = control.peers.between_questions().max(LEAST_BETWEEN);
+                tokio::time::sleep(control.rest_after_reading(between)).await;
             }
             Err(err) => {
                 log::warn!(peer = peer.as_str(); "a peer is no source of changes: {err}");
@@ -227,8 +231,11 @@
 async fn watch_once(control: &Control, after: Revision) -> Result<Revision, PlatformError> {
     let changes = control.store.watch("", after, WATCH_FOR).await?;
     let revision = changes.revision.max(after);
+    let before = control.known.borrow().changes();
     control.timed(|| control.known.borrow_mut().take_changes(&changes, control.now()));
     control.store_reached();
-    control.learned(Millis(0), true);
+    // Most answers of a watch hold heartbeats that say nothing new.
+    let news = control.known.borrow().changes() != before;
+    control.learned(Millis(0), news);
     Ok(revision)
 }
--- a/crates/cherrystandd/src/state/node_state.rs
+++ b/crates/cherrystandd/src/state/node_state.rs
@@ -30,6 +30,8 @@
     config_versions: ConfigVersions,
     /// Whether the whole configuration is asked for, since what changed in it did not fit.
     ask_whole: bool,
+    /// Whether anything changed that others are to see at once, and not by the next tick.
+    changed: bool,
 }
 
 impl NodeState {
@@ -46,6 +48,7 @@
             domains: BTreeMap::new(),
             config_versions,
             ask_whole: false,
+            changed: true,
         }
     }
 
@@ -64,10 +67,10 @@
                 let _ = reply.send(self.answer(question, now));
             }
             StateEvent::GreetingWanted(reply) => {
-                let _ = reply.send(self.greeting());
+                let _ = reply.send(self.greeting(now));
             }
             StateEvent::NewsCame { news, asked, next } => {
-                let differs = self.hear(&news, asked, now);
+                let differs = self.hear(news, asked, now);
                 let question = differs.then(|| Question::Compare(self.versions_held()));
                 let _ = next.send(question);
             }
@@ -80,19 +83,35 @@
             }
             StateEvent::Records(records) => self.take_records(records),
             StateEvent::PlatformRead { asked } => {
+                self.changed = true;
                 self.freshness.platform_read(now, now.since(asked));
             }
             StateEvent::Listed(inventory) => self.take_list(&inventory),
             StateEvent::Evidence(all) => {
+                self.changed = true;
                 for evidence in &all {
                     self.evidence.offer(evidence, now);
                 }
             }
-            StateEvent::Decides(decides) => self.membership.set_decides(decides),
-            StateEvent::Draining => self.membership.set_serving(false),
+            StateEvent::Decides(decides) => {
+                self.changed = true;
+                self.membership.set_decides(decides);
+            }
+            StateEvent::Draining => {
+                self.changed = true;
+                self.membership.set_serving(false);
+            }
         }
     }
 
+    /// Tells whether anything changed since the last call that others are to see at once.
+    ///
+    /// Beats and the questions of peers are not: a relay of 59 daemons is asked some 85 times a
+    /// second, and published as often a view that said nothing new.
+    pub(crate) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Returns all that is known as one value.
     pub(crate) fn view(&self, now: Millis) -> View {
         let own = self.membership.own().clone();
@@ -119,8 +138,8 @@
     fn answer(&mut self, question: Question, now: Millis) -> Reply {
         match question {
             Question::News(greeting) => {
-                self.membership.hear(greeting.from, Millis(0), now);
-                Reply::News(self.news(now))
+                self.changed |= self.membership.hear(greeting.from, Millis(0), now);
+                Reply::News(self.news(greeting.roster, now))
             }
             Question::Compare(theirs) => Reply::Compared {
                 newer: self
@@ -134,14 +153,19 @@
         }
     }
 
-    fn greeting(&self) -> Greeting {
-        Greeting { from: self.membership.own().clone(), fingerprint: self.documents.fingerprint() }
+    fn greeting(&self, now: Millis) -> Greeting {
+        Greeting {
+            from: self.membership.own().clone(),
+            fingerprint: self.documents.fingerprint(),
+            roster: self.membership.roster(now),
+        }
     }
 
-    fn news(&self, now: Millis) -> News {
+    /// Returns the news for a peer with a roster.
+    fn news(&self, roster: u64, now: Millis) -> News {
         News {
             from: self.membership.own().clone(),
-            members: self.membership.digest(now),
+            members: self.membership.digest_for(roster, now),
             platform_age: self.freshness.platform_age(now),
             fingerprint: self.documents.fingerprint(),
             evidence: self.evidence.export(now),
@@ -151,11 +175,13 @@
     /// Takes in a peer's news, and tells whether its records differ.
     ///
     /// Whatever it says the age of something is, the time since it was asked comes on top.
-    fn hear(&mut self, news: &News, asked: Millis, now: Millis) -> bool {
+    fn hear(&mut self, news: News, asked: Millis, now: Millis) -> bool {
         let on_the_way = now.since(asked);
-        for (heartbeat, age) in &news.members {
-            self.hear_of(heartbeat, *age + on_the_way, now);
+        self.changed |= self.membership.take_digest(news.members, on_the_way, now);
+        for (node, heard) in self.membership.agreeing_since() {
+            self.freshness.agreed(node, heard);
         }
+        self.changed |= !news.evidence.is_empty();
         for evidence in &news.evidence {
             let age = evidence.age + on_the_way;
             self.evidence.offer(&ReplicaEvidence { age, ..evidence.clone() }, now);
@@ -163,18 +189,12 @@
         let differs = news.fingerprint != self.documents.fingerprint();
         if let Some(age) = news.platform_age.filter(|_| !differs) {
             // Only records that are the same here are as fresh as the peer says.
+            self.changed = true;
             self.freshness.platform_read(now, age + on_the_way);
         }
         differs
     }
 
-    fn hear_of(&mut self, heartbeat: &Heartbeat, age: Millis, now: Millis) {
-        if heartbeat.config == self.membership.own().config {
-            self.freshness.agreed(heartbeat.node.clone(), now - age);
-        }
-        self.membership.hear(heartbeat.clone(), age, now);
-    }
-
     /// Returns the versions held, without that of the configuration where the whole is to come.
     fn versions_held(&self) -> Vec<Version> {
         let mut versions = self.documents.versions();
@@ -238,6 +258,7 @@
         if !self.documents.offer(document.clone()) {
             return;
         }
+        self.changed = true;
         if key.starts_with(keys::WORKSPACES) {
             read_record(&document, &mut self.workspaces);
             let config = self.documents.fingerprint_below(keys::WORKSPACES);
