feat: nodes of a large deployment start by the readers that the store names

Change: the first reader of a zone notes who reads the store (one small key, ReaderNote); a node that starts asks those, which answer once they have read it. Boxes and configuration are listed at once. Tests: reader_notes (pure), site (readers run, nobody runs). Ruled out: faster gossip at the start; 100 nodes would ask each seed for lists of 13 KB ten times a second.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -66,6 +66,7 @@
     pub(crate) mod freshness;
     pub(crate) mod load_audience;
     pub(crate) mod membership;
+    pub(crate) mod reader_note;
     pub(crate) mod readers;
     pub(crate) mod relays;
     pub(crate) mod replica_evidence;
@@ -141,6 +142,7 @@
 pub use nodes::membership::{
     DEAD_AFTER, FORGET_AFTER, Heartbeat, Membership, PAUSE_GAP, SUSPECT_AFTER, Standing,
 };
+pub use nodes::reader_note::{NoteKeeper, NotedReader, ReaderNote};
 pub use nodes::readers::{
     READERS_PER_ZONE, Source, SourceChooser, all_readers, between_questions, between_watches,
     readers_of,
--- /dev/null
+++ b/crates/cherrystand_core/src/nodes/reader_note.rs
@@ -0,0 +1,88 @@
+//! A note in the store of who reads it for each zone.
+//!
+//! After a loss of power no daemon knows any other, and all would list the store: at 295 daemons and
+//! 1,107 boxes 295 lists of 0.7 MB each, 1.7 s of the store's link of 1 Gbit/s. With the note each
+//! reads one small key, then asks the readers of its zone, which are starting as well and answer as
+//! soon as they have read the store.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Heartbeat, Millis, NodeId, readers_of};
+
+/// How long the readers of a zone have to be the same before they are noted.
+const SETTLED_AFTER: Millis = Millis(1_000);
+
+/// A reader of the store and where it is asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NotedReader {
+    /// The daemon.
+    pub node: NodeId,
+    /// Where it passes on what changes in the store.
+    pub changes: SocketAddr,
+}
+
+/// The readers of one zone, the first one first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReaderNote {
+    /// The readers.
+    pub readers: Vec<NotedReader>,
+}
+
+impl ReaderNote {
+    /// Makes the note of a daemon's zone.
+    pub fn of_zone(own: &Heartbeat, alive: &[&Heartbeat]) -> Self {
+        let readers = readers_of(&own.zone, alive).into_iter();
+        let noted = readers.filter_map(|beat| {
+            beat.changes.map(|changes| NotedReader { node: beat.node.clone(), changes })
+        });
+        Self { readers: noted.collect() }
+    }
+
+    /// Returns the readers that a daemon asks: the first reader nobody, the second the first, all
+    /// others both.
+    pub fn asked_by(&self, own: &NodeId) -> &[NotedReader] {
+        let rank = self.readers.iter().position(|reader| &reader.node == own);
+        &self.readers[..rank.unwrap_or(self.readers.len())]
+    }
+}
+
+/// Decides when the first reader of a zone writes the note.
+#[derive(Clone, Debug, Default)]
+pub struct NoteKeeper {
+    seen: Option<(ReaderNote, Millis)>,
+    written: Option<ReaderNote>,
+}
+
+impl NoteKeeper {
+    /// Returns the note to write now, where the daemon `own` is the one to write it and the readers
+    /// have been others than noted for a while.
+    pub fn due(&mut self, own: &NodeId, note: ReaderNote, now: Millis) -> Option<ReaderNote> {
+        let is_first = note.readers.first().is_some_and(|first| &first.node == own);
+        if !is_first {
+            // Whoever writes it now, this daemon does not know what it says any more.
+            *self = Self::default();
+            return None;
+        }
+        let since = match &self.seen {
+            Some((seen, since)) if *seen == note => *since,
+            _ => now,
+        };
+        self.seen = Some((note.clone(), since));
+        let settled = now.since(since) >= SETTLED_AFTER;
+        (settled && self.written.as_ref() != Some(&note)).then_some(note)
+    }
+
+    /// Notes that the store holds a note.
+    pub fn written(&mut self, note: ReaderNote) {
+        self.written = Some(note);
+    }
+
+    /// Notes that a note could not be written; it is tried again after a while.
+    pub fn failed(&mut self, now: Millis) {
+        if let Some((_, since)) = &mut self.seen {
+            *since = now;
+        }
+    }
+}
--- a/crates/cherrystand_core/src/site/policy.rs
+++ b/crates/cherrystand_core/src/site/policy.rs
@@ -45,6 +45,8 @@
     pub retry_share: bool,
     /// Whether most daemons read from a reader of their zone instead of the store.
     pub readers: bool,
+    /// From how many daemons times boxes on the store names the readers to daemons that start.
+    pub note_readers_from: u64,
 }
 
 impl Default for Policy {
@@ -62,6 +64,10 @@
             warm_spares: true,
             retry_share: true,
             readers: true,
+            // Where all start at once, 60 daemons list 225 boxes each as soon as readers would tell
+            // them (0.42 s); the lists of 75 and 1,000 keep the store's link of 1 Gbit/s busy for
+            // 0.4 s, at 670 bytes a box.
+            note_readers_from: 75_000,
         }
     }
 }
--- /dev/null
+++ b/crates/cherrystand_core/tests/reader_notes.rs
@@ -0,0 +1,86 @@
+//! The note in the store of who reads it.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use cherrystand_core::{Heartbeat, Millis, NodeId, NoteKeeper, ReaderNote};
+use support::heartbeat;
+
+fn reading(number: usize) -> Heartbeat {
+    let changes = Some(SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16)));
+    Heartbeat { changes, ..heartbeat(number, "z") }
+}
+
+fn note_of(beats: &[Heartbeat]) -> ReaderNote {
+    let alive: Vec<&Heartbeat> = beats.iter().collect();
+    ReaderNote::of_zone(&beats[0], &alive)
+}
+
+#[test]
+fn the_first_reader_asks_nobody_the_second_the_first_and_the_others_both() {
+    let beats: Vec<Heartbeat> = (0..6).map(reading).collect();
+    let note = note_of(&beats);
+    assert_eq!(note.readers.len(), 2);
+    for beat in &beats {
+        let asked: Vec<&NodeId> =
+            note.asked_by(&beat.node).iter().map(|reader| &reader.node).collect();
+        let (first, second) = (&note.readers[0].node, &note.readers[1].node);
+        let expected = match &beat.node {
+            node if node == first => vec![],
+            node if node == second => vec![first],
+            _ => vec![first, second],
+        };
+        assert_eq!(asked, expected, "{}", beat.node);
+    }
+}
+
+#[test]
+fn only_the_first_reader_writes_and_only_what_has_settled() {
+    struct Look {
+        name: &'static str,
+        at: u64,
+        /// How many daemons there are.
+        daemons: usize,
+        own: usize,
+        due: bool,
+    }
+    let all: Vec<Heartbeat> = (0..6).map(reading).collect();
+    let rank = |count: usize, rank: usize| {
+        let node = &note_of(&all[..count]).readers[rank].node;
+        all.iter().position(|beat| &beat.node == node).expect("one of them")
+    };
+    let (first, second) = (rank(6, 0), rank(6, 1));
+    let looks = [
+        Look { name: "just seen", at: 0, daemons: 6, own: first, due: false },
+        Look { name: "not settled", at: 500, daemons: 6, own: first, due: false },
+        Look { name: "settled", at: 1_000, daemons: 6, own: first, due: true },
+        Look { name: "written", at: 1_500, daemons: 6, own: first, due: false },
+        Look { name: "not the first any more", at: 2_000, daemons: 6, own: second, due: false },
+        Look { name: "the first again", at: 2_500, daemons: 6, own: first, due: false },
+        Look { name: "and settled", at: 3_500, daemons: 6, own: first, due: true },
+    ];
+    let mut keeper = NoteKeeper::default();
+    for look in looks {
+        let note = note_of(&all[..look.daemons]);
+        let due = keeper.due(&all[look.own].node, note, Millis(look.at));
+        assert_eq!(due.is_some(), look.due, "{}", look.name);
+        if let Some(note) = due {
+            keeper.written(note);
+        }
+    }
+}
+
+#[test]
+fn a_note_that_could_not_be_written_is_tried_again_later() {
+    let beats = [reading(0)];
+    let mut keeper = NoteKeeper::default();
+    let due = |keeper: &mut NoteKeeper, at| {
+        keeper.due(&beats[0].node, note_of(&beats), Millis(at)).is_some()
+    };
+    assert!(!due(&mut keeper, 0));
+    assert!(due(&mut keeper, 1_000));
+    keeper.failed(Millis(1_000));
+    assert!(!due(&mut keeper, 1_500));
+    assert!(due(&mut keeper, 2_000));
+}
--- a/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
@@ -85,6 +85,11 @@
         state.changes.push(Change { key: key.to_owned(), revision, value: Some(value) });
     }
 
+    /// Tells whether an item is there.
+    pub fn holds(&self, key: &str) -> bool {
+        self.state.borrow().items.contains_key(key)
+    }
+
     /// Takes an item away.
     pub fn remove(&self, key: &str) {
         let mut state = self.state.borrow_mut();
--- a/crates/cherrystand_testkit/src/site/site_setup.rs
+++ b/crates/cherrystand_testkit/src/site/site_setup.rs
@@ -54,7 +54,8 @@
              operators = \"{}\"\npeers = \"{}\"\n[platform]\naddress = \"{}\"\n[stop]\n\
              linger_ms = {LINGER_MS}\n[site]\nready = \"{}\"\nchanges = \"{}\"\n\
              first_start = {}\ngrace_ms = {GRACE_MS}\nretry_ratio = {RETRY_RATIO:?}\n\
-             retry_slack = {:?}\nretry_window_s = {RETRY_WINDOW_S}\n",
+             retry_slack = {:?}\nretry_window_s = {RETRY_WINDOW_S}\n\
+             [policy]\nnote_readers_from = 0\n",
             self.name,
             seeds.join(", "),
             self.callers,
--- a/crates/cherrystandd/src/keys.rs
+++ b/crates/cherrystandd/src/keys.rs
@@ -1,6 +1,6 @@
 //! Where the records stand in the platform's key-value service.
 
-use cherrystand_core::{DomainId, WorkspaceId};
+use cherrystand_core::{DomainId, WorkspaceId, ZoneId};
 
 /// Below this stands everything that all daemons have to know.
 pub(crate) const SHARED: &str = "cherrystand/shared/";
@@ -23,6 +23,14 @@
 /// Below this stand the claims on calls.
 const CLAIMS: &str = "cherrystand/claims/";
 
+/// Below this stand the notes of who reads the store; nobody but a daemon that starts reads them.
+const READERS: &str = "cherrystand/readers/";
+
+/// Returns the key of the note of a zone's readers.
+pub(crate) fn readers(zone: &ZoneId) -> String {
+    format!("{READERS}{zone}")
+}
+
 /// Returns the key of a workspace's record.
 pub(crate) fn workspace(id: &WorkspaceId) -> String {
     format!("{WORKSPACES}{id}")
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -497,6 +497,11 @@
         !self.unlisted.is_empty()
     }
 
+    /// Returns how many boxes are listed.
+    pub(crate) fn boxes_listed(&self) -> usize {
+        self.boxes.len()
+    }
+
     /// Tells whether the boxes were listed at least once.
     pub(crate) fn is_listed(&self) -> bool {
         self.listed
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -17,6 +17,7 @@
 mod load_exchange;
 mod pages;
 mod peer_choice;
+mod reader_notes;
 mod request;
 mod retry_shares;
 mod watching;
--- /dev/null
+++ b/crates/cherrystandd/src/site/reader_notes.rs
@@ -0,0 +1,151 @@
+//! The note of who reads the store for a zone: keeping it, and starting by it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cherrystand_core::{Heartbeat, NoteKeeper, NotedReader, ReaderNote, Revision};
+use cherrystand_platform::{KeyValue, PlatformError, Swap};
+use futures_util::future::select_all;
+
+use crate::keys;
+use crate::site::change_sharing::{PlaceAtPeer, read_changes};
+use crate::site::control::Control;
+
+/// How often a daemon looks whether the note is to be written.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// How long a daemon that starts waits for the readers noted, which may be starting as well; then
+/// it reads the store itself.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(900);
+
+/// How long it waits before it asks one again that does not listen yet; daemons that lose power
+/// together start within 300 ms of each other.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(40);
+
+/// Keeps the note of this node's zone for as long as the duty runs.
+pub(crate) async fn keep_note(control: Rc<Control>) {
+    let mut keeper = NoteKeeper::default();
+    loop {
+        tokio::time::sleep(LOOK_EVERY).await;
+        let view = control.cx.view_now();
+        let alive: Vec<&Heartbeat> = view.alive().collect();
+        let listed = alive.len() as u64 * control.known.borrow().boxes_listed() as u64;
+        if listed < control.cx.settings.policy.note_readers_from {
+            continue;
+        }
+        let note = ReaderNote::of_zone(&view.own, &alive);
+        if let Some(note) = keeper.due(&view.own.node, note, control.now()) {
+            match write(&control, &note).await {
+                Ok(true) => keeper.written(note),
+                // Somebody else wrote it just now: the next look reads what.
+                Ok(false) => keeper.failed(control.now()),
+                Err(err) => {
+                    log::warn!("the readers of this zone could not be noted: {err}");
+                    keeper.failed(control.now());
+                }
+            }
+        }
+    }
+}
+
+/// Writes the note unless it stands there already, and tells whether it stands there now.
+async fn write(control: &Control, note: &ReaderNote) -> Result<bool, PlatformError> {
+    let key = keys::readers(&control.cx.settings.zone);
+    let held = control.store.get(&key).await?;
+    if held.as_ref().and_then(|held| read_note(&held.body)).as_ref() == Some(note) {
+        return Ok(true);
+    }
+    let expected = held.map_or(Revision(0), |held| held.revision);
+    let body = match serde_json::to_string(note) {
+        Ok(body) => body,
+        Err(err) => {
+            log::error!("the readers of this zone cannot be written down: {err}");
+            return Ok(true);
+        }
+    };
+    let swap = control.store.swap(&key, expected, &body).await?;
+    Ok(matches!(swap, Swap::Done(_)))
+}
+
+fn read_note(body: &str) -> Option<ReaderNote> {
+    match serde_json::from_str(body) {
+        Ok(note) => Some(note),
+        Err(err) => {
+            log::error!("the note of the readers is malformed: {err}");
+            None
+        }
+    }
+}
+
+/// A reader that a daemon started by, and how far it has read there.
+pub(crate) struct Started {
+    /// The reader.
+    pub(crate) reader: NotedReader,
+    /// How far.
+    pub(crate) place: PlaceAtPeer,
+}
+
+/// Says what the note leaves a daemon to do that starts.
+pub(crate) enum Start {
+    /// A reader told it everything.
+    Told(Started),
+    /// It is the one to read the store, or those that are do not answer.
+    ReadsStore,
+    /// There is no note: it may learn of peers that read the store.
+    NoNote,
+}
+
+/// Reads everything from the readers that the note names, whichever answers first.
+pub(crate) async fn start_by_note(control: &Control) -> Start {
+    let key = keys::readers(&control.cx.settings.zone);
+    let note = match control.store.get(&key).await {
+        Ok(held) => held.and_then(|held| read_note(&held.body)),
+        Err(err) => {
+            log::warn!("the note of the readers could not be read: {err}");
+            None
+        }
+    };
+    let Some(note) = note else {
+        return Start::NoNote;
+    };
+    let started = match note.asked_by(&control.cx.settings.node) {
+        [] => None,
+        // The second reader reads the store where the first is not there, so that one of the two
+        // can tell the others soon.
+        [first] => ask_once(control, first).await,
+        asked => ask_until_answered(control, asked).await,
+    };
+    started.map_or(Start::ReadsStore, Start::Told)
+}
+
+async fn ask_once(control: &Control, reader: &NotedReader) -> Option<Started> {
+    match read_changes(control, reader.changes, None).await {
+        Ok(place) => Some(Started { reader: reader.clone(), place }),
+        Err(err) => {
+            log::debug!(reader = reader.node.as_str(); "no source of changes yet: {err}");
+            None
+        }
+    }
+}
+
+async fn ask_until_answered(control: &Control, asked: &[NotedReader]) -> Option<Started> {
+    let ask = |reader: &NotedReader| {
+        let reader = reader.clone();
+        Box::pin(async move {
+            loop {
+                if let Some(started) = ask_once(control, &reader).await {
+                    return started;
+                }
+                tokio::time::sleep(ASK_AGAIN_AFTER).await;
+            }
+        })
+    };
+    let first = select_all(asked.iter().map(ask));
+    match tokio::time::timeout(ANSWERED_WITHIN, first).await {
+        Ok((started, _, _)) => Some(started),
+        Err(_) => {
+            log::warn!("the readers noted do not answer; the store is read instead");
+            None
+        }
+    }
+}
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cherrystand_core::{Millis, NodeId, Revision};
+use cherrystand_core::{Millis, NodeId, NotedReader, Revision};
 use cherrystand_peer::ChangeCursor;
 use cherrystand_platform::{KeyValue, PlatformError, SiteDriver};
 use tokio::time::Instant;
@@ -13,6 +13,7 @@
 use crate::site::Driver;
 use crate::site::change_sharing::{ChangesError, PlaceAtPeer, read_changes, read_copy};
 use crate::site::control::Control;
+use crate::site::reader_notes::{Start, start_by_note};
 
 /// How long one watch waits for a change.
 const WATCH_FOR: Duration = Duration::from_millis(1_000);
@@ -54,9 +55,12 @@
 /// How long a node learns of its peers before it reads, at the very first start of all.
 const LOOK_FIRST: Duration = Duration::from_millis(1_500);
 
-/// How long it does at any other start, when callers wait for it.
+/// How long it does at any other start, when callers wait for it, where no reader told it anything.
 const LOOK_FIRST_AGAIN: Duration = Duration::from_millis(100);
 
+/// By this time after its start a node knows its peers, and chooses whom it reads from by that.
+const PEERS_KNOWN_WITHIN: Millis = Millis(3_000);
+
 /// How far a node has read, and where.
 #[derive(Clone, Debug)]
 enum Place {
@@ -68,11 +72,15 @@
 
 /// Reads the store, or a peer that reads it, for as long as the duty runs.
 pub(crate) async fn follow_store(control: Rc<Control>) {
-    let mut reading = Reading { place: None, pause: FAILURE_PAUSE };
-    let look_first = if control.is_first_start() { LOOK_FIRST } else { LOOK_FIRST_AGAIN };
-    tokio::time::sleep(look_first).await;
+    let mut reading = Reading { place: None, pause: FAILURE_PAUSE, started_by: None };
+    if control.is_first_start() {
+        tokio::time::sleep(LOOK_FIRST).await;
+    } else {
+        reading.start(&control).await;
+    }
     loop {
-        match control.peers.source() {
+        let source = control.peers.source().or_else(|| reading.started_by(control.now()));
+        match source {
             None => reading.of_store(&control).await,
             Some((peer, address)) => reading.of_peer(&control, peer, address).await,
         }
@@ -83,9 +91,29 @@
 struct Reading {
     place: Option<Place>,
     pause: Duration,
+    /// The reader that the node started by.
+    started_by: Option<NotedReader>,
 }
 
 impl Reading {
+    /// Reads everything from the readers that the store names, or learns of peers for a moment.
+    async fn start(&mut self, control: &Control) {
+        match start_by_note(control).await {
+            Start::Told(started) => {
+                self.place = Some(Place::Peer(started.reader.node.clone(), started.place));
+                self.started_by = Some(started.reader);
+            }
+            Start::ReadsStore => {}
+            Start::NoNote => tokio::time::sleep(LOOK_FIRST_AGAIN).await,
+        }
+    }
+
+    /// Returns the reader that the node started by, while it has yet to learn of its peers.
+    fn started_by(&self, now: Millis) -> Option<(NodeId, SocketAddr)> {
+        let reader = self.started_by.as_ref().filter(|_| now < PEERS_KNOWN_WITHIN)?;
+        Some((reader.node.clone(), reader.changes))
+    }
+
     async fn of_store(&mut self, control: &Control) {
         let reads = control.peers.is_reader();
         match read_store(control, self.place.as_ref()).await {
@@ -122,6 +150,7 @@
                 log::warn!(peer = peer.as_str(); "a peer is no source of changes: {err}");
                 let answered = matches!(err, ChangesError::NotServed(_));
                 control.peers.source_failed(&peer, answered);
+                self.started_by = None;
                 take_copy(control).await;
             }
         }
@@ -212,8 +241,10 @@
 
 async fn list_all(control: &Control) -> Result<Revision, PlatformError> {
     let records = control.store.list(keys::SHARED).await?;
-    let boxes = control.store.list(Driver::BOXES).await?;
-    let config = control.store.get(Driver::CONFIG_KEY).await?;
+    let boxes = control.store.list(Driver::BOXES);
+    let config = control.store.get(Driver::CONFIG_KEY);
+    let (boxes, config) = tokio::join!(boxes, config);
+    let (boxes, config) = (boxes?, config?);
     let now = control.now();
     let mut known = control.known.borrow_mut();
     for record in config.iter() {
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -493,3 +493,41 @@
         }
     });
 }
+
+/// Story: all 295 nodes of a deployment lost power. As none knew any other, each listed the store,
+/// 0.7 MB over links of 20 Mbit/s and 218 MB in all over the store's link; from 32 to 38 s of that
+/// day 1,379 of 5,460 requests were answered in time and 3,040 refused.
+#[test]
+fn a_node_that_starts_again_reads_from_the_readers_that_the_store_names() {
+    struct Case {
+        name: &'static str,
+        /// Whether the readers noted are there.
+        readers_run: bool,
+    }
+    let cases = [
+        Case { name: "the readers run", readers_run: true },
+        Case { name: "nobody runs", readers_run: false },
+    ];
+    support::run(async {
+        let mut site = Site::serving(2).await;
+        until("the readers are noted", async || site.site.store.holds("cherrystand/readers/z1"))
+            .await;
+        for case in cases {
+            if !case.readers_run {
+                site.nodes.clear();
+            }
+            // Nobody listens there: it knows of no peer.
+            let nobody = support::free_addresses(1)[0];
+            site.start_again(nobody).await;
+            let node = site.nodes.last().expect("just started");
+            until(case.name, async || {
+                call(node, "GET", STREAM, case.name, "k1").await.status == StatusCode::OK
+            })
+            .await;
+            let told = call_at(node.operators, "GET", "/metrics", &[], "").await.text();
+            let lists = told.contains("way=\"in\",kind=\"whole-lists\"")
+                || told.contains("kind=\"whole-lists\",way=\"in\"");
+            assert_eq!(lists, case.readers_run, "{}: {told}", case.name);
+        }
+    });
+}
