test(core): losses in domains of 73 whose replicas span 32

One forming a loss at the most, no load from the weight store; nine spares hold the model in memory.

--- a/crates/cherrystand_core/tests/site_losses.rs
+++ b/crates/cherrystand_core/tests/site_losses.rs
@@ -1,4 +1,4 @@
-//! What losses of several boxes cost a domain whose replicas span sixteen of 37.
+//! What losses of several boxes cost a domain whose replicas span sixteen of 37, or 32 of 73.
 //!
 //! Story: a domain of the large model formed one replica anew ten times in four seconds. Whatever
 //! was found silent first had it formed out of boxes of which others were dead as well; each of
@@ -16,8 +16,16 @@
 use proptest::prelude::*;
 use support::site_engine;
 
-const BOXES: usize = 37;
-const SPAN: u32 = 16;
+/// How many boxes a domain has and how many of them a replica spans.
+#[derive(Clone, Copy, Debug)]
+struct Shape {
+    boxes: usize,
+    span: u32,
+}
+
+const OF_37: Shape = Shape { boxes: 37, span: 16 };
+const OF_73: Shape = Shape { boxes: 73, span: 32 };
+
 const STEP: Millis = Millis(25);
 
 /// How long streams are silent until the request path says that a replica stands still.
@@ -32,6 +40,7 @@
 /// A domain, and the node that decides for it with what it has found out so far.
 #[derive(Clone)]
 struct Site {
+    shape: Shape,
     domain: FakeSiteDomain,
     record: DomainRecord,
     revision: u64,
@@ -48,10 +57,11 @@
 }
 
 impl Site {
-    fn serving(asks_first: bool) -> Self {
-        let domain = FakeSiteDomain::new(BOXES);
+    fn serving(shape: Shape, asks_first: bool) -> Self {
+        let domain = FakeSiteDomain::new(shape.boxes);
         let record = DomainRecord::empty(domain.domain().clone());
         let mut site = Self {
+            shape,
             domain,
             record,
             revision: 0,
@@ -131,7 +141,7 @@
         let boxes: Vec<&SiteBox> = listed.iter().collect();
         let departed: Vec<&SiteBox> = departed.iter().collect();
         let mut engine = site_engine();
-        engine.models[0].span = SPAN;
+        engine.models[0].span = self.shape.span;
         let asked: BTreeSet<BoxId> =
             self.asked.keys().filter(|_| self.asks_first).cloned().collect();
         let step = self.formation.step(FormationInput {
@@ -173,7 +183,7 @@
     /// Kills boxes, each `apart` after the one before, and returns how often replicas were formed
     /// and how long it took until as many serve as the boxes left allow.
     fn lose(&mut self, numbers: &[usize], apart: Millis) -> (usize, Millis) {
-        let serving_after = (BOXES - numbers.len()) / SPAN as usize;
+        let serving_after = (self.shape.boxes - numbers.len()) / self.shape.span as usize;
         let began = self.domain.now();
         let mut due = began;
         let mut numbers = numbers.iter().copied().peekable();
@@ -197,9 +207,9 @@
     record.replicas.values().map(|held| held.epoch).collect()
 }
 
-fn drawn(count: usize, seed: u64) -> Vec<usize> {
+fn drawn(shape: Shape, count: usize, seed: u64) -> Vec<usize> {
     let mut seed = Seed::new(seed);
-    let mut all: Vec<usize> = (0..BOXES).collect();
+    let mut all: Vec<usize> = (0..shape.boxes).collect();
     (0..count).map(|_| all.swap_remove(seed.below(all.len()))).collect()
 }
 
@@ -220,12 +230,12 @@
         Case { lost: 5, apart: Millis(300), most: (5.0, 3_000.0) },
     ];
     const SEEDS: u64 = 12;
-    let ways = [Site::serving(false), Site::serving(true)];
+    let ways = [Site::serving(OF_37, false), Site::serving(OF_37, true)];
     for case in cases {
         let mut sums = [(0, 0); 2];
         for seed in 0..SEEDS {
             for (way, sum) in ways.iter().zip(&mut sums) {
-                let lost = drawn(case.lost, seed);
+                let lost = drawn(OF_37, case.lost, seed);
                 let (formings, took) = way.clone().lose(&lost, case.apart);
                 sum.0 += formings;
                 sum.1 += took.0;
@@ -242,6 +252,43 @@
     }
 }
 
+/// Story: on a deployment with replicas of 32 of a domain's 73 boxes one lost box stops 31 others.
+/// What a loss may cost is one member's join from memory and the answers of the others to theirs,
+/// never a load of all.
+#[test]
+fn a_loss_in_a_replica_of_32_costs_one_join_and_no_load() {
+    struct Case {
+        lost: usize,
+        apart: Millis,
+        /// The longest time until two replicas serve again.
+        within: Millis,
+    }
+    let cases = [
+        Case { lost: 1, apart: Millis(0), within: Millis(800) },
+        Case { lost: 2, apart: Millis(0), within: Millis(800) },
+        Case { lost: 4, apart: Millis(0), within: Millis(800) },
+        Case { lost: 8, apart: Millis(0), within: Millis(800) },
+        Case { lost: 2, apart: Millis(400), within: Millis(1_200) },
+        Case { lost: 4, apart: Millis(400), within: Millis(2_000) },
+    ];
+    const SEEDS: u64 = 5;
+    let domain = Site::serving(OF_73, true);
+    for case in cases {
+        let plays =
+            (0..SEEDS).map(|seed| domain.clone().lose(&drawn(OF_73, case.lost, seed), case.apart));
+        let plays: Vec<(usize, Millis)> = plays.collect();
+        let formings = plays.iter().map(|(formings, _)| *formings).max().unwrap_or_default();
+        let longest = plays.iter().map(|(_, took)| *took).max().unwrap_or_default();
+        let mean = plays.iter().map(|(_, took)| took.0).sum::<u64>() / SEEDS;
+        println!(
+            "{} of 73 lost {} ms apart: {mean} ms on the mean, {} at the longest, {formings} formings at the most",
+            case.lost, case.apart.0, longest.0
+        );
+        assert!(longest <= case.within, "{} lost {}: {longest:?}", case.lost, case.apart.0);
+        assert!(formings <= case.lost + 1, "{} lost: {formings} formings", case.lost);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 12, ..ProptestConfig::default() })]
 
@@ -253,7 +300,8 @@
         lost in 1_usize..9,
         apart in 0_u64..600,
     ) {
-        let (formings, _) = Site::serving(true).lose(&drawn(lost, seed), Millis(apart));
+        let lose = drawn(OF_37, lost, seed);
+        let (formings, _) = Site::serving(OF_37, true).lose(&lose, Millis(apart));
         prop_assert!(formings <= lost + 1, "{formings} formings for {lost} boxes lost");
     }
 }
