--- a/crates/cherrystand_core/tests/readers.rs
+++ b/crates/cherrystand_core/tests/readers.rs
@@ -7,8 +7,8 @@
 
 use cherrystand_core::{
     BoxId, ChangeLog, ChangesSince, Document, Heartbeat, Millis, READERS_PER_ZONE, RELAYS_PER_ZONE,
-    Revision, Source, SourceChooser, StoreReach, ZoneId, between_questions, between_watches,
-    readers_of, relays_of,
+    Revision, Source, SourceChooser, StoreOutage, StoreReach, ZoneId, between_questions,
+    between_watches, readers_of, relays_of,
 };
 use support::heartbeat;
 
@@ -213,3 +213,65 @@
         assert_eq!(between_questions(&beats[0].zone, &alive), case.questions, "{}", case.name);
     }
 }
+
+#[test]
+fn what_went_in_an_outage_is_kept_for_as_long_as_entries_take_to_come_back() {
+    /// What happened to the store, and when.
+    #[derive(Clone, Copy)]
+    enum Event {
+        Answered(u64),
+        AnsweredPeer(u64),
+        Failed,
+    }
+    struct Case {
+        name: &'static str,
+        events: &'static [Event],
+        at: u64,
+        keeps: bool,
+    }
+    use Event::{Answered, AnsweredPeer, Failed};
+    let cases = [
+        Case {
+            name: "never out",
+            events: &[Answered(1_000), Answered(2_000)],
+            at: 2_000,
+            keeps: false,
+        },
+        Case {
+            name: "long silent",
+            events: &[Answered(1_000), Answered(3_900)],
+            at: 4_000,
+            keeps: true,
+        },
+        Case {
+            name: "failed once",
+            events: &[Answered(1_000), Failed, Answered(1_200)],
+            at: 3_399,
+            keeps: true,
+        },
+        Case {
+            name: "and back",
+            events: &[Answered(1_000), Failed, Answered(1_200)],
+            at: 3_400,
+            keeps: false,
+        },
+        Case { name: "still out", events: &[Answered(1_000), Failed], at: 1_100, keeps: false },
+        Case {
+            name: "a peer judges",
+            events: &[Failed, AnsweredPeer(5_000)],
+            at: 5_100,
+            keeps: false,
+        },
+    ];
+    for case in cases {
+        let mut outage = StoreOutage::default();
+        for event in case.events {
+            match event {
+                Answered(at) => outage.answered(Millis(*at)),
+                AnsweredPeer(at) => outage.answered_peer(Millis(*at)),
+                Failed => outage.failed(),
+            }
+        }
+        assert_eq!(outage.keeps(Millis(case.at)), case.keeps, "{}", case.name);
+    }
+}
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -5,28 +5,19 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    AssignedBoxes, BoxId, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch,
-    MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, replica_name,
+    BoxId, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch, MemberOrder,
+    MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
 };
 use cherrystand_peer::{ChangeBatch, ChangeNews};
 use cherrystand_platform::{Changes, SiteDriver};
 
 use crate::keys;
 use crate::site::Driver;
+use crate::site::domain_records::DomainRecords;
 
 /// For how long a box that is listed no more is remembered.
 const DEPARTED_FOR: Millis = Millis(12_000);
 
-/// After this time without an answer the store counts as having been out; a watch that waits is
-/// answered sooner.
-const OUTAGE: Millis = Millis(2_800);
-
-/// For how long after an outage a box that is listed no more is kept.
-///
-/// Entries run out while the store is out, though their boxes serve on, and come back within about
-/// two seconds.
-const KEPT_AFTER_OUTAGE: Millis = Millis(2_200);
-
 /// For how long a box counts as silent after it did not answer; the entry of one that is dead goes
 /// sooner.
 const SILENT_FOR: Millis = Millis(4_500);
@@ -38,13 +29,6 @@
     at: Millis,
 }
 
-/// A domain's record and the copy that peers get.
-#[derive(Clone, Debug)]
-struct HeldDomain {
-    record: DomainRecord,
-    copy: Document,
-}
-
 /// Keeps what one node knows of the site; it does no I/O.
 #[derive(Default)]
 pub(crate) struct Known {
@@ -54,9 +38,7 @@
     entries: BTreeMap<BoxId, Document>,
     boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
     departed: BTreeMap<BoxId, Departed>,
-    records: BTreeMap<DomainId, HeldDomain>,
-    /// The boxes of each replica, as the records have them.
-    assigned: Arc<AssignedBoxes>,
+    records: DomainRecords,
     silent: BTreeMap<BoxId, Millis>,
     /// Members of replicas whose entries went, and that nobody asked since whether they are there.
     unasked: Vec<SiteBox>,
@@ -67,14 +49,9 @@
     /// ordered to by.
     left: BTreeMap<(BoxId, Epoch), Epoch>,
     listed: bool,
-    /// Whether the store did not answer the last call.
-    outage: bool,
+    outage: StoreOutage,
     /// When a box last came that was not known.
     grew: Millis,
-    /// When the store last answered.
-    answered: Option<Millis>,
-    /// Until when boxes that are listed no more are kept.
-    keeps_until: Millis,
     /// Boxes that are kept though they are listed no more.
     unlisted: BTreeSet<BoxId>,
     /// The revision up to which the entries are known.
@@ -112,7 +89,7 @@
 
     /// Takes in what changed in the store.
     pub(crate) fn take_changes(&mut self, changes: &Changes, now: Millis) {
-        self.store_answered(now);
+        self.outage.answered(now);
         for record in &changes.records {
             self.take_record(record, now);
         }
@@ -126,7 +103,7 @@
 
     /// Takes in all boxes that are listed now.
     pub(crate) fn take_list(&mut self, list: &[Document], revision: Revision, now: Millis) {
-        self.store_answered(now);
+        self.outage.answered(now);
         for id in self.not_in(list) {
             self.unlist(id, now);
         }
@@ -145,8 +122,7 @@
     ///
     /// The peer has judged which boxes to keep after an outage of the store.
     pub(crate) fn take_news(&mut self, news: &ChangeNews, batch: &ChangeBatch, now: Millis) {
-        self.outage = false;
-        self.answered = Some(now - news.store_age);
+        self.outage.answered_peer(now - news.store_age);
         if news.whole {
             return self.take_copy(&batch.records, news.revision, now);
         }
@@ -210,23 +186,14 @@
         }
     }
 
-    fn store_answered(&mut self, now: Millis) {
-        let late = self.answered.is_some_and(|answered| now.since(answered) > OUTAGE);
-        if late || self.outage {
-            self.keeps_until = now + KEPT_AFTER_OUTAGE;
-        }
-        self.outage = false;
-        self.answered = Some(now);
-    }
-
     /// Notes that the store does not answer.
     pub(crate) fn store_failed(&mut self) {
-        self.outage = true;
+        self.outage.failed();
     }
 
     /// Takes a box out, or keeps it for a while where the store may only have lost its entry.
     fn unlist(&mut self, id: BoxId, now: Millis) {
-        if now < self.keeps_until && self.boxes.contains_key(&id) {
+        if self.outage.keeps(now) && self.boxes.contains_key(&id) {
             self.unlisted.insert(id);
         } else {
             self.take_departure(&id, now);
@@ -250,18 +217,8 @@
 
     /// Takes in a domain's record, unless a later one is held.
     pub(crate) fn take_domain(&mut self, copy: &Document) {
-        match serde_json::from_str::<DomainRecord>(&copy.body) {
-            Ok(record) => {
-                let held = self.records.get(&record.domain);
-                if held.is_some_and(|held| held.copy.revision >= copy.revision) {
-                    return;
-                }
-                self.log.record(copy.clone());
-                let held = HeldDomain { copy: copy.clone(), record };
-                self.records.insert(held.record.domain.clone(), held);
-                self.assigned = Arc::new(self.assigned_now());
-            }
-            Err(err) => log::error!(key = &*copy.key; "a domain's record is malformed: {err}"),
+        if self.records.take(copy) {
+            self.log.record(copy.clone());
         }
     }
 
@@ -306,7 +263,7 @@
     /// Forgets what is too old, and tells whether boxes are gone by that.
     pub(crate) fn forget(&mut self, now: Millis) -> bool {
         let changes = self.changes();
-        if now >= self.keeps_until {
+        if !self.outage.keeps(now) {
             for id in std::mem::take(&mut self.unlisted) {
                 self.take_departure(&id, now);
             }
@@ -333,15 +290,12 @@
     /// Returns the domains of the listed boxes and of the records.
     pub(crate) fn domains(&self) -> BTreeSet<DomainId> {
         let listed = self.boxes.values().filter_map(|known| known.domain.clone());
-        listed.chain(self.records.keys().cloned()).collect()
+        listed.chain(self.records.domains().cloned()).collect()
     }
 
     /// Returns a domain's record and its revision.
     pub(crate) fn record(&self, domain: &DomainId) -> (Revision, DomainRecord) {
-        match self.records.get(domain) {
-            Some(held) => (held.copy.revision, held.record.clone()),
-            None => (Revision(0), DomainRecord::empty(domain.clone())),
-        }
+        self.records.get(domain)
     }
 
     /// Returns the boxes of a domain that are listed.
@@ -419,24 +373,13 @@
         let member = self.boxes.get(leader).and_then(|known| known.member.as_ref());
         let members = member.and_then(|member| {
             let key = (member.replica.clone(), member.epoch);
-            self.assigned.get(&key)
+            self.records.assigned().get(&key)
         });
         let is_unknown =
             |id: &&BoxId| !self.boxes.contains_key(*id) && !self.departed.contains_key(*id);
         members.into_iter().flatten().filter(is_unknown).cloned().collect()
     }
 
-    /// Works out the boxes of each replica from the domains' records.
-    fn assigned_now(&self) -> AssignedBoxes {
-        let records = self.records.values().map(|held| &held.record);
-        let replicas = records.flat_map(|record| {
-            record.replicas.iter().map(|(id, held)| {
-                ((replica_name(&record.domain, id), held.epoch), held.boxes.clone())
-            })
-        });
-        replicas.collect()
-    }
-
     /// Tells whether a box went silent.
     pub(crate) fn is_silent(&self, id: &BoxId) -> bool {
         self.silent.contains_key(id)
@@ -488,7 +431,7 @@
 
     /// Returns the domains' records and all entries as they stand.
     pub(crate) fn everything(&self) -> Vec<Document> {
-        let domains = self.records.values().map(|held| &held.copy);
+        let domains = self.records.copies();
         domains.chain(self.entries.values()).cloned().collect()
     }
 
@@ -534,7 +477,10 @@
             table: self.table.clone(),
             boxes: self.boxes.clone(),
             silent: self.silent(),
-            assigned: if serve_unlisted { self.assigned.clone() } else { Arc::default() },
+            assigned: match serve_unlisted {
+                true => self.records.assigned().clone(),
+                false => Arc::default(),
+            },
             listed: self.listed,
             nodes,
         }
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -6,6 +6,7 @@
 mod change_sharing;
 mod control;
 mod deciding;
+mod domain_records;
 mod event_stream;
 mod failure_log;
 mod flight;
