--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -79,11 +79,13 @@
     pub(crate) mod attempt_ledger;
     pub(crate) mod chooser;
     pub(crate) mod domain_draft;
+    pub(crate) mod domain_spares;
     pub(crate) mod engine_priority;
     pub(crate) mod engine_spec;
     pub(crate) mod event_cutter;
     pub(crate) mod formation;
     pub(crate) mod homes;
+    pub(crate) mod join_rank;
     pub(crate) mod load_book;
     pub(crate) mod log_gate;
     pub(crate) mod member_order;
--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -1,17 +1,15 @@
 //! What one step makes of a domain: its next record and the orders that follow.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
+use crate::site::domain_spares::spare_prefix;
 use crate::site::formation::replica_name;
+use crate::site::join_rank::{JoinRank, join_rank};
 use crate::{
-    Assignment, BoxId, DomainId, DomainRecord, Epoch, FormationInput, FormerPlace, GroupId,
-    LoadSpec, Member, MemberOrder, MemberState, MemberTask, Millis, ModelSpec, Phase, ReplicaId,
-    SiteBox, WorkspaceId,
+    Assignment, BoxId, DomainRecord, Epoch, FormationInput, FormerPlace, GroupId, LoadSpec, Member,
+    MemberOrder, MemberState, MemberTask, ModelSpec, Phase, ReplicaId, SiteBox, WorkspaceId,
 };
 
-/// The epoch that spares join under, below all that are given out.
-pub(crate) const SPARE_EPOCH: Epoch = Epoch(0);
-
 /// How many places of one box may be open at a time; one with more leaves some before it is used.
 const MOST_OPEN_PLACES: usize = 6;
 
@@ -280,7 +278,7 @@
     }
 
     /// Returns the boxes that belong to no replica.
-    fn free(&self) -> Vec<&'a SiteBox> {
+    pub(crate) fn free(&self) -> Vec<&'a SiteBox> {
         let usable = |known: &&&SiteBox| {
             !known.leaving
                 && self.alive(&known.id).is_some()
@@ -434,60 +432,6 @@
         models.max_by(|a, b| worth(a).total_cmp(&worth(b))).cloned()
     }
 
-    /// Returns the model that the domain is for, where it is for one.
-    fn home(&self) -> Option<&'a ModelSpec> {
-        self.at.engine.models.iter().find(|model| Some(model.name.as_str()) == self.at.home)
-    }
-
-    /// Lets free boxes load a model to their hosts.
-    ///
-    /// In a domain that is for one model every box holds that one, so that any of them can take
-    /// the place of any other.
-    pub(crate) fn stage_spares(&mut self, staging: &BTreeMap<BoxId, Millis>) {
-        let free = self.free();
-        let staged = |model: &ModelSpec| {
-            free.iter().filter(|known| known.staged.contains(&model.name)).count()
-        };
-        let models = &self.at.engine.models;
-        let mut counts: Vec<usize> = models.iter().map(staged).collect();
-        let home = self.home();
-        for known in free.iter().filter(|known| !staging.contains_key(&known.id)) {
-            let model = match home {
-                Some(home) if known.staged.contains(&home.name) => continue,
-                Some(home) => home,
-                None if !known.staged.is_empty() => continue,
-                None => {
-                    let least = (0..models.len()).min_by_key(|index| counts[*index]);
-                    let Some(index) = least else { return };
-                    counts[index] += 1;
-                    &models[index]
-                }
-            };
-            self.order(known, "", Epoch(0), MemberTask::Stage { model: model.name.clone() });
-        }
-    }
-
-    /// Lets free boxes that never joined take the home model from their hosts into memory, each in
-    /// a replica of its own that is never opened, so that it joins at once where it is needed.
-    ///
-    /// It joins under an epoch below all that are given out: a box that is in a replica after all
-    /// refuses it.
-    pub(crate) fn warm_spares(&mut self, warmed: &BTreeSet<BoxId>) {
-        let formed_before = self.at.record.last_epoch != Epoch(0);
-        let Some(home) = self.home().filter(|_| formed_before) else {
-            return;
-        };
-        for known in self.free() {
-            let is_cold = known.member.is_none() && !warmed.contains(&known.id);
-            if is_cold && join_rank(known, &home.name) == JoinRank::Staged {
-                let name = format!("{}{}", spare_prefix(self.at.domain), known.id);
-                let members = vec![known.id.clone()];
-                let task = MemberTask::Join { model: home.name.clone(), members };
-                self.order(known, &name, SPARE_EPOCH, task);
-            }
-        }
-    }
-
     pub(crate) fn order(&mut self, known: &SiteBox, name: &str, epoch: Epoch, task: MemberTask) {
         if !self.ordered.insert(known.id.clone()) {
             return;
@@ -510,34 +454,7 @@
     }
 }
 
-/// Returns what the names of replicas begin with that spares of a domain are kept warm in.
-fn spare_prefix(domain: &DomainId) -> String {
-    format!("{domain}.spare.")
-}
-
 /// Returns the epoch that a box tells of; 0 where it belongs to nothing.
 fn told_epoch(known: &SiteBox) -> Epoch {
     known.member.as_ref().map(|member| member.epoch).unwrap_or_default()
 }
-
-/// Says how soon a box can join a model, the soonest first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum JoinRank {
-    /// Its memory holds the model.
-    Loaded,
-    /// Its host holds the model.
-    Staged,
-    /// It has to load it from the weight store.
-    Load,
-}
-
-fn join_rank(known: &SiteBox, model: &str) -> JoinRank {
-    let holds = |models: &[String]| models.iter().any(|held| held == model);
-    if holds(&known.loaded) {
-        JoinRank::Loaded
-    } else if holds(&known.staged) {
-        JoinRank::Staged
-    } else {
-        JoinRank::Load
-    }
-}
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -10,7 +10,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::site::domain_draft::{DomainDraft, SPARE_EPOCH, Standing};
+use crate::site::domain_draft::{DomainDraft, Standing};
+use crate::site::domain_spares::SPARE_EPOCH;
 use crate::{
     Assignment, BoxId, DomainId, DomainRecord, EngineSpec, Epoch, MemberOrder, MemberState,
     MemberTask, Millis, ModelSpec, OrderEnd, Policy, ReplicaId, ServiceName, SiteBox,
