fix(platform): a list whose pages begin anew or stop early is an error

Cause, found in reading for lists of thousands of boxes: pages that repeat were read for ever, a call each time; an empty page that others should follow ended the list, whose missing boxes then counted as gone. Now ListStuck, and everything is read anew as after any failure.

--- a/crates/cherrystand_platform/src/key_value.rs
+++ b/crates/cherrystand_platform/src/key_value.rs
@@ -33,6 +33,12 @@
     /// The service does not remember what changed since the revision asked for.
     #[error("the platform has forgotten its changes since then; read everything anew")]
     Forgotten,
+    /// A page of the service's list does not go on where the one before ended.
+    #[error("the platform's list does not go on after `{after}`; read it anew")]
+    ListStuck {
+        /// The last key of the page before.
+        after: String,
+    },
     /// The service answered with a status that the protocol does not know.
     #[error("the platform answered with status {0}")]
     Status(u16),
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -56,7 +56,7 @@
 pub use processes::{free_addresses, spawn};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
 pub use site::fake_site_domain::FakeSiteDomain;
-pub use site::metadata_stand_in::{Door, MetadataStandIn};
+pub use site::metadata_stand_in::{Door, MetadataStandIn, PageFault};
 pub use site::site_setup::{NodeSettings, site_config, whole_stream};
 pub use site::site_stand_in::{Arrival, BoxMood, EVENTS, SiteStandIn};
 pub use soak::link::{Link, LinkMode};
--- a/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
@@ -25,6 +25,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// How long the pages of a list are, and what is wrong with them.
+    pages: Option<(usize, PageFault)>,
     revision: u64,
     items: BTreeMap<String, (u64, String)>,
     changes: Vec<Change>,
@@ -55,6 +57,18 @@
     Silent,
 }
 
+/// What is wrong with the pages of a list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PageFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each page is the first one again.
+    Repeats,
+    /// A page that others should follow holds nothing.
+    Empty,
+}
+
 #[derive(Deserialize)]
 struct Transaction {
     #[serde(default)]
@@ -128,7 +142,9 @@
         let parameter = |name| text(&req, name);
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/kv-key") => self.key(&parameter("tls_key")),
-            (&Method::GET, "/kv-range") => self.range(&parameter("path_prefix")),
+            (&Method::GET, "/kv-range") => {
+                self.range(&parameter("path_prefix"), &parameter("since_rev"))
+            }
             (&Method::GET, "/kv-watch") => self.watch(&req).await,
             (&Method::POST, "/kv-txn") => match read_json(req).await {
                 Some(transaction) => self.write(transaction).await,
@@ -155,12 +171,26 @@
         empty(StatusCode::NOT_FOUND)
     }
 
-    fn range(&self, prefix: &str) -> Response<Whole> {
+    /// Lists in pages from now on, with a fault in all but the first.
+    pub fn list_in_pages(&self, length: usize, fault: PageFault) {
+        self.state.borrow_mut().pages = Some((length, fault));
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> Response<Whole> {
         let state = self.state.borrow();
+        let (length, fault) = state.pages.unwrap_or((usize::MAX, PageFault::None));
+        let (after, length) = match fault {
+            PageFault::Repeats => ("", length),
+            PageFault::Empty if !after.is_empty() => (after, 0),
+            _ => (after, length),
+        };
         let found = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
-        let items: Vec<Value> =
-            found.map(|(key, (revision, value))| item(key, *revision, value)).collect();
-        let page = json!({"items": items, "has_more": false, "timestamp": state.revision});
+        let left = found.filter(|(key, _)| after.is_empty() || key.as_str() > after);
+        let mut items: Vec<Value> =
+            left.map(|(key, (revision, value))| item(key, *revision, value)).collect();
+        let has_more = items.len() > length;
+        items.truncate(length);
+        let page = json!({"items": items, "has_more": has_more, "timestamp": state.revision});
         answer(StatusCode::OK, &page)
     }
 
