--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -268,5 +268,7 @@
     // Most answers of a watch hold heartbeats that say nothing new.
     let news = control.known.borrow().changes() != before;
     control.learned(Millis(0), news);
+    // Orders that failed are sent again, and closings run out, without any news of boxes.
+    control.wake.notify_one();
     Ok(revision)
 }
