--- a/crates/cherrystand_core/src/nodes/silence_check.rs
+++ b/crates/cherrystand_core/src/nodes/silence_check.rs
@@ -72,8 +72,8 @@
     /// Says what follows where a box refused the connection.
     ///
     /// A box that is cut off from the store refuses questions and orders as one that is dead does,
-    /// and goes on serving. While nobody saw its replica stand still the refusal says nothing: with
-    /// 41 of 225 boxes cut off, replicas of 16 boxes served 0.33 of one class in place of 0.58.
+    /// and may go on serving. While nobody saw its replica stand still the refusal says nothing; one
+    /// that is dead is found by its streams, within 0.4 s.
     pub fn refused(doubt: Doubt) -> SilenceVerdict {
         match doubt {
             Doubt::NoAnswer => SilenceVerdict::Silent,
--- a/crates/cherrystand_core/tests/silence.rs
+++ b/crates/cherrystand_core/tests/silence.rs
@@ -158,9 +158,11 @@
     }
 }
 
-/// Story: 41 of 225 boxes were cut off from the store for ten seconds. Requests reached them and they
-/// served on, while they refused questions and orders. Each refusal was taken for a box's death,
-/// and replicas of sixteen boxes were given up that served: one class got 0.33 of its credit.
+/// Story: 41 of 225 boxes were cut off from the store for ten seconds and refused questions and orders
+/// meanwhile. Each was asked once its entry had run out, and the refusal was taken for its death
+/// though nothing else spoke against it. On that day it made no difference to callers (two plays),
+/// since connections to leaders among them failed as well; where only the store is cut off it
+/// would end replicas that serve.
 #[test]
 fn a_refusal_speaks_against_a_box_only_where_something_else_does() {
     struct Case {
