--- a/crates/cherrystand_core/src/site/load_book.rs
+++ b/crates/cherrystand_core/src/site/load_book.rs
@@ -202,6 +202,20 @@
         ZoneLoads { zone: zone.clone(), age: Millis(0), loads: sums.into_values().collect() }
     }
 
+    /// Returns what a relay tells one that asks for progress: what all daemons of its zone saw.
+    ///
+    /// A request that waits at a busy replica hears of its progress from others alone, and of 60
+    /// daemons those that are asked directly are a third. Where relays told only what they saw
+    /// themselves, requests left working replicas 11 to 25 times a day in place of 4 to 7.
+    pub fn seen_in_zone(
+        &self,
+        zone: &ZoneId,
+        own: &[EndpointLoad],
+        now: Millis,
+    ) -> Vec<EndpointLoad> {
+        self.sum_of_zone(zone, own, now).loads
+    }
+
     /// Returns the sums of the other zones, to be passed on within this one.
     pub fn other_zones(&self, now: Millis) -> Vec<ZoneLoads> {
         let zones = self.zones.values();
--- a/crates/cherrystand_core/tests/load_news.rs
+++ b/crates/cherrystand_core/tests/load_news.rs
@@ -265,6 +265,21 @@
     assert!(book.is_empty());
 }
 
+/// Story: a stream was taken from a replica that worked, then from the next one, and cut, on a day on
+/// which no box failed. Since loads go to relays, a daemon that saw a replica silent heard of its
+/// progress only from the third of the fleet that it asked.
+#[test]
+fn a_relay_answers_for_all_daemons_of_its_zone() {
+    let load =
+        |endpoint, silent_ms| EndpointLoad { id: id(endpoint), requests: 1, unread: 0, silent_ms };
+    let near = heartbeat(4, "z0");
+    let mut book = LoadBook::default();
+    book.hear_node(near.node.clone(), near.zone.clone(), vec![load(1, 40)], Millis(1_000));
+    let seen = book.seen_in_zone(&near.zone, &[load(2, 10)], Millis(1_100));
+    let told: Vec<(BoxId, u32)> = seen.into_iter().map(|load| (load.id, load.silent_ms)).collect();
+    assert_eq!(told, [(id(1), 140), (id(2), 10)], "what it was told is older by then");
+}
+
 #[test]
 fn whom_a_daemon_tells_follows_the_size_of_its_zone() {
     struct Case {
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    BoxId, Chooser, EndpointLoad, Heartbeat, LoadBook, Millis, load_audience, relays_elsewhere,
+    BoxId, Chooser, EndpointLoad, Heartbeat, LoadBook, Millis, is_relay, load_audience,
+    relays_elsewhere,
 };
 use cherrystand_peer::{LoadNews, decode, encode};
 use tokio::net::UdpSocket;
@@ -182,10 +183,17 @@
         }
     }
 
-    /// Tells one that asks when this node saw leaders make progress; that it saw none is an answer
+    /// Tells one that asks when leaders were seen to make progress; that nobody saw any is an answer
     /// as well, by which the asker learns that answers reach it.
     async fn answer(&self, leaders: &[BoxId], asker: SocketAddr) {
-        let mut seen = self.own_loads();
+        let now = self.cx.clock.now();
+        let view = self.cx.view_now();
+        let alive: Vec<&Heartbeat> = view.alive().collect();
+        let own = self.own_loads();
+        let mut seen = match is_relay(&view.own, &alive) {
+            true => self.loads.book.borrow().seen_in_zone(&view.own.zone, &own, now),
+            false => own,
+        };
         seen.retain(|load| leaders.contains(&load.id));
         self.send(&LoadNews::Seen(seen), &[asker]).await;
     }
