revert: loads go to twelve of the zone in turn again

Sums are still worked out only where a request is placed. What the large site gained by fewer datagrams is given back.

--- a/crates/cherrystand_core/benches/node_costs.rs
+++ b/crates/cherrystand_core/benches/node_costs.rs
@@ -137,12 +137,6 @@
         let told = busy(number, replicas);
         book.hear_node(heartbeat(number, 1).node, zone(0), told, Millis(0));
     });
-    let mut follower = LoadBook::default();
-    let total = book.sum_of_zone(&zone(0), &[], Millis(0)).loads;
-    report("a relay's total taken in and summed", || {
-        follower.hear_total(total.clone(), Millis(0));
-        black_box(follower.take_sums());
-    });
     report("a telling of loads taken in and summed", || {
         turn += 1;
         let number = near[turn % near.len()];
--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -64,7 +64,6 @@
     pub(crate) mod documents;
     pub(crate) mod duty_share;
     pub(crate) mod freshness;
-    pub(crate) mod load_audience;
     pub(crate) mod membership;
     pub(crate) mod reader_note;
     pub(crate) mod readers;
@@ -141,7 +140,6 @@
 pub use nodes::documents::{Document, Documents, Version};
 pub use nodes::duty_share::{owner_of, ranked};
 pub use nodes::freshness::{FRESH_FOR, Freshness, ServeBy};
-pub use nodes::load_audience::{LoadAudience, TOLD_DIRECTLY, load_audience};
 pub use nodes::membership::{
     DEAD_AFTER, FORGET_AFTER, Heartbeat, Membership, PAUSE_GAP, SUSPECT_AFTER, Standing,
 };
--- a/crates/cherrystand_core/tests/relays.rs
+++ b/crates/cherrystand_core/tests/relays.rs
@@ -247,13 +247,16 @@
     book.hear_zone(told("z1", Millis(300), vec![load("b1", 50, 10)]), &own_zone, now);
     book.hear_zone(told("z0", Millis(0), vec![load("b1", 50, 10)]), &own_zone, now);
     assert_eq!(requests(&book), 9.0);
+    // The sums are handed over once, until something changes.
+    assert_eq!(book.take_sums(), Some(book.sums()));
+    assert_eq!(book.take_sums(), None);
     let sum = book.sum_of_zone(&own_zone, &[load("b1", 1, 400), load("b2", 4, 5)], now);
     assert_eq!(sum.loads, vec![load_sum("b1", 3, 300, 10), load_sum("b2", 4, 400, 5)]);
     assert_eq!(book.other_zones(now)[0].age, Millis(100));
-    // What is old counts no more.
-    book.forget(now + Millis(900));
-    assert_eq!(requests(&book), 9.0);
-    book.forget(now + Millis(1_600));
+    // What is old counts no more: the zone's sum first, then what its peer told alone.
+    book.forget(4, now + Millis(1_600));
+    assert_eq!(requests(&book), 5.0);
+    book.forget(1, now + Millis(1_600));
     assert_eq!(requests(&book), 0.0);
 }
 
--- a/crates/cherrystand_peer/src/load_news.rs
+++ b/crates/cherrystand_peer/src/load_news.rs
@@ -22,8 +22,6 @@
     },
     /// Says what all daemons of the sender's zone have in flight.
     Zone(ZoneLoads),
-    /// Says what all daemons have in flight, as a relay of a large zone sums it up for it.
-    Total(Vec<EndpointLoad>),
     /// Asks when the leaders of some replicas last made progress.
     Asked(Vec<BoxId>),
     /// Answers that, with those of them at which the sender has requests.
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -7,8 +7,7 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    BoxId, Chooser, EndpointLoad, Heartbeat, LoadBook, Millis, is_relay, load_audience,
-    relays_elsewhere,
+    BoxId, Chooser, EndpointLoad, Heartbeat, LoadBook, Millis, is_relay, relays_elsewhere,
 };
 use cherrystand_peer::{LoadNews, decode, encode};
 use tokio::net::UdpSocket;
@@ -21,6 +20,11 @@
 /// The time between two tellings while requests are in flight.
 const TELL_EVERY: Duration = Duration::from_millis(200);
 
+/// How many peers are told at a time, in turn; among more, each is told less often.
+///
+/// Where there are more, only those of the own zone are told, and relays carry the sums of zones.
+const TOLD_AT_ONCE: usize = 12;
+
 /// Within this time peers answer what they were asked.
 const ANSWERED_WITHIN: Millis = Millis(25);
 
@@ -159,7 +163,6 @@
                 }
             }
             LoadNews::Zone(told) => book.borrow_mut().hear_zone(told, own_zone, now),
-            LoadNews::Total(loads) => book.borrow_mut().hear_total(loads, now),
             LoadNews::Asked(leaders) => self.answer(&leaders, sender).await,
             LoadNews::Seen(loads) => {
                 self.loads.answered.set(Some(now));
@@ -183,17 +186,10 @@
         }
     }
 
-    /// Tells one that asks when leaders were seen to make progress; that nobody saw any is an answer
+    /// Tells one that asks when this node saw leaders make progress; that it saw none is an answer
     /// as well, by which the asker learns that answers reach it.
     async fn answer(&self, leaders: &[BoxId], asker: SocketAddr) {
-        let now = self.cx.clock.now();
-        let view = self.cx.view_now();
-        let alive: Vec<&Heartbeat> = view.alive().collect();
-        let own = self.own_loads();
-        let mut seen = match is_relay(&view.own, &alive) {
-            true => self.loads.book.borrow().seen_in_zone(&view.own.zone, &own, now),
-            false => own,
-        };
+        let mut seen = self.own_loads();
         seen.retain(|load| leaders.contains(&load.id));
         self.send(&LoadNews::Seen(seen), &[asker]).await;
     }
@@ -211,9 +207,8 @@
             due = Instant::now() + TELL_EVERY;
             let loads = self.own_loads();
             let any = !loads.is_empty();
-            if self.cx.settings.policy.tell_loads {
-                self.tell_loads(loads, any || told_any, turn).await;
-                turn += 1;
+            if self.cx.settings.policy.tell_loads && (any || told_any) {
+                self.tell_loads(loads, &mut turn).await;
             }
             told_any = any;
         }
@@ -242,35 +237,34 @@
         }
     }
 
-    /// Tells what is in flight to those that have a use for it.
-    ///
-    /// `has_own` says whether the daemon has anything in flight itself, or had the last time.
-    async fn tell_loads(&self, loads: Vec<EndpointLoad>, has_own: bool, turn: usize) {
+    /// Tells what is in flight: to everybody where they are few, else to some of the own zone in
+    /// turn, and from relay to relay as the sum of the zone.
+    async fn tell_loads(&self, loads: Vec<EndpointLoad>, turn: &mut usize) {
         let now = self.cx.clock.now();
         let view = self.cx.view_now();
         let alive: Vec<&Heartbeat> = view.alive().collect();
         let (from, zone) = (view.own.node.clone(), view.own.zone.clone());
-        let audience = load_audience(&view.own, &alive, turn);
+        let others: Vec<&Heartbeat> =
+            alive.iter().copied().filter(|beat| beat.node != from).collect();
+        let near = others.iter().filter(|beat| beat.zone == zone).map(|beat| beat.address);
+        let near: Vec<SocketAddr> = near.collect();
         let book = &self.loads.book;
-        book.borrow_mut().forget(now);
-        let passes_on = !audience.zone.is_empty() && !book.borrow().is_empty();
-        if !has_own && !passes_on {
-            return;
+        book.borrow_mut().forget(near.len().div_ceil(TOLD_AT_ONCE), now);
+        if others.len() <= TOLD_AT_ONCE {
+            let all: Vec<SocketAddr> = others.iter().map(|beat| beat.address).collect();
+            let news = LoadNews::InFlight { from, zone, loads, zones: Vec::new() };
+            return self.send(&news, &all).await;
         }
-        book.borrow_mut().told_relays(loads.clone());
         let mut zones = Vec::new();
-        if !audience.zone.is_empty() {
+        if is_relay(&view.own, &alive) {
             let sum = book.borrow().sum_of_zone(&zone, &loads, now);
-            if audience.total.is_empty() {
-                zones = book.borrow().other_zones(now);
-            } else {
-                let total = book.borrow().total(&sum, now);
-                self.send(&LoadNews::Total(total), &addresses(&audience.total)).await;
-            }
-            self.send(&LoadNews::Zone(sum), &addresses(&audience.zone)).await;
+            let relays = relays_elsewhere(&zone, &alive);
+            let relays: Vec<SocketAddr> = relays.iter().map(|beat| beat.address).collect();
+            self.send(&LoadNews::Zone(sum), &relays).await;
+            zones = book.borrow().other_zones(now);
         }
         let news = LoadNews::InFlight { from, zone, loads, zones };
-        self.send(&news, &addresses(&audience.own)).await;
+        self.send(&news, &told_now(&near, turn)).await;
     }
 
     /// Returns what this node has in flight itself.
@@ -304,7 +298,7 @@
     fn count(&self, way: &str, news: &LoadNews, bytes: usize) {
         let kind = match news {
             LoadNews::InFlight { .. } => "loads",
-            LoadNews::Zone(_) | LoadNews::Total(_) => "zone-loads",
+            LoadNews::Zone(_) => "zone-loads",
             LoadNews::Asked(_) | LoadNews::Seen(_) => "progress",
             LoadNews::Stalled(_) | LoadNews::Left(_) => "out-of-service",
         };
@@ -312,6 +306,12 @@
     }
 }
 
-fn addresses(peers: &[&Heartbeat]) -> Vec<SocketAddr> {
-    peers.iter().map(|beat| beat.address).collect()
+/// Returns the peers that are told this time: the next few in turn.
+fn told_now(peers: &[SocketAddr], turn: &mut usize) -> Vec<SocketAddr> {
+    if peers.len() <= TOLD_AT_ONCE {
+        return peers.to_vec();
+    }
+    let first = *turn % peers.len();
+    *turn = first + TOLD_AT_ONCE;
+    peers.iter().cycle().skip(first).take(TOLD_AT_ONCE).copied().collect()
 }
