refactor: one type of changes, one publication a beat, no copy of what the view tells

ChangeBatch was ChangesSince again. A stopping daemon published its view twice each beat. How many nodes the request path was told of stands in what was published to it. Beats are matched without copying them; a list one too short, where the own daemon came last, is now turned down as every other length was. One way to ask by all that are alive.

--- a/crates/cherrystand_core/src/nodes/change_log.rs
+++ b/crates/cherrystand_core/src/nodes/change_log.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{BoxId, Document};
 
 /// How many changes are kept; a peer that fell behind further reads everything anew.
@@ -18,7 +20,7 @@
 }
 
 /// Holds what changed since a peer last asked.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChangesSince {
     /// The records written, each as it is now.
     pub records: Vec<Document>,
@@ -34,6 +36,13 @@
     count: u64,
 }
 
+impl ChangesSince {
+    /// Tells whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty() && self.gone.is_empty()
+    }
+}
+
 impl ChangeLog {
     /// Adds a record that was written.
     pub fn record(&mut self, document: Document) {
--- a/crates/cherrystand_core/src/nodes/membership.rs
+++ b/crates/cherrystand_core/src/nodes/membership.rs
@@ -208,21 +208,19 @@
     }
 
     fn take_beats(&mut self, beats: &[(u64, Millis)], on_the_way: Millis, now: Millis) {
-        let place = self.in_order(now).position(|(heartbeat, _)| heartbeat.node == self.own.node);
-        let mut others = beats.to_vec();
-        // A list of another length is not one of this roster.
-        if let Some(place) = place.filter(|place| *place < others.len()) {
-            others.remove(place);
-        }
+        let before = self.members.range::<NodeId, _>(..&self.own.node);
+        let own = before.filter(|(_, member)| !member.is_dead(now)).count();
         let known: Vec<&mut Member> =
             self.members.values_mut().filter(|member| !member.is_dead(now)).collect();
-        if known.len() != others.len() {
+        // A list of another length is not one of this roster.
+        if beats.len() != known.len() + 1 {
             return;
         }
+        let others = beats[..own].iter().chain(&beats[own + 1..]);
         for (member, (beat, age)) in known.into_iter().zip(others) {
-            if beat > member.heartbeat.beat {
-                member.heartbeat.beat = beat;
-                member.heard = now - (age + on_the_way);
+            if *beat > member.heartbeat.beat {
+                member.heartbeat.beat = *beat;
+                member.heard = now - (*age + on_the_way);
             }
         }
     }
--- a/crates/cherrystand_peer/src/change_batch.rs
+++ b/crates/cherrystand_peer/src/change_batch.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use cherrystand_core::{BoxId, Document};
+use cherrystand_core::ChangesSince;
 use serde::{Deserialize, Serialize};
 
 use crate::{CodecError, decode_compressed, encode_compressed};
@@ -12,23 +12,7 @@
 /// other, and the whole is asked for beside them.
 const KEPT: usize = 8;
 
-/// Holds the records that changed and the boxes that are gone.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ChangeBatch {
-    /// The domains' records and the boxes' entries that changed, as they stand in the store.
-    pub records: Vec<Document>,
-    /// The boxes that are gone.
-    pub gone: Vec<BoxId>,
-}
-
-impl ChangeBatch {
-    /// Tells whether nothing changed.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.gone.is_empty()
-    }
-}
-
-/// A [`ChangeBatch`] as it is sent.
+/// [`ChangesSince`] as they are sent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct PackedBatch(Arc<[u8]>);
@@ -39,7 +23,7 @@
     /// # Errors
     ///
     /// Returns a [`CodecError`] where it has no encoding.
-    pub fn new(batch: &ChangeBatch) -> Result<Self, CodecError> {
+    pub fn new(batch: &ChangesSince) -> Result<Self, CodecError> {
         Ok(Self(encode_compressed(batch)?.into()))
     }
 
@@ -48,7 +32,7 @@
     /// # Errors
     ///
     /// Returns a [`CodecError`] where the bytes are no batch of this version or too large a one.
-    pub fn unpack(&self) -> Result<ChangeBatch, CodecError> {
+    pub fn unpack(&self) -> Result<ChangesSince, CodecError> {
         decode_compressed(&self.0)
     }
 }
@@ -81,7 +65,7 @@
     pub fn get_or_pack(
         &mut self,
         span: BatchSpan,
-        make: impl FnOnce() -> ChangeBatch,
+        make: impl FnOnce() -> ChangesSince,
     ) -> Result<PackedBatch, CodecError> {
         if let Some((_, packed)) = self.kept.iter().find(|(kept, _)| *kept == span) {
             return Ok(packed.clone());
--- a/crates/cherrystand_peer/src/lib.rs
+++ b/crates/cherrystand_peer/src/lib.rs
@@ -11,7 +11,7 @@
 mod transport;
 mod versions;
 
-pub use change_batch::{BatchSpan, ChangeBatch, ChangeBatches, PackedBatch};
+pub use change_batch::{BatchSpan, ChangeBatches, PackedBatch};
 pub use change_news::{ChangeCursor, ChangeNews, ChangeQuestion};
 pub use load_news::LoadNews;
 pub use message::{
--- a/crates/cherrystand_peer/tests/batches.rs
+++ b/crates/cherrystand_peer/tests/batches.rs
@@ -1,7 +1,7 @@
 //! Changes as one block for all that ask.
 
-use cherrystand_core::{BoxId, Document, Revision};
-use cherrystand_peer::{BatchSpan, ChangeBatch, ChangeBatches, PackedBatch, decode, encode};
+use cherrystand_core::{BoxId, ChangesSince, Document, Revision};
+use cherrystand_peer::{BatchSpan, ChangeBatches, PackedBatch, decode, encode};
 
 fn entry(number: u64) -> Document {
     let body = format!("{{\"name\":\"box-{number}\",\"state\":\"ready\"}}");
@@ -35,7 +35,7 @@
         let span = BatchSpan { after: case.after, until: case.until };
         let records: Vec<Document> =
             (case.after.unwrap_or_default()..case.until).map(entry).collect();
-        let batch = ChangeBatch { records, gone: vec![BoxId::new("gone")] };
+        let batch = ChangesSince { records, gone: vec![BoxId::new("gone")] };
         let make = || {
             made += 1;
             batch.clone()
@@ -49,7 +49,7 @@
 #[test]
 fn a_block_that_is_no_batch_is_refused() {
     let records: Vec<Document> = (0..400).map(entry).collect();
-    let packed = PackedBatch::new(&ChangeBatch { records, gone: Vec::new() }).expect("packed");
+    let packed = PackedBatch::new(&ChangesSince { records, gone: Vec::new() }).expect("packed");
     let bytes = encode(&packed).expect("it has an encoding");
     for cut in [bytes.len() / 2, bytes.len() - 1] {
         assert!(decode::<PackedBatch>(&bytes[..cut]).is_err(), "cut at {cut}");
--- a/crates/cherrystandd/benches/slopes.rs
+++ b/crates/cherrystandd/benches/slopes.rs
@@ -6,12 +6,13 @@
 use std::time::Instant;
 
 use cherrystand_core::{
-    Assignment, BoxId, BoxInfo, Controller, Desired, Digest, Document, DomainId, DomainRecord,
-    EngineReport, EngineState, Epoch, EvidenceTable, Fleet, GroupId, Heartbeat, Incarnation,
-    LoadSpec, Membership, Millis, NodeId, Observation, Observations, Phase, RepairPolicy,
-    ReplicaEvidence, ReplicaId, Revision, Situation, Slot, WorkspaceId, WorkspaceRecord, ZoneId,
+    Assignment, BoxId, BoxInfo, ChangesSince, Controller, Desired, Digest, Document, DomainId,
+    DomainRecord, EngineReport, EngineState, Epoch, EvidenceTable, Fleet, GroupId, Heartbeat,
+    Incarnation, LoadSpec, Membership, Millis, NodeId, Observation, Observations, Phase,
+    RepairPolicy, ReplicaEvidence, ReplicaId, Revision, Situation, Slot, WorkspaceId,
+    WorkspaceRecord, ZoneId,
 };
-use cherrystand_peer::{BatchSpan, ChangeBatch, ChangeBatches, News, PackedBatch, Reply, encode};
+use cherrystand_peer::{BatchSpan, ChangeBatches, News, PackedBatch, Reply, encode};
 
 const SPAN: u32 = 8;
 
@@ -117,7 +118,7 @@
 fn changes_passed_on() {
     for count in [30, 1_107, 5_000] {
         let records: Vec<Document> = (0..count).map(box_entry).collect();
-        let batch = ChangeBatch { records, gone: Vec::new() };
+        let batch = ChangesSince { records, gone: Vec::new() };
         let packed = PackedBatch::new(&batch).expect("it has an encoding");
         let rounds = 20;
         let pack = micros(rounds, || {
--- a/crates/cherrystandd/src/duties/state_keeper.rs
+++ b/crates/cherrystandd/src/duties/state_keeper.rs
@@ -37,10 +37,7 @@
                 Ok(event) => take_several(cx, &mut state, event),
                 Err(_) => return,
             },
-            _ = tick.tick() => {
-                beat(cx, &mut state);
-                publish(cx, &state);
-            }
+            _ = tick.tick() => beat(cx, &mut state),
             () = cx.stopping(StopPhase::Stopped) => return,
         }
         if state.take_changed() {
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{Millis, Revision};
+use cherrystand_core::{ChangesSince, Millis, Revision};
 use cherrystand_peer::{
-    BatchSpan, ChangeBatch, ChangeCursor, ChangeNews, ChangeQuestion, CodecError, decode, encode,
+    BatchSpan, ChangeCursor, ChangeNews, ChangeQuestion, CodecError, decode, encode,
 };
 use cherrystand_platform::{CallError, call, serve_http};
 use http_body_util::{BodyExt, Full, Limited};
@@ -84,21 +84,21 @@
 async fn tell(control: &Control, question: ChangeQuestion) -> Result<Bytes, StatusCode> {
     let news = match question {
         ChangeQuestion::After { cursor, wait, config } => {
-            news_after(control, cursor, wait, config).await
+            news_after(control, cursor, wait, config).await?
         }
-        ChangeQuestion::Copy { newer_than, config } => copy_of(control, newer_than, config),
+        ChangeQuestion::Copy { newer_than, config } => copy_of(control, newer_than, config)?,
         ChangeQuestion::Ping => return Ok(Bytes::new()),
     };
-    let news = news.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    let bytes = news.and_then(|news| Ok((encode(&news)?, news)));
-    let (bytes, news) = bytes.map_err(|err| {
-        log::error!("changes cannot be written: {err}");
-        StatusCode::INTERNAL_SERVER_ERROR
-    })?;
+    let bytes = encode(&news).map_err(not_written)?;
     control.count_changes("out", &news, bytes.len());
     Ok(Bytes::from(bytes))
 }
 
+fn not_written(err: CodecError) -> StatusCode {
+    log::error!("changes cannot be written: {err}");
+    StatusCode::INTERNAL_SERVER_ERROR
+}
+
 /// Waits for a change after a cursor and makes the news of it, where the store's state is known
 /// freshly.
 async fn news_after(
@@ -106,7 +106,7 @@
     cursor: Option<ChangeCursor>,
     wait: Millis,
     config: Revision,
-) -> Option<Result<ChangeNews, CodecError>> {
+) -> Result<ChangeNews, StatusCode> {
     let life = control.life();
     let after = cursor.filter(|cursor| cursor.life == life).map(|cursor| cursor.count);
     let wait = Duration::from_millis(wait.min(LONGEST_WAIT).0);
@@ -115,14 +115,14 @@
     // One that asks the store itself has the answer soon, and the asker would go to the store as
     // well; one that asks a peer in turn would only add to the wait.
     if fresh_age(control).is_none() && control.peers.source().is_some() {
-        return None;
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
     let is_due = |count: &u64| fresh_age(control).is_some() && after.is_none_or(|at| *count > at);
     // Whether a change came or not, the answer says how fresh the store is.
     let _ = tokio::time::timeout(wait, changed.wait_for(is_due)).await;
-    let store_age = fresh_age(control)?;
+    let store_age = fresh_age(control).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let held = control.now().since(asked);
-    Some(news_of(control, after, store_age, config).map(|news| ChangeNews { held, ..news }))
+    Ok(ChangeNews { held, ..news_of(control, after, store_age, config)? })
 }
 
 /// Returns how long ago the store told this node how it stands, where that is fresh.
@@ -136,14 +136,14 @@
     control: &Control,
     newer_than: Revision,
     config: Revision,
-) -> Option<Result<ChangeNews, CodecError>> {
+) -> Result<ChangeNews, StatusCode> {
     let known = control.known.borrow();
     if !known.is_listed() || known.revision() <= newer_than {
-        return None;
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
     let store_age = control.store_age().unwrap_or(NEVER_HEARD);
     drop(known);
-    Some(news_of(control, None, store_age, config))
+    news_of(control, None, store_age, config)
 }
 
 /// Returns the news after the first `after` changes, or of everything, for a peer that holds a
@@ -153,15 +153,15 @@
     after: Option<u64>,
     store_age: Millis,
     config: Revision,
-) -> Result<ChangeNews, CodecError> {
+) -> Result<ChangeNews, StatusCode> {
     let known = control.known.borrow();
     let after = after.filter(|after| known.keeps_changes_since(*after));
     let span = BatchSpan { after, until: known.changes() };
     let make = || match after.and_then(|after| known.changes_since(after)) {
-        Some(since) => ChangeBatch { records: since.records, gone: since.gone },
-        None => ChangeBatch { records: known.everything(), gone: Vec::new() },
+        Some(since) => since,
+        None => ChangesSince { records: known.everything(), gone: Vec::new() },
     };
-    let batch = control.batches.borrow_mut().get_or_pack(span, make)?;
+    let batch = control.batches.borrow_mut().get_or_pack(span, make).map_err(not_written)?;
     Ok(ChangeNews {
         cursor: ChangeCursor { life: control.life(), count: known.changes() },
         store_age,
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -94,8 +94,6 @@
     pub(super) asking: RefCell<BTreeSet<BoxId>>,
     reach: Cell<StoreReach>,
     said_decides: Cell<bool>,
-    /// How many nodes the request path was last told of.
-    nodes_told: Cell<usize>,
     passed_on: Cell<Millis>,
     config_passed: Cell<Revision>,
     /// How long the last news took to be taken in.
@@ -125,7 +123,6 @@
             asking: RefCell::default(),
             reach: Cell::default(),
             said_decides: Cell::new(true),
-            nodes_told: Cell::default(),
             passed_on: Cell::default(),
             config_passed: Cell::default(),
             reading_took: Cell::default(),
@@ -197,7 +194,6 @@
 
     fn publish(&self) {
         let nodes = self.cx.view.borrow().alive().count();
-        self.nodes_told.set(nodes);
         let known = self.known.borrow();
         if let Some(config) = known.config() {
             self.cx.config_versions.note(config);
@@ -216,7 +212,7 @@
             let view = self.cx.view_now();
             let forgot = self.known.borrow_mut().forget(self.now());
             // The share of the repeats that a node may make hangs on how many there are.
-            if forgot || self.nodes_told.get() != view.alive().count() {
+            if forgot || self.cx.site.borrow().nodes != view.alive().count() {
                 self.publish();
             }
             ask_unlisted(&self);
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -8,7 +8,7 @@
     BoxId, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch, MemberOrder,
     MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
 };
-use cherrystand_peer::{ChangeBatch, ChangeNews};
+use cherrystand_peer::ChangeNews;
 use cherrystand_platform::{Changes, SiteDriver};
 
 use crate::keys;
@@ -121,7 +121,7 @@
     /// Takes in what a peer that reads the store passes on.
     ///
     /// The peer has judged which boxes to keep after an outage of the store.
-    pub(crate) fn take_news(&mut self, news: &ChangeNews, batch: &ChangeBatch, now: Millis) {
+    pub(crate) fn take_news(&mut self, news: &ChangeNews, batch: &ChangesSince, now: Millis) {
         self.outage.answered_peer(now - news.store_age);
         if news.whole {
             return self.take_copy(&batch.records, news.revision, now);
--- a/crates/cherrystandd/src/site/peer_choice.rs
+++ b/crates/cherrystandd/src/site/peer_choice.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    Heartbeat, NodeId, Seed, Source, SourceChooser, between_questions, between_watches, readers_of,
+    Heartbeat, Millis, NodeId, Seed, Source, SourceChooser, between_questions, between_watches,
+    readers_of,
 };
 
 use crate::{DutyContext, clock};
@@ -28,9 +29,14 @@
 
     /// Tells whether this node is a reader of its zone.
     pub(crate) fn is_reader(&self) -> bool {
+        self.by_alive(is_reader)
+    }
+
+    /// Answers by this node's heartbeat and those of all that are alive.
+    fn by_alive<T>(&self, ask: impl FnOnce(&Heartbeat, &[&Heartbeat]) -> T) -> T {
         let view = self.cx.view_now();
         let alive: Vec<&Heartbeat> = view.alive().collect();
-        readers_of(&view.own.zone, &alive).iter().any(|beat| beat.node == view.own.node)
+        ask(&view.own, &alive)
     }
 
     /// Returns where this node reads now: the peer's name and address, or nothing for the store.
@@ -38,29 +44,25 @@
         if !self.cx.settings.policy.readers {
             return None;
         }
-        let view = self.cx.view_now();
-        let alive: Vec<&Heartbeat> = view.alive().collect();
-        match self.sources.borrow_mut().choose(&view.own, &alive, self.cx.clock.now()) {
+        let now = self.cx.clock.now();
+        self.by_alive(|own, alive| match self.sources.borrow_mut().choose(own, alive, now) {
             Source::Store => None,
             Source::Peer(peer) => peer.changes.map(|address| (peer.node.clone(), address)),
-        }
+        })
     }
 
     /// Returns how long a reader of the store leaves between two watches.
     pub(crate) fn between_watches(&self) -> Duration {
-        let view = self.cx.view_now();
-        let alive: Vec<&Heartbeat> = view.alive().collect();
-        Duration::from_millis(between_watches(&alive).0)
+        Duration::from_millis(self.by_alive(|_, alive| between_watches(alive)).0)
     }
 
     /// Returns how long this node leaves between two questions to the peer that it reads from.
     pub(crate) fn between_questions(&self) -> Duration {
-        if self.is_reader() {
-            return Duration::ZERO;
-        }
-        let view = self.cx.view_now();
-        let alive: Vec<&Heartbeat> = view.alive().collect();
-        Duration::from_millis(between_questions(&view.own.zone, &alive).0)
+        let between = self.by_alive(|own, alive| match is_reader(own, alive) {
+            true => Millis(0),
+            false => between_questions(&own.zone, alive),
+        });
+        Duration::from_millis(between.0)
     }
 
     /// Notes that a peer failed as a source, or that it answered that it knows nothing fresh.
@@ -105,3 +107,7 @@
         drawn
     }
 }
+
+fn is_reader(own: &Heartbeat, alive: &[&Heartbeat]) -> bool {
+    readers_of(&own.zone, alive).iter().any(|beat| beat.node == own.node)
+}
--- a/crates/cherrystandd/src/site/reader_notes.rs
+++ b/crates/cherrystandd/src/site/reader_notes.rs
@@ -60,6 +60,7 @@
         Ok(body) => body,
         Err(err) => {
             log::error!("the readers of this zone cannot be written down: {err}");
+            // It would fail again; a daemon that starts lists the store where there is no note.
             return Ok(true);
         }
     };
--- a/crates/cherrystandd/src/state/node_state.rs
+++ b/crates/cherrystandd/src/state/node_state.rs
@@ -55,6 +55,8 @@
     /// Beats once, and tells whether the daemon was paused; what it knew of replicas and of the
     /// configuration's age then counts for nothing by its own age.
     pub(crate) fn tick(&mut self, now: Millis) -> bool {
+        // What is published gets older with each beat.
+        self.changed = true;
         self.evidence.prune(now);
         self.membership.tick(now)
     }
