--- a/crates/cherrystand_core/tests/digests.rs
+++ b/crates/cherrystand_core/tests/digests.rs
@@ -128,3 +128,19 @@
     let Digest::Whole(told) = told else { panic!("each takes the other for dead") };
     assert_eq!(told.len(), 2);
 }
+
+/// Story: none that users saw. A list that lacked its last beat was taken where the hearer's own came
+/// last, since that one is passed over.
+#[test]
+fn beats_that_lack_the_last_change_nothing_whoever_comes_last() {
+    for fleet in [2, 3, 9] {
+        let (teller, mut hearer) = two_of(fleet);
+        let now = Millis(200);
+        let before = heard_of(&hearer, now);
+        let roster = hearer.roster(now);
+        let beats = vec![(7, Millis(0)); fleet - 1];
+        hearer.take_digest(Digest::Beats { roster, beats }, Millis(0), now);
+        assert_eq!(heard_of(&hearer, now), before, "{fleet} daemons");
+        assert_eq!(roster, teller.roster(now));
+    }
+}
