--- a/crates/cherrystandd/src/site/reader_notes.rs
+++ b/crates/cherrystandd/src/site/reader_notes.rs
@@ -22,8 +22,11 @@
 /// together start within 300 ms of each other.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(40);
 
-/// Keeps the note of this node's zone for as long as the duty runs.
+/// Keeps the note of this node's zone for as long as the duty runs, where there are readers.
 pub(crate) async fn keep_note(control: Rc<Control>) {
+    if !control.cx.settings.policy.readers {
+        return;
+    }
     let mut keeper = NoteKeeper::default();
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
@@ -98,6 +101,9 @@
 
 /// Reads everything from the readers that the note names, whichever answers first.
 pub(crate) async fn start_by_note(control: &Control) -> Start {
+    if !control.cx.settings.policy.readers {
+        return Start::NoNote;
+    }
     let key = keys::readers(&control.cx.settings.zone);
     let note = match control.store.get(&key).await {
         Ok(held) => held.and_then(|held| read_note(&held.body)),
