fix(core): what other owners decided has no part in a domain's first model

Cause: with the model of a domain in its record, an owner that decided a little later counted the domains decided before in another order than those gave themselves. Change: the shares are worked out as if nothing was decided; a decision overrides its own domain alone. Test over all subsets of nine domains, failed first.

--- a/crates/cherrystand_core/src/site/homes.rs
+++ b/crates/cherrystand_core/src/site/homes.rs
@@ -17,6 +17,10 @@
 /// on the host. A domain whose boxes hold nothing goes to the model whose replicas use the fewest
 /// boxes against its share of the work.
 ///
+/// Daemons decide for their domains at the same time and hear of each other's decisions by and by;
+/// what others decided therefore has no part in a domain's own: with it, nine domains were split six
+/// to three where five to four was meant.
+///
 /// Source: docs/design/0009-users-machines.md.
 pub fn home_models(
     engine: &EngineSpec,
@@ -28,9 +32,7 @@
         return homes;
     }
     for (domain, boxes) in domains {
-        let decided = decided.get(domain).filter(|name| engine.model(name).is_some()).cloned();
-        let home = decided.or_else(|| model_held(engine, boxes));
-        homes.extend(home.map(|home| (domain.clone(), home)));
+        homes.extend(model_held(engine, boxes).map(|home| (domain.clone(), home)));
     }
     for domain in domains.keys() {
         if homes.contains_key(domain) {
@@ -50,6 +52,10 @@
             models.min_by(|a, b| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal));
         homes.extend(least.map(|model| (domain.clone(), model.name.clone())));
     }
+    let known = |(id, name): &(&DomainId, &String)| {
+        domains.contains_key(*id) && engine.model(name).is_some()
+    };
+    homes.extend(decided.iter().filter(known).map(|(id, name)| (id.clone(), name.clone())));
     homes
 }
 
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -321,6 +321,34 @@
     assert!(times.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
 }
 
+/// Story: as owners of domains decided one after the other and heard of each other's records, nine
+/// domains were split six to three; 6,825 of 10,786 requests of the other model came late.
+#[test]
+fn domains_are_shared_out_alike_whichever_were_decided_before() {
+    let engine = site_engine();
+    let boxes: Vec<(DomainId, Vec<SiteBox>)> = (0..9)
+        .map(|domain| {
+            let name = format!("d{domain}");
+            let boxes = (0..9).map(|number| domain_box(&name, number, &[])).collect();
+            (DomainId::new(name), boxes)
+        })
+        .collect();
+    let domains: BTreeMap<DomainId, Vec<&SiteBox>> =
+        boxes.iter().map(|(id, boxes)| (id.clone(), boxes.iter().collect())).collect();
+    let all = home_models(&engine, &domains, &BTreeMap::new());
+    // Each subset of the domains was decided already.
+    for decided in 0_u32..1 << domains.len() {
+        let known = all.iter().enumerate().filter(|(number, _)| decided >> number & 1 == 1);
+        let known = known.map(|(_, (id, home))| (id.clone(), home.clone())).collect();
+        assert_eq!(home_models(&engine, &domains, &known), all, "{decided:b}");
+    }
+    let other = BTreeMap::from([(DomainId::new("d0"), engine.models[1].name.clone())]);
+    let changed = home_models(&engine, &domains, &other);
+    assert_eq!(changed[&DomainId::new("d0")], engine.models[1].name, "what was decided stays");
+    let unknown = BTreeMap::from([(DomainId::new("d0"), "nobody's".to_owned())]);
+    assert_eq!(home_models(&engine, &domains, &unknown), all, "a model that is not configured");
+}
+
 fn domain_box(domain: &str, number: usize, staged: &[&str]) -> SiteBox {
     SiteBox {
         id: BoxId::new(format!("{domain}-{number}")),
