fix: an answer is whole only if its sender says so

Cause: a stream's body ended as whole when its sender was dropped, so that a task that panics ends a cut answer as if it were complete. Ruled out: the replicas' framing (only nodes whose tasks panicked). Change: EventSender::end ends the body; without it the connection is cut.

--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! The traits [`KeyValue`] and [`BoxList`] are what the daemon's duties are written against; the
 //! clients speak HTTP with JSON.
 
+mod caller_body;
 mod engine_client;
 mod http_pool;
 mod http_server;
@@ -13,6 +14,7 @@
 mod platform_client;
 mod site_driver;
 
+pub use caller_body::{BrokeOff, CallerBody, CallerLeft, EventSender};
 pub use engine_client::{EPOCH_HEADER, EngineClient, EngineError, NOT_RUN_HEADER};
 pub use http_pool::{HttpPool, PooledBody, SendError};
 pub use http_server::{MAX_HEAD_BYTES, serve_http};
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -7,11 +7,11 @@
 use cherrystand_core::{
     AttemptEnd, AttemptLedger, BoxId, EventCutter, LARGEST_EVENT, Millis, WholeEvent,
 };
+use cherrystand_platform::EventSender;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 
 use crate::site::attempt::{self, Begun};
-use crate::site::body::{BrokeOff, EventSender};
 use crate::site::flight::Flight;
 use crate::site::front::{Front, Urgency};
 use crate::site::request::SiteRequest;
@@ -33,7 +33,7 @@
     Over,
 }
 
-/// Passes one answer on to a caller.
+/// Passes one answer on to a caller, who learns by the cut connection where it is not whole.
 pub(crate) struct EventStream {
     pub(crate) front: Rc<Front>,
     pub(crate) req: Rc<SiteRequest>,
@@ -52,15 +52,18 @@
         let mut begun = first;
         loop {
             match self.run(begun).await {
-                RunEnd::Whole | RunEnd::Over => return,
+                RunEnd::Whole => {
+                    // One who has left needs no end.
+                    let _ = self.tx.end().await;
+                    return;
+                }
+                RunEnd::Over => return,
                 RunEnd::Broken(end) => match self.go_on(end).await {
                     Some(next) => begun = next,
                     None => {
                         self.front.count_broken_stream();
                         let (req, tried) = (&self.req, &self.tried);
                         self.front.failures.failed(req, tried, end.as_str(), "the stream was cut");
-                        // The caller learns by the cut connection that the answer is not whole.
-                        let _ = self.tx.send(Err(BrokeOff)).await;
                         return;
                     }
                 },
@@ -82,10 +85,7 @@
             };
             match frame {
                 // What has arrived by the deadline was passed on before this.
-                Err(_) if left == Millis(0) => {
-                    let _ = self.tx.send(Err(BrokeOff)).await;
-                    return RunEnd::Over;
-                }
+                Err(_) if left == Millis(0) => return RunEnd::Over,
                 // This thread was busy itself: what came meanwhile is read first.
                 Err(_) if self.front.was_busy(looked) => {}
                 Err(_) if self.leaves(&flight, heard) => {
@@ -129,10 +129,7 @@
             return None;
         }
         let out = if out.len() == 1 { out.remove(0) } else { Bytes::from(out.concat()) };
-        match self.tx.send(Ok(out)).await {
-            Ok(()) => None,
-            Err(_) => Some(RunEnd::Over),
-        }
+        self.tx.pass(out).await.err().map(|_| RunEnd::Over)
     }
 
     /// Tells whether an event is the next one.
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -6,7 +6,7 @@
 use cherrystand_core::{
     AttemptEnd, AttemptLedger, BoxId, FinalFailure, Millis, RefusalReason, RouteKind,
 };
-use cherrystand_platform::SiteDriver;
+use cherrystand_platform::{CallerBody, SiteDriver};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
@@ -14,7 +14,6 @@
 use crate::relay::headers::strip_connection;
 use crate::site::Driver;
 use crate::site::attempt::{self, Begun};
-use crate::site::body::SiteBody;
 use crate::site::event_stream::EventStream;
 use crate::site::flight::Flight;
 use crate::site::front::{Front, Urgency};
@@ -28,7 +27,7 @@
 const COME_BACK: Millis = Millis(300);
 
 /// Answers one request of a caller.
-pub(crate) async fn handle(front: Rc<Front>, req: Request<Incoming>) -> Response<SiteBody> {
+pub(crate) async fn handle(front: Rc<Front>, req: Request<Incoming>) -> Response<CallerBody> {
     let id = Driver::read_request(req.headers()).id.unwrap_or_default();
     let mut answer = match serve_request(&front, req).await {
         Ok(answer) => return answer,
@@ -63,7 +62,7 @@
 async fn serve_request(
     front: &Rc<Front>,
     req: Request<Incoming>,
-) -> Result<Response<SiteBody>, StatusCode> {
+) -> Result<Response<CallerBody>, StatusCode> {
     let came = front.now();
     let view = front.follow_once_known().await;
     let table = view.table.as_ref().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
@@ -135,7 +134,10 @@
     }
 }
 
-async fn stream(front: &Rc<Front>, req: Rc<SiteRequest>) -> Result<Response<SiteBody>, StatusCode> {
+async fn stream(
+    front: &Rc<Front>,
+    req: Rc<SiteRequest>,
+) -> Result<Response<CallerBody>, StatusCode> {
     let mut tries = Tries::default();
     let begun = loop {
         let flight = tries.begin(front, &req).ok_or_else(|| tries.status())?;
@@ -153,7 +155,7 @@
             tries.failed(front, &req, end)
         });
     }
-    let (tx, body) = SiteBody::events();
+    let (tx, body) = CallerBody::events();
     let mut head = begun.head.clone();
     strip_connection(&mut head.headers);
     head.headers.remove(hyper::header::CONTENT_LENGTH);
@@ -169,10 +171,13 @@
     Ok(Response::from_parts(head, body))
 }
 
-async fn whole(front: &Rc<Front>, req: &Rc<SiteRequest>) -> Result<Response<SiteBody>, StatusCode> {
+async fn whole(
+    front: &Rc<Front>,
+    req: &Rc<SiteRequest>,
+) -> Result<Response<CallerBody>, StatusCode> {
     let mut tries = Tries::default();
     // An endpoint's own failure, which is passed on unless a later attempt brings a better answer.
-    let mut kept: Option<Response<SiteBody>> = None;
+    let mut kept: Option<Response<CallerBody>> = None;
     loop {
         let Some(flight) = tries.begin(front, req) else {
             return kept.ok_or_else(|| tries.status());
@@ -195,7 +200,7 @@
     front: &Rc<Front>,
     req: &Rc<SiteRequest>,
     flight: Flight,
-) -> Result<Response<SiteBody>, AttemptEnd> {
+) -> Result<Response<CallerBody>, AttemptEnd> {
     let left = Duration::from_millis(req.deadline.since(front.now()).0);
     let exchange = async {
         let begun = attempt::send(front, req, flight, None, false).await?;
@@ -205,7 +210,7 @@
 }
 
 /// Reads an answer whole before its caller gets a byte of it.
-async fn pass_whole(begun: Begun) -> Result<Response<SiteBody>, AttemptEnd> {
+async fn pass_whole(begun: Begun) -> Result<Response<CallerBody>, AttemptEnd> {
     let Begun { mut head, body, flight } = begun;
     let bytes = attempt::read_whole(body).await.inspect_err(|_| flight.failed())?;
     if head.status.is_server_error() {
@@ -214,5 +219,5 @@
         flight.succeeded();
     }
     strip_connection(&mut head.headers);
-    Ok(Response::from_parts(head, SiteBody::whole(bytes)))
+    Ok(Response::from_parts(head, CallerBody::whole(bytes)))
 }
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -1,7 +1,6 @@
 //! Serving where the store holds one configuration of routes and boxes tell of themselves.
 
 mod attempt;
-mod body;
 mod box_calls;
 mod capacity;
 mod change_sharing;
--- a/crates/cherrystandd/src/site/pages.rs
+++ b/crates/cherrystandd/src/site/pages.rs
@@ -1,20 +1,19 @@
 //! Pages that the daemon makes itself, beside the requests.
 
-use cherrystand_platform::{SiteDriver, serve_http};
+use cherrystand_platform::{CallerBody, SiteDriver, serve_http};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::site::Driver;
-use crate::site::body::SiteBody;
 use crate::{DutyContext, StopPhase};
 
 /// Serves one kind of page at an address of its own.
 pub(super) fn serve_pages(
     listener: TcpListener,
     cx: DutyContext,
-    page: fn(&DutyContext, &Request<Incoming>) -> Response<SiteBody>,
+    page: fn(&DutyContext, &Request<Incoming>) -> Response<CallerBody>,
     stopped: watch::Receiver<bool>,
 ) {
     let answer = move |req: Request<Incoming>| std::future::ready(page(&cx, &req));
@@ -22,7 +21,7 @@
 }
 
 /// Tells the balancer whether this node takes requests.
-pub(super) fn ready(cx: &DutyContext, req: &Request<Incoming>) -> Response<SiteBody> {
+pub(super) fn ready(cx: &DutyContext, req: &Request<Incoming>) -> Response<CallerBody> {
     let view = cx.site.borrow();
     let running = cx.stop_phase() == StopPhase::Running;
     let ready = running && view.table.is_some() && view.listed;
@@ -35,11 +34,11 @@
 }
 
 /// Answers operators, who read the daemon's counters.
-pub(super) fn counters(cx: &DutyContext, req: &Request<Incoming>) -> Response<SiteBody> {
+pub(super) fn counters(cx: &DutyContext, req: &Request<Incoming>) -> Response<CallerBody> {
     match req.uri().path() {
         "/livez" => plain(StatusCode::OK),
         "/metrics" => match cx.metrics.render() {
-            Ok(text) => Response::new(SiteBody::whole(text)),
+            Ok(text) => Response::new(CallerBody::whole(text)),
             Err(err) => {
                 log::error!("the counters cannot be written: {err}");
                 plain(StatusCode::INTERNAL_SERVER_ERROR)
@@ -50,8 +49,8 @@
 }
 
 /// Makes an answer without a body.
-pub(super) fn plain(status: StatusCode) -> Response<SiteBody> {
-    let mut answer = Response::new(SiteBody::whole(""));
+pub(super) fn plain(status: StatusCode) -> Response<CallerBody> {
+    let mut answer = Response::new(CallerBody::whole(""));
     *answer.status_mut() = status;
     answer
 }
