--- a/crates/cherrystand_core/tests/choice.rs
+++ b/crates/cherrystand_core/tests/choice.rs
@@ -191,3 +191,61 @@
         assert!(first < then && then <= 9, "{first} {then}");
     }
 }
+
+/// Story: nine boxes of 171 became slow five times over for 9 s; 464 captions of 2,700 came late
+/// though most replicas were not slow, since a slow one looked no worse than its load.
+#[test]
+fn a_replica_whose_first_events_come_late_is_chosen_less_until_it_is_well_again() {
+    struct Case {
+        name: &'static str,
+        /// How many times as long as expected this daemon's first events took there.
+        own: f64,
+        /// How many times as long peers say.
+        peers: f64,
+        /// How long ago.
+        ago: Millis,
+        learns: bool,
+        /// The bounds of its part of 400 choices among four.
+        least: usize,
+        most: usize,
+    }
+    let slow = Case {
+        name: "slow here",
+        own: 5.0,
+        peers: 1.0,
+        ago: Millis(100),
+        learns: true,
+        least: 0,
+        most: 20,
+    };
+    let cases = [
+        Case { name: "slow by what peers saw", own: 1.0, peers: 5.0, ..slow },
+        Case { name: "a little late", own: 1.3, least: 50, most: 150, ..slow },
+        Case { name: "10 s ago", ago: Millis(10_000), least: 50, most: 150, ..slow },
+        Case { name: "not learned", learns: false, least: 50, most: 150, ..slow },
+        Case { name: "nonsense of peers", own: 1.0, peers: f64::NAN, least: 50, most: 150, ..slow },
+        slow,
+    ];
+    for case in cases {
+        let mut chooser = Chooser::new(Policy { learn_pace: case.learns, ..Policy::default() });
+        chooser.follow(["a", "b", "c", "d"].map(|id| target(id, true)).to_vec());
+        let service = ServiceName::new("models");
+        let ask =
+            Ask { service: &service, model: Some("large"), prompt: PROMPT, objective: Millis(300) };
+        let engine = site_engine();
+        let seen = NOW - case.ago;
+        // What every replica takes is known before one of them is slow.
+        let mut seed = Seed::new(1);
+        for turn in 0..400 {
+            let key = chooser.choose(ask, Some(&engine), &[], seen, &mut seed).expect("a replica");
+            let predicted = chooser.expected(key, ask, &engine).expect("an engine").predicted;
+            let is_slow = turn >= 300 && chooser.id(key).expect("known").as_str() == "a";
+            let took = (predicted + 50.0) * if is_slow { case.own } else { 1.0 };
+            chooser.learn_first_event(key, Millis(took as u64), predicted, seen);
+        }
+        chooser.follow_paces(&BTreeMap::from([(BoxId::new("a"), case.peers)]));
+        let chosen = choices(&chooser, Millis(300), 400, NOW);
+        let part = chosen.get("a").copied().unwrap_or_default();
+        assert!((case.least..=case.most).contains(&part), "{}: {chosen:?}", case.name);
+    }
+}
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -63,7 +63,8 @@
             chooser.first_event(self.key, self.unread, self.waits_behind);
             // What was put behind tells nothing of how long others take.
             if let Some(expected) = self.expected.filter(|_| !self.waits_behind) {
-                chooser.learn_first_event(self.key, now.since(self.sent), expected.predicted);
+                let took = now.since(self.sent);
+                chooser.learn_first_event(self.key, took, expected.predicted, now);
             }
             self.unread = 0.0;
             self.waits_behind = false;
