--- a/crates/cherrystand_core/benches/node_costs.rs
+++ b/crates/cherrystand_core/benches/node_costs.rs
@@ -117,7 +117,6 @@
         requests: 2,
         unread: 900,
         silent_ms: 40,
-        pace: 100,
     });
     at.collect()
 }
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -54,19 +54,6 @@
     pub deferred: bool,
 }
 
-/// What this daemon has in flight at one endpoint.
-#[derive(Clone, Copy, Debug)]
-pub struct OwnLoad<'a> {
-    /// The endpoint.
-    pub id: &'a BoxId,
-    /// What is in flight there.
-    pub load: EngineLoad,
-    /// When the endpoint last made progress.
-    pub progress: Millis,
-    /// How many times as long as expected its first events take.
-    pub pace: f64,
-}
-
 /// The endpoints of one service and model, by distance.
 #[derive(Clone, Debug, Default)]
 struct Candidates {
@@ -144,13 +131,6 @@
         }
     }
 
-    /// Takes over how many times as long as expected first events took that peers saw, by endpoint.
-    pub fn follow_paces(&mut self, paces: &BTreeMap<BoxId, f64>) {
-        for target in self.targets.values_mut() {
-            target.others_pace = paces.get(&target.spec.id).copied().unwrap_or(1.0);
-        }
-    }
-
     /// Takes over what peers have in flight, by endpoint.
     pub fn follow_others(&mut self, loads: &BTreeMap<BoxId, EngineLoad>) {
         for target in self.targets.values_mut() {
@@ -165,15 +145,10 @@
         }
     }
 
-    /// Lists what this node has in flight by endpoint.
-    pub fn own(&self, now: Millis) -> impl Iterator<Item = OwnLoad<'_>> {
+    /// Lists what this node has in flight by endpoint, and when each last made progress.
+    pub fn own(&self) -> impl Iterator<Item = (&BoxId, EngineLoad, Millis)> {
         let busy = self.targets.values().filter(|target| target.in_flight > 0);
-        busy.map(move |target| OwnLoad {
-            id: &target.spec.id,
-            load: target.own(),
-            progress: target.last_event,
-            pace: target.pace.factor(now),
-        })
+        busy.map(|target| (&target.spec.id, target.own(), target.last_event))
     }
 
     /// Returns what all daemons have in flight with each model of a service, as far as is known.
@@ -336,14 +311,8 @@
         };
         let predicted = target.first_event(engine, model, choice.ask.prompt);
         let objective = choice.ask.objective.0 as f64;
-        // What is slow was not predicted to be: the whole time grows with it.
-        let expected = choice.times.expected(predicted);
-        let slower = match self.policy.learn_pace {
-            true => expected * (target.slowness(choice.now) - 1.0).max(0.0),
-            false => 0.0,
-        };
-        let in_time = choice.times.chance(predicted + slower, objective);
-        let time = (expected + slower) / objective.max(1.0);
+        let in_time = choice.times.chance(predicted, objective);
+        let time = choice.times.expected(predicted) / objective.max(1.0);
         in_time * (1.0 - target.failures(choice.now)) - TIME_COST * time
     }
 
@@ -385,16 +354,11 @@
     }
 
     /// Learns from how long a first event took, against what was predicted for it.
-    pub fn learn_first_event(&mut self, key: TargetKey, took: Millis, predicted: f64, now: Millis) {
-        let Some(target) = self.targets.get_mut(key) else {
+    pub fn learn_first_event(&mut self, key: TargetKey, took: Millis, predicted: f64) {
+        let Some(model) = self.targets.get(key).and_then(|target| target.spec.model.as_ref())
+        else {
             return;
         };
-        let Some(model) = target.spec.model.as_ref() else {
-            return;
-        };
-        if let Some(times) = self.times.get(model) {
-            target.pace.learn(took.0 as f64, times.expected(predicted), now);
-        }
         if !self.times.contains_key(model) {
             self.times.insert(model.clone(), TimeModel::default());
         }
--- a/crates/cherrystand_core/src/site/load_book.rs
+++ b/crates/cherrystand_core/src/site/load_book.rs
@@ -16,12 +16,6 @@
 /// silence that is judged.
 const SEEN_FOR: Millis = Millis(10_000);
 
-/// The hundredths of its expected time that an endpoint takes which is not slow.
-const UNHURRIED: u32 = 100;
-
-/// The most that a peer is believed.
-const SLOWEST: u32 = 1_000;
-
 /// Says what one daemon, or all of a zone, have in flight at one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointLoad {
@@ -33,8 +27,6 @@
     pub unread: u32,
     /// Milliseconds since the endpoint last made progress with any of them.
     pub silent_ms: u32,
-    /// How many hundredths of the expected time its first events take; 100 where it is not slow.
-    pub pace: u32,
 }
 
 /// Says what all daemons of a zone have in flight together.
@@ -133,20 +125,6 @@
         sums
     }
 
-    /// Returns how many times as long as expected first events take, by the endpoints that peers find
-    /// slow.
-    pub fn paces(&self) -> BTreeMap<BoxId, f64> {
-        let by_node = self.nodes.values().filter(|told| !self.zones.contains_key(&told.zone));
-        let mut paces: BTreeMap<BoxId, f64> = BTreeMap::new();
-        for load in by_node.chain(self.zones.values()).flat_map(|told| &told.loads) {
-            if load.pace > UNHURRIED {
-                let pace = paces.entry(load.id.clone()).or_default();
-                *pace = pace.max(f64::from(load.pace.min(SLOWEST)) / f64::from(UNHURRIED));
-            }
-        }
-        paces
-    }
-
     /// Returns the sum of this daemon's zone: its own loads and what its near peers told.
     pub fn sum_of_zone(&self, zone: &ZoneId, own: &[EndpointLoad], now: Millis) -> ZoneLoads {
         let mut sums: BTreeMap<&BoxId, EndpointLoad> = BTreeMap::new();
@@ -162,7 +140,6 @@
                     sum.requests += load.requests;
                     sum.unread += load.unread;
                     sum.silent_ms = sum.silent_ms.min(silent_ms);
-                    sum.pace = sum.pace.max(load.pace);
                 }
                 None => {
                     sums.insert(&load.id, EndpointLoad { silent_ms, ..load.clone() });
--- a/crates/cherrystand_core/src/site/policy.rs
+++ b/crates/cherrystand_core/src/site/policy.rs
@@ -31,8 +31,6 @@
     pub defer_late: bool,
     /// Whether peers are told what this daemon has in flight.
     pub tell_loads: bool,
-    /// Whether replicas whose first events come later than expected are chosen less.
-    pub learn_pace: bool,
     /// Whether peers are asked before a replica counts as standing still.
     pub ask_peers: bool,
     /// Whether streams are taken up at another replica.
@@ -62,7 +60,6 @@
             far_cost: 0.02,
             defer_late: true,
             tell_loads: true,
-            learn_pace: true,
             ask_peers: true,
             resume_elsewhere: true,
             serve_unlisted: true,
--- a/crates/cherrystand_core/src/site/target.rs
+++ b/crates/cherrystand_core/src/site/target.rs
@@ -1,6 +1,6 @@
 //! One endpoint as the choice sees it.
 
-use crate::{BoxId, EngineLoad, EngineSpec, Millis, ModelSpec, Pace, ServiceName};
+use crate::{BoxId, EngineLoad, EngineSpec, Millis, ModelSpec, ServiceName};
 
 /// For how long an endpoint that failed is left out, at first.
 const FIRST_AVOID: Millis = Millis(300);
@@ -50,10 +50,6 @@
     pub(crate) unread: f64,
     pub(crate) others: EngineLoad,
     pub(crate) last_event: Millis,
-    /// How slow it is, as this daemon saw it.
-    pub(crate) pace: Pace,
-    /// How slow it is, as peers saw it.
-    pub(crate) others_pace: f64,
     failures: f64,
     /// As of when.
     failures_at: Millis,
@@ -69,8 +65,6 @@
             unread: 0.0,
             others: EngineLoad::default(),
             last_event: Millis(0),
-            pace: Pace::default(),
-            others_pace: 1.0,
             failures: 0.0,
             failures_at: Millis(0),
             avoid_until: Millis(0),
@@ -129,11 +123,6 @@
         engine.first_token(model, self.load(), prompt)
     }
 
-    /// Returns how many times as long as expected its first events take.
-    pub(crate) fn slowness(&self, now: Millis) -> f64 {
-        self.pace.factor(now).max(self.others_pace)
-    }
-
     /// Returns the predicted milliseconds until its answer begins, with what speaks against it.
     pub(crate) fn cost(
         &self,
--- a/crates/cherrystand_core/tests/relays.rs
+++ b/crates/cherrystand_core/tests/relays.rs
@@ -223,7 +223,7 @@
 }
 
 fn load(id: &str, requests: u32, silent_ms: u32) -> EndpointLoad {
-    EndpointLoad { id: BoxId::new(id), requests, unread: requests * 100, silent_ms, pace: 100 }
+    EndpointLoad { id: BoxId::new(id), requests, unread: requests * 100, silent_ms }
 }
 
 #[test]
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -268,7 +268,7 @@
     chooser.finish(key, 0.0, false);
     chooser.start(key, 500.0, false);
     assert_eq!(chooser.last_progress(key), Some(NOW));
-    let told: Vec<Millis> = chooser.own(NOW).map(|own| own.progress).collect();
+    let told: Vec<Millis> = chooser.own().map(|(_, _, progress)| progress).collect();
     assert_eq!(told, [NOW]);
 }
 
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -63,8 +63,7 @@
             chooser.first_event(self.key, self.unread, self.waits_behind);
             // What was put behind tells nothing of how long others take.
             if let Some(expected) = self.expected.filter(|_| !self.waits_behind) {
-                let took = now.since(self.sent);
-                chooser.learn_first_event(self.key, took, expected.predicted, now);
+                chooser.learn_first_event(self.key, now.since(self.sent), expected.predicted);
             }
             self.unread = 0.0;
             self.waits_behind = false;
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -77,10 +77,8 @@
 
     /// Hands over what peers have in flight, where they told anything new since the last time.
     pub(crate) fn hand_over(&self, chooser: &mut Chooser) {
-        let mut book = self.book.borrow_mut();
-        if let Some(sums) = book.take_sums() {
+        if let Some(sums) = self.book.borrow_mut().take_sums() {
             chooser.follow_others(&sums);
-            chooser.follow_paces(&book.paces());
         }
     }
 
@@ -282,12 +280,11 @@
     fn own_loads(&self) -> Vec<EndpointLoad> {
         let now = self.cx.clock.now();
         let chooser = self.chooser.borrow();
-        let own = chooser.own(now).map(|own| EndpointLoad {
-            id: own.id.clone(),
-            requests: own.load.requests as u32,
-            unread: own.load.unread as u32,
-            silent_ms: now.since(own.progress).0 as u32,
-            pace: (own.pace * 100.0) as u32,
+        let own = chooser.own().map(|(id, load, progress)| EndpointLoad {
+            id: id.clone(),
+            requests: load.requests as u32,
+            unread: load.unread as u32,
+            silent_ms: now.since(progress).0 as u32,
         });
         own.collect()
     }
