--- a/crates/cherrystandd/src/site/capacity.rs
+++ b/crates/cherrystandd/src/site/capacity.rs
@@ -56,13 +56,25 @@
             return;
         }
         for change in self.changes_of_homes() {
-            log::info!(domain = change.domain.as_str(); "the domain is for {} now", change.home);
+            let busy = self.busy_replicas();
+            log::info!(
+                domain = change.domain.as_str(), busy = busy.as_str();
+                "the domain is for {} now", change.home
+            );
             let (revision, mut record) = self.known.borrow().record(&change.domain);
             record.home = Some(change.home);
             self.write(&change.domain, revision, record).await;
         }
     }
 
+    /// Says how many replicas each model keeps busy, for the log.
+    fn busy_replicas(&self) -> String {
+        let plans = self.plans.borrow();
+        let models = plans.values().flat_map(|plan| plan.busy());
+        let busy: Vec<String> = models.map(|(model, busy)| format!("{model} {busy:.1}")).collect();
+        busy.join(", ")
+    }
+
     fn changes_of_homes(&self) -> Vec<HomeChange> {
         let now = self.now();
         let loads = self.cx.model_loads.borrow().clone();
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -219,11 +219,15 @@
         if !self.stands_still(req, flight, heard) {
             return false;
         }
+        let nodes = self.view.borrow().nodes;
+        let may_leave = self.repeats.has_left(&req.service, nodes);
         if flight.is_first_stall() {
             self.stalled(flight);
+            if !may_leave {
+                self.repeats.count_stay();
+            }
         }
-        let nodes = self.view.borrow().nodes;
-        self.repeats.has_left(&req.service, nodes)
+        may_leave
     }
 
     /// Leaves a replica out that stands still, and has its members looked at.
--- a/crates/cherrystandd/src/site/retry_shares.rs
+++ b/crates/cherrystandd/src/site/retry_shares.rs
@@ -46,6 +46,11 @@
         within || !self.cx.settings.policy.retry_share
     }
 
+    /// Counts a request that stays where it is since no repeat is left for it.
+    pub(crate) fn count_stay(&self) {
+        self.cx.metrics.retries_withheld.with_label_values(&["stays"]).inc();
+    }
+
     fn with_share<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryShare) -> T) -> T {
         let bounds = self.cx.settings.site.as_ref().map(|site| site.retry_bounds());
         let mut shares = self.shares.borrow_mut();
