--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -79,6 +79,7 @@
     pub(crate) mod capacity_plan;
     pub(crate) mod chooser;
     pub(crate) mod domain_draft;
+    pub(crate) mod domain_places;
     pub(crate) mod domain_spares;
     pub(crate) mod engine_priority;
     pub(crate) mod engine_spec;
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -198,31 +198,40 @@
             draft.end_serving(&name, &held);
             return draft.remove(replica, "its model is not configured");
         };
-        let is_home = draft.at.home.is_none_or(|home| home == model.name);
+        if draft.at.home.is_some_and(|home| home != model.name) {
+            return self.give_away(draft, replica, &name, &held);
+        }
         match draft.standing(&name, &held) {
-            Standing::Whole if is_home => {}
-            Standing::Whole | Standing::Leaving if !is_home => {
-                if self.has_closed(draft, &name, &held) {
-                    draft.remove(replica, CHANGES_HANDS);
-                }
-            }
-            Standing::Joining if is_home => draft.join_or_open(&name, &held, &model),
-            Standing::Whole | Standing::Leaving => {
+            Standing::Whole => {}
+            Standing::Joining => draft.join_or_open(&name, &held, &model),
+            Standing::Leaving => {
                 if self.has_closed(draft, &name, &held) {
                     draft.mend(replica, &held, &model, "a member leaves");
                 }
             }
-            Standing::Joining => draft.remove(replica, CHANGES_HANDS),
             Standing::Apart(reason) => {
                 draft.end_serving(&name, &held);
-                match is_home {
-                    true => draft.mend(replica, &held, &model, reason),
-                    false => draft.remove(replica, CHANGES_HANDS),
-                }
+                draft.mend(replica, &held, &model, reason);
             }
         }
     }
 
+    /// Gives a replica up whose domain is for another model, once it has finished what it has.
+    fn give_away(
+        &mut self,
+        draft: &mut DomainDraft<'_>,
+        replica: &ReplicaId,
+        name: &str,
+        held: &Assignment,
+    ) {
+        match draft.standing(name, held) {
+            Standing::Whole | Standing::Leaving if !self.has_closed(draft, name, held) => return,
+            Standing::Apart(_) => draft.end_serving(name, held),
+            _ => {}
+        }
+        draft.remove(replica, CHANGES_HANDS);
+    }
+
     /// Empties a replica that is to serve no more, and tells whether it has.
     fn has_closed(&mut self, draft: &mut DomainDraft<'_>, name: &str, held: &Assignment) -> bool {
         let Some(leader) = draft.leader_of(name, held.epoch) else {
