--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -23,8 +23,8 @@
     pub(crate) priority: Option<u8>,
     /// Whether it waits behind those that can still be in time.
     waits_behind: bool,
-    /// Whether the endpoint was seen to stand still.
-    stalled: Cell<bool>,
+    /// Since when the endpoint has been seen to stand still.
+    stalled: Cell<Option<Millis>>,
 }
 
 impl Flight {
@@ -49,14 +49,14 @@
             expected,
             priority,
             waits_behind,
-            stalled: Cell::new(false),
+            stalled: Cell::new(None),
         }
     }
 
     /// Notes that an event of its answer came.
     pub(crate) fn event(&mut self) {
         let now = self.front.now();
-        self.stalled.set(false);
+        self.stalled.set(None);
         let mut chooser = self.front.chooser.borrow_mut();
         chooser.progress(self.key, now);
         if self.unread > 0.0 {
@@ -70,9 +70,12 @@
         }
     }
 
-    /// Notes that the endpoint stands still, and tells whether that is new since it made progress.
-    pub(crate) fn is_first_stall(&self) -> bool {
-        !self.stalled.replace(true)
+    /// Notes that the endpoint stands still, and tells since when it has been seen to, where that is
+    /// not new.
+    pub(crate) fn stalled_since(&self) -> Option<Millis> {
+        let since = self.stalled.get();
+        self.stalled.set(since.or(Some(self.front.now())));
+        since
     }
 
     /// Notes that the endpoint answered well.
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -31,6 +31,14 @@
 /// A look that takes this long tells that the thread was busy; looks are 40 ms apart.
 const BUSY: Millis = Millis(100);
 
+/// How long a request stays at a replica that stands still while no repeat is left for it.
+///
+/// A daemon that just started has repeats after 1.2 s, and shares are used up for parts of a second;
+/// given up at once, 173 requests of one day were not served at all. Where the replica is dead its
+/// caller's own second try is what serves it, and callers leave a stream that is silent for 2 s:
+/// without this bound 107 were lost on another day, and 0.08 of its worth.
+const STAYS_FOR: Millis = Millis(800);
+
 /// A request that comes within this time after the daemon's start waits until the daemon knows what
 /// is in service, as long as its readers may take to tell it.
 ///
@@ -213,21 +221,24 @@
 
     /// Tells whether a request leaves the replica that it is at since that stands still.
     ///
-    /// The replica is left out of the choice and looked at either way. A request stays where no
-    /// repeat is left for it, and leaves once there is one: given up, it would not be served at all.
+    /// The replica is left out of the choice and looked at either way. Where no repeat is left for
+    /// a request, it stays for [`STAYS_FOR`]; then its caller is told, who may come back.
     pub(crate) fn leaves(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> bool {
         if !self.stands_still(req, flight, heard) {
             return false;
         }
         let nodes = self.view.borrow().nodes;
-        let may_leave = self.repeats.has_left(&req.service, nodes);
-        if flight.is_first_stall() {
-            self.stalled(flight);
-            if !may_leave {
-                self.repeats.count_stay();
+        let may_repeat = self.repeats.has_left(&req.service, nodes);
+        match flight.stalled_since() {
+            Some(since) => may_repeat || self.now().since(since) >= STAYS_FOR,
+            None => {
+                self.stalled(flight);
+                if !may_repeat {
+                    self.repeats.count_stay();
+                }
+                may_repeat
             }
         }
-        may_leave
     }
 
     /// Leaves a replica out that stands still, and has its members looked at.
