--- a/crates/cherrystand_core/src/site/capacity_plan.rs
+++ b/crates/cherrystand_core/src/site/capacity_plan.rs
@@ -52,9 +52,8 @@
     pub home: String,
     /// How many of its boxes hold each model, in memory or on their hosts; a box may hold two.
     ///
-    /// A box that has to load first counts for nothing: a domain that was restarted whole, and whose
-    /// hosts held the other model, was counted as serving for the 20 s of its loads, and two domains
-    /// of three were left to the busier model.
+    /// A box that has to load first counts for nothing. Counted as serving, a domain that was restarted
+    /// whole and had to load for 20 s made the plan give a second one of its model's three away.
     pub held: BTreeMap<String, usize>,
 }
 
