feat: a stream that ends before it is whole says whose silence, what peers told and what was left

Change: Standstill (pure, moved out of the request path, logic as it was) holds what is known of a silence; every end of a stream is counted and written down. No change of what is decided.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -97,6 +97,8 @@
     pub(crate) mod site_box;
     pub(crate) mod site_config;
     pub(crate) mod site_view;
+    pub(crate) mod standstill;
+    pub(crate) mod stream_end;
     pub(crate) mod target;
     pub(crate) mod time_model;
 }
@@ -190,5 +192,7 @@
 pub use site::site_box::{Member, MemberState, SiteBox};
 pub use site::site_config::{CallerLimits, Route, RouteKind, Service, SiteConfig, Tenant};
 pub use site::site_view::{AssignedBoxes, SiteView};
+pub use site::standstill::{LEAST_SILENCE, PeersTell, Standstill};
+pub use site::stream_end::StreamEnd;
 pub use site::target::TargetSpec;
 pub use site::time_model::TimeModel;
--- /dev/null
+++ b/crates/cherrystand_core/src/site/standstill.rs
@@ -0,0 +1,66 @@
+//! Whether a replica that brings nothing stands still, by its silence and by what others saw.
+
+use crate::Millis;
+
+/// A silence this much longer than the engine's longest tells that a replica stands still.
+pub const LEAST_SILENCE: Millis = Millis(100);
+
+/// A node that hears neither peers nor any other replica takes itself for held up no longer than
+/// this; a link of 20 Mbit/s is full that long with 3.7 MB.
+const HELD_UP_AT_MOST: Millis = Millis(1_500);
+
+/// Says what peers tell of the progress of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeersTell {
+    /// One of them saw some.
+    Progress,
+    /// They were asked just now.
+    NotYet,
+    /// Some answered, and none saw any.
+    NoProgress,
+    /// No peer answered: there is none, or what they say does not arrive here.
+    Unheard,
+    /// They are not asked, by the settings.
+    NotAsked,
+}
+
+impl PeersTell {
+    /// Returns the name that logs use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Progress => "progress",
+            Self::NotYet => "asked-just-now",
+            Self::NoProgress => "no-progress",
+            Self::Unheard => "unheard",
+            Self::NotAsked => "not-asked",
+        }
+    }
+}
+
+/// Holds what is known of a replica that has brought nothing for longer than its engine can take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standstill {
+    /// For how long nothing of it came, with any request of this node.
+    pub silence: Millis,
+    /// The longest silence that its engine is predicted to make, with [`LEAST_SILENCE`].
+    pub longest: Millis,
+    /// What peers tell of it.
+    pub peers: PeersTell,
+    /// How long ago any peer last answered such a question; nothing where none ever did.
+    pub peers_age: Option<Millis>,
+    /// Whether another replica made progress with a request of this node meanwhile; nothing where no
+    /// other has any.
+    pub others: Option<bool>,
+}
+
+impl Standstill {
+    /// Tells whether the replica stands still, as far as this node can know.
+    pub fn is_certain(&self) -> bool {
+        match self.peers {
+            PeersTell::Progress | PeersTell::NotYet => false,
+            PeersTell::NoProgress | PeersTell::NotAsked => true,
+            // Nobody says anything here: unless another replica does, it is this node that is held up.
+            PeersTell::Unheard => self.silence > HELD_UP_AT_MOST || self.others.unwrap_or(true),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/tests/standstill.rs
@@ -0,0 +1,84 @@
+//! Whether a replica that brings nothing stands still.
+
+use cherrystand_core::{Millis, PeersTell, Standstill};
+
+#[test]
+fn a_replica_stands_still_only_if_others_bear_it_out() {
+    struct Case {
+        name: &'static str,
+        peers: PeersTell,
+        others: Option<bool>,
+        silence: u64,
+        stands_still: bool,
+    }
+    let short = 400;
+    let long = 1_600;
+    let cases = [
+        Case {
+            name: "a peer saw progress",
+            peers: PeersTell::Progress,
+            others: Some(true),
+            silence: long,
+            stands_still: false,
+        },
+        Case {
+            name: "peers have yet to answer",
+            peers: PeersTell::NotYet,
+            others: Some(true),
+            silence: short,
+            stands_still: false,
+        },
+        Case {
+            name: "peers saw none",
+            peers: PeersTell::NoProgress,
+            others: Some(true),
+            silence: short,
+            stands_still: true,
+        },
+        Case {
+            name: "peers are not asked",
+            peers: PeersTell::NotAsked,
+            others: Some(false),
+            silence: short,
+            stands_still: true,
+        },
+        Case {
+            name: "no peer is heard, another replica goes on",
+            peers: PeersTell::Unheard,
+            others: Some(true),
+            silence: short,
+            stands_still: true,
+        },
+        Case {
+            name: "no peer is heard, no other replica has a request",
+            peers: PeersTell::Unheard,
+            others: None,
+            silence: short,
+            stands_still: true,
+        },
+        Case {
+            name: "nothing at all is heard here",
+            peers: PeersTell::Unheard,
+            others: Some(false),
+            silence: short,
+            stands_still: false,
+        },
+        Case {
+            name: "nothing at all is heard here for long",
+            peers: PeersTell::Unheard,
+            others: Some(false),
+            silence: long,
+            stands_still: true,
+        },
+    ];
+    for case in cases {
+        let still = Standstill {
+            silence: Millis(case.silence),
+            longest: Millis(250),
+            peers: case.peers,
+            peers_age: None,
+            others: case.others,
+        };
+        assert_eq!(still.is_certain(), case.stands_still, "{}", case.name);
+    }
+}
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -1,6 +1,6 @@
 //! What the daemon counts.
 
-use cherrystand_core::{AttemptEnd, Class, NoRetry, Outcome, RefusalReason};
+use cherrystand_core::{AttemptEnd, Class, NoRetry, Outcome, RefusalReason, StreamEnd};
 use cherrystand_peer::UnpackError;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
@@ -26,6 +26,8 @@
     pub retries: IntCounterVec,
     /// Failed attempts that were not followed by another, by reason.
     pub retries_withheld: IntCounterVec,
+    /// Streams, by how they ended.
+    pub stream_ends: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Seconds until the first byte of an answer.
@@ -82,6 +84,7 @@
                 "Failed attempts not tried again.",
                 &["reason"],
             )?,
+            stream_ends: make.counters("stream_ends_total", "Ends of streams.", &["end"])?,
             in_flight: make.gauge("requests_in_flight", "Requests in flight.")?,
             first_byte: make.histogram("first_byte_seconds", "Time to the first byte.")?,
             claims: make.counters("claims_total", "Claims on calls.", &["answer"])?,
@@ -143,6 +146,9 @@
             self.attempts.with_label_values(&[end.as_str()]);
             self.retries.with_label_values(&[end.as_str()]);
         }
+        for end in StreamEnd::ALL {
+            self.stream_ends.with_label_values(&[end.as_str()]);
+        }
         for reason in NoRetry::ALL {
             self.retries_withheld.with_label_values(&[reason.as_str()]);
         }
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -5,13 +5,15 @@
 
 use bytes::Bytes;
 use cherrystand_core::{
-    AttemptEnd, AttemptLedger, BoxId, EventCutter, LARGEST_EVENT, Millis, WholeEvent,
+    AttemptEnd, AttemptLedger, BoxId, EventCutter, LARGEST_EVENT, Millis, Standstill, StreamEnd,
+    WholeEvent,
 };
-use cherrystand_platform::EventSender;
+use cherrystand_platform::{EventSender, PooledBody};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 
 use crate::site::attempt::{self, Begun};
+use crate::site::failure_log::UnfinishedStream;
 use crate::site::flight::Flight;
 use crate::site::front::{Front, Urgency};
 use crate::site::request::SiteRequest;
@@ -29,8 +31,17 @@
     Whole,
     /// The endpoint broke it off, or went silent.
     Broken(AttemptEnd),
-    /// The caller left, or its time is over.
-    Over,
+    /// It ended for its caller, whatever the endpoint does.
+    Over(StreamEnd),
+}
+
+/// How a run of a stream ended, and what was known then.
+struct Ended {
+    end: RunEnd,
+    /// For how long the run had brought nothing.
+    silent: Millis,
+    /// What was known of its replica's silence, where that stood still.
+    standstill: Option<Standstill>,
 }
 
 /// Passes one answer on to a caller, who learns by the cut connection where it is not whole.
@@ -51,55 +62,83 @@
     pub(crate) async fn pass_on(mut self, first: Begun) {
         let mut begun = first;
         loop {
-            match self.run(begun).await {
+            let ended = self.run(begun).await;
+            match ended.end {
                 RunEnd::Whole => {
                     // One who has left needs no end.
                     let _ = self.tx.end().await;
-                    return;
+                    return self.front.count_stream_end(StreamEnd::Whole);
                 }
-                RunEnd::Over => return,
-                RunEnd::Broken(end) => match self.go_on(end).await {
+                RunEnd::Over(end) => return self.unfinished(end, None, &ended),
+                RunEnd::Broken(attempt) => match self.go_on(attempt).await {
                     Some(next) => begun = next,
                     None => {
-                        self.front.count_broken_stream();
-                        let (req, tried) = (&self.req, &self.tried);
-                        self.front.failures.failed(req, tried, end.as_str(), "the stream was cut");
-                        return;
+                        let end = match attempt {
+                            AttemptEnd::TimedOut => StreamEnd::StoodStill,
+                            _ => StreamEnd::BrokenOff,
+                        };
+                        return self.unfinished(end, Some(attempt), &ended);
                     }
                 },
             }
         }
     }
 
-    async fn run(&mut self, begun: Begun) -> RunEnd {
-        let Begun { mut body, mut flight, .. } = begun;
-        let mut cutter = EventCutter::default();
+    /// Counts a stream that ended before it was whole and writes it down.
+    fn unfinished(&self, end: StreamEnd, attempt: Option<AttemptEnd>, ended: &Ended) {
+        self.front.count_stream_end(end);
+        self.front.failures.unfinished(&UnfinishedStream {
+            req: &self.req,
+            tried: &self.tried,
+            end,
+            attempt,
+            silent: ended.silent,
+            standstill: ended.standstill,
+            attempts_left: self.req.route.attempts.saturating_sub(self.ledger.runs()),
+            repeat_left: self.front.has_repeat(&self.req),
+        });
+    }
+
+    async fn run(&mut self, begun: Begun) -> Ended {
+        let Begun { body, mut flight, .. } = begun;
         let mut heard = self.front.now();
+        let end = self.pass_run(body, &mut flight, &mut heard).await;
+        let silent = self.front.now().since(heard);
+        Ended { end, silent, standstill: flight.standstill() }
+    }
+
+    async fn pass_run(
+        &mut self,
+        mut body: PooledBody,
+        flight: &mut Flight,
+        heard: &mut Millis,
+    ) -> RunEnd {
+        let mut cutter = EventCutter::default();
         loop {
             let left = self.req.deadline.since(self.front.now());
             let wait = LOOK_EVERY.min(Duration::from_millis(left.0));
             let looked = self.front.now();
             let frame = tokio::select! {
                 frame = tokio::time::timeout(wait, body.frame()) => frame,
-                () = self.tx.closed() => return RunEnd::Over,
+                () = self.tx.closed() => return RunEnd::Over(StreamEnd::CallerLeft),
             };
             match frame {
                 // What has arrived by the deadline was passed on before this.
-                Err(_) if left == Millis(0) => return RunEnd::Over,
+                Err(_) if left == Millis(0) => return RunEnd::Over(StreamEnd::DeadlinePassed),
                 // This thread was busy itself: what came meanwhile is read first.
                 Err(_) if self.front.was_busy(looked) => {}
-                Err(_) if self.leaves(&flight, heard) => {
+                Err(_) if self.leaves(flight, *heard) => {
                     return RunEnd::Broken(AttemptEnd::TimedOut);
                 }
                 Err(_) => {}
-                Ok(None) => return self.end(&cutter, &flight),
+                Ok(None) => return self.end(&cutter, flight),
                 Ok(Some(Err(_))) => {
                     flight.failed();
                     flight.avoid();
                     return RunEnd::Broken(AttemptEnd::AnswerCut);
                 }
                 Ok(Some(Ok(frame))) => {
-                    heard = self.front.now();
+                    *heard = self.front.now();
                     flight.event();
                     let Ok(data) = frame.into_data() else { continue };
                     cutter.push(&data);
@@ -129,7 +168,7 @@
             return None;
         }
         let out = if out.len() == 1 { out.remove(0) } else { Bytes::from(out.concat()) };
-        self.tx.pass(out).await.err().map(|_| RunEnd::Over)
+        self.tx.pass(out).await.err().map(|_| RunEnd::Over(StreamEnd::CallerLeft))
     }
 
     /// Tells whether an event is the next one.
--- a/crates/cherrystandd/src/site/failure_log.rs
+++ b/crates/cherrystandd/src/site/failure_log.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 
-use cherrystand_core::{BoxId, LogGate};
+use cherrystand_core::{AttemptEnd, BoxId, LogGate, Millis, Standstill, StreamEnd};
 
 use crate::Clock;
 use crate::site::request::SiteRequest;
@@ -10,6 +10,26 @@
 /// How many failed requests are logged each second; the others are counted.
 const FAILURES_LOGGED: u32 = 10;
 
+/// Holds what is written down of a stream that ended before it was whole.
+pub(crate) struct UnfinishedStream<'a> {
+    /// The request.
+    pub(crate) req: &'a SiteRequest,
+    /// The boxes that were sent it; what follows is of the last one.
+    pub(crate) tried: &'a [BoxId],
+    /// How it ended for its caller.
+    pub(crate) end: StreamEnd,
+    /// How the last attempt ended, where that ended the stream.
+    pub(crate) attempt: Option<AttemptEnd>,
+    /// For how long the stream itself had brought nothing.
+    pub(crate) silent: Millis,
+    /// What was known of its replica's silence, where that stood still.
+    pub(crate) standstill: Option<Standstill>,
+    /// At how many further boxes its route lets it run.
+    pub(crate) attempts_left: u32,
+    /// Whether this node had a repeat left.
+    pub(crate) repeat_left: bool,
+}
+
 /// Writes failed requests down.
 pub(crate) struct FailureLog {
     clock: Clock,
@@ -50,4 +70,35 @@
             "a request failed: {told}"
         );
     }
+
+    /// Writes down why a stream ended before it was whole, and what was left to it.
+    pub(crate) fn unfinished(&self, stream: &UnfinishedStream<'_>) {
+        let now = self.clock.now();
+        let Some(left_out) = self.gate.borrow_mut().pass(now) else {
+            return;
+        };
+        let told = match stream.end {
+            StreamEnd::Whole => return,
+            StreamEnd::DeadlinePassed => "its time was over before the stream was whole",
+            StreamEnd::CallerLeft => "its caller left, or the connection to it failed",
+            StreamEnd::BrokenOff | StreamEnd::StoodStill => "the stream was cut",
+        };
+        let tried: Vec<&str> = stream.tried.iter().map(BoxId::as_str).collect();
+        let still = stream.standstill;
+        let age = |age: Option<Millis>| age.map_or(-1, |age| age.0 as i64);
+        log::warn!(
+            request = stream.req.facts.id.as_deref().unwrap_or_default(),
+            route = stream.req.route.name.as_str(), tried = tried.join(" "),
+            stream = stream.end.as_str(), end = stream.attempt.map_or("", AttemptEnd::as_str),
+            left_ms = stream.req.deadline.since(now).0, silent_ms = stream.silent.0,
+            replica_silent_ms = age(still.map(|still| still.silence)),
+            longest_ms = age(still.map(|still| still.longest)),
+            peers = still.map_or("", |still| still.peers.as_str()),
+            peers_age_ms = age(still.and_then(|still| still.peers_age)),
+            others_progress = still.and_then(|still| still.others).map_or(-1, i64::from),
+            attempts_left = stream.attempts_left, repeat_left = stream.repeat_left,
+            left_out = left_out;
+            "a request failed: {told}"
+        );
+    }
 }
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use cherrystand_core::{BoxId, Expected, Millis, TargetKey};
+use cherrystand_core::{BoxId, Expected, Millis, Standstill, TargetKey};
 
 use crate::site::front::Front;
 
@@ -25,6 +25,8 @@
     waits_behind: bool,
     /// Since when the endpoint has been seen to stand still.
     stalled: Cell<Option<Millis>>,
+    /// What was known of its silence at the last look, where it stood still.
+    standstill: Cell<Option<Standstill>>,
 }
 
 impl Flight {
@@ -50,6 +52,7 @@
             priority,
             waits_behind,
             stalled: Cell::new(None),
+            standstill: Cell::new(None),
         }
     }
 
@@ -78,6 +81,16 @@
         since
     }
 
+    /// Notes what is known of the endpoint's silence, where it stands still.
+    pub(crate) fn note_standstill(&self, standstill: Option<Standstill>) {
+        self.standstill.set(standstill);
+    }
+
+    /// Returns what was known of the endpoint's silence at the last look, where it stood still.
+    pub(crate) fn standstill(&self) -> Option<Standstill> {
+        self.standstill.get()
+    }
+
     /// Notes that the endpoint answered well.
     pub(crate) fn succeeded(&self) {
         let now = self.front.now();
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -8,26 +8,19 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, Millis, Outcome, Route, Seed, SiteView,
-    engine_priority,
+    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, Millis, Outcome,
+    PeersTell, Route, Seed, SiteView, Standstill, StreamEnd, engine_priority,
 };
 use cherrystand_platform::HttpPool;
 
 use crate::site::Hint;
 use crate::site::failure_log::FailureLog;
 use crate::site::flight::Flight;
-use crate::site::load_exchange::{LoadExchange, PeersTell};
+use crate::site::load_exchange::LoadExchange;
 use crate::site::request::SiteRequest;
 use crate::site::retry_shares::RetryShares;
 use crate::{DutyContext, clock};
 
-/// A silence this much longer than the engine's longest tells that a replica stands still.
-const LEAST_SILENCE: Millis = Millis(100);
-
-/// A node that hears neither peers nor any other replica takes itself for held up no longer than
-/// this; a link of 20 Mbit/s is full that long with 3.7 MB.
-const HELD_UP_AT_MOST: Millis = Millis(1_500);
-
 /// A look that takes this long tells that the thread was busy; looks are 40 ms apart.
 const BUSY: Millis = Millis(100);
 
@@ -176,36 +169,31 @@
         self.now().since(looked) > BUSY
     }
 
-    /// Tells whether the replica that a request is at stands still: neither the request nor any
-    /// other one there, on this node or a peer, has made progress for longer than its engine can
-    /// take.
-    fn stands_still(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> bool {
+    /// Returns what is known of the silence of the replica that a request is at, where neither the
+    /// request nor any other one there, on this node, has made progress for longer than its engine
+    /// can take.
+    fn standstill(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> Option<Standstill> {
         let now = self.now();
         let progress = self.chooser.borrow().last_progress(flight.key);
         let progress = progress.unwrap_or_default().max(heard);
         let silence = now.since(progress);
         // Most looks end here, and need not know what peers have in flight.
         if silence <= LEAST_SILENCE {
-            return false;
+            return None;
         }
         self.loads.hand_over(&mut self.chooser.borrow_mut());
         let chooser = self.chooser.borrow();
         let longest = self.longest_silence(req, chooser.load(flight.key));
         if silence <= longest {
-            return false;
-        }
-        if !self.cx.settings.policy.ask_peers {
-            return true;
-        }
-        match self.loads.peers_tell(&flight.target, now - longest, now) {
-            PeersTell::Progress | PeersTell::NotYet => false,
-            PeersTell::NoProgress => true,
-            // Nobody says anything here: unless another replica does, it is this node that is held up.
-            PeersTell::Unheard => {
-                silence > HELD_UP_AT_MOST
-                    || chooser.others_progress(flight.key, now - longest).unwrap_or(true)
-            }
+            return None;
         }
+        let peers = match self.cx.settings.policy.ask_peers {
+            true => self.loads.peers_tell(&flight.target, now - longest, now),
+            false => PeersTell::NotAsked,
+        };
+        let others = chooser.others_progress(flight.key, now - longest);
+        let peers_age = self.loads.peers_age(now);
+        Some(Standstill { silence, longest, peers, peers_age, others })
     }
 
     fn longest_silence(&self, req: &SiteRequest, load: EngineLoad) -> Millis {
@@ -224,11 +212,12 @@
     /// The replica is left out of the choice and looked at either way. Where no repeat is left for
     /// a request, it stays for [`STAYS_FOR`]; then its caller is told, who may come back.
     pub(crate) fn leaves(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> bool {
-        if !self.stands_still(req, flight, heard) {
+        let still = self.standstill(req, flight, heard).filter(Standstill::is_certain);
+        flight.note_standstill(still);
+        if still.is_none() {
             return false;
         }
-        let nodes = self.view.borrow().nodes;
-        let may_repeat = self.repeats.has_left(&req.service, nodes);
+        let may_repeat = self.has_repeat(req);
         match flight.stalled_since() {
             Some(since) => may_repeat || self.now().since(since) >= STAYS_FOR,
             None => {
@@ -279,9 +268,17 @@
         self.cx.metrics.refusals.with_label_values(&[reason]).inc();
     }
 
-    /// Counts a stream that ended before it was whole.
-    pub(crate) fn count_broken_stream(&self) {
-        let labels = [Outcome::Unknown.as_str(), "broken-stream"];
-        self.cx.metrics.answers.with_label_values(&labels).inc();
+    /// Tells whether a repeat is left for a request, without taking it.
+    pub(crate) fn has_repeat(&self, req: &SiteRequest) -> bool {
+        self.repeats.has_left(&req.service, self.view.borrow().nodes)
+    }
+
+    /// Counts how a stream ended.
+    pub(crate) fn count_stream_end(&self, end: StreamEnd) {
+        self.cx.metrics.stream_ends.with_label_values(&[end.as_str()]).inc();
+        if matches!(end, StreamEnd::BrokenOff | StreamEnd::StoodStill) {
+            let labels = [Outcome::Unknown.as_str(), "broken-stream"];
+            self.cx.metrics.answers.with_label_values(&labels).inc();
+        }
     }
 }
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    BoxId, Chooser, EndpointLoad, Heartbeat, LoadBook, Millis, is_relay, relays_elsewhere,
+    BoxId, Chooser, EndpointLoad, Heartbeat, LoadBook, Millis, PeersTell, is_relay,
+    relays_elsewhere,
 };
 use cherrystand_peer::{LoadNews, decode, encode};
 use tokio::net::UdpSocket;
@@ -35,19 +36,6 @@
 /// The largest datagram there is, in bytes: a zone's sum names each replica that it sends to.
 const LARGEST_NEWS: usize = 64 << 10;
 
-/// What peers tell of the progress of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum PeersTell {
-    /// One of them saw some.
-    Progress,
-    /// They were asked just now.
-    NotYet,
-    /// Some answered, and none saw any.
-    NoProgress,
-    /// No peer answered: there is none, or what they say does not arrive here.
-    Unheard,
-}
-
 /// Keeps what peers told, and what is to be told to them at once.
 #[derive(Default)]
 pub(crate) struct LoadExchange {
@@ -82,6 +70,11 @@
         }
     }
 
+    /// Returns how long ago a peer last answered what it saw of an endpoint, whatever that was.
+    pub(crate) fn peers_age(&self, now: Millis) -> Option<Millis> {
+        self.answered.get().map(|at| now.since(at))
+    }
+
     /// Says what peers tell of the progress of an endpoint since `since`, asking them first.
     ///
     /// Silence on this node alone says little: its own requests may all wait for others.
