fix: silence of a replica ends no answer

Cause: a stream whose replica stood still dropped its answer and then looked for another replica, and the last attempt was given up in the same way with no attempt left; where no repeat was left a silence of 0.8 s ended the answer by the clock. Class: an answer given up before what is to replace it is there. Change: the answer stays open while another replica is asked to go on after its last event; the first of both that brings the next event goes on, the other one is closed at once. The same before the head. An attempt ends by its endpoint's doing, with its caller's time, or by evidence (SiteView::is_lost: a member that left a question unanswered, its own entry; a peer's word of either, which the daemon that asks now tells to all at once). STAYS_FOR is gone.

--- a/crates/cherrystand_core/src/requests/outcome.rs
+++ b/crates/cherrystand_core/src/requests/outcome.rs
@@ -42,6 +42,8 @@
     TimedOut,
     /// The answer began and broke off.
     AnswerCut,
+    /// The endpoint's replica is known to be lost, and its answer cannot come.
+    ReplicaLost,
     /// Another attempt for the same request was faster.
     Overtaken,
     /// The caller left before the answer was complete.
@@ -52,7 +54,7 @@
 
 impl AttemptEnd {
     /// Lists every way in which an attempt can end.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::ConnectFailed,
         Self::NotSent,
         Self::Refused,
@@ -60,6 +62,7 @@
         Self::CutBeforeAnswer,
         Self::TimedOut,
         Self::AnswerCut,
+        Self::ReplicaLost,
         Self::Overtaken,
         Self::CallerLeft,
         Self::Answered,
@@ -77,6 +80,7 @@
             Self::CutBeforeAnswer
             | Self::TimedOut
             | Self::AnswerCut
+            | Self::ReplicaLost
             | Self::Overtaken
             | Self::CallerLeft => Outcome::Unknown,
             Self::Answered => Outcome::Ran,
@@ -93,6 +97,7 @@
             Self::CutBeforeAnswer => "cut-before-answer",
             Self::TimedOut => "timed-out",
             Self::AnswerCut => "answer-cut",
+            Self::ReplicaLost => "replica-lost",
             Self::Overtaken => "overtaken",
             Self::CallerLeft => "caller-left",
             Self::Answered => "answered",
--- a/crates/cherrystand_core/src/site/attempt_ledger.rs
+++ b/crates/cherrystand_core/src/site/attempt_ledger.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AttemptLedger {
     sent: u32,
+    /// Attempts whose end is not known yet.
+    open: u32,
     runs: u32,
     /// The last end after which the request may have been run.
     may_have_run: Option<AttemptEnd>,
@@ -31,26 +33,37 @@
     /// Counts an attempt as begun.
     pub fn sent(&mut self) {
         self.sent += 1;
+        self.open += 1;
     }
 
     /// Takes in how an attempt ended, or that its answer has begun.
     pub fn ended(&mut self, end: AttemptEnd) {
+        self.open = self.open.saturating_sub(1);
         if end.outcome() != Outcome::NotRun {
             self.runs += 1;
             self.may_have_run = Some(end);
         }
     }
 
-    /// Returns on how many endpoints the request may have been run.
-    pub fn runs(&self) -> u32 {
-        self.runs
+    /// Ends all attempts whose answers are not waited for any more.
+    pub fn rest_ended(&mut self, end: AttemptEnd) {
+        while self.open > 0 {
+            self.ended(end);
+        }
+    }
+
+    /// Returns on how many endpoints the request may have been run or may yet be, attempts that are
+    /// open among them.
+    pub fn most_runs(&self) -> u32 {
+        self.runs + self.open
     }
 
-    /// Tells whether the request may go to a further endpoint, as far as its route, its earlier
-    /// attempts and its deadline go.
+    /// Tells whether the request may go to a further endpoint, beside those that have it, as far as
+    /// its route, its attempts so far and its deadline go.
     pub fn may_send(&self, route: &Route, now: Millis, deadline: Millis) -> bool {
-        let may_run_again = self.may_have_run.is_none() || route.may_repeat();
-        let runs_left = self.runs < route.attempts.max(1);
+        let ran_nowhere = self.may_have_run.is_none() && self.open == 0;
+        let may_run_again = ran_nowhere || route.may_repeat();
+        let runs_left = self.most_runs() < route.attempts.max(1);
         may_run_again && runs_left && self.sent < MOST_SENT && now < deadline
     }
 
--- a/crates/cherrystand_core/src/site/site_view.rs
+++ b/crates/cherrystand_core/src/site/site_view.rs
@@ -75,6 +75,57 @@
         targets.collect()
     }
 
+    /// Tells whether what a box leads is known to be lost, so that no answer can come of it: its entry
+    /// is gone, it is silent or a member of its replica is, or it says itself that it leads none.
+    ///
+    /// A replica whose leader lost power never closes its connections, and one whose member did cuts
+    /// its answers only after 4 s; callers leave a stream that is silent for 2 s.
+    pub fn is_lost(&self, leader: &BoxId) -> bool {
+        let Some(known) = self.boxes.get(leader) else {
+            return true;
+        };
+        if self.silent.contains(leader) {
+            return true;
+        }
+        let config = self.table.as_ref().map(|table| table.config());
+        if config.is_none_or(|config| config.engine(&known.service).is_none()) {
+            return false;
+        }
+        let Some(member) = known.member.as_ref().filter(|member| member.rank == 0) else {
+            return true;
+        };
+        let serves = matches!(member.state, MemberState::Open | MemberState::Closing);
+        !serves || self.has_silent_member(member)
+    }
+
+    fn has_silent_member(&self, leader: &Member) -> bool {
+        if self.silent.is_empty() {
+            return false;
+        }
+        let assigned = self.assigned.get(&(leader.replica.clone(), leader.epoch));
+        let listed = |id: &BoxId| {
+            self.boxes.get(id).is_some_and(|known| known.is_in(&leader.replica, leader.epoch))
+        };
+        assigned.into_iter().flatten().any(|id| self.silent.contains(id))
+            || self.silent.iter().any(listed)
+    }
+
+    /// Lists the leaders of replicas that serve by their entries and are lost since they, or members
+    /// of theirs, are silent.
+    pub fn lost_leaders(&self) -> Vec<BoxId> {
+        if self.silent.is_empty() {
+            return Vec::new();
+        }
+        let is_lost = |known: &&Arc<SiteBox>| {
+            let leads = |member: &&Member| member.rank == 0 && member.state == MemberState::Open;
+            let leader = known.member.as_ref().filter(leads);
+            leader.is_some_and(|member| {
+                self.silent.contains(&known.id) || self.has_silent_member(member)
+            })
+        };
+        self.boxes.values().filter(is_lost).map(|known| known.id.clone()).collect()
+    }
+
     fn is_usable(&self, known: &SiteBox) -> bool {
         !known.leaving && !self.silent.contains(&known.id)
     }
--- a/crates/cherrystand_core/src/site/stream_end.rs
+++ b/crates/cherrystand_core/src/site/stream_end.rs
@@ -11,14 +11,14 @@
     CallerLeft,
     /// Endpoints broke it off, and it could not go on at another one.
     BrokenOff,
-    /// Its replica stood still, and it could not go on at another one.
-    StoodStill,
+    /// Its replica was lost, and it could not go on at another one.
+    ReplicaLost,
 }
 
 impl StreamEnd {
     /// Lists every way in which a stream can end.
     pub const ALL: [Self; 5] =
-        [Self::Whole, Self::DeadlinePassed, Self::CallerLeft, Self::BrokenOff, Self::StoodStill];
+        [Self::Whole, Self::DeadlinePassed, Self::CallerLeft, Self::BrokenOff, Self::ReplicaLost];
 
     /// Returns the name that metrics and logs use.
     pub fn as_str(self) -> &'static str {
@@ -27,7 +27,7 @@
             Self::DeadlinePassed => "deadline-passed",
             Self::CallerLeft => "caller-left",
             Self::BrokenOff => "broken-off",
-            Self::StoodStill => "stood-still",
+            Self::ReplicaLost => "replica-lost",
         }
     }
 }
--- a/crates/cherrystand_core/tests/attempt_ledger.rs
+++ b/crates/cherrystand_core/tests/attempt_ledger.rs
@@ -135,3 +135,37 @@
         );
     }
 }
+
+#[test]
+fn an_attempt_that_is_open_counts_as_one_that_may_run() {
+    struct Case {
+        name: &'static str,
+        route: Route,
+        open: u32,
+        may_send: bool,
+    }
+    let stream = |attempts| route(RouteKind::Streaming, true, attempts);
+    let cases = [
+        Case { name: "nothing sent", route: stream(2), open: 0, may_send: true },
+        Case { name: "one beside it fits", route: stream(2), open: 1, may_send: true },
+        Case { name: "as many as its route allows", route: stream(2), open: 2, may_send: false },
+        Case { name: "its route allows more", route: stream(3), open: 2, may_send: true },
+        Case { name: "sent to three", route: stream(9), open: 3, may_send: false },
+        Case {
+            name: "runs at most once",
+            route: route(RouteKind::Once, false, 2),
+            open: 1,
+            may_send: false,
+        },
+    ];
+    for case in cases {
+        let mut ledger = AttemptLedger::default();
+        (0..case.open).for_each(|_| ledger.sent());
+        assert_eq!(ledger.may_send(&case.route, NOW, DEADLINE), case.may_send, "{}", case.name);
+        assert_eq!(ledger.most_runs(), case.open, "{}", case.name);
+        ledger.rest_ended(AttemptEnd::Overtaken);
+        // What is overtaken may have run.
+        assert_eq!(ledger.most_runs(), case.open, "{}", case.name);
+        assert_eq!(ledger.failure() == FinalFailure::NotRun, case.open == 0, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/cherrystand_core/tests/lost_replicas.rs
@@ -0,0 +1,132 @@
+//! Whether no answer can come any more of what a box leads.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use cherrystand_core::{
+    BoxId, CallerLimits, Epoch, Member, MemberState, RouteTable, Service, ServiceName, SiteBox,
+    SiteConfig, SiteView, ZoneId,
+};
+
+const EPOCH: Epoch = Epoch(4);
+
+fn known(id: &str, service: &str, member: Option<(u32, MemberState)>) -> SiteBox {
+    SiteBox {
+        id: BoxId::new(id),
+        service: ServiceName::new(service),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: ZoneId::new("z1"),
+        slots: 8,
+        leaving: false,
+        domain: None,
+        staged: Vec::new(),
+        loaded: vec!["m".to_owned()],
+        member: member.map(|(rank, state)| Member {
+            replica: "r".to_owned(),
+            epoch: EPOCH,
+            rank,
+            state,
+        }),
+    }
+}
+
+/// Makes a view of one replica of three, of which `c` is listed no more, and a plain endpoint.
+fn view(leader: Option<(u32, MemberState)>, silent: &[&str]) -> SiteView {
+    let engine = support::site_engine();
+    let services = vec![
+        Service { name: ServiceName::new("models"), engine: Some(engine) },
+        Service { name: ServiceName::new("app"), engine: None },
+    ];
+    let config = SiteConfig {
+        version: 1,
+        routes: Vec::new(),
+        services,
+        limits: CallerLimits { head_bytes: 8_192, body_bytes: 8_192 },
+        tenants: None,
+    };
+    let boxes = [
+        known("a", "models", leader),
+        known("b", "models", Some((1, MemberState::Ready))),
+        known("other", "models", Some((1, MemberState::Ready))),
+        known("plain", "app", None),
+    ];
+    let mut boxes: BTreeMap<BoxId, Arc<SiteBox>> =
+        boxes.into_iter().map(|known| (known.id.clone(), Arc::new(known))).collect();
+    if let Some(other) = boxes.get_mut(&BoxId::new("other"))
+        && let Some(member) = &mut Arc::make_mut(other).member
+    {
+        member.epoch = Epoch(3);
+    }
+    let ids = |ids: &[&str]| ids.iter().map(|id| BoxId::new(*id)).collect::<Vec<_>>();
+    SiteView {
+        table: Some(Arc::new(RouteTable::new(config))),
+        boxes: Arc::new(boxes),
+        silent: ids(silent).into_iter().collect(),
+        assigned: Arc::new([(("r".to_owned(), EPOCH), ids(&["a", "b", "c"]))].into()),
+        listed: true,
+        nodes: 2,
+    }
+}
+
+#[test]
+fn only_evidence_says_that_a_replica_is_lost() {
+    struct Case {
+        name: &'static str,
+        asked: &'static str,
+        leader: Option<(u32, MemberState)>,
+        silent: &'static [&'static str],
+        is_lost: bool,
+    }
+    let open = Some((0, MemberState::Open));
+    let case = Case { name: "all is well", asked: "a", leader: open, silent: &[], is_lost: false };
+    let cases = [
+        Case { name: "its entry is gone", asked: "gone", is_lost: true, ..case },
+        Case { name: "the leader is silent", silent: &["a"], is_lost: true, ..case },
+        Case { name: "a member is silent", silent: &["b"], is_lost: true, ..case },
+        Case {
+            name: "a member that is listed no more is silent",
+            silent: &["c"],
+            is_lost: true,
+            ..case
+        },
+        Case { name: "a box of an earlier epoch is silent", silent: &["other"], ..case },
+        Case { name: "a plain endpoint", asked: "plain", ..case },
+        Case {
+            name: "a silent plain endpoint",
+            asked: "plain",
+            silent: &["plain"],
+            is_lost: true,
+            ..case
+        },
+        Case { name: "it finishes what it has", leader: Some((0, MemberState::Closing)), ..case },
+        Case {
+            name: "it joins anew",
+            leader: Some((0, MemberState::Joining)),
+            is_lost: true,
+            ..case
+        },
+        Case {
+            name: "it came apart",
+            leader: Some((0, MemberState::Broken)),
+            is_lost: true,
+            ..case
+        },
+        Case {
+            name: "it leads no more",
+            leader: Some((1, MemberState::Ready)),
+            is_lost: true,
+            ..case
+        },
+        Case { name: "it left", leader: None, is_lost: true, ..case },
+        case,
+    ];
+    for case in cases {
+        let view = view(case.leader, case.silent);
+        assert_eq!(view.is_lost(&BoxId::new(case.asked)), case.is_lost, "{}", case.name);
+        // Peers are told only of replicas that serve by their entries, and are lost by silence.
+        let told = case.is_lost && case.asked == "a" && case.leader == open;
+        assert_eq!(view.lost_leaders() == [BoxId::new("a")], told, "{}", case.name);
+    }
+}
--- a/crates/cherrystand_core/tests/outcomes.rs
+++ b/crates/cherrystand_core/tests/outcomes.rs
@@ -22,6 +22,7 @@
         case(AttemptEnd::CutBeforeAnswer, Outcome::Unknown, true),
         case(AttemptEnd::TimedOut, Outcome::Unknown, true),
         case(AttemptEnd::AnswerCut, Outcome::Unknown, true),
+        case(AttemptEnd::ReplicaLost, Outcome::Unknown, true),
         case(AttemptEnd::Overtaken, Outcome::Unknown, true),
         case(AttemptEnd::CallerLeft, Outcome::Unknown, false),
         case(AttemptEnd::Answered, Outcome::Ran, false),
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -18,9 +18,6 @@
 /// How long a connection may take to come about.
 const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 
-/// How often a waiting request looks whether its endpoint still makes progress.
-const LOOK_EVERY: Duration = Duration::from_millis(40);
-
 /// The head of an answer that an endpoint gave, and the body that follows.
 pub(crate) struct Begun {
     /// The head.
@@ -28,38 +25,26 @@
     /// The body.
     pub(crate) body: PooledBody,
     /// Counts the request.
-    pub(crate) flight: Flight,
+    pub(crate) flight: Rc<Flight>,
 }
 
 /// Sends a request to an endpoint and waits for the head of the answer.
 ///
-/// A request that may leave does so once its replica stands still; the attempt then ends as timed
-/// out.
+/// It ends only by what the endpoint does, or once its replica is known to be lost: how long to wait
+/// is for its caller to say.
 pub(crate) async fn send(
-    front: &Rc<Front>,
-    req: &SiteRequest,
-    flight: Flight,
+    front: Rc<Front>,
+    req: Rc<SiteRequest>,
+    flight: Rc<Flight>,
     last_event: Option<u64>,
-    may_leave: bool,
 ) -> Result<Begun, AttemptEnd> {
     let Some(address) = front.address_of(&flight.target) else {
         return Err(AttemptEnd::NotSent);
     };
-    let sent = front.now();
-    let out = req.attempt::<Driver>(&flight.target, last_event, flight.priority, sent);
-    let exchange = front.pool.send(address, out, CONNECT_WITHIN);
-    let mut exchange = std::pin::pin!(exchange);
-    let answer = loop {
-        let looked = front.now();
-        match tokio::time::timeout(LOOK_EVERY, &mut exchange).await {
-            Ok(answer) => break answer,
-            Err(_) if front.now() >= req.deadline => return Err(AttemptEnd::TimedOut),
-            Err(_) if front.was_busy(looked) => {}
-            Err(_) if may_leave && front.leaves(req, &flight, sent) => {
-                return Err(AttemptEnd::TimedOut);
-            }
-            Err(_) => {}
-        }
+    let out = req.attempt::<Driver>(&flight.target, last_event, flight.priority, front.now());
+    let answer = tokio::select! {
+        answer = front.pool.send(address, out, CONNECT_WITHIN) => answer,
+        () = flight.given_up() => return Err(AttemptEnd::ReplicaLost),
     };
     let answer = answer.map_err(|err| {
         if matches!(err, SendError::Connect { .. } | SendError::ConnectTimedOut(_)) {
@@ -70,7 +55,7 @@
         }
         end_of(&err)
     })?;
-    check_head(front, req, answer, flight)
+    check_head(&front, &req, answer, flight)
 }
 
 fn end_of(err: &SendError) -> AttemptEnd {
@@ -86,7 +71,7 @@
     front: &Front,
     req: &SiteRequest,
     answer: Response<PooledBody>,
-    flight: Flight,
+    flight: Rc<Flight>,
 ) -> Result<Begun, AttemptEnd> {
     let facts = Driver::read_answer(answer.status(), answer.headers());
     let (head, body) = answer.into_parts();
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -1,58 +1,64 @@
-//! Passing a stream of events on, across replicas where one breaks off.
+//! Passing a stream of events on, across replicas where one breaks off or stands still.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use cherrystand_core::{
-    AttemptEnd, AttemptLedger, BoxId, EventCutter, LARGEST_EVENT, Millis, Standstill, StreamEnd,
-    WholeEvent,
-};
-use cherrystand_platform::{EventSender, PooledBody};
-use http_body_util::BodyExt;
-use hyper::StatusCode;
+use cherrystand_core::{AttemptEnd, Millis, Standstill, StreamEnd};
+use cherrystand_platform::EventSender;
 
-use crate::site::attempt::{self, Begun};
+use crate::site::attempt::Begun;
 use crate::site::failure_log::UnfinishedStream;
 use crate::site::flight::Flight;
-use crate::site::front::{Front, Urgency};
+use crate::site::front::{Front, ReplicaLook, Urgency};
+use crate::site::open_attempts::{LOOK_EVERY, OpenAttempts};
 use crate::site::request::SiteRequest;
+use crate::site::stream_run::{RunStep, StreamRun, take_up};
+use crate::site::tries::Tries;
 
-/// How often a silent stream looks whether its endpoint makes progress at all.
-const LOOK_EVERY: Duration = Duration::from_millis(40);
-
-/// How many endpoints are tried at the most each time that a stream breaks off, those that did not
-/// run it included.
+/// How many endpoints are asked at the most each time that a stream breaks off or stands still, those
+/// that did not run it included.
 const SENT_TO_GO_ON: u32 = 3;
 
-/// How a run of a stream ended.
-enum RunEnd {
-    /// The stream is whole.
-    Whole,
-    /// The endpoint broke it off, or went silent.
-    Broken(AttemptEnd),
-    /// It ended for its caller, whatever the endpoint does.
-    Over(StreamEnd),
+/// How a stream ended for its caller.
+struct Ended {
+    end: StreamEnd,
+    /// How the last attempt ended, where that ended the stream.
+    attempt: Option<AttemptEnd>,
 }
 
-/// How a run of a stream ended, and what was known then.
-struct Ended {
-    end: RunEnd,
-    /// For how long the run had brought nothing.
-    silent: Millis,
-    /// What was known of its replica's silence, where that stood still.
+impl Ended {
+    fn by_caller(end: StreamEnd) -> Self {
+        Self { end, attempt: None }
+    }
+
+    fn by(attempt: AttemptEnd) -> Self {
+        let end = match attempt {
+            AttemptEnd::ReplicaLost => StreamEnd::ReplicaLost,
+            _ => StreamEnd::BrokenOff,
+        };
+        Self { end, attempt: Some(attempt) }
+    }
+}
+
+/// What was last known of the answer that is passed on.
+#[derive(Clone, Copy, Default)]
+struct LastSeen {
+    heard: Millis,
     standstill: Option<Standstill>,
 }
 
 /// Passes one answer on to a caller, who learns by the cut connection where it is not whole.
+///
+/// A replica that stands still keeps its answer open while another one is asked to go on after the last
+/// event: the first of both that brings the next event goes on, the other one is closed at once. So
+/// silence ends no answer, whatever becomes of the other attempt; an answer ends only by its replica's
+/// own doing, by evidence that the replica is lost, or with its caller's time.
 pub(crate) struct EventStream {
     pub(crate) front: Rc<Front>,
     pub(crate) req: Rc<SiteRequest>,
     pub(crate) tx: EventSender,
-    /// The boxes that were sent the request.
-    pub(crate) tried: Vec<BoxId>,
-    /// What became of it there.
-    pub(crate) ledger: AttemptLedger,
+    /// What it was sent to, and what became of it there.
+    pub(crate) tries: Tries,
     /// The id of the last event passed on.
     pub(crate) last: Option<u64>,
 }
@@ -60,164 +66,134 @@
 impl EventStream {
     /// Passes on the answer that has begun, and goes on elsewhere where it breaks off.
     pub(crate) async fn pass_on(mut self, first: Begun) {
-        let mut begun = first;
-        loop {
-            let ended = self.run(begun).await;
-            match ended.end {
-                RunEnd::Whole => {
-                    // One who has left needs no end.
-                    let _ = self.tx.end().await;
-                    return self.front.count_stream_end(StreamEnd::Whole);
-                }
-                RunEnd::Over(end) => return self.unfinished(end, None, &ended),
-                RunEnd::Broken(attempt) => match self.go_on(attempt).await {
-                    Some(next) => begun = next,
-                    None => {
-                        let end = match attempt {
-                            AttemptEnd::TimedOut => StreamEnd::StoodStill,
-                            _ => StreamEnd::BrokenOff,
-                        };
-                        return self.unfinished(end, Some(attempt), &ended);
-                    }
-                },
-            }
+        let mut seen = LastSeen { heard: self.front.now(), standstill: None };
+        let ended = self.pass(first, &mut seen).await;
+        self.front.count_stream_end(ended.end);
+        if ended.end == StreamEnd::Whole {
+            // One who has left needs no end.
+            let _ = self.tx.end().await;
+            return;
         }
-    }
-
-    /// Counts a stream that ended before it was whole and writes it down.
-    fn unfinished(&self, end: StreamEnd, attempt: Option<AttemptEnd>, ended: &Ended) {
-        self.front.count_stream_end(end);
         self.front.failures.unfinished(&UnfinishedStream {
             req: &self.req,
-            tried: &self.tried,
-            end,
-            attempt,
-            silent: ended.silent,
-            standstill: ended.standstill,
-            attempts_left: self.req.route.attempts.saturating_sub(self.ledger.runs()),
+            tried: &self.tries.tried,
+            end: ended.end,
+            attempt: ended.attempt,
+            silent: self.front.now().since(seen.heard),
+            standstill: seen.standstill,
+            attempts_left: self.req.route.attempts.saturating_sub(self.tries.ledger.most_runs()),
             repeat_left: self.front.has_repeat(&self.req),
         });
     }
 
-    async fn run(&mut self, begun: Begun) -> Ended {
-        let Begun { body, mut flight, .. } = begun;
-        let mut heard = self.front.now();
-        let end = self.pass_run(body, &mut flight, &mut heard).await;
-        let silent = self.front.now().since(heard);
-        Ended { end, silent, standstill: flight.standstill() }
-    }
-
-    async fn pass_run(
-        &mut self,
-        mut body: PooledBody,
-        flight: &mut Flight,
-        heard: &mut Millis,
-    ) -> RunEnd {
-        let mut cutter = EventCutter::default();
+    async fn pass(&mut self, first: Begun, seen: &mut LastSeen) -> Ended {
+        let mut current = Some(StreamRun::new(self.front.clone(), first));
+        let mut besides = OpenAttempts::new();
+        let mut sent_to_go_on = 0;
         loop {
-            let left = self.req.deadline.since(self.front.now());
-            let wait = LOOK_EVERY.min(Duration::from_millis(left.0));
             let looked = self.front.now();
-            let frame = tokio::select! {
-                frame = tokio::time::timeout(wait, body.frame()) => frame,
-                () = self.tx.closed() => return RunEnd::Over(StreamEnd::CallerLeft),
-            };
-            match frame {
-                // What has arrived by the deadline was passed on before this.
-                Err(_) if left == Millis(0) => return RunEnd::Over(StreamEnd::DeadlinePassed),
-                // This thread was busy itself: what came meanwhile is read first.
-                Err(_) if self.front.was_busy(looked) => {}
-                Err(_) if self.leaves(flight, *heard) => {
-                    return RunEnd::Broken(AttemptEnd::TimedOut);
+            let left = Duration::from_millis(self.req.deadline.since(looked).0);
+            let last = self.last;
+            let step = tokio::select! {
+                step = next_of(&mut current, last) => step,
+                taken_up = besides.next() => match taken_up {
+                    Ok((run, step)) => {
+                        self.tries.ledger.ended(AttemptEnd::Answered);
+                        current = Some(run);
+                        step
+                    }
+                    Err(end) => {
+                        self.tries.ledger.ended(end);
+                        if current.is_some() || !besides.is_empty() {
+                            continue;
+                        }
+                        RunStep::Broken(end)
+                    }
+                },
+                () = self.tx.closed() => return Ended::by_caller(StreamEnd::CallerLeft),
+                () = tokio::time::sleep(LOOK_EVERY.min(left)) => {
+                    // What has arrived by the deadline was passed on before this.
+                    if left.is_zero() {
+                        return Ended::by_caller(StreamEnd::DeadlinePassed);
+                    }
+                    // This thread was busy itself: what came meanwhile is read first.
+                    if self.front.was_busy(looked) {
+                        continue;
+                    }
+                    let look = self.look(&mut current, seen);
+                    let newest = besides.look(&self.front, &self.req).or(look);
+                    match newest {
+                        Some(ReplicaLook::Lost) if besides.is_empty() => {
+                            RunStep::Broken(AttemptEnd::ReplicaLost)
+                        }
+                        Some(ReplicaLook::StandsStill) if sent_to_go_on < SENT_TO_GO_ON => {
+                            if let Some(flight) = self.begin_beside(AttemptEnd::TimedOut) {
+                                sent_to_go_on += 1;
+                                besides.push(flight.clone(), self.take_up(flight));
+                            }
+                            continue;
+                        }
+                        _ => continue,
+                    }
                 }
-                Err(_) => {}
-                Ok(None) => return self.end(&cutter, flight),
-                Ok(Some(Err(_))) => {
-                    flight.failed();
-                    flight.avoid();
-                    return RunEnd::Broken(AttemptEnd::AnswerCut);
+            };
+            match step {
+                RunStep::Events(events, id) => {
+                    // Whoever goes on first is the one; the others' places are freed at once.
+                    besides.clear();
+                    self.tries.ledger.rest_ended(AttemptEnd::Overtaken);
+                    (sent_to_go_on, self.last) = (0, id);
+                    *seen = LastSeen { heard: self.front.now(), standstill: None };
+                    if self.tx.pass(events).await.is_err() {
+                        return Ended::by_caller(StreamEnd::CallerLeft);
+                    }
                 }
-                Ok(Some(Ok(frame))) => {
-                    *heard = self.front.now();
-                    flight.event();
-                    let Ok(data) = frame.into_data() else { continue };
-                    cutter.push(&data);
-                    if let Some(end) = self.pass_events(&mut cutter).await {
-                        return end;
+                RunStep::Whole => return Ended::by_caller(StreamEnd::Whole),
+                RunStep::Broken(end) => {
+                    current = None;
+                    if !besides.is_empty() {
+                        continue;
                     }
+                    let next = (sent_to_go_on < SENT_TO_GO_ON).then(|| self.begin_beside(end));
+                    let Some(flight) = next.flatten() else { return Ended::by(end) };
+                    sent_to_go_on += 1;
+                    besides.push(flight.clone(), self.take_up(flight));
                 }
             }
         }
     }
 
-    /// Passes on the events that are whole by now.
-    async fn pass_events(&mut self, cutter: &mut EventCutter) -> Option<RunEnd> {
-        let mut out: Vec<Bytes> = Vec::new();
-        while let Some(event) = cutter.next_event() {
-            if self.follows(&event) {
-                self.last = event.id.or(self.last);
-                out.push(event.bytes);
-            } else if event.id.is_some_and(|id| self.last.is_some_and(|last| id > last + 1)) {
-                return Some(RunEnd::Broken(AttemptEnd::AnswerCut));
-            }
-        }
-        if cutter.held() > LARGEST_EVENT {
-            return Some(RunEnd::Broken(AttemptEnd::AnswerCut));
-        }
-        if out.is_empty() {
-            return None;
-        }
-        let out = if out.len() == 1 { out.remove(0) } else { Bytes::from(out.concat()) };
-        self.tx.pass(out).await.err().map(|_| RunEnd::Over(StreamEnd::CallerLeft))
-    }
-
-    /// Tells whether an event is the next one.
-    fn follows(&self, event: &WholeEvent) -> bool {
-        match (event.id, self.last) {
-            (Some(id), Some(last)) => id == last + 1,
-            _ => true,
+    /// Looks at the replica whose answer is passed on.
+    fn look(&self, current: &mut Option<StreamRun>, seen: &mut LastSeen) -> Option<ReplicaLook> {
+        let run = current.as_ref()?;
+        let look = self.front.look(&self.req, &run.flight, run.heard);
+        *seen = LastSeen { heard: run.heard, standstill: run.flight.standstill() };
+        if look == ReplicaLook::Lost {
+            *current = None;
         }
+        Some(look)
     }
 
-    fn end(&self, cutter: &EventCutter, flight: &Flight) -> RunEnd {
-        if cutter.held() > 0 {
-            flight.failed();
-            return RunEnd::Broken(AttemptEnd::AnswerCut);
-        }
-        flight.succeeded();
-        RunEnd::Whole
+    /// Chooses a replica that is to go on after the last event passed on.
+    ///
+    /// Its caller waits for the next event and leaves soon: it is never put behind.
+    fn begin_beside(&mut self, end: AttemptEnd) -> Option<Rc<Flight>> {
+        self.tries.begin_beside(&self.front, &self.req, Urgency::GoesOn, end)
     }
 
-    fn leaves(&self, flight: &Flight, heard: Millis) -> bool {
-        self.may_go_on() && self.front.leaves(&self.req, flight, heard)
-    }
-
-    fn may_go_on(&self) -> bool {
-        self.front.may_resume(&self.req.route, self.ledger.runs())
+    fn take_up(
+        &self,
+        flight: Rc<Flight>,
+    ) -> impl Future<Output = (Rc<Flight>, Result<(StreamRun, RunStep), AttemptEnd>)> + use<> {
+        let (front, req, last) = (self.front.clone(), self.req.clone(), self.last);
+        async move { (flight.clone(), take_up(front, req, flight, last).await) }
     }
+}
 
-    /// Takes the stream up at another replica.
-    async fn go_on(&mut self, end: AttemptEnd) -> Option<Begun> {
-        let mut sent = 0;
-        while self.may_go_on() && sent < SENT_TO_GO_ON && self.front.now() < self.req.deadline {
-            sent += 1;
-            // Its caller waits for the next event and leaves soon: it is never put behind.
-            let flight = self.front.choose(&self.req, &self.tried, Urgency::GoesOn)?;
-            if self.tried.contains(&flight.target) || !self.front.may_repeat(&self.req, end) {
-                return None;
-            }
-            self.tried.push(flight.target.clone());
-            let began = attempt::send(&self.front, &self.req, flight, self.last, true);
-            match began.await {
-                Ok(begun) => {
-                    self.ledger.ended(AttemptEnd::Answered);
-                    if begun.head.status == StatusCode::OK {
-                        return Some(begun);
-                    }
-                }
-                Err(end) => self.ledger.ended(end),
-            }
-        }
-        None
+/// Waits for what comes next of the answer that is passed on; never ends where there is none.
+async fn next_of(current: &mut Option<StreamRun>, last: Option<u64>) -> RunStep {
+    match current {
+        Some(run) => run.next(last).await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/cherrystandd/src/site/failure_log.rs
+++ b/crates/cherrystandd/src/site/failure_log.rs
@@ -81,7 +81,7 @@
             StreamEnd::Whole => return,
             StreamEnd::DeadlinePassed => "its time was over before the stream was whole",
             StreamEnd::CallerLeft => "its caller left, or the connection to it failed",
-            StreamEnd::BrokenOff | StreamEnd::StoodStill => "the stream was cut",
+            StreamEnd::BrokenOff | StreamEnd::ReplicaLost => "the stream was cut",
         };
         let tried: Vec<&str> = stream.tried.iter().map(BoxId::as_str).collect();
         let still = stream.standstill;
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -5,8 +5,13 @@
 
 use cherrystand_core::{BoxId, Expected, Millis, Standstill, TargetKey};
 
+use tokio::sync::Notify;
+
 use crate::site::front::Front;
 
+/// How often it is told that an endpoint stands still; its members are asked once a second.
+const STALL_TOLD_EVERY: Millis = Millis(1_000);
+
 /// A request counted at its endpoint until this is dropped.
 pub(crate) struct Flight {
     front: Rc<Front>,
@@ -14,19 +19,21 @@
     pub(crate) key: TargetKey,
     /// The box behind it.
     pub(crate) target: BoxId,
-    unread: f64,
+    unread: Cell<f64>,
     /// When it was sent.
-    sent: Millis,
+    pub(crate) sent: Millis,
     /// What was expected of it, where its engine is known.
     expected: Option<Expected>,
     /// Its priority at the engine, where it has one.
     pub(crate) priority: Option<u8>,
     /// Whether it waits behind those that can still be in time.
-    waits_behind: bool,
-    /// Since when the endpoint has been seen to stand still.
-    stalled: Cell<Option<Millis>>,
+    waits_behind: Cell<bool>,
+    /// When it was last told that the endpoint stands still; nothing since something last came.
+    stall_told: Cell<Option<Millis>>,
     /// What was known of its silence at the last look, where it stood still.
     standstill: Cell<Option<Standstill>>,
+    /// Wakes the attempt once its answer cannot come any more.
+    lost: Notify,
 }
 
 impl Flight {
@@ -46,39 +53,53 @@
             front,
             key,
             target,
-            unread: prompt,
+            unread: Cell::new(prompt),
             sent: now,
             expected,
             priority,
-            waits_behind,
-            stalled: Cell::new(None),
+            waits_behind: Cell::new(waits_behind),
+            stall_told: Cell::new(None),
             standstill: Cell::new(None),
+            lost: Notify::new(),
         }
     }
 
     /// Notes that an event of its answer came.
-    pub(crate) fn event(&mut self) {
+    pub(crate) fn event(&self) {
         let now = self.front.now();
-        self.stalled.set(None);
+        self.stall_told.set(None);
         let mut chooser = self.front.chooser.borrow_mut();
         chooser.progress(self.key, now);
-        if self.unread > 0.0 {
-            chooser.first_event(self.key, self.unread, self.waits_behind);
+        let unread = self.unread.take();
+        if unread > 0.0 {
+            let waited_behind = self.waits_behind.take();
+            chooser.first_event(self.key, unread, waited_behind);
             // What was put behind tells nothing of how long others take.
-            if let Some(expected) = self.expected.filter(|_| !self.waits_behind) {
+            if let Some(expected) = self.expected.filter(|_| !waited_behind) {
                 chooser.learn_first_event(self.key, now.since(self.sent), expected.predicted);
             }
-            self.unread = 0.0;
-            self.waits_behind = false;
         }
     }
 
-    /// Notes that the endpoint stands still, and tells since when it has been seen to, where that is
-    /// not new.
-    pub(crate) fn stalled_since(&self) -> Option<Millis> {
-        let since = self.stalled.get();
-        self.stalled.set(since.or(Some(self.front.now())));
-        since
+    /// Tells whether it is to be told now that the endpoint stands still: at once, and from time to
+    /// time as long as it does, since what was asked about it may have stayed undecided.
+    pub(crate) fn tells_stall(&self) -> bool {
+        let now = self.front.now();
+        let due = self.stall_told.get().is_none_or(|at| now.since(at) >= STALL_TOLD_EVERY);
+        if due {
+            self.stall_told.set(Some(now));
+        }
+        due
+    }
+
+    /// Ends the attempt, whose answer cannot come any more.
+    pub(crate) fn give_up(&self) {
+        self.lost.notify_one();
+    }
+
+    /// Waits until the answer cannot come any more.
+    pub(crate) async fn given_up(&self) {
+        self.lost.notified().await;
     }
 
     /// Notes what is known of the endpoint's silence, where it stands still.
@@ -112,6 +133,10 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.front.chooser.borrow_mut().finish(self.key, self.unread, self.waits_behind);
+        self.front.chooser.borrow_mut().finish(
+            self.key,
+            self.unread.get(),
+            self.waits_behind.get(),
+        );
     }
 }
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -3,9 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cherrystand_core::{
-    AttemptEnd, AttemptLedger, BoxId, FinalFailure, Millis, RefusalReason, RouteKind,
-};
+use cherrystand_core::{AttemptEnd, Millis, RefusalReason, RouteKind};
 use cherrystand_platform::{CallerBody, SiteDriver};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -16,9 +14,11 @@
 use crate::site::attempt::{self, Begun};
 use crate::site::event_stream::EventStream;
 use crate::site::flight::Flight;
-use crate::site::front::{Front, Urgency};
+use crate::site::front::{Front, ReplicaLook, Urgency};
+use crate::site::open_attempts::{LOOK_EVERY, OpenAttempts};
 use crate::site::pages::plain;
 use crate::site::request::{SiteRequest, allow, head_bytes, read_body};
+use crate::site::tries::Tries;
 
 /// The time that a caller waits where it says nothing.
 const USUAL_WAIT: Millis = Millis(30_000);
@@ -85,72 +85,15 @@
     }
 }
 
-/// Says what a caller is told of a request that no endpoint answered.
-fn status_of(failure: FinalFailure) -> StatusCode {
-    match failure {
-        FinalFailure::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-        FinalFailure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-        FinalFailure::AnswerLost => StatusCode::BAD_GATEWAY,
-    }
-}
-
-/// Keeps what one request was sent to, and what became of it there.
-#[derive(Default)]
-struct Tries {
-    tried: Vec<BoxId>,
-    ledger: AttemptLedger,
-}
-
-impl Tries {
-    /// Chooses an endpoint that was not tried, or else one that was, and counts the attempt.
-    fn begin(&mut self, front: &Rc<Front>, req: &SiteRequest) -> Option<Flight> {
-        let flight = front.choose(req, &self.tried, Urgency::Begins);
-        let Some(flight) = flight else {
-            front.note_none_serving(req);
-            return None;
-        };
-        self.tried.push(flight.target.clone());
-        self.ledger.sent();
-        Some(flight)
-    }
-
-    /// Takes in how an attempt ended, and tells whether another one follows.
-    fn go_on(&mut self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> bool {
-        self.ledger.ended(end);
-        let may_send = self.ledger.may_send(&req.route, front.now(), req.deadline);
-        may_send && front.may_repeat(req, end)
-    }
-
-    /// Writes the failure down and says what the caller is told.
-    fn failed(&self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> StatusCode {
-        let status = self.status();
-        front.failures.failed(req, &self.tried, end.as_str(), status.as_str());
-        status
-    }
-
-    /// Says what the caller is told if no further attempt is made.
-    fn status(&self) -> StatusCode {
-        status_of(self.ledger.failure())
-    }
-}
-
 async fn stream(
     front: &Rc<Front>,
     req: Rc<SiteRequest>,
 ) -> Result<Response<CallerBody>, StatusCode> {
     let mut tries = Tries::default();
-    let begun = loop {
-        let flight = tries.begin(front, &req).ok_or_else(|| tries.status())?;
-        let may_leave = front.may_resume(&req.route, tries.ledger.runs() + 1);
-        match attempt::send(front, &req, flight, req.facts.last_event, may_leave).await {
-            Ok(begun) => break begun,
-            Err(end) if tries.go_on(front, &req, end) => {}
-            Err(end) => return Err(tries.failed(front, &req, end)),
-        }
-    };
-    tries.ledger.ended(AttemptEnd::Answered);
+    let begun = first_answer(front, &req, &mut tries).await?;
     if begun.head.status != StatusCode::OK {
-        return pass_whole(begun).await.map_err(|end| {
+        let answer = within_deadline(front, &req, pass_whole(begun)).await;
+        return answer.map_err(|end| {
             tries.ledger.ended(end);
             tries.failed(front, &req, end)
         });
@@ -159,18 +102,69 @@
     let mut head = begun.head.clone();
     strip_connection(&mut head.headers);
     head.headers.remove(hyper::header::CONTENT_LENGTH);
-    let stream = EventStream {
-        front: front.clone(),
-        last: req.facts.last_event,
-        req,
-        tx,
-        tried: tries.tried,
-        ledger: tries.ledger,
-    };
+    let last = req.facts.last_event;
+    let stream = EventStream { front: front.clone(), req, tx, tries, last };
     tokio::task::spawn_local(stream.pass_on(begun));
     Ok(Response::from_parts(head, body))
 }
 
+/// Waits for the head of the first answer to a stream, from whichever replica it comes.
+///
+/// A replica that stands still keeps its attempt while another one is asked beside it: dropped at
+/// once, answers were lost that it would have brought, where the other one refused, failed or
+/// stood still as well.
+async fn first_answer(
+    front: &Rc<Front>,
+    req: &Rc<SiteRequest>,
+    tries: &mut Tries,
+) -> Result<Begun, StatusCode> {
+    let send = |flight: Rc<Flight>| {
+        let (front, req) = (front.clone(), req.clone());
+        async move {
+            let last = req.facts.last_event;
+            (flight.clone(), attempt::send(front, req, flight, last).await)
+        }
+    };
+    let mut open = OpenAttempts::new();
+    let first = tries.begin(front, req).ok_or_else(|| tries.status())?;
+    open.push(first.clone(), send(first));
+    loop {
+        let looked = front.now();
+        let ended = tokio::select! {
+            ended = open.next() => ended,
+            () = tokio::time::sleep(LOOK_EVERY) => {
+                if front.now() >= req.deadline {
+                    tries.ledger.rest_ended(AttemptEnd::TimedOut);
+                    return Err(tries.failed(front, req, AttemptEnd::TimedOut));
+                }
+                let look = (!front.was_busy(looked)).then(|| open.look(front, req)).flatten();
+                if look == Some(ReplicaLook::StandsStill)
+                    && tries.ledger.may_send(&req.route, front.now(), req.deadline)
+                    && let Some(flight) =
+                        tries.begin_beside(front, req, Urgency::Begins, AttemptEnd::TimedOut)
+                {
+                    open.push(flight.clone(), send(flight));
+                }
+                continue;
+            }
+        };
+        match ended {
+            Ok(begun) => {
+                tries.ledger.ended(AttemptEnd::Answered);
+                tries.ledger.rest_ended(AttemptEnd::Overtaken);
+                return Ok(begun);
+            }
+            // The others may bring the answer yet.
+            Err(end) if !open.is_empty() => tries.ledger.ended(end),
+            Err(end) if tries.go_on(front, req, end) => {
+                let flight = tries.begin(front, req).ok_or_else(|| tries.status())?;
+                open.push(flight.clone(), send(flight));
+            }
+            Err(end) => return Err(tries.failed(front, req, end)),
+        }
+    }
+}
+
 async fn whole(
     front: &Rc<Front>,
     req: &Rc<SiteRequest>,
@@ -199,13 +193,22 @@
 async fn attempt_whole(
     front: &Rc<Front>,
     req: &Rc<SiteRequest>,
-    flight: Flight,
+    flight: Rc<Flight>,
 ) -> Result<Response<CallerBody>, AttemptEnd> {
-    let left = Duration::from_millis(req.deadline.since(front.now()).0);
     let exchange = async {
-        let begun = attempt::send(front, req, flight, None, false).await?;
+        let begun = attempt::send(front.clone(), req.clone(), flight, None).await?;
         pass_whole(begun).await
     };
+    within_deadline(front, req, exchange).await
+}
+
+/// Waits for an exchange until the request's time is over.
+async fn within_deadline<T>(
+    front: &Front,
+    req: &SiteRequest,
+    exchange: impl Future<Output = Result<T, AttemptEnd>>,
+) -> Result<T, AttemptEnd> {
+    let left = Duration::from_millis(req.deadline.since(front.now()).0);
     tokio::time::timeout(left, exchange).await.unwrap_or(Err(AttemptEnd::TimedOut))
 }
 
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -24,14 +24,6 @@
 /// A look that takes this long tells that the thread was busy; looks are 40 ms apart.
 const BUSY: Millis = Millis(100);
 
-/// How long a request stays at a replica that stands still while no repeat is left for it.
-///
-/// A daemon that just started has repeats after 1.2 s, and shares are used up for parts of a second;
-/// given up at once, 173 requests of one day were not served at all. Where the replica is dead its
-/// caller's own second try is what serves it, and callers leave a stream that is silent for 2 s:
-/// without this bound 107 were lost on another day, and 0.08 of its worth.
-const STAYS_FOR: Millis = Millis(800);
-
 /// A request that comes within this time after the daemon's start waits until the daemon knows what
 /// is in service, as long as its readers may take to tell it.
 ///
@@ -39,6 +31,17 @@
 /// meanwhile, those of 60 within 430 ms, those of 295 within 50 to 550 ms (logs of one day each).
 const KNOWS_WITHIN: Millis = Millis(1_000);
 
+/// Says what a look at the replica of an open attempt shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReplicaLook {
+    /// It goes on, as far as can be told.
+    GoesOn,
+    /// It stands still, and may go on at any moment.
+    StandsStill,
+    /// It stands still and is known to be lost.
+    Lost,
+}
+
 /// Says what a replica is chosen for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Urgency {
@@ -103,10 +106,21 @@
         addresses.extend(targets.iter().map(|(spec, address)| (spec.id.clone(), *address)));
         let specs = targets.into_iter().map(|(spec, _)| spec).collect();
         self.chooser.borrow_mut().follow(specs);
-        self.view.replace(newest.clone());
+        let before = self.view.replace(newest.clone());
+        if newest.silent != before.silent {
+            self.tell_lost(&before, &newest);
+        }
         newest
     }
 
+    /// Tells peers which leaders this node has found to be lost; by the store they learn of one that
+    /// lost power after 3.6 s, and of one whose member did after 4 s.
+    fn tell_lost(&self, before: &SiteView, newest: &SiteView) {
+        let known = before.lost_leaders();
+        let lost = newest.lost_leaders().into_iter().filter(|leader| !known.contains(leader));
+        lost.for_each(|leader| self.loads.tell_left(leader, self.now()));
+    }
+
     /// Takes over the newest view; one that says nothing yet, shortly after the daemon's start, is
     /// waited for.
     pub(crate) async fn follow_once_known(&self) -> Arc<SiteView> {
@@ -136,7 +150,7 @@
         req: &SiteRequest,
         not: &[BoxId],
         urgency: Urgency,
-    ) -> Option<Flight> {
+    ) -> Option<Rc<Flight>> {
         let view = self.follow();
         let engine = view.table.as_ref()?.config().engine(&req.service);
         let model = req.facts.model.as_deref().filter(|_| engine.is_some());
@@ -160,7 +174,7 @@
         drop(chooser);
         let rank = req.route.priority;
         let priority = expected.map(|expected| engine_priority(rank, expected.deferred));
-        Some(Flight::start(self.clone(), key, target, req.prompt(), expected, priority))
+        Some(Rc::new(Flight::start(self.clone(), key, target, req.prompt(), expected, priority)))
     }
 
     /// Tells whether this thread came back so late to a look begun at `looked` that it has yet to
@@ -207,27 +221,23 @@
         LEAST_SILENCE + Millis(predicted.unwrap_or_default() as u64)
     }
 
-    /// Tells whether a request leaves the replica that it is at since that stands still.
+    /// Looks at the replica of an open attempt, from which it was last `heard`.
     ///
-    /// The replica is left out of the choice and looked at either way. Where no repeat is left for
-    /// a request, it stays for [`STAYS_FOR`]; then its caller is told, who may come back.
-    pub(crate) fn leaves(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> bool {
+    /// Silence alone ends no attempt: a replica that turns slow, or whose machine pauses, goes on. One
+    /// that stands still is left out of the choice and has its members asked; what they, its entry or
+    /// a peer tell may show that it is lost.
+    pub(crate) fn look(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> ReplicaLook {
         let still = self.standstill(req, flight, heard).filter(Standstill::is_certain);
         flight.note_standstill(still);
         if still.is_none() {
-            return false;
+            return ReplicaLook::GoesOn;
         }
-        let may_repeat = self.has_repeat(req);
-        match flight.stalled_since() {
-            Some(since) => may_repeat || self.now().since(since) >= STAYS_FOR,
-            None => {
-                self.stalled(flight);
-                if !may_repeat {
-                    self.repeats.count_stay();
-                }
-                may_repeat
-            }
+        if flight.tells_stall() {
+            self.stalled(flight);
         }
+        let lost = self.follow().is_lost(&flight.target)
+            || self.loads.ended_since(&flight.target, flight.sent);
+        if lost { ReplicaLook::Lost } else { ReplicaLook::StandsStill }
     }
 
     /// Leaves a replica out that stands still, and has its members looked at.
@@ -241,7 +251,7 @@
     pub(crate) fn not_serving(&self, flight: &Flight) {
         if !self.chooser.borrow().is_avoided(flight.key, self.now()) {
             flight.avoid();
-            self.loads.tell_left(flight.target.clone());
+            self.loads.tell_left(flight.target.clone(), self.now());
         }
     }
 
@@ -276,7 +286,7 @@
     /// Counts how a stream ended.
     pub(crate) fn count_stream_end(&self, end: StreamEnd) {
         self.cx.metrics.stream_ends.with_label_values(&[end.as_str()]).inc();
-        if matches!(end, StreamEnd::BrokenOff | StreamEnd::StoodStill) {
+        if matches!(end, StreamEnd::BrokenOff | StreamEnd::ReplicaLost) {
             let labels = [Outcome::Unknown.as_str(), "broken-stream"];
             self.cx.metrics.answers.with_label_values(&labels).inc();
         }
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -33,6 +33,10 @@
 /// After this time they are asked anew.
 const ASKED_FOR: Millis = Millis(400);
 
+/// For how long it is remembered that a leader serves no more; longer than a route lets a request
+/// wait there.
+const ENDED_FOR: Millis = Millis(30_000);
+
 /// The largest datagram there is, in bytes: a zone's sum names each replica that it sends to.
 const LARGEST_NEWS: usize = 64 << 10;
 
@@ -42,6 +46,9 @@
     book: RefCell<LoadBook>,
     stalled: RefCell<Vec<BoxId>>,
     left: RefCell<Vec<BoxId>>,
+    /// When this node last learned that a leader serves no more, from its own word, a peer's, or by
+    /// finding a member silent.
+    ended: RefCell<BTreeMap<BoxId, Millis>>,
     to_ask: RefCell<Vec<BoxId>>,
     /// When peers were last asked about a leader.
     asked: RefCell<BTreeMap<BoxId, Millis>>,
@@ -58,11 +65,24 @@
     }
 
     /// Tells peers at once that a leader serves no more, before the store tells them.
-    pub(crate) fn tell_left(&self, leader: BoxId) {
+    pub(crate) fn tell_left(&self, leader: BoxId, now: Millis) {
+        self.note_ended(&leader, now);
         self.left.borrow_mut().push(leader);
         self.urgent.notify_one();
     }
 
+    /// Notes that a leader serves no more.
+    fn note_ended(&self, leader: &BoxId, now: Millis) {
+        let mut ended = self.ended.borrow_mut();
+        ended.retain(|_, at| now.since(*at) < ENDED_FOR);
+        ended.insert(leader.clone(), now);
+    }
+
+    /// Tells whether a leader was found to serve no more after `sent`.
+    pub(crate) fn ended_since(&self, leader: &BoxId, sent: Millis) -> bool {
+        self.ended.borrow().get(leader).is_some_and(|at| *at > sent)
+    }
+
     /// Hands over what peers have in flight, where they told anything new since the last time.
     pub(crate) fn hand_over(&self, chooser: &mut Chooser) {
         if let Some(sums) = self.book.borrow_mut().take_sums() {
@@ -163,7 +183,10 @@
                 book.borrow_mut().see(&loads, now);
             }
             LoadNews::Stalled(leaders) => self.take_stalled(leaders, now),
-            LoadNews::Left(leaders) => self.avoid(&leaders, now),
+            LoadNews::Left(leaders) => {
+                leaders.iter().for_each(|leader| self.loads.note_ended(leader, now));
+                self.avoid(&leaders, now);
+            }
         }
     }
 
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -16,11 +16,14 @@
 mod hint;
 mod known;
 mod load_exchange;
+mod open_attempts;
 mod pages;
 mod peer_choice;
 mod reader_notes;
 mod request;
 mod retry_shares;
+mod stream_run;
+mod tries;
 mod watching;
 
 pub(crate) use hint::Hint;
