fix: a stream that pauses for 10 s goes on where its replica serves

Change: after 10 s without an event, and each 10 s from then on, the stream ends if its endpoint is out of service (its evidence says so, or is older than 3 s) or its caller's time is over. Before: the new test got an error event after 10 s (an engine with 11 s between tokens); after: whole.

--- a/crates/cherrystandd/src/relay/attempt.rs
+++ b/crates/cherrystandd/src/relay/attempt.rs
@@ -57,6 +57,17 @@
         self.relay.cx.metrics.first_byte.observe(took.as_secs_f64());
     }
 
+    /// Tells whether the endpoint is still one that requests are sent to: a replica that was found
+    /// broken, or that nobody bore out for 3 s, is not.
+    pub(crate) fn is_in_service(&self) -> bool {
+        self.relay.core.borrow().serves(self.endpoint)
+    }
+
+    /// Tells whether the caller's time is over.
+    pub(crate) fn is_overdue(&self) -> bool {
+        self.relay.now() >= self.call.deadline
+    }
+
     /// Ends the count.
     pub(crate) fn end(&mut self, end: AttemptEnd) {
         if self.ended {
--- a/crates/cherrystandd/src/relay/core.rs
+++ b/crates/cherrystandd/src/relay/core.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Tells whether requests are still sent to an endpoint.
+    pub(crate) fn serves(&self, endpoint: EndpointKey) -> bool {
+        self.targets.contains_key(endpoint)
+    }
+
     /// Returns the usual time until an endpoint's answer begins.
     pub(crate) fn usual(&self, endpoint: EndpointKey) -> Millis {
         self.router.usual(endpoint)
--- a/crates/cherrystandd/src/relay/stream.rs
+++ b/crates/cherrystandd/src/relay/stream.rs
@@ -13,8 +13,10 @@
 use crate::relay::admitted::Admitted;
 use crate::relay::attempt::InFlight;
 
-/// A stream that brings nothing for this long counts as broken.
-const LONGEST_SILENCE: Duration = Duration::from_secs(10);
+/// How often a stream that brings nothing looks whether its answer can still come.
+///
+/// Silence alone ends no answer: one that paused for 10 s was broken off though its replica served.
+const LOOK_EVERY: Duration = Duration::from_secs(10);
 
 /// What a caller of a stream of events gets when the stream breaks.
 ///
@@ -45,7 +47,7 @@
             held: (!held.is_empty()).then_some(held),
             rest: Some(rest),
             events,
-            silence: Box::pin(tokio::time::sleep(LONGEST_SILENCE)),
+            silence: Box::pin(tokio::time::sleep(LOOK_EVERY)),
             in_flight,
             admitted,
         }
@@ -57,6 +59,28 @@
         self.admitted.end(outcome, None);
     }
 
+    fn look_later(&mut self) {
+        let until = Instant::now() + LOOK_EVERY;
+        self.silence.as_mut().reset(until);
+    }
+
+    /// Waits on, until the caller's time is over or the endpoint is out of service.
+    fn poll_silence(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        while self.silence.as_mut().poll(cx).is_ready() {
+            if !self.in_flight.is_in_service() {
+                return self.break_off(AttemptEnd::ReplicaLost);
+            }
+            if self.in_flight.is_overdue() {
+                return self.break_off(AttemptEnd::TimedOut);
+            }
+            self.look_later();
+        }
+        Poll::Pending
+    }
+
     /// Tells the caller that the answer broke off: by an event, or by cutting the connection.
     fn break_off(&mut self, end: AttemptEnd) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
         self.end(end, Outcome::Unknown);
@@ -84,8 +108,7 @@
         };
         match Pin::new(rest).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
-                let until = Instant::now() + LONGEST_SILENCE;
-                self.silence.as_mut().reset(until);
+                self.look_later();
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(None) => {
@@ -93,10 +116,7 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(_))) => self.break_off(AttemptEnd::AnswerCut),
-            Poll::Pending => match self.silence.as_mut().poll(cx) {
-                Poll::Ready(()) => self.break_off(AttemptEnd::TimedOut),
-                Poll::Pending => Poll::Pending,
-            },
+            Poll::Pending => self.poll_silence(cx),
         }
     }
 }
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -66,6 +66,20 @@
     });
 }
 
+/// Story: a stream that had brought nothing for 10 s ended with an error event though its replica was
+/// in service and working; silence of a replica gives no reason to end an answer.
+#[test]
+fn a_stream_that_pauses_for_long_goes_on_while_its_replica_serves() {
+    run(async {
+        let cluster = Cluster::serving(Setup { replicas: 1, boxes: 2, ..Setup::default() }).await;
+        cluster.set(cluster.boxes[0].address, json!({"token_us": 11_000_000})).await;
+        let stream = cluster.ask_model(1, "slow", 2, true).await.expect("a stream");
+        let body = stream.into_body().collect().await.expect("an end").to_bytes();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        assert!(text.contains("[DONE]") && !text.contains("event: error"), "{text}");
+    });
+}
+
 #[test]
 fn a_planned_stop_cuts_no_request_off() {
     run(async {
