fix: a stop cuts what still runs in the last sixth of its grace only, whatever that is

Cause: found while looking for other places that end answers that run: a fixed 0.7 s was kept in hand; of a grace of 3 s that is 0.2 s before its last sixth. Ruled out for the deployments known (8 s: cut at 7.3 s, allowed from 6.67 s). Change: StopPlan (pure): 0.7 s or an eighth of the grace, the lesser.

--- /dev/null
+++ b/crates/cherrystand_core/tests/stop_plan.rs
@@ -0,0 +1,27 @@
+//! How a stopping daemon shares out its time.
+
+use cherrystand_core::{Millis, StopPlan};
+
+#[test]
+fn what_runs_is_cut_in_the_last_sixth_of_the_grace_only_and_before_its_end() {
+    struct Case {
+        grace: u64,
+        linger: u64,
+        finish: u64,
+    }
+    let cases = [
+        Case { grace: 8_000, linger: 2_500, finish: 4_800 },
+        Case { grace: 30_000, linger: 2_500, finish: 26_800 },
+        Case { grace: 3_000, linger: 2_500, finish: 125 },
+        // Where there is no time for both, it takes requests to the end.
+        Case { grace: 2_000, linger: 1_750, finish: 0 },
+        Case { grace: 0, linger: 0, finish: 0 },
+    ];
+    for case in cases {
+        let plan = StopPlan::new(Millis(case.grace), Millis(2_500));
+        let expected = StopPlan { linger: Millis(case.linger), finish: Millis(case.finish) };
+        assert_eq!(plan, expected, "{} ms", case.grace);
+        let cut_at = (plan.linger + plan.finish).0;
+        assert!(cut_at * 6 >= case.grace * 5 && cut_at <= case.grace, "{} ms", case.grace);
+    }
+}
--- a/crates/cherrystandd/src/site/front_duty.rs
+++ b/crates/cherrystandd/src/site/front_duty.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cherrystand_core::{Chooser, Millis};
+use cherrystand_core::{Chooser, Millis, StopPlan};
 use cherrystand_platform::serve_http;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -17,9 +17,6 @@
 use crate::site::pages::{self, serve_pages};
 use crate::{DutyContext, DutyError, StopPhase};
 
-/// How much of its grace a stopping node keeps in hand.
-const GRACE_IN_HAND: Millis = Millis(700);
-
 inventory::submit! {
     Duty { name: "site-front", serves: Serves::Routes, run }
 }
@@ -50,10 +47,10 @@
     let stopping = async {
         cx.stopping(StopPhase::Draining).await;
         log::info!("draining: not ready any more, finishing what is in flight");
-        tokio::time::sleep(Duration::from_millis(cx.settings.stop.linger_ms)).await;
+        let plan = StopPlan::new(Millis(site.grace_ms), Millis(cx.settings.stop.linger_ms));
+        tokio::time::sleep(Duration::from_millis(plan.linger.0)).await;
         stop.send_replace(true);
-        let rest = site.grace_ms.saturating_sub(cx.settings.stop.linger_ms + GRACE_IN_HAND.0);
-        tokio::time::sleep(Duration::from_millis(rest)).await;
+        tokio::time::sleep(Duration::from_millis(plan.finish.0)).await;
     };
     let finished = async { tokio::join!(serving, cx.stopping(StopPhase::Draining)) };
     tokio::select! {
