fix: a caller that does not read holds a stream no longer than its time lasts

Cause: found in reading: while events waited for a caller that reads nothing, neither its deadline nor its route's time-out was looked at. Change: handing events on ends with the request's time.

--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use cherrystand_core::{AttemptEnd, Millis, Standstill, StreamEnd};
 use cherrystand_platform::EventSender;
 
@@ -144,8 +145,8 @@
                     self.tries.ledger.rest_ended(AttemptEnd::Overtaken);
                     (sent_to_go_on, self.last) = (0, id);
                     *seen = LastSeen { heard: self.front.now(), standstill: None };
-                    if self.tx.pass(events).await.is_err() {
-                        return Ended::by_caller(StreamEnd::CallerLeft);
+                    if let Some(end) = self.hand_on(events).await {
+                        return Ended::by_caller(end);
                     }
                 }
                 RunStep::Whole => return Ended::by_caller(StreamEnd::Whole),
@@ -163,6 +164,16 @@
         }
     }
 
+    /// Hands events to the caller, who may read slowly, but no longer than its time lasts.
+    async fn hand_on(&self, events: Bytes) -> Option<StreamEnd> {
+        let left = Duration::from_millis(self.req.deadline.since(self.front.now()).0);
+        match tokio::time::timeout(left, self.tx.pass(events)).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(StreamEnd::CallerLeft),
+            Err(_) => Some(StreamEnd::DeadlinePassed),
+        }
+    }
+
     /// Looks at the replica whose answer is passed on.
     fn look(&self, current: &mut Option<StreamRun>, seen: &mut LastSeen) -> Option<ReplicaLook> {
         let run = current.as_ref()?;
