fix: where everything stands still at once, no replica is asked beside another

Machines that stop all processes for a moment make every replica stand still at once; each stream asked another one beside its own.

--- a/crates/cherrystand_core/src/site/standstill.rs
+++ b/crates/cherrystand_core/src/site/standstill.rs
@@ -63,4 +63,12 @@
             PeersTell::Unheard => self.silence > HELD_UP_AT_MOST || self.others.unwrap_or(true),
         }
     }
+
+    /// Tells whether everything that this node has requests at stands still as well, and not for long.
+    ///
+    /// A machine that stops all processes for 150 ms is likelier than the loss of all replicas at once,
+    /// and to ask others beside them then spends the repeats of all nodes and helps nobody.
+    pub fn is_common(&self) -> bool {
+        self.others == Some(false) && self.silence <= HELD_UP_AT_MOST
+    }
 }
--- a/crates/cherrystand_core/tests/standstill.rs
+++ b/crates/cherrystand_core/tests/standstill.rs
@@ -80,5 +80,7 @@
             others: case.others,
         };
         assert_eq!(still.is_certain(), case.stands_still, "{}", case.name);
+        let common = case.others == Some(false) && case.silence == short;
+        assert_eq!(still.is_common(), common, "{}", case.name);
     }
 }
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -38,6 +38,8 @@
     GoesOn,
     /// It stands still, and may go on at any moment.
     StandsStill,
+    /// So does everything that this node has requests at: a pause of the machines, rather.
+    Pauses,
     /// It stands still and is known to be lost.
     Lost,
 }
@@ -229,15 +231,19 @@
     pub(crate) fn look(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> ReplicaLook {
         let still = self.standstill(req, flight, heard).filter(Standstill::is_certain);
         flight.note_standstill(still);
-        if still.is_none() {
+        let Some(still) = still else {
             return ReplicaLook::GoesOn;
-        }
+        };
         if flight.tells_stall() {
             self.stalled(flight);
         }
         let lost = self.follow().is_lost(&flight.target)
             || self.loads.ended_since(&flight.target, flight.sent);
-        if lost { ReplicaLook::Lost } else { ReplicaLook::StandsStill }
+        match lost {
+            true => ReplicaLook::Lost,
+            false if still.is_common() => ReplicaLook::Pauses,
+            false => ReplicaLook::StandsStill,
+        }
     }
 
     /// Leaves a replica out that stands still, and has its members looked at.
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -292,6 +292,28 @@
     });
 }
 
+/// Story: where a machine stops all its processes for a moment, every replica stands still at once; each
+/// stream then asked another one beside its own, and the repeats of all nodes were spent on it.
+#[test]
+fn a_pause_of_all_replicas_at_once_asks_nobody_beside_them() {
+    support::run(async {
+        let site = Site::serving_with(2, 136.0).await;
+        let leaders: Vec<String> = site.site.leaders().into_keys().collect();
+        let pause = async {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            leaders.iter().for_each(|leader| site.site.set_mood(leader, BoxMood::Pauses));
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            leaders.iter().for_each(|leader| site.site.set_mood(leader, BoxMood::Well));
+        };
+        let (answers, ()) = tokio::join!(six_streams(&site.nodes[0]), pause);
+        for (answer, id) in answers {
+            assert_eq!(answer.text(), whole_stream(&id));
+            let runs = site.site.runs_of(&id);
+            assert_eq!(runs.len(), 1, "{id} ran {runs:?}");
+        }
+    });
+}
+
 /// Story: replicas were dead and no repeat was left; 107 callers waited the 2 s after which they
 /// leave, and had no time for a second try of their own. A dead replica is told from a quiet one by
 /// asking its members, not by the length of its silence.
