--- a/crates/cherrystand_core/src/site/domain_spares.rs
+++ b/crates/cherrystand_core/src/site/domain_spares.rs
@@ -5,9 +5,7 @@
 use crate::site::domain_draft::{DomainDraft, Standing};
 use crate::site::formation::replica_name;
 use crate::site::join_rank::{JoinRank, join_rank};
-use crate::{
-    Assignment, BoxId, DomainId, Epoch, MemberTask, Millis, ModelSpec, ReplicaId, SiteBox,
-};
+use crate::{Assignment, BoxId, DomainId, Epoch, MemberTask, Millis, ModelSpec, ReplicaId};
 
 /// The epoch that spares join under, below all that are given out.
 pub(crate) const SPARE_EPOCH: Epoch = Epoch(0);
@@ -22,11 +20,7 @@
     ///
     /// In a domain that is for one model every box holds that one, so that any of them can take
     /// the place of any other.
-    pub(crate) fn stage_spares(
-        &mut self,
-        staging: &BTreeMap<BoxId, Millis>,
-        warmed: &BTreeSet<BoxId>,
-    ) {
+    pub(crate) fn stage_spares(&mut self, staging: &BTreeMap<BoxId, Millis>) {
         let free = self.free();
         let staged = |model: &ModelSpec| {
             free.iter().filter(|known| known.staged.contains(&model.name)).count()
@@ -38,7 +32,7 @@
             let model = match home {
                 Some(home) if known.staged.contains(&home.name) => continue,
                 // It joins out of its memory, and its host holds the other model.
-                Some(home) if in_memory(known, home, warmed) => continue,
+                Some(home) if known.loaded.contains(&home.name) => continue,
                 Some(home) => home,
                 None if !known.staged.is_empty() => continue,
                 None => {
@@ -54,11 +48,10 @@
 
     /// Lets the hosts of boxes that have the home model in memory load the other one, once all that
     /// the domain has boxes for serves.
-    pub(crate) fn stage_second(
-        &mut self,
-        staging: &BTreeMap<BoxId, Millis>,
-        warmed: &BTreeSet<BoxId>,
-    ) {
+    ///
+    /// Only what a box tells of its memory counts: one that was taken to hold the home model since it
+    /// refused to be warmed was ranked as one that has to load it, and given neither, for good.
+    pub(crate) fn stage_second(&mut self, staging: &BTreeMap<BoxId, Millis>) {
         let (Some(home), Some(second)) = (self.home(), self.at.second) else {
             return;
         };
@@ -68,7 +61,7 @@
         for known in self.at.boxes.iter().copied() {
             let holds = known.staged.iter().any(|name| name == second);
             let is_done = holds || staging.contains_key(&known.id);
-            if !is_done && !known.leaving && in_memory(known, home, warmed) {
+            if !is_done && !known.leaving && known.loaded.contains(&home.name) {
                 let task = MemberTask::Stage { model: second.to_owned() };
                 self.order(known, "", Epoch(0), task);
             }
@@ -107,11 +100,6 @@
     }
 }
 
-/// Tells whether a box has a model in its memory.
-fn in_memory(known: &SiteBox, model: &ModelSpec, warmed: &BTreeSet<BoxId>) -> bool {
-    known.loaded.contains(&model.name) || warmed.contains(&known.id)
-}
-
 /// Returns what the names of replicas begin with that spares of a domain are kept warm in.
 pub(crate) fn spare_prefix(domain: &DomainId) -> String {
     format!("{domain}.spare.")
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -138,11 +138,11 @@
         draft.close_places();
         let longest = at.engine.models.iter().map(|model| model.load.0).max().unwrap_or_default();
         self.staging.retain(|_, since| at.now.since(*since).0 < STAGE_PATIENCE * longest);
-        draft.stage_spares(&self.staging, &self.warmed);
+        draft.stage_spares(&self.staging);
         if at.policy.warm_spares {
             draft.warm_spares(&self.warmed);
         }
-        draft.stage_second(&self.staging, &self.warmed);
+        draft.stage_second(&self.staging);
         self.closing.retain(|_, began| at.now.since(*began) < CLOSING_KNOWN_FOR);
         self.finish(draft)
     }
