--- a/crates/cherrystand_core/benches/node_costs.rs
+++ b/crates/cherrystand_core/benches/node_costs.rs
@@ -9,9 +9,9 @@
 use std::time::Instant;
 
 use cherrystand_core::{
-    BoxId, CallerLimits, Digest, DomainId, EndpointLoad, EngineSpec, Epoch, Heartbeat, Incarnation,
-    LoadBook, Member, MemberState, Membership, Millis, ModelSpec, NodeId, RouteTable, Service,
-    ServiceName, SiteBox, SiteConfig, SiteView, ZoneId,
+    BoxId, BoxStart, CallerLimits, Digest, DomainId, EndpointLoad, EngineSpec, Epoch, Heartbeat,
+    Incarnation, LoadBook, Member, MemberState, Membership, Millis, ModelSpec, NodeId, RouteTable,
+    Service, ServiceName, SiteBox, SiteConfig, SiteView, ZoneId,
 };
 
 /// A deployment's size.
@@ -180,6 +180,8 @@
     let address: SocketAddr = ([10, 1, (number / 250) as u8, (number % 250) as u8], 8_000).into();
     SiteBox {
         id: BoxId::new(format!("i-{number:08x}")),
+        start: BoxStart::Untold,
+        orders_taken: 0,
         service: ServiceName::new("captions"),
         address,
         zone: zone(number / 73),
--- a/crates/cherrystand_core/src/control/domain_record.rs
+++ b/crates/cherrystand_core/src/control/domain_record.rs
@@ -30,7 +30,8 @@
     /// Boxes given up, with the epoch that they may still act on.
     pub releasing: BTreeMap<BoxId, Epoch>,
     /// The places that boxes were taken out of and may have come to since they last told of
-    /// themselves, oldest first.
+    /// themselves, oldest first; by the boxes' names, since an order that was sent to one life of a box
+    /// may be carried out by the next.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub former: BTreeMap<BoxId, Vec<FormerPlace>>,
     /// The last decisions, oldest first.
@@ -145,6 +146,21 @@
         Ok(())
     }
 
+    /// Returns the record with boxes named otherwise that `other` has another id for.
+    pub fn with_boxes_as(mut self, other: impl Fn(&BoxId) -> Option<BoxId>) -> Self {
+        let named = |id: &BoxId| other(id).unwrap_or_else(|| id.clone());
+        let assigned = self.replicas.values_mut().flat_map(|held| &mut held.boxes);
+        assigned.for_each(|id| *id = named(id));
+        let releasing = std::mem::take(&mut self.releasing).into_iter();
+        self.releasing = releasing.map(|(id, epoch)| (named(&id), epoch)).collect();
+        self
+    }
+
+    /// Returns the places that a box, in whichever life, was taken out of and may have come to.
+    pub fn former_places(&self, id: &BoxId) -> impl Iterator<Item = &FormerPlace> {
+        self.former.get(&BoxId::new(id.name())).into_iter().flatten()
+    }
+
     /// Gives out the next epoch.
     pub fn take_epoch(&mut self) -> Epoch {
         self.last_epoch = self.last_epoch.next();
--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -77,6 +77,7 @@
 
 mod site {
     pub(crate) mod attempt_ledger;
+    pub(crate) mod box_lives;
     pub(crate) mod capacity_plan;
     pub(crate) mod chooser;
     pub(crate) mod domain_draft;
@@ -177,6 +178,7 @@
 pub use requests::usual_time::UsualTime;
 pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
 pub use site::attempt_ledger::{AttemptLedger, FinalFailure};
+pub use site::box_lives::BoxLives;
 pub use site::capacity_plan::{CapacityPlan, DomainUse, HomeChange};
 pub use site::chooser::{Ask, Chooser, Expected, TargetKey};
 pub use site::engine_priority::{engine_priority, is_deferred};
@@ -191,7 +193,7 @@
 pub use site::policy::{ChoiceRule, Policy};
 pub use site::retry_share::{RetryBounds, RetryShare};
 pub use site::route_table::{Allowed, NotAllowed, RouteTable};
-pub use site::site_box::{Member, MemberState, SiteBox};
+pub use site::site_box::{BoxStart, Member, MemberState, SiteBox};
 pub use site::site_config::{CallerLimits, Route, RouteKind, Service, SiteConfig, Tenant};
 pub use site::site_view::{AssignedBoxes, SiteView};
 pub use site::standstill::{LEAST_SILENCE, PeersTell, Standstill};
--- a/crates/cherrystand_core/src/names.rs
+++ b/crates/cherrystand_core/src/names.rs
@@ -37,6 +37,56 @@
     /// Names one box that a model engine runs on.
     BoxId
 );
+/// Stands between a box's name and the start of one of its lives; no name holds it.
+const LIFE_MARK: char = '@';
+
+impl BoxId {
+    /// Names one life of the box that this names: the one that started at `start`, in Unix
+    /// milliseconds.
+    ///
+    /// A box that starts again under its name holds and knows nothing of before. Whatever is
+    /// remembered of a box is kept by its life, so that a new one is a box that nobody knows yet.
+    pub fn in_life(&self, start: u64) -> Self {
+        Self::new(format!("{}{LIFE_MARK}{start}", self.name()))
+    }
+
+    /// Returns the box's own name, whatever its life.
+    pub fn name(&self) -> &str {
+        self.split_life().map_or(&self.0, |(name, _)| name)
+    }
+
+    /// Returns when the life that this names started, in Unix milliseconds; nothing where it names no
+    /// certain one.
+    pub fn start(&self) -> Option<u64> {
+        self.split_life().map(|(_, start)| start)
+    }
+
+    /// Tells whether both name the same box, in whichever life.
+    pub fn is_same_box(&self, other: &Self) -> bool {
+        self.name() == other.name()
+    }
+
+    /// Tells whether both name the same box in different lives.
+    pub fn is_other_life_of(&self, other: &Self) -> bool {
+        let starts = self.start().zip(other.start());
+        starts.is_some_and(|(one, two)| one != two) && self.is_same_box(other)
+    }
+
+    /// Tells whether a text may name a box: it goes into headers, records and logs.
+    pub fn is_name(text: &str) -> bool {
+        /// The longest name, in bytes.
+        const LONGEST: usize = 128;
+        let is_plain =
+            |byte: u8| byte.is_ascii_graphic() && byte != b'/' && byte != LIFE_MARK as u8;
+        !text.is_empty() && text.len() <= LONGEST && text.bytes().all(is_plain)
+    }
+
+    fn split_life(&self) -> Option<(&str, u64)> {
+        let (name, start) = self.0.rsplit_once(LIFE_MARK)?;
+        Some((name, start.parse().ok()?))
+    }
+}
+
 name_type!(
     /// Names an availability zone.
     ZoneId
--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -79,7 +79,8 @@
     /// where it is cut off from the store, and nobody found it silent.
     fn may_be_there(&self, id: &BoxId) -> bool {
         let counts = self.at.policy.serve_unlisted;
-        counts && self.find(id).is_none() && !self.at.silent.contains(id)
+        let started_again = || self.at.boxes.iter().any(|known| known.id.is_other_life_of(id));
+        counts && self.find(id).is_none() && !self.at.silent.contains(id) && !started_again()
     }
 
     /// Returns what a box that is listed no more last told of itself.
--- a/crates/cherrystand_core/src/site/domain_places.rs
+++ b/crates/cherrystand_core/src/site/domain_places.rs
@@ -19,7 +19,7 @@
     /// out of it where it was.
     fn has_ended(&self, id: &BoxId, member: &Member) -> bool {
         let key = (member.replica.clone(), member.epoch);
-        let places = self.at.record.former.get(id).into_iter().flatten();
+        let places = self.at.record.former_places(id);
         let closed = places.filter(|place| place.epoch == member.epoch);
         let closed_at = closed.map(|place| place.closed_at).max().unwrap_or_default();
         self.at.ended.get(&key).is_some_and(|as_of| *as_of >= closed_at)
@@ -56,13 +56,13 @@
     /// Returns a place that a box was taken out of and may have come to after all, since what it
     /// tells of itself is older.
     pub(crate) fn may_be_in(&self, known: &SiteBox) -> Option<&'a FormerPlace> {
-        let places = self.at.record.former.get(&known.id)?;
-        places.iter().find(|place| self.is_open(known, place))
+        let mut places = self.at.record.former_places(&known.id);
+        places.find(|place| self.is_open(known, place))
     }
 
     /// Tells whether few enough places of a box are open that the record can hold one more.
     pub(crate) fn is_placeable(&self, known: &SiteBox) -> bool {
-        let places = self.next.former.get(&known.id).into_iter().flatten();
+        let places = self.next.former_places(&known.id);
         places.filter(|place| self.is_open(known, place)).count() < MOST_OPEN_PLACES
     }
 
@@ -102,10 +102,11 @@
         let closed_at = self.next.take_epoch();
         for id in held.boxes {
             let place = FormerPlace { replica: replica.clone(), epoch: held.epoch, closed_at };
-            former.entry(id).or_default().push(place);
+            former.entry(BoxId::new(id.name())).or_default().push(place);
         }
         former.retain(|id, places| {
-            let Some(known) = self.find(id) else {
+            let listed = self.at.boxes.iter().find(|known| known.id.is_same_box(id));
+            let Some(known) = listed else {
                 // It may be gone for good, or cut off from the store, or this list be old: whoever
                 // lists it next has to find where it may be.
                 places.retain(|place| closed_at.0 - place.closed_at.0 < UNLISTED_KEPT_FOR);
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -112,6 +112,9 @@
     warmed: BTreeSet<BoxId>,
     /// Boxes that were ordered to load a model to their hosts, and when.
     staging: BTreeMap<BoxId, Millis>,
+    /// How many orders boxes said that they took; one that falls tells that the box started again,
+    /// where boxes do not tell their starts.
+    taken: BTreeMap<BoxId, u64>,
     /// Since when there have been boxes of the domain that are asked whether they are there.
     asking_since: Option<Millis>,
 }
@@ -123,7 +126,9 @@
         // A box that is only cut off from the store still compares fences.
         let known = |id: &BoxId| at.boxes.iter().chain(at.departed).any(|known| &known.id == id);
         self.orders.retain(|id, _| known(id));
+        self.taken.retain(|id, _| known(id));
         self.warmed.retain(known);
+        self.forget_restarted(&at);
         if self.home.as_deref() != at.home {
             self.home = at.home.map(str::to_owned);
             self.warmed.clear();
@@ -147,6 +152,18 @@
         self.finish(draft)
     }
 
+    /// Forgets what boxes were ordered that have started again since.
+    fn forget_restarted(&mut self, at: &FormationInput<'_>) {
+        for known in at.boxes {
+            let before = self.taken.insert(known.id.clone(), known.orders_taken);
+            if known.member.is_none() && before.is_some_and(|before| known.orders_taken < before) {
+                self.sent.remove(&known.id);
+                self.warmed.remove(&known.id);
+                self.staging.remove(&known.id);
+            }
+        }
+    }
+
     /// Tells whether what is formed waits for the answers of boxes that are asked.
     fn asks_first(&mut self, at: &FormationInput<'_>) -> bool {
         if !at.boxes.iter().any(|known| at.asked.contains(&known.id)) {
--- a/crates/cherrystand_core/src/site/site_box.rs
+++ b/crates/cherrystand_core/src/site/site_box.rs
@@ -32,11 +32,27 @@
     pub state: MemberState,
 }
 
+/// Says when a box started, as far as it tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BoxStart {
+    /// It does not tell.
+    #[default]
+    Untold,
+    /// It tells, in Unix milliseconds.
+    At(u64),
+    /// What it tells is no time.
+    Malformed,
+}
+
 /// Describes one box, or one endpoint of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SiteBox {
-    /// Its name, new at every start.
+    /// Its name, and its life where boxes tell of theirs.
     pub id: BoxId,
+    /// When it started, as far as it tells.
+    pub start: BoxStart,
+    /// How many orders it took since it started.
+    pub orders_taken: u64,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it takes requests and orders.
@@ -64,11 +80,23 @@
     /// the same name, it joins the model of its last one again within 0.2 s, where a load takes 12 to
     /// 16 s.
     pub fn keep_memory_of(&mut self, earlier: &Self) {
-        if self.loaded.is_empty() && self.id == earlier.id {
+        if self.loaded.is_empty() && self.id == earlier.id && !self.started_since(earlier) {
             self.loaded.clone_from(&earlier.loaded);
         }
     }
 
+    /// Tells whether it started anew since it told `earlier`, as far as its orders show: they are
+    /// counted anew, and it belongs to nothing.
+    pub fn started_since(&self, earlier: &Self) -> bool {
+        self.member.is_none() && self.orders_taken < earlier.orders_taken
+    }
+
+    /// Tells whether a later telling says anything else than that it is there.
+    pub fn tells_otherwise(&self, later: &Self) -> bool {
+        let same_count = Self { orders_taken: self.orders_taken, ..later.clone() };
+        *self != same_count
+    }
+
     /// Tells whether it belongs to a replica under an epoch.
     pub fn is_in(&self, replica: &str, epoch: Epoch) -> bool {
         let member = self.member.as_ref();
--- a/crates/cherrystand_core/src/site/site_view.rs
+++ b/crates/cherrystand_core/src/site/site_view.rs
@@ -155,12 +155,25 @@
         (listed.unusable == 0 && there >= span as usize).then(|| model.clone())
     }
 
+    /// Tells whether a box is listed in another life than the one named.
+    fn has_started_again(&self, id: &BoxId) -> bool {
+        let Some(_) = id.start() else {
+            return false;
+        };
+        // The lives of one box follow each other, beginning with the least.
+        let mut lives = self.boxes.range(id.in_life(0)..).map(|(listed, _)| listed);
+        lives.next().is_some_and(|listed| listed.is_other_life_of(id))
+    }
+
     /// Returns how many members of a replica are listed no more and may still do their work, since
     /// nobody found them silent.
     fn unlisted_members(&self, member: &Member) -> usize {
         let assigned = self.assigned.get(&(member.replica.clone(), member.epoch));
-        let may_be_there =
-            |id: &&BoxId| !self.boxes.contains_key(*id) && !self.silent.contains(*id);
+        let may_be_there = |id: &&BoxId| {
+            !self.boxes.contains_key(*id)
+                && !self.silent.contains(*id)
+                && !self.has_started_again(id)
+        };
         assigned.into_iter().flatten().filter(may_be_there).count()
     }
 }
--- /dev/null
+++ b/crates/cherrystand_core/tests/box_lives.rs
@@ -0,0 +1,118 @@
+//! Which life of a box an entry tells of.
+
+use cherrystand_core::{BoxId, BoxLives, BoxStart, ServiceName, SiteBox, ZoneId};
+use proptest::prelude::*;
+
+const TOLD: BoxStart = BoxStart::At(17);
+
+fn entry(name: &str, service: &str, start: BoxStart) -> SiteBox {
+    SiteBox {
+        id: BoxId::new(name),
+        start,
+        orders_taken: 0,
+        service: ServiceName::new(service),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: ZoneId::new("z1"),
+        slots: 8,
+        leaving: false,
+        domain: None,
+        staged: Vec::new(),
+        loaded: Vec::new(),
+        member: None,
+    }
+}
+
+#[test]
+fn whether_boxes_have_lives_goes_by_what_most_of_their_service_tell() {
+    struct Case {
+        name: &'static str,
+        others: &'static [BoxStart],
+        asked: BoxStart,
+        life: Option<&'static str>,
+    }
+    const UNTOLD: BoxStart = BoxStart::Untold;
+    const MALFORMED: BoxStart = BoxStart::Malformed;
+    let cases = [
+        Case { name: "alone, tells", others: &[], asked: TOLD, life: Some("a@17") },
+        Case { name: "alone, does not", others: &[], asked: UNTOLD, life: Some("a") },
+        Case { name: "alone, tells nonsense", others: &[], asked: MALFORMED, life: Some("a") },
+        Case { name: "all tell", others: &[TOLD, TOLD], asked: TOLD, life: Some("a@17") },
+        Case { name: "the others tell", others: &[TOLD, TOLD], asked: UNTOLD, life: None },
+        Case {
+            name: "the others tell, nonsense",
+            others: &[TOLD, TOLD],
+            asked: MALFORMED,
+            life: None,
+        },
+        Case { name: "the others do not", others: &[UNTOLD, UNTOLD], asked: TOLD, life: Some("a") },
+        Case { name: "as many tell as do not", others: &[UNTOLD], asked: TOLD, life: Some("a") },
+        Case {
+            name: "one odd writer among those that tell",
+            others: &[TOLD, TOLD, UNTOLD],
+            asked: TOLD,
+            life: Some("a@17"),
+        },
+        Case {
+            name: "nonsense decides nothing",
+            others: &[MALFORMED, MALFORMED],
+            asked: TOLD,
+            life: Some("a@17"),
+        },
+    ];
+    for case in cases {
+        let mut lives = BoxLives::default();
+        for (number, start) in case.others.iter().enumerate() {
+            lives.take(&entry(&format!("o{number}"), "models", *start));
+        }
+        // What another service tells is of no matter.
+        lives.take(&entry("p1", "app", UNTOLD));
+        let asked = entry("a", "models", case.asked);
+        lives.take(&asked);
+        assert_eq!(lives.life_of(&asked), case.life.map(BoxId::new), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_life_names_its_box() {
+    let (first, second) = (BoxId::new("i-1").in_life(5), BoxId::new("i-1").in_life(6));
+    assert_eq!((first.name(), first.start()), ("i-1", Some(5)));
+    assert_eq!(first.in_life(6), second);
+    assert!(first.is_other_life_of(&second) && first.is_same_box(&second));
+    let plain = BoxId::new("i-1");
+    assert_eq!((plain.name(), plain.start()), ("i-1", None));
+    assert!(plain.is_same_box(&first) && !plain.is_other_life_of(&first));
+    assert!(!BoxId::new("i-2").in_life(5).is_other_life_of(&second));
+    // A name with the mark and no number after it stays a name.
+    assert_eq!(BoxId::new("i@x").name(), "i@x");
+}
+
+proptest! {
+    /// Two daemons that hold the same entries decide alike, whatever each saw before.
+    #[test]
+    fn the_entries_alone_decide(
+        before in prop::collection::vec((0_u8..8, 0_u8..3), 0..40),
+        now in prop::collection::vec(0_u8..3, 8),
+    ) {
+        let start = |kind| match kind {
+            0 => BoxStart::Untold,
+            1 => TOLD,
+            _ => BoxStart::Malformed,
+        };
+        let (mut long, mut fresh) = (BoxLives::default(), BoxLives::default());
+        for (number, kind) in before {
+            long.take(&entry(&format!("b{number}"), "models", start(kind)));
+        }
+        let all: Vec<SiteBox> = now.iter().enumerate()
+            .map(|(number, kind)| entry(&format!("b{number}"), "models", start(*kind)))
+            .collect();
+        for known in &all {
+            long.take(known);
+        }
+        for known in all.iter().rev() {
+            fresh.take(known);
+        }
+        for known in &all {
+            prop_assert_eq!(long.life_of(known), fresh.life_of(known));
+        }
+    }
+}
--- a/crates/cherrystand_core/tests/lost_replicas.rs
+++ b/crates/cherrystand_core/tests/lost_replicas.rs
@@ -6,8 +6,8 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, CallerLimits, Epoch, Member, MemberState, RouteTable, Service, ServiceName, SiteBox,
-    SiteConfig, SiteView, ZoneId,
+    BoxId, BoxStart, CallerLimits, Epoch, Member, MemberState, RouteTable, Service, ServiceName,
+    SiteBox, SiteConfig, SiteView, ZoneId,
 };
 
 const EPOCH: Epoch = Epoch(4);
@@ -15,6 +15,8 @@
 fn known(id: &str, service: &str, member: Option<(u32, MemberState)>) -> SiteBox {
     SiteBox {
         id: BoxId::new(id),
+        start: BoxStart::Untold,
+        orders_taken: 0,
         service: ServiceName::new(service),
         address: "127.0.0.1:9".parse().expect("an address"),
         zone: ZoneId::new("z1"),
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -397,3 +397,76 @@
         play(site, &events)?;
     }
 }
+
+/// Story: a box that starts again under its name within one heartbeat, and is reached by a join that
+/// was meant for its life before, tells of the same replica and epoch as before. The replica counted
+/// as whole though nothing moved in it, until it said itself that it came apart, 4 s later.
+#[test]
+fn a_member_that_starts_again_at_any_point_leaves_no_replica_torn() {
+    /// A replica is formed, opened and warmed by spares within this time.
+    const FORMED: u64 = 21_000;
+    // What a node reads is one step old; then it ends the replica.
+    let bound = Millis(3 * STEP.0);
+    for last_join_again in [false, true] {
+        for point in (0..FORMED).step_by(300) {
+            for number in 0..9 {
+                let mut site = Site::new(9, 1, 1);
+                site.domain.tell_starts();
+                site.run(Millis(point));
+                site.domain.restart(number, last_join_again);
+                site.run(Millis(1_000));
+                let at = format!("box {number} at {point}, joined again {last_join_again}");
+                assert!(site.domain.longest_torn <= bound, "{at}: {:?}", site.domain.longest_torn);
+                site.run(Millis(45_000));
+                assert_eq!(site.domain.serving(), 2, "{at}");
+                assert_eq!(site.domain.faults, Vec::<String>::new(), "{at}");
+                let twice = site.record.replicas.values().flat_map(|held| &held.boxes);
+                let names: Vec<&str> = twice.map(BoxId::name).collect();
+                let distinct: BTreeSet<&&str> = names.iter().collect();
+                assert_eq!(distinct.len(), names.len(), "{at}: two lives of one box in the record");
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    /// Boxes start again, die and are cut off while two nodes decide from old and new reads and orders
+    /// come late: nothing joins out of a replica that serves, and once all is quiet the domain serves.
+    #[test]
+    fn boxes_that_start_again_break_no_rule_and_the_domain_serves_again(
+        seed in any::<u64>(),
+        tells in any::<bool>(),
+        late in 0_usize..30,
+        events in prop::collection::vec((0_u8..6, 0_usize..9, 1_u64..40), 1..14),
+    ) {
+        let mut site = Site::new(9, 2, seed);
+        if tells {
+            site.domain.tell_starts();
+        }
+        site.run(Millis(22_000));
+        site.late = late;
+        for (what, number, steps) in events {
+            match what {
+                0 | 1 => site.domain.restart(number, false),
+                2 => site.domain.restart(number, true),
+                3 => site.domain.cut(number, true),
+                4 => site.domain.unhear(number),
+                _ => site.domain.heal(),
+            }
+            for _ in 0..steps {
+                for node in 0..2 {
+                    let (reads, lists) = (site.seed.below(3) > 0, site.seed.below(3) > 0);
+                    site.decide(node, reads, lists);
+                }
+                site.domain.pass(STEP);
+            }
+        }
+        site.late = 0;
+        site.domain.heal();
+        site.run(Millis(60_000));
+        prop_assert_eq!(&site.domain.faults, &Vec::<String>::new());
+        prop_assert_eq!(site.domain.serving(), 2);
+    }
+}
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 
 use cherrystand_core::{
-    Ask, BoxId, CallerLimits, Chooser, DomainId, EngineLoad, EventCutter, LogGate, Millis,
-    NotAllowed, RetryBounds, RetryShare, Route, RouteKind, RouteTable, Seed, ServiceName, SiteBox,
-    SiteConfig, TargetSpec, Tenant, ZoneId, home_models,
+    Ask, BoxId, BoxStart, CallerLimits, Chooser, DomainId, EngineLoad, EventCutter, LogGate,
+    Millis, NotAllowed, RetryBounds, RetryShare, Route, RouteKind, RouteTable, Seed, ServiceName,
+    SiteBox, SiteConfig, TargetSpec, Tenant, ZoneId, home_models,
 };
 use proptest::prelude::*;
 use support::{site_engine, site_model};
@@ -376,6 +376,8 @@
 fn domain_box(domain: &str, number: usize, staged: &[&str]) -> SiteBox {
     SiteBox {
         id: BoxId::new(format!("{domain}-{number}")),
+        start: BoxStart::Untold,
+        orders_taken: 0,
         service: ServiceName::new("models"),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: ZoneId::new("hall"),
--- a/crates/cherrystand_platform/src/site_driver.rs
+++ b/crates/cherrystand_platform/src/site_driver.rs
@@ -131,6 +131,10 @@
     /// Reads what became of an order from the answer's status.
     fn order_end(status: StatusCode) -> OrderEnd;
 
+    /// Reads when a box started from its answer to that question, in Unix milliseconds, where it
+    /// tells.
+    fn report_start(body: &[u8]) -> Option<u64>;
+
     /// Returns the call that asks a box how it is.
     fn report_call(target: &BoxId) -> BoxCall;
 }
--- a/crates/cherrystand_testkit/src/site/fake_site_domain.rs
+++ b/crates/cherrystand_testkit/src/site/fake_site_domain.rs
@@ -6,10 +6,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cherrystand_core::{
-    BoxId, DomainId, Epoch, Member, MemberOrder, MemberState, MemberTask, Millis, OrderEnd,
-    ServiceName, SiteBox, ZoneId,
+    BoxId, BoxStart, DomainId, Epoch, Member, MemberOrder, MemberState, MemberTask, Millis,
+    OrderEnd, ServiceName, SiteBox, ZoneId,
 };
 
+/// When boxes that are there from the beginning started, in Unix milliseconds.
+const FIRST_START: u64 = 1_790_000_000_000;
+
 /// How long a box stays listed after it fell silent.
 const LISTED_FOR: Millis = Millis(3_600);
 
@@ -46,6 +49,10 @@
 #[derive(Clone, Debug)]
 struct FakeMember {
     alive: bool,
+    /// When its life started.
+    start: u64,
+    /// How many orders it took in it.
+    taken: u64,
     /// Cut off from the store and from orders, while requests still reach it.
     cut: bool,
     /// Cut off from the store alone, while orders and requests reach it.
@@ -76,6 +83,12 @@
     late: Vec<(Millis, MemberOrder, u64)>,
     /// What must never happen and did.
     pub faults: Vec<String>,
+    /// The longest time that a replica took requests though a member had started again.
+    pub longest_torn: Millis,
+    /// Whether boxes tell when they started.
+    tells_starts: bool,
+    /// Replicas of which a member started again, and since when.
+    torn: BTreeMap<(String, Epoch), Millis>,
     made: usize,
 }
 
@@ -89,6 +102,9 @@
             ready: BTreeSet::new(),
             late: Vec::new(),
             faults: Vec::new(),
+            longest_torn: Millis(0),
+            tells_starts: false,
+            torn: BTreeMap::new(),
             made: 0,
         };
         for _ in 0..boxes {
@@ -111,8 +127,15 @@
     pub fn add_box(&mut self) {
         let id = BoxId::new(format!("box-{:03}", self.made));
         self.made += 1;
-        let fresh = FakeMember {
+        self.boxes.insert(id, self.fresh());
+    }
+
+    /// A box as it starts now, which holds and knows nothing.
+    fn fresh(&self) -> FakeMember {
+        FakeMember {
             alive: true,
+            start: FIRST_START + self.now.0,
+            taken: 0,
             cut: false,
             unheard: false,
             heard: self.now,
@@ -123,8 +146,35 @@
             fence: 0,
             belongs: None,
             told: None,
-        };
-        self.boxes.insert(id, fresh);
+        }
+    }
+
+    /// Has boxes tell when they started from now on.
+    pub fn tell_starts(&mut self) {
+        self.tells_starts = true;
+    }
+
+    /// Lets a box start again under its name, empty; the last join that it took, carried out late, may
+    /// reach it in its new life.
+    pub fn restart(&mut self, number: usize, last_join_again: bool) {
+        let fresh = self.fresh();
+        let now = self.now;
+        let Some(held) = self.nth(number).filter(|held| held.alive) else { return };
+        let before = std::mem::replace(held, FakeMember { start: fresh.start + 1, ..fresh });
+        let Some(belongs) = before.belongs else { return };
+        self.torn.insert((belongs.replica.clone(), belongs.epoch), now);
+        if let Some(held) = self.nth(number).filter(|_| last_join_again) {
+            held.loaded = before.loaded;
+            held.highest = belongs.epoch;
+            held.taken = 1;
+            held.belongs =
+                Some(Belongs { state: MemberState::Joining, due: now + AGAIN, ..belongs });
+        }
+    }
+
+    /// Returns the id under which a box is listed.
+    fn id_of(&self, name: &BoxId, held: &FakeMember) -> BoxId {
+        if self.tells_starts { name.in_life(held.start) } else { name.clone() }
     }
 
     fn nth(&mut self, number: usize) -> Option<&mut FakeMember> {
@@ -176,7 +226,7 @@
     /// Returns the boxes that do not answer when they are asked.
     pub fn silent(&self) -> BTreeSet<BoxId> {
         let silent = self.boxes.iter().filter(|(_, held)| !held.alive || held.cut);
-        silent.map(|(id, _)| id.clone()).collect()
+        silent.map(|(name, held)| self.id_of(name, held)).collect()
     }
 
     /// Counts the boxes that live.
@@ -195,7 +245,9 @@
 
     fn entry(&self, id: &BoxId, held: &FakeMember) -> SiteBox {
         SiteBox {
-            id: id.clone(),
+            id: self.id_of(id, held),
+            start: if self.tells_starts { BoxStart::At(held.start) } else { BoxStart::Untold },
+            orders_taken: held.taken,
             service: ServiceName::new("captions"),
             address: "127.0.0.1:1".parse().expect("an address"),
             zone: ZoneId::new("hall"),
@@ -209,11 +261,15 @@
     }
 
     fn is_whole(&self, belongs: &Belongs) -> bool {
-        belongs.members.iter().all(|id| {
-            let member = self.boxes.get(id).filter(|member| member.alive);
-            let held = member.and_then(|member| member.belongs.as_ref());
-            held.is_some_and(|held| held.replica == belongs.replica && held.epoch == belongs.epoch)
-        })
+        let key = (belongs.replica.clone(), belongs.epoch);
+        !self.torn.contains_key(&key)
+            && belongs.members.iter().all(|id| {
+                let member = self.boxes.get(id).filter(|member| member.alive);
+                let held = member.and_then(|member| member.belongs.as_ref());
+                held.is_some_and(|held| {
+                    held.replica == belongs.replica && held.epoch == belongs.epoch
+                })
+            })
     }
 
     /// Lets time pass.
@@ -250,6 +306,10 @@
                 self.ready.insert((belongs.replica.clone(), belongs.epoch, list, id.clone()));
             }
             let serves = matches!(belongs.state, MemberState::Open | MemberState::Closing);
+            let torn = self.torn.get(&(belongs.replica.clone(), belongs.epoch));
+            if let Some(since) = torn.filter(|_| serves && belongs.rank == 0) {
+                self.longest_torn = self.longest_torn.max(now.since(*since));
+            }
             if serves && self.is_whole(belongs) {
                 belongs.still = None;
             } else if serves && now.since(*belongs.still.get_or_insert(now)) >= STALL {
@@ -271,6 +331,7 @@
     /// Takes an order under a fence; with a delay it gets no answer and is carried out that much
     /// later.
     pub fn order(&mut self, order: &MemberOrder, fence: u64, delay: Option<Millis>) -> OrderEnd {
+        let order = &as_sent(order);
         let reached = self.boxes.get(&order.target).is_some_and(|held| held.alive && !held.cut);
         if !reached {
             return OrderEnd::Dark;
@@ -293,6 +354,7 @@
             return OrderEnd::Fenced;
         }
         held.fence = fence;
+        held.taken += 1;
         let end = match &order.task {
             MemberTask::Join { model, members } => self.join(&mut held, order, model, members),
             MemberTask::Open => self.open(&mut held, order),
@@ -402,6 +464,17 @@
     }
 }
 
+/// Returns an order as the wire carries it, which names boxes and no lives.
+fn as_sent(order: &MemberOrder) -> MemberOrder {
+    let name = |id: &BoxId| BoxId::new(id.name());
+    let mut sent = order.clone();
+    sent.target = name(&order.target);
+    if let MemberTask::Join { members, .. } = &mut sent.task {
+        members.iter_mut().for_each(|id| *id = name(id));
+    }
+    sent
+}
+
 fn is_meant(belongs: &Belongs, order: &MemberOrder) -> bool {
     belongs.replica == order.replica && belongs.epoch == order.epoch
 }
--- a/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
@@ -104,6 +106,14 @@
         self.state.borrow().items.contains_key(key)
     }
 
+    /// Returns the text of an item that is there.
+    pub fn read(&self, key: &str) -> Option<String> {
+        let state = self.state.borrow();
+        let (_, value) = state.items.get(key)?;
+        let bytes = STANDARD.decode(value).ok()?;
+        String::from_utf8(bytes).ok()
+    }
+
     /// Takes an item away.
     pub fn remove(&self, key: &str) {
         let mut state = self.state.borrow_mut();
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -35,6 +35,9 @@
 /// How often what is held up looks whether it may go on.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
+/// When boxes started, in Unix milliseconds.
+const FIRST_START: u64 = 1_790_000_000_000;
+
 /// How long a join takes.
 const JOIN: Duration = Duration::from_millis(30);
 
@@ -68,6 +71,8 @@
     address: SocketAddr,
     service: &'static str,
     mood: BoxMood,
+    /// When it started, in Unix milliseconds.
+    start: u64,
     staged: Option<String>,
     held: Option<Held>,
     highest: u64,
@@ -86,6 +91,7 @@
             address,
             service,
             mood: BoxMood::Well,
+            start: FIRST_START,
             staged: None,
             held: None,
             highest: 0,
@@ -102,6 +108,10 @@
     doors: BTreeMap<usize, Door>,
     /// Whether nothing that boxes say arrives for now.
     held: bool,
+    /// Whether boxes tell when they started.
+    tells_starts: bool,
+    /// Replicas of which a member started again: nothing moves in them.
+    torn: BTreeSet<(String, u64)>,
     /// Which members have ever been ready, by replica and epoch.
     ready: BTreeSet<(String, u64, String)>,
     /// What must never happen and did.
@@ -233,6 +243,39 @@
         self.tell(id);
     }
 
+    /// Has boxes tell when they started from now on.
+    pub fn tell_starts(&self) {
+        self.world.borrow_mut().tells_starts = true;
+        let ids: Vec<String> = self.world.borrow().boxes.keys().cloned().collect();
+        ids.iter().for_each(|id| self.tell(id));
+    }
+
+    /// Has a box start again under its id, empty, and tell so at once; the last join that it took may
+    /// be carried out late, in its new life.
+    pub fn restart(&self, id: &str, last_join_again: bool) {
+        let mut world = self.world.borrow_mut();
+        let Some(before) = world.boxes.remove(id) else { return };
+        let mut fresh = SiteBoxState::new(before.address, before.service);
+        fresh.start = before.start + 1;
+        (fresh.runs, fresh.heads) = (before.runs, before.heads);
+        if let Some(group) = before.held {
+            world.torn.insert((group.group.clone(), group.epoch));
+            if last_join_again {
+                fresh.staged = before.staged;
+                fresh.highest = group.epoch;
+                fresh.held = Some(Held { state: "ready", ..group });
+            }
+        }
+        world.boxes.insert(id.to_owned(), fresh);
+        drop(world);
+        self.tell(id);
+    }
+
+    /// Writes any bytes where a box tells of itself.
+    pub fn write_entry(&self, id: &str, value: &[u8]) {
+        self.store.put(&format!("servers/{id}"), STANDARD.encode(value));
+    }
+
     /// Has a box start again under another id, at its address and empty; its old entry stays and the
     /// new one is not listed, as behind a cut from the store.
     pub fn start_again_as(&self, id: &str, new_id: &str) {
@@ -268,6 +311,11 @@
         world.boxes.iter().filter_map(leads).collect()
     }
 
+    /// Returns how many replicas serve with all their members.
+    pub fn whole_replicas(&self) -> usize {
+        self.leaders().keys().filter(|leader| self.is_whole(leader)).count()
+    }
+
     /// Tells whether a box holds a model on its host.
     pub fn staged(&self, id: &str) -> bool {
         self.world.borrow().boxes.get(id).is_some_and(|held| held.staged.is_some())
@@ -311,13 +359,17 @@
             json!({"name": group.group, "epoch": group.epoch, "rank": rank, "state": group.state})
         });
         let loaded = held.held.is_some().then(|| held.staged.clone()).flatten();
-        let entry = json!({
+        let mut entry = json!({
             "service": held.service, "address": held.address.to_string(), "zone": "z1",
             "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq_no": 0,
             "domain": (held.service == "models").then_some("z1-d0"),
             "staged": held.staged.iter().collect::<Vec<_>>(), "group": group,
             "models": loaded.iter().map(|name| json!({"name": name})).collect::<Vec<_>>(),
         });
+        if world.tells_starts {
+            entry["born"] = json!(held.start);
+        }
+        drop(world);
         self.store.put(&format!("servers/{id}"), STANDARD.encode(entry.to_string()));
     }
 
@@ -459,6 +511,9 @@
         let Some(group) = world.boxes.get(leader).and_then(|held| held.held.clone()) else {
             return false;
         };
+        if world.torn.contains(&(group.group.clone(), group.epoch)) {
+            return false;
+        }
         group.members.iter().all(|id| {
             let member = world.boxes.get(id).filter(|held| held.mood != BoxMood::Dark);
             let held = member.and_then(|held| held.held.as_ref());
@@ -517,8 +572,13 @@
         answer
     }
 
+    fn start_of(&self, id: &str) -> Option<u64> {
+        self.world.borrow().boxes.get(id).map(|held| held.start)
+    }
+
     fn stream(&self, id: &str, request: &str, first: u64) -> Out {
         let (site, id, request) = (self.clone(), id.to_owned(), request.to_owned());
+        let start = self.start_of(&id);
         let events = stream::unfold(first, move |number| {
             let (site, id, request) = (site.clone(), id.clone(), request.clone());
             async move {
@@ -527,9 +587,15 @@
                 }
                 tokio::time::sleep(EVENT_EVERY).await;
                 site.held_up().await;
-                while !site.is_whole(&id) || site.mood(&id) == BoxMood::Pauses {
+                while site.start_of(&id) == start && !site.is_whole(&id)
+                    || site.mood(&id) == BoxMood::Pauses
+                {
                     tokio::time::sleep(EVENT_EVERY).await;
                 }
+                if site.start_of(&id) != start {
+                    // Its connections ended with its life.
+                    return Some((Err(std::io::ErrorKind::ConnectionReset.into()), EVENTS));
+                }
                 let event = Bytes::from(format!("id: {number}\ndata: {request} {number}\n\n"));
                 Some((Ok::<_, std::io::Error>(Frame::data(event)), number + 1))
             }
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -7,6 +7,8 @@
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::site::RefusedKind;
+
 /// Bounds of the buckets for times, in seconds.
 const TIME_BUCKETS: [f64; 12] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.46, 1.0, 2.5, 10.0];
@@ -52,6 +54,8 @@
     pub news_age: HistogramVec,
     /// Configurations of peers that were refused, by reason.
     pub versions_refused: IntCounterVec,
+    /// Values of the platform's store that could not be used, by kind.
+    pub values_refused: IntCounterVec,
     /// Replicas in the routing choice.
     pub serving_replicas: IntGauge,
     /// The accepted generation of each workspace known here.
@@ -121,6 +125,11 @@
                 "Configurations of peers that were refused.",
                 &["reason"],
             )?,
+            values_refused: make.counters(
+                "values_refused_total",
+                "Values of the platform's store that could not be used.",
+                &["kind"],
+            )?,
             serving_replicas: make.gauge("serving_replicas", "Replicas that can be chosen.")?,
             generation: make.gauges("generation", "Accepted generation.", &["workspace"])?,
             platform_age: make.gauge("platform_age_seconds", "Age of the platform's news.")?,
@@ -146,6 +155,9 @@
             self.attempts.with_label_values(&[end.as_str()]);
             self.retries.with_label_values(&[end.as_str()]);
         }
+        for kind in RefusedKind::ALL {
+            self.values_refused.with_label_values(&[kind.as_str()]);
+        }
         for end in StreamEnd::ALL {
             self.stream_ends.with_label_values(&[end.as_str()]);
         }
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -173,10 +173,7 @@
                 .call_timed("report", known.address, Driver::report_call(&known.id), within)
                 .await;
             let verdict = match &answer {
-                // Another box has the address now.
-                Ok(answer) if Driver::order_end(answer.status) == OrderEnd::OtherBox => {
-                    SilenceVerdict::Silent
-                }
+                Ok(answer) if is_another(known, answer) => SilenceVerdict::Silent,
                 Ok(_) => {
                     self.count_probe("answered");
                     return self.known.borrow_mut().heard(&known.id, true, self.now());
@@ -232,6 +229,14 @@
     }
 }
 
+/// Tells whether an answer comes from another box that has the address now, or from another life of
+/// the one asked.
+fn is_another(asked: &SiteBox, answer: &Answer) -> bool {
+    let start = asked.id.start().zip(Driver::report_start(&answer.body));
+    Driver::order_end(answer.status) == OrderEnd::OtherBox
+        || start.is_some_and(|(known, told)| known != told)
+}
+
 /// Has boxes looked at that the request path found silent.
 pub(super) async fn follow_hints(control: Rc<Control>) {
     while let Ok(hint) = control.cx.hint_events.recv().await {
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -219,6 +219,7 @@
                 self.publish();
             }
             ask_unlisted(&self);
+            self.count_refused();
             self.say_whether_it_decides();
             self.exchange_with_peers(&view);
             if self.cx.stop_phase() == StopPhase::Running
@@ -308,6 +309,13 @@
         rest.min(LONGEST_REST).max(least)
     }
 
+    /// Counts values of the store that could not be used.
+    fn count_refused(&self) {
+        for (kind, count) in self.known.borrow_mut().take_refused() {
+            self.cx.metrics.values_refused.with_label_values(&[kind.as_str()]).inc_by(count);
+        }
+    }
+
     /// Counts changes that a peer was sent or that were read from one.
     pub(crate) fn count_changes(&self, way: &str, news: &ChangeNews, bytes: usize) {
         let kind = match (news.config.is_some(), news.whole) {
--- a/crates/cherrystandd/src/site/deciding.rs
+++ b/crates/cherrystandd/src/site/deciding.rs
@@ -95,7 +95,11 @@
             policy,
         };
         let mut formations = self.formations.borrow_mut();
-        let step = formations.entry(domain.clone()).or_default().step(input);
+        let mut step = formations.entry(domain.clone()).or_default().step(input);
+        if step.write.is_none() && known.names_otherwise(domain) {
+            // A box that starts again is told from its life before only where the record names that.
+            step.write = Some(record);
+        }
         Some((revision, step))
     }
 
--- a/crates/cherrystandd/src/site/domain_records.rs
+++ b/crates/cherrystandd/src/site/domain_records.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use cherrystand_core::{AssignedBoxes, Document, DomainId, DomainRecord, Revision, replica_name};
+use cherrystand_core::{
+    AssignedBoxes, BoxId, Document, DomainId, DomainRecord, Revision, replica_name,
+};
 
 /// A domain's record and the copy that peers get.
 #[derive(Clone, Debug)]
@@ -21,18 +23,16 @@
 }
 
 impl DomainRecords {
-    /// Takes in a record, unless a later one is held or it is malformed, and tells whether it did.
-    pub(crate) fn take(&mut self, copy: &Document) -> bool {
-        let record = match serde_json::from_str::<DomainRecord>(&copy.body) {
-            Ok(record) => record,
-            Err(err) => {
-                log::error!(key = &*copy.key; "a domain's record is malformed: {err}");
-                return false;
-            }
-        };
+    /// Takes in a record, unless a later one is held, and tells whether it did.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is malformed; the one held stays.
+    pub(crate) fn take(&mut self, copy: &Document) -> Result<bool, serde_json::Error> {
+        let record: DomainRecord = serde_json::from_str(&copy.body)?;
         let held = self.held.get(&record.domain);
         if held.is_some_and(|held| held.copy.revision >= copy.revision) {
-            return false;
+            return Ok(false);
         }
         let assigned = Arc::make_mut(&mut self.assigned);
         for (key, _) in held.iter().flat_map(|held| assigned_in(&held.record)) {
@@ -40,7 +40,7 @@
         }
         assigned.extend(assigned_in(&record));
         self.held.insert(record.domain.clone(), HeldDomain { record, copy: copy.clone() });
-        true
+        Ok(true)
     }
 
     /// Returns the domains that have a record.
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Returns the boxes that a domain's record gives to replicas.
+    pub(crate) fn boxes_of(&self, domain: &DomainId) -> impl Iterator<Item = &BoxId> {
+        let record = self.held.get(domain).map(|held| &held.record);
+        record.into_iter().flat_map(|record| record.replicas.values()).flat_map(|held| &held.boxes)
+    }
+
     /// Returns the model that each domain is for, where its record names one.
     pub(crate) fn homes(&self) -> BTreeMap<DomainId, String> {
         let named =
@@ -68,6 +74,30 @@
         &self.assigned
     }
 
+    /// Returns the boxes of each replica, those named otherwise that `as_listed` has another id for.
+    pub(crate) fn assigned_as(
+        &self,
+        as_listed: impl Fn(&BoxId) -> Option<BoxId>,
+    ) -> Arc<AssignedBoxes> {
+        let is_listed_so = |id: &BoxId| as_listed(id).is_none();
+        if self.assigned.values().flatten().all(is_listed_so) {
+            return self.assigned.clone();
+        }
+        let mut assigned = self.assigned.clone();
+        for id in Arc::make_mut(&mut assigned).values_mut().flatten() {
+            if let Some(listed) = as_listed(id) {
+                *id = listed;
+            }
+        }
+        assigned
+    }
+
+    /// Tells whether any record names a box.
+    pub(crate) fn name(&self, id: &BoxId) -> bool {
+        let mut records = self.held.values().map(|held| &held.record);
+        records.any(|record| !record.is_free(id))
+    }
+
     /// Returns the records as they stand in the store.
     pub(crate) fn copies(&self) -> impl Iterator<Item = &Document> {
         self.held.values().map(|held| &held.copy)
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch, MemberOrder,
-    MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
+    BoxId, BoxLives, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch, MemberOrder,
+    MemberState, Millis, Revision, RouteTable, ServiceName, SiteBox, SiteView, StoreOutage,
 };
 use cherrystand_peer::ChangeNews;
-use cherrystand_platform::{Changes, SiteDriver};
+use cherrystand_platform::{Changes, FormatError, SiteDriver};
 
 use crate::keys;
 use crate::site::Driver;
 use crate::site::domain_records::DomainRecords;
+use crate::site::refused_values::{RefusedKind, RefusedValues};
 
 /// For how long a box that is listed no more is remembered.
 const DEPARTED_FOR: Millis = Millis(12_000);
@@ -33,8 +34,17 @@
 pub(crate) struct Known {
     config: Option<Document>,
     table: Option<Arc<RouteTable>>,
-    /// What boxes tell of themselves, as it stands in the store.
+    /// What boxes tell of themselves, as it stands in the store, by their names; also what cannot be
+    /// read, which hides what stood there before.
     entries: BTreeMap<BoxId, Document>,
+    /// Which lives of boxes entries tell of.
+    lives: BoxLives,
+    /// The life of each box that is listed, by its name.
+    listed_lives: BTreeMap<BoxId, BoxId>,
+    /// Lives that ended as their boxes started again, for as long as a record names them.
+    ended_lives: BTreeSet<BoxId>,
+    /// Values that cannot be used.
+    refused: RefusedValues,
     boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
     departed: BTreeMap<BoxId, Departed>,
     records: DomainRecords,
@@ -80,7 +90,7 @@
                 true
             }
             Err(err) => {
-                log::error!("the configuration is kept as it was: {err}");
+                self.refused.note(document, RefusedKind::Configuration, &err);
                 false
             }
         }
@@ -93,8 +103,8 @@
             self.take_record(record, now);
         }
         for key in &changes.gone {
-            if let Some(id) = key.strip_prefix(Driver::BOXES) {
-                self.unlist(BoxId::new(id), now);
+            if let Some(name) = key.strip_prefix(Driver::BOXES) {
+                self.unlist(&BoxId::new(name), now);
             }
         }
         self.revision = self.revision.max(changes.revision);
@@ -103,16 +113,16 @@
     /// Takes in all boxes that are listed now.
     pub(crate) fn take_list(&mut self, list: &[Document], revision: Revision, now: Millis) {
         self.outage.answered(now);
-        for id in self.not_in(list) {
-            self.unlist(id, now);
+        for name in self.not_in(list) {
+            self.unlist(&name, now);
         }
         self.take_all(list, revision, now);
     }
 
     /// Takes in a peer's copy of all boxes, which says nothing of whether the store answers.
     pub(crate) fn take_copy(&mut self, list: &[Document], revision: Revision, now: Millis) {
-        for id in self.not_in(list) {
-            self.take_departure(&id, now);
+        for name in self.not_in(list) {
+            self.take_departure(&name, now);
         }
         self.take_all(list, revision, now);
     }
@@ -128,16 +138,16 @@
         for record in &batch.records {
             self.take_record(record, now);
         }
-        for id in &batch.gone {
-            self.take_departure(id, now);
+        for name in &batch.gone {
+            self.take_departure(name, now);
         }
         self.revision = self.revision.max(news.revision);
     }
 
-    /// Returns the boxes known that a list does not have.
+    /// Returns the names of the boxes known that a list does not have.
     fn not_in(&self, list: &[Document]) -> Vec<BoxId> {
         let there: BTreeSet<&str> = list.iter().map(|entry| entry.key.as_ref()).collect();
-        let known = self.boxes.keys();
+        let known = self.entries.keys();
         known.filter(|id| !there.contains(Driver::box_key(id).as_str())).cloned().collect()
     }
 
@@ -160,32 +170,108 @@
     }
 
     fn take_entry(&mut self, entry: &Document, now: Millis) {
-        let id = BoxId::new(entry.key.strip_prefix(Driver::BOXES).unwrap_or_default());
+        let name = BoxId::new(entry.key.strip_prefix(Driver::BOXES).unwrap_or_default());
         let older = |held: &Document| held.revision >= entry.revision;
-        if self.entries.get(&id).is_some_and(older) {
+        if self.entries.get(&name).is_some_and(older) {
             return;
         }
+        self.entries.insert(name.clone(), entry.clone());
         match Driver::read_box(&entry.key, &entry.body) {
-            Ok(mut known) => {
-                let departed = self.departed.remove(&known.id).map(|gone| gone.known);
-                if let Some(earlier) = self.boxes.get(&known.id).or(departed.as_ref()) {
-                    known.keep_memory_of(earlier);
-                }
-                self.unlisted.remove(&known.id);
-                // What it tells now, it tells after it was silent.
-                self.silent.remove(&known.id);
-                if !self.boxes.contains_key(&known.id) {
-                    self.grew = now;
+            Ok(known) if self.lives.take(&known) => self.read_again(&known.service, now),
+            Ok(known) => self.take_box(known, entry, now),
+            Err(err) => {
+                self.refused.note(entry, RefusedKind::Entry, &err);
+                self.take_unusable(&name, entry, now);
+                if let Some(service) = self.lives.forget(&name) {
+                    self.read_again(&service, now);
                 }
-                self.entries.insert(known.id.clone(), entry.clone());
-                // Peers need not hear of a heartbeat that says nothing new.
-                if self.boxes.get(&known.id).map(Arc::as_ref) != Some(&known) {
-                    Arc::make_mut(&mut self.boxes).insert(known.id.clone(), Arc::new(known));
-                    self.log.record(entry.clone());
+            }
+        }
+    }
+
+    /// Takes in all entries of a service anew, whose boxes are told apart otherwise from now on.
+    fn read_again(&mut self, service: &ServiceName, now: Millis) {
+        let entries: Vec<Document> = self.entries.values().cloned().collect();
+        for entry in &entries {
+            let read = Driver::read_box(&entry.key, &entry.body).ok();
+            if let Some(known) = read.filter(|known| &known.service == service) {
+                self.take_box(known, entry, now);
+            }
+        }
+    }
+
+    /// Takes in what a box tells of itself, in the life that its entry tells of.
+    fn take_box(&mut self, mut known: SiteBox, entry: &Document, now: Millis) {
+        let name = known.id.clone();
+        let Some(id) = self.lives.life_of(&known) else {
+            let reason =
+                "it does not tell its start in whole milliseconds, as others do".to_owned();
+            let err = FormatError { key: entry.key.to_string(), reason };
+            self.refused.note(entry, RefusedKind::Entry, &err);
+            return self.take_unusable(&name, entry, now);
+        };
+        known.id = id.clone();
+        let departed = self.departed.keys().filter(|departed| departed.is_other_life_of(&id));
+        for before in departed.cloned().collect::<Vec<_>>() {
+            self.end_life(before);
+        }
+        match self.listed_lives.insert(name, id.clone()) {
+            Some(before) if before.is_other_life_of(&id) => self.end_life(before),
+            // Told apart otherwise, it is the same box as before.
+            Some(before) if before != id => {
+                let held = Arc::make_mut(&mut self.boxes).remove(&before);
+                if let Some(held) = held {
+                    known.loaded.clone_from(&held.loaded);
                 }
             }
-            Err(err) => log::error!("a box's entry is kept as it was: {err}"),
+            _ => {}
+        }
+        let departed = self.departed.remove(&id).map(|gone| gone.known);
+        let departed = departed.filter(|_| !self.ended_lives.contains(&id));
+        if let Some(earlier) = self.boxes.get(&id).or(departed.as_ref()) {
+            known.keep_memory_of(earlier);
+        }
+        self.ended_lives.remove(&id);
+        self.unlisted.remove(&id);
+        // What it tells now, it tells after it was silent.
+        self.silent.remove(&id);
+        if !self.boxes.contains_key(&id) {
+            self.grew = now;
+        }
+        let held = self.boxes.get(&id);
+        if held.is_some_and(|held| **held == known) {
+            return;
+        }
+        // Peers need not hear of a heartbeat that says nothing new but how many orders it took.
+        if held.is_none_or(|held| held.tells_otherwise(&known)) {
+            self.log.record(entry.clone());
+        }
+        Arc::make_mut(&mut self.boxes).insert(id, Arc::new(known));
+    }
+
+    /// Ends a life of a box that has started again: nothing of it is there any more.
+    ///
+    /// Its replica is known to be broken at once. Known by its standstill alone, it took requests for
+    /// up to 4 s.
+    fn end_life(&mut self, before: BoxId) {
+        log::info!(target_box = before.as_str(); "a box has started again");
+        Arc::make_mut(&mut self.boxes).remove(&before);
+        self.departed.remove(&before);
+        self.unlisted.remove(&before);
+        self.left.retain(|(left, _), _| left != &before);
+        self.unasked.retain(|known| known.id != before);
+        self.ended_lives.insert(before);
+    }
+
+    /// Takes a box out whose entry names no box to use; what stands there now is passed on.
+    fn take_unusable(&mut self, name: &BoxId, entry: &Document, now: Millis) {
+        // Other writers may make any number of values, up to 1 MB each: of these, only that they
+        // are there is kept.
+        let hidden = Document { body: Arc::from(""), ..entry.clone() };
+        if self.depart(name, now) {
+            self.log.record(hidden.clone());
         }
+        self.entries.insert(name.clone(), hidden);
     }
 
     /// Notes that the store does not answer.
@@ -194,36 +280,57 @@
     }
 
     /// Takes a box out, or keeps it for a while where the store may only have lost its entry.
-    fn unlist(&mut self, id: BoxId, now: Millis) {
-        if self.outage.keeps(now) && self.boxes.contains_key(&id) {
-            self.unlisted.insert(id);
-        } else {
-            self.take_departure(&id, now);
+    fn unlist(&mut self, name: &BoxId, now: Millis) {
+        let id = self.listed_lives.get(name).filter(|id| self.boxes.contains_key(*id));
+        match id.filter(|_| self.outage.keeps(now)) {
+            Some(id) => {
+                self.unlisted.insert(id.clone());
+            }
+            None => self.take_departure(name, now),
         }
     }
 
-    fn take_departure(&mut self, id: &BoxId, now: Millis) {
-        self.entries.remove(id);
-        self.left.retain(|(left, _), _| left != id);
-        self.unlisted.remove(id);
-        if self.boxes.contains_key(id)
-            && let Some(known) = Arc::make_mut(&mut self.boxes).remove(id)
-        {
-            self.log.gone(&Driver::box_key(id), id.clone());
-            if known.member.is_some() && !self.silent.contains_key(id) {
-                self.unasked.push(SiteBox::clone(&known));
-            }
-            self.departed.insert(id.clone(), Departed { known, at: now });
+    fn take_departure(&mut self, name: &BoxId, now: Millis) {
+        self.entries.remove(name);
+        if let Some(service) = self.lives.forget(name) {
+            self.read_again(&service, now);
+        }
+        if self.depart(name, now) {
+            self.log.gone(&Driver::box_key(name), name.clone());
+        }
+    }
+
+    /// Takes a box out, and tells whether it was there.
+    fn depart(&mut self, name: &BoxId, now: Millis) -> bool {
+        let Some(id) = self.listed_lives.remove(name) else {
+            return false;
+        };
+        self.left.retain(|(left, _), _| left != &id);
+        self.unlisted.remove(&id);
+        let Some(known) = Arc::make_mut(&mut self.boxes).remove(&id) else {
+            return false;
+        };
+        if known.member.is_some() && !self.silent.contains_key(&id) {
+            self.unasked.push(SiteBox::clone(&known));
         }
+        self.departed.insert(id, Departed { known, at: now });
+        true
     }
 
     /// Takes in a domain's record, unless a later one is held.
     pub(crate) fn take_domain(&mut self, copy: &Document) {
-        if self.records.take(copy) {
-            self.log.record(copy.clone());
+        match self.records.take(copy) {
+            Ok(true) => self.log.record(copy.clone()),
+            Ok(false) => {}
+            Err(err) => self.refused.note(copy, RefusedKind::DomainRecord, &err),
         }
     }
 
+    /// Returns how many values could not be used since the last call, by kind.
+    pub(crate) fn take_refused(&mut self) -> BTreeMap<RefusedKind, u64> {
+        self.refused.take_counts()
+    }
+
     /// Notes that a box did not answer, or that it did.
     pub(crate) fn heard(&mut self, id: &BoxId, answered: bool, now: Millis) {
         if answered {
@@ -267,9 +374,10 @@
         let changes = self.changes();
         if !self.outage.keeps(now) {
             for id in std::mem::take(&mut self.unlisted) {
-                self.take_departure(&id, now);
+                self.take_departure(&BoxId::new(id.name()), now);
             }
         }
+        self.forget_ended_lives();
         self.departed.retain(|_, gone| now.since(gone.at) < DEPARTED_FOR);
         self.forget_ended();
         let boxes = &self.boxes;
@@ -278,6 +386,15 @@
         self.changes() != changes
     }
 
+    /// Forgets lives that ended and that no record names any more.
+    fn forget_ended_lives(&mut self) {
+        if self.ended_lives.is_empty() {
+            return;
+        }
+        let records = &self.records;
+        self.ended_lives.retain(|id| records.name(id));
+    }
+
     /// Forgets the end of replicas that no box tells of any more.
     fn forget_ended(&mut self) {
         if self.ended.is_empty() {
@@ -296,8 +413,25 @@
     }
 
     /// Returns a domain's record and its revision.
+    ///
+    /// Boxes stand in it as they are listed now: a record of an earlier version names no lives.
     pub(crate) fn record(&self, domain: &DomainId) -> (Revision, DomainRecord) {
-        self.records.get(domain)
+        let (revision, record) = self.records.get(domain);
+        (revision, record.with_boxes_as(|id| self.as_listed(id)))
+    }
+
+    /// Tells whether a domain's record names boxes whose lives it does not tell, or that are told apart
+    /// otherwise now.
+    pub(crate) fn names_otherwise(&self, domain: &DomainId) -> bool {
+        self.records.boxes_of(domain).any(|id| self.as_listed(id).is_some())
+    }
+
+    /// Returns the id under which a box is listed that a record names, where either of them names no
+    /// certain life.
+    fn as_listed(&self, id: &BoxId) -> Option<BoxId> {
+        let listed = self.listed_lives.get(&BoxId::new(id.name()))?;
+        let is_uncertain = id.start().is_none() || listed.start().is_none();
+        (listed != id && is_uncertain).then(|| listed.clone())
     }
 
     /// Returns the model that each domain is for, as far as the records say.
@@ -392,9 +526,9 @@
         self.silent.contains_key(id)
     }
 
-    /// Returns the boxes that went silent.
+    /// Returns the boxes that went silent, and those whose life is over.
     pub(crate) fn silent(&self) -> BTreeSet<BoxId> {
-        self.silent.keys().cloned().collect()
+        self.silent.keys().chain(&self.ended_lives).cloned().collect()
     }
 
     /// Returns the replicas whose leaders serve no more.
@@ -485,7 +619,7 @@
             boxes: self.boxes.clone(),
             silent: self.silent(),
             assigned: match serve_unlisted {
-                true => self.records.assigned().clone(),
+                true => self.records.assigned_as(|id| self.as_listed(id)),
                 false => Arc::default(),
             },
             listed: self.listed,
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -20,6 +20,7 @@
 mod pages;
 mod peer_choice;
 mod reader_notes;
+mod refused_values;
 mod request;
 mod retry_shares;
 mod stream_run;
@@ -27,6 +28,7 @@
 mod watching;
 
 pub(crate) use hint::Hint;
+pub(crate) use refused_values::RefusedKind;
 
 /// The platform that is spoken to.
 pub(crate) type Driver = cherrystand_site::Site;
--- /dev/null
+++ b/crates/cherrystandd/src/site/refused_values.rs
@@ -0,0 +1,79 @@
+//! Values of the store that are not what they should be, counted and written down once.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::sync::Arc;
+
+use cherrystand_core::{Document, Revision};
+
+/// How many keys are remembered whose values were written down; other writers may make any number.
+const REMEMBERED: usize = 4_096;
+
+/// How many refused values are written down before the counts alone are kept, until the counts are
+/// taken.
+const LOGGED_AT_ONCE: u64 = 10;
+
+/// How much of a reason is written down, in characters; it may repeat the value.
+const LONGEST_REASON: usize = 300;
+
+/// Says what a refused value should have been.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum RefusedKind {
+    /// What a box tells of itself.
+    Entry,
+    /// The operators' configuration.
+    Configuration,
+    /// The record of a domain.
+    DomainRecord,
+}
+
+impl RefusedKind {
+    /// Lists them all.
+    pub(crate) const ALL: [Self; 3] = [Self::Entry, Self::Configuration, Self::DomainRecord];
+
+    /// Returns the name that metrics and logs use.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Entry => "entry",
+            Self::Configuration => "configuration",
+            Self::DomainRecord => "domain-record",
+        }
+    }
+}
+
+/// Counts values that cannot be used, each once by its key and revision.
+#[derive(Debug, Default)]
+pub(crate) struct RefusedValues {
+    seen: BTreeMap<Arc<str>, Revision>,
+    counts: BTreeMap<RefusedKind, u64>,
+    logged: u64,
+}
+
+impl RefusedValues {
+    /// Notes a value that cannot be used; what was in force before stays, but for entries of boxes,
+    /// which name none then.
+    pub(crate) fn note(&mut self, value: &Document, kind: RefusedKind, reason: &dyn Display) {
+        if self.seen.get(&value.key) == Some(&value.revision) {
+            return;
+        }
+        if self.seen.len() >= REMEMBERED {
+            self.seen.clear();
+        }
+        self.seen.insert(value.key.clone(), value.revision);
+        *self.counts.entry(kind).or_default() += 1;
+        self.logged += 1;
+        if self.logged <= LOGGED_AT_ONCE {
+            let reason: String = reason.to_string().chars().take(LONGEST_REASON).collect();
+            log::error!(
+                key = &*value.key, revision = value.revision.0, kind = kind.as_str();
+                "a value of the store is refused: {reason}"
+            );
+        }
+    }
+
+    /// Returns the counts since the last call.
+    pub(crate) fn take_counts(&mut self) -> BTreeMap<RefusedKind, u64> {
+        self.logged = 0;
+        std::mem::take(&mut self.counts)
+    }
+}
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -394,6 +394,97 @@
     });
 }
 
+/// Story: a box that starts again under its name within one heartbeat and takes a late join of its last
+/// replica tells of the same replica and epoch as before; nothing moves in it, and its leader took
+/// requests for 4 s, until it said itself that the replica came apart.
+#[test]
+fn a_box_that_starts_again_leaves_its_replica_at_once() {
+    struct Case {
+        name: &'static str,
+        /// Which member starts again; 0 leads.
+        rank: usize,
+        /// Whether a late join takes it back to its replica.
+        joins_again: bool,
+    }
+    let cases = [
+        Case { name: "a member, empty", rank: 1, joins_again: false },
+        Case { name: "a member that joins again", rank: 1, joins_again: true },
+        Case { name: "the leader, empty", rank: 0, joins_again: false },
+        Case { name: "the leader, which joins again", rank: 0, joins_again: true },
+    ];
+    support::run(async {
+        let all = cases.into_iter().map(|case| async move {
+            let site = Site::serving_with_starts(2).await;
+            // They are told apart by their lives from now on, and go on serving.
+            assert_eq!(site.site.whole_replicas(), 2, "{}", case.name);
+            let (leader, members) = site.site.leaders().pop_first().expect("a leader");
+            let restart = async {
+                tokio::time::sleep(Duration::from_millis(250)).await;
+                site.site.restart(&members[case.rank], case.joins_again);
+                let restarted = std::time::Instant::now();
+                until("two whole replicas serve", async || site.site.whole_replicas() == 2).await;
+                restarted
+            };
+            let (answers, restarted) = tokio::join!(six_streams(&site.nodes[0]), restart);
+            for (answer, id) in answers {
+                assert_eq!(answer.text(), whole_stream(&id), "{}: {id}", case.name);
+            }
+            // Nothing new goes to the torn replica once its box has told that it started again; half a
+            // second is for the news.
+            let late = restarted + Duration::from_millis(500);
+            let mended = std::time::Instant::now();
+            let arrivals = site.site.arrivals();
+            let torn = arrivals.iter().filter(|arrival| arrival.target == leader);
+            let torn = torn.filter(|arrival| arrival.at > late && arrival.at < mended);
+            assert_eq!(torn.count(), 0, "{}", case.name);
+            assert_eq!(site.site.faults(), Vec::<String>::new(), "{}", case.name);
+        });
+        futures_util::future::join_all(all).await;
+    });
+}
+
+/// Story: a value that cannot be read where a box tells of itself left the box in force as it was
+/// before, chosen and ordered.
+#[test]
+fn an_entry_that_cannot_be_read_names_no_box_and_harms_no_other() {
+    support::run(async {
+        let site = Site::serving(2).await;
+        let node = &site.nodes[0];
+        let nested = "[".repeat(400_000);
+        let odd: [(&str, &[u8]); 5] = [
+            ("a-1", b"{\"service\": \"app\"}"),
+            ("other", b"\xff\xfe"),
+            ("other-2", nested.as_bytes()),
+            ("a/b", b"[]"),
+            ("i-7", b"{\"service\": \"models\", \"address\": 7}"),
+        ];
+        for (id, value) in odd {
+            site.site.write_entry(id, value);
+        }
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let before = site.site.arrivals().len();
+        for number in 0..8 {
+            let answer = call(node, "POST", CALL, &format!("c{number}"), "k1").await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        let arrivals = site.site.arrivals().split_off(before);
+        assert!(arrivals.iter().all(|arrival| arrival.target == "a-2"), "{arrivals:?}");
+        let answers = six_streams(node).await;
+        assert!(answers.iter().all(|(answer, id)| answer.text() == whole_stream(id)));
+        let told = call_at(node.operators, "GET", "/metrics", &[], "").await.text();
+        assert!(told.contains("values_refused_total{kind=\"entry\"} 5"), "{told}");
+        // It is a box again once it tells of itself, and the configuration in force outlives one that
+        // is none.
+        site.site.list("a-1");
+        site.site.store.put("op/config", "not base64!".to_owned());
+        until("it is chosen again", async || {
+            let _ = call(node, "POST", CALL, "again", "k1").await;
+            site.site.runs_of("again").iter().any(|(id, _)| id == "a-1")
+        })
+        .await;
+    });
+}
+
 #[test]
 fn a_spare_that_is_dark_is_found_out_by_its_first_order() {
     support::run(async {
--- a/crates/cherrystandd/tests/support/site.rs
+++ b/crates/cherrystandd/tests/support/site.rs
@@ -61,6 +61,19 @@
         Self { site, nodes }
     }
 
+    /// The same with boxes that tell when they started.
+    pub(crate) async fn serving_with_starts(daemons: usize) -> Self {
+        let site = Self::serving(daemons).await;
+        site.site.tell_starts();
+        // The records name the boxes' lives once a daemon has seen these.
+        until("the records name lives", async || {
+            let record = site.site.store.read("cherrystand/shared/domain/z1-d0");
+            record.is_some_and(|record| record.contains("i-1@"))
+        })
+        .await;
+        site
+    }
+
     /// Starts one more daemon, as after a loss of its power; it knows of nobody but a seed.
     pub(crate) async fn start_again(&mut self, seed: SocketAddr) {
         let own = free_addresses(NODE_ADDRESSES);
