--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -196,7 +196,7 @@
 pub use site::site_box::{BoxStart, Member, MemberState, SiteBox};
 pub use site::site_config::{CallerLimits, Route, RouteKind, Service, SiteConfig, Tenant};
 pub use site::site_view::{AssignedBoxes, SiteView};
-pub use site::standstill::{LEAST_SILENCE, PeersTell, Standstill, is_mute};
+pub use site::standstill::{LEAST_SILENCE, PeersTell, Standstill};
 pub use site::stream_end::StreamEnd;
 pub use site::target::TargetSpec;
 pub use site::time_model::TimeModel;
--- a/crates/cherrystand_core/src/site/policy.rs
+++ b/crates/cherrystand_core/src/site/policy.rs
@@ -35,11 +35,6 @@
     pub ask_peers: bool,
     /// Whether streams are taken up at another replica.
     pub resume_elsewhere: bool,
-    /// Whether another replica is asked beside one that goes on with others and brings nothing of a
-    /// request, once its answer has begun.
-    pub beside_mute: bool,
-    /// The same before its answer begins.
-    pub beside_waiting: bool,
     /// Whether a replica serves on while a member's entry is out.
     pub serve_unlisted: bool,
     /// Whether each domain is for one model.
@@ -67,8 +62,6 @@
             tell_loads: true,
             ask_peers: true,
             resume_elsewhere: true,
-            beside_mute: true,
-            beside_waiting: true,
             serve_unlisted: true,
             home_models: true,
             follow_demand: true,
--- a/crates/cherrystand_core/src/site/standstill.rs
+++ b/crates/cherrystand_core/src/site/standstill.rs
@@ -9,23 +9,6 @@
 /// this; a link of 20 Mbit/s is full that long with 3.7 MB.
 const HELD_UP_AT_MOST: Millis = Millis(1_500);
 
-/// A request that has brought nothing for this long, beyond what its engine is predicted to take, is
-/// mute though its replica goes on with others.
-///
-/// A stride of the engine gives each request that it runs an event, so that this is several strides;
-/// callers leave a stream that is silent for 2 s, and another replica takes 0.1 to 0.4 s to go on.
-const MUTE_AFTER: Millis = Millis(600);
-
-/// How many times as long as predicted a first event may take before the request counts as mute.
-const FIRST_EVENT_PATIENCE: f64 = 3.0;
-
-/// Tells whether a request is mute that has been silent for `silence`, with the engine's longest
-/// silence, and the predicted time to its first event where none has come.
-pub fn is_mute(silence: Millis, longest: Millis, first_event: Option<f64>) -> bool {
-    let expected = first_event.map_or(0, |predicted| (predicted * FIRST_EVENT_PATIENCE) as u64);
-    silence > MUTE_AFTER + longest + Millis(expected)
-}
-
 /// Says what peers tell of the progress of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeersTell {
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -127,8 +127,7 @@
                         Some(ReplicaLook::Lost) if besides.is_empty() => {
                             RunStep::Broken(AttemptEnd::ReplicaLost)
                         }
-                        Some(ReplicaLook::StandsStill | ReplicaLook::Mute)
-                            if sent_to_go_on < SENT_TO_GO_ON => {
+                        Some(ReplicaLook::StandsStill) if sent_to_go_on < SENT_TO_GO_ON => {
                             if let Some(flight) = self.begin_beside(AttemptEnd::TimedOut) {
                                 sent_to_go_on += 1;
                                 besides.push(flight.clone(), self.take_up(flight));
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -92,18 +92,6 @@
         due
     }
 
-    /// Returns the predicted milliseconds to the first event, where none has come and it is not put
-    /// behind others.
-    pub(crate) fn waits_for(&self) -> Option<f64> {
-        let waits = self.unread.get() > 0.0;
-        let predicted = match (&self.expected, self.waits_behind.get()) {
-            (Some(expected), false) => expected.predicted,
-            // Nobody can tell when its turn comes.
-            _ => f64::INFINITY,
-        };
-        waits.then_some(predicted)
-    }
-
     /// Ends the attempt, whose answer cannot come any more.
     pub(crate) fn give_up(&self) {
         self.lost.notify_one();
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -138,7 +138,7 @@
                     return Err(tries.failed(front, req, AttemptEnd::TimedOut));
                 }
                 let look = (!front.was_busy(looked)).then(|| open.look(front, req)).flatten();
-                if matches!(look, Some(ReplicaLook::StandsStill | ReplicaLook::Mute))
+                if look == Some(ReplicaLook::StandsStill)
                     && tries.ledger.may_send(&req.route, front.now(), req.deadline)
                     && let Some(flight) =
                         tries.begin_beside(front, req, Urgency::Begins, AttemptEnd::TimedOut)
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -9,7 +9,7 @@
 
 use cherrystand_core::{
     Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, Millis, Outcome,
-    PeersTell, Route, Seed, SiteView, Standstill, StreamEnd, engine_priority, is_mute,
+    PeersTell, Route, Seed, SiteView, Standstill, StreamEnd, engine_priority,
 };
 use cherrystand_platform::HttpPool;
 
@@ -36,8 +36,6 @@
 pub(crate) enum ReplicaLook {
     /// It goes on, as far as can be told.
     GoesOn,
-    /// It goes on with others, and has brought nothing of this request for long.
-    Mute,
     /// It stands still, and may go on at any moment.
     StandsStill,
     /// So does everything that this node has requests at: a pause of the machines, rather.
@@ -214,20 +212,6 @@
         Some(Standstill { silence, longest, peers, peers_age, others })
     }
 
-    /// Tells whether a replica that goes on brings nothing of one request.
-    fn is_mute(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> bool {
-        let policy = &self.cx.settings.policy;
-        let silence = self.now().since(heard);
-        // Most looks end here.
-        if silence <= LEAST_SILENCE || !(policy.beside_mute || policy.beside_waiting) {
-            return false;
-        }
-        let waits_for = flight.waits_for();
-        let asked = if waits_for.is_some() { policy.beside_waiting } else { policy.beside_mute };
-        let load = self.chooser.borrow().load(flight.key);
-        asked && is_mute(silence, self.longest_silence(req, load), waits_for)
-    }
-
     fn longest_silence(&self, req: &SiteRequest, load: EngineLoad) -> Millis {
         let view = self.view.borrow();
         let engine = view.table.as_ref().and_then(|table| table.config().engine(&req.service));
@@ -248,10 +232,7 @@
         let still = self.standstill(req, flight, heard).filter(Standstill::is_certain);
         flight.note_standstill(still);
         let Some(still) = still else {
-            return match self.is_mute(req, flight, heard) {
-                true => ReplicaLook::Mute,
-                false => ReplicaLook::GoesOn,
-            };
+            return ReplicaLook::GoesOn;
         };
         if flight.tells_stall() {
             self.stalled(flight);
