--- /dev/null
+++ b/crates/cherrystand_peer/tests/any_bytes.rs
@@ -0,0 +1,49 @@
+//! Peers' messages, given bytes that no peer would send.
+
+use cherrystand_core::{BoxId, EndpointLoad, NodeId, ZoneId};
+use cherrystand_peer::{LoadNews, PackedBatch, PackedBody, decode, decode_compressed, encode};
+use proptest::prelude::*;
+
+fn sound() -> Vec<u8> {
+    let loads = (0..20).map(|number| EndpointLoad {
+        id: BoxId::new(format!("i-{number}")).in_life(1_790_000_000_000),
+        requests: number,
+        unread: 1_000,
+        silent_ms: 12,
+    });
+    let news = LoadNews::InFlight {
+        from: NodeId::new("n1"),
+        zone: ZoneId::new("z1"),
+        loads: loads.collect(),
+        zones: Vec::new(),
+    };
+    encode(&news).expect("it has an encoding")
+}
+
+proptest! {
+    /// Lengths of a message are read from it: one that names more than there is must not be believed.
+    #[test]
+    fn any_bytes_are_a_message_or_a_typed_error(
+        bytes in prop::collection::vec(any::<u8>(), 0..400),
+        changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let mut changed = sound();
+        for (at, byte) in changes {
+            let at = at.index(changed.len());
+            changed[at] = byte;
+        }
+        let short = changed[..cut.index(changed.len())].to_vec();
+        for bytes in [bytes, changed, short] {
+            if let Ok(news) = decode::<LoadNews>(&bytes) {
+                let again = encode(&news).expect("what was read has an encoding");
+                prop_assert_eq!(decode::<LoadNews>(&again).expect("a message"), news);
+            }
+            let _ = decode_compressed::<LoadNews>(&bytes);
+            let _ = decode::<PackedBody>(&bytes);
+            if let Ok(batch) = decode::<PackedBatch>(&bytes) {
+                let _ = batch.unpack();
+            }
+        }
+    }
+}
--- a/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -5,7 +5,9 @@
 
 use argh::FromArgs;
 use cherrystand_core::Millis;
-use cherrystand_testkit::{Fault, SoakSetup, USUAL_SPAN, daemon_program, draw_schedule, play_soak};
+use cherrystand_testkit::{
+    Fault, SoakSetup, USUAL_SPAN, daemon_program, draw_lives, draw_schedule, play_soak,
+};
 use eyre::WrapErr;
 
 /// Plays faults, drawn from a seed, on real daemons, and checks what callers and boxes see.
@@ -26,6 +28,10 @@
     /// where settings and logs go; kept where a promise is broken
     #[argh(option)]
     dir: Option<PathBuf>,
+    /// boxes tell when they started, start again under their ids, and other writers overwrite what they
+    /// tell
+    #[argh(switch)]
+    lives: bool,
     /// print the schedule and end
     #[argh(switch)]
     schedule: bool,
@@ -37,8 +43,13 @@
         std::env::temp_dir().join(format!("cherrystand-soak-{}-{}", args.seed, std::process::id()))
     });
     let program = daemon_program().wrap_err("looking for the daemon")?;
-    let setup = SoakSetup { program, dir, seed: args.seed, daemons: args.daemons };
+    let setup =
+        SoakSetup { program, dir, seed: args.seed, daemons: args.daemons, lives: args.lives };
     let mut faults = draw_schedule(args.seed, setup.targets(), Millis(args.span_ms));
+    if args.lives {
+        let lives = draw_lives(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
+        faults.extend(lives);
+    }
     if !args.only.is_empty() {
         faults.retain(|fault| args.only.contains(&fault.number));
     }
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -52,6 +52,8 @@
     pub seed: u64,
     /// How many daemons there are.
     pub daemons: usize,
+    /// Whether boxes tell when they started.
+    pub lives: bool,
 }
 
 impl SoakSetup {
@@ -119,6 +121,9 @@
 impl Soak {
     async fn start(setup: &SoakSetup) -> std::io::Result<Self> {
         let site = SiteStandIn::new();
+        if setup.lives {
+            site.tell_starts();
+        }
         let mut boxes = Vec::new();
         let models = (0..MODEL_BOXES).map(|number| (format!("i-{number}"), "models"));
         for (id, service) in models.chain((0..PLAIN).map(|number| (format!("a-{number}"), "app"))) {
@@ -195,6 +200,16 @@
             FaultKind::BoxLink(number, mode) => harm_link(&self.boxes[number].1, mode, lasts).await,
             FaultKind::BoxCut(number) => self.boxes[number].1.cut(),
             FaultKind::Unlisted(number) => self.unlist(&self.boxes[number].0, lasts).await,
+            FaultKind::Restarted(number, joins_again) => {
+                self.site.restart(&self.boxes[number].0, joins_again);
+                tokio::time::sleep(lasts).await;
+            }
+            FaultKind::Overwritten(number, value) => {
+                let id = &self.boxes[number].0;
+                self.site.write_entry(id, &value.bytes());
+                tokio::time::sleep(lasts).await;
+                self.site.list(id);
+            }
             FaultKind::Door(number, door) => {
                 self.site.set_door(number, door);
                 tokio::time::sleep(lasts).await;
@@ -230,7 +245,9 @@
     /// Notes that something is harmed from now on, and returns the note's place.
     fn disturb(&self, kind: FaultKind) -> Option<usize> {
         let (daemon, planned) = match kind {
-            FaultKind::Configured { .. } | FaultKind::Unlisted(_) => return None,
+            FaultKind::Configured { .. } | FaultKind::Unlisted(_) | FaultKind::Overwritten(..) => {
+                return None;
+            }
             FaultKind::Stopped(number) => (Some(number), true),
             FaultKind::Door(number, _)
             | FaultKind::StoreLink(number, _)
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -19,6 +19,10 @@
     BoxCut(usize),
     /// A box's entry is out while the box works on.
     Unlisted(usize),
+    /// A box starts again under its id, empty; a late join may take it back to its replica.
+    Restarted(usize, bool),
+    /// Another writer puts something where a box tells of itself, until the box does so again.
+    Overwritten(usize, OtherValue),
     /// The store turns one daemon away.
     Door(usize, Door),
     /// The link of one daemon to the store is harmed.
@@ -44,6 +48,33 @@
     },
 }
 
+/// What another writer puts where a box tells of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OtherValue {
+    /// Bytes that are no text.
+    NoText,
+    /// Text that is no JSON.
+    NoJson,
+    /// JSON of another shape.
+    OtherShape,
+    /// Very deep JSON.
+    Nested,
+}
+
+impl OtherValue {
+    const ALL: [Self; 4] = [Self::NoText, Self::NoJson, Self::OtherShape, Self::Nested];
+
+    /// Returns the bytes.
+    pub fn bytes(self) -> Vec<u8> {
+        match self {
+            Self::NoText => vec![0xff, 0xfe, 0x00],
+            Self::NoJson => b"ready".to_vec(),
+            Self::OtherShape => br#"{"service": 7, "state": "asleep"}"#.to_vec(),
+            Self::Nested => "[".repeat(100_000).into_bytes(),
+        }
+    }
+}
+
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Fault {
@@ -101,6 +132,31 @@
     faults
 }
 
+/// Draws restarts of boxes and values of other writers besides, so that the schedules of earlier seeds
+/// stay as they are.
+pub fn draw_lives(seed: u64, targets: Targets, span: Millis, first_number: usize) -> Vec<Fault> {
+    /// Tells the draws apart from those of the other faults.
+    const OTHER_DRAWS: u64 = 0x11fe;
+    let mut seed = Seed::new(seed ^ OTHER_DRAWS);
+    let mut faults = Vec::new();
+    let mut at = 700;
+    while at < span.0 {
+        let a_box = seed.below(targets.boxes);
+        let kind = match seed.below(3) {
+            0 => {
+                let value = OtherValue::ALL[seed.below(OtherValue::ALL.len())];
+                FaultKind::Overwritten(a_box, value)
+            }
+            _ => FaultKind::Restarted(a_box, seed.below(2) == 0),
+        };
+        let lasts = Millis(200 + seed.below(1_000) as u64);
+        faults.push(Fault { number: first_number + faults.len(), at: Millis(at), lasts, kind });
+        let pause = if seed.below(2) > 0 { 200 } else { 2_500 };
+        at += 50 + seed.below(pause) as u64;
+    }
+    faults
+}
+
 fn draw_kind(seed: &mut Seed, targets: Targets) -> FaultKind {
     let (a_box, daemon) = (seed.below(targets.boxes), seed.below(targets.daemons));
     let moods =
