refactor: entries and lives of boxes apart from the rest of what a node knows

A request that stays for want of a repeat is counted once, not at each look. Behaviour unchanged else.

--- /dev/null
+++ b/crates/cherrystandd/src/site/box_entries.rs
@@ -0,0 +1,188 @@
+//! How what boxes tell of themselves changes what a node knows, box by box and life by life.
+//!
+//! Source: docs/design/0017-lives-and-other-writers.md.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use cherrystand_core::{BoxId, Document, DomainId, Millis, ServiceName, SiteBox};
+use cherrystand_platform::{FormatError, SiteDriver};
+
+use crate::site::Driver;
+use crate::site::known::{Departed, Known};
+use crate::site::refused_values::RefusedKind;
+
+impl Known {
+    pub(super) fn take_entry(&mut self, entry: &Document, now: Millis) {
+        let name = BoxId::new(entry.key.strip_prefix(Driver::BOXES).unwrap_or_default());
+        let older = |held: &Document| held.revision >= entry.revision;
+        if self.entries.get(&name).is_some_and(older) {
+            return;
+        }
+        self.entries.insert(name.clone(), entry.clone());
+        match Driver::read_box(&entry.key, &entry.body) {
+            Ok(known) if self.lives.take(&known) => self.read_again(&known.service, now),
+            Ok(known) => self.take_box(known, entry, now),
+            Err(err) => {
+                self.refused.note(entry, RefusedKind::Entry, &err);
+                self.take_unusable(&name, entry, now);
+                if let Some(service) = self.lives.forget(&name) {
+                    self.read_again(&service, now);
+                }
+            }
+        }
+    }
+
+    /// Takes in all entries of a service anew, whose boxes are told apart otherwise from now on.
+    fn read_again(&mut self, service: &ServiceName, now: Millis) {
+        let entries: Vec<Document> = self.entries.values().cloned().collect();
+        for entry in &entries {
+            let read = Driver::read_box(&entry.key, &entry.body).ok();
+            if let Some(known) = read.filter(|known| &known.service == service) {
+                self.take_box(known, entry, now);
+            }
+        }
+    }
+
+    /// Takes in what a box tells of itself, in the life that its entry tells of.
+    fn take_box(&mut self, mut known: SiteBox, entry: &Document, now: Millis) {
+        let name = known.id.clone();
+        let Some(id) = self.lives.life_of(&known) else {
+            let reason =
+                "it does not tell its start in whole milliseconds, as others do".to_owned();
+            let err = FormatError { key: entry.key.to_string(), reason };
+            self.refused.note(entry, RefusedKind::Entry, &err);
+            return self.take_unusable(&name, entry, now);
+        };
+        known.id = id.clone();
+        let departed = self.departed.keys().filter(|departed| departed.is_other_life_of(&id));
+        for before in departed.cloned().collect::<Vec<_>>() {
+            self.end_life(before);
+        }
+        match self.listed_lives.insert(name, id.clone()) {
+            Some(before) if before.is_other_life_of(&id) => self.end_life(before),
+            // Told apart otherwise, it is the same box as before.
+            Some(before) if before != id => {
+                let held = Arc::make_mut(&mut self.boxes).remove(&before);
+                if let Some(held) = held {
+                    known.loaded.clone_from(&held.loaded);
+                }
+            }
+            _ => {}
+        }
+        let departed = self.departed.remove(&id).map(|gone| gone.known);
+        let departed = departed.filter(|_| !self.ended_lives.contains(&id));
+        if let Some(earlier) = self.boxes.get(&id).or(departed.as_ref()) {
+            known.keep_memory_of(earlier);
+        }
+        self.ended_lives.remove(&id);
+        self.unlisted.remove(&id);
+        // What it tells now, it tells after it was silent.
+        self.silent.remove(&id);
+        if !self.boxes.contains_key(&id) {
+            self.grew = now;
+        }
+        let held = self.boxes.get(&id);
+        if held.is_some_and(|held| **held == known) {
+            return;
+        }
+        // Peers need not hear of a heartbeat that says nothing new but how many orders it took.
+        if held.is_none_or(|held| held.tells_otherwise(&known)) {
+            self.log.record(entry.clone());
+        }
+        Arc::make_mut(&mut self.boxes).insert(id, Arc::new(known));
+    }
+
+    /// Ends a life of a box that has started again: nothing of it is there any more.
+    ///
+    /// Its replica is known to be broken at once. Known by its standstill alone, it took requests for
+    /// up to 4 s.
+    fn end_life(&mut self, before: BoxId) {
+        log::info!(target_box = before.as_str(); "a box has started again");
+        Arc::make_mut(&mut self.boxes).remove(&before);
+        self.departed.remove(&before);
+        self.unlisted.remove(&before);
+        self.left.retain(|(left, _), _| left != &before);
+        self.unasked.retain(|known| known.id != before);
+        self.ended_lives.insert(before);
+    }
+
+    /// Takes a box out whose entry names no box to use; what stands there now is passed on.
+    fn take_unusable(&mut self, name: &BoxId, entry: &Document, now: Millis) {
+        // Other writers may make any number of values, up to 1 MB each: of these, only that they
+        // are there is kept.
+        let hidden = Document { body: Arc::from(""), ..entry.clone() };
+        if self.depart(name, now) {
+            self.log.record(hidden.clone());
+        }
+        self.entries.insert(name.clone(), hidden);
+    }
+
+    /// Takes a box out, or keeps it for a while where the store may only have lost its entry.
+    pub(super) fn unlist(&mut self, name: &BoxId, now: Millis) {
+        let id = self.listed_lives.get(name).filter(|id| self.boxes.contains_key(*id));
+        match id.filter(|_| self.outage.keeps(now)) {
+            Some(id) => {
+                self.unlisted.insert(id.clone());
+            }
+            None => self.take_departure(name, now),
+        }
+    }
+
+    pub(super) fn take_departure(&mut self, name: &BoxId, now: Millis) {
+        self.entries.remove(name);
+        if let Some(service) = self.lives.forget(name) {
+            self.read_again(&service, now);
+        }
+        if self.depart(name, now) {
+            self.log.gone(&Driver::box_key(name), name.clone());
+        }
+    }
+
+    /// Takes a box out, and tells whether it was there.
+    fn depart(&mut self, name: &BoxId, now: Millis) -> bool {
+        let Some(id) = self.listed_lives.remove(name) else {
+            return false;
+        };
+        self.left.retain(|(left, _), _| left != &id);
+        self.unlisted.remove(&id);
+        let Some(known) = Arc::make_mut(&mut self.boxes).remove(&id) else {
+            return false;
+        };
+        if known.member.is_some() && !self.silent.contains_key(&id) {
+            self.unasked.push(SiteBox::clone(&known));
+        }
+        self.departed.insert(id, Departed { known, at: now });
+        true
+    }
+
+    /// Returns the names of the boxes known that a list does not have.
+    pub(super) fn not_in(&self, list: &[Document]) -> Vec<BoxId> {
+        let there: BTreeSet<&str> = list.iter().map(|entry| entry.key.as_ref()).collect();
+        let known = self.entries.keys();
+        known.filter(|id| !there.contains(Driver::box_key(id).as_str())).cloned().collect()
+    }
+
+    /// Forgets lives that ended and that no record names any more.
+    pub(super) fn forget_ended_lives(&mut self) {
+        if self.ended_lives.is_empty() {
+            return;
+        }
+        let records = &self.records;
+        self.ended_lives.retain(|id| records.name(id));
+    }
+
+    /// Tells whether a domain's record names boxes whose lives it does not tell, or that are told apart
+    /// otherwise now.
+    pub(crate) fn names_otherwise(&self, domain: &DomainId) -> bool {
+        self.records.boxes_of(domain).any(|id| self.as_listed(id).is_some())
+    }
+
+    /// Returns the id under which a box is listed that a record names, where either of them names no
+    /// certain life.
+    pub(super) fn as_listed(&self, id: &BoxId) -> Option<BoxId> {
+        let listed = self.listed_lives.get(&BoxId::new(id.name()))?;
+        let is_uncertain = id.start().is_none() || listed.start().is_none();
+        (listed != id && is_uncertain).then(|| listed.clone())
+    }
+}
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -5,10 +5,10 @@
 
 use cherrystand_core::{
     BoxId, BoxLives, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch, MemberOrder,
-    MemberState, Millis, Revision, RouteTable, ServiceName, SiteBox, SiteView, StoreOutage,
+    MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
 };
 use cherrystand_peer::ChangeNews;
-use cherrystand_platform::{Changes, FormatError, SiteDriver};
+use cherrystand_platform::{Changes, SiteDriver};
 
 use crate::keys;
 use crate::site::Driver;
@@ -24,9 +24,9 @@
 
 /// A box that is listed no more.
 #[derive(Clone, Debug)]
-struct Departed {
-    known: Arc<SiteBox>,
-    at: Millis,
+pub(super) struct Departed {
+    pub(super) known: Arc<SiteBox>,
+    pub(super) at: Millis,
 }
 
 /// Keeps what one node knows of the site; it does no I/O.
@@ -36,37 +36,37 @@
     table: Option<Arc<RouteTable>>,
     /// What boxes tell of themselves, as it stands in the store, by their names; also what cannot be
     /// read, which hides what stood there before.
-    entries: BTreeMap<BoxId, Document>,
+    pub(super) entries: BTreeMap<BoxId, Document>,
     /// Which lives of boxes entries tell of.
-    lives: BoxLives,
+    pub(super) lives: BoxLives,
     /// The life of each box that is listed, by its name.
-    listed_lives: BTreeMap<BoxId, BoxId>,
+    pub(super) listed_lives: BTreeMap<BoxId, BoxId>,
     /// Lives that ended as their boxes started again, for as long as a record names them.
-    ended_lives: BTreeSet<BoxId>,
+    pub(super) ended_lives: BTreeSet<BoxId>,
     /// Values that cannot be used.
-    refused: RefusedValues,
-    boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
-    departed: BTreeMap<BoxId, Departed>,
-    records: DomainRecords,
-    silent: BTreeMap<BoxId, Millis>,
+    pub(super) refused: RefusedValues,
+    pub(super) boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
+    pub(super) departed: BTreeMap<BoxId, Departed>,
+    pub(super) records: DomainRecords,
+    pub(super) silent: BTreeMap<BoxId, Millis>,
     /// Members of replicas whose entries went, and that nobody asked since whether they are there.
-    unasked: Vec<SiteBox>,
+    pub(super) unasked: Vec<SiteBox>,
     /// Replicas whose leaders left them, with the last epoch of the record that they were ordered
     /// to by.
     ended: BTreeMap<(String, Epoch), Epoch>,
     /// The epochs that boxes said they left, with the last epoch of the record that they were
     /// ordered to by.
-    left: BTreeMap<(BoxId, Epoch), Epoch>,
+    pub(super) left: BTreeMap<(BoxId, Epoch), Epoch>,
     listed: bool,
-    outage: StoreOutage,
+    pub(super) outage: StoreOutage,
     /// When a box last came that was not known.
-    grew: Millis,
+    pub(super) grew: Millis,
     /// Boxes that are kept though they are listed no more.
-    unlisted: BTreeSet<BoxId>,
+    pub(super) unlisted: BTreeSet<BoxId>,
     /// The revision up to which the entries are known.
     revision: Revision,
     /// What changed lately, for peers that read from this node.
-    log: ChangeLog,
+    pub(super) log: ChangeLog,
 }
 
 impl Known {
@@ -144,13 +144,6 @@
         self.revision = self.revision.max(news.revision);
     }
 
-    /// Returns the names of the boxes known that a list does not have.
-    fn not_in(&self, list: &[Document]) -> Vec<BoxId> {
-        let there: BTreeSet<&str> = list.iter().map(|entry| entry.key.as_ref()).collect();
-        let known = self.entries.keys();
-        known.filter(|id| !there.contains(Driver::box_key(id).as_str())).cloned().collect()
-    }
-
     fn take_all(&mut self, list: &[Document], revision: Revision, now: Millis) {
         for entry in list {
             self.take_record(entry, now);
@@ -169,154 +162,11 @@
         }
     }
 
-    fn take_entry(&mut self, entry: &Document, now: Millis) {
-        let name = BoxId::new(entry.key.strip_prefix(Driver::BOXES).unwrap_or_default());
-        let older = |held: &Document| held.revision >= entry.revision;
-        if self.entries.get(&name).is_some_and(older) {
-            return;
-        }
-        self.entries.insert(name.clone(), entry.clone());
-        match Driver::read_box(&entry.key, &entry.body) {
-            Ok(known) if self.lives.take(&known) => self.read_again(&known.service, now),
-            Ok(known) => self.take_box(known, entry, now),
-            Err(err) => {
-                self.refused.note(entry, RefusedKind::Entry, &err);
-                self.take_unusable(&name, entry, now);
-                if let Some(service) = self.lives.forget(&name) {
-                    self.read_again(&service, now);
-                }
-            }
-        }
-    }
-
-    /// Takes in all entries of a service anew, whose boxes are told apart otherwise from now on.
-    fn read_again(&mut self, service: &ServiceName, now: Millis) {
-        let entries: Vec<Document> = self.entries.values().cloned().collect();
-        for entry in &entries {
-            let read = Driver::read_box(&entry.key, &entry.body).ok();
-            if let Some(known) = read.filter(|known| &known.service == service) {
-                self.take_box(known, entry, now);
-            }
-        }
-    }
-
-    /// Takes in what a box tells of itself, in the life that its entry tells of.
-    fn take_box(&mut self, mut known: SiteBox, entry: &Document, now: Millis) {
-        let name = known.id.clone();
-        let Some(id) = self.lives.life_of(&known) else {
-            let reason =
-                "it does not tell its start in whole milliseconds, as others do".to_owned();
-            let err = FormatError { key: entry.key.to_string(), reason };
-            self.refused.note(entry, RefusedKind::Entry, &err);
-            return self.take_unusable(&name, entry, now);
-        };
-        known.id = id.clone();
-        let departed = self.departed.keys().filter(|departed| departed.is_other_life_of(&id));
-        for before in departed.cloned().collect::<Vec<_>>() {
-            self.end_life(before);
-        }
-        match self.listed_lives.insert(name, id.clone()) {
-            Some(before) if before.is_other_life_of(&id) => self.end_life(before),
-            // Told apart otherwise, it is the same box as before.
-            Some(before) if before != id => {
-                let held = Arc::make_mut(&mut self.boxes).remove(&before);
-                if let Some(held) = held {
-                    known.loaded.clone_from(&held.loaded);
-                }
-            }
-            _ => {}
-        }
-        let departed = self.departed.remove(&id).map(|gone| gone.known);
-        let departed = departed.filter(|_| !self.ended_lives.contains(&id));
-        if let Some(earlier) = self.boxes.get(&id).or(departed.as_ref()) {
-            known.keep_memory_of(earlier);
-        }
-        self.ended_lives.remove(&id);
-        self.unlisted.remove(&id);
-        // What it tells now, it tells after it was silent.
-        self.silent.remove(&id);
-        if !self.boxes.contains_key(&id) {
-            self.grew = now;
-        }
-        let held = self.boxes.get(&id);
-        if held.is_some_and(|held| **held == known) {
-            return;
-        }
-        // Peers need not hear of a heartbeat that says nothing new but how many orders it took.
-        if held.is_none_or(|held| held.tells_otherwise(&known)) {
-            self.log.record(entry.clone());
-        }
-        Arc::make_mut(&mut self.boxes).insert(id, Arc::new(known));
-    }
-
-    /// Ends a life of a box that has started again: nothing of it is there any more.
-    ///
-    /// Its replica is known to be broken at once. Known by its standstill alone, it took requests for
-    /// up to 4 s.
-    fn end_life(&mut self, before: BoxId) {
-        log::info!(target_box = before.as_str(); "a box has started again");
-        Arc::make_mut(&mut self.boxes).remove(&before);
-        self.departed.remove(&before);
-        self.unlisted.remove(&before);
-        self.left.retain(|(left, _), _| left != &before);
-        self.unasked.retain(|known| known.id != before);
-        self.ended_lives.insert(before);
-    }
-
-    /// Takes a box out whose entry names no box to use; what stands there now is passed on.
-    fn take_unusable(&mut self, name: &BoxId, entry: &Document, now: Millis) {
-        // Other writers may make any number of values, up to 1 MB each: of these, only that they
-        // are there is kept.
-        let hidden = Document { body: Arc::from(""), ..entry.clone() };
-        if self.depart(name, now) {
-            self.log.record(hidden.clone());
-        }
-        self.entries.insert(name.clone(), hidden);
-    }
-
     /// Notes that the store does not answer.
     pub(crate) fn store_failed(&mut self) {
         self.outage.failed();
     }
 
-    /// Takes a box out, or keeps it for a while where the store may only have lost its entry.
-    fn unlist(&mut self, name: &BoxId, now: Millis) {
-        let id = self.listed_lives.get(name).filter(|id| self.boxes.contains_key(*id));
-        match id.filter(|_| self.outage.keeps(now)) {
-            Some(id) => {
-                self.unlisted.insert(id.clone());
-            }
-            None => self.take_departure(name, now),
-        }
-    }
-
-    fn take_departure(&mut self, name: &BoxId, now: Millis) {
-        self.entries.remove(name);
-        if let Some(service) = self.lives.forget(name) {
-            self.read_again(&service, now);
-        }
-        if self.depart(name, now) {
-            self.log.gone(&Driver::box_key(name), name.clone());
-        }
-    }
-
-    /// Takes a box out, and tells whether it was there.
-    fn depart(&mut self, name: &BoxId, now: Millis) -> bool {
-        let Some(id) = self.listed_lives.remove(name) else {
-            return false;
-        };
-        self.left.retain(|(left, _), _| left != &id);
-        self.unlisted.remove(&id);
-        let Some(known) = Arc::make_mut(&mut self.boxes).remove(&id) else {
-            return false;
-        };
-        if known.member.is_some() && !self.silent.contains_key(&id) {
-            self.unasked.push(SiteBox::clone(&known));
-        }
-        self.departed.insert(id, Departed { known, at: now });
-        true
-    }
-
     /// Takes in a domain's record, unless a later one is held.
     pub(crate) fn take_domain(&mut self, copy: &Document) {
         match self.records.take(copy) {
@@ -386,15 +236,6 @@
         self.changes() != changes
     }
 
-    /// Forgets lives that ended and that no record names any more.
-    fn forget_ended_lives(&mut self) {
-        if self.ended_lives.is_empty() {
-            return;
-        }
-        let records = &self.records;
-        self.ended_lives.retain(|id| records.name(id));
-    }
-
     /// Forgets the end of replicas that no box tells of any more.
     fn forget_ended(&mut self) {
         if self.ended.is_empty() {
@@ -420,20 +261,6 @@
         (revision, record.with_boxes_as(|id| self.as_listed(id)))
     }
 
-    /// Tells whether a domain's record names boxes whose lives it does not tell, or that are told apart
-    /// otherwise now.
-    pub(crate) fn names_otherwise(&self, domain: &DomainId) -> bool {
-        self.records.boxes_of(domain).any(|id| self.as_listed(id).is_some())
-    }
-
-    /// Returns the id under which a box is listed that a record names, where either of them names no
-    /// certain life.
-    fn as_listed(&self, id: &BoxId) -> Option<BoxId> {
-        let listed = self.listed_lives.get(&BoxId::new(id.name()))?;
-        let is_uncertain = id.start().is_none() || listed.start().is_none();
-        (listed != id && is_uncertain).then(|| listed.clone())
-    }
-
     /// Returns the model that each domain is for, as far as the records say.
     pub(crate) fn homes(&self) -> BTreeMap<DomainId, String> {
         self.records.homes()
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod box_calls;
+mod box_entries;
 mod capacity;
 mod change_sharing;
 mod control;
--- a/crates/cherrystandd/src/site/tries.rs
+++ b/crates/cherrystandd/src/site/tries.rs
@@ -16,6 +16,8 @@
     pub(crate) tried: Vec<BoxId>,
     /// What became of it there.
     pub(crate) ledger: AttemptLedger,
+    /// Whether it was counted that nothing was asked beside for want of a repeat.
+    stay_counted: bool,
 }
 
 impl Tries {
@@ -44,7 +46,10 @@
             return None;
         }
         if !front.has_repeat(req) {
-            front.repeats.count_stay();
+            // It is looked at 25 times a second.
+            if !std::mem::replace(&mut self.stay_counted, true) {
+                front.repeats.count_stay();
+            }
             return None;
         }
         let flight = front.choose(req, &self.tried, urgency)?;
