refactor: the assigned boxes are made once for all views; a heartbeat makes no names

Cause: with boxes known by their lives, each published view looked up, and made a name for, every assigned box, and each heartbeat went through what only a new life needs. Change, behaviour as it was: the assignment as listed is kept until a record or a listed life changes (OnceCell); maps by box are looked into by text; heartbeats leave BoxLives and lives alone. One check of a restart by its orders instead of two (SiteBox::started_since), one constructor of test boxes, one start time in the stand-ins.

--- a/crates/cherrystand_core/src/control/domain_change.rs
+++ b/crates/cherrystand_core/src/control/domain_change.rs
@@ -312,7 +312,7 @@
     let planned = desired.planned.iter().filter(|id| free.contains(id));
     let mut boxes: Vec<BoxId> = planned.take(span).cloned().collect();
     let chosen: BTreeSet<BoxId> = boxes.iter().cloned().collect();
-    let others = free.iter().filter(|id| !chosen.contains(id));
+    let others = free.iter().filter(|id| !chosen.contains(*id));
     boxes.extend(others.take(span - boxes.len()).cloned());
     Some(boxes)
 }
--- a/crates/cherrystand_core/src/control/domain_record.rs
+++ b/crates/cherrystand_core/src/control/domain_record.rs
@@ -158,7 +158,7 @@
 
     /// Returns the places that a box, in whichever life, was taken out of and may have come to.
     pub fn former_places(&self, id: &BoxId) -> impl Iterator<Item = &FormerPlace> {
-        self.former.get(&BoxId::new(id.name())).into_iter().flatten()
+        self.former.get(id.name()).into_iter().flatten()
     }
 
     /// Gives out the next epoch.
--- a/crates/cherrystand_core/src/names.rs
+++ b/crates/cherrystand_core/src/names.rs
@@ -1,5 +1,6 @@
 //! Names of the things that the system handles.
 
+use std::borrow::Borrow;
 use std::fmt;
 use std::sync::Arc;
 
@@ -37,6 +38,13 @@
     /// Names one box that a model engine runs on.
     BoxId
 );
+/// Maps by box are looked into by text, without making a name for it.
+impl Borrow<str> for BoxId {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 /// Stands between a box's name and the start of one of its lives; no name holds it.
 const LIFE_MARK: char = '@';
 
--- a/crates/cherrystand_core/src/site/box_lives.rs
+++ b/crates/cherrystand_core/src/site/box_lives.rs
@@ -45,6 +45,11 @@
     /// Takes in the entry of a box by its name, and tells whether its service is decided otherwise by
     /// that.
     pub fn take(&mut self, known: &SiteBox) -> bool {
+        let held = self.told.get(known.id.name());
+        // Most entries are heartbeats.
+        if held.is_some_and(|held| held.service == known.service && held.start == known.start) {
+            return false;
+        }
         let before = self.are_told(&known.service);
         let name = BoxId::new(known.id.name());
         self.forget(&name);
@@ -74,11 +79,10 @@
 
     /// Returns the life that an entry tells of; nothing where it names no box to use.
     pub fn life_of(&self, known: &SiteBox) -> Option<BoxId> {
-        let name = BoxId::new(known.id.name());
         match (self.are_told(&known.service), known.start) {
-            (true, BoxStart::At(start)) => Some(name.in_life(start)),
+            (true, BoxStart::At(start)) => Some(known.id.in_life(start)),
             (true, _) => None,
-            (false, _) => Some(name),
+            (false, _) => Some(BoxId::new(known.id.name())),
         }
     }
 }
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -156,7 +156,7 @@
     fn forget_restarted(&mut self, at: &FormationInput<'_>) {
         for known in at.boxes {
             let before = self.taken.insert(known.id.clone(), known.orders_taken);
-            if known.member.is_none() && before.is_some_and(|before| known.orders_taken < before) {
+            if before.is_some_and(|before| known.started_since(before)) {
                 self.sent.remove(&known.id);
                 self.warmed.remove(&known.id);
                 self.staging.remove(&known.id);
--- a/crates/cherrystand_core/src/site/site_box.rs
+++ b/crates/cherrystand_core/src/site/site_box.rs
@@ -80,15 +80,18 @@
     /// the same name, it joins the model of its last one again within 0.2 s, where a load takes 12 to
     /// 16 s.
     pub fn keep_memory_of(&mut self, earlier: &Self) {
-        if self.loaded.is_empty() && self.id == earlier.id && !self.started_since(earlier) {
+        if self.loaded.is_empty()
+            && self.id == earlier.id
+            && !self.started_since(earlier.orders_taken)
+        {
             self.loaded.clone_from(&earlier.loaded);
         }
     }
 
-    /// Tells whether it started anew since it told `earlier`, as far as its orders show: they are
-    /// counted anew, and it belongs to nothing.
-    pub fn started_since(&self, earlier: &Self) -> bool {
-        self.member.is_none() && self.orders_taken < earlier.orders_taken
+    /// Tells whether it started anew since it told of `orders_taken`, as far as its orders show: they
+    /// are counted anew, and it belongs to nothing.
+    pub fn started_since(&self, orders_taken: u64) -> bool {
+        self.member.is_none() && self.orders_taken < orders_taken
     }
 
     /// Tells whether a later telling says anything else than that it is there.
--- a/crates/cherrystand_core/src/site/site_view.rs
+++ b/crates/cherrystand_core/src/site/site_view.rs
@@ -157,9 +157,9 @@
 
     /// Tells whether a box is listed in another life than the one named.
     fn has_started_again(&self, id: &BoxId) -> bool {
-        let Some(_) = id.start() else {
+        if id.start().is_none() {
             return false;
-        };
+        }
         // The lives of one box follow each other, beginning with the least.
         let mut lives = self.boxes.range(id.in_life(0)..).map(|(listed, _)| listed);
         lives.next().is_some_and(|listed| listed.is_other_life_of(id))
--- a/crates/cherrystand_core/tests/box_lives.rs
+++ b/crates/cherrystand_core/tests/box_lives.rs
@@ -1,25 +1,15 @@
 //! Which life of a box an entry tells of.
 
-use cherrystand_core::{BoxId, BoxLives, BoxStart, ServiceName, SiteBox, ZoneId};
+mod support;
+
+use cherrystand_core::{BoxId, BoxLives, BoxStart, SiteBox};
 use proptest::prelude::*;
+use support::site_box;
 
 const TOLD: BoxStart = BoxStart::At(17);
 
 fn entry(name: &str, service: &str, start: BoxStart) -> SiteBox {
-    SiteBox {
-        id: BoxId::new(name),
-        start,
-        orders_taken: 0,
-        service: ServiceName::new(service),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: ZoneId::new("z1"),
-        slots: 8,
-        leaving: false,
-        domain: None,
-        staged: Vec::new(),
-        loaded: Vec::new(),
-        member: None,
-    }
+    SiteBox { start, ..site_box(name, service) }
 }
 
 #[test]
--- a/crates/cherrystand_core/tests/lost_replicas.rs
+++ b/crates/cherrystand_core/tests/lost_replicas.rs
@@ -6,24 +6,14 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, BoxStart, CallerLimits, Epoch, Member, MemberState, RouteTable, Service, ServiceName,
-    SiteBox, SiteConfig, SiteView, ZoneId,
+    BoxId, CallerLimits, Epoch, Member, MemberState, RouteTable, Service, ServiceName, SiteBox,
+    SiteConfig, SiteView,
 };
 
 const EPOCH: Epoch = Epoch(4);
 
 fn known(id: &str, service: &str, member: Option<(u32, MemberState)>) -> SiteBox {
     SiteBox {
-        id: BoxId::new(id),
-        start: BoxStart::Untold,
-        orders_taken: 0,
-        service: ServiceName::new(service),
-        address: "127.0.0.1:9".parse().expect("an address"),
-        zone: ZoneId::new("z1"),
-        slots: 8,
-        leaving: false,
-        domain: None,
-        staged: Vec::new(),
         loaded: vec!["m".to_owned()],
         member: member.map(|(rank, state)| Member {
             replica: "r".to_owned(),
@@ -31,6 +21,7 @@
             rank,
             state,
         }),
+        ..support::site_box(id, service)
     }
 }
 
--- a/crates/cherrystand_core/tests/support/mod.rs
+++ b/crates/cherrystand_core/tests/support/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code, reason = "each area uses its own part")]
 
 use cherrystand_core::{
-    BoxId, Desired, EngineSpec, GroupId, Heartbeat, Incarnation, LoadSpec, Millis, ModelSpec,
-    NodeId, RepairPolicy, ReplicaId, WorkspaceId, ZoneId,
+    BoxId, BoxStart, Desired, EngineSpec, GroupId, Heartbeat, Incarnation, LoadSpec, Millis,
+    ModelSpec, NodeId, RepairPolicy, ReplicaId, ServiceName, SiteBox, WorkspaceId, ZoneId,
 };
 use cherrystand_testkit::{DomainSetup, FakeDomain};
 
@@ -23,6 +23,24 @@
     }
 }
 
+/// A box of a service that tells nothing more of itself.
+pub(crate) fn site_box(id: &str, service: &str) -> SiteBox {
+    SiteBox {
+        id: BoxId::new(id),
+        start: BoxStart::Untold,
+        orders_taken: 0,
+        service: ServiceName::new(service),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: ZoneId::new("z1"),
+        slots: 8,
+        leaving: false,
+        domain: None,
+        staged: Vec::new(),
+        loaded: Vec::new(),
+        member: None,
+    }
+}
+
 pub(crate) fn box_id(number: u32) -> BoxId {
     BoxId::new(format!("b{number:02}"))
 }
--- a/crates/cherrystand_testkit/src/site/fake_site_domain.rs
+++ b/crates/cherrystand_testkit/src/site/fake_site_domain.rs
@@ -10,8 +10,7 @@
     OrderEnd, ServiceName, SiteBox, ZoneId,
 };
 
-/// When boxes that are there from the beginning started, in Unix milliseconds.
-const FIRST_START: u64 = 1_790_000_000_000;
+use crate::site::site_stand_in::FIRST_START;
 
 /// How long a box stays listed after it fell silent.
 const LISTED_FOR: Millis = Millis(3_600);
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -36,7 +36,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(5);
 
 /// When boxes started, in Unix milliseconds.
-const FIRST_START: u64 = 1_790_000_000_000;
+pub(crate) const FIRST_START: u64 = 1_790_000_000_000;
 
 /// How long a join takes.
 const JOIN: Duration = Duration::from_millis(30);
--- a/crates/cherrystandd/src/site/box_entries.rs
+++ b/crates/cherrystandd/src/site/box_entries.rs
@@ -55,20 +55,8 @@
             return self.take_unusable(&name, entry, now);
         };
         known.id = id.clone();
-        let departed = self.departed.keys().filter(|departed| departed.is_other_life_of(&id));
-        for before in departed.cloned().collect::<Vec<_>>() {
-            self.end_life(before);
-        }
-        match self.listed_lives.insert(name, id.clone()) {
-            Some(before) if before.is_other_life_of(&id) => self.end_life(before),
-            // Told apart otherwise, it is the same box as before.
-            Some(before) if before != id => {
-                let held = Arc::make_mut(&mut self.boxes).remove(&before);
-                if let Some(held) = held {
-                    known.loaded.clone_from(&held.loaded);
-                }
-            }
-            _ => {}
+        if self.listed_lives.get(&name) != Some(&id) {
+            self.list_life(name, &mut known);
         }
         let departed = self.departed.remove(&id).map(|gone| gone.known);
         let departed = departed.filter(|_| !self.ended_lives.contains(&id));
@@ -93,6 +81,25 @@
         Arc::make_mut(&mut self.boxes).insert(id, Arc::new(known));
     }
 
+    /// Lists a box under a life that it was not listed under.
+    fn list_life(&mut self, name: BoxId, known: &mut SiteBox) {
+        self.assigned.take();
+        let departed = self.departed.keys().filter(|departed| departed.is_other_life_of(&known.id));
+        for before in departed.cloned().collect::<Vec<_>>() {
+            self.end_life(before);
+        }
+        match self.listed_lives.insert(name, known.id.clone()) {
+            Some(before) if before.is_other_life_of(&known.id) => self.end_life(before),
+            // Told apart otherwise, it is the same box as before.
+            Some(before) => {
+                if let Some(held) = Arc::make_mut(&mut self.boxes).remove(&before) {
+                    known.loaded.clone_from(&held.loaded);
+                }
+            }
+            None => {}
+        }
+    }
+
     /// Ends a life of a box that has started again: nothing of it is there any more.
     ///
     /// Its replica is known to be broken at once. Known by its standstill alone, it took requests for
@@ -144,6 +151,7 @@
         let Some(id) = self.listed_lives.remove(name) else {
             return false;
         };
+        self.assigned.take();
         self.left.retain(|(left, _), _| left != &id);
         self.unlisted.remove(&id);
         let Some(known) = Arc::make_mut(&mut self.boxes).remove(&id) else {
@@ -181,7 +189,7 @@
     /// Returns the id under which a box is listed that a record names, where either of them names no
     /// certain life.
     pub(super) fn as_listed(&self, id: &BoxId) -> Option<BoxId> {
-        let listed = self.listed_lives.get(&BoxId::new(id.name()))?;
+        let listed = self.listed_lives.get(id.name())?;
         let is_uncertain = id.start().is_none() || listed.start().is_none();
         (listed != id && is_uncertain).then(|| listed.clone())
     }
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -1,11 +1,12 @@
 //! What a node knows of the site, and how news changes it.
 
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, BoxLives, ChangeLog, ChangesSince, Document, DomainId, DomainRecord, Epoch, MemberOrder,
-    MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
+    AssignedBoxes, BoxId, BoxLives, ChangeLog, ChangesSince, Document, DomainId, DomainRecord,
+    Epoch, MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
 };
 use cherrystand_peer::ChangeNews;
 use cherrystand_platform::{Changes, SiteDriver};
@@ -43,6 +44,10 @@
     pub(super) listed_lives: BTreeMap<BoxId, BoxId>,
     /// Lives that ended as their boxes started again, for as long as a record names them.
     pub(super) ended_lives: BTreeSet<BoxId>,
+    /// The boxes of each replica by the records, as they are listed; made when it is asked for, once
+    /// for all views until a record or a listed life changes. Made for each view it took a look-up a
+    /// box.
+    pub(super) assigned: OnceCell<Arc<AssignedBoxes>>,
     /// Values that cannot be used.
     pub(super) refused: RefusedValues,
     pub(super) boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
@@ -170,7 +175,10 @@
     /// Takes in a domain's record, unless a later one is held.
     pub(crate) fn take_domain(&mut self, copy: &Document) {
         match self.records.take(copy) {
-            Ok(true) => self.log.record(copy.clone()),
+            Ok(true) => {
+                self.assigned.take();
+                self.log.record(copy.clone());
+            }
             Ok(false) => {}
             Err(err) => self.refused.note(copy, RefusedKind::DomainRecord, &err),
         }
@@ -438,6 +446,10 @@
         config.collect()
     }
 
+    fn assigned(&self) -> &Arc<AssignedBoxes> {
+        self.assigned.get_or_init(|| self.records.assigned_as(|id| self.as_listed(id)))
+    }
+
     /// Returns all of it as one value; `serve_unlisted` says whether members that are listed no more
     /// may count as there, for which the assignments are needed.
     pub(crate) fn view(&self, nodes: usize, serve_unlisted: bool) -> SiteView {
@@ -446,7 +458,7 @@
             boxes: self.boxes.clone(),
             silent: self.silent(),
             assigned: match serve_unlisted {
-                true => self.records.assigned_as(|id| self.as_listed(id)),
+                true => self.assigned().clone(),
                 false => Arc::default(),
             },
             listed: self.listed,
