fix: a request that ends replicas is sent no more after the third

Cause: nothing remembered a request beyond its try. Each return came with another id, began with an empty ledger and was sent on; a broken stream was resumed at once, so that one try could end two replicas.

Ruled out: that the boxes ended by themselves (only leaders of one model ended, each after it was sent requests); that fewer repeats would do (each try may end one by itself).

Now a request has a name in all its tries, and the ends of boxes' lives under it are counted: told to peers at once, kept in the store's record from the second on. After three it is refused with 502, at once; a suspect is sent only where its open attempts could not end more than three. One that is served whole is acquitted. docs/design/0018.

--- a/crates/cherrystand_core/benches/node_costs.rs
+++ b/crates/cherrystand_core/benches/node_costs.rs
@@ -217,6 +217,7 @@
         boxes: Arc::new(boxes.clone()),
         silent: BTreeSet::new(),
         assigned: Arc::default(),
+        suspects: Arc::default(),
         listed: true,
         nodes: size.nodes,
     };
--- a/crates/cherrystand_core/src/requests/refusal.rs
+++ b/crates/cherrystand_core/src/requests/refusal.rs
@@ -34,11 +34,13 @@
     ConfigurationOld,
     /// The node is stopping.
     Stopping,
+    /// The request ended each replica that ran it.
+    EndsReplicas,
 }
 
 impl RefusalReason {
     /// Lists every reason.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::UnknownTarget,
@@ -52,6 +54,7 @@
         Self::KeysOutOfReach,
         Self::ConfigurationOld,
         Self::Stopping,
+        Self::EndsReplicas,
     ];
 
     /// Returns the name that answers and metrics use.
@@ -70,6 +73,7 @@
             Self::KeysOutOfReach => "keys-out-of-reach",
             Self::ConfigurationOld => "configuration-old",
             Self::Stopping => "stopping",
+            Self::EndsReplicas => "ends-replicas",
         }
     }
 
@@ -82,7 +86,8 @@
             Self::KeyInUse => 409,
             Self::NodeFull | Self::WorkspaceShare | Self::WaitTooLong => 429,
             Self::DeadlinePassed => 504,
-            Self::EndpointsFailed => 502,
+            // Its earlier tries have run: no promise goes with it.
+            Self::EndpointsFailed | Self::EndsReplicas => 502,
             Self::NoneServing | Self::KeysOutOfReach | Self::ConfigurationOld | Self::Stopping => {
                 503
             }
--- a/crates/cherrystand_core/src/site/attempt_ledger.rs
+++ b/crates/cherrystand_core/src/site/attempt_ledger.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns how many attempts are open.
+    pub fn open(&self) -> u32 {
+        self.open
+    }
+
     /// Returns on how many endpoints the request may have been run or may yet be, attempts that are
     /// open among them.
     pub fn most_runs(&self) -> u32 {
--- a/crates/cherrystand_core/src/site/crash_suspects.rs
+++ b/crates/cherrystand_core/src/site/crash_suspects.rs
@@ -1,26 +1,218 @@
 //! Requests that were at boxes as these ended.
+//!
+//! A request that crashes whatever runs it comes again and is sent on like any other: without a memory of
+//! it, one ended 25 replicas within 40 s, each of which took 12 to 16 s to mend.
+//!
+//! Source: docs/design/0018-requests-that-crash-replicas.md.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{BoxId, Fingerprint};
+use crate::{BoxId, Fingerprint, Millis, SuspectEntry, SuspectRecord};
 
-/// How many requests are remembered at the most, 200 bytes each.
+/// After this many ends a request is refused.
+///
+/// Fewer would refuse requests that met the losses of other causes: a request whose replica is lost is
+/// sent to a second one, which may be lost by chance as well.
+pub const ENDS_BORNE: usize = 3;
+
+/// Boxes that end within this time count once: one request is at one of them at a time, and whatever
+/// ends several at once is another cause. Daemons hear of one end within 20 ms of each other.
+const SAME_MOMENT: Millis = Millis(100);
+
+/// For how long a request is remembered after it last ended a box or was refused: one that comes more
+/// seldom costs three replicas an hour.
+pub const REMEMBERED_FOR: Millis = Millis(3_600_000);
+
+/// How many requests are remembered at the most, 300 bytes each.
 const MOST_REMEMBERED: usize = 4_096;
 
-/// Keeps at which boxes' ends requests were.
+/// How many boxes are remembered that a request was served after, and how many that ended at one
+/// moment; what a peer tells may hold any number.
+const MOST_LIVES: usize = 16;
+
+/// How many moments are remembered of one request; it is sent no more long before.
+const MOST_MOMENTS: usize = 8;
+
+/// From this many ends on a request stands in the store, so that a daemon that missed what peers told, or
+/// starts later, knows of it.
+const RECORDED_FROM: usize = 2;
+
+/// Boxes that ended at one moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Moment {
+    at: Millis,
+    lives: BTreeSet<BoxId>,
+}
+
+/// What is remembered of one request.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    moments: Vec<Moment>,
+    /// Boxes that ended before the request was served whole elsewhere.
+    acquitted: BTreeSet<BoxId>,
+    /// When it last ended a box, was served or was refused.
+    last: Millis,
+}
+
+impl Suspect {
+    fn has(&self, life: &BoxId) -> bool {
+        self.acquitted.contains(life)
+            || self.moments.iter().any(|moment| moment.lives.contains(life))
+    }
+
+    /// Notes the end of a box that is not known of yet.
+    fn note(&mut self, life: &BoxId, now: Millis) {
+        let has_room = self.moments.len() < MOST_MOMENTS;
+        let at_once = |moment: &&mut Moment| now.since(moment.at) <= SAME_MOMENT;
+        match self.moments.iter_mut().find(at_once) {
+            Some(moment) if moment.lives.len() < MOST_LIVES => {
+                moment.lives.insert(life.clone());
+            }
+            None if has_room => {
+                self.moments.push(Moment { at: now, lives: BTreeSet::from([life.clone()]) });
+            }
+            _ => {}
+        }
+    }
+
+    fn acquit(&mut self) {
+        let lives = std::mem::take(&mut self.moments).into_iter().flat_map(|moment| moment.lives);
+        self.acquitted.extend(lives);
+        while self.acquitted.len() > MOST_LIVES {
+            self.acquitted.pop_first();
+        }
+    }
+}
+
+/// Keeps requests that were at boxes as these ended, and says which of them are sent no more.
+///
+/// What daemons know adds up as a union of boxes by request, whoever tells it and in whatever order.
 #[derive(Clone, Debug, Default)]
 pub struct CrashSuspects {
-    held: BTreeMap<Fingerprint, BTreeSet<BoxId>>,
+    held: BTreeMap<Fingerprint, Suspect>,
 }
 
 impl CrashSuspects {
+    /// Tells whether no request is remembered, so that none needs a fingerprint.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
     /// Takes in that a box ended while it had a request, and returns at how many ends it was by now.
-    pub fn ended(&mut self, life: &BoxId, request: Fingerprint) -> usize {
-        if self.held.len() >= MOST_REMEMBERED {
-            self.held.retain(|_, lives| lives.len() > 1);
+    pub fn ended(&mut self, life: &BoxId, request: Fingerprint, now: Millis) -> usize {
+        self.make_room(request, now);
+        let suspect = self.held.entry(request).or_default();
+        if !suspect.has(life) {
+            suspect.last = now;
+            suspect.note(life, now);
+        }
+        suspect.moments.len()
+    }
+
+    /// Takes in that a request was served whole: the boxes that ended before did not end by it. Tells
+    /// whether that says anything new.
+    pub fn served(&mut self, request: Fingerprint, now: Millis) -> bool {
+        let Some(suspect) = self.held.get_mut(&request) else { return false };
+        let is_news = !suspect.moments.is_empty();
+        suspect.acquit();
+        suspect.last = now;
+        is_news
+    }
+
+    /// Returns at how many ends of boxes a request was, since it was last served.
+    pub fn ends_of(&self, request: Fingerprint) -> usize {
+        self.held.get(&request).map_or(0, |suspect| suspect.moments.len())
+    }
+
+    /// Tells whether a request is to be refused, which keeps it remembered.
+    pub fn refuses(&mut self, request: Fingerprint, now: Millis) -> bool {
+        let Some(suspect) = self.held.get_mut(&request) else { return false };
+        let refused = suspect.moments.len() >= ENDS_BORNE;
+        if refused {
+            suspect.last = now;
         }
-        let lives = self.held.entry(request).or_default();
-        lives.insert(life.clone());
-        lives.len()
+        refused
+    }
+
+    /// Takes over what the store's record tells, at the Unix time `unix_ms`.
+    pub fn take_record(&mut self, record: &SuspectRecord, unix_ms: u64, now: Millis) {
+        for entry in record.requests.iter().filter(|entry| entry.is_fresh(unix_ms)) {
+            self.make_room(entry.request, now);
+            let suspect = self.held.entry(entry.request).or_default();
+            suspect.last = suspect.last.max(now - Millis(unix_ms.saturating_sub(entry.at)));
+            for life in &entry.acquitted {
+                suspect.moments.iter_mut().for_each(|moment| _ = moment.lives.remove(life));
+                suspect.acquitted.insert(life.clone());
+            }
+            suspect.moments.retain(|moment| !moment.lives.is_empty());
+            for lives in &entry.ended {
+                take_moment(suspect, lives, now);
+            }
+        }
+    }
+
+    /// Returns what this daemon has to say beside the store's record, at the Unix time `unix_ms`. One
+    /// that hears no peer is `alone` in telling of the first end of a request as well.
+    pub fn to_record(
+        &self,
+        stands: &SuspectRecord,
+        alone: bool,
+        unix_ms: u64,
+        now: Millis,
+    ) -> SuspectRecord {
+        let from = if alone { 1 } else { RECORDED_FROM };
+        let told = self
+            .held
+            .iter()
+            .filter(|(request, suspect)| suspect.moments.len() >= from || stands.names(**request));
+        let entry = |(request, suspect): (&Fingerprint, &Suspect)| SuspectEntry {
+            request: *request,
+            ended: suspect.moments.iter().map(|moment| moment.lives.clone()).collect(),
+            acquitted: suspect.acquitted.clone(),
+            at: unix_ms.saturating_sub(now.since(suspect.last).0),
+        };
+        SuspectRecord { requests: told.map(entry).collect() }
+    }
+
+    /// Forgets what is old, and what is least suspected where there is no room for another request.
+    fn make_room(&mut self, request: Fingerprint, now: Millis) {
+        if self.held.contains_key(&request) || self.held.len() < MOST_REMEMBERED {
+            return;
+        }
+        self.held.retain(|_, suspect| now.since(suspect.last) < REMEMBERED_FOR);
+        if self.held.len() < MOST_REMEMBERED {
+            return;
+        }
+        let weight =
+            |(_, suspect): &(&Fingerprint, &Suspect)| (suspect.moments.len(), suspect.last);
+        let least = self.held.iter().min_by_key(weight).map(|(request, _)| *request);
+        least.map(|least| self.held.remove(&least));
+    }
+
+    /// Forgets requests that came no more for long.
+    pub fn forget(&mut self, now: Millis) {
+        self.held.retain(|_, suspect| now.since(suspect.last) < REMEMBERED_FOR);
+    }
+
+    /// Returns how many requests are refused.
+    pub fn refused(&self) -> usize {
+        self.held.values().filter(|suspect| suspect.moments.len() >= ENDS_BORNE).count()
+    }
+}
+
+/// Adds boxes that ended at one moment, unless they are known already.
+fn take_moment(suspect: &mut Suspect, lives: &BTreeSet<BoxId>, now: Millis) {
+    let unknown: BTreeSet<BoxId> =
+        lives.iter().filter(|life| !suspect.acquitted.contains(*life)).cloned().collect();
+    if unknown.is_empty() {
+        return;
+    }
+    let has_room = suspect.moments.len() < MOST_MOMENTS;
+    let known = suspect.moments.iter_mut().find(|moment| !moment.lives.is_disjoint(&unknown));
+    match known {
+        Some(moment) => moment.lives.extend(unknown),
+        None if !has_room => {}
+        // What is told later by others is another moment.
+        None => suspect.moments.push(Moment { at: now - SAME_MOMENT - Millis(1), lives: unknown }),
     }
 }
--- a/crates/cherrystand_core/src/site/cut_answers.rs
+++ b/crates/cherrystand_core/src/site/cut_answers.rs
@@ -69,6 +69,11 @@
         held.requests.into_iter().collect()
     }
 
+    /// Tells whether no box is waited for.
+    pub fn is_empty(&self) -> bool {
+        self.undecided.is_empty()
+    }
+
     /// Lists the boxes of which it is not known yet whether they ended.
     pub fn undecided(&self) -> impl Iterator<Item = &BoxId> {
         self.undecided.keys()
--- a/crates/cherrystand_core/src/site/site_view.rs
+++ b/crates/cherrystand_core/src/site/site_view.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::{BoxId, Epoch, Member, MemberState, RouteTable, SiteBox, TargetSpec, ZoneId};
+use crate::{
+    BoxId, Epoch, Member, MemberState, RouteTable, SiteBox, SuspectRecord, TargetSpec, ZoneId,
+};
 
 /// The boxes of each replica, by its name and epoch.
 pub type AssignedBoxes = BTreeMap<(String, Epoch), Vec<BoxId>>;
@@ -23,6 +25,8 @@
     pub silent: BTreeSet<BoxId>,
     /// The boxes of each replica as the domains' records have them.
     pub assigned: Arc<AssignedBoxes>,
+    /// The store's record of requests that were at boxes as these ended.
+    pub suspects: Arc<SuspectRecord>,
     /// Whether the boxes were listed at least once.
     pub listed: bool,
     /// How many nodes are alive, this one included.
--- /dev/null
+++ b/crates/cherrystand_core/tests/crash_suspects.rs
@@ -0,0 +1,219 @@
+//! Which requests are refused after boxes ended with them.
+
+use std::collections::BTreeSet;
+
+use cherrystand_core::{
+    BoxId, CrashSuspects, ENDS_BORNE, Fingerprint, Millis, REMEMBERED_FOR, Seed, SuspectRecord,
+};
+use proptest::prelude::*;
+
+const REQUEST: Fingerprint = Fingerprint(7);
+const UNIX: u64 = 1_790_000_000_000;
+
+fn life(number: u64) -> BoxId {
+    BoxId::new(format!("i-{number}"))
+}
+
+#[derive(Clone, Copy)]
+enum Event {
+    Ends(u64, u64),
+    Served(u64),
+}
+
+use Event::{Ends, Served};
+
+#[test]
+fn a_request_is_refused_after_three_ends_of_boxes_and_not_by_chance() {
+    struct Case {
+        name: &'static str,
+        events: &'static [Event],
+        /// When it comes, and whether it is refused.
+        comes: u64,
+        refused: bool,
+    }
+    let cases = [
+        Case { name: "it never ended one", events: &[], comes: 0, refused: false },
+        Case {
+            name: "three ends",
+            events: &[Ends(1, 0), Ends(2, 500), Ends(3, 1_000)],
+            comes: 1_001,
+            refused: true,
+        },
+        Case { name: "two ends", events: &[Ends(1, 0), Ends(2, 500)], comes: 501, refused: false },
+        Case {
+            name: "one end, told three times",
+            events: &[Ends(1, 0), Ends(1, 500), Ends(1, 1_000)],
+            comes: 1_001,
+            refused: false,
+        },
+        Case {
+            name: "all boxes of a rack at once, with requests that are alike",
+            events: &[Ends(1, 0), Ends(2, 20), Ends(3, 90)],
+            comes: 91,
+            refused: false,
+        },
+        Case {
+            name: "served between",
+            events: &[Ends(1, 0), Ends(2, 500), Served(700), Ends(3, 1_000)],
+            comes: 1_001,
+            refused: false,
+        },
+        Case {
+            name: "served, and told late of what ended before",
+            events: &[
+                Ends(1, 0),
+                Ends(2, 500),
+                Served(700),
+                Ends(1, 800),
+                Ends(2, 950),
+                Ends(3, 1_100),
+            ],
+            comes: 1_101,
+            refused: false,
+        },
+        Case {
+            name: "served once, and ends boxes since",
+            events: &[Ends(1, 0), Served(700), Ends(2, 800), Ends(3, 950), Ends(4, 1_100)],
+            comes: 1_101,
+            refused: true,
+        },
+        Case {
+            name: "long ago",
+            events: &[Ends(1, 0), Ends(2, 500), Ends(3, 1_000)],
+            comes: 1_001 + REMEMBERED_FOR.0,
+            refused: false,
+        },
+    ];
+    for case in cases {
+        let mut suspects = CrashSuspects::default();
+        for event in case.events {
+            match *event {
+                Ends(number, at) => _ = suspects.ended(&life(number), REQUEST, Millis(at)),
+                Served(at) => _ = suspects.served(REQUEST, Millis(at)),
+            }
+        }
+        suspects.forget(Millis(case.comes));
+        assert_eq!(suspects.refuses(REQUEST, Millis(case.comes)), case.refused, "{}", case.name);
+    }
+}
+
+/// Three daemons that saw one end each, and whose news do not reach each other, agree by the record.
+#[test]
+fn what_daemons_know_adds_up_in_the_record() {
+    let mut daemons: Vec<CrashSuspects> = (0..3).map(|_| CrashSuspects::default()).collect();
+    for (number, daemon) in daemons.iter_mut().enumerate() {
+        daemon.ended(&life(number as u64), REQUEST, Millis(1_000 * number as u64));
+    }
+    let mut record = SuspectRecord::default();
+    for daemon in &daemons {
+        let own = daemon.to_record(&record, true, UNIX, Millis(3_000));
+        record = record.with(&own, UNIX).expect("it says more");
+    }
+    let text = serde_json::to_string(&record).expect("text");
+    assert_eq!(record, serde_json::from_str(&text).expect("a record"));
+    let mut later = CrashSuspects::default();
+    for daemon in daemons.iter_mut().chain([&mut later]) {
+        daemon.take_record(&record, UNIX, Millis(3_000));
+        assert!(daemon.refuses(REQUEST, Millis(3_000)));
+        // Nothing is left to write.
+        let own = daemon.to_record(&record, true, UNIX, Millis(3_001));
+        assert_eq!(record.with(&own, UNIX), None);
+    }
+    let mut long_after = CrashSuspects::default();
+    long_after.take_record(&record, UNIX + REMEMBERED_FOR.0, Millis(0));
+    assert!(!long_after.refuses(REQUEST, Millis(0)));
+}
+
+/// A request that many callers send alike is freed everywhere once one daemon served it.
+#[test]
+fn a_request_that_was_served_is_freed_by_the_record() {
+    let (mut one, mut other) = (CrashSuspects::default(), CrashSuspects::default());
+    for number in 0..3 {
+        other.ended(&life(number), REQUEST, Millis(1_000 * number));
+    }
+    let own = other.to_record(&SuspectRecord::default(), false, UNIX, Millis(3_000));
+    let record = SuspectRecord::default().with(&own, UNIX).expect("it is refused");
+    // The other one met two of the ends, and served it before it read the record.
+    one.ended(&life(0), REQUEST, Millis(0));
+    one.ended(&life(1), REQUEST, Millis(1_000));
+    assert!(one.served(REQUEST, Millis(1_500)));
+    one.take_record(&record, UNIX, Millis(3_000));
+    assert!(!one.refuses(REQUEST, Millis(3_000)));
+    let own = one.to_record(&record, false, UNIX, Millis(3_000));
+    let record = record.with(&own, UNIX).expect("two ends count no more");
+    other.take_record(&record, UNIX, Millis(3_100));
+    assert!(!other.refuses(REQUEST, Millis(3_100)));
+}
+
+/// Story of the load: boxes end by themselves, and requests that are cut go to another box. Each has
+/// up to four boxes; one is refused by chance if three of these end under it.
+#[test]
+fn innocent_requests_are_hardly_ever_refused_while_boxes_end_by_themselves() {
+    /// A request runs 0.5 s; of 13 replicas one ends each 3 s: 13 in 1,000 of the boxes that it is at
+    /// end under it.
+    const ENDS_UNDER_IT: usize = 13;
+    const REQUESTS: u128 = 200_000;
+    let mut seed = Seed::new(1);
+    let mut suspects = CrashSuspects::default();
+    let mut refused = 0;
+    for number in 0..REQUESTS {
+        let request = Fingerprint(number);
+        let at = Millis(number as u64 * 5);
+        let mut sent = 0;
+        while sent < 4 {
+            if suspects.refuses(request, at) {
+                refused += 1;
+                break;
+            }
+            sent += 1;
+            if seed.below(1_000) >= ENDS_UNDER_IT {
+                suspects.served(request, at);
+                break;
+            }
+            let ended = life((number * 4 + sent) as u64);
+            suspects.ended(&ended, request, at + Millis(500 * sent as u64));
+        }
+    }
+    // Three ends by chance are 2.2 in a million.
+    assert!(refused <= 3, "{refused} of {REQUESTS}");
+}
+
+proptest! {
+    /// Whoever tells of which end, in whatever order and however often: all daemons that know all of them
+    /// agree, and nothing is refused for fewer than three.
+    #[test]
+    fn daemons_agree_whatever_the_order(
+        told in prop::collection::vec((0_u64..5, 0_usize..3), 0..40),
+    ) {
+        let mut daemons: Vec<CrashSuspects> = (0..3).map(|_| CrashSuspects::default()).collect();
+        let mut at = 0;
+        for (number, to) in &told {
+            at += 150;
+            daemons[*to].ended(&life(*number), REQUEST, Millis(at));
+        }
+        let mut record = SuspectRecord::default();
+        for daemon in &daemons {
+            let own = daemon.to_record(&record, true, UNIX, Millis(at));
+            record = record.with(&own, UNIX).unwrap_or(record);
+        }
+        let ends: BTreeSet<u64> = told.iter().map(|(number, _)| *number).collect();
+        for daemon in &mut daemons {
+            daemon.take_record(&record, UNIX, Millis(at));
+            prop_assert_eq!(daemon.refuses(REQUEST, Millis(at)), ends.len() >= ENDS_BORNE);
+        }
+    }
+}
+
+/// Memory stays bounded whatever peers tell.
+#[test]
+fn any_number_of_requests_is_borne() {
+    let mut suspects = CrashSuspects::default();
+    for number in 0..6_000_u128 {
+        suspects.ended(&life((number % 97) as u64), Fingerprint(number), Millis(1));
+    }
+    let own = suspects.to_record(&SuspectRecord::default(), true, UNIX, Millis(2));
+    assert!(own.requests.len() <= 4_096);
+    let record = SuspectRecord::default().with(&own, UNIX).expect("some");
+    assert!(record.requests.len() <= 128);
+    assert_eq!(record.with(&own, UNIX), None);
+}
--- a/crates/cherrystand_core/tests/lost_replicas.rs
+++ b/crates/cherrystand_core/tests/lost_replicas.rs
@@ -58,6 +58,7 @@
         boxes: Arc::new(boxes),
         silent: ids(silent).into_iter().collect(),
         assigned: Arc::new([(("r".to_owned(), EPOCH), ids(&["a", "b", "c"]))].into()),
+        suspects: Arc::default(),
         listed: true,
         nodes: 2,
     }
--- a/crates/cherrystand_peer/src/load_news.rs
+++ b/crates/cherrystand_peer/src/load_news.rs
@@ -1,6 +1,6 @@
 //! What daemons tell each other many times a second, in datagrams that may be lost.
 
-use cherrystand_core::{BoxId, EndpointLoad, NodeId, ZoneId, ZoneLoads};
+use cherrystand_core::{BoxId, EndpointLoad, Fingerprint, NodeId, ZoneId, ZoneLoads};
 use serde::{Deserialize, Serialize};
 
 /// One datagram between daemons.
@@ -30,4 +30,8 @@
     Stalled(Vec<BoxId>),
     /// Names leaders that told the sender that they serve no more.
     Left(Vec<BoxId>),
+    /// Names a box that ended, and the requests of the sender that it was working on.
+    Ended(BoxId, Vec<Fingerprint>),
+    /// Names requests that were served whole after boxes had ended with them.
+    Served(Vec<Fingerprint>),
 }
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cherrystand_core::{ModelLoads, SiteView};
+use cherrystand_core::{ModelLoads, SiteView, SuspectRecord};
 use tokio::sync::watch;
 
 use crate::claims::ClaimCall;
@@ -97,6 +97,10 @@
     pub(crate) model_loads: watch::Receiver<Arc<ModelLoads>>,
     /// Where the request path publishes it.
     pub(crate) publish_model_loads: Arc<watch::Sender<Arc<ModelLoads>>>,
+    /// What this node has to say beside the store's record of requests that end replicas.
+    pub(crate) suspects: watch::Receiver<Arc<SuspectRecord>>,
+    /// Where the request path publishes it.
+    pub(crate) publish_suspects: Arc<watch::Sender<Arc<SuspectRecord>>>,
     /// The ring by which the request path has boxes looked at.
     pub(crate) hints: async_channel::Sender<Hint>,
     /// The other end of that ring; only the duty that reads the site reads it.
@@ -118,6 +122,7 @@
         let (publish, view) = watch::channel(Arc::new(first));
         let (publish_site, site) = watch::channel(Arc::default());
         let (publish_model_loads, model_loads) = watch::channel(Arc::default());
+        let (publish_suspects, suspects) = watch::channel(Arc::default());
         let (hints, hint_events) = async_channel::bounded(RING_SLOTS);
         let (stop, _) = watch::channel(StopPhase::Running);
         let metrics = Arc::new(metrics);
@@ -138,6 +143,8 @@
             publish_site: Arc::new(publish_site),
             model_loads,
             publish_model_loads: Arc::new(publish_model_loads),
+            suspects,
+            publish_suspects: Arc::new(publish_suspects),
             hints,
             hint_events,
             stop: Arc::new(stop),
--- a/crates/cherrystandd/src/keys.rs
+++ b/crates/cherrystandd/src/keys.rs
@@ -11,6 +11,9 @@
 /// Below this stand the domains' records.
 pub(crate) const DOMAINS: &str = "cherrystand/shared/domain/";
 
+/// Names the record of requests that end replicas.
+pub(crate) const SUSPECTS: &str = "cherrystand/shared/suspects";
+
 /// Names the box list among the records that daemons pass on; the platform keeps it elsewhere.
 pub(crate) const INVENTORY: &str = "platform/inventory";
 
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -32,6 +32,8 @@
     pub stream_ends: IntCounterVec,
     /// Answers that ended with the boxes that were making them.
     pub answers_ended_with_box: IntCounter,
+    /// Requests that are refused since each replica ended that ran them.
+    pub requests_refused_for_ends: IntGauge,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Seconds until the first byte of an answer.
@@ -95,6 +97,10 @@
                 "answers_ended_with_box_total",
                 "Answers that ended with the boxes that were making them.",
             )?,
+            requests_refused_for_ends: make.gauge(
+                "requests_refused_for_ends",
+                "Requests refused since each replica ended that ran them.",
+            )?,
             in_flight: make.gauge("requests_in_flight", "Requests in flight.")?,
             first_byte: make.histogram("first_byte_seconds", "Time to the first byte.")?,
             claims: make.counters("claims_total", "Claims on calls.", &["answer"])?,
--- a/crates/cherrystandd/src/relay/answer.rs
+++ b/crates/cherrystandd/src/relay/answer.rs
@@ -169,5 +169,8 @@
             "This node is cut off and does not serve; try another one."
         }
         (RefusalReason::Stopping, _) => "This node is stopping; try another one.",
+        (RefusalReason::EndsReplicas, _) => {
+            "Each replica that ran this request ended; do not send it again unchanged."
+        }
     }
 }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -23,6 +23,7 @@
 use crate::site::known::Known;
 use crate::site::peer_choice::PeerChoice;
 use crate::site::reader_notes::keep_note;
+use crate::site::suspect_notes::keep_suspects;
 use crate::site::watching::{follow_config, follow_store};
 use crate::state::{StateEvent, View};
 use crate::{DutyContext, DutyError, StopPhase, keys};
@@ -62,6 +63,7 @@
         tokio::task::spawn_local(follow_config(control.clone()));
         tokio::task::spawn_local(follow_hints(control.clone()));
         tokio::task::spawn_local(keep_note(control.clone()));
+        tokio::task::spawn_local(keep_suspects(control.clone()));
         tokio::select! {
             () = control.clone().steps() => {}
             () = cx.stopping(StopPhase::Stopped) => {}
--- a/crates/cherrystandd/src/site/crash_watch.rs
+++ b/crates/cherrystandd/src/site/crash_watch.rs
@@ -1,31 +1,105 @@
 //! Watching which requests were at boxes as these ended.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use cherrystand_core::{BoxId, CrashSuspects, CutAnswers, CutStep, Fingerprint, SiteView};
+use cherrystand_core::{
+    BoxId, CrashSuspects, CutAnswers, CutStep, ENDS_BORNE, Fingerprint, Millis, SiteView,
+    SuspectRecord,
+};
+use cherrystand_peer::LoadNews;
 use tokio::net::TcpStream;
 
-use crate::DutyContext;
 use crate::site::front::Front;
+use crate::site::load_exchange::LoadExchange;
+use crate::site::request::SiteRequest;
+use crate::{DutyContext, clock};
 
 /// How long a box may take to accept a connection that shows that it is there.
 const CONNECT_WITHIN: Duration = Duration::from_millis(250);
 
-/// Keeps requests that were at boxes as these ended.
+/// How many requests of one box are taken from a peer's news; an engine has places for some 30, and as
+/// many wait.
+const MOST_AT_ONE_BOX: usize = 1_024;
+
+/// How often a request that keeps coming is told anew to the store's record, which remembers it for an
+/// hour.
+const TOLD_ANEW_AFTER: Millis = Millis(600_000);
+
+/// Keeps requests that were at boxes as these ended, and says which are sent no more.
+///
+/// What is found here is told to peers at once, and to the store where it is to last.
 pub(crate) struct CrashWatch {
     cx: DutyContext,
+    loads: Rc<LoadExchange>,
     cut: RefCell<CutAnswers>,
     suspects: RefCell<CrashSuspects>,
+    /// The store's record as it was last taken over.
+    recorded: RefCell<Arc<SuspectRecord>>,
+    published: Cell<Millis>,
 }
 
 impl CrashWatch {
     /// Creates one that knows of no end.
-    pub(crate) fn new(cx: DutyContext) -> Self {
-        Self { cx, cut: RefCell::default(), suspects: RefCell::default() }
+    pub(crate) fn new(cx: DutyContext, loads: Rc<LoadExchange>) -> Self {
+        Self {
+            cx,
+            loads,
+            cut: RefCell::default(),
+            suspects: RefCell::default(),
+            recorded: RefCell::default(),
+            published: Cell::default(),
+        }
+    }
+
+    /// Tells whether a request that has `open` attempts may be sent once more.
+    ///
+    /// Each open attempt, and each box that is not yet known to have ended, may turn out to be one end
+    /// more: so no daemon sends it where it could end more than [`ENDS_BORNE`].
+    pub(crate) fn may_send(&self, req: &SiteRequest, open: u32) -> bool {
+        let mut suspects = self.suspects.borrow_mut();
+        let cut = self.cut.borrow();
+        // Most requests come while nothing is suspected, and need no fingerprint.
+        if suspects.is_empty() && cut.is_empty() {
+            return true;
+        }
+        let (request, now) = (req.fingerprint(), self.cx.clock.now());
+        let refused = suspects.refuses(request, now);
+        let may_end = suspects.ends_of(request) + cut.undecided_of(request) + open as usize;
+        drop(suspects);
+        if refused && now.since(self.published.get()) >= TOLD_ANEW_AFTER {
+            self.publish();
+        }
+        may_end < ENDS_BORNE
+    }
+
+    /// Takes in that a request was served whole, so that what ended before did not end by it.
+    pub(crate) fn served(&self, req: &SiteRequest) {
+        if self.suspects.borrow().is_empty() {
+            return;
+        }
+        let request = req.fingerprint();
+        if self.suspects.borrow_mut().served(request, self.cx.clock.now()) {
+            self.loads.tell_all(LoadNews::Served(vec![request]));
+            self.publish();
+        }
+    }
+
+    /// Takes in what a peer tells of a box that ended: its own requests there count as well.
+    pub(crate) fn peer_saw_end(&self, life: &BoxId, requests: &[Fingerprint]) {
+        self.ended(life);
+        self.note(life, &requests[..requests.len().min(MOST_AT_ONE_BOX)]);
+    }
+
+    /// Takes in that a peer served requests whole.
+    pub(crate) fn peer_served(&self, requests: &[Fingerprint]) {
+        let now = self.cx.clock.now();
+        let mut suspects = self.suspects.borrow_mut();
+        requests.iter().for_each(|request| _ = suspects.served(*request, now));
     }
 
     /// Takes in that a box cut the answer to a request, and finds out whether the box ended.
@@ -38,7 +112,7 @@
         match step {
             CutStep::Ask => self.ask(front, life),
             CutStep::Wait => {}
-            CutStep::Ended => self.note(life, &[request]),
+            CutStep::Ended => self.found(life, vec![request]),
         }
     }
 
@@ -55,34 +129,73 @@
         });
     }
 
-    /// Takes in by the newest view which boxes ended that cut answers.
+    /// Takes in by the newest view which boxes ended that cut answers, and the store's record.
     pub(crate) fn follow(&self, view: &SiteView) {
         let is_gone =
             |life: &&BoxId| !view.boxes.contains_key(*life) || view.silent.contains(*life);
         let ended: Vec<BoxId> = self.cut.borrow().undecided().filter(is_gone).cloned().collect();
         ended.iter().for_each(|life| self.ended(life));
+        if !Arc::ptr_eq(&view.suspects, &self.recorded.borrow()) {
+            self.recorded.replace(view.suspects.clone());
+            let now = self.cx.clock.now();
+            let mut suspects = self.suspects.borrow_mut();
+            suspects.forget(now);
+            suspects.take_record(&view.suspects, clock::unix_millis(), now);
+            drop(suspects);
+            self.publish();
+        }
     }
 
     /// Takes in that a box ended.
     fn ended(&self, life: &BoxId) {
         let requests = self.cut.borrow_mut().ended(life, self.cx.clock.now());
+        if !requests.is_empty() {
+            self.found(life, requests);
+        }
+    }
+
+    /// Notes requests of this node that were at a box as it ended, and tells peers.
+    fn found(&self, life: &BoxId, requests: Vec<Fingerprint>) {
+        self.cx.metrics.answers_ended_with_box.inc_by(requests.len() as u64);
         self.note(life, &requests);
+        self.loads.tell_all(LoadNews::Ended(life.clone(), requests));
     }
 
     /// Notes requests whose answers ended with their box, and writes down how often they were at such
     /// ends.
     fn note(&self, life: &BoxId, requests: &[Fingerprint]) {
+        let now = self.cx.clock.now();
         let mut suspects = self.suspects.borrow_mut();
-        let ends = requests.iter().map(|request| (suspects.ended(life, *request), *request));
+        let ends = requests.iter().map(|request| (suspects.ended(life, *request, now), *request));
         let ends: Vec<(usize, Fingerprint)> = ends.collect();
+        drop(suspects);
         let Some((most, request)) = ends.iter().max() else { return };
         let again = ends.iter().filter(|(ends, _)| *ends > 1).count();
-        self.cx.metrics.answers_ended_with_box.inc_by(ends.len() as u64);
         log::warn!(
             target_box = life.as_str(), requests = ends.len(), at_earlier_ends = again,
             most_ends = *most, fingerprint = request.to_string();
             "a box ended while it worked on requests"
         );
+        for (_, request) in ends.iter().filter(|(ends, _)| *ends >= ENDS_BORNE) {
+            log::warn!(
+                fingerprint = request.to_string();
+                "a request is refused from now on: it was at the ends of {ENDS_BORNE} boxes"
+            );
+        }
+        self.publish();
+    }
+
+    /// Publishes what this node has to say beside the store's record.
+    fn publish(&self) {
+        let now = self.cx.clock.now();
+        self.published.set(now);
+        let alone = self.cx.view.borrow().alive().count() <= 1;
+        let suspects = self.suspects.borrow();
+        self.cx.metrics.requests_refused_for_ends.set(suspects.refused() as i64);
+        let own = suspects.to_record(&self.recorded.borrow(), alone, clock::unix_millis(), now);
+        if !own.requests.is_empty() {
+            self.cx.publish_suspects.send_replace(Arc::new(own));
+        }
     }
 }
 
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -121,6 +121,7 @@
     pub(crate) fn succeeded(&self) {
         let now = self.front.now();
         self.front.chooser.borrow_mut().succeeded(self.key, now);
+        self.front.crashes.served(&self.req);
     }
 
     /// Notes that the endpoint failed the request.
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -32,10 +32,12 @@
     let id = Driver::read_request(req.headers()).id.unwrap_or_default();
     let mut answer = match serve_request(&front, req).await {
         Ok(answer) => return answer,
-        Err(status) => plain(status),
+        Err(refused) => {
+            front.count_refusal(refused.reason);
+            plain(refused.status)
+        }
     };
     let status = answer.status();
-    front.count_refusal(refusal_reason(status));
     if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
         Driver::write_retry_after(answer.headers_mut(), COME_BACK);
     }
@@ -45,6 +47,28 @@
     answer
 }
 
+/// An answer of the node's own.
+struct Refused {
+    status: StatusCode,
+    /// As metrics name it.
+    reason: &'static str,
+}
+
+impl From<StatusCode> for Refused {
+    fn from(status: StatusCode) -> Self {
+        Self { status, reason: refusal_reason(status) }
+    }
+}
+
+/// Refuses a request that ended each replica that ran it.
+///
+/// No promise goes with it, as its earlier tries have run, and no time to come back.
+fn refuse_for_ends() -> Refused {
+    let reason = RefusalReason::EndsReplicas;
+    let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    Refused { status, reason: reason.as_str() }
+}
+
 /// Returns the reason for an answer of the node's own, as metrics name it.
 fn refusal_reason(status: StatusCode) -> &'static str {
     match status {
@@ -63,13 +87,13 @@
 async fn serve_request(
     front: &Rc<Front>,
     req: Request<Incoming>,
-) -> Result<Response<CallerBody>, StatusCode> {
+) -> Result<Response<CallerBody>, Refused> {
     let came = front.now();
     let view = front.follow_once_known().await;
     let table = view.table.as_ref().ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let (head, body) = req.into_parts();
     if head_bytes(&head) > table.config().limits.head_bytes {
-        return Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+        return Err(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE.into());
     }
     let facts = Driver::read_request(&head.headers);
     let (route, tenant, service) = allow(table, &head, &facts)?;
@@ -81,11 +105,14 @@
         SiteRequest { facts, head, body, route, tenant, service, came, deadline, fingerprint };
     let req = Rc::new(req);
     front.repeats.earn(&req.service);
-    if req.route.kind == RouteKind::Streaming {
-        stream(front, req).await
-    } else {
-        whole(front, &req).await
+    if !front.crashes.may_send(&req, 0) {
+        return Err(refuse_for_ends());
     }
+    let answer = match req.route.kind {
+        RouteKind::Streaming => stream(front, req).await,
+        _ => whole(front, &req).await,
+    };
+    Ok(answer?)
 }
 
 async fn stream(
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -69,7 +69,7 @@
     /// Where failed requests are written down.
     pub(crate) failures: FailureLog,
     /// Requests that were at boxes as these ended.
-    pub(crate) crashes: CrashWatch,
+    pub(crate) crashes: Rc<CrashWatch>,
     /// What peers have in flight.
     loads: Rc<LoadExchange>,
 }
@@ -80,6 +80,7 @@
         cx: DutyContext,
         chooser: Rc<RefCell<Chooser>>,
         loads: Rc<LoadExchange>,
+        crashes: Rc<CrashWatch>,
     ) -> Self {
         Self {
             chooser,
@@ -88,7 +89,7 @@
             addresses: RefCell::default(),
             repeats: RetryShares::new(cx.clone()),
             failures: FailureLog::new(cx.clock),
-            crashes: CrashWatch::new(cx.clone()),
+            crashes,
             seed: Cell::new(Seed::new(clock::unix_millis())),
             loads,
             cx,
--- a/crates/cherrystandd/src/site/front_duty.rs
+++ b/crates/cherrystandd/src/site/front_duty.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::kernel::{Duty, Serves};
+use crate::site::crash_watch::CrashWatch;
 use crate::site::flow::handle;
 use crate::site::front::Front;
 use crate::site::load_exchange::{LoadExchange, exchange_loads};
@@ -38,8 +39,10 @@
     let operators = listen(cx.settings.listen.operators).await?;
     let chooser = Rc::new(RefCell::new(Chooser::new(cx.settings.policy)));
     let loads = Rc::new(LoadExchange::default());
-    tokio::task::spawn_local(exchange_loads(cx.clone(), chooser.clone(), loads.clone()));
-    let front = Rc::new(Front::new(cx.clone(), chooser, loads));
+    let crashes = Rc::new(CrashWatch::new(cx.clone(), loads.clone()));
+    let exchange = exchange_loads(cx.clone(), chooser.clone(), loads.clone(), crashes.clone());
+    tokio::task::spawn_local(exchange);
+    let front = Rc::new(Front::new(cx.clone(), chooser, loads, crashes));
     let (stop, stopped) = watch::channel(false);
     serve_pages(ready, cx.clone(), pages::ready, stopped.clone());
     serve_pages(operators, cx.clone(), pages::counters, stopped.clone());
--- /dev/null
+++ b/crates/cherrystandd/src/site/held_suspects.rs
@@ -0,0 +1,41 @@
+//! The store's record of requests that end replicas, as it was last told.
+
+use std::sync::Arc;
+
+use cherrystand_core::{Document, Revision, SuspectRecord};
+
+/// Keeps the latest record and the copy that peers get.
+#[derive(Default)]
+pub(crate) struct HeldSuspects {
+    /// The revision of the last one, whether it could be read or not: it is written over.
+    revision: Revision,
+    copy: Option<Document>,
+    record: Arc<SuspectRecord>,
+}
+
+impl HeldSuspects {
+    /// Takes in a record, unless a later one is held, and tells whether it did.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is malformed; the one held stays.
+    pub(crate) fn take(&mut self, copy: &Document) -> Result<bool, serde_json::Error> {
+        if self.revision >= copy.revision {
+            return Ok(false);
+        }
+        self.revision = copy.revision;
+        self.record = Arc::new(serde_json::from_str(&copy.body)?);
+        self.copy = Some(copy.clone());
+        Ok(true)
+    }
+
+    /// Returns the record and its revision; an empty one where there is none.
+    pub(crate) fn get(&self) -> (Revision, Arc<SuspectRecord>) {
+        (self.revision, self.record.clone())
+    }
+
+    /// Returns the copy that peers get.
+    pub(crate) fn copy(&self) -> Option<&Document> {
+        self.copy.as_ref()
+    }
+}
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -7,6 +7,7 @@
 use cherrystand_core::{
     AssignedBoxes, BoxId, BoxLives, ChangeLog, ChangesSince, Document, DomainId, DomainRecord,
     Epoch, MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
+    SuspectRecord,
 };
 use cherrystand_peer::ChangeNews;
 use cherrystand_platform::{Changes, SiteDriver};
@@ -14,6 +15,7 @@
 use crate::keys;
 use crate::site::Driver;
 use crate::site::domain_records::DomainRecords;
+use crate::site::held_suspects::HeldSuspects;
 use crate::site::refused_values::{RefusedKind, RefusedValues};
 
 /// For how long a box that is listed no more is remembered.
@@ -53,6 +55,7 @@
     pub(super) boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
     pub(super) departed: BTreeMap<BoxId, Departed>,
     pub(super) records: DomainRecords,
+    suspects: HeldSuspects,
     pub(super) silent: BTreeMap<BoxId, Millis>,
     /// Members of replicas whose entries went, and that nobody asked since whether they are there.
     pub(super) unasked: Vec<SiteBox>,
@@ -164,9 +167,25 @@
             self.take_entry(record, now);
         } else if record.key.starts_with(keys::DOMAINS) {
             self.take_domain(record);
+        } else if &*record.key == keys::SUSPECTS {
+            self.take_suspects(record);
         }
     }
 
+    /// Takes in the record of requests that end replicas, unless a later one is held.
+    pub(crate) fn take_suspects(&mut self, copy: &Document) {
+        match self.suspects.take(copy) {
+            Ok(true) => self.log.record(copy.clone()),
+            Ok(false) => {}
+            Err(err) => self.refused.note(copy, RefusedKind::Suspects, &err),
+        }
+    }
+
+    /// Returns the record of requests that end replicas and its revision.
+    pub(crate) fn suspects(&self) -> (Revision, Arc<SuspectRecord>) {
+        self.suspects.get()
+    }
+
     /// Notes that the store does not answer.
     pub(crate) fn store_failed(&mut self) {
         self.outage.failed();
@@ -408,7 +427,7 @@
     /// Returns the domains' records and all entries as they stand.
     pub(crate) fn everything(&self) -> Vec<Document> {
         let domains = self.records.copies();
-        domains.chain(self.entries.values()).cloned().collect()
+        domains.chain(self.entries.values()).chain(self.suspects.copy()).cloned().collect()
     }
 
     /// Tells whether boxes are kept that the store lists no more.
@@ -461,6 +480,7 @@
                 true => self.assigned().clone(),
                 false => Arc::default(),
             },
+            suspects: self.suspects.get().1,
             listed: self.listed,
             nodes,
         }
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -18,6 +18,7 @@
 
 use crate::DutyContext;
 use crate::site::Hint;
+use crate::site::crash_watch::CrashWatch;
 
 /// The time between two tellings while requests are in flight.
 const TELL_EVERY: Duration = Duration::from_millis(200);
@@ -50,6 +51,8 @@
     /// finding a member silent.
     ended: RefCell<BTreeMap<BoxId, Millis>>,
     to_ask: RefCell<Vec<BoxId>>,
+    /// What all peers are told at once beside.
+    to_all: RefCell<Vec<LoadNews>>,
     /// When peers were last asked about a leader.
     asked: RefCell<BTreeMap<BoxId, Millis>>,
     /// When a peer last answered such a question, whatever it had seen.
@@ -71,6 +74,12 @@
         self.urgent.notify_one();
     }
 
+    /// Tells all peers something at once.
+    pub(crate) fn tell_all(&self, news: LoadNews) {
+        self.to_all.borrow_mut().push(news);
+        self.urgent.notify_one();
+    }
+
     /// Notes that a leader serves no more.
     fn note_ended(&self, leader: &BoxId, now: Millis) {
         let mut ended = self.ended.borrow_mut();
@@ -124,6 +133,7 @@
     cx: DutyContext,
     chooser: Rc<RefCell<Chooser>>,
     loads: Rc<LoadExchange>,
+    crashes: Rc<CrashWatch>,
 ) {
     let address = cx.settings.listen.peers;
     let socket = match UdpSocket::bind(address).await {
@@ -131,7 +141,7 @@
         // Loads only make the choice better.
         Err(err) => return log::error!("no loads are exchanged, {address} cannot be bound: {err}"),
     };
-    let exchange = Exchange { cx, chooser, loads, socket };
+    let exchange = Exchange { cx, chooser, loads, crashes, socket };
     tokio::join!(exchange.hear(), exchange.tell());
 }
 
@@ -140,6 +150,7 @@
     cx: DutyContext,
     chooser: Rc<RefCell<Chooser>>,
     loads: Rc<LoadExchange>,
+    crashes: Rc<CrashWatch>,
     socket: Rc<UdpSocket>,
 }
 
@@ -187,6 +198,8 @@
                 leaders.iter().for_each(|leader| self.loads.note_ended(leader, now));
                 self.avoid(&leaders, now);
             }
+            LoadNews::Ended(life, requests) => self.crashes.peer_saw_end(&life, &requests),
+            LoadNews::Served(requests) => self.crashes.peer_served(&requests),
         }
     }
 
@@ -243,6 +256,7 @@
         let stalled = std::mem::take(&mut *self.loads.stalled.borrow_mut());
         let left = std::mem::take(&mut *self.loads.left.borrow_mut());
         let asked = std::mem::take(&mut *self.loads.to_ask.borrow_mut());
+        let to_all = std::mem::take(&mut *self.loads.to_all.borrow_mut());
         let view = self.cx.view_now();
         let alive: Vec<&Heartbeat> = view.alive().collect();
         let others = alive.iter().filter(|beat| beat.node != view.own.node);
@@ -253,6 +267,9 @@
         if !left.is_empty() {
             self.send(&LoadNews::Left(left), &all).await;
         }
+        for news in to_all {
+            self.send(&news, &all).await;
+        }
         if !asked.is_empty() {
             // Those that are near, and of other zones the relays, which know their peers' loads.
             let near = others.filter(|beat| beat.zone == view.own.zone).map(|beat| beat.address);
@@ -326,6 +343,7 @@
             LoadNews::Zone(_) => "zone-loads",
             LoadNews::Asked(_) | LoadNews::Seen(_) => "progress",
             LoadNews::Stalled(_) | LoadNews::Left(_) => "out-of-service",
+            LoadNews::Ended(..) | LoadNews::Served(_) => "ends-with-requests",
         };
         self.cx.metrics.peer_bytes.with_label_values(&[way, kind]).inc_by(bytes as u64);
     }
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -15,6 +15,7 @@
 mod flow;
 mod front;
 mod front_duty;
+mod held_suspects;
 mod hint;
 mod known;
 mod load_exchange;
@@ -26,6 +27,7 @@
 mod request;
 mod retry_shares;
 mod stream_run;
+mod suspect_notes;
 mod tries;
 mod watching;
 
--- a/crates/cherrystandd/src/site/refused_values.rs
+++ b/crates/cherrystandd/src/site/refused_values.rs
@@ -25,11 +25,14 @@
     Configuration,
     /// The record of a domain.
     DomainRecord,
+    /// The record of requests that end replicas.
+    Suspects,
 }
 
 impl RefusedKind {
     /// Lists them all.
-    pub(crate) const ALL: [Self; 3] = [Self::Entry, Self::Configuration, Self::DomainRecord];
+    pub(crate) const ALL: [Self; 4] =
+        [Self::Entry, Self::Configuration, Self::DomainRecord, Self::Suspects];
 
     /// Returns the name that metrics and logs use.
     pub(crate) fn as_str(self) -> &'static str {
@@ -37,6 +40,7 @@
             Self::Entry => "entry",
             Self::Configuration => "configuration",
             Self::DomainRecord => "domain-record",
+            Self::Suspects => "suspects",
         }
     }
 }
--- a/crates/cherrystandd/src/site/retry_shares.rs
+++ b/crates/cherrystandd/src/site/retry_shares.rs
@@ -51,6 +51,11 @@
         self.cx.metrics.retries_withheld.with_label_values(&["stays"]).inc();
     }
 
+    /// Counts a request that is sent no further since it may be what ends its replicas.
+    pub(crate) fn count_suspect(&self) {
+        self.cx.metrics.retries_withheld.with_label_values(&["ends-replicas"]).inc();
+    }
+
     fn with_share<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryShare) -> T) -> T {
         let bounds = self.cx.settings.site.as_ref().map(|site| site.retry_bounds());
         let mut shares = self.shares.borrow_mut();
--- a/crates/cherrystandd/src/site/tries.rs
+++ b/crates/cherrystandd/src/site/tries.rs
@@ -45,6 +45,9 @@
         if !may_resume || front.now() >= req.deadline {
             return None;
         }
+        if !self.may_end_another(front, req) {
+            return None;
+        }
         if !front.has_repeat(req) {
             // It is looked at 25 times a second.
             if !std::mem::replace(&mut self.stay_counted, true) {
@@ -69,7 +72,16 @@
     pub(crate) fn go_on(&mut self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> bool {
         self.ledger.ended(end);
         let may_send = self.ledger.may_send(&req.route, front.now(), req.deadline);
-        may_send && front.may_repeat(req, end)
+        may_send && self.may_end_another(front, req) && front.may_repeat(req, end)
+    }
+
+    /// Tells whether the request may be sent once more though it may be what ends its replicas.
+    fn may_end_another(&self, front: &Front, req: &SiteRequest) -> bool {
+        let may = front.crashes.may_send(req, self.ledger.open());
+        if !may {
+            front.repeats.count_suspect();
+        }
+        may
     }
 
     /// Writes the failure down and says what the caller is told.
