fix: alike requests are not refused for the ends of boxes that they met; the clock counts suspended time

Requests that end boxes: the soak plays them now (--crashes). A request that a node served within 60 s ends no box, and the node speaks for it to peers that tell of an end.

--- a/crates/cherrystand_core/benches/node_costs.rs
+++ b/crates/cherrystand_core/benches/node_costs.rs
@@ -1,6 +1,7 @@
 //! What one daemon spends on the others and on the boxes as both grow, in microseconds.
 //!
 //! Each line is one thing that happens many times a second at every daemon of a large deployment.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
--- a/crates/cherrystand_core/benches/routing.rs
+++ b/crates/cherrystand_core/benches/routing.rs
@@ -1,4 +1,5 @@
 //! What one choice of an endpoint costs as endpoints grow, and how choices spread the load.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 use std::hint::black_box;
 use std::time::Instant;
--- a/crates/cherrystand_core/src/site/crash_suspects.rs
+++ b/crates/cherrystand_core/src/site/crash_suspects.rs
@@ -5,7 +5,7 @@
 //!
 //! Source: docs/design/0018-requests-that-crash-replicas.md.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use crate::{BoxId, Fingerprint, Millis, SuspectEntry, SuspectRecord};
 
@@ -33,6 +33,14 @@
 /// How many moments are remembered of one request; it is sent no more long before.
 const MOST_MOMENTS: usize = 8;
 
+/// A request that was served within this time ends no box: many callers send requests that are alike, such
+/// as calls without a body, and some of these are at every box that ends.
+const SERVED_LATELY: Millis = Millis(60_000);
+
+/// How many requests are remembered to have been served, 40 bytes each; a daemon of the target size
+/// serves 34 a second.
+const MOST_SERVED: usize = 4_096;
+
 /// From this many ends on a request stands in the store, so that a daemon that missed what peers told, or
 /// starts later, knows of it.
 const RECORDED_FROM: usize = 2;
@@ -90,6 +98,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashSuspects {
     held: BTreeMap<Fingerprint, Suspect>,
+    /// When requests were last served whole by this daemon.
+    served: HashMap<Fingerprint, Millis>,
+    /// The same in the order of time, for forgetting.
+    served_order: VecDeque<(Millis, Fingerprint)>,
 }
 
 impl CrashSuspects {
@@ -98,8 +110,28 @@
         self.held.is_empty()
     }
 
-    /// Takes in that a box ended while it had a request, and returns at how many ends it was by now.
+    /// Tells whether this daemon served a request a short while ago.
+    pub fn was_served_lately(&self, request: Fingerprint, now: Millis) -> bool {
+        self.served.get(&request).is_some_and(|at| now.since(*at) < SERVED_LATELY)
+    }
+
+    fn note_served(&mut self, request: Fingerprint, now: Millis) {
+        self.served.insert(request, now);
+        self.served_order.push_back((now, request));
+        while self.served_order.len() > MOST_SERVED {
+            let Some((at, oldest)) = self.served_order.pop_front() else { return };
+            if self.served.get(&oldest) == Some(&at) {
+                self.served.remove(&oldest);
+            }
+        }
+    }
+
+    /// Takes in that a box ended while it had a request, and returns at how many ends it was by now; none
+    /// where it was served lately.
     pub fn ended(&mut self, life: &BoxId, request: Fingerprint, now: Millis) -> usize {
+        if self.was_served_lately(request, now) {
+            return 0;
+        }
         self.make_room(request, now);
         let suspect = self.held.entry(request).or_default();
         if !suspect.has(life) {
@@ -112,6 +144,12 @@
     /// Takes in that a request was served whole: the boxes that ended before did not end by it. Tells
     /// whether that says anything new.
     pub fn served(&mut self, request: Fingerprint, now: Millis) -> bool {
+        self.note_served(request, now);
+        self.acquit(request, now)
+    }
+
+    /// Takes in that a request was served by whichever daemon, and tells whether that says anything new.
+    pub fn acquit(&mut self, request: Fingerprint, now: Millis) -> bool {
         let Some(suspect) = self.held.get_mut(&request) else { return false };
         let is_news = !suspect.moments.is_empty();
         suspect.acquit();
@@ -148,6 +186,9 @@
             for lives in &entry.ended {
                 take_moment(suspect, lives, now);
             }
+            if self.was_served_lately(entry.request, now) {
+                self.acquit(entry.request, now);
+            }
         }
     }
 
--- a/crates/cherrystand_core/src/site/cut_answers.rs
+++ b/crates/cherrystand_core/src/site/cut_answers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{BoxId, Fingerprint, Millis};
+use crate::{BoxId, Fingerprint, Millis, SiteView};
 
 /// For how long a box may turn out to have ended after it cut an answer: its entry goes after three
 /// heartbeats, of 1.2 s in use.
@@ -28,6 +28,8 @@
 struct Undecided {
     since: Millis,
     requests: BTreeSet<Fingerprint>,
+    /// Whether a connection was accepted since.
+    accepts: bool,
 }
 
 /// Keeps answers that broke off until their boxes are found to have ended, or to live.
@@ -47,18 +49,22 @@
         if self.ended.contains_key(life) {
             return CutStep::Ended;
         }
-        let is_new = !self.undecided.contains_key(life);
+        let is_asked = self.undecided.get(life).is_some_and(|held| !held.accepts);
         let held = self.undecided.entry(life.clone()).or_default();
-        if is_new {
-            held.since = now;
-        }
         held.requests.insert(request);
-        if is_new { CutStep::Ask } else { CutStep::Wait }
+        if is_asked {
+            return CutStep::Wait;
+        }
+        (held.since, held.accepts) = (now, false);
+        CutStep::Ask
     }
 
-    /// Takes in that a box is there after all: it cut the answers and lives.
-    pub fn lives(&mut self, life: &BoxId) {
-        self.undecided.remove(life);
+    /// Takes in that somebody accepts connections where a box is: it cut the answers and lives, or what
+    /// stands before it does not know yet that it ended.
+    pub fn accepts(&mut self, life: &BoxId) {
+        if let Some(held) = self.undecided.get_mut(life) {
+            held.accepts = true;
+        }
     }
 
     /// Takes in that a box ended, and returns the requests whose answers it cut.
@@ -74,14 +80,20 @@
         self.undecided.is_empty()
     }
 
-    /// Lists the boxes of which it is not known yet whether they ended.
-    pub fn undecided(&self) -> impl Iterator<Item = &BoxId> {
-        self.undecided.keys()
+    /// Lists the boxes that have ended by what is known of them: those that started again, and those
+    /// whose entries are gone unless they accept connections.
+    pub fn ended_by(&self, view: &SiteView) -> Vec<BoxId> {
+        let has_ended = |(life, held): &(&BoxId, &Undecided)| {
+            let is_gone = !view.boxes.contains_key(*life) || view.silent.contains(*life);
+            view.has_started_again(life) || (is_gone && !held.accepts)
+        };
+        self.undecided.iter().filter(has_ended).map(|(life, _)| life.clone()).collect()
     }
 
     /// Returns how many boxes cut a request's answer and may have ended.
     pub fn undecided_of(&self, request: Fingerprint) -> usize {
-        self.undecided.values().filter(|held| held.requests.contains(&request)).count()
+        let held = self.undecided.values().filter(|held| !held.accepts);
+        held.filter(|held| held.requests.contains(&request)).count()
     }
 
     fn forget(&mut self, now: Millis) {
--- a/crates/cherrystand_core/src/site/site_view.rs
+++ b/crates/cherrystand_core/src/site/site_view.rs
@@ -160,7 +160,7 @@
     }
 
     /// Tells whether a box is listed in another life than the one named.
-    fn has_started_again(&self, id: &BoxId) -> bool {
+    pub fn has_started_again(&self, id: &BoxId) -> bool {
         if id.start().is_none() {
             return false;
         }
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -6,7 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -17,6 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::since_boot;
+
 /// How many idle connections are kept to one address.
 const KEPT_IDLE: usize = 64;
 
@@ -50,7 +52,8 @@
     address: SocketAddr,
     send: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    idle_since: Instant,
+    /// On the clock that counts suspended time: peers close what rests meanwhile.
+    idle_since: Duration,
 }
 
 impl Drop for Connection {
@@ -98,7 +101,7 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         while let Some(conn) = list.pop() {
-            if conn.send.is_ready() && conn.idle_since.elapsed() < IDLE_LIFE {
+            if conn.send.is_ready() && since_boot().saturating_sub(conn.idle_since) < IDLE_LIFE {
                 return Some(conn);
             }
         }
@@ -106,7 +109,7 @@
     }
 
     fn give_back(&self, mut conn: Connection) {
-        conn.idle_since = Instant::now();
+        conn.idle_since = since_boot();
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(conn.address).or_default();
         if list.len() < KEPT_IDLE {
@@ -143,7 +146,7 @@
         // The request's own future reports the failure.
         let _ = conn.await;
     });
-    Ok(Connection { address, send, driver, idle_since: Instant::now() })
+    Ok(Connection { address, send, driver, idle_since: since_boot() })
 }
 
 /// The body of an answer; it gives its connection back when it has been read to the end.
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -1,6 +1,10 @@
 //! Stand-ins for the platform and for endpoints, for tests and demonstrations.
 //!
 //! Each is a small fake at an interface; none simulates a cluster.
+#![allow(
+    clippy::disallowed_methods,
+    reason = "stand-ins and callers measure short times of a machine that is awake"
+)]
 
 mod domain {
     pub(crate) mod fake_box;
--- a/crates/cherrystand_testkit/src/site/site_setup.rs
+++ b/crates/cherrystand_testkit/src/site/site_setup.rs
@@ -43,6 +43,8 @@
     pub first_start: bool,
     /// Repeats in one window beyond the share of requests, over all daemons.
     pub retry_slack: f64,
+    /// By how much a signal moves its clock on, in milliseconds, as a suspension does; 0 for none.
+    pub suspended_ms: u64,
 }
 
 impl fmt::Display for NodeSettings {
@@ -55,7 +57,7 @@
              linger_ms = {LINGER_MS}\n[site]\nready = \"{}\"\nchanges = \"{}\"\n\
              first_start = {}\ngrace_ms = {GRACE_MS}\nretry_ratio = {RETRY_RATIO:?}\n\
              retry_slack = {:?}\nretry_window_s = {RETRY_WINDOW_S}\n\
-             [policy]\nnote_readers_from = 0\n",
+             [policy]\nnote_readers_from = 0\n[testing]\nsuspended_ms = {}\n",
             self.name,
             seeds.join(", "),
             self.callers,
@@ -66,6 +68,7 @@
             self.changes,
             self.first_start,
             self.retry_slack,
+            self.suspended_ms,
         )
     }
 }
--- a/crates/cherrystand_testkit/src/soak/callers.rs
+++ b/crates/cherrystand_testkit/src/soak/callers.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, StatusCode};
 
 use crate::soak::seen::{Answered, Call, Seen};
-use crate::whole_stream;
+use crate::{CRASHES, whole_stream};
 
 /// How long a caller waits, in milliseconds.
 const DEADLINE_MS: u64 = 5_000;
@@ -26,6 +26,9 @@
 /// The pause between two requests of one caller at the most, in milliseconds.
 const LONGEST_PAUSE: usize = 60;
 
+/// The pause between two tries of a request that ends boxes.
+const CRASH_EVERY: Duration = Duration::from_millis(150);
+
 /// The keys that callers bring, by version of the configuration.
 #[derive(Clone, Default)]
 pub(crate) struct Keys {
@@ -98,6 +101,17 @@
         }
     }
 
+    /// Sends a request that ends boxes to one daemon after the other until `stop`.
+    pub(crate) async fn run_crashing(self, daemons: Vec<SocketAddr>, stop: Rc<Cell<bool>>) {
+        for (daemon, at) in daemons.iter().enumerate().cycle() {
+            if stop.get() {
+                return;
+            }
+            self.send(daemon, *at, Call::Crash).await;
+            tokio::time::sleep(CRASH_EVERY).await;
+        }
+    }
+
     /// Sends one request, and notes and returns how it was answered.
     pub(crate) async fn send(&self, daemon: usize, at: SocketAddr, call: Call) -> Option<Answered> {
         let key = match call {
@@ -119,7 +133,7 @@
         let (method, path) = match call {
             Call::Once | Call::OldKey => ("POST", "/calls/1"),
             Call::Repeatable => ("GET", "/looks/1"),
-            Call::Stream => ("POST", "/stories/1"),
+            Call::Stream | Call::Crash => ("POST", "/stories/1"),
         };
         let req = Request::builder()
             .method(method)
@@ -130,7 +144,7 @@
             .header("cherrystand-deadline-ms", DEADLINE_MS.to_string())
             .header("cherrystand-model", "m")
             .header("cherrystand-token-usage", "100,80")
-            .body(Full::new(Bytes::from_static(b"body")));
+            .body(Full::new(Bytes::from(body_of(call))));
         let Ok(req) = req else { return Answered::NotSent };
         let answer = match self.pool.send(at, req, CONNECT_WITHIN).await {
             Ok(answer) => answer,
@@ -147,10 +161,18 @@
     }
 }
 
+/// Returns the body of a request; those that end boxes are the same each time.
+fn body_of(call: Call) -> String {
+    match call {
+        Call::Crash => format!("{CRASHES}1"),
+        _ => "body".to_owned(),
+    }
+}
+
 /// Returns the body that an endpoint sends for a request.
 fn expected(id: &str, call: Call) -> String {
     match call {
-        Call::Stream => whole_stream(id),
+        Call::Stream | Call::Crash => whole_stream(id),
         _ => format!("answer to {id}"),
     }
 }
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -54,6 +54,8 @@
     pub daemons: usize,
     /// Whether boxes tell when they started.
     pub lives: bool,
+    /// Whether a request comes all the while that ends each box that runs it.
+    pub crashes: bool,
 }
 
 impl SoakSetup {
@@ -100,6 +102,10 @@
         let seed = setup.seed ^ (number as u64 + 1);
         tokio::task::spawn_local(soak.callers.clone().run(daemon, at, seed, stop.clone()));
     }
+    if setup.crashes {
+        let all = soak.daemons.borrow().iter().map(Daemon::callers).collect();
+        tokio::task::spawn_local(soak.callers.clone().run_crashing(all, stop.clone()));
+    }
     let began = Instant::now();
     let strikes: Vec<_> = faults
         .iter()
@@ -259,7 +265,11 @@
         // Until it ends, it has no end.
         let until = from + Duration::from_secs(3_600);
         let mut disturbed = self.disturbed.borrow_mut();
-        disturbed.push(Disturbed { daemon, planned, from, until });
+        let is_store = matches!(
+            kind,
+            FaultKind::StoreOut(_) | FaultKind::StoreForgets | FaultKind::StoreLosesAnswers(_)
+        );
+        disturbed.push(Disturbed { daemon, planned, is_store, from, until });
         Some(disturbed.len() - 1)
     }
 
@@ -312,6 +322,7 @@
             disturbed: self.disturbed.borrow().clone(),
             gone: self.gone.borrow().clone(),
             box_faults: self.site.faults(),
+            crashes: self.site.crashes(),
         }
     }
 }
--- a/crates/cherrystand_testkit/src/soak/seen.rs
+++ b/crates/cherrystand_testkit/src/soak/seen.rs
@@ -5,8 +5,8 @@
 
 use hyper::StatusCode;
 
-use crate::Arrival;
 use crate::site::site_setup::{RETRY_RATIO, RETRY_WINDOW_S};
+use crate::{Arrival, Crash};
 
 /// What a caller may ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     Stream,
     /// A call with a key that was taken away.
     OldKey,
+    /// A stream that ends each box that runs it; it comes again and again.
+    Crash,
 }
 
 /// How an answer ended.
@@ -58,6 +60,8 @@
     pub daemon: Option<usize>,
     /// Whether it is a planned stop.
     pub planned: bool,
+    /// Whether it is the store that is harmed, for all.
+    pub is_store: bool,
     /// From when on.
     pub from: Instant,
     /// Until when.
@@ -90,6 +94,8 @@
     pub gone: Vec<Gone>,
     /// What boxes noted that must never happen.
     pub box_faults: Vec<String>,
+    /// Boxes that requests ended.
+    pub crashes: Vec<Crash>,
 }
 
 /// For how long a daemon counts as disturbed after a disturbance ended.
@@ -101,6 +107,9 @@
 /// How many boxes one request may run on.
 const MOST_RUNS: usize = 2;
 
+/// How often a request may reach boxes once it is known to end them.
+const SENT_AFTERWARDS: usize = 3;
+
 /// Repeats in one window beyond the share of requests, as daemons are told.
 pub(crate) const RETRY_SLACK: f64 = 40.0;
 
@@ -111,6 +120,7 @@
         broken.extend(self.seen.iter().filter_map(|seen| self.broken_by(seen)));
         broken.extend(self.late_arrivals());
         broken.extend(self.retry_budget());
+        broken.extend(self.crashing_requests());
         broken
     }
 
@@ -198,6 +208,39 @@
         late
     }
 
+    /// Names each request that ended three boxes and was sent on too often by daemons in touch.
+    fn crashing_requests(&self) -> Vec<String> {
+        let mut ends: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
+        for crash in &self.crashes {
+            ends.entry(&crash.body).or_default().push(crash.at);
+        }
+        let daemon_of: BTreeMap<&str, usize> =
+            self.seen.iter().map(|seen| (seen.id.as_str(), seen.daemon)).collect();
+        let sent_late = |body: &str, since: Instant| {
+            let own = self.arrivals.iter().filter(|arrival| arrival.body == body);
+            let late = own.filter(|arrival| arrival.at > since);
+            let in_touch = late.filter(|arrival| {
+                let daemon = daemon_of.get(arrival.request.as_str());
+                daemon.is_some_and(|daemon| self.reaches_store(*daemon, arrival.at))
+            });
+            in_touch.count()
+        };
+        let known = ends.iter().filter_map(|(body, ends)| {
+            let late = sent_late(body, *ends.get(2)? + CONTACT);
+            let said = || format!("{body:?} was sent {late} times more, {} ends", ends.len());
+            (late > SENT_AFTERWARDS).then(said)
+        });
+        known.collect()
+    }
+
+    /// Tells whether neither a daemon nor the store was harmed for a while before a moment.
+    fn reaches_store(&self, daemon: usize, at: Instant) -> bool {
+        let concerns =
+            |harm: &&Disturbed| harm.daemon.map_or(harm.is_store, |struck| struck == daemon);
+        let near = |harm: &Disturbed| harm.from <= at && at <= harm.until + CONTACT;
+        !self.disturbed.iter().filter(concerns).any(near)
+    }
+
     fn retry_budget(&self) -> Option<String> {
         let (first, last) = (self.seen.first()?, self.seen.last()?);
         let mut sendings: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/cherrystandd/benches/latency.rs
+++ b/crates/cherrystandd/benches/latency.rs
@@ -1,5 +1,6 @@
 //! What a daemon adds between a caller and an endpoint, and how many requests a second it takes
 //! on its one relaying thread. Real processes on one machine; read the ratios.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 #[path = "../tests/support/mod.rs"]
 mod support;
--- a/crates/cherrystandd/benches/overload.rs
+++ b/crates/cherrystandd/benches/overload.rs
@@ -1,5 +1,6 @@
 //! Goodput of models and latency of consent checks as more is asked than the models can do, and
 //! with frozen endpoints. Real processes on one machine; read the ratios.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 #[path = "../tests/support/mod.rs"]
 mod support;
--- a/crates/cherrystandd/benches/slopes.rs
+++ b/crates/cherrystandd/benches/slopes.rs
@@ -1,5 +1,6 @@
 //! The slopes that docs/CAPACITY.md is worked out from: bytes, steps and microseconds as things
 //! grow.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 use std::hint::black_box;
 use std::sync::Arc;
--- a/crates/cherrystandd/src/claim_writer.rs
+++ b/crates/cherrystandd/src/claim_writer.rs
@@ -40,6 +40,10 @@
     ///
     /// A write whose answer was lost is tried again at the revision that it was made for, so that
     /// only one of the two can take effect, and is found by its identity where it did.
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "tries are counted; whether a claim is used in time is looked up on the daemon's clock"
+    )]
     pub async fn write(
         &mut self,
         requests: &[ClaimRequest],
--- a/crates/cherrystandd/src/clock.rs
+++ b/crates/cherrystandd/src/clock.rs
@@ -1,24 +1,51 @@
 //! The daemon's clocks.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cherrystand_core::Millis;
+use cherrystand_platform::since_boot;
 
-/// Tells the time since the daemon's start, which goes on while the daemon is paused.
+/// The longest stretch of a wait until a time: timers stand still while the machine is suspended, so
+/// that a wait which a suspension outlasts ends by this much too late at the most.
+pub(crate) const LONGEST_STRETCH: Duration = Duration::from_millis(200);
+
+/// Tells the time since the daemon's start, which goes on while the daemon is paused and while its
+/// machine is suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// Creates a clock that starts now.
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: since_boot() }
     }
 
     /// Returns the time now.
     pub fn now(&self) -> Millis {
-        Millis(self.origin.elapsed().as_millis() as u64)
+        Millis(since_boot().saturating_sub(self.origin).as_millis() as u64)
+    }
+
+    /// Waits until a time of this clock.
+    pub(crate) async fn sleep_until(&self, at: Millis) {
+        loop {
+            let left = Duration::from_millis(at.since(self.now()).0);
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.min(LONGEST_STRETCH)).await;
+        }
+    }
+
+    /// Waits for something until a time of this clock at the longest; nothing where it does not come.
+    pub(crate) async fn by<T>(&self, at: Millis, awaited: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            // What is there by then counts.
+            biased;
+            out = awaited => Some(out),
+            () = self.sleep_until(at) => None,
+        }
     }
 }
 
--- a/crates/cherrystandd/src/main.rs
+++ b/crates/cherrystandd/src/main.rs
@@ -1,11 +1,13 @@
 //! The program `cherrystandd`.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use argh::FromArgs;
+use cherrystand_platform::jump_ahead;
 use cherrystandd::{DutyContext, Kernel, Metrics, Settings, start_logging};
 use eyre::WrapErr;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Serves callers in front of models that span several machines.
 #[derive(FromArgs)]
@@ -37,6 +39,14 @@
     Ok(())
 }
 
+/// Waits for a signal; never ends where there is none to wait for.
+async fn received(signal: Option<&mut Signal>) {
+    match signal {
+        Some(signal) => _ = signal.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Begins a planned stop on the signals that ask for one.
 fn watch_signals(cx: DutyContext) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -44,6 +54,12 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hang_up = signal(SignalKind::hangup())?;
+    let suspended = Duration::from_millis(cx.settings.testing.suspended_ms);
+    // The signal ends the process where nothing is set.
+    let mut suspend = match suspended.is_zero() {
+        true => None,
+        false => Some(signal(SignalKind::user_defined1())?),
+    };
     drop(guard);
     let watch = move || {
         runtime.block_on(async {
@@ -52,6 +68,7 @@
                     _ = terminate.recv() => return,
                     _ = interrupt.recv() => return,
                     // What may change in the settings is read at the next start.
+                    () = received(suspend.as_mut()) => jump_ahead(suspended),
                     _ = hang_up.recv() => log::info!("settings changed; they count from the next start"),
                 }
             }
--- a/crates/cherrystandd/src/relay/attempt.rs
+++ b/crates/cherrystandd/src/relay/attempt.rs
@@ -135,11 +135,8 @@
     let remaining = call.deadline.since(relay.now());
     let req = request_for(&call, &in_flight.target, remaining);
     let send = relay.pool.send(in_flight.target.address, req, CONNECT_WITHIN);
-    let deadline = tokio::time::Instant::now() + Duration::from_millis(remaining.0);
-    let answer = tokio::time::timeout_at(deadline, send)
-        .await
-        .map_err(|_| AttemptEnd::TimedOut)?
-        .map_err(|err| end_of(&err))?;
+    let answer = relay.cx.clock.by(call.deadline, send).await.ok_or(AttemptEnd::TimedOut)?;
+    let answer = answer.map_err(|err| end_of(&err))?;
     if answer.headers().contains_key(NOT_RUN_HEADER) {
         return Err(match answer.status() {
             StatusCode::TOO_MANY_REQUESTS => AttemptEnd::Refused,
@@ -148,7 +145,7 @@
     }
     in_flight.begins();
     let held = hold_back(answer);
-    tokio::time::timeout_at(deadline, held).await.map_err(|_| AttemptEnd::TimedOut)?
+    relay.cx.clock.by(call.deadline, held).await.ok_or(AttemptEnd::TimedOut)?
 }
 
 fn request_for(call: &Call, target: &Target, remaining: Millis) -> Request<Full<Bytes>> {
--- a/crates/cherrystandd/src/relay/stream.rs
+++ b/crates/cherrystandd/src/relay/stream.rs
@@ -8,7 +8,7 @@
 use cherrystand_core::{AttemptEnd, Outcome};
 use cherrystand_platform::PooledBody;
 use hyper::body::{Body, Frame};
-use tokio::time::{Instant, Sleep};
+use tokio::time::Sleep;
 
 use crate::relay::admitted::Admitted;
 use crate::relay::attempt::InFlight;
@@ -60,8 +60,8 @@
     }
 
     fn look_later(&mut self) {
-        let until = Instant::now() + LOOK_EVERY;
-        self.silence.as_mut().reset(until);
+        // Whether its time is over is looked up on the daemon's clock.
+        self.silence.set(tokio::time::sleep(LOOK_EVERY));
     }
 
     /// Waits on, until the caller's time is over or the endpoint is out of service.
--- a/crates/cherrystandd/src/settings.rs
+++ b/crates/cherrystandd/src/settings.rs
@@ -45,6 +45,19 @@
     /// Which decisions are made how where routes are served.
     #[serde(default)]
     pub policy: Policy,
+    /// What only tests ask for; refused by a release build.
+    #[serde(default)]
+    pub testing: Testing,
+}
+
+/// Says what only tests ask for.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Testing {
+    /// By how much SIGUSR1 moves the daemon's clock on, in milliseconds, as a suspension of its machine
+    /// does; 0 leaves the signal alone.
+    #[serde(default)]
+    pub suspended_ms: u64,
 }
 
 /// Says how the daemon serves routes.
@@ -262,6 +275,7 @@
         self.check_limits()?;
         self.check_repair()?;
         self.check_policy()?;
+        self.check_testing(cfg!(debug_assertions))?;
         self.check_site()
     }
 
@@ -288,6 +302,14 @@
         Ok(())
     }
 
+    fn check_testing(&self, is_test_build: bool) -> Result<(), SettingsError> {
+        let suspended = self.testing.suspended_ms;
+        if suspended > 0 && !is_test_build {
+            return Err(impossible("suspended_ms", suspended, "0, but for a build for tests"));
+        }
+        Ok(())
+    }
+
     fn check_site(&self) -> Result<(), SettingsError> {
         let Some(site) = &self.site else {
             return Ok(());
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -4,14 +4,14 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cherrystand_core::{
     BoxId, CallBook, CapacityPlan, DomainId, Doubt, Formation, Heartbeat, Millis, Revision,
     ServiceName, StoreReach, all_readers, owner_of,
 };
 use cherrystand_peer::{ChangeBatches, ChangeNews, PackedBody};
-use cherrystand_platform::{HttpPool, SiteDriver};
+use cherrystand_platform::{HttpPool, SiteDriver, since_boot};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
@@ -297,9 +297,9 @@
 
     /// Reads a configuration by `read`, keeping how long that takes.
     pub(crate) fn timed<T>(&self, read: impl FnOnce() -> T) -> T {
-        let began = Instant::now();
+        let began = since_boot();
         let out = read();
-        self.reading_took.set(began.elapsed());
+        self.reading_took.set(since_boot().saturating_sub(began));
         out
     }
 
--- a/crates/cherrystandd/src/site/crash_watch.rs
+++ b/crates/cherrystandd/src/site/crash_watch.rs
@@ -79,9 +79,6 @@
 
     /// Takes in that a request was served whole, so that what ended before did not end by it.
     pub(crate) fn served(&self, req: &SiteRequest) {
-        if self.suspects.borrow().is_empty() {
-            return;
-        }
         let request = req.fingerprint();
         if self.suspects.borrow_mut().served(request, self.cx.clock.now()) {
             self.loads.tell_all(LoadNews::Served(vec![request]));
@@ -89,17 +86,35 @@
         }
     }
 
-    /// Takes in what a peer tells of a box that ended: its own requests there count as well.
+    /// Takes in what a peer tells of a box that ended: its own requests there count as well. Those that
+    /// this node served lately it speaks for.
     pub(crate) fn peer_saw_end(&self, life: &BoxId, requests: &[Fingerprint]) {
         self.ended(life);
-        self.note(life, &requests[..requests.len().min(MOST_AT_ONE_BOX)]);
+        let requests = &requests[..requests.len().min(MOST_AT_ONE_BOX)];
+        self.note(life, requests);
+        self.speak_for(requests);
+    }
+
+    /// Tells peers which requests this node served lately.
+    fn speak_for(&self, requests: &[Fingerprint]) {
+        let now = self.cx.clock.now();
+        let suspects = self.suspects.borrow();
+        let served = requests.iter().filter(|request| suspects.was_served_lately(**request, now));
+        let served: Vec<Fingerprint> = served.copied().collect();
+        if !served.is_empty() {
+            self.loads.tell_all(LoadNews::Served(served));
+        }
     }
 
     /// Takes in that a peer served requests whole.
     pub(crate) fn peer_served(&self, requests: &[Fingerprint]) {
         let now = self.cx.clock.now();
         let mut suspects = self.suspects.borrow_mut();
-        requests.iter().for_each(|request| _ = suspects.served(*request, now));
+        let news = requests.iter().filter(|request| suspects.acquit(**request, now)).count();
+        drop(suspects);
+        if news > 0 {
+            self.publish();
+        }
     }
 
     /// Takes in that a box cut the answer to a request, and finds out whether the box ended.
@@ -120,8 +135,8 @@
         let Some(address) = front.address_of(life) else { return };
         let (front, life) = (front.clone(), life.clone());
         tokio::task::spawn_local(async move {
-            match is_there(address).await {
-                Some(true) => front.crashes.cut.borrow_mut().lives(&life),
+            match accepts(address).await {
+                Some(true) => front.crashes.cut.borrow_mut().accepts(&life),
                 Some(false) => front.crashes.ended(&life),
                 // Its entry will tell.
                 None => {}
@@ -131,9 +146,7 @@
 
     /// Takes in by the newest view which boxes ended that cut answers, and the store's record.
     pub(crate) fn follow(&self, view: &SiteView) {
-        let is_gone =
-            |life: &&BoxId| !view.boxes.contains_key(*life) || view.silent.contains(*life);
-        let ended: Vec<BoxId> = self.cut.borrow().undecided().filter(is_gone).cloned().collect();
+        let ended = self.cut.borrow().ended_by(view);
         ended.iter().for_each(|life| self.ended(life));
         if !Arc::ptr_eq(&view.suspects, &self.recorded.borrow()) {
             self.recorded.replace(view.suspects.clone());
@@ -158,29 +171,41 @@
     fn found(&self, life: &BoxId, requests: Vec<Fingerprint>) {
         self.cx.metrics.answers_ended_with_box.inc_by(requests.len() as u64);
         self.note(life, &requests);
-        self.loads.tell_all(LoadNews::Ended(life.clone(), requests));
-    }
-
-    /// Notes requests whose answers ended with their box, and writes down how often they were at such
-    /// ends.
-    fn note(&self, life: &BoxId, requests: &[Fingerprint]) {
+        self.log_end(life, &requests);
         let now = self.cx.clock.now();
-        let mut suspects = self.suspects.borrow_mut();
-        let ends = requests.iter().map(|request| (suspects.ended(life, *request, now), *request));
-        let ends: Vec<(usize, Fingerprint)> = ends.collect();
+        let suspects = self.suspects.borrow();
+        let told = requests.into_iter().filter(|one| !suspects.was_served_lately(*one, now));
+        let told: Vec<Fingerprint> = told.collect();
         drop(suspects);
-        let Some((most, request)) = ends.iter().max() else { return };
-        let again = ends.iter().filter(|(ends, _)| *ends > 1).count();
+        self.loads.tell_all(LoadNews::Ended(life.clone(), told));
+    }
+
+    /// Writes down how often requests were at the ends of boxes, now that another one ended.
+    fn log_end(&self, life: &BoxId, requests: &[Fingerprint]) {
+        let suspects = self.suspects.borrow();
+        let ends = |request: &Fingerprint| (suspects.ends_of(*request), *request);
+        let Some((most, request)) = requests.iter().map(ends).max() else { return };
+        let again = requests.iter().filter(|request| suspects.ends_of(**request) > 1).count();
         log::warn!(
-            target_box = life.as_str(), requests = ends.len(), at_earlier_ends = again,
-            most_ends = *most, fingerprint = request.to_string();
+            target_box = life.as_str(), requests = requests.len(), at_earlier_ends = again,
+            most_ends = most, fingerprint = request.to_string();
             "a box ended while it worked on requests"
         );
-        for (_, request) in ends.iter().filter(|(ends, _)| *ends >= ENDS_BORNE) {
-            log::warn!(
-                fingerprint = request.to_string();
-                "a request is refused from now on: it was at the ends of {ENDS_BORNE} boxes"
-            );
+    }
+
+    /// Notes requests whose answers ended with their box.
+    fn note(&self, life: &BoxId, requests: &[Fingerprint]) {
+        let now = self.cx.clock.now();
+        for request in requests {
+            let mut suspects = self.suspects.borrow_mut();
+            let before = suspects.ends_of(*request);
+            let ends = suspects.ended(life, *request, now);
+            if before < ENDS_BORNE && ends >= ENDS_BORNE {
+                log::warn!(
+                    fingerprint = request.to_string();
+                    "a request is refused from now on: it was at the ends of {ENDS_BORNE} boxes"
+                );
+            }
         }
         self.publish();
     }
@@ -200,7 +225,7 @@
 }
 
 /// Tells whether somebody listens at an address; nothing where it does not answer.
-async fn is_there(address: SocketAddr) -> Option<bool> {
+async fn accepts(address: SocketAddr) -> Option<bool> {
     match tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(address)).await {
         Ok(Ok(_)) => Some(true),
         Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Some(false),
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -166,11 +166,10 @@
 
     /// Hands events to the caller, who may read slowly, but no longer than its time lasts.
     async fn hand_on(&self, events: Bytes) -> Option<StreamEnd> {
-        let left = Duration::from_millis(self.req.deadline.since(self.front.now()).0);
-        match tokio::time::timeout(left, self.tx.pass(events)).await {
-            Ok(Ok(())) => None,
-            Ok(Err(_)) => Some(StreamEnd::CallerLeft),
-            Err(_) => Some(StreamEnd::DeadlinePassed),
+        match self.front.by(self.req.deadline, self.tx.pass(events)).await {
+            Some(Ok(())) => None,
+            Some(Err(_)) => Some(StreamEnd::CallerLeft),
+            None => Some(StreamEnd::DeadlinePassed),
         }
     }
 
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -2,7 +2,6 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use cherrystand_core::{AttemptEnd, Millis, RefusalReason, RouteKind};
 use cherrystand_platform::{CallerBody, SiteDriver};
@@ -238,8 +237,7 @@
     req: &SiteRequest,
     exchange: impl Future<Output = Result<T, AttemptEnd>>,
 ) -> Result<T, AttemptEnd> {
-    let left = Duration::from_millis(req.deadline.since(front.now()).0);
-    tokio::time::timeout(left, exchange).await.unwrap_or(Err(AttemptEnd::TimedOut))
+    front.by(req.deadline, exchange).await.unwrap_or(Err(AttemptEnd::TimedOut))
 }
 
 /// Reads an answer whole before its caller gets a byte of it.
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -101,6 +101,11 @@
         self.cx.clock.now()
     }
 
+    /// Waits for something until a time at the longest; nothing where it does not come.
+    pub(crate) async fn by<T>(&self, at: Millis, awaited: impl Future<Output = T>) -> Option<T> {
+        self.cx.clock.by(at, awaited).await
+    }
+
     /// Takes over the newest view.
     pub(crate) fn follow(&self) -> Arc<SiteView> {
         let newest = self.cx.site.borrow().clone();
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -14,14 +14,13 @@
 use cherrystand_peer::{LoadNews, decode, encode};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
 use crate::DutyContext;
 use crate::site::Hint;
 use crate::site::crash_watch::CrashWatch;
 
 /// The time between two tellings while requests are in flight.
-const TELL_EVERY: Duration = Duration::from_millis(200);
+const TELL_EVERY: Millis = Millis(200);
 
 /// How many peers are told at a time, in turn; among more, each is told less often.
 ///
@@ -159,7 +158,7 @@
         let mut buf = vec![0; LARGEST_NEWS];
         loop {
             let Ok((length, from)) = self.socket.recv_from(&mut buf).await else {
-                tokio::time::sleep(TELL_EVERY).await;
+                tokio::time::sleep(Duration::from_millis(TELL_EVERY.0)).await;
                 continue;
             };
             match decode::<LoadNews>(&buf[..length]) {
@@ -226,15 +225,16 @@
 
     async fn tell(&self) {
         let (mut told_any, mut turn) = (false, 0);
-        let mut due = Instant::now() + TELL_EVERY;
+        let clock = self.cx.clock;
+        let mut due = clock.now() + TELL_EVERY;
         loop {
             let woken = self.loads.urgent.notified();
-            let _ = tokio::time::timeout_at(due, woken).await;
+            let _ = clock.by(due, woken).await;
             self.tell_urgent().await;
-            if Instant::now() < due {
+            if clock.now() < due {
                 continue;
             }
-            due = Instant::now() + TELL_EVERY;
+            due = clock.now() + TELL_EVERY;
             self.publish_model_loads();
             let loads = self.own_loads();
             let any = !loads.is_empty();
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -7,7 +7,6 @@
 use cherrystand_core::{Millis, NodeId, NotedReader, Revision};
 use cherrystand_peer::ChangeCursor;
 use cherrystand_platform::{KeyValue, PlatformError, SiteDriver};
-use tokio::time::Instant;
 
 use crate::keys;
 use crate::site::Driver;
@@ -35,7 +34,7 @@
 const LONGEST_PAUSE_OF_OTHERS: Duration = Duration::from_millis(4_000);
 
 /// How often such a node looks meanwhile whether a peer is a source again.
-const LOOK_FOR_SOURCE: Duration = Duration::from_millis(250);
+const LOOK_FOR_SOURCE: Millis = Millis(250);
 
 /// How long a watch over the configuration alone waits.
 const CONFIG_WATCH_FOR: Duration = Duration::from_secs(15);
@@ -159,9 +158,10 @@
 
 /// Pauses before the store is asked again, until a peer is a source at the longest.
 async fn pause_for_store(control: &Control, pause: Duration) {
-    let until = Instant::now() + control.peers.jittered(pause);
-    while Instant::now() < until && control.peers.source().is_none() {
-        tokio::time::sleep_until(until.min(Instant::now() + LOOK_FOR_SOURCE)).await;
+    let clock = control.cx.clock;
+    let until = clock.now() + Millis(control.peers.jittered(pause).as_millis() as u64);
+    while clock.now() < until && control.peers.source().is_none() {
+        clock.sleep_until(until.min(clock.now() + LOOK_FOR_SOURCE)).await;
     }
 }
 
--- a/crates/cherrystandd/tests/costs.rs
+++ b/crates/cherrystandd/tests/costs.rs
@@ -1,4 +1,5 @@
 //! Bounds on what a system at rest and a change cost the platform and the wire.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 mod support;
 
--- a/crates/cherrystandd/tests/crashing_requests.rs
+++ b/crates/cherrystandd/tests/crashing_requests.rs
@@ -1,4 +1,5 @@
 //! Requests that end each replica that runs them.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 mod support;
 
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -1,4 +1,5 @@
 //! Kills, freezes, outages and planned stops on real processes.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 mod support;
 
--- a/crates/cherrystandd/tests/large_configuration.rs
+++ b/crates/cherrystandd/tests/large_configuration.rs
@@ -9,6 +9,7 @@
 //!
 //! Evidence: all 188 verdicts of that day were given by four readers; when a verdict was given, no
 //! call that began after the question had been answered either. Small versions: 13 boxes.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 mod support;
 
--- a/crates/cherrystandd/tests/site.rs
+++ b/crates/cherrystandd/tests/site.rs
@@ -1,4 +1,5 @@
 //! The whole path where the platform's store holds one configuration of routes.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
 mod support;
 
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! Starts real processes and talks to them.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 #![allow(dead_code, reason = "each area of tests uses its own part")]
 
 pub(crate) mod site;
--- a/crates/cherrystandd/tests/support/site.rs
+++ b/crates/cherrystandd/tests/support/site.rs
@@ -17,6 +17,9 @@
 /// Repeats beyond the share of requests, over all daemons.
 const RETRY_SLACK: f64 = 136.0;
 
+/// By how much SIGUSR1 moves a daemon's clock on, in milliseconds.
+pub(crate) const SUSPENDED_MS: u64 = 6_000;
+
 /// How long a request may be held, in milliseconds.
 const TIMEOUT_MS: u64 = 6_000;
 
@@ -122,6 +125,7 @@
         store,
         first_start,
         retry_slack,
+        suspended_ms: SUSPENDED_MS,
     };
     let process = start_in("cherrystandd", &settings.to_string(), own[0]);
     Node { process, callers: own[0], ready: own[2], operators: own[1], peers: own[3] }
