feat: what replicas ask of a daemon is read, written down and counted

The head of an answer is decoded into the rest asked for and whether the box leaves; a line a wish (ten a second), counters for refusals by rest, for sends into a rest as first or repeated send, for boxes that leave. No decision changes.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -97,6 +97,7 @@
     pub(crate) mod member_order;
     pub(crate) mod model_load;
     pub(crate) mod policy;
+    pub(crate) mod replica_wishes;
     pub(crate) mod retry_share;
     pub(crate) mod route_table;
     pub(crate) mod site_box;
@@ -198,6 +199,7 @@
 pub use site::member_order::{MemberOrder, MemberTask, OrderEnd};
 pub use site::model_load::{ModelLoad, ModelLoads};
 pub use site::policy::{ChoiceRule, Policy};
+pub use site::replica_wishes::{LONGEST_REST, ReplicaWishes};
 pub use site::retry_share::{RetryBounds, RetryShare};
 pub use site::route_table::{Allowed, NotAllowed, RouteTable};
 pub use site::site_box::{BoxStart, Member, MemberState, SiteBox};
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! The traits [`KeyValue`] and [`BoxList`] are what the daemon's duties are written against; the
 //! clients speak HTTP with JSON.
 
+mod asked_rest;
 mod boot_time;
 mod caller_body;
 mod engine_client;
@@ -15,6 +16,7 @@
 mod platform_client;
 mod site_driver;
 
+pub use asked_rest::AskedRest;
 pub use boot_time::{jump_ahead, since_boot};
 pub use caller_body::{BrokeOff, CallerBody, CallerLeft, EventSender};
 pub use engine_client::{EPOCH_HEADER, EngineClient, EngineError, NOT_RUN_HEADER};
--- a/crates/cherrystand_platform/src/site_driver.rs
+++ b/crates/cherrystand_platform/src/site_driver.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 
-use crate::KeyValue;
+use crate::{AskedRest, KeyValue};
 
 /// Tells that a value is not what the platform's protocol says.
 #[derive(Debug, thiserror::Error)]
@@ -61,6 +61,10 @@
     pub not_run: bool,
     /// Whether the answer is the endpoint's own word, sealed.
     pub sealed: bool,
+    /// How long the endpoint asks this node to leave it alone.
+    pub asked_rest: AskedRest,
+    /// Whether the endpoint says that it leaves.
+    pub leaving: bool,
 }
 
 /// A call to a box.
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -24,6 +24,12 @@
     pub refusals: IntCounterVec,
     /// Attempts at endpoints, by how they ended.
     pub attempts: IntCounterVec,
+    /// Requests that endpoints turned away, by whether they asked for rest.
+    pub endpoint_refusals: IntCounterVec,
+    /// Requests that were sent to endpoints within a rest that these had asked for.
+    pub sent_into_rest: IntCounterVec,
+    /// Endpoints that said in their answers that they leave.
+    pub endpoints_leaving: IntCounter,
     /// Retries, by how the attempt before ended.
     pub retries: IntCounterVec,
     /// Failed attempts that were not followed by another, by reason.
@@ -86,6 +92,20 @@
             answers: make.counters("answers_total", "Answers given.", &["outcome", "status"])?,
             refusals: make.counters("refusals_total", "Requests refused.", &["reason"])?,
             attempts: make.counters("attempts_total", "Attempts at endpoints.", &["end"])?,
+            endpoint_refusals: make.counters(
+                "endpoint_refusals_total",
+                "Requests that endpoints turned away.",
+                &["rest"],
+            )?,
+            sent_into_rest: make.counters(
+                "sent_into_rest_total",
+                "Requests sent to endpoints within a rest that these had asked for.",
+                &["send"],
+            )?,
+            endpoints_leaving: make.counter(
+                "endpoints_leaving_total",
+                "Endpoints that said in their answers that they leave.",
+            )?,
             retries: make.counters("retries_total", "Attempts tried again.", &["after"])?,
             retries_withheld: make.counters(
                 "retries_withheld_total",
@@ -167,6 +187,12 @@
             self.attempts.with_label_values(&[end.as_str()]);
             self.retries.with_label_values(&[end.as_str()]);
         }
+        for rest in ["none", "asked", "unreadable"] {
+            self.endpoint_refusals.with_label_values(&[rest]);
+        }
+        for send in ["first", "repeat"] {
+            self.sent_into_rest.with_label_values(&[send]);
+        }
         for kind in RefusedKind::ALL {
             self.values_refused.with_label_values(&[kind.as_str()]);
         }
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -79,6 +79,7 @@
     flight: Rc<Flight>,
 ) -> Result<Begun, AttemptEnd> {
     let facts = Driver::read_answer(answer.status(), answer.headers());
+    front.hear_wishes(&flight, req, &facts);
     let (head, body) = answer.into_parts();
     if facts.not_run {
         if head.status != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -9,9 +9,9 @@
 
 use cherrystand_core::{
     Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, Millis, Outcome,
-    PeersTell, Route, Seed, SiteView, Standstill, StreamEnd, engine_priority,
+    PeersTell, ReplicaWishes, Route, Seed, SiteView, Standstill, StreamEnd, engine_priority,
 };
-use cherrystand_platform::HttpPool;
+use cherrystand_platform::{AnswerFacts, AskedRest, HttpPool};
 
 use crate::site::Hint;
 use crate::site::crash_watch::CrashWatch;
@@ -20,6 +20,7 @@
 use crate::site::load_exchange::LoadExchange;
 use crate::site::request::SiteRequest;
 use crate::site::retry_shares::RetryShares;
+use crate::site::wish_notes::WishNotes;
 use crate::{DutyContext, clock};
 
 /// A look that takes this long tells that the thread was busy; looks are 40 ms apart.
@@ -68,6 +69,9 @@
     pub(crate) repeats: RetryShares,
     /// Where failed requests are written down.
     pub(crate) failures: FailureLog,
+    /// What replicas ask of this node.
+    wishes: RefCell<ReplicaWishes>,
+    wish_notes: WishNotes,
     /// Requests that were at boxes as these ended.
     pub(crate) crashes: Rc<CrashWatch>,
     /// What peers have in flight.
@@ -89,6 +93,8 @@
             addresses: RefCell::default(),
             repeats: RetryShares::new(cx.clone()),
             failures: FailureLog::new(cx.clock),
+            wishes: RefCell::default(),
+            wish_notes: WishNotes::new(cx.clock, cx.metrics.clone()),
             crashes,
             seed: Cell::new(Seed::new(clock::unix_millis())),
             loads,
@@ -192,6 +198,9 @@
         drop(chooser);
         let rank = req.route.priority;
         let priority = expected.map(|expected| engine_priority(rank, expected.deferred));
+        if self.wishes.borrow().rests_until(&target, self.now()).is_some() {
+            self.wish_notes.sent_into_rest(not.is_empty());
+        }
         let flight = Flight::start(self.clone(), req.clone(), key, target, expected, priority);
         Some(Rc::new(flight))
     }
@@ -270,6 +279,26 @@
         self.loads.tell_stalled(flight.target.clone());
     }
 
+    /// Takes in what the head of a replica's answer asks of this node.
+    ///
+    /// An answer that names another request is somebody else's word.
+    pub(crate) fn hear_wishes(&self, flight: &Flight, req: &SiteRequest, facts: &AnswerFacts) {
+        if facts.request.is_some() && facts.request != req.facts.id {
+            return;
+        }
+        let mut wishes = self.wishes.borrow_mut();
+        if facts.leaving && wishes.hear_leaving(&flight.target) {
+            self.wish_notes.leaves(&flight.target);
+        }
+        if facts.not_run {
+            let until = match facts.asked_rest {
+                AskedRest::For(rest) => Some(wishes.hear_rest(&flight.target, rest, self.now())),
+                _ => None,
+            };
+            self.wish_notes.refused(&flight.target, facts, until);
+        }
+    }
+
     /// Leaves a replica out whose leader says that it serves no more, here and at peers.
     pub(crate) fn not_serving(&self, flight: &Flight) {
         if !self.chooser.borrow().is_avoided(flight.key, self.now()) {
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -30,6 +30,7 @@
 mod suspect_notes;
 mod tries;
 mod watching;
+mod wish_notes;
 
 pub(crate) use hint::Hint;
 pub(crate) use refused_values::RefusedKind;
--- /dev/null
+++ b/crates/cherrystandd/src/site/wish_notes.rs
@@ -0,0 +1,60 @@
+//! Lines and counts for what replicas ask of this node.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use cherrystand_core::{BoxId, LogGate, Millis};
+use cherrystand_platform::{AnswerFacts, AskedRest};
+
+use crate::{Clock, Metrics};
+
+/// How many wishes are logged each second; the others are counted.
+const WISHES_LOGGED: u32 = 10;
+
+/// Writes wishes of replicas down.
+pub(crate) struct WishNotes {
+    clock: Clock,
+    metrics: Arc<Metrics>,
+    gate: RefCell<LogGate>,
+}
+
+impl WishNotes {
+    /// Creates notes that have room.
+    pub(crate) fn new(clock: Clock, metrics: Arc<Metrics>) -> Self {
+        Self { clock, metrics, gate: RefCell::new(LogGate::new(WISHES_LOGGED)) }
+    }
+
+    /// Writes down that a replica turned a request away, and what rest it asked for.
+    pub(crate) fn refused(&self, id: &BoxId, facts: &AnswerFacts, until: Option<Millis>) {
+        let rest = match facts.asked_rest {
+            AskedRest::None => "none",
+            AskedRest::For(_) => "asked",
+            AskedRest::Unreadable => "unreadable",
+        };
+        self.metrics.endpoint_refusals.with_label_values(&[rest]).inc();
+        let now = self.clock.now();
+        if facts.asked_rest == AskedRest::None {
+            return;
+        }
+        let Some(left_out) = self.gate.borrow_mut().pass(now) else {
+            return;
+        };
+        let rest_ms = until.map_or(0, |until| until.since(now).0);
+        log::info!(
+            target_box = id.as_str(), rest = rest, rest_ms = rest_ms, left_out = left_out;
+            "a replica turned a request away and asks for rest"
+        );
+    }
+
+    /// Writes down that a replica leaves.
+    pub(crate) fn leaves(&self, id: &BoxId) {
+        self.metrics.endpoints_leaving.inc();
+        log::info!(target_box = id.as_str(); "a replica says in its answers that it leaves");
+    }
+
+    /// Counts a request that is sent to a replica within its rest.
+    pub(crate) fn sent_into_rest(&self, is_first: bool) {
+        let send = if is_first { "first" } else { "repeat" };
+        self.metrics.sent_into_rest.with_label_values(&[send]).inc();
+    }
+}
