--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -30,6 +30,7 @@
 mod processes;
 mod service_stand_in;
 mod site {
+    pub(crate) mod box_wishes;
     pub(crate) mod fake_site_domain;
     pub(crate) mod metadata_stand_in;
     pub(crate) mod site_setup;
@@ -59,6 +60,7 @@
 pub use platform::store::{Rate, Store};
 pub use processes::{free_addresses, spawn};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
+pub use site::box_wishes::{BoxWishes, Sheds, Told, Wish, broken_wishes};
 pub use site::fake_site_domain::FakeSiteDomain;
 pub use site::metadata_stand_in::{Door, MetadataStandIn, PageFault};
 pub use site::site_setup::{NodeSettings, site_config, whole_stream};
--- /dev/null
+++ b/crates/cherrystand_testkit/src/site/box_wishes.rs
@@ -0,0 +1,104 @@
+//! What boxes ask of the daemons that send to them, and whether they got it.
+
+use std::time::{Duration, Instant};
+
+use crate::Arrival;
+
+/// Whom a box turns away.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sheds {
+    /// Nobody.
+    #[default]
+    None,
+    /// Everybody.
+    All,
+    /// Every other request.
+    EverySecond,
+    /// Whoever comes while it works on so many requests.
+    Beyond(usize),
+    /// The requests of one daemon, by how their ids begin.
+    From(&'static str),
+}
+
+/// What a box asks of daemons.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BoxWishes {
+    /// Whom it turns away, without running the request.
+    pub sheds: Sheds,
+    /// What it says of rest as it does, as the header has it.
+    pub rest: Option<&'static str>,
+    /// Whether it says in all its answers that it leaves; its entry says nothing of it.
+    pub leaves: bool,
+}
+
+impl BoxWishes {
+    /// Wishes of a box that turns requests away and asks for rest.
+    pub fn rest(sheds: Sheds, rest: &'static str) -> Self {
+        Self { sheds, rest: Some(rest), leaves: false }
+    }
+
+    /// Wishes of a box that leaves.
+    pub fn leaving() -> Self {
+        Self { leaves: true, ..Self::default() }
+    }
+}
+
+/// What a box told a daemon in an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wish {
+    /// It wants nothing for so long.
+    Rest(Duration),
+    /// It leaves.
+    Leaves,
+}
+
+/// A wish in an answer.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// The request that was answered.
+    pub request: String,
+    /// The box.
+    pub target: String,
+    /// When its life began, in Unix milliseconds.
+    pub life: u64,
+    /// When it answered.
+    pub at: Instant,
+    /// What it asked for.
+    pub wish: Wish,
+}
+
+/// Requests that were already on their way as a box asked for rest arrive within this time.
+const ON_THEIR_WAY: Duration = Duration::from_millis(500);
+
+/// How many requests of one daemon may reach a box within a rest.
+const MOST_IN_REST: usize = 2;
+
+/// Within this time nothing new reaches a box that leaves.
+const LEFT_ALONE_WITHIN: Duration = Duration::from_millis(2_000);
+
+/// Names each wish that a daemon did not follow; `daemon_of` finds the daemon of a request, where its
+/// daemon counts at that moment.
+pub fn broken_wishes<D: PartialEq>(
+    told: &[Told],
+    arrivals: &[Arrival],
+    daemon_of: impl Fn(&str, Instant) -> Option<D>,
+) -> Vec<String> {
+    let broken = told.iter().filter_map(|told| {
+        let daemon = daemon_of(&told.request, told.at)?;
+        let (from, until, most) = match told.wish {
+            Wish::Rest(rest) => (told.at + ON_THEIR_WAY, Some(told.at + rest), MOST_IN_REST),
+            Wish::Leaves => (told.at + LEFT_ALONE_WITHIN, None, 0),
+        };
+        let late = arrivals.iter().filter(|arrival| {
+            arrival.target == told.target
+                && arrival.life == Some(told.life)
+                && arrival.at > from
+                && until.is_none_or(|until| arrival.at <= until)
+                && daemon_of(&arrival.request, arrival.at).as_ref() == Some(&daemon)
+        });
+        let late = late.count();
+        let (id, wish) = (&told.target, told.wish);
+        (late > most).then(|| format!("{id} told {}: {wish:?}, and got {late}", told.request))
+    });
+    broken.collect()
+}
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -20,6 +20,7 @@
 use tokio::task::JoinHandle;
 
 use crate::http::read_json;
+use crate::site::box_wishes::{BoxWishes, Sheds, Told, Wish};
 use crate::site::metadata_stand_in::{Door, MetadataStandIn};
 
 type OutBody = Pin<Box<dyn Body<Data = Bytes, Error = std::io::Error>>>;
@@ -81,6 +82,11 @@
     listens: SocketAddr,
     service: &'static str,
     mood: BoxMood,
+    wishes: BoxWishes,
+    /// How many requests came that it could turn away.
+    asked: usize,
+    /// Held by each request that it works on.
+    working: Rc<()>,
     /// When it started, in Unix milliseconds.
     start: u64,
     staged: Option<String>,
@@ -102,6 +108,9 @@
             listens: address,
             service,
             mood: BoxMood::Well,
+            wishes: BoxWishes::default(),
+            asked: 0,
+            working: Rc::default(),
             start: FIRST_START,
             staged: None,
             held: None,
@@ -129,6 +138,8 @@
     faults: Vec<String>,
     /// Every request that reached a box, run or not.
     arrivals: Vec<Arrival>,
+    /// What boxes asked of daemons in their answers.
+    told: Vec<Told>,
     /// Boxes that have the address of an earlier one, by the id of that one.
     successors: BTreeMap<String, String>,
     /// Orders that were refused: the box, the operation and the status.
@@ -157,6 +168,9 @@
     pub body: String,
     /// The box.
     pub target: String,
+    /// When the life of the box began that it reached, in Unix milliseconds; nothing where another box
+    /// was meant.
+    pub life: Option<u64>,
     /// When it came.
     pub at: Instant,
 }
@@ -278,6 +292,18 @@
         }
     }
 
+    /// Changes what a box asks of daemons, for as long as its life lasts.
+    pub fn set_wishes(&self, id: &str, wishes: BoxWishes) {
+        if let Some(held) = self.world.borrow_mut().boxes.get_mut(id) {
+            held.wishes = wishes;
+        }
+    }
+
+    /// Returns what boxes asked of daemons in their answers.
+    pub fn told(&self) -> Vec<Told> {
+        self.world.borrow().told.clone()
+    }
+
     /// Holds up all that boxes say, as a link does that is full, or lets it through again.
     pub fn hold(&self, held: bool) {
         self.world.borrow_mut().held = held;
@@ -441,6 +467,18 @@
             std::future::pending::<()>().await;
         }
         self.held_up().await;
+        let request = req.headers().get("cherrystand-request-id").cloned();
+        let mut answer = self.answer_well(id, req).await;
+        if self.leaves(id) {
+            set(&mut answer, "server-leaving", "1");
+            if let Some(request) = request.as_ref().and_then(|request| request.to_str().ok()) {
+                self.note_told(id, request, Wish::Leaves);
+            }
+        }
+        answer
+    }
+
+    async fn answer_well(&self, id: &str, req: Request<Incoming>) -> Out {
         match (req.method(), req.uri().path()) {
             (_, "/report" | "/order") if !is_meant(&req, id) => {
                 plain(StatusCode::MISDIRECTED_REQUEST, "")
@@ -599,6 +637,7 @@
             request: request.clone(),
             body: String::new(),
             target: id.to_owned(),
+            life: self.start_of(id).filter(|_| meant),
             at: Instant::now(),
         };
         self.world.borrow_mut().arrivals.push(arrival);
@@ -610,10 +649,8 @@
         let body = req.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
         let body = String::from_utf8_lossy(&body).into_owned();
         self.world.borrow_mut().arrivals[arrival].body.clone_from(&body);
-        if self.mood(id) == BoxMood::Sheds {
-            let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "");
-            set(&mut answer, "cherrystand-not-executed", "1");
-            return answer;
+        if self.turns_away(id, &request) {
+            return self.refusal(id, &request);
         }
         if service == "models" {
             self.note_run(id);
@@ -644,6 +681,48 @@
         answer
     }
 
+    /// Tells whether a box turns a request away.
+    fn turns_away(&self, id: &str, request: &str) -> bool {
+        let mut world = self.world.borrow_mut();
+        let Some(held) = world.boxes.get_mut(id) else { return false };
+        held.asked += 1;
+        let sheds = match held.wishes.sheds {
+            Sheds::None => false,
+            Sheds::All => true,
+            Sheds::EverySecond => held.asked.is_multiple_of(2),
+            Sheds::Beyond(most) => Rc::strong_count(&held.working) > most,
+            Sheds::From(daemon) => request.starts_with(daemon),
+        };
+        sheds || held.mood == BoxMood::Sheds
+    }
+
+    /// Makes a box's answer to a request that it turns away.
+    fn refusal(&self, id: &str, request: &str) -> Out {
+        let rest = self.world.borrow().boxes.get(id).and_then(|held| held.wishes.rest);
+        let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "");
+        set(&mut answer, "cherrystand-not-executed", "1");
+        set(&mut answer, "cherrystand-request-id", request);
+        if let Some(rest) = rest {
+            set(&mut answer, "retry-after", rest);
+            let secs = rest.parse().ok().and_then(|secs| Duration::try_from_secs_f64(secs).ok());
+            if let Some(rest) = secs {
+                self.note_told(id, request, Wish::Rest(rest));
+            }
+        }
+        answer
+    }
+
+    fn note_told(&self, id: &str, request: &str, wish: Wish) {
+        let Some(life) = self.start_of(id) else { return };
+        let (request, target) = (request.to_owned(), id.to_owned());
+        let told = Told { request, target, life, at: Instant::now(), wish };
+        self.world.borrow_mut().told.push(told);
+    }
+
+    fn leaves(&self, id: &str) -> bool {
+        self.world.borrow().boxes.get(id).is_some_and(|held| held.wishes.leaves)
+    }
+
     fn start_of(&self, id: &str) -> Option<u64> {
         self.world.borrow().boxes.get(id).map(|held| held.start)
     }
@@ -652,7 +731,10 @@
     fn stream(&self, id: &str, request: &str, first: u64, ends: Option<(u64, String)>) -> Out {
         let (site, id, request) = (self.clone(), id.to_owned(), request.to_owned());
         let start = self.start_of(&id);
+        let working = self.world.borrow().boxes.get(&id).map(|held| held.working.clone());
         let events = stream::unfold(first, move |number| {
+            // It is worked on until its last event.
+            let _working = &working;
             let (site, id, request) = (site.clone(), id.clone(), request.clone());
             let ends = ends.clone();
             async move {
--- a/crates/cherrystand_testkit/tests/soak_checks.rs
+++ b/crates/cherrystand_testkit/tests/soak_checks.rs
@@ -25,7 +25,7 @@
         answered: Answered::Whole(StatusCode::OK),
     };
     let (request, body) = ("r1".to_owned(), String::new());
-    let arrival = Arrival { request, body, target: "a-0".to_owned(), at: sent };
+    let arrival = Arrival { request, body, target: "a-0".to_owned(), life: Some(1), at: sent };
     let mut record = Record { seen: vec![seen], arrivals: vec![arrival], ..Record::default() };
     record.runs.insert("r1".to_owned(), 1);
     change(&mut record, began);
--- /dev/null
+++ b/crates/cherrystandd/tests/wishes.rs
@@ -0,0 +1,238 @@
+//! Replicas that ask for rest, or say that they leave.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use cherrystand_testkit::{BoxWishes, Door, Sheds, Wish, broken_wishes, whole_stream};
+use hyper::StatusCode;
+use support::site::{CALL, Node, STREAM, Site, call};
+use support::{Answer, until};
+
+/// How often each daemon gets a request of each kind.
+const EVERY: Duration = Duration::from_millis(30);
+
+/// For how long they come.
+const FOR: Duration = Duration::from_millis(4_500);
+
+/// A request as its caller saw it.
+struct Asked {
+    id: String,
+    sent: Instant,
+    took: Duration,
+    answer: Answer,
+}
+
+/// The id of a request begins with the daemon that it is sent to.
+fn daemon_of(request: &str, _: Instant) -> Option<String> {
+    request.split_once('-').map(|(daemon, _)| daemon.to_owned())
+}
+
+async fn ask(node: &Node, path: &str, id: String) -> Asked {
+    let sent = Instant::now();
+    let answer = call(node, "POST", path, &id, "k1").await;
+    Asked { id, sent, took: sent.elapsed(), answer }
+}
+
+/// Sends requests of one kind to all daemons for a while.
+async fn keep_asking(nodes: &[Node], path: &str) -> Vec<Asked> {
+    let rounds = FOR.as_millis() / EVERY.as_millis();
+    let all = (0..rounds as u32).flat_map(|round| {
+        nodes.iter().enumerate().map(move |(number, node)| async move {
+            tokio::time::sleep(EVERY * round).await;
+            ask(node, path, format!("n{number}-{round}{}", path.replace('/', "-"))).await
+        })
+    });
+    futures_util::future::join_all(all).await
+}
+
+/// Names what daemons sent into rests and to boxes that leave.
+fn broken(site: &Site) -> Vec<String> {
+    broken_wishes(&site.site.told(), &site.site.arrivals(), daemon_of)
+}
+
+fn is_served(asked: &Asked) -> bool {
+    let whole = [whole_stream(&asked.id), format!("answer to {}", asked.id)];
+    asked.answer.status == StatusCode::OK && whole.contains(&asked.answer.text())
+}
+
+/// Story: half of the replicas turned everything away for nine seconds and asked each daemon for 3 s of rest;
+/// daemons sent each of them 15 to 18 requests within it, three to four times as many as before,
+/// and questions about photos fell from 57 answers in time of 57 to 1 of 53, while replicas beside
+/// them were well. Nobody read the wish, and a replica that turns everything away has nothing in
+/// flight and so looked the quickest.
+///
+/// Evidence: the counters of sends into a rest, and the lines of refused requests, each of which
+/// names three boxes that turned it away within 10 ms with all its time left.
+#[test]
+fn a_replica_that_asked_for_rest_is_left_alone_until_it_ends() {
+    struct Case {
+        name: &'static str,
+        /// What the boxes of the service ask for, in the order of their names.
+        wishes: [BoxWishes; 2],
+        path: &'static str,
+        /// The least share of requests that is served.
+        served: f64,
+    }
+    let (well, rest) = (BoxWishes::default(), BoxWishes::rest(Sheds::All, "1.5"));
+    let case = Case { name: "one of two", wishes: [rest, well], path: STREAM, served: 0.95 };
+    let cases = [
+        Case { name: "one of two, a plain service", path: CALL, ..case },
+        Case { name: "both", wishes: [rest; 2], served: 0.0, ..case },
+        Case { name: "both, a plain service", wishes: [rest; 2], served: 0.0, path: CALL, ..case },
+        Case {
+            name: "one daemon alone is turned away",
+            wishes: [BoxWishes::rest(Sheds::From("n0-"), "1.5"), well],
+            ..case
+        },
+        Case {
+            name: "every other request is turned away",
+            wishes: [BoxWishes::rest(Sheds::EverySecond, "1.5"), well],
+            ..case
+        },
+        Case {
+            name: "by what it works on",
+            wishes: [BoxWishes::rest(Sheds::Beyond(3), "1.5"), well],
+            ..case
+        },
+        Case {
+            name: "a rest that outlasts the test",
+            wishes: [BoxWishes::rest(Sheds::All, "1e9"), well],
+            ..case
+        },
+        case,
+    ];
+    support::run(async {
+        let all = cases.into_iter().map(|case| async move {
+            let site = Site::serving_with_starts(3).await;
+            let boxes: Vec<String> = match case.path {
+                CALL => ["a-1", "a-2"].map(str::to_owned).to_vec(),
+                _ => site.site.leaders().into_keys().collect(),
+            };
+            for (id, wishes) in boxes.iter().zip(case.wishes) {
+                site.site.set_wishes(id, wishes);
+            }
+            let asked = keep_asking(&site.nodes, case.path).await;
+            let mut wrong = broken(&site);
+            let served = asked.iter().filter(|asked| is_served(asked)).count();
+            let least = (asked.len() as f64 * case.served) as usize;
+            if served < least {
+                wrong.push(format!("{served} of {} served, {least} at least", asked.len()));
+            }
+            wrong.into_iter().map(|wrong| format!("{}: {wrong}", case.name)).collect::<Vec<_>>()
+        });
+        let wrong = futures_util::future::join_all(all).await.concat();
+        assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
+    });
+}
+
+/// Story: as above, where every replica rested: a caller was told 0.3 s, came back to the same replicas
+/// and was turned away again, each time after three of them were asked.
+#[test]
+fn callers_are_refused_at_once_while_all_rest_and_told_when_that_ends() {
+    support::run(async {
+        let site = Site::serving_with_starts(2).await;
+        let leaders: Vec<String> = site.site.leaders().into_keys().collect();
+        for leader in &leaders {
+            site.site.set_wishes(leader, BoxWishes::rest(Sheds::All, "2"));
+        }
+        let asked = keep_asking(&site.nodes, STREAM).await;
+        let told = site.site.told();
+        let rest_of = |target: &String, asked: &Asked| {
+            let own = told.iter().filter(|told| &told.target == target);
+            let own = own.filter(|told| {
+                daemon_of(&told.request, told.at) == daemon_of(&asked.id, asked.sent)
+            });
+            let ends = own.filter_map(|told| match told.wish {
+                Wish::Rest(rest) if told.at < asked.sent => Some(told.at + rest),
+                _ => None,
+            });
+            ends.max().filter(|end| *end > asked.sent)
+        };
+        let mut refused = 0;
+        for asked in &asked {
+            let ends: Vec<Instant> =
+                leaders.iter().filter_map(|leader| rest_of(leader, asked)).collect();
+            if ends.len() < leaders.len() {
+                continue;
+            }
+            refused += 1;
+            let first = ends.iter().min().expect("two").duration_since(asked.sent);
+            let after: f64 = asked.answer.header("retry-after").parse().expect("a time");
+            assert_eq!(asked.answer.status, StatusCode::SERVICE_UNAVAILABLE);
+            assert!(asked.took < Duration::from_millis(300), "held for {:?}", asked.took);
+            // The clocks of both run while the request is on its way.
+            assert!(after + 0.1 > first.as_secs_f64(), "told {after} s, {first:?} were left");
+        }
+        assert!(refused > 50, "{refused} of {}", asked.len());
+        assert_eq!(broken(&site), Vec::<String>::new());
+    });
+}
+
+/// A life that ended owes no rest, and neither does what a box of the same name was asked.
+#[test]
+fn a_new_life_of_a_box_owes_no_rest() {
+    support::run(async {
+        let site = Site::serving_with_starts(1).await;
+        for id in ["a-1", "a-2"] {
+            site.site.set_wishes(id, BoxWishes::rest(Sheds::All, "60"));
+        }
+        let node = &site.nodes[0];
+        until("both rest", async || {
+            ask(node, CALL, "n0-rest".to_owned()).await;
+            site.site.told().len() >= 2
+        })
+        .await;
+        site.site.restart("a-1", false);
+        until("the new life serves", async || {
+            is_served(&ask(node, CALL, "n0-again".to_owned()).await)
+        })
+        .await;
+        assert_eq!(broken(&site), Vec::<String>::new());
+    });
+}
+
+/// Story: replicas said in their answers that they leave while their entries stayed; daemons that passed
+/// such answers on sent them new requests for seconds, until the platform's list told the end.
+#[test]
+fn a_replica_that_says_that_it_leaves_is_sent_nothing_new() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        sheds: Sheds,
+        /// How the store treats the first daemon meanwhile.
+        door: Door,
+    }
+    let case =
+        Case { name: "in streams' heads", path: STREAM, sheds: Sheds::None, door: Door::Open };
+    let cases = [
+        Case { name: "in whole answers", path: CALL, ..case },
+        Case { name: "as it turns requests away", sheds: Sheds::All, ..case },
+        Case { name: "to a daemon out of touch with the store", door: Door::Silent, ..case },
+        case,
+    ];
+    support::run(async {
+        let all = cases.into_iter().map(|case| async move {
+            let site = Site::serving_with_starts(2).await;
+            let leaders = site.site.leaders().into_keys().collect::<Vec<_>>();
+            let leaving = if case.path == CALL { "a-1" } else { &leaders[0] };
+            site.site.set_door(0, case.door);
+            let wishes = BoxWishes { sheds: case.sheds, ..BoxWishes::leaving() };
+            site.site.set_wishes(leaving, wishes);
+            let asked = keep_asking(&site.nodes, case.path).await;
+            let mut wrong = broken(&site);
+            if !site.site.told().iter().any(|told| told.wish == Wish::Leaves) {
+                wrong.push("it never said so".to_owned());
+            }
+            // A stop that a box says itself costs callers nothing.
+            let failed = asked.iter().filter(|asked| !is_served(asked)).count();
+            if failed > 0 {
+                wrong.push(format!("{failed} of {} not served", asked.len()));
+            }
+            wrong.into_iter().map(|wrong| format!("{}: {wrong}", case.name)).collect::<Vec<_>>()
+        });
+        let wrong = futures_util::future::join_all(all).await.concat();
+        assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
+    });
+}
