fix: a replica that turned a request away loses its place in the choice for a while

Callers saw 503 while replicas beside were well: a refusal left no trace, and a replica that turns everything away has the least in flight, so that it was chosen first (148 of 150 requests of one daemon before two replicas; the class is known from balancers that go by fewest requests in flight). Ruled out: repeats within one try (first sends alone are 148 of 148). A refusal now counts as a failure, and the replica is left out as after one: 0.3 s, doubling to 2 s until it serves. That holds also without a wish for rest and passes with answers that are served.

Test before and after, 150 requests of one daemon before two replicas: turning all away 130 sent there and 50 served, now under 30 and all served; every other one 114 and 123, now under 75 and all.

--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -83,6 +83,7 @@
     let (head, body) = answer.into_parts();
     if facts.not_run {
         if head.status != StatusCode::MISDIRECTED_REQUEST {
+            flight.refused();
             return Err(AttemptEnd::Refused);
         }
         front.not_serving(&flight);
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -130,6 +130,15 @@
         self.front.chooser.borrow_mut().failed(self.key, now);
     }
 
+    /// Notes that the endpoint turned the request away.
+    ///
+    /// It has the least in flight of all, and would be the one that is chosen: of 150 requests of one
+    /// daemon before two replicas 148 went first to the one that turned all away.
+    pub(crate) fn refused(&self) {
+        self.failed();
+        self.avoid();
+    }
+
     /// Notes that the endpoint broke off its answer, or closed the connection before one.
     pub(crate) fn cut(&self) {
         self.failed();
--- a/crates/cherrystandd/tests/wishes.rs
+++ b/crates/cherrystandd/tests/wishes.rs
@@ -127,6 +127,49 @@
     });
 }
 
+/// Story: the same without a wish for rest: a replica that turns everything away has nothing in flight, so that
+/// it was the first choice of 148 in 150 requests beside a replica that was well.
+#[test]
+fn a_replica_that_turns_requests_away_is_not_the_first_choice() {
+    struct Case {
+        name: &'static str,
+        sheds: Sheds,
+        path: &'static str,
+        /// The most of the requests that may reach it.
+        most: f64,
+    }
+    let case = Case { name: "all", sheds: Sheds::All, path: STREAM, most: 0.2 };
+    let cases = [
+        Case { name: "all, a plain service", path: CALL, ..case },
+        // One that serves half of what it gets is slower, not dead.
+        Case { name: "every other one", sheds: Sheds::EverySecond, most: 0.5, ..case },
+        case,
+    ];
+    support::run(async {
+        let all = cases.into_iter().map(|case| async move {
+            let site = Site::serving_with_starts(1).await;
+            let leaders = site.site.leaders().into_keys().collect::<Vec<_>>();
+            let sheds = if case.path == CALL { "a-1" } else { &leaders[0] };
+            let wishes = BoxWishes { sheds: case.sheds, ..BoxWishes::default() };
+            site.site.set_wishes(sheds, wishes);
+            let before = site.site.arrivals().len();
+            let asked = keep_asking(&site.nodes, case.path).await;
+            let arrivals = site.site.arrivals().split_off(before);
+            let there = arrivals.iter().filter(|arrival| arrival.target == sheds).count();
+            let served = asked.iter().filter(|asked| is_served(asked)).count();
+            let most = (asked.len() as f64 * case.most) as usize;
+            let is_right = there <= most && there > 0 && served == asked.len();
+            (!is_right).then(|| {
+                let (name, all) = (case.name, asked.len());
+                format!("{name}: {there} of {all} sent there, {served} served")
+            })
+        });
+        let wrong: Vec<String> =
+            futures_util::future::join_all(all).await.into_iter().flatten().collect();
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
+
 /// Story: as above, where every replica rested: a caller was told 0.3 s, came back to the same replicas
 /// and was turned away again, each time after three of them were asked.
 #[test]
