fix: a replica that asked a daemon for rest is sent nothing until it ends, on any path

Callers saw requests refused by replicas that had asked for 3 s of rest and got 15 to 18 requests within it from one daemon. Cause: the wish was read on no path. Now one piece of the core, EndpointWishes, keeps what endpoints asked for by their lives, and alone gives the leave (SendPermit) without which a caller's request cannot be sent: choice, repeat, resume, asking beside and the last resort go through it, and a path that forgets to does not compile. A later wish never shortens an earlier one; 600 s at the most are taken; a new life owes none. After its rest an endpoint comes back by one request first, then by twice as many with each answer that begins. Where all rest the caller is refused at once, as endpoints-rest, with the end of the first rest as Retry-After, spread over 0.5 s, and no repeat is spent.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -47,12 +47,14 @@
     pub(crate) mod admission;
     pub(crate) mod breaker;
     pub(crate) mod claim;
+    pub(crate) mod endpoint_wishes;
     pub(crate) mod limit;
     pub(crate) mod outcome;
     pub(crate) mod refusal;
     pub(crate) mod retry;
     pub(crate) mod router;
     pub(crate) mod seed;
+    pub(crate) mod send_permit;
     pub(crate) mod usual_time;
     pub(crate) mod wait_queue;
 }
@@ -97,7 +99,6 @@
     pub(crate) mod member_order;
     pub(crate) mod model_load;
     pub(crate) mod policy;
-    pub(crate) mod replica_wishes;
     pub(crate) mod retry_share;
     pub(crate) mod route_table;
     pub(crate) mod site_box;
@@ -172,6 +173,7 @@
     CLAIM_LIFE_SECS, CLAIM_SHARDS, CLAIM_USE_WITHIN, CallKey, Claim, ClaimAnswer, ClaimRecord,
     ClaimRequest, MAX_CLAIMS,
 };
+pub use requests::endpoint_wishes::{EndpointWishes, LONGEST_REST, WishState};
 pub use requests::limit::Limit;
 pub use requests::outcome::{AttemptEnd, Outcome};
 pub use requests::refusal::{Refusal, RefusalReason};
@@ -180,6 +182,7 @@
 };
 pub use requests::router::{EndpointKey, EndpointSpec, GroupKey, NoEndpoint, Router};
 pub use requests::seed::{Seed, hash_bytes, mix};
+pub use requests::send_permit::SendPermit;
 pub use requests::usual_time::UsualTime;
 pub use requests::wait_queue::{LONGEST_WAIT, WaitQueue};
 pub use site::attempt_ledger::{AttemptLedger, FinalFailure};
@@ -199,7 +202,6 @@
 pub use site::member_order::{MemberOrder, MemberTask, OrderEnd};
 pub use site::model_load::{ModelLoad, ModelLoads};
 pub use site::policy::{ChoiceRule, Policy};
-pub use site::replica_wishes::{LONGEST_REST, ReplicaWishes};
 pub use site::retry_share::{RetryBounds, RetryShare};
 pub use site::route_table::{Allowed, NotAllowed, RouteTable};
 pub use site::site_box::{BoxStart, Member, MemberState, SiteBox};
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/endpoint_wishes.rs
@@ -0,0 +1,156 @@
+//! What endpoints ask of this node: to be left alone for a while, or for good.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::{Millis, SendPermit};
+
+/// The longest rest that is taken.
+///
+/// A rest lets a queue drain, which takes seconds; what lasts longer is a planned end, which a box says
+/// otherwise. One that asks for more is asked again after this, once a time.
+pub const LONGEST_REST: Millis = Millis(600_000);
+
+/// How many requests may be under way at once to an endpoint whose rest has just ended, until it answers
+/// the first; each answer that begins doubles it.
+const FIRST_WINDOW: u32 = 1;
+
+/// From this window on an endpoint takes whatever the choice sends.
+const OPEN_WINDOW: u32 = 16;
+
+/// For how long after its rest an endpoint that nobody asked anything counts as coming back.
+const COMES_BACK_FOR: Millis = Millis(10_000);
+
+/// How many lives that leave are remembered, the newest; at 100 bytes each 1.6 MB, and at 1,900 boxes
+/// restarted or replaced a day those of eight days.
+const MOST_LEAVING: usize = 16_384;
+
+/// Says how an endpoint stands, by what it asked of this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WishState {
+    /// It takes requests.
+    Open,
+    /// Its rest has ended, and it has yet to answer what it was sent since.
+    ComesBack,
+    /// It rests until a time.
+    Rests(Millis),
+    /// It leaves.
+    Leaves,
+}
+
+impl WishState {
+    /// Tells whether the endpoint wants nothing at all now.
+    pub fn is_closed(self) -> bool {
+        matches!(self, Self::Rests(_) | Self::Leaves)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    until: Millis,
+    /// How many requests may be under way once the rest is over.
+    window: u32,
+    /// How many of those sent since are under way.
+    under_way: u32,
+}
+
+impl Rest {
+    fn is_over(&self, now: Millis) -> bool {
+        now >= self.until + COMES_BACK_FOR
+    }
+}
+
+/// Keeps what endpoints asked of this node, by the life of each, and gives the leave to send to them.
+///
+/// It is kept apart from the list of endpoints: an entry may go and come back within a rest.
+#[derive(Clone, Debug)]
+pub struct EndpointWishes<K> {
+    rests: BTreeMap<K, Rest>,
+    leaving: BTreeSet<K>,
+    leaving_since: VecDeque<K>,
+}
+
+impl<K> Default for EndpointWishes<K> {
+    fn default() -> Self {
+        Self { rests: BTreeMap::new(), leaving: BTreeSet::new(), leaving_since: VecDeque::new() }
+    }
+}
+
+impl<K: Ord + Clone> EndpointWishes<K> {
+    /// Takes in that an endpoint asked for rest just now, and returns until when it has it.
+    ///
+    /// A later wish never shortens an earlier one, and neither does an answer to what was under way.
+    pub fn hear_rest(&mut self, id: &K, asked: Millis, now: Millis) -> Millis {
+        self.rests.retain(|_, rest| !rest.is_over(now));
+        let until = now + asked.min(LONGEST_REST);
+        let fresh = Rest { until, window: FIRST_WINDOW, under_way: 0 };
+        let rest = self.rests.entry(id.clone()).or_insert(fresh);
+        rest.until = until.max(rest.until);
+        rest.window = FIRST_WINDOW;
+        rest.until
+    }
+
+    /// Takes in that an endpoint leaves, and tells whether that is new.
+    pub fn hear_leaving(&mut self, id: &K) -> bool {
+        if !self.leaving.insert(id.clone()) {
+            return false;
+        }
+        self.leaving_since.push_back(id.clone());
+        if self.leaving_since.len() > MOST_LEAVING
+            && let Some(oldest) = self.leaving_since.pop_front()
+        {
+            self.leaving.remove(&oldest);
+        }
+        true
+    }
+
+    /// Tells whether an endpoint said that it leaves.
+    pub fn is_leaving(&self, id: &K) -> bool {
+        self.leaving.contains(id)
+    }
+
+    /// Returns how an endpoint stands.
+    pub fn state(&self, id: &K, now: Millis) -> WishState {
+        // Most choices are made while nobody asks for anything.
+        if self.rests.is_empty() && self.leaving.is_empty() {
+            return WishState::Open;
+        }
+        if self.is_leaving(id) {
+            return WishState::Leaves;
+        }
+        match self.rests.get(id) {
+            Some(rest) if now < rest.until => WishState::Rests(rest.until),
+            Some(rest) if !rest.is_over(now) && rest.under_way >= rest.window => {
+                WishState::ComesBack
+            }
+            _ => WishState::Open,
+        }
+    }
+
+    /// Gives leave to send one request to an endpoint; nothing where it wants none.
+    pub fn permit(&mut self, id: &K, now: Millis) -> Option<SendPermit> {
+        if self.state(id, now).is_closed() {
+            return None;
+        }
+        let rest = self.rests.get_mut(id).filter(|rest| !rest.is_over(now));
+        let comes_back = rest.map(|rest| rest.under_way += 1).is_some();
+        Some(SendPermit::new(comes_back))
+    }
+
+    /// Takes in that an endpoint began to answer what it was sent after its rest.
+    ///
+    /// Where it has asked for the next one meanwhile, that holds.
+    pub fn answered(&mut self, id: &K, now: Millis) {
+        let Some(rest) = self.rests.get_mut(id).filter(|rest| now >= rest.until) else { return };
+        rest.window *= 2;
+        if rest.window >= OPEN_WINDOW {
+            self.rests.remove(id);
+        }
+    }
+
+    /// Takes in that what an endpoint was sent after its rest is under way no more.
+    pub fn ended(&mut self, id: &K) {
+        if let Some(rest) = self.rests.get_mut(id) {
+            rest.under_way = rest.under_way.saturating_sub(1);
+        }
+    }
+}
--- a/crates/cherrystand_core/src/requests/refusal.rs
+++ b/crates/cherrystand_core/src/requests/refusal.rs
@@ -36,11 +36,13 @@
     Stopping,
     /// The request ended each replica that ran it.
     EndsReplicas,
+    /// Every endpoint that could serve it has asked this node for rest.
+    EndpointsRest,
 }
 
 impl RefusalReason {
     /// Lists every reason.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::BadRequest,
         Self::TooLarge,
         Self::UnknownTarget,
@@ -55,6 +57,7 @@
         Self::ConfigurationOld,
         Self::Stopping,
         Self::EndsReplicas,
+        Self::EndpointsRest,
     ];
 
     /// Returns the name that answers and metrics use.
@@ -74,6 +77,7 @@
             Self::ConfigurationOld => "configuration-old",
             Self::Stopping => "stopping",
             Self::EndsReplicas => "ends-replicas",
+            Self::EndpointsRest => "endpoints-rest",
         }
     }
 
@@ -88,9 +92,11 @@
             Self::DeadlinePassed => 504,
             // Its earlier tries have run: no promise goes with it.
             Self::EndpointsFailed | Self::EndsReplicas => 502,
-            Self::NoneServing | Self::KeysOutOfReach | Self::ConfigurationOld | Self::Stopping => {
-                503
-            }
+            Self::NoneServing
+            | Self::KeysOutOfReach
+            | Self::ConfigurationOld
+            | Self::Stopping
+            | Self::EndpointsRest => 503,
         }
     }
 }
--- /dev/null
+++ b/crates/cherrystand_core/src/requests/send_permit.rs
@@ -0,0 +1,22 @@
+//! Leave to send one request to one endpoint.
+
+/// Allows one request to be sent to the endpoint that it was given for.
+///
+/// Only [`crate::EndpointWishes`] makes one, after it has looked at what the endpoint asked for, and what sends a
+/// caller's request takes one: a path that forgets to look does not compile.
+#[derive(Debug)]
+#[must_use = "a request that is not sent after all is to be counted as ended"]
+pub struct SendPermit {
+    comes_back: bool,
+}
+
+impl SendPermit {
+    pub(crate) fn new(comes_back: bool) -> Self {
+        Self { comes_back }
+    }
+
+    /// Tells whether the endpoint's rest has just ended, so that it matters how it answers.
+    pub fn comes_back(&self) -> bool {
+        self.comes_back
+    }
+}
--- a/crates/cherrystand_core/src/site/chooser.rs
+++ b/crates/cherrystand_core/src/site/chooser.rs
@@ -6,8 +6,8 @@
 
 use crate::site::target::{Target, TargetSpec};
 use crate::{
-    BoxId, ChoiceRule, EngineLoad, EngineSpec, Millis, ModelLoads, ModelSpec, Policy, Seed,
-    ServiceName, TimeModel, is_deferred,
+    BoxId, ChoiceRule, EndpointWishes, EngineLoad, EngineSpec, Millis, ModelLoads, ModelSpec,
+    Policy, Seed, SendPermit, ServiceName, TimeModel, WishState, is_deferred,
 };
 
 new_key_type! {
@@ -32,6 +32,10 @@
 /// objective is 0.01 to 0.08 of a request's credit; this is as steep where replicas begin to fill.
 const TIME_COST: f64 = 0.2;
 
+/// What speaks against an endpoint that has yet to answer what it was sent since its rest, in
+/// milliseconds: beyond all times that are predicted, below what speaks against one that failed.
+const COMES_BACK_MS: f64 = 50_000.0;
+
 /// What a request asks of an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -85,6 +89,8 @@
     targets: SlotMap<TargetKey, Target>,
     ids: BTreeMap<BoxId, TargetKey>,
     services: HashMap<ServiceName, ServiceTargets>,
+    /// What endpoints asked of this node, also those that are not listed for now.
+    wishes: EndpointWishes<BoxId>,
     times: HashMap<String, TimeModel>,
 }
 
@@ -180,14 +186,9 @@
         now: Millis,
         seed: &mut Seed,
     ) -> Option<TargetKey> {
-        let service = self.services.get(ask.service)?;
-        let (candidates, engine) = match (engine, ask.model) {
-            (Some(engine), Some(model)) => {
-                let spec = engine.model(model);
-                (service.by_model.get(model)?, spec.map(|spec| (engine, spec)))
-            }
-            _ => (&service.plain, None),
-        };
+        let candidates = self.candidates(ask, engine)?;
+        let engine = engine.zip(ask.model);
+        let engine = engine.and_then(|(engine, model)| Some((engine, engine.model(model)?)));
         let times = ask.model.and_then(|model| self.times.get(model)).copied();
         let times = times.unwrap_or_default();
         let choice = Choice { ask, engine, not, now, times };
@@ -202,6 +203,65 @@
         }
     }
 
+    /// Returns the endpoints of the service or model that is asked for.
+    fn candidates(&self, ask: Ask<'_>, engine: Option<&EngineSpec>) -> Option<&Candidates> {
+        let service = self.services.get(ask.service)?;
+        match engine.and(ask.model) {
+            Some(model) => service.by_model.get(model),
+            None => Some(&service.plain),
+        }
+    }
+
+    /// Returns when the first rest ends, where each endpoint that could serve a request rests.
+    pub fn all_rest_until(
+        &self,
+        ask: Ask<'_>,
+        engine: Option<&EngineSpec>,
+        now: Millis,
+    ) -> Option<Millis> {
+        let candidates = self.candidates(ask, engine)?;
+        let mut first: Option<Millis> = None;
+        for key in candidates.near.iter().chain(&candidates.far) {
+            match self.wishes.state(&self.targets.get(*key)?.spec.id, now) {
+                WishState::Rests(until) => first = first.min(Some(until)).or(Some(until)),
+                WishState::Leaves => {}
+                WishState::Open | WishState::ComesBack => return None,
+            }
+        }
+        first
+    }
+
+    /// Takes in that an endpoint asked this node for rest, and returns until when it has it.
+    pub fn hear_rest(&mut self, id: &BoxId, asked: Millis, now: Millis) -> Millis {
+        self.wishes.hear_rest(id, asked, now)
+    }
+
+    /// Takes in that an endpoint leaves, and tells whether that is new.
+    pub fn hear_leaving(&mut self, id: &BoxId) -> bool {
+        self.wishes.hear_leaving(id)
+    }
+
+    /// Tells whether an endpoint said that it leaves.
+    pub fn is_leaving(&self, id: &BoxId) -> bool {
+        self.wishes.is_leaving(id)
+    }
+
+    /// Gives leave to send one request to an endpoint; nothing where it wants none.
+    pub fn permit(&mut self, key: TargetKey, now: Millis) -> Option<SendPermit> {
+        let target = self.targets.get(key)?;
+        self.wishes.permit(&target.spec.id, now)
+    }
+
+    /// Takes in that an endpoint began to answer what it was sent after its rest.
+    pub fn answered_after_rest(&mut self, id: &BoxId, now: Millis) {
+        self.wishes.answered(id, now);
+    }
+
+    /// Takes in that what an endpoint was sent after its rest is under way no more.
+    pub fn ended_after_rest(&mut self, id: &BoxId) {
+        self.wishes.ended(id);
+    }
+
     /// Returns the endpoint with the least cost of all.
     fn least(
         &self,
@@ -212,12 +272,14 @@
         let mut best: Option<(f64, TargetKey)> = None;
         for key in candidates.near.iter().chain(&candidates.far) {
             let target = self.targets.get(*key)?;
-            if choice.not.contains(&target.spec.id) {
+            let state = self.wishes.state(&target.spec.id, choice.now);
+            if choice.not.contains(&target.spec.id) || state.is_closed() {
                 continue;
             }
             // Ties are broken by chance, so that nodes that know the same do not all agree.
             let chance = seed.below(1_000) as f64 / 1_000.0;
-            let cost = self.cost(target, choice) + chance;
+            let comes_back = if state == WishState::ComesBack { COMES_BACK_MS } else { 0.0 };
+            let cost = self.cost(target, choice) + comes_back + chance;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *key));
             }
@@ -301,7 +363,8 @@
     fn usable(&self, key: TargetKey, choice: &Choice<'_>) -> Option<&Target> {
         let target = self.targets.get(key)?;
         let excluded = choice.not.contains(&target.spec.id) || target.is_avoided(choice.now);
-        (!excluded).then_some(target)
+        let is_open = || self.wishes.state(&target.spec.id, choice.now) == WishState::Open;
+        (!excluded && is_open()).then_some(target)
     }
 
     /// Returns the share of a request's credit that a replica is expected to bring.
--- /dev/null
+++ b/crates/cherrystand_platform/src/endpoint_pool.rs
@@ -0,0 +1,34 @@
+//! Connections by which callers' requests reach endpoints.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cherrystand_core::SendPermit;
+use http_body_util::Full;
+use hyper::{Request, Response};
+
+use crate::{HttpPool, PooledBody, SendError};
+
+/// Sends callers' requests to endpoints, each by the leave that was given for it.
+#[derive(Clone, Default)]
+pub struct EndpointPool {
+    connections: HttpPool,
+}
+
+impl EndpointPool {
+    /// Sends a request and returns the answer once its head is there.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`HttpPool::send`].
+    pub async fn send(
+        &self,
+        _permit: SendPermit,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+        connect_within: Duration,
+    ) -> Result<Response<PooledBody>, SendError> {
+        self.connections.send(address, req, connect_within).await
+    }
+}
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -7,6 +7,7 @@
 mod asked_rest;
 mod boot_time;
 mod caller_body;
+mod endpoint_pool;
 mod engine_client;
 mod http_pool;
 mod http_server;
@@ -19,6 +20,7 @@
 pub use asked_rest::AskedRest;
 pub use boot_time::{jump_ahead, since_boot};
 pub use caller_body::{BrokeOff, CallerBody, CallerLeft, EventSender};
+pub use endpoint_pool::EndpointPool;
 pub use engine_client::{EPOCH_HEADER, EngineClient, EngineError, NOT_RUN_HEADER};
 pub use http_pool::{HttpPool, PooledBody, SendError};
 pub use http_server::{MAX_HEAD_BYTES, serve_http};
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -26,8 +26,6 @@
     pub attempts: IntCounterVec,
     /// Requests that endpoints turned away, by whether they asked for rest.
     pub endpoint_refusals: IntCounterVec,
-    /// Requests that were sent to endpoints within a rest that these had asked for.
-    pub sent_into_rest: IntCounterVec,
     /// Endpoints that said in their answers that they leave.
     pub endpoints_leaving: IntCounter,
     /// Retries, by how the attempt before ended.
@@ -97,11 +95,6 @@
                 "Requests that endpoints turned away.",
                 &["rest"],
             )?,
-            sent_into_rest: make.counters(
-                "sent_into_rest_total",
-                "Requests sent to endpoints within a rest that these had asked for.",
-                &["send"],
-            )?,
             endpoints_leaving: make.counter(
                 "endpoints_leaving_total",
                 "Endpoints that said in their answers that they leave.",
@@ -190,9 +183,6 @@
         for rest in ["none", "asked", "unreadable"] {
             self.endpoint_refusals.with_label_values(&[rest]);
         }
-        for send in ["first", "repeat"] {
-            self.sent_into_rest.with_label_values(&[send]);
-        }
         for kind in RefusedKind::ALL {
             self.values_refused.with_label_values(&[kind.as_str()]);
         }
--- a/crates/cherrystandd/src/relay/answer.rs
+++ b/crates/cherrystandd/src/relay/answer.rs
@@ -169,6 +169,9 @@
             "This node is cut off and does not serve; try another one."
         }
         (RefusalReason::Stopping, _) => "This node is stopping; try another one.",
+        (RefusalReason::EndpointsRest, _) => {
+            "Every endpoint asked to be left alone for now; come back after Retry-After."
+        }
         (RefusalReason::EndsReplicas, _) => {
             "Each replica that ran this request ended; do not send it again unchanged."
         }
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -41,9 +41,12 @@
     let Some(address) = front.address_of(&flight.target) else {
         return Err(AttemptEnd::NotSent);
     };
+    let Some(permit) = flight.take_permit() else {
+        return Err(AttemptEnd::NotSent);
+    };
     let out = req.attempt::<Driver>(&flight.target, last_event, flight.priority, front.now());
     let answer = tokio::select! {
-        answer = front.pool.send(address, out, CONNECT_WITHIN) => answer,
+        answer = front.pool.send(permit, address, out, CONNECT_WITHIN) => answer,
         () = flight.given_up() => return Err(AttemptEnd::ReplicaLost),
     };
     let answer = answer.map_err(|err| {
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use cherrystand_core::{BoxId, Expected, Millis, Standstill, TargetKey};
+use cherrystand_core::{BoxId, Expected, Millis, SendPermit, Standstill, TargetKey};
 
 use tokio::sync::Notify;
 
@@ -22,6 +22,12 @@
     pub(crate) key: TargetKey,
     /// The box behind it.
     pub(crate) target: BoxId,
+    /// The leave to send it, until it is sent.
+    permit: Cell<Option<SendPermit>>,
+    /// Whether the endpoint's rest had just ended.
+    comes_back: bool,
+    /// Whether it has begun to answer.
+    answered: Cell<bool>,
     unread: Cell<f64>,
     /// When it was sent.
     pub(crate) sent: Millis,
@@ -40,8 +46,9 @@
 }
 
 impl Flight {
-    /// Counts a request as on its way.
+    /// Counts a request as on its way, by the leave to send it.
     pub(crate) fn start(
+        permit: SendPermit,
         front: Rc<Front>,
         req: Rc<SiteRequest>,
         key: TargetKey,
@@ -58,6 +65,9 @@
             req,
             key,
             target,
+            comes_back: permit.comes_back(),
+            permit: Cell::new(Some(permit)),
+            answered: Cell::new(false),
             unread: Cell::new(prompt),
             sent: now,
             expected,
@@ -69,9 +79,23 @@
         }
     }
 
+    /// Takes the leave to send it, which is there once.
+    pub(crate) fn take_permit(&self) -> Option<SendPermit> {
+        self.permit.take()
+    }
+
+    /// Notes that its answer has begun.
+    fn answers(&self) {
+        if self.comes_back && !self.answered.replace(true) {
+            let now = self.front.now();
+            self.front.chooser.borrow_mut().answered_after_rest(&self.target, now);
+        }
+    }
+
     /// Notes that an event of its answer came.
     pub(crate) fn event(&self) {
         let now = self.front.now();
+        self.answers();
         self.stall_told.set(None);
         let mut chooser = self.front.chooser.borrow_mut();
         chooser.progress(self.key, now);
@@ -120,6 +144,7 @@
     /// Notes that the endpoint answered well.
     pub(crate) fn succeeded(&self) {
         let now = self.front.now();
+        self.answers();
         self.front.chooser.borrow_mut().succeeded(self.key, now);
         self.front.crashes.served(&self.req);
     }
@@ -154,10 +179,10 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.front.chooser.borrow_mut().finish(
-            self.key,
-            self.unread.get(),
-            self.waits_behind.get(),
-        );
+        let mut chooser = self.front.chooser.borrow_mut();
+        chooser.finish(self.key, self.unread.get(), self.waits_behind.get());
+        if self.comes_back {
+            chooser.ended_after_rest(&self.target);
+        }
     }
 }
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -33,13 +33,13 @@
         Ok(answer) => return answer,
         Err(refused) => {
             front.count_refusal(refused.reason);
-            plain(refused.status)
+            let mut answer = plain(refused.status);
+            if let Some(after) = refused.come_back {
+                Driver::write_retry_after(answer.headers_mut(), after);
+            }
+            answer
         }
     };
-    let status = answer.status();
-    if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
-        Driver::write_retry_after(answer.headers_mut(), COME_BACK);
-    }
     if let Ok(id) = HeaderValue::from_str(&id) {
         Driver::write_request_id(answer.headers_mut(), &id);
     }
@@ -51,11 +51,15 @@
     status: StatusCode,
     /// As metrics name it.
     reason: &'static str,
+    /// When the caller may come back, where that makes sense.
+    come_back: Option<Millis>,
 }
 
 impl From<StatusCode> for Refused {
     fn from(status: StatusCode) -> Self {
-        Self { status, reason: refusal_reason(status) }
+        let comes_back = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+        let come_back = comes_back.contains(&status).then_some(COME_BACK);
+        Self { status, reason: refusal_reason(status), come_back }
     }
 }
 
@@ -65,7 +69,21 @@
 fn refuse_for_ends() -> Refused {
     let reason = RefusalReason::EndsReplicas;
     let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
-    Refused { status, reason: reason.as_str() }
+    Refused { status, reason: reason.as_str(), come_back: None }
+}
+
+/// Makes the refusal of a request that was not served, which ends as not run where all endpoints rest.
+fn refuse(front: &Front, req: &SiteRequest, status: StatusCode) -> Refused {
+    let refused = Refused::from(status);
+    let rests_until = front.all_rest_until(req);
+    match rests_until.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        None => refused,
+        Some(until) => Refused {
+            reason: RefusalReason::EndpointsRest.as_str(),
+            come_back: Some(front.come_back_after(until)),
+            ..refused
+        },
+    }
 }
 
 /// Returns the reason for an answer of the node's own, as metrics name it.
@@ -108,10 +126,10 @@
         return Err(refuse_for_ends());
     }
     let answer = match req.route.kind {
-        RouteKind::Streaming => stream(front, req).await,
+        RouteKind::Streaming => stream(front, req.clone()).await,
         _ => whole(front, &req).await,
     };
-    Ok(answer?)
+    answer.map_err(|status| refuse(front, &req, status))
 }
 
 async fn stream(
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    Ask, AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, Millis, Outcome,
-    PeersTell, ReplicaWishes, Route, Seed, SiteView, Standstill, StreamEnd, engine_priority,
+    AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, Millis, Outcome, PeersTell,
+    Route, Seed, SiteView, Standstill, StreamEnd, engine_priority,
 };
-use cherrystand_platform::{AnswerFacts, AskedRest, HttpPool};
+use cherrystand_platform::{AnswerFacts, AskedRest, EndpointPool};
 
 use crate::site::Hint;
 use crate::site::crash_watch::CrashWatch;
@@ -33,6 +33,12 @@
 /// meanwhile, those of 60 within 430 ms, those of 295 within 50 to 550 ms (logs of one day each).
 const KNOWS_WITHIN: Millis = Millis(1_000);
 
+/// Over what time those come back that were refused as all endpoints rest.
+///
+/// The first of them has its answer begun within 0.1 to 0.2 s, and after four such an endpoint takes
+/// whatever comes.
+const COME_BACK_OVER: Millis = Millis(500);
+
 /// Says what a look at the replica of an open attempt shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ReplicaLook {
@@ -61,7 +67,7 @@
     /// What the choice of an endpoint needs.
     pub(crate) chooser: Rc<RefCell<Chooser>>,
     /// Its connections to endpoints.
-    pub(crate) pool: HttpPool,
+    pub(crate) pool: EndpointPool,
     view: RefCell<Arc<SiteView>>,
     addresses: RefCell<BTreeMap<BoxId, SocketAddr>>,
     seed: Cell<Seed>,
@@ -69,8 +75,6 @@
     pub(crate) repeats: RetryShares,
     /// Where failed requests are written down.
     pub(crate) failures: FailureLog,
-    /// What replicas ask of this node.
-    wishes: RefCell<ReplicaWishes>,
     wish_notes: WishNotes,
     /// Requests that were at boxes as these ended.
     pub(crate) crashes: Rc<CrashWatch>,
@@ -88,12 +92,11 @@
     ) -> Self {
         Self {
             chooser,
-            pool: HttpPool::default(),
+            pool: EndpointPool::default(),
             view: RefCell::default(),
             addresses: RefCell::default(),
             repeats: RetryShares::new(cx.clone()),
             failures: FailureLog::new(cx.clock),
-            wishes: RefCell::default(),
             wish_notes: WishNotes::new(cx.clock, cx.metrics.clone()),
             crashes,
             seed: Cell::new(Seed::new(clock::unix_millis())),
@@ -165,7 +168,8 @@
 
     /// Tells whether a box says that it leaves.
     pub(crate) fn is_leaving(&self, id: &BoxId) -> bool {
-        self.view.borrow().boxes.get(id).is_some_and(|known| known.leaving)
+        let said = self.chooser.borrow().is_leaving(id);
+        said || self.view.borrow().boxes.get(id).is_some_and(|known| known.leaving)
     }
 
     /// Chooses an endpoint and counts the request there.
@@ -177,12 +181,11 @@
     ) -> Option<Rc<Flight>> {
         let view = self.follow();
         let engine = view.table.as_ref()?.config().engine(&req.service);
-        let model = req.facts.model.as_deref().filter(|_| engine.is_some());
         let objective = match urgency {
             Urgency::Begins => req.objective_left(self.now()),
             Urgency::GoesOn => req.route.aim,
         };
-        let ask = Ask { service: &req.service, model, prompt: req.prompt(), objective };
+        let ask = req.ask(engine, objective);
         let mut seed = self.seed.get();
         self.loads.hand_over(&mut self.chooser.borrow_mut());
         let chooser = self.chooser.borrow();
@@ -198,13 +201,29 @@
         drop(chooser);
         let rank = req.route.priority;
         let priority = expected.map(|expected| engine_priority(rank, expected.deferred));
-        if self.wishes.borrow().rests_until(&target, self.now()).is_some() {
-            self.wish_notes.sent_into_rest(not.is_empty());
-        }
-        let flight = Flight::start(self.clone(), req.clone(), key, target, expected, priority);
+        let permit = self.chooser.borrow_mut().permit(key, self.now())?;
+        let flight =
+            Flight::start(permit, self.clone(), req.clone(), key, target, expected, priority);
         Some(Rc::new(flight))
     }
 
+    /// Returns when the first rest ends, where every endpoint that could serve a request rests.
+    pub(crate) fn all_rest_until(&self, req: &SiteRequest) -> Option<Millis> {
+        let view = self.view.borrow();
+        let engine = view.table.as_ref()?.config().engine(&req.service);
+        let ask = req.ask(engine, req.route.aim);
+        self.chooser.borrow().all_rest_until(ask, engine, self.now())
+    }
+
+    /// Returns when the caller of a request may come back that was refused as all rest: after the first
+    /// rest, spread over a while, as all others that were refused come back as well.
+    pub(crate) fn come_back_after(&self, rests_until: Millis) -> Millis {
+        let mut seed = self.seed.get();
+        let spread = seed.below(COME_BACK_OVER.0 as usize) as u64;
+        self.seed.set(seed);
+        rests_until.since(self.now()) + Millis(spread)
+    }
+
     /// Tells whether this thread came back so late to a look begun at `looked` that it has yet to
     /// read what arrived meanwhile.
     pub(crate) fn was_busy(&self, looked: Millis) -> bool {
@@ -286,13 +305,13 @@
         if facts.request.is_some() && facts.request != req.facts.id {
             return;
         }
-        let mut wishes = self.wishes.borrow_mut();
-        if facts.leaving && wishes.hear_leaving(&flight.target) {
+        let mut chooser = self.chooser.borrow_mut();
+        if facts.leaving && chooser.hear_leaving(&flight.target) {
             self.wish_notes.leaves(&flight.target);
         }
         if facts.not_run {
             let until = match facts.asked_rest {
-                AskedRest::For(rest) => Some(wishes.hear_rest(&flight.target, rest, self.now())),
+                AskedRest::For(rest) => Some(chooser.hear_rest(&flight.target, rest, self.now())),
                 _ => None,
             };
             self.wish_notes.refused(&flight.target, facts, until);
--- a/crates/cherrystandd/src/site/request.rs
+++ b/crates/cherrystandd/src/site/request.rs
@@ -4,7 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 use cherrystand_core::{
-    BoxId, Fingerprint, Millis, NotAllowed, Route, RouteTable, ServiceName, hash_bytes,
+    Ask, BoxId, EngineSpec, Fingerprint, Millis, NotAllowed, Route, RouteTable, ServiceName,
+    hash_bytes,
 };
 use cherrystand_platform::{AttemptFacts, RequestFacts, SiteDriver};
 use http_body_util::{BodyExt, Full};
@@ -56,6 +57,12 @@
         })
     }
 
+    /// Returns what it asks of an endpoint, where its service has such an engine.
+    pub(crate) fn ask(&self, engine: Option<&EngineSpec>, objective: Millis) -> Ask<'_> {
+        let model = self.facts.model.as_deref().filter(|_| engine.is_some());
+        Ask { service: &self.service, model, prompt: self.prompt(), objective }
+    }
+
     /// Returns the tokens of its prompt.
     pub(crate) fn prompt(&self) -> f64 {
         f64::from(self.facts.prompt.unwrap_or_default())
--- a/crates/cherrystandd/src/site/tries.rs
+++ b/crates/cherrystandd/src/site/tries.rs
@@ -72,7 +72,11 @@
     pub(crate) fn go_on(&mut self, front: &Front, req: &SiteRequest, end: AttemptEnd) -> bool {
         self.ledger.ended(end);
         let may_send = self.ledger.may_send(&req.route, front.now(), req.deadline);
-        may_send && self.may_end_another(front, req) && front.may_repeat(req, end)
+        // A repeat is not spent where nobody may be sent it.
+        may_send
+            && front.all_rest_until(req).is_none()
+            && self.may_end_another(front, req)
+            && front.may_repeat(req, end)
     }
 
     /// Tells whether the request may be sent once more though it may be what ends its replicas.
--- a/crates/cherrystandd/src/site/wish_notes.rs
+++ b/crates/cherrystandd/src/site/wish_notes.rs
@@ -51,10 +51,4 @@
         self.metrics.endpoints_leaving.inc();
         log::info!(target_box = id.as_str(); "a replica says in its answers that it leaves");
     }
-
-    /// Counts a request that is sent to a replica within its rest.
-    pub(crate) fn sent_into_rest(&self, is_first: bool) {
-        let send = if is_first { "first" } else { "repeat" };
-        self.metrics.sent_into_rest.with_label_values(&[send]).inc();
-    }
 }
