fix: a box that says in its answers that it leaves is planned for at once, by its owner and all daemons

Callers' requests went on to replicas that had said in their answers that they leave, for as long as the platform's list said otherwise; the owner of the domain planned no successor until then. A daemon that reads it, in an answer to a caller, an order or a question, sends that life nothing new for good, tells its peers, and takes the box for leaving whatever its entry says, so that the owner plans as for one that the list calls draining. An answer that names another request, or comes from another life, says nothing.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -48,6 +48,7 @@
     pub(crate) mod breaker;
     pub(crate) mod claim;
     pub(crate) mod endpoint_wishes;
+    pub(crate) mod leaving_lives;
     pub(crate) mod limit;
     pub(crate) mod outcome;
     pub(crate) mod refusal;
@@ -174,6 +175,7 @@
     ClaimRequest, MAX_CLAIMS,
 };
 pub use requests::endpoint_wishes::{EndpointWishes, LONGEST_REST, WishState};
+pub use requests::leaving_lives::LeavingLives;
 pub use requests::limit::Limit;
 pub use requests::outcome::{AttemptEnd, Outcome};
 pub use requests::refusal::{Refusal, RefusalReason};
--- a/crates/cherrystand_core/src/requests/endpoint_wishes.rs
+++ b/crates/cherrystand_core/src/requests/endpoint_wishes.rs
@@ -1,8 +1,8 @@
 //! What endpoints ask of this node: to be left alone for a while, or for good.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 
-use crate::{Millis, SendPermit};
+use crate::{LeavingLives, Millis, SendPermit};
 
 /// The longest rest that is taken.
 ///
@@ -20,10 +20,6 @@
 /// For how long after its rest an endpoint that nobody asked anything counts as coming back.
 const COMES_BACK_FOR: Millis = Millis(10_000);
 
-/// How many lives that leave are remembered, the newest; at 100 bytes each 1.6 MB, and at 1,900 boxes
-/// restarted or replaced a day those of eight days.
-const MOST_LEAVING: usize = 16_384;
-
 /// Says how an endpoint stands, by what it asked of this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WishState {
@@ -65,13 +61,12 @@
 #[derive(Clone, Debug)]
 pub struct EndpointWishes<K> {
     rests: BTreeMap<K, Rest>,
-    leaving: BTreeSet<K>,
-    leaving_since: VecDeque<K>,
+    leaving: LeavingLives<K>,
 }
 
 impl<K> Default for EndpointWishes<K> {
     fn default() -> Self {
-        Self { rests: BTreeMap::new(), leaving: BTreeSet::new(), leaving_since: VecDeque::new() }
+        Self { rests: BTreeMap::new(), leaving: LeavingLives::default() }
     }
 }
 
@@ -91,16 +86,7 @@
 
     /// Takes in that an endpoint leaves, and tells whether that is new.
     pub fn hear_leaving(&mut self, id: &K) -> bool {
-        if !self.leaving.insert(id.clone()) {
-            return false;
-        }
-        self.leaving_since.push_back(id.clone());
-        if self.leaving_since.len() > MOST_LEAVING
-            && let Some(oldest) = self.leaving_since.pop_front()
-        {
-            self.leaving.remove(&oldest);
-        }
-        true
+        self.leaving.add(id)
     }
 
     /// Tells whether an endpoint said that it leaves.
--- a/crates/cherrystand_peer/src/load_news.rs
+++ b/crates/cherrystand_peer/src/load_news.rs
@@ -34,4 +34,6 @@
     Ended(BoxId, Vec<Fingerprint>),
     /// Names requests that were served whole after boxes had ended with them.
     Served(Vec<Fingerprint>),
+    /// Names a box that told the sender in an answer that it leaves.
+    Leaves(BoxId),
 }
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -43,6 +43,8 @@
 pub struct Answer {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -97,13 +99,13 @@
     req.headers_mut().extend(out.headers);
     let exchange = async {
         let answer = pool.send(address, req, within / CONNECT_PART).await?;
-        let status = answer.status();
-        let body = Limited::new(answer.into_body(), LARGEST_ANSWER)
+        let (head, body) = answer.into_parts();
+        let body = Limited::new(body, LARGEST_ANSWER)
             .collect()
             .await
             .map_err(|err| CallError::AnswerCut(err.to_string()))?
             .to_bytes();
-        Ok(Answer { status, body })
+        Ok(Answer { status: head.status, headers: head.headers, body })
     };
     let outcome = tokio::time::timeout(within, exchange).await;
     outcome.unwrap_or(Err(CallError::TimedOut(within)))
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -58,6 +58,22 @@
         }
     }
 
+    /// Takes in that a box leaves, which is planned for at once; by the store alone it is known only
+    /// once the box's entry says so or is gone.
+    pub(super) fn leaves(&self, id: &BoxId) {
+        if self.known.borrow_mut().leaves(id) {
+            log::info!(target_box = id.as_str(); "a box leaves, by its own answer");
+            self.spread_news();
+        }
+    }
+
+    /// Takes in whether a box says in an answer of its own that it leaves.
+    fn read_leaving(&self, id: &BoxId, answer: &Answer) {
+        if Driver::read_answer(answer.status, &answer.headers).leaving {
+            self.leaves(id);
+        }
+    }
+
     async fn call_box(&self, order: &MemberOrder, record: Revision) -> OrderEnd {
         let out = Driver::order_call(order, order.fence(record));
         let sent = self.call_timed(order.task.as_str(), order.address, out, ORDER_WITHIN).await;
@@ -71,6 +87,9 @@
         if is_there {
             self.known.borrow_mut().heard(&order.target, true, self.now());
         }
+        if let Some(answer) = sent.as_ref().ok().filter(|_| is_there) {
+            self.read_leaving(&order.target, answer);
+        }
         let result = if end == OrderEnd::Taken { "followed" } else { "failed" };
         self.cx.metrics.orders.with_label_values(&[result]).inc();
         log::info!(
@@ -174,8 +193,9 @@
                 .await;
             let verdict = match &answer {
                 Ok(answer) if is_another(known, answer) => SilenceVerdict::Silent,
-                Ok(_) => {
+                Ok(answer) => {
                     self.count_probe("answered");
+                    self.read_leaving(&known.id, answer);
                     return self.known.borrow_mut().heard(&known.id, true, self.now());
                 }
                 Err(CallError::Send(SendError::Connect { .. })) => SilenceCheck::refused(doubt),
@@ -240,7 +260,13 @@
 /// Has boxes looked at that the request path found silent.
 pub(super) async fn follow_hints(control: Rc<Control>) {
     while let Ok(hint) = control.cx.hint_events.recv().await {
-        let (Hint::Stalled(id) | Hint::Unreachable(id)) = hint;
+        let id = match hint {
+            Hint::Stalled(id) | Hint::Unreachable(id) => id,
+            Hint::Leaves(id) => {
+                control.leaves(&id);
+                continue;
+            }
+        };
         let mut members = control.known.borrow().members_with(&id);
         if !members.iter().all(|member| control.decides_for(member)) {
             continue;
--- a/crates/cherrystandd/src/site/box_entries.rs
+++ b/crates/cherrystandd/src/site/box_entries.rs
@@ -55,6 +55,7 @@
             return self.take_unusable(&name, entry, now);
         };
         known.id = id.clone();
+        known.leaving |= self.leaving.contains(&id);
         if self.listed_lives.get(&name) != Some(&id) {
             self.list_life(name, &mut known);
         }
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -11,6 +11,7 @@
     AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, Millis, Outcome, PeersTell,
     Route, Seed, SiteView, Standstill, StreamEnd, engine_priority,
 };
+use cherrystand_peer::LoadNews;
 use cherrystand_platform::{AnswerFacts, AskedRest, EndpointPool};
 
 use crate::site::Hint;
@@ -308,6 +309,8 @@
         let mut chooser = self.chooser.borrow_mut();
         if facts.leaving && chooser.hear_leaving(&flight.target) {
             self.wish_notes.leaves(&flight.target);
+            self.cx.hint(Hint::Leaves(flight.target.clone()));
+            self.loads.tell_all(LoadNews::Leaves(flight.target.clone()));
         }
         if facts.not_run {
             let until = match facts.asked_rest {
--- a/crates/cherrystandd/src/site/hint.rs
+++ b/crates/cherrystandd/src/site/hint.rs
@@ -9,4 +9,6 @@
     Stalled(BoxId),
     /// A box refuses connections or does not answer any.
     Unreachable(BoxId),
+    /// A box says in its answers that it leaves.
+    Leaves(BoxId),
 }
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -6,8 +6,8 @@
 
 use cherrystand_core::{
     AssignedBoxes, BoxId, BoxLives, ChangeLog, ChangesSince, Document, DomainId, DomainRecord,
-    Epoch, MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
-    SuspectRecord,
+    Epoch, LeavingLives, MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView,
+    StoreOutage, SuspectRecord,
 };
 use cherrystand_peer::ChangeNews;
 use cherrystand_platform::{Changes, SiteDriver};
@@ -57,6 +57,8 @@
     pub(super) records: DomainRecords,
     suspects: HeldSuspects,
     pub(super) silent: BTreeMap<BoxId, Millis>,
+    /// Lives of boxes that said in their answers that they leave, whatever their entries say.
+    pub(super) leaving: LeavingLives<BoxId>,
     /// Members of replicas whose entries went, and that nobody asked since whether they are there.
     pub(super) unasked: Vec<SiteBox>,
     /// Replicas whose leaders left them, with the last epoch of the record that they were ordered
@@ -217,6 +219,20 @@
         }
     }
 
+    /// Takes in that a box said in an answer that it leaves, and tells whether that is new.
+    pub(crate) fn leaves(&mut self, id: &BoxId) -> bool {
+        if !self.leaving.add(id) {
+            return false;
+        }
+        if let Some(listed) = Arc::make_mut(&mut self.boxes).get_mut(id) {
+            Arc::make_mut(listed).leaving = true;
+        }
+        if let Some(gone) = self.departed.get_mut(id) {
+            Arc::make_mut(&mut gone.known).leaving = true;
+        }
+        true
+    }
+
     /// Returns the members of replicas whose entries went since the last call; whether they are
     /// there has to be asked of them.
     pub(crate) fn take_unasked(&mut self) -> Vec<SiteBox> {
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -204,6 +204,7 @@
                 }
             }
             LoadNews::Served(requests) => self.crashes.peer_served(&requests),
+            LoadNews::Leaves(id) => self.cx.hint(Hint::Leaves(id)),
         }
     }
 
@@ -347,7 +348,7 @@
             LoadNews::InFlight { .. } => "loads",
             LoadNews::Zone(_) => "zone-loads",
             LoadNews::Asked(_) | LoadNews::Seen(_) => "progress",
-            LoadNews::Stalled(_) | LoadNews::Left(_) => "out-of-service",
+            LoadNews::Stalled(_) | LoadNews::Left(_) | LoadNews::Leaves(_) => "out-of-service",
             LoadNews::Ended(..) | LoadNews::Served(_) => "ends-with-requests",
         };
         self.cx.metrics.peer_bytes.with_label_values(&[way, kind]).inc_by(bytes as u64);
--- a/crates/cherrystandd/tests/wishes.rs
+++ b/crates/cherrystandd/tests/wishes.rs
@@ -290,3 +290,20 @@
         assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
     });
 }
+
+/// Story: the owner of a domain planned the successor of a replica that leaves only once the store told that it
+/// is gone, though its answers had said so for seconds.
+#[test]
+fn a_replica_that_says_that_it_leaves_has_a_successor_while_its_entry_stays() {
+    support::run(async {
+        let site = Site::serving_with_starts(2).await;
+        let leaving = site.site.leaders().into_keys().next().expect("a leader");
+        site.site.set_wishes(&leaving, BoxWishes::leaving());
+        until("a replica without it serves in its place", async || {
+            call(&site.nodes[0], "POST", STREAM, "n0-s", "k1").await;
+            let leaders = site.site.leaders();
+            leaders.len() == 2 && !leaders.values().flatten().any(|member| member == &leaving)
+        })
+        .await;
+    });
+}
