fix: an endpoint of the product's own interface that asked for rest is left alone as well

The same cause elsewhere: the relay of the product's own interface read the refusal of an endpoint and not the rest that it asked for; its callers got 502 on the fifth check beside an endpoint that served. The router now keeps wishes in the same piece of the core, and its requests can't be sent without its leave either. Where all rest, callers get 503, endpoints-rest, at once, with when the first rest ends.

--- a/crates/cherrystand/examples/route.rs
+++ b/crates/cherrystand/examples/route.rs
@@ -9,10 +9,10 @@
     let endpoints: Vec<_> = (0..4).map(|_| router.add_endpoint(group, spec)).collect();
     let mut seed = Seed::new(1);
     let now = Millis(1_000);
-    router.start(endpoints[0]);
+    assert!(router.start(endpoints[0], now).is_some());
     router.finish(endpoints[0], AttemptEnd::ConnectFailed, now, None);
     while let Ok(chosen) = router.choose(group, None, now, &mut seed) {
-        router.start(chosen);
+        assert!(router.start(chosen, now).is_some());
     }
     for (number, endpoint) in endpoints.iter().enumerate() {
         let (in_flight, limit) = router.load(*endpoint);
--- a/crates/cherrystand_core/benches/routing.rs
+++ b/crates/cherrystand_core/benches/routing.rs
@@ -41,7 +41,7 @@
                 let prefix = prefixes.then_some(number.wrapping_mul(0x9e37_79b9));
                 let now = Millis(number);
                 if let Ok(key) = router.choose(group, prefix, now, &mut seed) {
-                    router.start(key);
+                    let _ = router.start(key, now);
                     router.finish(black_box(key), AttemptEnd::Answered, now, Some(Millis(5)));
                 }
             }
@@ -177,7 +177,7 @@
                 reported.iter().position(|count| *count == least).unwrap_or(0)
             }
         };
-        router.start(keys[server]);
+        let _ = router.start(keys[server], Millis(now));
         let jitter = service / 2 + seed.below(service as usize) as u64;
         let takes = if server == 0 { jitter * slow } else { jitter };
         let begin = servers[server].free_at.max(now);
--- a/crates/cherrystand_core/src/requests/router.rs
+++ b/crates/cherrystand_core/src/requests/router.rs
@@ -2,7 +2,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
-use crate::{AttemptEnd, Breaker, Limit, Millis, Seed, mix};
+use crate::{AttemptEnd, Breaker, EndpointWishes, Limit, Millis, Seed, SendPermit, WishState, mix};
 
 new_key_type! {
     /// Points to a group in the router's arena.
@@ -69,6 +69,9 @@
     /// The endpoints looked at have no room now.
     #[error("the group's endpoints have no room")]
     AllFull,
+    /// Every endpoint of the group asked to be left alone, the first of them until a time.
+    #[error("the group's endpoints all rest")]
+    AllRest(Millis),
 }
 
 /// Chooses endpoints by sampled load, with a preference for the own zone and for the endpoint
@@ -87,13 +90,14 @@
 /// let only = router.add_endpoint(group, spec);
 /// let now = Millis(0);
 /// assert_eq!(router.choose(group, None, now, &mut Seed::new(1)), Ok(only));
-/// router.start(only);
+/// assert!(router.start(only, now).is_some());
 /// router.finish(only, AttemptEnd::Answered, Millis(12), Some(Millis(12)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Router {
     groups: SlotMap<GroupKey, Group>,
     endpoints: SlotMap<EndpointKey, Endpoint>,
+    wishes: EndpointWishes<EndpointKey>,
 }
 
 impl Router {
@@ -173,16 +177,22 @@
         choice.ok_or_else(|| self.why_none(group, now, seed))
     }
 
-    /// Counts a request as on its way.
-    pub fn start(&mut self, key: EndpointKey) {
-        let Some(endpoint) = self.endpoints.get_mut(key) else {
-            return;
-        };
+    /// Counts a request as on its way and gives leave to send it; nothing where its endpoint is gone or
+    /// wants none.
+    pub fn start(&mut self, key: EndpointKey, now: Millis) -> Option<SendPermit> {
+        let endpoint = self.endpoints.get_mut(key)?;
+        let permit = self.wishes.permit(&key, now)?;
         endpoint.in_flight += 1;
         endpoint.breaker.started();
         if let Some(group) = self.groups.get_mut(endpoint.group) {
             group.in_flight += 1;
         }
+        Some(permit)
+    }
+
+    /// Takes in that an endpoint asked to be left alone, as it turned a request away.
+    pub fn hear_rest(&mut self, key: EndpointKey, asked: Millis, now: Millis) {
+        self.wishes.hear_rest(&key, asked, now);
     }
 
     /// Counts a request as ended; `first_byte` is how long its answer took to begin.
@@ -262,6 +272,9 @@
 
     /// Tells whether waiting can help: it does where an endpoint is full rather than failing.
     fn why_none(&self, group: &Group, now: Millis, seed: &mut Seed) -> NoEndpoint {
+        if let Some(until) = self.all_rest_until(group, now) {
+            return NoEndpoint::AllRest(until);
+        }
         let lists = [&group.near, &group.far];
         let admits = |list: &Vec<EndpointKey>| {
             let start = seed.below(list.len());
@@ -271,6 +284,18 @@
         if lists.into_iter().any(admits) { NoEndpoint::AllFull } else { NoEndpoint::NoneServing }
     }
 
+    /// Returns when the first rest ends, where every endpoint of a group rests.
+    fn all_rest_until(&self, group: &Group, now: Millis) -> Option<Millis> {
+        let mut first = Millis(u64::MAX);
+        for key in group.near.iter().chain(&group.far) {
+            match self.wishes.state(key, now) {
+                WishState::Rests(until) => first = first.min(until),
+                _ => return None,
+            }
+        }
+        Some(first)
+    }
+
     fn calmer(&self, a: EndpointKey, b: EndpointKey, now: Millis) -> EndpointKey {
         if self.estimate(b, now) < self.estimate(a, now) { b } else { a }
     }
@@ -283,6 +308,8 @@
 
     fn has_room(&self, key: EndpointKey, now: Millis) -> bool {
         let endpoint = &self.endpoints[key];
-        endpoint.in_flight < endpoint.limit.get() && endpoint.breaker.admits(now)
+        endpoint.in_flight < endpoint.limit.get()
+            && endpoint.breaker.admits(now)
+            && !self.wishes.state(&key, now).is_closed()
     }
 }
--- a/crates/cherrystand_core/tests/routing.rs
+++ b/crates/cherrystand_core/tests/routing.rs
@@ -24,7 +24,7 @@
     let mut chosen = Vec::new();
     for _ in 0..4 {
         let key = router.choose(group, None, NOW, &mut seed).expect("room");
-        router.start(key);
+        assert!(router.start(key, NOW).is_some());
         chosen.push(keys.iter().position(|other| *other == key).expect("known"));
     }
     assert!(chosen[..2].iter().all(|number| *number < 2), "{chosen:?}");
@@ -48,7 +48,7 @@
     ];
     for case in cases {
         let (mut router, group, keys) = router(1, 0, 8);
-        router.start(keys[0]);
+        assert!(router.start(keys[0], NOW).is_some());
         router.finish(keys[0], case.end, NOW, None);
         let choose = |now| router.choose(group, None, now, &mut Seed::new(1)).map(|_| ());
         assert_eq!(choose(NOW), case.at_once, "{:?}", case.end);
@@ -69,7 +69,7 @@
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..64 {
         let key = router.choose(group, prefix, NOW, &mut seed).expect("room");
-        router.start(key);
+        assert!(router.start(key, NOW).is_some());
         used.insert(key);
     }
     assert!(used.len() >= 6, "a hot prefix spreads, but went to {}", used.len());
@@ -215,7 +215,7 @@
             let now = NOW + Millis(number as u64 * 50);
             if end < 5 || open.is_empty() {
                 if let Ok(key) = router.choose(group, Some(prefix), now, &mut seed) {
-                    router.start(key);
+                    assert!(router.start(key, now).is_some());
                     open.push(key);
                 }
             } else {
--- a/crates/cherrystand_testkit/src/service_stand_in.rs
+++ b/crates/cherrystand_testkit/src/service_stand_in.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cherrystand_platform::NOT_RUN_HEADER;
 use hyper::body::Incoming;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +23,10 @@
     /// How long each call takes, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub delay_ms: Option<u64>,
+    /// What rest it asks for as it turns every call away, as the header has it; it serves again where that
+    /// is empty.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rest: Option<String>,
 }
 
 /// What a service answers and has counted.
@@ -41,6 +47,8 @@
     delay: Duration,
     frozen_until: Option<tokio::time::Instant>,
     executions: BTreeMap<String, u32>,
+    rest: String,
+    turned_away: u32,
 }
 
 /// Stands in for one endpoint of a plain service.
@@ -59,6 +67,10 @@
             "/control/executions" => {
                 return json(StatusCode::OK, &self.state.borrow().executions);
             }
+            "/control/turned-away" => {
+                return json(StatusCode::OK, &self.state.borrow().turned_away);
+            }
+            _ if !self.state.borrow().rest.is_empty() => return self.turn_away(),
             _ => {}
         }
         let header = |name: &str| {
@@ -78,6 +90,17 @@
         json(StatusCode::OK, &ServiceAnswer { method, path, body, request })
     }
 
+    fn turn_away(&self) -> Response<Whole> {
+        let mut state = self.state.borrow_mut();
+        state.turned_away += 1;
+        let mut answer = empty(StatusCode::TOO_MANY_REQUESTS);
+        answer.headers_mut().insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
+        if let Ok(rest) = state.rest.parse() {
+            answer.headers_mut().insert(RETRY_AFTER, rest);
+        }
+        answer
+    }
+
     async fn wait(&self) {
         let (delay, until) = {
             let state = self.state.borrow();
@@ -103,6 +126,9 @@
         if let Some(delay) = knobs.delay_ms {
             state.delay = Duration::from_millis(delay);
         }
+        if let Some(rest) = knobs.rest {
+            state.rest = rest;
+        }
         empty(StatusCode::OK)
     }
 }
--- a/crates/cherrystandd/src/relay/attempt.rs
+++ b/crates/cherrystandd/src/relay/attempt.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{AttemptEnd, EndpointKey, Millis};
-use cherrystand_platform::{NOT_RUN_HEADER, PooledBody, SendError};
+use cherrystand_core::{AttemptEnd, EndpointKey, Millis, SendPermit};
+use cherrystand_platform::{AskedRest, NOT_RUN_HEADER, PooledBody, SendError};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -13,7 +13,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use crate::relay::call::Call;
-use crate::relay::core::Target;
+use crate::relay::core::{Chosen, Target};
 use crate::relay::headers;
 use crate::relay::relay_state::Relay;
 
@@ -30,6 +30,8 @@
     call: Rc<Call>,
     endpoint: EndpointKey,
     target: Target,
+    /// The leave to send it, until it is sent.
+    permit: Option<SendPermit>,
     sent: Millis,
     first_byte: Option<Millis>,
     /// What is counted when nobody ends it: its caller left, or another attempt was faster.
@@ -39,15 +41,34 @@
 
 impl InFlight {
     /// Counts a request that is about to be sent.
-    pub(crate) fn start(
-        relay: Rc<Relay>,
-        call: Rc<Call>,
-        endpoint: EndpointKey,
-        target: Target,
-    ) -> Self {
+    pub(crate) fn start(relay: Rc<Relay>, call: Rc<Call>, chosen: Chosen) -> Self {
         let sent = relay.now();
-        let unless_ended = AttemptEnd::CallerLeft;
-        Self { relay, call, endpoint, target, sent, first_byte: None, unless_ended, ended: false }
+        let Chosen { endpoint, target, permit } = chosen;
+        Self {
+            relay,
+            call,
+            endpoint,
+            target,
+            permit: Some(permit),
+            sent,
+            first_byte: None,
+            unless_ended: AttemptEnd::CallerLeft,
+            ended: false,
+        }
+    }
+
+    /// Takes in what rest its endpoint asked for as it turned the request away.
+    fn hear_rest(&self, asked: AskedRest) {
+        let now = self.relay.now();
+        match asked {
+            AskedRest::For(rest) => {
+                self.relay.core.borrow_mut().hear_rest(self.endpoint, rest, now);
+            }
+            AskedRest::Unreadable => {
+                log::debug!("the rest that {} asks for is no time", self.target.address);
+            }
+            AskedRest::None => {}
+        }
     }
 
     /// Notes that the answer begins.
@@ -134,10 +155,12 @@
     let relay = in_flight.relay.clone();
     let remaining = call.deadline.since(relay.now());
     let req = request_for(&call, &in_flight.target, remaining);
-    let send = relay.pool.send(in_flight.target.address, req, CONNECT_WITHIN);
+    let permit = in_flight.permit.take().ok_or(AttemptEnd::NotSent)?;
+    let send = relay.pool.send(permit, in_flight.target.address, req, CONNECT_WITHIN);
     let answer = relay.cx.clock.by(call.deadline, send).await.ok_or(AttemptEnd::TimedOut)?;
     let answer = answer.map_err(|err| end_of(&err))?;
     if answer.headers().contains_key(NOT_RUN_HEADER) {
+        in_flight.hear_rest(AskedRest::read(answer.headers()));
         return Err(match answer.status() {
             StatusCode::TOO_MANY_REQUESTS => AttemptEnd::Refused,
             _ => AttemptEnd::NotServing,
--- a/crates/cherrystandd/src/relay/core.rs
+++ b/crates/cherrystandd/src/relay/core.rs
@@ -7,7 +7,7 @@
 
 use cherrystand_core::{
     Admission, AttemptEnd, Class, EndpointKey, EndpointSpec, Epoch, GroupId, GroupKey, Millis,
-    NoEndpoint, ReplicaId, RetryBudget, Room, Router, Seed, UsualTime, WaitQueue,
+    NoEndpoint, ReplicaId, RetryBudget, Room, Router, Seed, SendPermit, UsualTime, WaitQueue,
 };
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
@@ -49,6 +49,16 @@
     pub(crate) replica: Option<(ReplicaId, Epoch)>,
 }
 
+/// An endpoint that is to be sent a request, which is counted there.
+pub(crate) struct Chosen {
+    /// The endpoint.
+    pub(crate) endpoint: EndpointKey,
+    /// Where it is.
+    pub(crate) target: Target,
+    /// The leave to send the request.
+    pub(crate) permit: SendPermit,
+}
+
 /// Holds the relay's decisions, on the relay's own thread.
 pub(crate) struct RelayCore {
     /// Admits requests to the node.
@@ -131,11 +141,16 @@
         group: GroupKey,
         prefix: Option<u64>,
         now: Millis,
-    ) -> Result<(EndpointKey, Target), NoEndpoint> {
+    ) -> Result<Chosen, NoEndpoint> {
         let key = self.router.choose(group, prefix, now, &mut self.seed)?;
         let target = self.targets.get(key).ok_or(NoEndpoint::NoneServing)?.clone();
-        self.router.start(key);
-        Ok((key, target))
+        let permit = self.router.start(key, now).ok_or(NoEndpoint::NoneServing)?;
+        Ok(Chosen { endpoint: key, target, permit })
+    }
+
+    /// Takes in that an endpoint asked to be left alone, as it turned a request away.
+    pub(crate) fn hear_rest(&mut self, endpoint: EndpointKey, asked: Millis, now: Millis) {
+        self.router.hear_rest(endpoint, asked, now);
     }
 
     /// Counts a request as ended at its endpoint and lets the next one in.
--- a/crates/cherrystandd/src/relay/flow.rs
+++ b/crates/cherrystandd/src/relay/flow.rs
@@ -97,8 +97,9 @@
         group.budget.earn();
     }
     loop {
-        let (endpoint, target) = next_endpoint(relay, call).await?;
-        let in_flight = InFlight::start(relay.clone(), call.clone(), endpoint, target);
+        let chosen = next_endpoint(relay, call).await?;
+        let endpoint = chosen.endpoint;
+        let in_flight = InFlight::start(relay.clone(), call.clone(), chosen);
         attempts += 1;
         if call.key.is_some() && relay.now().since(asked) > CLAIM_USE_WITHIN {
             // Nothing was sent; a claim this old is given up rather than used.
@@ -167,10 +168,10 @@
     if !group.budget.spend() {
         return None;
     }
-    let (endpoint, target) = core.start(call.group, None, relay.now()).ok()?;
+    let chosen = core.start(call.group, None, relay.now()).ok()?;
     drop(core);
     relay.cx.metrics.retries.with_label_values(&[AttemptEnd::Overtaken.as_str()]).inc();
-    Some(InFlight::start(relay.clone(), call.clone(), endpoint, target))
+    Some(InFlight::start(relay.clone(), call.clone(), chosen))
 }
 
 /// Lets the caller of this function try again, or says what the request's caller is told.
--- a/crates/cherrystandd/src/relay/relay_state.rs
+++ b/crates/cherrystandd/src/relay/relay_state.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cherrystand_core::{Millis, Outcome, RefusalReason};
-use cherrystand_platform::HttpPool;
+use cherrystand_platform::EndpointPool;
 use hyper::Request;
 use hyper::body::Incoming;
 
@@ -29,7 +29,7 @@
     /// What it decides from.
     pub(crate) core: RefCell<RelayCore>,
     /// Its connections to endpoints.
-    pub(crate) pool: HttpPool,
+    pub(crate) pool: EndpointPool,
     /// What it decided lately.
     pub(crate) notes: RefCell<Notes>,
     made: Cell<u64>,
@@ -41,7 +41,7 @@
         let room = cx.settings.limits.room();
         Self {
             core: RefCell::new(RelayCore::new(room, clock::unix_millis())),
-            pool: HttpPool::default(),
+            pool: EndpointPool::default(),
             notes: RefCell::default(),
             made: Cell::new(0),
             cx,
--- a/crates/cherrystandd/src/relay/waiting.rs
+++ b/crates/cherrystandd/src/relay/waiting.rs
@@ -3,20 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cherrystand_core::{
-    EndpointKey, GroupKey, LONGEST_WAIT, Millis, NoEndpoint, Refusal, RefusalReason,
-};
+use cherrystand_core::{GroupKey, LONGEST_WAIT, Millis, NoEndpoint, Refusal, RefusalReason};
 
 use crate::relay::answer::{COME_BACK, Failure, come_back};
 use crate::relay::call::Call;
-use crate::relay::core::Target;
+use crate::relay::core::Chosen;
 use crate::relay::relay_state::Relay;
 
 /// Waits for an endpoint with room, within what the queue allows.
-pub(crate) async fn next_endpoint(
-    relay: &Rc<Relay>,
-    call: &Call,
-) -> Result<(EndpointKey, Target), Failure> {
+pub(crate) async fn next_endpoint(relay: &Rc<Relay>, call: &Call) -> Result<Chosen, Failure> {
     let mut waiting: Option<Waiting> = None;
     loop {
         let now = relay.now();
@@ -32,6 +27,10 @@
         match chosen {
             Ok(chosen) => return Ok(chosen),
             Err(NoEndpoint::NoneServing) => return Err(come_back(RefusalReason::NoneServing)),
+            Err(NoEndpoint::AllRest(until)) => {
+                let (reason, after) = (RefusalReason::EndpointsRest, until.since(now));
+                return Err(Failure::not_run(Refusal::with_retry_after(reason, after)));
+            }
             Err(NoEndpoint::AllFull) => {}
         }
         if waiting.is_none() {
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -313,3 +313,45 @@
         assert_eq!(cluster.service_executions().await["twice"], 1);
     });
 }
+
+/// Story: the same as of replicas before routes: an endpoint of a service that turned calls away and asked for
+/// rest got them all the same, since the relay read the refusal and not the wish.
+#[test]
+fn an_endpoint_of_a_service_that_asked_for_rest_is_left_alone() {
+    run(async {
+        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
+        let to = cluster.daemons[0].callers;
+        let check = async |number: usize| {
+            let path = format!("/consent/{number}");
+            cluster.send(to, Method::GET, &path, &[], "").await.expect("an answer")
+        };
+        let resting = cluster.services[0].address;
+        cluster.set(resting, json!({"rest": "60"})).await;
+        for number in 0..60 {
+            assert_eq!(check(number).await.status, StatusCode::OK, "check {number}");
+        }
+        let turned_away = async |at| {
+            let told = cluster.send(at, Method::GET, "/control/turned-away", &[], "").await;
+            serde_json::from_slice::<u32>(&told.expect("a count").body).expect("a count")
+        };
+        // Two at once may be on their way as it says so.
+        assert!(turned_away(resting).await <= 2, "{}", turned_away(resting).await);
+        // Where all rest, callers are told so at once and until when.
+        for service in &cluster.services {
+            cluster.set(service.address, json!({"rest": "60"})).await;
+        }
+        let refused = loop {
+            let answer = check(100).await;
+            if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+                break answer;
+            }
+        };
+        assert!(refused.header("retry-after").parse::<u64>().expect("seconds") > 50);
+        let before = turned_away(cluster.services[1].address).await;
+        for number in 0..20 {
+            let status = check(number).await.status;
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "check {number}");
+        }
+        assert_eq!(turned_away(cluster.services[1].address).await, before);
+    });
+}
