--- a/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -6,7 +6,7 @@
 use argh::FromArgs;
 use cherrystand_core::Millis;
 use cherrystand_testkit::{
-    Fault, SoakSetup, USUAL_SPAN, daemon_program, draw_lives, draw_schedule, play_soak,
+    Fault, SoakSetup, USUAL_SPAN, daemon_program, draw_lives, draw_schedule, draw_wishes, play_soak,
 };
 use eyre::WrapErr;
 
@@ -35,6 +35,9 @@
     /// a request comes all the while that ends each box that runs it
     #[argh(switch)]
     crashes: bool,
+    /// boxes ask for rest or say that they leave, in their answers
+    #[argh(switch)]
+    wishes: bool,
     /// print the schedule and end
     #[argh(switch)]
     schedule: bool,
@@ -47,13 +50,17 @@
     });
     let program = daemon_program().wrap_err("looking for the daemon")?;
     let (seed, daemons) = (args.seed, args.daemons);
-    let (lives, crashes) = (args.lives || args.crashes, args.crashes);
+    let (lives, crashes) = (args.lives || args.crashes || args.wishes, args.crashes);
     let setup = SoakSetup { program, dir, seed, daemons, lives, crashes };
     let mut faults = draw_schedule(args.seed, setup.targets(), Millis(args.span_ms));
     if lives {
         let lives = draw_lives(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
         faults.extend(lives);
     }
+    if args.wishes {
+        let wishes = draw_wishes(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
+        faults.extend(wishes);
+    }
     if !args.only.is_empty() {
         faults.retain(|fault| args.only.contains(&fault.number));
     }
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -67,5 +67,7 @@
 pub use site::site_stand_in::{Arrival, BoxMood, CRASHES, Crash, EVENTS, SiteStandIn};
 pub use soak::link::{Link, LinkMode};
 pub use soak::run::{SoakOutcome, SoakSetup, USUAL_SPAN, daemon_program, play_soak};
-pub use soak::schedule::{Fault, FaultKind, OtherValue, Targets, draw_lives, draw_schedule};
+pub use soak::schedule::{
+    Fault, FaultKind, OtherValue, Targets, draw_lives, draw_schedule, draw_wishes,
+};
 pub use soak::seen::{Answered, Call, Disturbed, Gone, Record, Seen};
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -15,7 +15,7 @@
 use crate::soak::link::{Link, LinkMode};
 use crate::soak::schedule::{Fault, FaultKind, Targets};
 use crate::soak::seen::{Answered, Call, Disturbed, Gone, Record};
-use crate::{BoxMood, Door, SiteStandIn, site_config};
+use crate::{BoxMood, BoxWishes, Door, SiteStandIn, site_config};
 
 /// Boxes that replicas of two are formed of.
 const MODEL_BOXES: usize = 9;
@@ -210,6 +210,15 @@
                 self.site.restart(&self.boxes[number].0, joins_again);
                 tokio::time::sleep(lasts).await;
             }
+            FaultKind::Wishes(number, wishes) => {
+                let id = &self.boxes[number].0;
+                self.site.set_wishes(id, wishes);
+                tokio::time::sleep(lasts).await;
+                match wishes.leaves {
+                    true => self.site.restart(id, false),
+                    false => self.site.set_wishes(id, BoxWishes::default()),
+                }
+            }
             FaultKind::Overwritten(number, value) => {
                 let id = &self.boxes[number].0;
                 self.site.write_entry(id, &value.bytes());
@@ -251,7 +260,10 @@
     /// Notes that something is harmed from now on, and returns the note's place.
     fn disturb(&self, kind: FaultKind) -> Option<usize> {
         let (daemon, planned) = match kind {
-            FaultKind::Configured { .. } | FaultKind::Unlisted(_) | FaultKind::Overwritten(..) => {
+            FaultKind::Configured { .. }
+            | FaultKind::Unlisted(_)
+            | FaultKind::Overwritten(..)
+            | FaultKind::Wishes(..) => {
                 return None;
             }
             FaultKind::Stopped(number) => (Some(number), true),
@@ -269,7 +281,17 @@
             kind,
             FaultKind::StoreOut(_) | FaultKind::StoreForgets | FaultKind::StoreLosesAnswers(_)
         );
-        disturbed.push(Disturbed { daemon, planned, is_store, from, until });
+        let ends_processes = matches!(
+            kind,
+            FaultKind::Paused(_)
+                | FaultKind::Killed(_)
+                | FaultKind::Stopped(_)
+                | FaultKind::AllKilled
+        );
+        let harms_answers = matches!(kind, FaultKind::BoxLink(..) | FaultKind::BoxCut(_));
+        let harm =
+            Disturbed { daemon, planned, is_store, ends_processes, harms_answers, from, until };
+        disturbed.push(harm);
         Some(disturbed.len() - 1)
     }
 
@@ -323,6 +345,7 @@
             gone: self.gone.borrow().clone(),
             box_faults: self.site.faults(),
             crashes: self.site.crashes(),
+            told: self.site.told(),
         }
     }
 }
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -6,7 +6,7 @@
 use cherrystand_core::{Millis, Seed};
 
 use crate::soak::link::LinkMode;
-use crate::{BoxMood, Door};
+use crate::{BoxMood, BoxWishes, Door, Sheds};
 
 /// What strikes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -21,6 +21,8 @@
     Unlisted(usize),
     /// A box starts again under its id, empty; a late join may take it back to its replica.
     Restarted(usize, bool),
+    /// A box asks daemons for something in its answers; one that leaves starts again in the end.
+    Wishes(usize, BoxWishes),
     /// Another writer puts something where a box tells of itself, until the box does so again.
     Overwritten(usize, OtherValue),
     /// The store turns one daemon away.
@@ -157,6 +159,33 @@
     faults
 }
 
+/// Draws wishes of boxes besides, so that the schedules of earlier seeds stay as they are.
+pub fn draw_wishes(seed: u64, targets: Targets, span: Millis, first_number: usize) -> Vec<Fault> {
+    /// Tells the draws apart from those of the other faults.
+    const OTHER_DRAWS: u64 = 0x3e57;
+    /// What boxes ask for; more than a fault lasts, less, next to nothing, and what is no time.
+    const RESTS: [&str; 5] = ["1", "2.5", "0.05", "soon", "3"];
+    let mut seed = Seed::new(seed ^ OTHER_DRAWS);
+    let mut faults = Vec::new();
+    let mut at = 600;
+    while at < span.0 {
+        let a_box = seed.below(targets.boxes);
+        let rest = RESTS[seed.below(RESTS.len())];
+        let wishes = match seed.below(6) {
+            0..=1 => BoxWishes::rest(Sheds::All, rest),
+            2 => BoxWishes::rest(Sheds::EverySecond, rest),
+            3 => BoxWishes::rest(Sheds::Beyond(2), rest),
+            4 => BoxWishes { leaves: true, ..BoxWishes::rest(Sheds::EverySecond, rest) },
+            _ => BoxWishes::leaving(),
+        };
+        let lasts = Millis(400 + seed.below(3_500) as u64);
+        let kind = FaultKind::Wishes(a_box, wishes);
+        faults.push(Fault { number: first_number + faults.len(), at: Millis(at), lasts, kind });
+        at += 100 + seed.below(1_200) as u64;
+    }
+    faults
+}
+
 fn draw_kind(seed: &mut Seed, targets: Targets) -> FaultKind {
     let (a_box, daemon) = (seed.below(targets.boxes), seed.below(targets.daemons));
     let moods =
--- a/crates/cherrystand_testkit/src/soak/seen.rs
+++ b/crates/cherrystand_testkit/src/soak/seen.rs
@@ -6,7 +6,7 @@
 use hyper::StatusCode;
 
 use crate::site::site_setup::{RETRY_RATIO, RETRY_WINDOW_S};
-use crate::{Arrival, Crash};
+use crate::{Arrival, Crash, Told, broken_wishes};
 
 /// What a caller may ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,6 +62,10 @@
     pub planned: bool,
     /// Whether it is the store that is harmed, for all.
     pub is_store: bool,
+    /// Whether processes end or stand still by it.
+    pub ends_processes: bool,
+    /// Whether answers of boxes may be lost on their way by it.
+    pub harms_answers: bool,
     /// From when on.
     pub from: Instant,
     /// Until when.
@@ -96,6 +100,8 @@
     pub box_faults: Vec<String>,
     /// Boxes that requests ended.
     pub crashes: Vec<Crash>,
+    /// What boxes asked of daemons in their answers.
+    pub told: Vec<Told>,
 }
 
 /// For how long a daemon counts as disturbed after a disturbance ended.
@@ -121,6 +127,7 @@
         broken.extend(self.late_arrivals());
         broken.extend(self.retry_budget());
         broken.extend(self.crashing_requests());
+        broken.extend(self.broken_wishes());
         broken
     }
 
@@ -208,6 +215,26 @@
         late
     }
 
+    /// Names each wish of a box that a daemon did not follow, which heard it and has not ended or stood
+    /// still since.
+    fn broken_wishes(&self) -> Vec<String> {
+        let daemon_of: BTreeMap<&str, usize> =
+            self.seen.iter().map(|seen| (seen.id.as_str(), seen.daemon)).collect();
+        let life_of = |daemon: usize, at: Instant| {
+            let ends = self.disturbed.iter().filter(|harm| harm.ends_processes);
+            let own = ends.filter(|harm| harm.daemon.is_none_or(|struck| struck == daemon));
+            own.filter(|harm| harm.from <= at).count()
+        };
+        let is_harmed = |at: Instant| {
+            let harms = self.disturbed.iter().filter(|harm| harm.harms_answers);
+            harms.clone().any(|harm| harm.from <= at && at <= harm.until + CONTACT)
+        };
+        broken_wishes(&self.told, &self.arrivals, |request, at| {
+            let daemon = *daemon_of.get(request)?;
+            (!is_harmed(at)).then(|| (daemon, life_of(daemon, at)))
+        })
+    }
+
     /// Names each request that ended three boxes and was sent on too often by daemons in touch.
     fn crashing_requests(&self) -> Vec<String> {
         let mut ends: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
--- a/crates/cherrystand_testkit/tests/soak_checks.rs
+++ b/crates/cherrystand_testkit/tests/soak_checks.rs
@@ -5,7 +5,7 @@
 
 use cherrystand_core::Millis;
 use cherrystand_testkit::{
-    Answered, Arrival, Call, Crash, Disturbed, FaultKind, Gone, Record, Seen, Targets,
+    Answered, Arrival, Call, Crash, Disturbed, FaultKind, Gone, Record, Seen, Targets, Told, Wish,
     draw_schedule,
 };
 use hyper::StatusCode;
@@ -34,7 +34,24 @@
 
 fn harmed(daemon: Option<usize>, planned: bool, from: Instant, secs: u64) -> Disturbed {
     let until = from + Duration::from_secs(secs);
-    Disturbed { daemon, planned, is_store: false, from, until }
+    Disturbed {
+        daemon,
+        planned,
+        is_store: false,
+        ends_processes: planned,
+        harms_answers: false,
+        from,
+        until,
+    }
+}
+
+/// Notes that a box told one daemon what it asks for, five seconds before three requests of that daemon
+/// reach it.
+fn told(record: &mut Record, wish: Wish) {
+    let at = record.seen[0].sent - Duration::from_secs(5);
+    let (request, target) = ("r1".to_owned(), "a-0".to_owned());
+    record.told = vec![Told { request, target, life: 1, at, wish }];
+    record.arrivals = vec![record.arrivals[0].clone(); 3];
 }
 
 /// Notes that a request ended three boxes at the beginning, and reached some again later.
@@ -131,6 +148,45 @@
             let arrival = record.arrivals[0].clone();
             record.arrivals.extend(vec![arrival; 60]);
         }),
+        case("sent into a rest", Some("Rest(10s), and got 3"), &|record, _| {
+            told(record, Wish::Rest(Duration::from_secs(10)));
+        }),
+        case("sent into a rest twice", None, &|record, _| {
+            told(record, Wish::Rest(Duration::from_secs(10)));
+            record.arrivals.truncate(2);
+        }),
+        case("sent after a rest", None, &|record, _| {
+            told(record, Wish::Rest(Duration::from_secs(4)));
+        }),
+        case("sent into the rest of an earlier life", None, &|record, _| {
+            told(record, Wish::Rest(Duration::from_secs(10)));
+            record.told[0].life = 0;
+        }),
+        case("sent by a daemon that has started again", None, &|record, began| {
+            told(record, Wish::Rest(Duration::from_secs(10)));
+            let since = began + Duration::from_secs(57);
+            record
+                .disturbed
+                .push(Disturbed { ends_processes: true, ..harmed(Some(0), false, since, 1) });
+        }),
+        case(
+            "sent by one while another has started again",
+            Some("Leaves, and got 3"),
+            &|record, began| {
+                told(record, Wish::Leaves);
+                let since = began + Duration::from_secs(57);
+                record
+                    .disturbed
+                    .push(Disturbed { ends_processes: true, ..harmed(Some(1), false, since, 1) });
+            },
+        ),
+        case("a wish that was lost on its way", None, &|record, began| {
+            told(record, Wish::Leaves);
+            record.disturbed.push(Disturbed {
+                harms_answers: true,
+                ..harmed(None, false, began + Duration::from_secs(54), 2)
+            });
+        }),
         case("a box's own note", Some("joined"), &|record, _| {
             record.box_faults.push("i-1 joined out of another".to_owned());
         }),
