fix: refused requests are tried one at a time, the likeliest innocent first and soon, kept apart from other suspects

Callers of a whole service were refused while one crashing request came: the request that all others send alike had been at the same ends of boxes, and the trials of both met at one replica, whose end counted against both; the next was a minute away. One daemon of all now tries what is refused, one request at a time and its fate decided before the next: least tried first, then those whose ends the others explain, then those that come most. Several at once are first tried a second after the last end, not six, and one that is tried goes to a replica where this daemon has no other suspect, and others keep away. A trial that shows nothing costs no wait. How often and when one was tried stands in the store's record, so that the next daemon goes on where one ended.

--- a/crates/cherrystand_core/src/site/crash_suspects.rs
+++ b/crates/cherrystand_core/src/site/crash_suspects.rs
@@ -50,6 +50,20 @@
 /// does end replicas ends three more in an hour.
 const NEXT_TRIAL: u64 = 10;
 
+/// How long after the last end the first of several refused requests is tried: what was under way has
+/// ended by then, and whoever is innocent among them is served again.
+///
+/// Waiting as for a single one, the request that all callers of a service send alike was out for 6 s beside
+/// two guilty ones, and for a minute where both trials met at one replica.
+const RIVALS_TRIED_AFTER: Millis = Millis(1_000);
+
+/// A request that was refused within this time comes yet, and may be tried.
+const COMES_YET: Millis = Millis(2_000);
+
+/// For how long a trial is waited for at the most until the next begins: no route holds a request longer
+/// than that and the time until an end of a box is found.
+const TRIAL_LASTS: Millis = Millis(15_000);
+
 /// From this many ends on a request stands in the store, so that a daemon that missed what peers told, or
 /// starts later, knows of it.
 const RECORDED_FROM: usize = 2;
@@ -69,9 +83,12 @@
     acquitted: BTreeSet<BoxId>,
     /// When it last ended a box, was served or was refused.
     last: Millis,
-    /// How often this daemon tried it though it is refused, and when it last did.
+    /// How often it was tried though it is refused, and when it last was.
     trials: u32,
     tried: Millis,
+    /// How often it came while it was refused, and when it last did.
+    refusals: u32,
+    refused_at: Millis,
 }
 
 impl Suspect {
@@ -95,16 +112,52 @@
         }
     }
 
+    fn is_refused(&self) -> bool {
+        self.moments.len() >= ENDS_BORNE
+    }
+
+    /// Tells whether it is refused and comes yet.
+    fn waits(&self, now: Millis) -> bool {
+        self.is_refused() && self.refusals > 0 && now.since(self.refused_at) < COMES_YET
+    }
+
+    /// Tells whether it may be tried by now, beside others that wait for the same or alone.
+    fn is_due(&self, has_rivals: bool, now: Millis) -> bool {
+        let ended = self.moments.iter().map(|moment| moment.at).max().unwrap_or_default();
+        let wait = match (self.trials, has_rivals) {
+            (0, true) => RIVALS_TRIED_AFTER.0,
+            (trials, true) => TRIED_AFTER.0.saturating_mul(NEXT_TRIAL.saturating_pow(trials - 1)),
+            (trials, false) => TRIED_AFTER.0.saturating_mul(NEXT_TRIAL.saturating_pow(trials)),
+        };
+        now.since(ended.max(self.tried)) >= Millis(wait)
+    }
+
+    /// Returns at how many ends it was at which none of some others was.
+    fn ends_alone(&self, others: &[&Self]) -> usize {
+        let is_alone = |moment: &&Moment| {
+            let lives = &moment.lives;
+            !others.iter().any(|other| lives.iter().any(|life| other.has(life)))
+        };
+        self.moments.iter().filter(is_alone).count()
+    }
+
     fn acquit(&mut self) {
         let lives = std::mem::take(&mut self.moments).into_iter().flat_map(|moment| moment.lives);
         self.acquitted.extend(lives);
-        self.trials = 0;
+        (self.trials, self.refusals) = (0, 0);
         while self.acquitted.len() > MOST_LIVES {
             self.acquitted.pop_first();
         }
     }
 }
 
+/// A refused request that is being tried.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    request: Fingerprint,
+    since: Millis,
+}
+
 /// When a request was last served whole.
 #[derive(Clone, Copy, Debug)]
 struct Served {
@@ -123,6 +176,8 @@
     served: HashMap<Fingerprint, Served>,
     /// The same in the order of time, for forgetting.
     served_order: VecDeque<(Millis, Fingerprint)>,
+    /// The one trial that is under way here.
+    trial: Option<Trial>,
 }
 
 impl CrashSuspects {
@@ -159,6 +214,7 @@
         if self.was_served_lately(request, now) {
             return 0;
         }
+        self.decide_trial(request);
         self.make_room(request, now);
         let suspect = self.held.entry(request).or_default();
         if !suspect.has(life) {
@@ -186,6 +242,7 @@
 
     /// Takes back all ends that a request was at, and tells whether there were any.
     fn acquit(&mut self, request: Fingerprint, now: Millis) -> bool {
+        self.decide_trial(request);
         let Some(suspect) = self.held.get_mut(&request) else { return false };
         let is_news = !suspect.moments.is_empty();
         suspect.acquit();
@@ -201,25 +258,66 @@
     /// Tells whether a request is to be refused, which keeps it remembered.
     pub fn refuses(&mut self, request: Fingerprint, now: Millis) -> bool {
         let Some(suspect) = self.held.get_mut(&request) else { return false };
-        let refused = suspect.moments.len() >= ENDS_BORNE;
+        let refused = suspect.is_refused();
         if refused {
-            suspect.last = now;
+            (suspect.last, suspect.refused_at) = (now, now);
+            suspect.refusals = suspect.refusals.saturating_add(1);
         }
         refused
     }
 
-    /// Tells whether a refused request is to be tried once now, and counts the trial; for the one daemon
-    /// that tries it.
+    /// Tells whether a refused request is to be tried now, and counts the trial; for the one daemon that
+    /// tries them.
+    ///
+    /// One is tried at a time, the likeliest innocent first: that which was tried least, whose ends others
+    /// explain, and which callers send most.
     pub fn takes_trial(&mut self, request: Fingerprint, now: Millis) -> bool {
+        let is_open = self.trial.is_some_and(|trial| now.since(trial.since) < TRIAL_LASTS);
+        if is_open || self.next_trial(now) != Some(request) {
+            return false;
+        }
         let Some(suspect) = self.held.get_mut(&request) else { return false };
-        let ended = suspect.moments.iter().map(|moment| moment.at).max().unwrap_or_default();
-        let wait = TRIED_AFTER.0.saturating_mul(NEXT_TRIAL.saturating_pow(suspect.trials));
-        let due = now.since(ended.max(suspect.tried)) >= Millis(wait);
-        if due {
-            suspect.trials += 1;
-            suspect.tried = now;
+        suspect.trials += 1;
+        suspect.tried = now;
+        self.trial = Some(Trial { request, since: now });
+        true
+    }
+
+    /// Returns which of the refused requests that come yet is tried next, where one is due.
+    fn next_trial(&self, now: Millis) -> Option<Fingerprint> {
+        let waiting = self.held.iter().filter(|(_, suspect)| suspect.waits(now));
+        let waiting: Vec<(Fingerprint, &Suspect)> =
+            waiting.map(|(request, suspect)| (*request, suspect)).collect();
+        let has_rivals = waiting.len() > 1;
+        let due = waiting.iter().filter(|(_, suspect)| suspect.is_due(has_rivals, now));
+        let innocence = |(request, suspect): &&(Fingerprint, &Suspect)| {
+            let others = waiting.iter().filter(|(other, _)| other != request);
+            let others: Vec<&Suspect> = others.map(|(_, suspect)| *suspect).collect();
+            let often = std::cmp::Reverse(suspect.refusals);
+            (suspect.trials, suspect.ends_alone(&others), often, *request)
+        };
+        due.min_by_key(innocence).map(|(request, _)| *request)
+    }
+
+    /// Tells whether a request is being tried.
+    pub fn is_tried(&self, request: Fingerprint) -> bool {
+        self.trial.is_some_and(|trial| trial.request == request)
+    }
+
+    /// Takes in that a trial is over that showed nothing: no box ended, and no answer came whole. It counts
+    /// as none.
+    pub fn trial_showed_nothing(&mut self, request: Fingerprint) {
+        if !self.is_tried(request) {
+            return;
+        }
+        self.trial = None;
+        if let Some(suspect) = self.held.get_mut(&request) {
+            suspect.trials = suspect.trials.saturating_sub(1);
         }
-        due
+    }
+
+    fn decide_trial(&mut self, request: Fingerprint) {
+        self.trial = self.trial.filter(|trial| trial.request != request);
     }
 
     /// Takes over what the store's record tells, at the Unix time `unix_ms`.
@@ -233,6 +331,11 @@
                 suspect.acquitted.insert(life.clone());
             }
             suspect.moments.retain(|moment| !moment.lives.is_empty());
+            // Another daemon may have tried it, and this one goes on where that has ended.
+            let tried = now - Millis(unix_ms.saturating_sub(entry.tried_at));
+            if entry.tried_at > 0 && tried > suspect.tried {
+                (suspect.trials, suspect.tried) = (entry.trials, tried);
+            }
             for lives in &entry.ended {
                 take_moment(suspect, lives, now);
             }
@@ -261,6 +364,11 @@
             ended: suspect.moments.iter().map(|moment| moment.lives.clone()).collect(),
             acquitted: suspect.acquitted.clone(),
             at: unix_ms.saturating_sub(now.since(suspect.last).0),
+            trials: suspect.trials,
+            tried_at: match suspect.tried {
+                Millis(0) => 0,
+                tried => unix_ms.saturating_sub(now.since(tried).0),
+            },
         };
         SuspectRecord { requests: told.map(entry).collect() }
     }
@@ -287,7 +395,7 @@
 
     /// Returns how many requests are refused.
     pub fn refused(&self) -> usize {
-        self.held.values().filter(|suspect| suspect.moments.len() >= ENDS_BORNE).count()
+        self.held.values().filter(|suspect| suspect.is_refused()).count()
     }
 }
 
--- a/crates/cherrystand_core/src/site/suspect_record.rs
+++ b/crates/cherrystand_core/src/site/suspect_record.rs
@@ -13,6 +13,9 @@
 /// one call of the store in half an hour.
 const RENEWED_AFTER_MS: u64 = REMEMBERED_FOR.0 / 2;
 
+/// Trials that daemons tell of within this time are one, as their clocks and rounding have it.
+const SAME_TRIAL_MS: u64 = 500;
+
 /// What the record says of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectEntry {
@@ -25,6 +28,12 @@
     pub acquitted: BTreeSet<BoxId>,
     /// When it last ended a box or was refused, in Unix milliseconds.
     pub at: u64,
+    /// How often it was tried though it is refused.
+    #[serde(default)]
+    pub trials: u32,
+    /// When it was last tried, in Unix milliseconds; 0 where it was not.
+    #[serde(default)]
+    pub tried_at: u64,
 }
 
 /// What every daemon has to know of such requests, in the platform's store.
@@ -53,9 +62,14 @@
         let acquitted = &self.acquitted;
         self.ended.iter_mut().for_each(|lives| lives.retain(|life| !acquitted.contains(life)));
         self.ended.retain(|lives| !lives.is_empty());
+        // Clocks of daemons differ by less than what lies between two trials.
+        let tried = own.tried_at > self.tried_at + SAME_TRIAL_MS;
+        if tried {
+            (self.trials, self.tried_at) = (own.trials, own.tried_at);
+        }
         let renewed = own.at > self.at + RENEWED_AFTER_MS;
         self.at = self.at.max(own.at);
-        renewed || self.ended != before.ended || self.acquitted != before.acquitted
+        tried || renewed || self.ended != before.ended || self.acquitted != before.acquitted
     }
 }
 
--- a/crates/cherrystand_core/tests/crash_suspects.rs
+++ b/crates/cherrystand_core/tests/crash_suspects.rs
@@ -220,6 +220,8 @@
     let trials: Vec<u64> = (2_000..140_000)
         .step_by(500)
         .filter(|at| {
+            // It is tried as it comes and is refused.
+            assert!(suspects.refuses(REQUEST, Millis(*at)));
             let tried = suspects.takes_trial(REQUEST, Millis(*at));
             if tried {
                 suspects.ended(&life(*at), REQUEST, Millis(at + 100));
--- a/crates/cherrystand_core/tests/crash_trials.rs
+++ b/crates/cherrystand_core/tests/crash_trials.rs
@@ -37,6 +37,7 @@
     request: Fingerprint,
     replica: usize,
     ends: Millis,
+    is_trial: bool,
 }
 
 #[derive(Default)]
@@ -151,7 +152,11 @@
         if refused && !is_trial {
             return Some(false);
         }
-        let replica = self.choose(now)?;
+        let Some(replica) = self.choose(is_trial, now) else {
+            // Nobody serves now.
+            self.nodes[node].trial_showed_nothing(request);
+            return None;
+        };
         if is_guilty(request) {
             let third = self.ends_by.get(&request).and_then(|ends| ends.get(2));
             if third.is_some_and(|third| now > *third + Millis(3_000)) {
@@ -159,15 +164,24 @@
             }
         }
         let ends = now + if is_guilty(request) { ENDS_IN } else { ANSWERS_IN };
-        self.flights.push(Flight { node, request, replica, ends });
+        self.flights.push(Flight { node, request, replica, ends, is_trial });
         Some(true)
     }
 
-    /// Draws a replica.
-    fn choose(&mut self, now: Millis) -> Option<usize> {
+    /// Draws a replica; a trial goes where no other suspect is, and nothing else to where one is.
+    fn choose(&mut self, is_trial: bool, now: Millis) -> Option<usize> {
+        let suspected = |flight: &&Flight| self.nodes[0].ends_of(flight.request) > 0;
+        let taken: Vec<usize> = self
+            .flights
+            .iter()
+            .filter(|flight| if is_trial { suspected(flight) } else { flight.is_trial })
+            .map(|flight| flight.replica)
+            .collect();
         let there = (0..self.replicas.len()).filter(|at| self.replicas[*at].back_at <= now);
         let there: Vec<usize> = there.collect();
-        (!there.is_empty()).then(|| there[self.seed.below(there.len())])
+        let free: Vec<usize> = there.iter().copied().filter(|at| !taken.contains(at)).collect();
+        let from = if free.is_empty() { &there } else { &free };
+        (!from.is_empty()).then(|| from[self.seed.below(from.len())])
     }
 
     fn end_flights(&mut self, now: Millis) {
--- a/crates/cherrystandd/src/site/crash_watch.rs
+++ b/crates/cherrystandd/src/site/crash_watch.rs
@@ -47,6 +47,33 @@
     published: Cell<Millis>,
     /// When this node last found that a box ended.
     found: Cell<Option<Millis>>,
+    /// Where this node has requests that were at ends of boxes, or that are tried.
+    under_way: RefCell<Vec<(BoxId, Fingerprint)>>,
+}
+
+/// Names what all daemons agree by on which of them tries what is refused.
+const TRIALS: &str = "trials of refused requests";
+
+/// One trial of a refused request, which is over once this is dropped.
+pub(crate) struct Trial {
+    watch: Rc<CrashWatch>,
+    request: Fingerprint,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.watch.trial_over(self.request);
+    }
+}
+
+/// Says whether a request may be sent.
+pub(crate) enum Permission {
+    /// It may.
+    Send,
+    /// It is refused otherwise and is sent once, as a trial.
+    Try(Trial),
+    /// It ended what ran it.
+    Refuse,
 }
 
 impl CrashWatch {
@@ -60,44 +87,109 @@
             recorded: RefCell::default(),
             published: Cell::default(),
             found: Cell::default(),
+            under_way: RefCell::default(),
         }
     }
 
+    /// Says whether a request that has just come may be sent.
+    pub(crate) fn permission(self: &Rc<Self>, req: &SiteRequest) -> Permission {
+        if self.is_idle() {
+            return Permission::Send;
+        }
+        let (request, now) = (req.fingerprint(), self.cx.clock.now());
+        let refused = self.suspects.borrow_mut().refuses(request, now);
+        match refused {
+            true if self.begins_trial(request, now) => {
+                Permission::Try(Trial { watch: self.clone(), request })
+            }
+            false if self.may_send(req, 0) => Permission::Send,
+            _ => Permission::Refuse,
+        }
+    }
+
+    /// Tells whether no request is suspected.
+    fn is_idle(&self) -> bool {
+        self.suspects.borrow().is_empty() && self.cut.borrow().is_empty()
+    }
+
     /// Tells whether a request that has `open` attempts may be sent once more.
     ///
     /// Each open attempt, and each box that is not yet known to have ended, may turn out to be one end
     /// more: so no daemon sends it where it could end more than [`ENDS_BORNE`].
     pub(crate) fn may_send(&self, req: &SiteRequest, open: u32) -> bool {
-        if self.suspects.borrow().is_empty() && self.cut.borrow().is_empty() {
+        if self.is_idle() {
             return true;
         }
-        let (request, now) = (req.fingerprint(), self.cx.clock.now());
-        if self.suspects.borrow_mut().refuses(request, now) {
-            return self.may_try(request, open, now);
-        }
+        let request = req.fingerprint();
         let undecided = self.cut.borrow().undecided_of(request);
         let ends = self.suspects.borrow().ends_of(request);
         ends + undecided + (open as usize) < ENDS_BORNE
     }
 
-    /// Tells whether a refused request is tried once more, now and by this node.
-    fn may_try(&self, request: Fingerprint, open: u32, now: Millis) -> bool {
+    /// Tells whether a refused request is tried once, now and by this node.
+    fn begins_trial(&self, request: Fingerprint, now: Millis) -> bool {
         if now.since(self.published.get()) >= TOLD_ANEW_AFTER {
             self.publish();
         }
-        let tries = open == 0
-            && self.tries(request)
-            && self.suspects.borrow_mut().takes_trial(request, now);
+        let tries = self.is_judge() && self.suspects.borrow_mut().takes_trial(request, now);
         if tries {
+            self.publish();
             log::info!(fingerprint = request.to_string(); "a refused request is tried once");
         }
         tries
     }
 
-    /// Tells whether it is this node that tries a refused request, among all that are alive.
-    fn tries(&self, request: Fingerprint) -> bool {
+    /// Tells whether it is this node that tries what is refused, among all that are alive.
+    fn is_judge(&self) -> bool {
         let view = self.cx.view_now();
-        owner_of(&request.to_string(), view.alive()) == Some(&view.own.node)
+        owner_of(TRIALS, view.alive()) == Some(&view.own.node)
+    }
+
+    /// Takes in that a trial is over, which shows nothing unless a box ended or the answer came whole; where
+    /// it is not yet known whether the box ended, that is waited for.
+    fn trial_over(&self, request: Fingerprint) {
+        if self.cut.borrow().undecided_of(request) == 0 {
+            self.suspects.borrow_mut().trial_showed_nothing(request);
+        }
+    }
+
+    /// Notes that this node sends a request to a box, where it is suspected.
+    pub(crate) fn sent(&self, target: &BoxId, req: &SiteRequest) {
+        if !self.is_idle() && self.is_suspected(req.fingerprint()) {
+            self.under_way.borrow_mut().push((target.clone(), req.fingerprint()));
+        }
+    }
+
+    /// Notes that a box has a request of this node no more.
+    pub(crate) fn ended_at(&self, target: &BoxId, req: &SiteRequest) {
+        let mut under_way = self.under_way.borrow_mut();
+        // Most requests are at no place that is noted.
+        if under_way.is_empty() {
+            return;
+        }
+        let request = req.fingerprint();
+        let place = under_way.iter().position(|(at, held)| at == target && *held == request);
+        place.map(|place| under_way.swap_remove(place));
+    }
+
+    fn is_suspected(&self, request: Fingerprint) -> bool {
+        let suspects = self.suspects.borrow();
+        suspects.ends_of(request) > 0 || suspects.is_tried(request)
+    }
+
+    /// Lists the boxes that a request keeps away from while there are others: a trial from those that have
+    /// another suspect, and all others from the one that has a trial, or its end would say nothing of
+    /// either.
+    pub(crate) fn kept_apart(&self, req: &SiteRequest) -> Vec<BoxId> {
+        if self.under_way.borrow().is_empty() {
+            return Vec::new();
+        }
+        let (request, suspects) = (req.fingerprint(), self.suspects.borrow());
+        let is_trial = suspects.is_tried(request);
+        let under_way = self.under_way.borrow();
+        let others = under_way.iter().filter(|(_, held)| *held != request);
+        let apart = others.filter(|(_, held)| is_trial || suspects.is_tried(*held));
+        apart.map(|(target, _)| target.clone()).collect()
     }
 
     /// Takes in that a request was served whole, so that what ended before did not end by it.
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -60,6 +60,7 @@
         let prompt = req.prompt();
         let waits_behind = expected.is_some_and(|expected| expected.deferred);
         front.chooser.borrow_mut().start(key, prompt, waits_behind);
+        front.crashes.sent(&target, &req);
         Self {
             front,
             req,
@@ -184,5 +185,6 @@
         if self.comes_back {
             chooser.ended_after_rest(&self.target);
         }
+        self.front.crashes.ended_at(&self.target, &self.req);
     }
 }
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -12,6 +12,7 @@
 use crate::relay::headers::strip_connection;
 use crate::site::Driver;
 use crate::site::attempt::{self, Begun};
+use crate::site::crash_watch::Permission;
 use crate::site::event_stream::EventStream;
 use crate::site::flight::Flight;
 use crate::site::front::{Front, ReplicaLook, Urgency};
@@ -117,13 +118,28 @@
     let body = read_body(body, table.config().limits.body_bytes).await?;
     let wait = facts.wait.unwrap_or(USUAL_WAIT).min(route.timeout);
     let deadline = came + wait;
-    let fingerprint = OnceCell::new();
-    let req =
-        SiteRequest { facts, head, body, route, tenant, service, came, deadline, fingerprint };
+    let (fingerprint, trial) = (OnceCell::new(), OnceCell::new());
+    let req = SiteRequest {
+        facts,
+        head,
+        body,
+        route,
+        tenant,
+        service,
+        came,
+        deadline,
+        fingerprint,
+        trial,
+    };
     let req = Rc::new(req);
     front.repeats.earn(&req.service);
-    if !front.crashes.may_send(&req, 0) {
-        return Err(refuse_for_ends());
+    match front.crashes.permission(&req) {
+        Permission::Send => {}
+        Permission::Try(trial) => {
+            // There is none yet.
+            let _ = req.trial.set(trial);
+        }
+        Permission::Refuse => return Err(refuse_for_ends()),
     }
     let answer = match req.route.kind {
         RouteKind::Streaming => stream(front, req.clone()).await,
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -189,8 +189,16 @@
         let ask = req.ask(engine, objective);
         let mut seed = self.seed.get();
         self.loads.hand_over(&mut self.chooser.borrow_mut());
+        let mut apart = self.crashes.kept_apart(req);
         let chooser = self.chooser.borrow();
-        let key = chooser.choose(ask, engine, not, self.now(), &mut seed);
+        let key = match apart.is_empty() {
+            true => chooser.choose(ask, engine, not, self.now(), &mut seed),
+            false => {
+                apart.extend_from_slice(not);
+                let key = chooser.choose(ask, engine, &apart, self.now(), &mut seed);
+                key.or_else(|| chooser.choose(ask, engine, not, self.now(), &mut seed))
+            }
+        };
         self.seed.set(seed);
         let key = key.or_else(|| chooser.choose(ask, engine, &[], self.now(), &mut seed))?;
         let target = chooser.id(key)?.clone();
--- a/crates/cherrystandd/src/site/request.rs
+++ b/crates/cherrystandd/src/site/request.rs
@@ -16,6 +16,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::relay::headers::strip_connection;
+use crate::site::crash_watch::Trial;
 
 /// A request on its way.
 pub(crate) struct SiteRequest {
@@ -37,6 +38,8 @@
     pub(crate) deadline: Millis,
     /// What names it in all its tries, once that was asked for.
     pub(crate) fingerprint: OnceCell<Fingerprint>,
+    /// The trial that it is, where it is refused otherwise.
+    pub(crate) trial: OnceCell<Trial>,
 }
 
 impl SiteRequest {
