--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -30,9 +30,12 @@
 mod processes;
 mod service_stand_in;
 mod site {
+    pub(crate) mod box_answers;
+    pub(crate) mod box_orders;
     pub(crate) mod box_wishes;
     pub(crate) mod fake_site_domain;
     pub(crate) mod metadata_stand_in;
+    pub(crate) mod site_box;
     pub(crate) mod site_setup;
     pub(crate) mod site_stand_in;
 }
@@ -60,11 +63,13 @@
 pub use platform::store::{Rate, Store};
 pub use processes::{free_addresses, spawn};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
+pub use site::box_answers::{CRASHES, EVENTS};
 pub use site::box_wishes::{BoxWishes, Sheds, Told, Wish, broken_wishes};
 pub use site::fake_site_domain::FakeSiteDomain;
 pub use site::metadata_stand_in::{Door, MetadataStandIn, PageFault};
+pub use site::site_box::{Arrival, BoxMood, Crash};
 pub use site::site_setup::{NodeSettings, site_config, whole_stream};
-pub use site::site_stand_in::{Arrival, BoxMood, CRASHES, Crash, EVENTS, SiteStandIn};
+pub use site::site_stand_in::SiteStandIn;
 pub use soak::link::{Link, LinkMode};
 pub use soak::run::{SoakOutcome, SoakSetup, USUAL_SPAN, daemon_program, play_soak};
 pub use soak::schedule::{
--- a/crates/cherrystand_testkit/src/site/fake_site_domain.rs
+++ b/crates/cherrystand_testkit/src/site/fake_site_domain.rs
@@ -10,7 +10,7 @@
     OrderEnd, ServiceName, SiteBox, ZoneId,
 };
 
-use crate::site::site_stand_in::FIRST_START;
+use crate::site::site_box::FIRST_START;
 
 /// How long a box stays listed after it fell silent.
 const LISTED_FOR: Millis = Millis(3_600);
--- /dev/null
+++ b/crates/cherrystand_testkit/src/site/site_box.rs
@@ -0,0 +1,138 @@
+//! One box of the stand-in for a site, and all that is noted of boxes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use crate::site::box_wishes::{BoxWishes, Told};
+use crate::site::metadata_stand_in::Door;
+
+/// When boxes started, in Unix milliseconds.
+pub(crate) const FIRST_START: u64 = 1_790_000_000_000;
+
+/// What a box does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BoxMood {
+    /// It serves.
+    #[default]
+    Well,
+    /// It says and does nothing, as without power.
+    Dark,
+    /// It refuses every request without running it.
+    Sheds,
+    /// It runs every request and cuts the connection instead of an answer.
+    LosesAnswers,
+    /// It fails every request.
+    Fails,
+    /// It answers questions and orders, and makes no event of any stream for now.
+    Pauses,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    pub(super) group: String,
+    pub(super) epoch: u64,
+    pub(super) members: Vec<String>,
+    pub(super) state: &'static str,
+}
+
+pub(super) struct SiteBoxState {
+    /// Where it says that it is reached.
+    pub(super) address: SocketAddr,
+    /// Where it listens.
+    pub(super) listens: SocketAddr,
+    pub(super) service: &'static str,
+    pub(super) mood: BoxMood,
+    pub(super) wishes: BoxWishes,
+    /// How many requests came that it could turn away.
+    pub(super) asked: usize,
+    /// Held by each request that it works on.
+    pub(super) working: Rc<()>,
+    /// When it started, in Unix milliseconds.
+    pub(super) start: u64,
+    pub(super) staged: Option<String>,
+    pub(super) held: Option<Held>,
+    pub(super) highest: u64,
+    /// The highest fence seen.
+    pub(super) fence: u64,
+    /// Requests run, by id, and the event each began after.
+    pub(super) runs: Vec<(String, Option<u64>)>,
+    /// Tenants and headers that reached it.
+    pub(super) heads: Vec<BTreeMap<String, String>>,
+}
+
+impl SiteBoxState {
+    /// A box as it starts, which holds and knows nothing.
+    pub(super) fn new(address: SocketAddr, service: &'static str) -> Self {
+        Self {
+            address,
+            listens: address,
+            service,
+            mood: BoxMood::Well,
+            wishes: BoxWishes::default(),
+            asked: 0,
+            working: Rc::default(),
+            start: FIRST_START,
+            staged: None,
+            held: None,
+            highest: 0,
+            fence: 0,
+            runs: Vec::new(),
+            heads: Vec::new(),
+        }
+    }
+}
+
+#[derive(Default)]
+pub(super) struct World {
+    pub(super) boxes: BTreeMap<String, SiteBoxState>,
+    pub(super) doors: BTreeMap<usize, Door>,
+    /// Whether nothing that boxes say arrives for now.
+    pub(super) held: bool,
+    /// Whether boxes tell when they started.
+    pub(super) tells_starts: bool,
+    /// Replicas of which a member started again: nothing moves in them.
+    pub(super) torn: BTreeSet<(String, u64)>,
+    /// Which members have ever been ready, by replica and epoch.
+    pub(super) ready: BTreeSet<(String, u64, String)>,
+    /// What must never happen and did.
+    pub(super) faults: Vec<String>,
+    /// Every request that reached a box, run or not.
+    pub(super) arrivals: Vec<Arrival>,
+    /// What boxes asked of daemons in their answers.
+    pub(super) told: Vec<Told>,
+    /// Boxes that have the address of an earlier one, by the id of that one.
+    pub(super) successors: BTreeMap<String, String>,
+    /// Orders that were refused: the box, the operation and the status.
+    pub(super) refused: Vec<(String, String, u16)>,
+    /// Boxes that ended by a request, in their order.
+    pub(super) crashes: Vec<Crash>,
+}
+
+/// A box that a request ended.
+#[derive(Clone, Debug)]
+pub struct Crash {
+    /// The body of the request.
+    pub body: String,
+    /// The box.
+    pub target: String,
+    /// When it ended.
+    pub at: Instant,
+}
+
+/// A request that reached a box.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request's id.
+    pub request: String,
+    /// Its body, once that came whole.
+    pub body: String,
+    /// The box.
+    pub target: String,
+    /// When the life of the box began that it reached, in Unix milliseconds; nothing where another box
+    /// was meant.
+    pub life: Option<u64>,
+    /// When it came.
+    pub at: Instant,
+}
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    AssignedBoxes, BoxId, BoxLives, ChangeLog, ChangesSince, Document, DomainId, DomainRecord,
-    Epoch, LeavingLives, MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView,
-    StoreOutage, SuspectRecord,
+    AssignedBoxes, BoxId, BoxLives, ChangeLog, ChangesSince, Document, Epoch, LeavingLives,
+    MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView, StoreOutage,
+    SuspectRecord,
 };
 use cherrystand_peer::ChangeNews;
 use cherrystand_platform::{Changes, SiteDriver};
@@ -290,117 +290,6 @@
         self.ended.retain(|(replica, epoch), _| told.contains(&(replica, *epoch)));
     }
 
-    /// Returns the domains of the listed boxes and of the records.
-    pub(crate) fn domains(&self) -> BTreeSet<DomainId> {
-        let listed = self.boxes.values().filter_map(|known| known.domain.clone());
-        listed.chain(self.records.domains().cloned()).collect()
-    }
-
-    /// Returns a domain's record and its revision.
-    ///
-    /// Boxes stand in it as they are listed now: a record of an earlier version names no lives.
-    pub(crate) fn record(&self, domain: &DomainId) -> (Revision, DomainRecord) {
-        let (revision, record) = self.records.get(domain);
-        (revision, record.with_boxes_as(|id| self.as_listed(id)))
-    }
-
-    /// Returns the model that each domain is for, as far as the records say.
-    pub(crate) fn homes(&self) -> BTreeMap<DomainId, String> {
-        self.records.homes()
-    }
-
-    /// Returns the boxes of a domain that are listed.
-    pub(crate) fn boxes_of(&self, domain: &DomainId) -> Vec<&SiteBox> {
-        let all = self.boxes.values().map(Arc::as_ref);
-        all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
-    }
-
-    /// Returns the boxes that are listed, by domain.
-    pub(crate) fn by_domain(&self) -> BTreeMap<DomainId, Vec<&SiteBox>> {
-        let mut all: BTreeMap<DomainId, Vec<&SiteBox>> = BTreeMap::new();
-        for known in self.boxes.values() {
-            if let Some(domain) = &known.domain {
-                all.entry(domain.clone()).or_default().push(known.as_ref());
-            }
-        }
-        all
-    }
-
-    /// Returns the boxes of a domain that were listed lately.
-    pub(crate) fn departed_of(&self, domain: &DomainId) -> Vec<&SiteBox> {
-        let all = self.departed.values().map(|gone| gone.known.as_ref());
-        all.filter(|known| known.domain.as_ref() == Some(domain)).collect()
-    }
-
-    /// Returns for how long no box has come that was not known.
-    pub(crate) fn settled_for(&self, now: Millis) -> Millis {
-        now.since(self.grew)
-    }
-
-    /// Returns a box that is listed.
-    pub(crate) fn find(&self, id: &BoxId) -> Option<SiteBox> {
-        self.boxes.get(id).map(|known| SiteBox::clone(known))
-    }
-
-    /// Returns a box that is listed and not silent, other than the members of the replica of
-    /// `doubted`.
-    pub(crate) fn any_other(&self, doubted: &SiteBox) -> Option<Arc<SiteBox>> {
-        let replica = |known: &SiteBox| known.member.as_ref().map(|member| member.replica.clone());
-        let is_other = |known: &&Arc<SiteBox>| {
-            known.id != doubted.id
-                && (replica(known).is_none() || replica(known) != replica(doubted))
-                && !self.silent.contains_key(&known.id)
-        };
-        self.boxes.values().find(is_other).cloned()
-    }
-
-    /// Returns the boxes of a box's domain that belong to no replica.
-    pub(crate) fn spares_beside(&self, id: &BoxId) -> Vec<SiteBox> {
-        let domain = self.boxes.get(id).and_then(|known| known.domain.clone());
-        let Some(domain) = domain else {
-            return Vec::new();
-        };
-        let (_, record) = self.record(&domain);
-        let boxes = self.boxes_of(&domain).into_iter();
-        boxes.filter(|known| record.is_free(&known.id)).cloned().collect()
-    }
-
-    /// Returns the members of the replica that a box leads, itself among them, listed or not.
-    pub(crate) fn members_with(&self, id: &BoxId) -> Vec<SiteBox> {
-        let Some(known) = self.boxes.get(id) else {
-            return Vec::new();
-        };
-        let Some(member) = &known.member else {
-            return vec![SiteBox::clone(known)];
-        };
-        let departed = self.departed.values().map(|gone| &gone.known);
-        let all = self.boxes.values().chain(departed).map(Arc::as_ref);
-        all.filter(|other| other.is_in(&member.replica, member.epoch)).cloned().collect()
-    }
-
-    /// Returns the members of the replica that a box leads of which nothing but their names is
-    /// known, so that nobody here can ask them.
-    pub(crate) fn members_unknown(&self, leader: &BoxId) -> Vec<BoxId> {
-        let member = self.boxes.get(leader).and_then(|known| known.member.as_ref());
-        let members = member.and_then(|member| {
-            let key = (member.replica.clone(), member.epoch);
-            self.records.assigned().get(&key)
-        });
-        let is_unknown =
-            |id: &&BoxId| !self.boxes.contains_key(*id) && !self.departed.contains_key(*id);
-        members.into_iter().flatten().filter(is_unknown).cloned().collect()
-    }
-
-    /// Tells whether a box went silent.
-    pub(crate) fn is_silent(&self, id: &BoxId) -> bool {
-        self.silent.contains_key(id)
-    }
-
-    /// Returns the boxes that went silent, and those whose life is over.
-    pub(crate) fn silent(&self) -> BTreeSet<BoxId> {
-        self.silent.keys().chain(&self.ended_lives).cloned().collect()
-    }
-
     /// Returns the replicas whose leaders serve no more.
     pub(crate) fn ended_replicas(&self) -> &BTreeMap<(String, Epoch), Epoch> {
         &self.ended
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -18,6 +18,7 @@
 mod held_suspects;
 mod hint;
 mod known;
+mod known_boxes;
 mod load_exchange;
 mod open_attempts;
 mod pages;
