--- a/crates/cherrystandd/tests/crashing_requests.rs
+++ b/crates/cherrystandd/tests/crashing_requests.rs
@@ -125,6 +125,8 @@
                 // is refused is looked at below.
                 let Some(third) = ends.get(ENDS - 1) else { continue };
                 let late = sent_since(&site, body, *third + KNOWN_WITHIN);
+                let after: Vec<u128> = ends[ENDS..].iter().map(|end| (*end - *third).as_millis()).collect();
+                println!("{}: {body}: {} ends, the later ones {after:?} ms after the third, sent {late} times later than 3 s after it", case.name, ends.len());
                 if late > SENT_AFTERWARDS || ends.len() > MOST_ENDS {
                     let (ends, name) = (ends.len(), case.name);
                     wrong.push(format!("{name}: {body}: sent {late} times more, {ends} ends"));
