--- a/crates/cherrystand_testkit/src/site/box_answers.rs
+++ b/crates/cherrystand_testkit/src/site/box_answers.rs
@@ -145,11 +145,11 @@
 
     /// Makes a box's answer to a request that it turns away.
     pub(super) fn refusal(&self, id: &str, request: &str) -> Out {
-        let rest = self.world.borrow().boxes.get(id).and_then(|held| held.wishes.rest);
+        let wishes = self.world.borrow().boxes.get(id).map(|held| held.wishes).unwrap_or_default();
         let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "");
         set(&mut answer, "cherrystand-not-executed", "1");
-        set(&mut answer, "cherrystand-request-id", request);
-        if let Some(rest) = rest {
+        set(&mut answer, "cherrystand-request-id", wishes.names.unwrap_or(request));
+        if let Some(rest) = wishes.rest {
             set(&mut answer, "retry-after", rest);
             let secs = rest.parse().ok().and_then(|secs| Duration::try_from_secs_f64(secs).ok());
             if let Some(rest) = secs {
--- a/crates/cherrystand_testkit/src/site/box_wishes.rs
+++ b/crates/cherrystand_testkit/src/site/box_wishes.rs
@@ -29,12 +29,14 @@
     pub rest: Option<&'static str>,
     /// Whether it says in all its answers that it leaves; its entry says nothing of it.
     pub leaves: bool,
+    /// The request that it names as it turns one away, where it is another one.
+    pub names: Option<&'static str>,
 }
 
 impl BoxWishes {
     /// Wishes of a box that turns requests away and asks for rest.
     pub fn rest(sheds: Sheds, rest: &'static str) -> Self {
-        Self { sheds, rest: Some(rest), leaves: false }
+        Self { sheds, rest: Some(rest), ..Self::default() }
     }
 
     /// Wishes of a box that leaves.
--- a/crates/cherrystandd/tests/wishes.rs
+++ b/crates/cherrystandd/tests/wishes.rs
@@ -224,6 +224,36 @@
     });
 }
 
+/// What an answer says that names another request is somebody else's word: a surplus answer, or garbled bytes.
+/// Taken for the box's own, it would put that out of service for good.
+#[test]
+fn a_wish_in_an_answer_that_names_another_request_binds_nobody() {
+    support::run(async {
+        let site = Site::serving_with_starts(1).await;
+        let node = &site.nodes[0];
+        let lies = BoxWishes {
+            leaves: true,
+            names: Some("another"),
+            ..BoxWishes::rest(Sheds::All, "600")
+        };
+        site.site.set_wishes("a-1", lies);
+        until("it has lied", async || {
+            ask(node, CALL, "n0-lied".to_owned()).await;
+            site.site.told().iter().any(|told| told.target == "a-1")
+        })
+        .await;
+        site.site.set_wishes("a-1", BoxWishes::default());
+        // Nobody else serves now.
+        site.site.set_wishes("a-2", BoxWishes { sheds: Sheds::All, ..BoxWishes::default() });
+        until("it is sent requests again", async || {
+            let id = format!("n0-{}", site.site.arrivals().len());
+            ask(node, CALL, id.clone()).await;
+            site.site.runs_of(&id).iter().any(|(target, _)| target == "a-1")
+        })
+        .await;
+    });
+}
+
 /// A life that ended owes no rest, and neither does what a box of the same name was asked.
 #[test]
 fn a_new_life_of_a_box_owes_no_rest() {
