--- a/crates/cherrystandd/tests/wishes.rs
+++ b/crates/cherrystandd/tests/wishes.rs
@@ -64,6 +64,16 @@
     broken_wishes(&site.site.told(), &site.site.arrivals(), daemon_of)
 }
 
+/// Says how the first request ended that was not served.
+fn first_failed(asked: &[Asked]) -> String {
+    let failed = asked.iter().find(|asked| !is_served(asked));
+    let said = failed.map(|asked| {
+        let length = asked.answer.text().len();
+        format!("{}: {}, {length} bytes, after {:?}", asked.id, asked.answer.status, asked.took)
+    });
+    said.unwrap_or_default()
+}
+
 fn is_served(asked: &Asked) -> bool {
     let whole = [whole_stream(&asked.id), format!("answer to {}", asked.id)];
     asked.answer.status == StatusCode::OK && whole.contains(&asked.answer.text())
@@ -130,7 +140,8 @@
             let served = asked.iter().filter(|asked| is_served(asked)).count();
             let least = (asked.len() as f64 * case.served) as usize;
             if served < least {
-                wrong.push(format!("{served} of {} served, {least} at least", asked.len()));
+                let (all, failed) = (asked.len(), first_failed(&asked));
+                wrong.push(format!("{served} of {all} served, {least} at least; {failed}"));
             }
             wrong.into_iter().map(|wrong| format!("{}: {wrong}", case.name)).collect::<Vec<_>>()
         });
@@ -173,7 +184,8 @@
             let is_right = there <= most && there > 0 && served == asked.len();
             (!is_right).then(|| {
                 let (name, all) = (case.name, asked.len());
-                format!("{name}: {there} of {all} sent there, {served} served")
+                let failed = first_failed(&asked);
+                format!("{name}: {there} of {all} sent there, {served} served; {failed}")
             })
         });
         let wrong: Vec<String> = played(all).await.into_iter().flatten().collect();
@@ -312,7 +324,8 @@
             // A stop that a box says itself costs callers nothing.
             let failed = asked.iter().filter(|asked| !is_served(asked)).count();
             if failed > 0 {
-                wrong.push(format!("{failed} of {} not served", asked.len()));
+                let (all, first) = (asked.len(), first_failed(&asked));
+                wrong.push(format!("{failed} of {all} not served; {first}"));
             }
             wrong.into_iter().map(|wrong| format!("{}: {wrong}", case.name)).collect::<Vec<_>>()
         });
