refactor: rests are looked at only where something hangs on it; what is drawn besides shares one loop

Read again as a newcomer. refuse() looked through all endpoints for requests that ended otherwise than with 503, and so did the line of a refused request where the log had no room for it. Tests keep their assertions; behaviour is as it was.

--- a/crates/cherrystand_core/src/site/crash_suspects.rs
+++ b/crates/cherrystand_core/src/site/crash_suspects.rs
@@ -35,7 +35,7 @@
 
 /// A refused request that is being tried.
 #[derive(Clone, Copy, Debug)]
-struct Trial {
+struct OpenTrial {
     request: Fingerprint,
     since: Millis,
 }
@@ -59,7 +59,7 @@
     /// The same in the order of time, for forgetting.
     served_order: VecDeque<(Millis, Fingerprint)>,
     /// The one trial that is under way here.
-    trial: Option<Trial>,
+    trial: Option<OpenTrial>,
 }
 
 impl CrashSuspects {
@@ -161,7 +161,7 @@
         let Some(suspect) = self.held.get_mut(&request) else { return false };
         suspect.trials += 1;
         suspect.tried = now;
-        self.trial = Some(Trial { request, since: now });
+        self.trial = Some(OpenTrial { request, since: now });
         true
     }
 
--- a/crates/cherrystand_core/src/site/suspect.rs
+++ b/crates/cherrystand_core/src/site/suspect.rs
@@ -96,10 +96,11 @@
     /// Tells whether it may be tried by now, beside others that wait for the same or alone.
     pub(crate) fn is_due(&self, has_rivals: bool, now: Millis) -> bool {
         let ended = self.moments.iter().map(|moment| moment.at).max().unwrap_or_default();
-        let wait = match (self.trials, has_rivals) {
-            (0, true) => RIVALS_TRIED_AFTER.0,
-            (trials, true) => TRIED_AFTER.0.saturating_mul(NEXT_TRIAL.saturating_pow(trials - 1)),
-            (trials, false) => TRIED_AFTER.0.saturating_mul(NEXT_TRIAL.saturating_pow(trials)),
+        // Several that are refused get one trial more, before all others.
+        let earlier = self.trials.saturating_add(u32::from(!has_rivals));
+        let wait = match earlier.checked_sub(1) {
+            None => RIVALS_TRIED_AFTER.0,
+            Some(trials) => TRIED_AFTER.0.saturating_mul(NEXT_TRIAL.saturating_pow(trials)),
         };
         now.since(ended.max(self.tried)) >= Millis(wait)
     }
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -134,15 +134,38 @@
     faults
 }
 
-/// Draws restarts of boxes and values of other writers besides, so that the schedules of earlier seeds
-/// stay as they are.
+/// What is drawn for one moment.
+struct Drawn {
+    kind: FaultKind,
+    lasts: u64,
+    /// The time until the next, in milliseconds.
+    pause: u64,
+}
+
+/// Draws faults besides the usual ones, by draws of their own, so that the schedules of earlier seeds stay
+/// as they are; the first comes `at` so many milliseconds.
+fn draw_besides(
+    mut seed: Seed,
+    mut at: u64,
+    span: Millis,
+    first_number: usize,
+    mut draw: impl FnMut(&mut Seed) -> Drawn,
+) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    while at < span.0 {
+        let Drawn { kind, lasts, pause } = draw(&mut seed);
+        let (number, lasts) = (first_number + faults.len(), Millis(lasts));
+        faults.push(Fault { number, at: Millis(at), lasts, kind });
+        at += pause;
+    }
+    faults
+}
+
+/// Draws restarts of boxes and values of other writers.
 pub fn draw_lives(seed: u64, targets: Targets, span: Millis, first_number: usize) -> Vec<Fault> {
     /// Tells the draws apart from those of the other faults.
     const OTHER_DRAWS: u64 = 0x11fe;
-    let mut seed = Seed::new(seed ^ OTHER_DRAWS);
-    let mut faults = Vec::new();
-    let mut at = 700;
-    while at < span.0 {
+    draw_besides(Seed::new(seed ^ OTHER_DRAWS), 700, span, first_number, |seed| {
         let a_box = seed.below(targets.boxes);
         let kind = match seed.below(3) {
             0 => {
@@ -151,24 +174,19 @@
             }
             _ => FaultKind::Restarted(a_box, seed.below(2) == 0),
         };
-        let lasts = Millis(200 + seed.below(1_000) as u64);
-        faults.push(Fault { number: first_number + faults.len(), at: Millis(at), lasts, kind });
+        let lasts = 200 + seed.below(1_000) as u64;
         let pause = if seed.below(2) > 0 { 200 } else { 2_500 };
-        at += 50 + seed.below(pause) as u64;
-    }
-    faults
+        Drawn { kind, lasts, pause: 50 + seed.below(pause) as u64 }
+    })
 }
 
-/// Draws wishes of boxes besides, so that the schedules of earlier seeds stay as they are.
+/// Draws wishes of boxes.
 pub fn draw_wishes(seed: u64, targets: Targets, span: Millis, first_number: usize) -> Vec<Fault> {
     /// Tells the draws apart from those of the other faults.
     const OTHER_DRAWS: u64 = 0x3e57;
     /// What boxes ask for; more than a fault lasts, less, next to nothing, and what is no time.
     const RESTS: [&str; 5] = ["1", "2.5", "0.05", "soon", "3"];
-    let mut seed = Seed::new(seed ^ OTHER_DRAWS);
-    let mut faults = Vec::new();
-    let mut at = 600;
-    while at < span.0 {
+    draw_besides(Seed::new(seed ^ OTHER_DRAWS), 600, span, first_number, |seed| {
         let a_box = seed.below(targets.boxes);
         let rest = RESTS[seed.below(RESTS.len())];
         let wishes = match seed.below(6) {
@@ -178,12 +196,10 @@
             4 => BoxWishes { leaves: true, ..BoxWishes::rest(Sheds::EverySecond, rest) },
             _ => BoxWishes::leaving(),
         };
-        let lasts = Millis(400 + seed.below(3_500) as u64);
         let kind = FaultKind::Wishes(a_box, wishes);
-        faults.push(Fault { number: first_number + faults.len(), at: Millis(at), lasts, kind });
-        at += 100 + seed.below(1_200) as u64;
-    }
-    faults
+        let lasts = 400 + seed.below(3_500) as u64;
+        Drawn { kind, lasts, pause: 100 + seed.below(1_200) as u64 }
+    })
 }
 
 fn draw_kind(seed: &mut Seed, targets: Targets) -> FaultKind {
--- a/crates/cherrystand_testkit/src/soak/seen.rs
+++ b/crates/cherrystand_testkit/src/soak/seen.rs
@@ -200,11 +200,11 @@
 
     /// Tells whether a box that had a request was ended by another one before the answer was whole.
     fn its_box_ended(&self, seen: &Seen) -> bool {
-        let own = self.arrivals.iter().filter(|arrival| arrival.request == seen.id);
-        own.clone().any(|arrival| {
-            let ends = self.crashes.iter().filter(|crash| crash.target == arrival.target);
-            ends.clone().any(|crash| arrival.at <= crash.at && crash.at <= seen.ended)
-        })
+        let ended = |arrival: &Arrival| {
+            let mut ends = self.crashes.iter().filter(|crash| crash.target == arrival.target);
+            ends.any(|crash| arrival.at <= crash.at && crash.at <= seen.ended)
+        };
+        self.arrivals.iter().any(|arrival| arrival.request == seen.id && ended(arrival))
     }
 
     fn late_arrivals(&self) -> Vec<String> {
@@ -237,8 +237,8 @@
             own.filter(|harm| harm.from <= at).count()
         };
         let is_harmed = |at: Instant| {
-            let harms = self.disturbed.iter().filter(|harm| harm.harms_answers);
-            harms.clone().any(|harm| harm.from <= at && at <= harm.until + CONTACT)
+            let mut harms = self.disturbed.iter().filter(|harm| harm.harms_answers);
+            harms.any(|harm| harm.from <= at && at <= harm.until + CONTACT)
         };
         broken_wishes(&self.told, &self.arrivals, |request, at| {
             let daemon = *daemon_of.get(request)?;
--- a/crates/cherrystandd/src/site/failure_log.rs
+++ b/crates/cherrystandd/src/site/failure_log.rs
@@ -44,17 +44,19 @@
 
     /// Writes down that no endpoint serves what a request asks for.
     ///
-    /// `closed_until` is when the first of those that do rests no more, where all of them rest.
+    /// `closed_until` finds when one may be sent to again, where all that do asked to be left alone; it is
+    /// asked only where there is room for a line.
     pub(crate) fn none_serving(
         &self,
         req: &SiteRequest,
         targets: usize,
-        closed_until: Option<Millis>,
+        closed_until: impl FnOnce() -> Option<Millis>,
     ) {
         let now = self.clock.now();
         let Some(left_out) = self.gate.borrow_mut().pass(now) else {
             return;
         };
+        let closed_until = closed_until();
         let why = match closed_until {
             Some(_) => "every endpoint that serves it asked to be left alone",
             None => "no endpoint serves it",
--- a/crates/cherrystandd/src/site/flow.rs
+++ b/crates/cherrystandd/src/site/flow.rs
@@ -73,11 +73,13 @@
     Refused { status, reason: reason.as_str(), come_back: None }
 }
 
-/// Makes the refusal of a request that was not served, which ends as not run where all endpoints rest.
+/// Makes the refusal of a request that was not served, which says so where all endpoints rest.
 fn refuse(front: &Front, req: &SiteRequest, status: StatusCode) -> Refused {
     let refused = Refused::from(status);
-    let rests_until = front.all_closed_until(req);
-    match rests_until.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return refused;
+    }
+    match front.all_closed_until(req) {
         None => refused,
         Some(until) => Refused {
             reason: RefusalReason::EndpointsRest.as_str(),
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -306,8 +306,8 @@
 
     /// Writes down that no endpoint serves what a request asks for.
     pub(crate) fn note_none_serving(&self, req: &SiteRequest) {
-        let closed_until = self.all_closed_until(req);
-        self.failures.none_serving(req, self.addresses.borrow().len(), closed_until);
+        let targets = self.addresses.borrow().len();
+        self.failures.none_serving(req, targets, || self.all_closed_until(req));
     }
 
     /// Counts an answer of the node's own.
--- a/crates/cherrystandd/src/site/wishes.rs
+++ b/crates/cherrystandd/src/site/wishes.rs
@@ -39,7 +39,8 @@
         }
     }
 
-    /// Returns when the first rest ends, where every endpoint that could serve a request rests.
+    /// Returns when one may first be sent to again, where every endpoint that could serve a request rests or
+    /// has all that it bears.
     pub(crate) fn all_closed_until(&self, req: &SiteRequest) -> Option<Millis> {
         let view = self.view.borrow();
         let engine = view.table.as_ref()?.config().engine(&req.service);
--- a/crates/cherrystandd/tests/wishes.rs
+++ b/crates/cherrystandd/tests/wishes.rs
@@ -59,6 +59,11 @@
     futures_util::stream::iter(cases).buffered(CASES_AT_ONCE).collect().await
 }
 
+/// Names the case in each line that says what is wrong in it.
+fn in_case(name: &str, wrong: Vec<String>) -> Vec<String> {
+    wrong.into_iter().map(|wrong| format!("{name}: {wrong}")).collect()
+}
+
 /// Names what daemons sent into rests and to boxes that leave.
 fn broken(site: &Site) -> Vec<String> {
     broken_wishes(&site.site.told(), &site.site.arrivals(), daemon_of)
@@ -143,7 +148,7 @@
                 let (all, failed) = (asked.len(), first_failed(&asked));
                 wrong.push(format!("{served} of {all} served, {least} at least; {failed}"));
             }
-            wrong.into_iter().map(|wrong| format!("{}: {wrong}", case.name)).collect::<Vec<_>>()
+            in_case(case.name, wrong)
         });
         let wrong = played(all).await.concat();
         assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
@@ -327,7 +332,7 @@
                 let (all, first) = (asked.len(), first_failed(&asked));
                 wrong.push(format!("{failed} of {all} not served; {first}"));
             }
-            wrong.into_iter().map(|wrong| format!("{}: {wrong}", case.name)).collect::<Vec<_>>()
+            in_case(case.name, wrong)
         });
         let wrong = played(all).await.concat();
         assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
