fix(test): a box of the stand-in that two requests end at once comes back once

In one run of the tests a task of the stand-in ended with "Address already in use". Two requests had ended one box in one poll of the runtime, it came back for both, and the second found the address in use by the first.

--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -114,9 +114,9 @@
         let (site, id) = (self.clone(), id.to_owned());
         let start = self.start_of(&id);
         tokio::task::spawn_local(async move {
-            if let Some(serving) = site.box_tasks.borrow_mut().remove(&id) {
-                serving.abort();
-            }
+            // Another request may have ended it in the same moment, and has it come back.
+            let Some(serving) = site.box_tasks.borrow_mut().remove(&id) else { return };
+            serving.abort();
             tokio::time::sleep(AWAY).await;
             let listens = site.world.borrow().boxes.get(&id).map(|held| held.listens);
             let Some(listens) = listens else { return };
