feat: what replicas say of how many requests they take is read, written down and counted

The logs could not tell whether a limit was heard. Each answer that names one is counted, by whether it could be read, and the first ones of each second are logged with box and figure. Nothing is decided by it yet.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -52,6 +52,7 @@
     pub(crate) mod limit;
     pub(crate) mod outcome;
     pub(crate) mod refusal;
+    pub(crate) mod request_rate;
     pub(crate) mod retry;
     pub(crate) mod router;
     pub(crate) mod seed;
@@ -181,6 +182,7 @@
 pub use requests::limit::Limit;
 pub use requests::outcome::{AttemptEnd, Outcome};
 pub use requests::refusal::{Refusal, RefusalReason};
+pub use requests::request_rate::RequestRate;
 pub use requests::retry::{
     BUDGET_PER_MILLE, FailedAttempt, MAX_ATTEMPTS, NoRetry, RetryBudget, decide_retry,
 };
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -14,6 +14,7 @@
 mod inventory_list;
 mod json_call;
 mod key_value;
+mod named_limit;
 mod platform_client;
 mod site_driver;
 
@@ -27,5 +28,6 @@
 pub use inventory_list::{BoxList, Inventory};
 pub use json_call::{Answer, CallError, call, call_with, to_json};
 pub use key_value::{Changes, KeyValue, Lease, MAX_VALUE_BYTES, PlatformError, Swap};
+pub use named_limit::NamedLimit;
 pub use platform_client::{PlatformClient, WireLease, WireRecord, WireRecords, WireRevision};
 pub use site_driver::{AnswerFacts, AttemptFacts, BoxCall, FormatError, RequestFacts, SiteDriver};
--- a/crates/cherrystand_platform/src/site_driver.rs
+++ b/crates/cherrystand_platform/src/site_driver.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 
-use crate::{AskedRest, KeyValue};
+use crate::{AskedRest, KeyValue, NamedLimit};
 
 /// Tells that a value is not what the platform's protocol says.
 #[derive(Debug, thiserror::Error)]
@@ -63,6 +63,8 @@
     pub sealed: bool,
     /// How long the endpoint asks this node to leave it alone.
     pub asked_rest: AskedRest,
+    /// How many requests a second the endpoint takes from all nodes together, where it says so.
+    pub limit: NamedLimit,
     /// Whether the endpoint says that it leaves.
     pub leaving: bool,
 }
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -28,6 +28,8 @@
     pub endpoint_refusals: IntCounterVec,
     /// Endpoints that said in their answers that they leave.
     pub endpoints_leaving: IntCounter,
+    /// Answers in which endpoints named how many requests they take, by whether that could be read.
+    pub limits_named: IntCounterVec,
     /// Retries, by how the attempt before ended.
     pub retries: IntCounterVec,
     /// Failed attempts that were not followed by another, by reason.
@@ -99,6 +101,11 @@
                 "endpoints_leaving_total",
                 "Endpoints that said in their answers that they leave.",
             )?,
+            limits_named: make.counters(
+                "endpoint_limits_named_total",
+                "Answers in which endpoints named how many requests they take.",
+                &["limit"],
+            )?,
             retries: make.counters("retries_total", "Attempts tried again.", &["after"])?,
             retries_withheld: make.counters(
                 "retries_withheld_total",
@@ -183,6 +190,9 @@
         for rest in ["none", "asked", "unreadable"] {
             self.endpoint_refusals.with_label_values(&[rest]);
         }
+        for limit in ["named", "unreadable"] {
+            self.limits_named.with_label_values(&[limit]);
+        }
         for kind in RefusedKind::ALL {
             self.values_refused.with_label_values(&[kind.as_str()]);
         }
--- a/crates/cherrystandd/src/site/wish_notes.rs
+++ b/crates/cherrystandd/src/site/wish_notes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cherrystand_core::{BoxId, LogGate, Millis};
-use cherrystand_platform::{AnswerFacts, AskedRest};
+use cherrystand_platform::{AnswerFacts, AskedRest, NamedLimit};
 
 use crate::{Clock, Metrics};
 
@@ -46,6 +46,29 @@
         );
     }
 
+    /// Writes down how many requests a replica says that it takes.
+    pub(crate) fn limit(&self, id: &BoxId, limit: NamedLimit) {
+        let read = match limit {
+            NamedLimit::None => return,
+            NamedLimit::PerSecond(_) => "named",
+            NamedLimit::Unreadable => "unreadable",
+        };
+        self.metrics.limits_named.with_label_values(&[read]).inc();
+        let Some(left_out) = self.gate.borrow_mut().pass(self.clock.now()) else {
+            return;
+        };
+        let NamedLimit::PerSecond(limit) = limit else {
+            return log::info!(
+                target_box = id.as_str(), left_out = left_out;
+                "a replica names a limit of requests that is no number"
+            );
+        };
+        log::info!(
+            target_box = id.as_str(), per_second = limit.as_f64(), left_out = left_out;
+            "a replica names how many requests it takes from all daemons"
+        );
+    }
+
     /// Writes down that a replica leaves.
     pub(crate) fn leaves(&self, id: &BoxId) {
         self.metrics.endpoints_leaving.inc();
--- a/crates/cherrystandd/src/site/wishes.rs
+++ b/crates/cherrystandd/src/site/wishes.rs
@@ -24,6 +24,7 @@
         if facts.request.is_some() && facts.request != req.facts.id {
             return;
         }
+        self.wish_notes.limit(&flight.target, facts.limit);
         let mut chooser = self.chooser.borrow_mut();
         if facts.leaving && chooser.hear_leaving(&flight.target) {
             self.wish_notes.leaves(&flight.target);
