test: a replica that names a limit gets no more from all daemons together (red, listed)

Callers saw nothing; replicas in need got as many requests as before. The callers that keep asking move out of the tests of rests into a file that both use.

--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -34,6 +34,7 @@
     pub(crate) mod box_orders;
     pub(crate) mod box_wishes;
     pub(crate) mod fake_site_domain;
+    pub(crate) mod limit_checks;
     pub(crate) mod metadata_stand_in;
     pub(crate) mod site_box;
     pub(crate) mod site_setup;
@@ -66,6 +67,7 @@
 pub use site::box_answers::{CRASHES, EVENTS};
 pub use site::box_wishes::{BoxWishes, Sheds, Told, Wish, broken_wishes};
 pub use site::fake_site_domain::FakeSiteDomain;
+pub use site::limit_checks::{LimitBound, broken_limits};
 pub use site::metadata_stand_in::{Door, MetadataStandIn, PageFault};
 pub use site::site_box::{Arrival, BoxMood, Crash};
 pub use site::site_setup::{NodeSettings, site_config, whole_stream};
--- a/crates/cherrystand_testkit/src/site/box_answers.rs
+++ b/crates/cherrystand_testkit/src/site/box_answers.rs
@@ -40,6 +40,14 @@
         self.held_up().await;
         let request = req.headers().get("cherrystand-request-id").cloned();
         let mut answer = self.answer_well(id, req).await;
+        if let Some(limit) = self.names_limit(id) {
+            set(&mut answer, "server-limit", limit);
+            let named = limit.parse().ok().filter(|limit: &f64| *limit >= 0.0);
+            let request = request.as_ref().and_then(|request| request.to_str().ok());
+            if let Some((limit, request)) = named.zip(request) {
+                self.note_told(id, request, Wish::Limit(limit));
+            }
+        }
         if self.leaves(id) {
             set(&mut answer, "server-leaving", "1");
             if let Some(request) = request.as_ref().and_then(|request| request.to_str().ok()) {
@@ -166,6 +174,15 @@
         self.world.borrow_mut().told.push(told);
     }
 
+    /// Returns the limit that a box names in its next answer, where it does.
+    fn names_limit(&self, id: &str) -> Option<&'static str> {
+        let mut world = self.world.borrow_mut();
+        let held = world.boxes.get_mut(id)?;
+        held.answers += 1;
+        let says = !held.wishes.limit_at_times || held.answers.is_multiple_of(2);
+        held.wishes.limit.filter(|_| says)
+    }
+
     pub(super) fn leaves(&self, id: &str) -> bool {
         self.world.borrow().boxes.get(id).is_some_and(|held| held.wishes.leaves)
     }
--- a/crates/cherrystand_testkit/src/site/box_wishes.rs
+++ b/crates/cherrystand_testkit/src/site/box_wishes.rs
@@ -31,6 +31,10 @@
     pub leaves: bool,
     /// The request that it names as it turns one away, where it is another one.
     pub names: Option<&'static str>,
+    /// The requests a second that it says in its answers it takes, as the header has it.
+    pub limit: Option<&'static str>,
+    /// Whether only every other answer says so.
+    pub limit_at_times: bool,
 }
 
 impl BoxWishes {
@@ -39,6 +43,11 @@
         Self { sheds, rest: Some(rest), ..Self::default() }
     }
 
+    /// Wishes of a box that names how many requests a second it takes.
+    pub fn limit(limit: &'static str) -> Self {
+        Self { limit: Some(limit), ..Self::default() }
+    }
+
     /// Wishes of a box that leaves.
     pub fn leaving() -> Self {
         Self { leaves: true, ..Self::default() }
@@ -52,6 +61,8 @@
     Rest(Duration),
     /// It leaves.
     Leaves,
+    /// It takes so many requests a second from all daemons together.
+    Limit(f64),
 }
 
 /// A wish in an answer.
@@ -90,6 +101,8 @@
         let (from, until, most) = match told.wish {
             Wish::Rest(rest) => (told.at + ON_THEIR_WAY, Some(told.at + rest), MOST_IN_REST),
             Wish::Leaves => (told.at + LEFT_ALONE_WITHIN, None, 0),
+            // Of all daemons together: `broken_limits`.
+            Wish::Limit(_) => return None,
         };
         let late = arrivals.iter().filter(|arrival| {
             arrival.target == told.target
--- /dev/null
+++ b/crates/cherrystand_testkit/src/site/limit_checks.rs
@@ -0,0 +1,98 @@
+//! Whether boxes that named how many requests they take got no more.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use crate::{Arrival, Told, Wish};
+
+/// The span over which arrivals are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// The platform counts from this time after a box first named its limit.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// The platform counts the daemons that were told this long ago.
+const TOLD_BEFORE: Duration = Duration::from_millis(500);
+
+/// Within this time after a box first named its limit all daemons follow it.
+const KNOWN_WITHIN: Duration = Duration::from_secs(1);
+
+/// Says which bound arrivals are held to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitBound {
+    /// The platform's: one and a half times what the limit allows, and five, from the daemons that were told.
+    Platform,
+    /// The system's own while nothing fails: what the limit allows, and two, from all daemons.
+    Own,
+}
+
+/// Names each box that got more than it had said it takes, with the worst span of each.
+///
+/// `daemon_of` finds the daemon of a request, where its daemon counts at that moment.
+pub fn broken_limits<D: Ord>(
+    told: &[Told],
+    arrivals: &[Arrival],
+    bound: LimitBound,
+    daemon_of: impl Fn(&str, Instant) -> Option<D>,
+) -> Vec<String> {
+    let lives: BTreeSet<(&str, u64)> =
+        named(told).map(|(told, _)| (told.target.as_str(), told.life)).collect();
+    let broken = lives.into_iter().filter_map(|(id, life)| {
+        let told: Vec<(&Told, f64)> = named(told)
+            .filter(|(told, _)| (told.target.as_str(), told.life) == (id, life))
+            .collect();
+        let own = arrivals.iter();
+        let own = own.filter(|arrival| arrival.target == id && arrival.life == Some(life));
+        let own: Vec<&Arrival> = own.collect();
+        let worst = own.iter().filter_map(|last| excess(&told, &own, last.at, bound, &daemon_of));
+        let (over, count, allowed) = worst.max_by(|one, two| one.0.total_cmp(&two.0))?;
+        (over > 0.0).then(|| format!("{id} got {count} within 4 s, {allowed} allowed ({bound:?})"))
+    });
+    broken.collect()
+}
+
+fn named(told: &[Told]) -> impl Iterator<Item = (&Told, f64)> {
+    told.iter().filter_map(|told| match told.wish {
+        Wish::Limit(limit) => Some((told, limit)),
+        _ => None,
+    })
+}
+
+/// Returns by how much the arrivals of the span that ends at a time exceed what is allowed, their number and that
+/// figure; nothing where the bound does not hold yet, or not any more.
+fn excess<D: Ord>(
+    told: &[(&Told, f64)],
+    arrivals: &[&Arrival],
+    ends: Instant,
+    bound: LimitBound,
+    daemon_of: &impl Fn(&str, Instant) -> Option<D>,
+) -> Option<(f64, usize, f64)> {
+    let begins = ends - WINDOW;
+    let (first, last) = (told.first()?.0.at, told.last()?.0.at);
+    let holds = match bound {
+        LimitBound::Platform => ends >= first + CONTACT && ends <= last,
+        LimitBound::Own => begins >= first + KNOWN_WITHIN && ends <= last,
+    };
+    if !holds {
+        return None;
+    }
+    let counted: Vec<D> = told
+        .iter()
+        .filter(|(told, _)| told.at + TOLD_BEFORE <= ends)
+        .filter_map(|(told, _)| daemon_of(&told.request, ends))
+        .collect();
+    let counts = |arrival: &&&Arrival| {
+        let daemon = daemon_of(&arrival.request, arrival.at);
+        let is_told = daemon.is_some_and(|daemon| counted.contains(&daemon));
+        arrival.at > begins && arrival.at <= ends && (bound == LimitBound::Own || is_told)
+    };
+    let count = arrivals.iter().filter(counts).count();
+    // A limit that changes within the span allows what its highest value does.
+    let in_force = told.iter().filter(|(told, _)| told.at + CONTACT >= begins && told.at <= ends);
+    let limit = in_force.map(|(_, limit)| *limit).fold(0.0, f64::max) * WINDOW.as_secs_f64();
+    let allowed = match bound {
+        LimitBound::Platform => 1.5 * limit + 5.0,
+        LimitBound::Own => limit + 2.0,
+    };
+    Some((count as f64 - allowed, count, allowed))
+}
--- a/crates/cherrystand_testkit/src/site/site_box.rs
+++ b/crates/cherrystand_testkit/src/site/site_box.rs
@@ -47,6 +47,8 @@
     pub(super) wishes: BoxWishes,
     /// How many requests came that it could turn away.
     pub(super) asked: usize,
+    /// How many answers it gave.
+    pub(super) answers: usize,
     /// Held by each request that it works on.
     pub(super) working: Rc<()>,
     /// When it started, in Unix milliseconds.
@@ -72,6 +74,7 @@
             mood: BoxMood::Well,
             wishes: BoxWishes::default(),
             asked: 0,
+            answers: 0,
             working: Rc::default(),
             start: FIRST_START,
             staged: None,
--- /dev/null
+++ b/crates/cherrystandd/tests/limits.rs
@@ -0,0 +1,124 @@
+//! Replicas that say how many requests they take from all daemons together.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
+
+mod support;
+
+use std::time::Duration;
+
+use cherrystand_testkit::{BoxWishes, LimitBound, broken_limits};
+use futures_util::future::join_all;
+use support::asking::{Asked, ask_all, daemon_of, first_failed, in_case, is_served, played};
+use support::site::{CALL, STREAM, Site};
+
+/// How often each daemon gets a request.
+const EVERY: Duration = Duration::from_millis(100);
+
+/// For how long requests come: two spans over which arrivals are counted, and what daemons may take before.
+const FOR: Duration = Duration::from_secs(10);
+
+/// Within this time a request is refused that no endpoint has room for.
+const REFUSED_WITHIN: Duration = Duration::from_millis(300);
+
+/// Names the boxes that got more than they had said they take.
+fn broken(site: &Site) -> Vec<String> {
+    let (told, arrivals) = (site.site.told(), site.site.arrivals());
+    let broken = [LimitBound::Platform, LimitBound::Own];
+    broken.iter().flat_map(|bound| broken_limits(&told, &arrivals, *bound, daemon_of)).collect()
+}
+
+/// Returns the boxes that serve a path.
+fn boxes_of(site: &Site, path: &str) -> Vec<String> {
+    match path {
+        CALL => ["a-1", "a-2"].map(str::to_owned).to_vec(),
+        _ => site.site.leaders().into_keys().collect(),
+    }
+}
+
+/// Says what is wrong with refusals: each comes at once and says when to come back.
+fn wrong_refusals(asked: &[Asked]) -> Vec<String> {
+    let refused = asked.iter().filter(|asked| !is_served(asked));
+    let wrong = refused.filter(|asked| {
+        let after: Option<f64> = asked.answer.header("retry-after").parse().ok();
+        asked.answer.status != 503 || asked.took > REFUSED_WITHIN || after.is_none()
+    });
+    wrong
+        .map(|asked| format!("{}: {} after {:?}", asked.id, asked.answer.status, asked.took))
+        .collect()
+}
+
+/// Story: replicas in need said in their answers how many requests a second they take from all daemons
+/// together, 0.4 of what they got; daemons that had passed such answers on sent them as many as before, 33 to
+/// 41 in 4 s where 14 were named.
+#[test]
+fn a_replica_that_names_a_limit_gets_no_more_from_all_daemons_together() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        /// What the boxes of the service say, in the order of their names.
+        wishes: [BoxWishes; 2],
+        /// How often each daemon gets a request; one that gets none is not asked.
+        every: [Option<Duration>; 3],
+        /// The least share of requests that is served.
+        served: f64,
+    }
+    let (well, limit) = (BoxWishes::default(), BoxWishes::limit("3.5"));
+    let case = Case {
+        name: "one of two",
+        path: STREAM,
+        wishes: [limit, well],
+        every: [Some(EVERY); 3],
+        served: 1.0,
+    };
+    let cases = [
+        Case { name: "one of two, a plain service", path: CALL, ..case },
+        Case {
+            name: "in every other answer",
+            wishes: [BoxWishes { limit_at_times: true, ..limit }, well],
+            ..case
+        },
+        Case { name: "a low one", wishes: [BoxWishes::limit("0.4"), well], ..case },
+        Case { name: "none at all", wishes: [BoxWishes::limit("0"), well], ..case },
+        // Of 30 a second 7 are taken, but for the time in which that gets known.
+        Case { name: "both", wishes: [limit; 2], served: 0.15, ..case },
+        Case {
+            name: "both, a plain service",
+            path: CALL,
+            wishes: [limit; 2],
+            served: 0.15,
+            ..case
+        },
+        Case {
+            name: "all requests come to one daemon",
+            every: [Some(EVERY / 3), None, None],
+            ..case
+        },
+        case,
+    ];
+    support::run(async {
+        let all = cases.into_iter().map(|case| async move {
+            let site = Site::serving_with_starts(3).await;
+            for (id, wishes) in boxes_of(&site, case.path).iter().zip(case.wishes) {
+                site.site.set_wishes(id, wishes);
+            }
+            let of = |number: usize| {
+                let nodes = &site.nodes;
+                async move {
+                    let Some(every) = case.every[number] else { return Vec::new() };
+                    ask_all(&nodes[number..=number], case.path, every, FOR).await
+                }
+            };
+            let asked = join_all([0, 1, 2].map(of)).await;
+            let asked: Vec<Asked> = asked.into_iter().flatten().collect();
+            let mut wrong = broken(&site);
+            let served = asked.iter().filter(|asked| is_served(asked)).count();
+            if (served as f64) < asked.len() as f64 * case.served {
+                let (all, failed) = (asked.len(), first_failed(&asked));
+                wrong.push(format!("{served} of {all} served; {failed}"));
+            }
+            wrong.extend(wrong_refusals(&asked));
+            in_case(case.name, wrong)
+        });
+        let wrong = played(all).await.concat();
+        assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
+    });
+}
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 #![allow(dead_code, reason = "each area of tests uses its own part")]
 
+pub(crate) mod asking;
 pub(crate) mod site;
 
 use std::net::SocketAddr;
--- a/crates/cherrystandd/tests/support/site.rs
+++ b/crates/cherrystandd/tests/support/site.rs
@@ -28,6 +28,7 @@
 }
 
 pub(crate) struct Node {
+    pub(crate) number: usize,
     pub(crate) process: Process,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: SocketAddr,
@@ -128,7 +129,7 @@
         suspended_ms: SUSPENDED_MS,
     };
     let process = start_in("cherrystandd", &settings.to_string(), own[0]);
-    Node { process, callers: own[0], ready: own[2], operators: own[1], peers: own[3] }
+    Node { number, process, callers: own[0], ready: own[2], operators: own[1], peers: own[3] }
 }
 
 pub(crate) async fn is_ready(node: &Node) -> bool {
--- a/crates/cherrystandd/tests/wishes.rs
+++ b/crates/cherrystandd/tests/wishes.rs
@@ -5,11 +5,11 @@
 
 use std::time::{Duration, Instant};
 
-use cherrystand_testkit::{BoxWishes, Door, Sheds, Wish, broken_wishes, whole_stream};
-use futures_util::StreamExt;
+use cherrystand_testkit::{BoxWishes, Door, Sheds, Wish, broken_wishes};
 use hyper::StatusCode;
+use support::asking::{Asked, ask, ask_all, daemon_of, first_failed, in_case, is_served, played};
 use support::site::{CALL, Node, STREAM, Site, call};
-use support::{Answer, until};
+use support::until;
 
 /// How often each daemon gets a request of each kind.
 ///
@@ -17,51 +17,12 @@
 /// the answer: at a third of this it came half a second late beside other tests.
 const EVERY: Duration = Duration::from_millis(100);
 
-/// How many cases are played at once.
-const CASES_AT_ONCE: usize = 3;
-
 /// For how long they come.
 const FOR: Duration = Duration::from_millis(4_500);
 
-/// A request as its caller saw it.
-struct Asked {
-    id: String,
-    sent: Instant,
-    took: Duration,
-    answer: Answer,
-}
-
-/// The id of a request begins with the daemon that it is sent to.
-fn daemon_of(request: &str, _: Instant) -> Option<String> {
-    request.split_once('-').map(|(daemon, _)| daemon.to_owned())
-}
-
-async fn ask(node: &Node, path: &str, id: String) -> Asked {
-    let sent = Instant::now();
-    let answer = call(node, "POST", path, &id, "k1").await;
-    Asked { id, sent, took: sent.elapsed(), answer }
-}
-
 /// Sends requests of one kind to all daemons for a while.
 async fn keep_asking(nodes: &[Node], path: &str) -> Vec<Asked> {
-    let rounds = FOR.as_millis() / EVERY.as_millis();
-    let all = (0..rounds as u32).flat_map(|round| {
-        nodes.iter().enumerate().map(move |(number, node)| async move {
-            tokio::time::sleep(EVERY * round).await;
-            ask(node, path, format!("n{number}-{round}{}", path.replace('/', "-"))).await
-        })
-    });
-    futures_util::future::join_all(all).await
-}
-
-/// Plays cases, a few at once.
-async fn played<T>(cases: impl Iterator<Item = impl Future<Output = T>>) -> Vec<T> {
-    futures_util::stream::iter(cases).buffered(CASES_AT_ONCE).collect().await
-}
-
-/// Names the case in each line that says what is wrong in it.
-fn in_case(name: &str, wrong: Vec<String>) -> Vec<String> {
-    wrong.into_iter().map(|wrong| format!("{name}: {wrong}")).collect()
+    ask_all(nodes, path, EVERY, FOR).await
 }
 
 /// Names what daemons sent into rests and to boxes that leave.
@@ -69,21 +30,6 @@
     broken_wishes(&site.site.told(), &site.site.arrivals(), daemon_of)
 }
 
-/// Says how the first request ended that was not served.
-fn first_failed(asked: &[Asked]) -> String {
-    let failed = asked.iter().find(|asked| !is_served(asked));
-    let said = failed.map(|asked| {
-        let length = asked.answer.text().len();
-        format!("{}: {}, {length} bytes, after {:?}", asked.id, asked.answer.status, asked.took)
-    });
-    said.unwrap_or_default()
-}
-
-fn is_served(asked: &Asked) -> bool {
-    let whole = [whole_stream(&asked.id), format!("answer to {}", asked.id)];
-    asked.answer.status == StatusCode::OK && whole.contains(&asked.answer.text())
-}
-
 /// Story: half of the replicas turned everything away for nine seconds and asked each daemon for 3 s of rest;
 /// daemons sent each of them 15 to 18 requests within it, three to four times as many as before,
 /// and questions about photos fell from 57 answers in time of 57 to 1 of 53, while replicas beside
