fix: daemons keep no more idle connections to an endpoint than it takes from all of them

Requests met resets at endpoints that take a number of connections from all daemons together and reset any beyond: each daemon kept up to 64 idle ones to each address, whatever their number, since the figure in the operators' configuration was read nowhere. Class: as with limits, a bound over all nodes that nobody keeps. Now each keeps its even part of half of them, which needs no agreement; requests under way are bounded by the endpoint's places.

--- a/crates/cherrystand_core/benches/node_costs.rs
+++ b/crates/cherrystand_core/benches/node_costs.rs
@@ -201,7 +201,8 @@
 }
 
 fn view(size: &Size) {
-    let service = Service { name: ServiceName::new("captions"), engine: Some(engine()) };
+    let service =
+        Service { name: ServiceName::new("captions"), engine: Some(engine()), connections: None };
     let limits = CallerLimits { head_bytes: 8_192, body_bytes: 1 << 20 };
     let config = SiteConfig {
         version: 1,
--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -49,6 +49,7 @@
     pub(crate) mod claim;
     pub(crate) mod endpoint_limits;
     pub(crate) mod endpoint_wishes;
+    pub(crate) mod kept_connections;
     pub(crate) mod known_limit;
     pub(crate) mod leaving_lives;
     pub(crate) mod limit;
@@ -186,6 +187,7 @@
 };
 pub use requests::endpoint_limits::{EndpointLimits, LimitHeard, LimitKeeper, LimitStep, LimitTo};
 pub use requests::endpoint_wishes::{EndpointWishes, LONGEST_REST, WishState};
+pub use requests::kept_connections::{USUALLY_KEPT, kept_connections};
 pub use requests::leaving_lives::LeavingLives;
 pub use requests::limit::Limit;
 pub use requests::limit_news::{LimitNews, LimitWord};
--- a/crates/cherrystand_core/src/site/site_config.rs
+++ b/crates/cherrystand_core/src/site/site_config.rs
@@ -60,6 +60,8 @@
     pub name: ServiceName,
     /// The engine of its boxes, where they serve models.
     pub engine: Option<crate::EngineSpec>,
+    /// How many connections one of its boxes takes from all nodes together, where that is known.
+    pub connections: Option<u32>,
 }
 
 /// Bounds what a caller may send.
@@ -98,7 +100,11 @@
 impl SiteConfig {
     /// Returns a service's engine, where it serves models.
     pub fn engine(&self, service: &ServiceName) -> Option<&crate::EngineSpec> {
-        let found = self.services.iter().find(|known| &known.name == service);
-        found.and_then(|service| service.engine.as_ref())
+        self.service(service).and_then(|service| service.engine.as_ref())
+    }
+
+    /// Returns what is configured of a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.iter().find(|known| &known.name == name)
     }
 }
--- /dev/null
+++ b/crates/cherrystand_core/tests/kept_connections.rs
@@ -0,0 +1,29 @@
+//! How many idle connections a node keeps to an endpoint.
+
+use cherrystand_core::{USUALLY_KEPT, kept_connections};
+
+#[test]
+fn all_nodes_together_keep_half_of_what_an_endpoint_takes() {
+    struct Case {
+        name: &'static str,
+        most: Option<u32>,
+        nodes: usize,
+        kept: usize,
+    }
+    let cases = [
+        Case { name: "nothing is known", most: None, nodes: 9, kept: USUALLY_KEPT },
+        Case { name: "a model's boxes", most: Some(474), nodes: 9, kept: 26 },
+        Case { name: "a plain service", most: Some(110), nodes: 9, kept: 6 },
+        Case { name: "many nodes", most: Some(1_988), nodes: 295, kept: 3 },
+        Case { name: "more nodes than connections", most: Some(110), nodes: 410, kept: 0 },
+        Case { name: "one node", most: Some(1_000_000), nodes: 1, kept: USUALLY_KEPT },
+        Case { name: "no node is known", most: Some(110), nodes: 0, kept: 55 },
+        Case { name: "none at all", most: Some(0), nodes: 9, kept: 0 },
+    ];
+    for case in cases {
+        let kept = kept_connections(case.most, case.nodes);
+        assert_eq!(kept, case.kept, "{}", case.name);
+        let all = kept * case.nodes;
+        assert!(case.most.is_none_or(|most| all <= most as usize), "{}", case.name);
+    }
+}
--- a/crates/cherrystand_core/tests/lost_replicas.rs
+++ b/crates/cherrystand_core/tests/lost_replicas.rs
@@ -29,8 +29,8 @@
 fn view(leader: Option<(u32, MemberState)>, silent: &[&str]) -> SiteView {
     let engine = support::site_engine();
     let services = vec![
-        Service { name: ServiceName::new("models"), engine: Some(engine) },
-        Service { name: ServiceName::new("app"), engine: None },
+        Service { name: ServiceName::new("models"), engine: Some(engine), connections: None },
+        Service { name: ServiceName::new("app"), engine: None, connections: None },
     ];
     let config = SiteConfig {
         version: 1,
--- a/crates/cherrystand_platform/src/endpoint_pool.rs
+++ b/crates/cherrystand_platform/src/endpoint_pool.rs
@@ -17,7 +17,8 @@
 }
 
 impl EndpointPool {
-    /// Sends a request and returns the answer once its head is there.
+    /// Sends a request and returns the answer once its head is there; `keep` idle connections are kept to the address
+    /// at the most.
     ///
     /// # Errors
     ///
@@ -25,10 +26,11 @@
     pub async fn send(
         &self,
         _permit: SendPermit,
+        keep: usize,
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         connect_within: Duration,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.connections.send(address, req, connect_within).await
+        self.connections.send_keeping(keep, address, req, connect_within).await
     }
 }
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -17,10 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use crate::since_boot;
+use cherrystand_core::USUALLY_KEPT;
 
-/// How many idle connections are kept to one address.
-const KEPT_IDLE: usize = 64;
+use crate::since_boot;
 
 /// Tells how a request failed before its answer began.
 #[derive(Debug, thiserror::Error)]
@@ -54,6 +53,8 @@
     driver: JoinHandle<()>,
     /// On the clock that counts suspended time: peers close what rests meanwhile.
     idle_since: Duration,
+    /// How many idle ones are kept to its address.
+    keep: usize,
 }
 
 impl Drop for Connection {
@@ -84,16 +85,32 @@
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         connect_within: Duration,
+    ) -> Result<Response<PooledBody>, SendError> {
+        self.send_keeping(USUALLY_KEPT, address, req, connect_within).await
+    }
+
+    /// The same to an address to which `keep` idle connections are kept at the most.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`HttpPool::send`].
+    pub async fn send_keeping(
+        &self,
+        keep: usize,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+        connect_within: Duration,
     ) -> Result<Response<PooledBody>, SendError> {
         let mut req = req;
-        while let Some(conn) = self.take_idle(address) {
+        while let Some(mut conn) = self.take_idle(address) {
+            conn.keep = keep;
             match self.exchange(conn, req).await {
                 Ok(answer) => return Ok(answer),
                 Err((SendError::NotSent(_), Some(unsent))) => req = unsent,
                 Err((err, _)) => return Err(err),
             }
         }
-        let conn = connect(address, connect_within).await?;
+        let conn = connect(keep, address, connect_within).await?;
         self.exchange(conn, req).await.map_err(|(err, _)| err)
     }
 
@@ -112,7 +129,7 @@
         conn.idle_since = since_boot();
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(conn.address).or_default();
-        if list.len() < KEPT_IDLE {
+        if list.len() < conn.keep {
             list.push(conn);
         }
     }
@@ -134,7 +151,11 @@
     }
 }
 
-async fn connect(address: SocketAddr, within: Duration) -> Result<Connection, SendError> {
+async fn connect(
+    keep: usize,
+    address: SocketAddr,
+    within: Duration,
+) -> Result<Connection, SendError> {
     let stream = tokio::time::timeout(within, TcpStream::connect(address))
         .await
         .map_err(|_| SendError::ConnectTimedOut(address))?
@@ -146,7 +167,7 @@
         // The request's own future reports the failure.
         let _ = conn.await;
     });
-    Ok(Connection { address, send, driver, idle_since: since_boot() })
+    Ok(Connection { address, send, driver, idle_since: since_boot(), keep })
 }
 
 /// The body of an answer; it gives its connection back when it has been read to the end.
--- a/crates/cherrystandd/src/relay/attempt.rs
+++ b/crates/cherrystandd/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{AttemptEnd, EndpointKey, Millis, SendPermit};
+use cherrystand_core::{AttemptEnd, EndpointKey, Millis, SendPermit, USUALLY_KEPT};
 use cherrystand_platform::{AskedRest, NOT_RUN_HEADER, PooledBody, SendError};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
@@ -156,7 +156,7 @@
     let remaining = call.deadline.since(relay.now());
     let req = request_for(&call, &in_flight.target, remaining);
     let permit = in_flight.permit.take().ok_or(AttemptEnd::NotSent)?;
-    let send = relay.pool.send(permit, in_flight.target.address, req, CONNECT_WITHIN);
+    let send = relay.pool.send(permit, USUALLY_KEPT, in_flight.target.address, req, CONNECT_WITHIN);
     let answer = relay.cx.clock.by(call.deadline, send).await.ok_or(AttemptEnd::TimedOut)?;
     let answer = answer.map_err(|err| end_of(&err))?;
     if answer.headers().contains_key(NOT_RUN_HEADER) {
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -62,8 +62,9 @@
     last_event: Option<u64>,
 ) -> Result<(Parts, PooledBody), AttemptEnd> {
     let out = req.attempt::<Driver>(&flight.target, last_event, flight.priority, front.now());
+    let keep = front.kept_connections(&req.service);
     let answer = tokio::select! {
-        answer = front.pool.send(permit, address, out, CONNECT_WITHIN) => answer,
+        answer = front.pool.send(permit, keep, address, out, CONNECT_WITHIN) => answer,
         () = flight.given_up() => return Err(AttemptEnd::ReplicaLost),
     };
     let answer = answer.map_err(|err| {
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -9,7 +9,7 @@
 
 use cherrystand_core::{
     AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, Millis, Outcome, PeersTell,
-    Route, Seed, SiteView, Standstill, StreamEnd, engine_priority,
+    Route, Seed, ServiceName, SiteView, Standstill, StreamEnd, engine_priority, kept_connections,
 };
 use cherrystand_platform::EndpointPool;
 
@@ -161,6 +161,13 @@
         self.addresses.borrow().get(target).copied()
     }
 
+    /// Returns how many idle connections this node keeps to each box of a service.
+    pub(crate) fn kept_connections(&self, service: &ServiceName) -> usize {
+        let view = self.view.borrow();
+        let known = view.table.as_ref().and_then(|table| table.config().service(service));
+        kept_connections(known.and_then(|service| service.connections), view.nodes)
+    }
+
     /// Tells whether a box says that it leaves.
     pub(crate) fn is_leaving(&self, id: &BoxId) -> bool {
         let said = self.chooser.borrow().is_leaving(id);
