fix: a connection rests no longer than the other end says that it keeps it

Requests that may run once ended as unknown where an endpoint closes connections that rested for a second and says so in its answers: the pool took 4 s for all. Now eight tenths of what was said, 4 s at the most.

--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -43,16 +44,35 @@
     Cut(#[source] hyper::Error),
 }
 
-/// How long an idle connection is kept; endpoints commonly close theirs after five seconds, and
+/// How long an idle connection is kept at the longest; endpoints commonly close theirs after five seconds, and
 /// a request that meets the closing has an unknown outcome.
 const IDLE_LIFE: Duration = Duration::from_secs(4);
 
+/// The part of the time that the other end gives a connection for which it is kept.
+const KEPT_PART: f64 = 0.8;
+
+/// Returns for how long a connection is kept idle after an answer with this head.
+fn idle_life(head: &HeaderMap) -> Duration {
+    const KEEP_ALIVE: &str = "keep-alive";
+    let values = head.get_all(KEEP_ALIVE).into_iter().filter_map(|value| value.to_str().ok());
+    let mut params = values.flat_map(|value| value.split(','));
+    let secs: Option<u32> = params.find_map(|param| {
+        let (name, value) = param.split_once('=')?;
+        let is_time = name.trim().eq_ignore_ascii_case("timeout");
+        is_time.then(|| value.trim().parse().ok()).flatten()
+    });
+    let told = secs.map(|secs| Duration::from_secs(secs.into()).mul_f64(KEPT_PART));
+    told.map_or(IDLE_LIFE, |told| told.min(IDLE_LIFE))
+}
+
 struct Connection {
     address: SocketAddr,
     send: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     /// On the clock that counts suspended time: peers close what rests meanwhile.
     idle_since: Duration,
+    /// For how long it may rest.
+    rests_for: Duration,
     /// How many idle ones are kept to its address.
     keep: usize,
 }
@@ -118,7 +138,8 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&address)?;
         while let Some(conn) = list.pop() {
-            if conn.send.is_ready() && since_boot().saturating_sub(conn.idle_since) < IDLE_LIFE {
+            if conn.send.is_ready() && since_boot().saturating_sub(conn.idle_since) < conn.rests_for
+            {
                 return Some(conn);
             }
         }
@@ -141,6 +162,7 @@
     ) -> Result<Response<PooledBody>, (SendError, Option<Request<Full<Bytes>>>)> {
         match conn.send.try_send_request(req).await {
             Ok(answer) => {
+                conn.rests_for = idle_life(answer.headers());
                 Ok(answer.map(|body| PooledBody { body, conn: Some(conn), pool: self.clone() }))
             }
             Err(mut failed) => match failed.take_message() {
@@ -167,7 +189,7 @@
         // The request's own future reports the failure.
         let _ = conn.await;
     });
-    Ok(Connection { address, send, driver, idle_since: since_boot(), keep })
+    Ok(Connection { address, send, driver, idle_since: since_boot(), rests_for: IDLE_LIFE, keep })
 }
 
 /// The body of an answer; it gives its connection back when it has been read to the end.
--- a/crates/cherrystand_platform/tests/http_pool.rs
+++ b/crates/cherrystand_platform/tests/http_pool.rs
@@ -1,5 +1,6 @@
 //! Connections that are kept, and for how long.
 
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,9 +10,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
+/// The clock that is moved on is that of the process.
+static CLOCK: Mutex<()> = Mutex::new(());
+
 /// Sends requests on one pool, each after a suspension, to a server whose answers hold a line of head, and returns
 /// by which connection each was answered, the first one being 1.
 fn answered_by(line: &str, suspended: &[Duration]) -> Vec<Bytes> {
+    let _alone = CLOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.expect("a runtime").block_on(async {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
