fix: copies of a request that ends replicas are called off once the third has ended

Where a tenth of the questions about photos was one request that ends whatever runs it, five to nine replicas ended in a burst, two to five of them after the request was refused: its copies under way at other replicas ran on until they ended these as well, up to a second later. Cause: a refusal stops sends, not what was sent. Now the connections of its copies are closed 50 ms after the third end, where no other request was at each of its ends and may be the cause as well.

--- a/crates/cherrystand_core/src/site/crash_suspects.rs
+++ b/crates/cherrystand_core/src/site/crash_suspects.rs
@@ -137,6 +137,13 @@
         self.held.get(&request).map_or(0, |suspect| suspect.moments.len())
     }
 
+    /// Tells whether a request is refused and nothing else explains its ends: no other request was at each of them.
+    pub fn is_sole_cause(&self, request: Fingerprint) -> bool {
+        let Some(suspect) = self.held.get(&request) else { return false };
+        let mut others = self.held.iter().filter(|(other, _)| **other != request);
+        suspect.is_refused() && !others.any(|(_, other)| suspect.is_explained_by(other))
+    }
+
     /// Tells whether a request is to be refused, which keeps it remembered.
     pub fn refuses(&mut self, request: Fingerprint, now: Millis) -> bool {
         let Some(suspect) = self.held.get_mut(&request) else { return false };
--- a/crates/cherrystand_core/src/site/suspect.rs
+++ b/crates/cherrystand_core/src/site/suspect.rs
@@ -115,6 +115,13 @@
         self.moments.iter().filter(is_alone).count()
     }
 
+    /// Tells whether another request, which was not served since, was at each of its ends as well, and so may be the
+    /// cause of all.
+    pub(crate) fn is_explained_by(&self, other: &Self) -> bool {
+        let was_there = |life| other.moments.iter().any(|moment| moment.lives.contains(life));
+        self.moments.iter().all(|moment| moment.lives.iter().any(was_there))
+    }
+
     pub(crate) fn acquit(&mut self) {
         let lives = std::mem::take(&mut self.moments).into_iter().flat_map(|moment| moment.lives);
         self.acquitted.extend(lives);
--- a/crates/cherrystand_core/tests/crash_suspects.rs
+++ b/crates/cherrystand_core/tests/crash_suspects.rs
@@ -274,3 +274,48 @@
     assert!(record.requests.len() <= 128);
     assert_eq!(record.with(&own, UNIX), None);
 }
+
+/// Copies under way are called off only of what nothing else can have caused: an innocent request that is always where
+/// the guilty one is would lose its answers.
+#[test]
+fn a_request_is_the_sole_cause_where_no_other_was_at_each_of_its_ends() {
+    const OTHER: Fingerprint = Fingerprint(8);
+    struct Case {
+        name: &'static str,
+        /// The boxes at whose ends both were, one a second.
+        ends: &'static [u64],
+        others_ends: &'static [u64],
+        other_served: bool,
+        sole: bool,
+    }
+    let case =
+        Case { name: "alone", ends: &[1, 2, 3], others_ends: &[], other_served: false, sole: true };
+    let cases = [
+        Case { name: "two ends", ends: &[1, 2], sole: false, ..case },
+        Case { name: "another at two of three", others_ends: &[1, 3], ..case },
+        Case { name: "another at all", others_ends: &[1, 2, 3], sole: false, ..case },
+        Case { name: "another at all and more", others_ends: &[1, 2, 3, 4], sole: false, ..case },
+        Case {
+            name: "another at all, served since",
+            others_ends: &[1, 2, 3],
+            other_served: true,
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let mut suspects = CrashSuspects::default();
+        for second in 1..=4 {
+            let now = Millis::from_secs(second);
+            for (request, ends) in [(REQUEST, case.ends), (OTHER, case.others_ends)] {
+                if ends.contains(&second) {
+                    suspects.ended(&life(second), request, now);
+                }
+            }
+        }
+        if case.other_served {
+            suspects.served(OTHER, Millis::from_secs(5));
+        }
+        assert_eq!(suspects.is_sole_cause(REQUEST), case.sole, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/site/copies.rs
@@ -0,0 +1,61 @@
+//! Copies of a request that is known to end what runs it, which are under way as that gets known.
+//!
+//! Source: docs/design/0021-trials-of-refused-requests.md.
+
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use cherrystand_core::Fingerprint;
+
+use crate::site::crash_watch::CrashWatch;
+use crate::site::flight::Flight;
+
+/// How long after the third end copies are called off: until then peers have told which others of their requests were
+/// at the same ends and may be the cause as well.
+const DECIDED_AFTER: Duration = Duration::from_millis(50);
+
+/// From this many attempts on, those that have ended are forgotten.
+const FORGOTTEN_FROM: usize = 64;
+
+impl CrashWatch {
+    /// Follows an attempt for as long as it is under way.
+    pub(crate) fn follow_copy(&self, flight: &Rc<Flight>) {
+        let mut copies = self.copies.borrow_mut();
+        if copies.len() >= FORGOTTEN_FROM && copies.len() == copies.capacity() {
+            copies.retain(|copy| copy.strong_count() > 0);
+        }
+        copies.push(Rc::downgrade(flight));
+    }
+
+    /// Calls off the copies of a request that are under way, once it is clear that nothing else explains its ends.
+    ///
+    /// They would end their replicas: where a tenth of the requests of a kind was one that does, two to five replicas
+    /// ended after the third, up to a second later. What others explain as well is left alone: it may be innocent.
+    pub(super) fn call_off_soon(&self, request: Fingerprint) {
+        let own = self.own.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(DECIDED_AFTER).await;
+            if let Some(own) = own.upgrade() {
+                own.call_off(request);
+            }
+        });
+    }
+
+    fn call_off(&self, request: Fingerprint) {
+        let suspects = self.suspects.borrow();
+        if !suspects.is_sole_cause(request) || suspects.is_tried(request) {
+            return;
+        }
+        drop(suspects);
+        let copies: Vec<Rc<Flight>> =
+            self.copies.borrow().iter().filter_map(Weak::upgrade).collect();
+        let copies = copies.iter().filter(|copy| copy.fingerprint() == request);
+        let called_off = copies.map(|copy| copy.call_off()).count();
+        if called_off > 0 {
+            log::info!(
+                fingerprint = request.to_string(), copies = called_off;
+                "copies of a refused request are called off"
+            );
+        }
+    }
+}
--- a/crates/cherrystandd/src/site/crash_watch.rs
+++ b/crates/cherrystandd/src/site/crash_watch.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use cherrystand_peer::LoadNews;
 use tokio::net::TcpStream;
 
+use crate::site::flight::Flight;
 use crate::site::front::Front;
 use crate::site::load_exchange::LoadExchange;
 use crate::site::request::SiteRequest;
@@ -51,12 +52,16 @@
     pub(super) under_way: RefCell<Vec<(BoxId, Fingerprint)>>,
     /// When this node last served a request of a service whole.
     served_at: RefCell<BTreeMap<ServiceName, Millis>>,
+    /// All attempts under way, those that have ended since among them.
+    pub(super) copies: RefCell<Vec<Weak<Flight>>>,
+    /// This itself, for what is decided a little later.
+    pub(super) own: Weak<CrashWatch>,
 }
 
 impl CrashWatch {
     /// Creates one that knows of no end.
-    pub(crate) fn new(cx: DutyContext, loads: Rc<LoadExchange>) -> Self {
-        Self {
+    pub(crate) fn new(cx: DutyContext, loads: Rc<LoadExchange>) -> Rc<Self> {
+        Rc::new_cyclic(|own| Self {
             cx,
             loads,
             cut: RefCell::default(),
@@ -66,7 +71,9 @@
             found: Cell::default(),
             under_way: RefCell::default(),
             served_at: RefCell::default(),
-        }
+            copies: RefCell::default(),
+            own: own.clone(),
+        })
     }
 
     /// Tells whether no request is suspected.
@@ -244,6 +251,7 @@
                     fingerprint = request.to_string();
                     "a request is refused from now on: it was at the ends of {ENDS_BORNE} boxes"
                 );
+                self.call_off_soon(*request);
             }
         }
         self.count_refused();
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -202,8 +202,11 @@
 
 /// Waits for what comes next of the answer that is passed on; never ends where there is none.
 async fn next_of(current: &mut Option<StreamRun>, last: Option<u64>) -> RunStep {
-    match current {
-        Some(run) => run.next(last).await,
-        None => std::future::pending().await,
+    let Some(run) = current else { return std::future::pending().await };
+    let flight = run.flight.clone();
+    tokio::select! {
+        // Events that come often leave no time for a look.
+        () = flight.given_up() => RunStep::Broken(AttemptEnd::ReplicaLost),
+        step = run.next(last) => step,
     }
 }
--- a/crates/cherrystandd/src/site/flight.rs
+++ b/crates/cherrystandd/src/site/flight.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use cherrystand_core::{BoxId, Expected, Millis, SendPermit, Standstill, TargetKey};
+use cherrystand_core::{BoxId, Expected, Fingerprint, Millis, SendPermit, Standstill, TargetKey};
 
 use tokio::sync::Notify;
 
@@ -43,6 +43,8 @@
     standstill: Cell<Option<Standstill>>,
     /// Wakes the attempt once its answer cannot come any more.
     lost: Notify,
+    /// Whether it is known to end its replica.
+    called_off: Cell<bool>,
 }
 
 impl Flight {
@@ -77,6 +79,7 @@
             stall_told: Cell::new(None),
             standstill: Cell::new(None),
             lost: Notify::new(),
+            called_off: Cell::new(false),
         }
     }
 
@@ -127,6 +130,22 @@
         self.lost.notify_one();
     }
 
+    /// Ends the attempt, which would end its replica.
+    pub(crate) fn call_off(&self) {
+        self.called_off.set(true);
+        self.give_up();
+    }
+
+    /// Tells whether it was called off.
+    pub(crate) fn is_called_off(&self) -> bool {
+        self.called_off.get()
+    }
+
+    /// Returns what names its request in all tries.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        self.req.fingerprint()
+    }
+
     /// Waits until the answer cannot come any more.
     pub(crate) async fn given_up(&self) {
         self.lost.notified().await;
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -214,7 +214,9 @@
         let permit = self.chooser.borrow_mut().permit(key, self.now())?;
         let flight =
             Flight::start(permit, self.clone(), req.clone(), key, target, expected, priority);
-        Some(Rc::new(flight))
+        let flight = Rc::new(flight);
+        self.crashes.follow_copy(&flight);
+        Some(flight)
     }
 
     /// Tells whether this thread came back so late to a look begun at `looked` that it has yet to
@@ -267,6 +269,9 @@
     /// that stands still is left out of the choice and has its members asked; what they, its entry or
     /// a peer tell may show that it is lost.
     pub(crate) fn look(&self, req: &SiteRequest, flight: &Flight, heard: Millis) -> ReplicaLook {
+        if flight.is_called_off() {
+            return ReplicaLook::Lost;
+        }
         let still = self.standstill(req, flight, heard).filter(Standstill::is_certain);
         flight.note_standstill(still);
         let Some(still) = still else {
--- a/crates/cherrystandd/src/site/front_duty.rs
+++ b/crates/cherrystandd/src/site/front_duty.rs
@@ -39,7 +39,7 @@
     let operators = listen(cx.settings.listen.operators).await?;
     let chooser = Rc::new(RefCell::new(Chooser::new(cx.settings.policy)));
     let loads = Rc::new(LoadExchange::default());
-    let crashes = Rc::new(CrashWatch::new(cx.clone(), loads.clone()));
+    let crashes = CrashWatch::new(cx.clone(), loads.clone());
     let exchange = exchange_loads(cx.clone(), chooser.clone(), loads.clone(), crashes.clone());
     tokio::task::spawn_local(exchange);
     let front = Rc::new(Front::new(cx.clone(), chooser, loads, crashes));
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod change_sharing;
 mod control;
+mod copies;
 mod crash_watch;
 mod deciding;
 mod domain_records;
