--- a/crates/cherrystandd/tests/limits.rs
+++ b/crates/cherrystandd/tests/limits.rs
@@ -126,3 +126,91 @@
         assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
     });
 }
+
+/// What becomes of a limit while requests come: it is lowered, raised, named no more, ends with the life that named it, or
+/// a daemon that may keep its account is killed.
+#[test]
+fn a_limit_is_followed_as_it_changes_and_whoever_is_lost() {
+    #[derive(Clone, Copy)]
+    enum Then {
+        Names(&'static str),
+        NamesNone,
+        StartsAgain,
+        DaemonKilled(usize),
+    }
+    struct Case {
+        name: &'static str,
+        first: &'static str,
+        then: Then,
+        /// How many requests reach the box in the last three seconds.
+        last: std::ops::RangeInclusive<usize>,
+    }
+    /// When that happens, and the span at the end over which arrivals are counted.
+    const CHANGES_AFTER: Duration = Duration::from_secs(4);
+    const COUNTED: Duration = Duration::from_secs(3);
+    // Half of 30 a second come to it where nothing holds them back.
+    let cases = [
+        Case { name: "lowered", first: "8", then: Then::Names("1"), last: 1..=5 },
+        Case { name: "raised", first: "1", then: Then::Names("8"), last: 12..=26 },
+        Case { name: "named no more", first: "1", then: Then::NamesNone, last: 27..=90 },
+        Case { name: "a new life", first: "1", then: Then::StartsAgain, last: 27..=90 },
+        Case {
+            name: "the first daemon killed",
+            first: "3.5",
+            then: Then::DaemonKilled(0),
+            last: 0..=13,
+        },
+        Case {
+            name: "the second daemon killed",
+            first: "3.5",
+            then: Then::DaemonKilled(1),
+            last: 0..=13,
+        },
+        Case {
+            name: "the third daemon killed",
+            first: "3.5",
+            then: Then::DaemonKilled(2),
+            last: 0..=13,
+        },
+    ];
+    support::run(async {
+        let all = cases.into_iter().map(|case| async move {
+            let site = Site::serving_with_starts(3).await;
+            site.site.set_wishes("a-1", BoxWishes::limit(case.first));
+            let asking = ask_all(&site.nodes, CALL, EVERY, FOR);
+            let changing = async {
+                tokio::time::sleep(CHANGES_AFTER).await;
+                match case.then {
+                    Then::Names(limit) => site.site.set_wishes("a-1", BoxWishes::limit(limit)),
+                    Then::NamesNone => site.site.set_wishes("a-1", BoxWishes::default()),
+                    Then::StartsAgain => site.site.restart("a-1", false),
+                    Then::DaemonKilled(number) => site.nodes[number].process.signal("KILL"),
+                }
+            };
+            let (asked, ()) = tokio::join!(asking, changing);
+            let arrivals = site.site.arrivals();
+            let ended = arrivals.iter().map(|arrival| arrival.at).max().expect("arrivals");
+            let last = arrivals.iter().filter(|arrival| arrival.target == "a-1");
+            let last = last.filter(|arrival| arrival.at + COUNTED >= ended).count();
+            let (told, mut wrong) = (site.site.told(), Vec::new());
+            wrong.extend(broken_limits(&told, &arrivals, LimitBound::Platform, daemon_of));
+            if !case.last.contains(&last) {
+                wrong.push(format!("{last} in the end, {:?} are right", case.last));
+            }
+            let killed = match case.then {
+                Then::DaemonKilled(number) => Some(number),
+                _ => None,
+            };
+            let killed = killed.map(|number| format!("n{number}-"));
+            let counts =
+                |asked: &&Asked| killed.as_ref().is_none_or(|own| !asked.id.starts_with(own));
+            let failed = asked.iter().filter(counts).filter(|asked| !is_served(asked)).count();
+            if failed > 0 {
+                wrong.push(format!("{failed} were not served; {}", first_failed(&asked)));
+            }
+            in_case(case.name, wrong)
+        });
+        let wrong = played(all).await.concat();
+        assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
+    });
+}
