fix: copies of a request that end two boxes at one moment count for two ends

Of a request that came five times a second copies ended boxes in pairs within 100 ms of each other; each pair counted once, as the loss of a rack does, and six to eight replicas were gone before three moments were seen. A moment counts for two at the most now: the loss of a rack alone refuses nothing yet, and the third end is the third. Found in the daemons' logs: five boxes at 12.249, 12.287, 12.434, 12.489 and 13.246 s, the refusal at 13.253.

--- a/crates/cherrystand_core/src/site/crash_suspects.rs
+++ b/crates/cherrystand_core/src/site/crash_suspects.rs
@@ -103,7 +103,7 @@
             suspect.last = now;
             suspect.note(life, now);
         }
-        suspect.moments.len()
+        suspect.ends()
     }
 
     /// Takes in that a request was served whole: the boxes that ended before did not end by it. Tells
@@ -134,7 +134,7 @@
 
     /// Returns at how many ends of boxes a request was, since it was last served.
     pub fn ends_of(&self, request: Fingerprint) -> usize {
-        self.held.get(&request).map_or(0, |suspect| suspect.moments.len())
+        self.held.get(&request).map_or(0, Suspect::ends)
     }
 
     /// Tells whether a request is refused and nothing else explains its ends: no other request was at each of them.
@@ -256,7 +256,7 @@
         let told = self
             .held
             .iter()
-            .filter(|(request, suspect)| suspect.moments.len() >= from || stands.names(**request));
+            .filter(|(request, suspect)| suspect.ends() >= from || stands.names(**request));
         let entry = |(request, suspect): (&Fingerprint, &Suspect)| SuspectEntry {
             request: *request,
             ended: suspect.moments.iter().map(|moment| moment.lives.clone()).collect(),
--- a/crates/cherrystand_core/src/site/suspect.rs
+++ b/crates/cherrystand_core/src/site/suspect.rs
@@ -10,10 +10,16 @@
 /// sent to a second one, which may be lost by chance as well.
 pub const ENDS_BORNE: usize = 3;
 
-/// Boxes that end within this time count once: one request is at one of them at a time, and whatever
-/// ends several at once is another cause. Daemons hear of one end within 20 ms of each other.
+/// Boxes that end within this time have ended at one moment: a cause of another kind, as the loss of a rack, ends
+/// several at once, and so do copies of one request. Daemons hear of one end within 20 ms of each other.
 const SAME_MOMENT: Millis = Millis(100);
 
+/// For how many ends one moment counts at the most, so that the loss of a rack alone refuses nothing.
+///
+/// Counted once, a request of which copies came five times a second ended six to eight replicas until it was
+/// refused after the third moment.
+const ENDS_OF_A_MOMENT: usize = 2;
+
 /// How many boxes are remembered that a request was served after, and how many that ended at one
 /// moment; what a peer tells may hold any number.
 const MOST_LIVES: usize = 16;
@@ -85,8 +91,13 @@
         }
     }
 
+    /// Returns at how many ends it was, as far as they count.
+    pub(crate) fn ends(&self) -> usize {
+        self.moments.iter().map(|moment| moment.lives.len().min(ENDS_OF_A_MOMENT)).sum()
+    }
+
     pub(crate) fn is_refused(&self) -> bool {
-        self.moments.len() >= ENDS_BORNE
+        self.ends() >= ENDS_BORNE
     }
 
     /// Tells whether it is refused and comes yet.
--- a/crates/cherrystand_core/tests/crash_suspects.rs
+++ b/crates/cherrystand_core/tests/crash_suspects.rs
@@ -46,6 +46,12 @@
             comes: 1_001,
             refused: false,
         },
+        Case {
+            name: "two at once, by copies of it, and a third",
+            events: &[Ends(1, 0), Ends(2, 40), Ends(3, 200)],
+            comes: 201,
+            refused: true,
+        },
         Case {
             name: "all boxes of a rack at once, with requests that are alike",
             events: &[Ends(1, 0), Ends(2, 20), Ends(3, 90)],
