--- a/crates/cherrystand_core/src/requests/endpoint_limits.rs
+++ b/crates/cherrystand_core/src/requests/endpoint_limits.rs
@@ -82,6 +82,7 @@
         self.known.limit().as_f64().max(LEAST_RATE)
     }
 
+    /// Takes over who keeps the account; one that this node comes to keep begins anew.
     fn follow(&mut self, keeper: LimitKeeper, now: Millis) {
         if self.keeper.is_some_and(|held| held.address != keeper.address) {
             self.permits.drop_question();
@@ -155,7 +156,9 @@
     endpoints: BTreeMap<K, LimitedEndpoint>,
     /// What this node's own answers told that others may not know.
     to_tell: Vec<(K, LimitWord)>,
+    /// Answers to what other nodes said.
     replies: Vec<(LimitTo, K, LimitNews)>,
+    /// The number of this node's last question, about whichever endpoint.
     last_number: u64,
 }
 
@@ -181,12 +184,6 @@
         self.endpoints.is_empty()
     }
 
-    /// Lists the endpoints that name one.
-    pub fn endpoints(&self) -> impl Iterator<Item = &K> {
-        let limited = self.endpoints.iter().filter(|(_, held)| !held.known.is_over());
-        limited.map(|(id, _)| id)
-    }
-
     /// Returns what an endpoint names.
     pub fn limit(&self, id: &K) -> Option<RequestRate> {
         self.limited(id).map(|held| held.known.limit())
--- a/crates/cherrystand_core/src/requests/limit_permits.rs
+++ b/crates/cherrystand_core/src/requests/limit_permits.rs
@@ -22,10 +22,6 @@
 /// How much the newest time between two requests counts against those before.
 const GAP_WEIGHT: f64 = 0.25;
 
-/// The part of the time for which a permit is kept within which the next request usually has to come, where one
-/// is asked for before.
-const OFTEN: f64 = 1.0;
-
 /// How often an open question is asked again, as datagrams are lost.
 const ASK_EVERY: Millis = Millis(500);
 
@@ -77,6 +73,7 @@
     open: Option<Question>,
     /// When a request last could have used one, or did, that no question was asked for.
     wanted: Option<Millis>,
+    /// When one last could have used a permit at all.
     last: Option<Millis>,
     /// The usual milliseconds between two such requests.
     gap: f64,
@@ -104,7 +101,7 @@
 
     /// Tells whether requests come often enough to use a permit that waits for them.
     fn is_busy(&self, rate: f64) -> bool {
-        self.gap <= kept_for(rate).0 as f64 * OFTEN
+        self.gap <= kept_for(rate).0 as f64
     }
 
     /// Tells whether a permit may come at any moment.
