fix: an answer that turns a request away, or fails, does not end its endpoint's limit

An endpoint in need that names its limit in good answers and refuses others without it got 17 in 4 s where 16 are borne: each refusal a second after the last naming ended the limit at all daemons until the next good answer. Only a good answer without it tells that there is none any more.

--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -65,7 +65,7 @@
 pub use processes::{free_addresses, spawn};
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
 pub use site::box_answers::{CRASHES, EVENTS};
-pub use site::box_wishes::{BoxWishes, Sheds, Told, Wish, broken_wishes};
+pub use site::box_wishes::{BoxWishes, LimitIn, Sheds, Told, Wish, broken_wishes};
 pub use site::fake_site_domain::FakeSiteDomain;
 pub use site::limit_checks::{LimitBound, broken_limits};
 pub use site::metadata_stand_in::{Door, MetadataStandIn, PageFault};
--- a/crates/cherrystand_testkit/src/site/box_answers.rs
+++ b/crates/cherrystand_testkit/src/site/box_answers.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 
 use crate::http::read_json;
-use crate::site::box_wishes::{Sheds, Told, Wish};
+use crate::site::box_wishes::{LimitIn, Sheds, Told, Wish};
 use crate::site::site_stand_in::SiteStandIn;
 use crate::{Arrival, BoxMood};
 
@@ -40,7 +40,7 @@
         self.held_up().await;
         let request = req.headers().get("cherrystand-request-id").cloned();
         let mut answer = self.answer_well(id, req).await;
-        if let Some(limit) = self.names_limit(id) {
+        if let Some(limit) = self.names_limit(id, answer.status()) {
             set(&mut answer, "server-limit", limit);
             let named = limit.parse().ok().filter(|limit: &f64| *limit >= 0.0);
             let request = request.as_ref().and_then(|request| request.to_str().ok());
@@ -175,11 +175,15 @@
     }
 
     /// Returns the limit that a box names in its next answer, where it does.
-    fn names_limit(&self, id: &str) -> Option<&'static str> {
+    fn names_limit(&self, id: &str, status: StatusCode) -> Option<&'static str> {
         let mut world = self.world.borrow_mut();
         let held = world.boxes.get_mut(id)?;
         held.answers += 1;
-        let says = !held.wishes.limit_at_times || held.answers.is_multiple_of(2);
+        let says = match held.wishes.limit_in {
+            LimitIn::All => true,
+            LimitIn::EverySecond => held.answers.is_multiple_of(2),
+            LimitIn::Served => status.is_success(),
+        };
         held.wishes.limit.filter(|_| says)
     }
 
--- a/crates/cherrystand_testkit/src/site/box_wishes.rs
+++ b/crates/cherrystand_testkit/src/site/box_wishes.rs
@@ -20,6 +20,18 @@
     From(&'static str),
 }
 
+/// Which answers of a box name its limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitIn {
+    /// All.
+    #[default]
+    All,
+    /// Every other one.
+    EverySecond,
+    /// Those to requests that it serves.
+    Served,
+}
+
 /// What a box asks of daemons.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct BoxWishes {
@@ -33,8 +45,8 @@
     pub names: Option<&'static str>,
     /// The requests a second that it says in its answers it takes, as the header has it.
     pub limit: Option<&'static str>,
-    /// Whether only every other answer says so.
-    pub limit_at_times: bool,
+    /// Which answers say so.
+    pub limit_in: LimitIn,
 }
 
 impl BoxWishes {
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -6,7 +6,7 @@
 use cherrystand_core::{Millis, Seed};
 
 use crate::soak::link::LinkMode;
-use crate::{BoxMood, BoxWishes, Door, Sheds};
+use crate::{BoxMood, BoxWishes, Door, LimitIn, Sheds};
 
 /// What strikes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -212,8 +212,12 @@
         let a_box = seed.below(targets.boxes);
         let limited = BoxWishes::limit(LIMITS[seed.below(LIMITS.len())]);
         let wishes = match seed.below(6) {
-            0 => BoxWishes { limit_at_times: true, ..limited },
-            1 => BoxWishes { limit: limited.limit, ..BoxWishes::rest(Sheds::EverySecond, "0.5") },
+            0 => BoxWishes { limit_in: LimitIn::EverySecond, ..limited },
+            1 => BoxWishes {
+                limit: limited.limit,
+                limit_in: LimitIn::Served,
+                ..BoxWishes::rest(Sheds::EverySecond, "0.5")
+            },
             2 => BoxWishes { leaves: true, ..limited },
             _ => limited,
         };
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -101,9 +101,7 @@
 ) -> Result<(Parts, PooledBody), AttemptEnd> {
     let facts = Driver::read_answer(answer.status(), answer.headers());
     front.hear_wishes(flight, req, &facts);
-    if answer.status() != StatusCode::MISDIRECTED_REQUEST {
-        front.hear_limit(flight, req, &facts);
-    }
+    front.hear_limit(flight, req, answer.status(), &facts);
     let (head, body) = answer.into_parts();
     if facts.not_run {
         if head.status != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/cherrystandd/src/site/wishes.rs
+++ b/crates/cherrystandd/src/site/wishes.rs
@@ -5,6 +5,7 @@
 use cherrystand_core::{BoxId, LimitHeard, Millis};
 use cherrystand_peer::LoadNews;
 use cherrystand_platform::{AnswerFacts, AskedRest, NamedLimit};
+use hyper::StatusCode;
 
 use crate::site::Hint;
 use crate::site::flight::Flight;
@@ -48,12 +49,20 @@
     /// Takes in what the head of a replica's answer names of the requests that it takes.
     ///
     /// An answer without a limit tells that there is none any more, so that it has to be an answer to this request
-    /// for sure; one that names what is no number says neither.
-    pub(crate) fn hear_limit(&self, flight: &Flight, req: &SiteRequest, facts: &AnswerFacts) {
+    /// for sure, and a good one: what turns requests away or fails may not say all that it otherwise does. One that
+    /// names what is no number says neither.
+    pub(crate) fn hear_limit(
+        &self,
+        flight: &Flight,
+        req: &SiteRequest,
+        status: StatusCode,
+        facts: &AnswerFacts,
+    ) {
         if facts.request.is_none() || facts.request != req.facts.id {
             return;
         }
         let limit = match facts.limit {
+            NamedLimit::None if facts.not_run || !status.is_success() => return,
             NamedLimit::None => None,
             NamedLimit::PerSecond(limit) => Some(limit),
             NamedLimit::Unreadable => return self.wish_notes.unreadable_limit(&flight.target),
--- a/crates/cherrystandd/tests/limits.rs
+++ b/crates/cherrystandd/tests/limits.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use cherrystand_testkit::{BoxWishes, LimitBound, broken_limits};
+use cherrystand_testkit::{BoxWishes, LimitBound, LimitIn, Sheds, broken_limits};
 use futures_util::future::join_all;
 use support::asking::{Asked, ask_all, daemon_of, first_failed, in_case, is_served, played};
 use support::site::{CALL, STREAM, Site};
@@ -77,7 +77,16 @@
         Case { name: "one of two, a plain service", path: CALL, ..case },
         Case {
             name: "in every other answer",
-            wishes: [BoxWishes { limit_at_times: true, ..limit }, well],
+            wishes: [BoxWishes { limit_in: LimitIn::EverySecond, ..limit }, well],
+            ..case
+        },
+        // A refusal that does not name it ends nothing.
+        Case {
+            name: "in good answers only",
+            wishes: [
+                BoxWishes { limit_in: LimitIn::Served, sheds: Sheds::EverySecond, ..limit },
+                well,
+            ],
             ..case
         },
         Case { name: "a low one", wishes: [BoxWishes::limit("0.4"), well], ..case },
