fix(test): the soak's check of limits can fail

Daemons that read no limit passed the soak with limits: a harmed link of any box, or a fault of all, excused every daemon for its span and four seconds more, faults came so thick that something always did, and the limits named were above the two to five requests a second that a box gets there. Now a daemon is excused by what strikes it, and all by the link of the very box; one usual fault in five is played beside; all boxes name 0 to 0.4; a limit named before the span counts in it. Cases in soak_checks: more, as much, excused, not excused.

--- a/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -11,6 +11,12 @@
 };
 use eyre::WrapErr;
 
+/// Beside limits one usual fault in so many is played.
+const KEPT_BESIDE_LIMITS: usize = 5;
+
+/// The numbers of faults that come beside the usual ones begin here.
+const USUAL_NUMBERS: usize = 1_000;
+
 /// Plays faults, drawn from a seed, on real daemons, and checks what callers and boxes see.
 #[derive(FromArgs)]
 struct Args {
@@ -58,7 +64,12 @@
     let crashes = args.crashes;
     let setup = SoakSetup { program, dir, seed, daemons, lives, crashes };
     let mut faults = draw_schedule(args.seed, setup.targets(), Millis(args.span_ms));
-    if lives {
+    if args.limits {
+        // Beside all faults each daemon would be excused at each moment.
+        faults.retain(|fault| fault.number % KEPT_BESIDE_LIMITS == 0);
+        let limits = draw_limits(args.seed, setup.targets(), Millis(args.span_ms), USUAL_NUMBERS);
+        faults.extend(limits);
+    } else if lives {
         let lives = draw_lives(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
         faults.extend(lives);
     }
@@ -66,10 +77,6 @@
         let wishes = draw_wishes(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
         faults.extend(wishes);
     }
-    if args.limits {
-        let limits = draw_limits(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
-        faults.extend(limits);
-    }
     if !args.only.is_empty() {
         faults.retain(|fault| args.only.contains(&fault.number));
     }
--- a/crates/cherrystand_testkit/src/site/limit_checks.rs
+++ b/crates/cherrystand_testkit/src/site/limit_checks.rs
@@ -87,8 +87,11 @@
         arrival.at > begins && arrival.at <= ends && (bound == LimitBound::Own || is_told)
     };
     let count = arrivals.iter().filter(counts).count();
-    // A limit that changes within the span allows what its highest value does.
-    let in_force = told.iter().filter(|(told, _)| told.at + CONTACT >= begins && told.at <= ends);
+    // A limit that changes within the span, or shortly before, allows what its highest value does.
+    let until = told.iter().filter(|(told, _)| told.at <= ends);
+    let (before, within): (Vec<_>, Vec<_>) =
+        until.partition(|(told, _)| told.at + CONTACT < begins);
+    let in_force = before.last().into_iter().chain(&within);
     let limit = in_force.map(|(_, limit)| *limit).fold(0.0, f64::max) * WINDOW.as_secs_f64();
     let allowed = match bound {
         LimitBound::Platform => 1.5 * limit + 5.0,
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -219,6 +219,13 @@
                     false => self.site.set_wishes(id, BoxWishes::default()),
                 }
             }
+            FaultKind::Limited(limit, limit_in) => {
+                let wishes = BoxWishes { limit_in, ..BoxWishes::limit(limit) };
+                self.boxes.iter().for_each(|(id, _)| self.site.set_wishes(id, wishes));
+                tokio::time::sleep(lasts).await;
+                let none = BoxWishes::default();
+                self.boxes.iter().for_each(|(id, _)| self.site.set_wishes(id, none));
+            }
             FaultKind::Overwritten(number, value) => {
                 let id = &self.boxes[number].0;
                 self.site.write_entry(id, &value.bytes());
@@ -263,7 +270,8 @@
             FaultKind::Configured { .. }
             | FaultKind::Unlisted(_)
             | FaultKind::Overwritten(..)
-            | FaultKind::Wishes(..) => {
+            | FaultKind::Wishes(..)
+            | FaultKind::Limited(..) => {
                 return None;
             }
             FaultKind::Stopped(number) => (Some(number), true),
@@ -289,8 +297,22 @@
                 | FaultKind::AllKilled
         );
         let harms_answers = matches!(kind, FaultKind::BoxLink(..) | FaultKind::BoxCut(_));
-        let harm =
-            Disturbed { daemon, planned, is_store, ends_processes, harms_answers, from, until };
+        let target = match kind {
+            FaultKind::BoxLink(number, _) | FaultKind::BoxCut(number) => {
+                Some(self.boxes[number].0.clone())
+            }
+            _ => None,
+        };
+        let harm = Disturbed {
+            daemon,
+            planned,
+            is_store,
+            ends_processes,
+            harms_answers,
+            target,
+            from,
+            until,
+        };
         disturbed.push(harm);
         Some(disturbed.len() - 1)
     }
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -23,6 +23,8 @@
     Restarted(usize, bool),
     /// A box asks daemons for something in its answers; one that leaves starts again in the end.
     Wishes(usize, BoxWishes),
+    /// All boxes name how many requests a second they take.
+    Limited(&'static str, LimitIn),
     /// Another writer puts something where a box tells of itself, until the box does so again.
     Overwritten(usize, OtherValue),
     /// The store turns one daemon away.
@@ -202,29 +204,35 @@
     })
 }
 
-/// Draws limits that boxes name, which last for seconds: that long it takes until they are counted.
+/// Draws a limit that all boxes name for seconds, as that long it takes until it is counted, and odd ones of some
+/// beside it.
 pub fn draw_limits(seed: u64, targets: Targets, span: Millis, first_number: usize) -> Vec<Fault> {
     /// Tells the draws apart from those of the other faults.
     const OTHER_DRAWS: u64 = 0x11a7;
-    /// What boxes name: a usual one, few, many, nothing, what is no number, and what nobody reaches.
-    const LIMITS: [&str; 6] = ["3.5", "0.4", "20", "0", "few", "1e9"];
-    draw_besides(Seed::new(seed ^ OTHER_DRAWS), 300, span, first_number, |seed| {
-        let a_box = seed.below(targets.boxes);
-        let limited = BoxWishes::limit(LIMITS[seed.below(LIMITS.len())]);
-        let wishes = match seed.below(6) {
-            0 => BoxWishes { limit_in: LimitIn::EverySecond, ..limited },
-            1 => BoxWishes {
-                limit: limited.limit,
-                limit_in: LimitIn::Served,
-                ..BoxWishes::rest(Sheds::EverySecond, "0.5")
-            },
-            2 => BoxWishes { leaves: true, ..limited },
+    /// What all boxes name: each is far below the two to five requests a second that a box gets here, or nothing would
+    /// show whether it is followed.
+    const LIMITS: [&str; 4] = ["0.4", "0.2", "0.1", "0"];
+    /// What some name: no number, and what nobody reaches.
+    const ODD: [&str; 2] = ["few", "1e9"];
+    let mut seed = Seed::new(seed ^ OTHER_DRAWS);
+    let limit_in = if seed.below(3) == 0 { LimitIn::Served } else { LimitIn::All };
+    let all = Fault {
+        number: first_number,
+        at: Millis(500 + seed.below(1_500) as u64),
+        lasts: Millis(7_500 + seed.below(1_500) as u64),
+        kind: FaultKind::Limited(LIMITS[seed.below(LIMITS.len())], limit_in),
+    };
+    let odd = draw_besides(seed, 2_500, span, first_number + 1, |seed| {
+        let limited = BoxWishes::limit(ODD[seed.below(ODD.len())]);
+        let wishes = match seed.below(3) {
+            0 => BoxWishes { limit: limited.limit, ..BoxWishes::rest(Sheds::EverySecond, "0.5") },
+            1 => BoxWishes { leaves: true, ..limited },
             _ => limited,
         };
-        let kind = FaultKind::Wishes(a_box, wishes);
-        let lasts = 3_000 + seed.below(6_000) as u64;
-        Drawn { kind, lasts, pause: 100 + seed.below(1_500) as u64 }
-    })
+        let kind = FaultKind::Wishes(seed.below(targets.boxes), wishes);
+        Drawn { kind, lasts: 500 + seed.below(2_000) as u64, pause: 3_000 }
+    });
+    std::iter::once(all).chain(odd).collect()
 }
 
 fn draw_kind(seed: &mut Seed, targets: Targets) -> FaultKind {
--- a/crates/cherrystand_testkit/src/soak/seen.rs
+++ b/crates/cherrystand_testkit/src/soak/seen.rs
@@ -1,6 +1,6 @@
 //! What callers and boxes saw, and which promises that breaks.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
@@ -54,7 +54,7 @@
 }
 
 /// A time during which something was harmed or stopped.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Disturbed {
     /// The daemon, or all of them where there is none.
     pub daemon: Option<usize>,
@@ -66,12 +66,21 @@
     pub ends_processes: bool,
     /// Whether answers of boxes may be lost on their way by it.
     pub harms_answers: bool,
+    /// The box whose connections are harmed, where it is one.
+    pub target: Option<String>,
     /// From when on.
     pub from: Instant,
     /// Until when.
     pub until: Instant,
 }
 
+impl Disturbed {
+    /// Tells whether it strikes at a moment, or did shortly before.
+    fn is_near(&self, at: Instant) -> bool {
+        self.from <= at && at <= self.until + CONTACT
+    }
+}
+
 /// A time after which a box was to take nothing new, since its entry was gone.
 #[derive(Clone, Debug)]
 pub struct Gone {
@@ -187,8 +196,7 @@
     /// Tells whether nothing harmed a daemon for a while before a moment.
     fn in_touch(&self, daemon: usize, at: Instant) -> bool {
         let concerns = |harm: &&Disturbed| harm.daemon.is_none_or(|struck| struck == daemon);
-        let near = |harm: &Disturbed| harm.from <= at && at <= harm.until + CONTACT;
-        !self.disturbed.iter().filter(concerns).any(near)
+        !self.disturbed.iter().filter(concerns).any(|harm| harm.is_near(at))
     }
 
     /// Tells whether a planned stop of its daemon is all that a request met.
@@ -238,19 +246,29 @@
         })
     }
 
-    /// Names each box that got more than it had said it takes, from daemons that were told and that nothing harmed since.
+    /// Names each box that got more than it had said it takes, from daemons that were told and that nothing struck since.
+    ///
+    /// What holds up another box, or the store for all, excuses nobody.
     fn broken_limits(&self) -> Vec<String> {
         let daemon_of: BTreeMap<&str, usize> =
             self.seen.iter().map(|seen| (seen.id.as_str(), seen.daemon)).collect();
-        let is_struck = |daemon: usize, at: Instant| {
-            let own = self.disturbed.iter().filter(|harm| harm.daemon == Some(daemon));
-            own.filter(|harm| harm.from <= at && at <= harm.until + CONTACT).count() > 0
-        };
-        broken_limits(&self.told, &self.arrivals, LimitBound::Platform, |request, at| {
-            let daemon = *daemon_of.get(request)?;
-            let is_excused = self.harms_answers(at) || is_struck(daemon, at);
-            (!is_excused).then(|| (daemon, self.life_of(daemon, at)))
-        })
+        let targets: BTreeSet<&str> = self.told.iter().map(|told| told.target.as_str()).collect();
+        let broken = targets.into_iter().flat_map(|target| {
+            let own = self.told.iter().filter(|told| told.target == target);
+            let told: Vec<Told> = own.cloned().collect();
+            let is_excused = |daemon: usize, at: Instant| {
+                let strikes = |harm: &&Disturbed| {
+                    let all_end = harm.ends_processes && harm.daemon.is_none();
+                    all_end || harm.daemon == Some(daemon) || harm.target.as_deref() == Some(target)
+                };
+                self.disturbed.iter().filter(strikes).any(|harm| harm.is_near(at))
+            };
+            broken_limits(&told, &self.arrivals, LimitBound::Platform, |request, at| {
+                let daemon = *daemon_of.get(request)?;
+                (!is_excused(daemon, at)).then(|| (daemon, self.life_of(daemon, at)))
+            })
+        });
+        broken.collect()
     }
 
     /// Counts how often a daemon has ended by a moment.
@@ -262,8 +280,7 @@
 
     /// Tells whether answers may not have come whole or in time shortly before a moment.
     fn harms_answers(&self, at: Instant) -> bool {
-        let mut harms = self.disturbed.iter().filter(|harm| harm.harms_answers);
-        harms.any(|harm| harm.from <= at && at <= harm.until + CONTACT)
+        self.disturbed.iter().any(|harm| harm.harms_answers && harm.is_near(at))
     }
 
     /// Names each request that ended three boxes and was sent on too often by daemons in touch.
@@ -295,8 +312,7 @@
     fn reaches_store(&self, daemon: usize, at: Instant) -> bool {
         let concerns =
             |harm: &&Disturbed| harm.daemon.map_or(harm.is_store, |struck| struck == daemon);
-        let near = |harm: &Disturbed| harm.from <= at && at <= harm.until + CONTACT;
-        !self.disturbed.iter().filter(concerns).any(near)
+        !self.disturbed.iter().filter(concerns).any(|harm| harm.is_near(at))
     }
 
     fn retry_budget(&self) -> Option<String> {
--- a/crates/cherrystand_testkit/tests/soak_checks.rs
+++ b/crates/cherrystand_testkit/tests/soak_checks.rs
@@ -40,6 +40,7 @@
         is_store: false,
         ends_processes: planned,
         harms_answers: false,
+        target: None,
         from,
         until,
     }
@@ -54,6 +55,17 @@
     record.arrivals = vec![record.arrivals[0].clone(); 3];
 }
 
+/// Notes that a box named a limit for a while, and what reached it in the last four seconds of that.
+fn limited(record: &mut Record, limit: f64, arrivals: usize) {
+    let (last, sent) = (Duration::from_secs(10), record.seen[0].sent);
+    let told = |at| {
+        let (request, target) = ("r1".to_owned(), "a-0".to_owned());
+        Told { request, target, life: 1, at, wish: Wish::Limit(limit) }
+    };
+    record.told = vec![told(sent - last), told(sent + Duration::from_secs(1))];
+    record.arrivals = vec![record.arrivals[0].clone(); arrivals];
+}
+
 /// Notes that a request ended three boxes at the beginning, and reached some again later.
 fn crashes(record: &mut Record, began: Instant, again: usize) {
     let (body, target) = ("crashes".to_owned(), "i-0".to_owned());
@@ -175,6 +187,29 @@
             let arrival = record.arrivals[0].clone();
             record.arrivals.extend(vec![arrival; 60]);
         }),
+        case("more than a box takes", Some("a-0 got 27 within 4 s, 26 allowed"), &|record, _| {
+            limited(record, 3.5, 27);
+        }),
+        case("as much as a box takes", None, &|record, _| limited(record, 3.5, 26)),
+        case("more than a box takes, by one that stood still", None, &|record, began| {
+            limited(record, 3.5, 27);
+            let since = began + Duration::from_secs(57);
+            record
+                .disturbed
+                .push(Disturbed { ends_processes: true, ..harmed(Some(0), false, since, 1) });
+        }),
+        case(
+            "more than a box takes, while another one is cut",
+            Some("a-0 got 27"),
+            &|record, began| {
+                limited(record, 3.5, 27);
+                let target = Some("a-1".to_owned());
+                let since = began + Duration::from_secs(57);
+                let harm =
+                    Disturbed { harms_answers: true, target, ..harmed(None, false, since, 1) };
+                record.disturbed.push(harm);
+            },
+        ),
         case("sent into a rest", Some("Rest(10s), and got 3"), &|record, _| {
             told(record, Wish::Rest(Duration::from_secs(10)));
         }),
