feat: a log and a metric tell how old what a daemon knew was as it sent a request, and whose word took a box out

Cause: of the three hypotheses on requests to endpoints that leave, no line could tell one from another: nothing said how old the sender's knowledge was, from whom it came, nor that a box was kept, taken out or taken back. The age was observed as news came, so that one which grew because nothing came was never seen.

Change: the age is held beside the view and observed at each send; one over 1 s is written down (five lines a second), as is each change of what is known of a box (20 a second). No decision changes.

--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -7,6 +7,7 @@
 
 use crate::claims::ClaimCall;
 use crate::config_versions::ConfigVersions;
+use crate::news_heard::NewsHeard;
 use crate::relay::NoteQuestion;
 use crate::site::Hint;
 use crate::state::{StateEvent, View};
@@ -93,6 +94,8 @@
     pub(crate) site: watch::Receiver<Arc<SiteView>>,
     /// Where the duty that reads the site publishes it.
     pub(crate) publish_site: Arc<watch::Sender<Arc<SiteView>>>,
+    /// As of when that is.
+    pub(crate) news_heard: Arc<NewsHeard>,
     /// What all daemons have in flight by model, as the request path last published it.
     pub(crate) model_loads: watch::Receiver<Arc<ModelLoads>>,
     /// Where the request path publishes it.
@@ -141,6 +144,7 @@
             publish: Arc::new(publish),
             site,
             publish_site: Arc::new(publish_site),
+            news_heard: Arc::default(),
             model_loads,
             publish_model_loads: Arc::new(publish_model_loads),
             suspects,
--- a/crates/cherrystandd/src/lib.rs
+++ b/crates/cherrystandd/src/lib.rs
@@ -13,6 +13,7 @@
 mod keys;
 mod logging;
 mod metrics;
+mod news_heard;
 mod operator;
 mod relay;
 mod settings;
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -65,6 +65,8 @@
     pub silence_verdicts: IntCounterVec,
     /// Seconds by which news from a peer was old when it arrived, by kind.
     pub news_age: HistogramVec,
+    /// Seconds by which what is known of the store was old as a request was sent.
+    pub news_age_at_send: Histogram,
     /// Configurations of peers that were refused, by reason.
     pub versions_refused: IntCounterVec,
     /// Values of the platform's store that could not be used, by kind.
@@ -162,6 +164,10 @@
                 "Age of what a peer passed on when it arrived.",
                 &["kind"],
             )?,
+            news_age_at_send: make.histogram(
+                "news_age_at_send_seconds",
+                "Age of what is known of the store as a request is sent.",
+            )?,
             versions_refused: make.counters(
                 "versions_refused_total",
                 "Configurations of peers that were refused.",
--- /dev/null
+++ b/crates/cherrystandd/src/news_heard.rs
@@ -0,0 +1,41 @@
+//! How old what a daemon knows of the store is, for the request path to see.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use cherrystand_core::Millis;
+
+use crate::site::Teller;
+
+/// Holds as of when everything that the store told is known here, and from whom it came last.
+///
+/// It is told with each answer, also with one that says nothing new, so that the age grows as soon as none
+/// comes; a view is published only where something changed.
+#[derive(Debug, Default)]
+pub(crate) struct NewsHeard {
+    /// In milliseconds on the daemon's clock; 0 before anything is known.
+    as_of: AtomicU64,
+    teller: Mutex<Teller>,
+}
+
+impl NewsHeard {
+    /// Notes that everything is known as of a time, and who told it.
+    pub(crate) fn told(&self, as_of: Millis, teller: &Teller) {
+        self.as_of.store(as_of.0, Ordering::Relaxed);
+        // A teller is whole before it is noted; one who panicked left nothing half done.
+        let mut held = self.teller.lock().unwrap_or_else(PoisonError::into_inner);
+        if *held != *teller {
+            *held = teller.clone();
+        }
+    }
+
+    /// Returns how old what is known is.
+    pub(crate) fn age(&self, now: Millis) -> Millis {
+        now.since(Millis(self.as_of.load(Ordering::Relaxed)))
+    }
+
+    /// Returns who told it.
+    pub(crate) fn teller(&self) -> Teller {
+        self.teller.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- a/crates/cherrystandd/src/site/attempt.rs
+++ b/crates/cherrystandd/src/site/attempt.rs
@@ -62,6 +62,7 @@
     address: SocketAddr,
     last_event: Option<u64>,
 ) -> Result<(Parts, PooledBody), AttemptEnd> {
+    front.note_age_of_news(&flight.target, req);
     let out = req.attempt::<Driver>(&flight.target, last_event, flight.priority, front.now());
     let keep = front.kept_connections(&req.service);
     let answer = tokio::select! {
--- a/crates/cherrystandd/src/site/box_entries.rs
+++ b/crates/cherrystandd/src/site/box_entries.rs
@@ -9,6 +9,7 @@
 use cherrystand_platform::{FormatError, SiteDriver};
 
 use crate::site::Driver;
+use crate::site::box_notes::BoxTurn;
 use crate::site::known::{Departed, Known};
 use crate::site::refused_values::RefusedKind;
 
@@ -61,6 +62,9 @@
             self.list_life(name, &mut known);
         }
         let departed = self.departed.remove(&id).map(|gone| gone.known);
+        if departed.is_some() {
+            self.note_box(BoxTurn::TakenBack, &id, now);
+        }
         let departed = departed.filter(|_| !self.ended_lives.contains(&id));
         if let Some(earlier) = self.boxes.get(&id).or(departed.as_ref()) {
             known.keep_memory_of(earlier);
@@ -72,6 +76,9 @@
         if !self.boxes.contains_key(&id) {
             self.grew = now;
         }
+        if known.leaving && self.boxes.get(&id).is_some_and(|held| !held.leaving) {
+            self.note_box(BoxTurn::Leaves, &id, now);
+        }
         let held = self.boxes.get(&id);
         if !is_cold_news && held.is_some_and(|held| **held == known) {
             return;
@@ -150,9 +157,10 @@
     /// Takes a box out, or keeps it for a while where the store may only have lost its entry.
     pub(super) fn unlist(&mut self, name: &BoxId, now: Millis) {
         let id = self.listed_lives.get(name).filter(|id| self.boxes.contains_key(*id));
-        match id.filter(|_| self.outage.keeps(now)) {
+        match id.filter(|_| self.outage.keeps(now)).cloned() {
             Some(id) => {
-                self.unlisted.insert(id.clone());
+                self.note_box(BoxTurn::Kept, &id, now);
+                self.unlisted.insert(id);
             }
             None => self.take_departure(name, now),
         }
@@ -182,6 +190,7 @@
         if known.member.is_some() && !self.silent.contains_key(&id) {
             self.unasked.push(SiteBox::clone(&known));
         }
+        self.note_box(BoxTurn::TakenOut, &id, now);
         self.departed.insert(id, Departed { known, at: now });
         true
     }
--- /dev/null
+++ b/crates/cherrystandd/src/site/box_notes.rs
@@ -0,0 +1,61 @@
+//! Lines for boxes that come and go, by whose word they do.
+
+use cherrystand_core::{BoxId, LogGate, Millis, Revision};
+
+use crate::site::teller::Teller;
+
+/// How many lines are written each second; a loss of many boxes needs no line for each.
+const LOGGED: u32 = 20;
+
+/// Says what became of a box in the list that a node keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BoxTurn {
+    /// It is listed no more, and kept, as the store may only have lost its entry.
+    Kept,
+    /// It is listed no more, and taken out.
+    TakenOut,
+    /// It was taken out before and is listed again.
+    TakenBack,
+    /// Its entry says that it leaves.
+    Leaves,
+}
+
+impl BoxTurn {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Kept => "kept",
+            Self::TakenOut => "taken out",
+            Self::TakenBack => "taken back",
+            Self::Leaves => "leaves",
+        }
+    }
+}
+
+/// Writes these lines, a bounded number of them.
+#[derive(Debug)]
+pub(super) struct BoxNotes(LogGate);
+
+impl Default for BoxNotes {
+    fn default() -> Self {
+        Self(LogGate::new(LOGGED))
+    }
+}
+
+impl BoxNotes {
+    /// Writes down what became of a box as of a revision of the store, and by whose word.
+    pub(super) fn note(
+        &mut self,
+        turn: BoxTurn,
+        id: &BoxId,
+        teller: &Teller,
+        as_of: Revision,
+        now: Millis,
+    ) {
+        let Some(left_out) = self.0.pass(now) else { return };
+        log::info!(
+            target_box = id.as_str(), turn = turn.as_str(), told_by = teller.to_string(),
+            as_of = as_of.to_string(), left_out = left_out;
+            "what is known of a box changed"
+        );
+    }
+}
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{ChangesSince, Millis, Revision};
+use cherrystand_core::{ChangesSince, Millis, NodeId, Revision};
 use cherrystand_peer::{
     BatchSpan, ChangeCursor, ChangeNews, ChangeQuestion, CodecError, decode, encode,
 };
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::site::Teller;
 use crate::site::control::Control;
 
 /// How long an answer waits for a change; a peer that is frozen is noticed soon after.
@@ -186,6 +187,7 @@
 /// Reads what changed at a peer after a cursor, and takes it in.
 pub(crate) async fn read_changes(
     control: &Control,
+    node: &NodeId,
     peer: SocketAddr,
     cursor: Option<ChangeCursor>,
 ) -> Result<PlaceAtPeer, ChangesError> {
@@ -206,9 +208,10 @@
     let mut changes = news.whole || !batch.is_empty();
     control.timed(|| {
         changes |= control.take_packed_config(news.config.as_deref());
-        control.known.borrow_mut().take_news(&news, &batch, now);
+        let teller = Teller::Peer(node.clone());
+        control.known.borrow_mut().take_news(teller, &news, &batch, now);
     });
-    control.learned(age, changes);
+    control.learned(&Teller::Peer(node.clone()), age, changes);
     let store = (!news.keeps_unlisted).then_some(news.revision);
     Ok(PlaceAtPeer { cursor: news.cursor, store })
 }
@@ -216,13 +219,19 @@
 /// Takes over what a peer knew last, while neither the store nor a reader of it answers this node.
 ///
 /// That says nothing of how the store stands now, and this node decides nothing by it.
-pub(crate) async fn read_copy(control: &Control, peer: SocketAddr) -> Result<(), ChangesError> {
+pub(crate) async fn read_copy(
+    control: &Control,
+    node: NodeId,
+    peer: SocketAddr,
+) -> Result<(), ChangesError> {
     let newer_than = control.known.borrow().revision();
     let question = ChangeQuestion::Copy { newer_than, config: control.config_held() };
     let news = ask(control, peer, &question, ANSWER_WITHIN).await?;
     let now = control.now();
     control.take_packed_config(news.config.as_deref());
-    control.known.borrow_mut().take_copy(&news.batch.unpack()?.records, news.revision, now);
+    let batch = news.batch.unpack()?;
+    let teller = Teller::Peer(node);
+    control.known.borrow_mut().take_copy(teller, &batch.records, news.revision, now);
     control.spread_news();
     Ok(())
 }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -17,7 +17,6 @@
 
 use crate::counted::Counted;
 use crate::kernel::{Duty, Serves};
-use crate::site::Driver;
 use crate::site::box_calls::{ask_unlisted, follow_hints};
 use crate::site::change_sharing::share_changes;
 use crate::site::known::Known;
@@ -25,6 +24,7 @@
 use crate::site::reader_notes::keep_note;
 use crate::site::suspect_notes::keep_suspects;
 use crate::site::watching::{follow_operators, follow_store};
+use crate::site::{Driver, Teller};
 use crate::state::{StateEvent, View};
 use crate::{DutyContext, DutyError, StopPhase, keys};
 
@@ -166,9 +166,10 @@
         self.wake.notify_one();
     }
 
-    /// Takes note of news that the store gave `age` ago, and has it looked at.
-    pub(crate) fn learned(&self, age: Millis, changes: bool) {
+    /// Takes note of news that the store gave `age` ago and `teller` passed on, and has it looked at.
+    pub(crate) fn learned(&self, teller: &Teller, age: Millis, changes: bool) {
         let at = self.now() - age;
+        self.cx.news_heard.told(at, teller);
         self.update_reach(|reach| reach.told(at));
         if changes {
             self.spread_news();
--- a/crates/cherrystandd/src/site/front.rs
+++ b/crates/cherrystandd/src/site/front.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, Millis, Outcome, PeersTell,
-    Route, Seed, ServiceName, SiteView, Standstill, StreamEnd, engine_priority, kept_connections,
+    AttemptEnd, BoxId, Chooser, EngineLoad, Expected, LEAST_SILENCE, LogGate, Millis, Outcome,
+    PeersTell, Route, Seed, ServiceName, SiteView, Standstill, StreamEnd, engine_priority,
+    kept_connections,
 };
 use cherrystand_platform::{EndpointPool, HeldBytes};
 
@@ -26,6 +27,12 @@
 /// A look that takes this long tells that the thread was busy; looks are 40 ms apart.
 const BUSY: Millis = Millis(100);
 
+/// News of the store that is older than this at a send is written down; usual is a tenth of it.
+const OLD_NEWS: Millis = Millis(1_000);
+
+/// How many such lines are written each second.
+const OLD_NEWS_LOGGED: u32 = 5;
+
 /// A request that comes within this time after the daemon's start waits until the daemon knows what
 /// is in service, as long as its readers may take to tell it.
 ///
@@ -72,6 +79,7 @@
     /// Where failed requests are written down.
     pub(crate) failures: FailureLog,
     pub(super) wish_notes: WishNotes,
+    old_news: RefCell<LogGate>,
     /// Requests that were at boxes as these ended.
     pub(crate) crashes: Rc<CrashWatch>,
     /// What peers have in flight.
@@ -96,6 +104,7 @@
             repeats: RetryShares::new(cx.clone(), loads.clone()),
             failures: FailureLog::new(cx.clock),
             wish_notes: WishNotes::new(cx.clock, cx.metrics.clone()),
+            old_news: RefCell::new(LogGate::new(OLD_NEWS_LOGGED)),
             crashes,
             seed: Cell::new(Seed::new(clock::unix_millis())),
             loads,
@@ -222,6 +231,22 @@
         Some(flight)
     }
 
+    /// Counts how old what this node knows of the store is as it sends a request, and writes it down where that is
+    /// old: an endpoint that leaves gets requests for as long.
+    pub(super) fn note_age_of_news(&self, target: &BoxId, req: &SiteRequest) {
+        let age = self.cx.news_heard.age(self.now());
+        self.cx.metrics.news_age_at_send.observe(age.as_secs_f64());
+        if age < OLD_NEWS {
+            return;
+        }
+        let Some(left_out) = self.old_news.borrow_mut().pass(self.now()) else { return };
+        log::info!(
+            target_box = target.as_str(), request = req.facts.id.as_deref(), age_ms = age.0,
+            told_by = self.cx.news_heard.teller().to_string(), left_out = left_out;
+            "a request is sent by old news of the store"
+        );
+    }
+
     /// Tells whether this thread came back so late to a look begun at `looked` that it has yet to
     /// read what arrived meanwhile.
     pub(crate) fn was_busy(&self, looked: Millis) -> bool {
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -14,10 +14,12 @@
 
 use crate::keys;
 use crate::site::Driver;
+use crate::site::box_notes::{BoxNotes, BoxTurn};
 use crate::site::domain_records::DomainRecords;
 use crate::site::emptied_zones::EmptiedZonesHeld;
 use crate::site::held_suspects::HeldSuspects;
 use crate::site::refused_values::{RefusedKind, RefusedValues};
+use crate::site::teller::Teller;
 
 /// For how long a box that is listed no more is remembered.
 const DEPARTED_FOR: Millis = Millis(12_000);
@@ -80,6 +82,9 @@
     pub(super) unlisted: BTreeSet<BoxId>,
     /// The revision up to which the entries are known.
     revision: Revision,
+    /// Who tells what is being taken in.
+    pub(super) teller: Teller,
+    box_notes: BoxNotes,
     /// What changed lately, for peers that read from this node.
     pub(super) log: ChangeLog,
 }
@@ -113,6 +118,7 @@
 
     /// Takes in what changed in the store.
     pub(crate) fn take_changes(&mut self, changes: &Changes, now: Millis) {
+        self.teller = Teller::Store;
         self.outage.answered(now);
         self.take_zone_changes(changes, now);
         for record in &changes.records {
@@ -128,6 +134,7 @@
 
     /// Takes in all boxes that are listed now.
     pub(crate) fn take_list(&mut self, list: &[Document], revision: Revision, now: Millis) {
+        self.teller = Teller::Store;
         self.outage.answered(now);
         for name in self.not_in(list) {
             self.unlist(&name, now);
@@ -136,7 +143,14 @@
     }
 
     /// Takes in a peer's copy of all boxes, which says nothing of whether the store answers.
-    pub(crate) fn take_copy(&mut self, list: &[Document], revision: Revision, now: Millis) {
+    pub(crate) fn take_copy(
+        &mut self,
+        teller: Teller,
+        list: &[Document],
+        revision: Revision,
+        now: Millis,
+    ) {
+        self.teller = teller;
         for name in self.not_in(list) {
             self.take_departure(&name, now);
         }
@@ -147,11 +161,18 @@
     /// Takes in what a peer that reads the store passes on.
     ///
     /// The peer has judged which boxes to keep after an outage of the store.
-    pub(crate) fn take_news(&mut self, news: &ChangeNews, batch: &ChangesSince, now: Millis) {
+    pub(crate) fn take_news(
+        &mut self,
+        teller: Teller,
+        news: &ChangeNews,
+        batch: &ChangesSince,
+        now: Millis,
+    ) {
         self.outage.answered_peer(now - news.store_age);
         if news.whole {
-            return self.take_copy(&batch.records, news.revision, now);
+            return self.take_copy(teller, &batch.records, news.revision, now);
         }
+        self.teller = teller;
         for record in &batch.records {
             self.take_record(record, now);
         }
@@ -183,6 +204,11 @@
         }
     }
 
+    /// Writes down what became of a box by what is being taken in.
+    pub(super) fn note_box(&mut self, turn: BoxTurn, id: &BoxId, now: Millis) {
+        self.box_notes.note(turn, id, &self.teller, self.revision, now);
+    }
+
     /// Takes in the record of requests that end replicas, unless a later one is held.
     pub(crate) fn take_suspects(&mut self, copy: &Document) {
         match self.suspects.take(copy) {
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod box_calls;
 mod box_entries;
+mod box_notes;
 mod capacity;
 mod change_sharing;
 mod control;
@@ -32,6 +33,7 @@
 mod retry_shares;
 mod stream_run;
 mod suspect_notes;
+mod teller;
 mod trials;
 mod tries;
 mod watching;
@@ -40,6 +42,7 @@
 
 pub(crate) use hint::Hint;
 pub(crate) use refused_values::RefusedKind;
+pub(crate) use teller::Teller;
 
 /// The platform that is spoken to.
 pub(crate) type Driver = cherrystand_site::Site;
--- a/crates/cherrystandd/src/site/peer_choice.rs
+++ b/crates/cherrystandd/src/site/peer_choice.rs
@@ -73,11 +73,11 @@
 
     /// Returns any peer of this zone, or of another where there is none.
     pub(crate) fn near(&self) -> Option<SocketAddr> {
-        self.draw(false)
+        self.draw(false).map(|(_, address)| address)
     }
 
     /// Returns any peer, the near ones more often.
-    pub(crate) fn any(&self) -> Option<SocketAddr> {
+    pub(crate) fn any(&self) -> Option<(NodeId, SocketAddr)> {
         let far = self.below(FAR_COPY_EVERY) == 0;
         self.draw(far)
     }
@@ -87,14 +87,15 @@
         pause / 2 + Duration::from_millis(self.below(pause.as_millis() as usize) as u64)
     }
 
-    fn draw(&self, far: bool) -> Option<SocketAddr> {
+    fn draw(&self, far: bool) -> Option<(NodeId, SocketAddr)> {
         let view = self.cx.view_now();
         let others = view.alive().filter(|beat| beat.node != view.own.node);
         let others: Vec<&Heartbeat> = others.filter(|beat| beat.changes.is_some()).collect();
         let near = others.iter().copied().filter(|beat| beat.zone == view.own.zone);
         let near: Vec<&Heartbeat> = near.collect();
         let from = if far || near.is_empty() { others } else { near };
-        from.get(self.below(from.len()))?.changes
+        let drawn = from.get(self.below(from.len()))?;
+        Some((drawn.node.clone(), drawn.changes?))
     }
 
     fn below(&self, bound: usize) -> usize {
--- a/crates/cherrystandd/src/site/reader_notes.rs
+++ b/crates/cherrystandd/src/site/reader_notes.rs
@@ -126,7 +126,7 @@
 }
 
 async fn ask_once(control: &Control, reader: &NotedReader) -> Option<Started> {
-    match read_changes(control, reader.changes, None).await {
+    match read_changes(control, &reader.node, reader.changes, None).await {
         Ok(place) => Some(Started { reader: reader.clone(), place }),
         Err(err) => {
             log::debug!(reader = reader.node.as_str(); "no source of changes yet: {err}");
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -9,10 +9,10 @@
 use cherrystand_platform::{KeyValue, PlatformError, SiteDriver};
 
 use crate::keys;
-use crate::site::Driver;
 use crate::site::change_sharing::{ChangesError, PlaceAtPeer, read_changes, read_copy};
 use crate::site::control::Control;
 use crate::site::reader_notes::{Start, start_by_note};
+use crate::site::{Driver, Teller};
 
 /// How long one watch waits for a change.
 const WATCH_FOR: Duration = Duration::from_millis(1_000);
@@ -139,7 +139,7 @@
 
     async fn of_peer(&mut self, control: &Control, peer: NodeId, address: SocketAddr) {
         let after = cursor_at(self.place.as_ref(), &peer);
-        match read_changes(control, address, after).await {
+        match read_changes(control, &peer, address, after).await {
             Ok(read) => {
                 self.place = Some(Place::Peer(peer, read));
                 let between = control.peers.between_questions().max(LEAST_BETWEEN);
@@ -167,10 +167,10 @@
 
 /// Takes over what some peer knew last, where this node has heard nothing for long.
 async fn take_copy(control: &Control) {
-    let Some(peer) = control.peers.any().filter(|_| control.store_is_silent()) else {
+    let Some((node, peer)) = control.peers.any().filter(|_| control.store_is_silent()) else {
         return;
     };
-    if let Err(err) = read_copy(control, peer).await {
+    if let Err(err) = read_copy(control, node, peer).await {
         log::debug!("a peer has no newer copy of what the store told: {err}");
     }
 }
@@ -249,7 +249,7 @@
     known.take_list(&boxes.records, boxes.revision, now);
     drop(known);
     control.store_reached();
-    control.learned(Millis(0), true);
+    control.learned(&Teller::Store, Millis(0), true);
     // The first of the three reads counts: what changed after it comes again.
     Ok(records.revision)
 }
@@ -262,7 +262,7 @@
     control.store_reached();
     // Most answers of a watch hold heartbeats that say nothing new.
     let news = control.known.borrow().changes() != before;
-    control.learned(Millis(0), news);
+    control.learned(&Teller::Store, Millis(0), news);
     // Orders that failed are sent again, and closings run out, without any news of boxes.
     control.wake.notify_one();
     Ok(revision)
