--- a/crates/cherrystand_testkit/src/site/site_box.rs
+++ b/crates/cherrystand_testkit/src/site/site_box.rs
@@ -58,6 +58,8 @@
     /// Until when it is cold, and whether its entry tells so.
     pub(super) cold: Option<(Instant, ColdTold)>,
     pub(super) mood: BoxMood,
+    /// Whether its entry says that it leaves.
+    pub(super) drains: bool,
     pub(super) wishes: BoxWishes,
     /// How many requests came that it could turn away.
     pub(super) asked: usize,
@@ -88,6 +90,7 @@
             zone,
             cold: None,
             mood: BoxMood::Well,
+            drains: false,
             wishes: BoxWishes::default(),
             asked: 0,
             answers: 0,
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -215,6 +215,14 @@
         }
     }
 
+    /// Has a box's entry say that it leaves, while it serves on.
+    pub fn drain(&self, id: &str) {
+        if let Some(held) = self.world.borrow_mut().boxes.get_mut(id) {
+            held.drains = true;
+        }
+        self.tell(id);
+    }
+
     /// Lists a box again as it is.
     pub fn list(&self, id: &str) {
         self.tell(id);
@@ -344,10 +352,11 @@
         let cold = held.cold.filter(|(_, told)| *told == ColdTold::Entry);
         let cold_left = cold.map(|(until, _)| until.saturating_duration_since(Instant::now()));
         let cold_left = cold_left.unwrap_or_default().as_millis() as u64;
+        let state = if held.drains { "draining" } else { "ready" };
         let loaded = held.held.is_some().then(|| held.staged.clone()).flatten();
         let mut entry = json!({
             "service": held.service, "address": held.address.to_string(), "zone": held.zone,
-            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": cold_left, "seq_no": 0,
+            "version": "v1", "slots": 8, "state": state, "cold_left_ms": cold_left, "seq_no": 0,
             "domain": (held.service == "models").then(|| format!("{}-d0", held.zone)),
             "staged": held.staged.iter().collect::<Vec<_>>(), "group": group,
             "models": loaded.iter().map(|name| json!({"name": name})).collect::<Vec<_>>(),
--- a/crates/cherrystand_testkit/src/soak/link.rs
+++ b/crates/cherrystand_testkit/src/soak/link.rs
@@ -30,11 +30,28 @@
     SilentBack,
 }
 
+/// What holds for all connections of a link.
+#[derive(Debug, Default)]
+struct LinkState {
+    mode: Cell<LinkMode>,
+    /// How many connections there have been.
+    opened: Cell<u64>,
+    /// The first connections, up to this one, carry nothing any more.
+    hushed: Cell<u64>,
+}
+
+impl LinkState {
+    /// Tells whether a connection carries nothing one way for now.
+    fn is_silent(&self, number: u64, way: LinkMode) -> bool {
+        number <= self.hushed.get() || self.mode.get() == way
+    }
+}
+
 /// A link: a listener, what is behind it, and the connections that it carries.
 #[derive(Clone)]
 pub struct Link {
     address: SocketAddr,
-    mode: Rc<Cell<LinkMode>>,
+    state: Rc<LinkState>,
     conns: Rc<RefCell<Vec<JoinHandle<()>>>>,
 }
 
@@ -47,7 +64,7 @@
     pub async fn open(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let link =
-            Self { address: listener.local_addr()?, mode: Rc::default(), conns: Rc::default() };
+            Self { address: listener.local_addr()?, state: Rc::default(), conns: Rc::default() };
         tokio::task::spawn_local(link.clone().accept(listener, target));
         Ok(link)
     }
@@ -59,7 +76,12 @@
 
     /// Says what it does from now on.
     pub fn set(&self, mode: LinkMode) {
-        self.mode.set(mode);
+        self.state.mode.set(mode);
+    }
+
+    /// Has all connections that it carries now say nothing for good, without an end; new ones work.
+    pub fn hush(&self) {
+        self.state.hushed.set(self.state.opened.get());
     }
 
     /// Breaks all its connections.
@@ -69,8 +91,9 @@
 
     async fn accept(self, listener: TcpListener, target: SocketAddr) {
         while let Ok((near, _)) = listener.accept().await {
-            let mode = self.mode.clone();
-            let conn = tokio::task::spawn_local(carry(near, target, mode));
+            let state = self.state.clone();
+            state.opened.set(state.opened.get() + 1);
+            let conn = tokio::task::spawn_local(carry(near, target, state));
             let mut conns = self.conns.borrow_mut();
             conns.retain(|conn| !conn.is_finished());
             conns.push(conn);
@@ -78,14 +101,15 @@
     }
 }
 
-async fn carry(near: TcpStream, target: SocketAddr, mode: Rc<Cell<LinkMode>>) {
+async fn carry(near: TcpStream, target: SocketAddr, state: Rc<LinkState>) {
+    let number = state.opened.get();
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
     let (near_read, near_write) = near.into_split();
     let (far_read, far_write) = far.into_split();
-    let there = pass(near_read, far_write, mode.clone(), LinkMode::SilentThere);
-    let back = pass(far_read, near_write, mode, LinkMode::SilentBack);
+    let there = pass(near_read, far_write, &state, number, LinkMode::SilentThere);
+    let back = pass(far_read, near_write, &state, number, LinkMode::SilentBack);
     tokio::join!(there, back);
 }
 
@@ -93,16 +117,17 @@
 async fn pass(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mode: Rc<Cell<LinkMode>>,
-    silent: LinkMode,
+    state: &LinkState,
+    number: u64,
+    way: LinkMode,
 ) {
     let mut buf = vec![0; CHUNK];
     loop {
         let read = from.read(&mut buf).await.unwrap_or(0);
-        while mode.get() == silent {
+        while state.is_silent(number, way) {
             tokio::time::sleep(LOOK_EVERY).await;
         }
-        if let LinkMode::Slow(by) = mode.get() {
+        if let LinkMode::Slow(by) = state.mode.get() {
             tokio::time::sleep(by).await;
         }
         if read == 0 || to.write_all(&buf[..read]).await.is_err() {
--- a/crates/cherrystandd/tests/support/site.rs
+++ b/crates/cherrystandd/tests/support/site.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cherrystand_testkit::{NodeSettings, SiteStandIn, site_config};
+use cherrystand_testkit::{Link, NodeSettings, SiteStandIn, site_config};
 use hyper::StatusCode;
 use serde_json::Value;
 
@@ -24,6 +24,9 @@
 /// How long a daemon is waited for until it serves.
 const WARM_WITHIN: Duration = Duration::from_secs(2);
 
+/// Within this time a daemon that reads the store asks it more often than any other one.
+const READS_WITHIN: Duration = Duration::from_millis(2_500);
+
 /// How long a request may be held, in milliseconds.
 const TIMEOUT_MS: u64 = 6_000;
 
@@ -43,6 +46,8 @@
 pub(crate) struct Site {
     pub(crate) site: SiteStandIn,
     pub(crate) nodes: Vec<Node>,
+    /// The link of each daemon to the store.
+    pub(crate) store_links: Vec<Link>,
 }
 
 impl Site {
@@ -55,10 +60,12 @@
     async fn start_with(daemons: usize, retry_slack: f64) -> Self {
         let site = SiteStandIn::new();
         let all = free_addresses(daemons * NODE_ADDRESSES);
-        let mut nodes = Vec::new();
+        let (mut nodes, mut store_links) = (Vec::new(), Vec::new());
         for (number, own) in all.chunks(NODE_ADDRESSES).enumerate() {
             let door = site.open_door().await.expect("a door");
-            nodes.push(start_node(number, own, all[3], door, true, retry_slack));
+            let link = Link::open(door).await.expect("a link");
+            nodes.push(start_node(number, own, all[3], link.address(), true, retry_slack));
+            store_links.push(link);
         }
         for id in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
             site.add_box(id, "models").await.expect("a box");
@@ -66,7 +73,7 @@
         for id in ["a-1", "a-2"] {
             site.add_box(id, "app").await.expect("an endpoint");
         }
-        Self { site, nodes }
+        Self { site, nodes, store_links }
     }
 
     /// Starts daemons before a site of two availability zones with two replicas and an endpoint each.
@@ -110,8 +117,31 @@
     pub(crate) async fn start_again(&mut self, seed: SocketAddr) {
         let own = free_addresses(NODE_ADDRESSES);
         let door = self.site.open_door().await.expect("a door");
+        let link = Link::open(door).await.expect("a link");
         let number = self.nodes.len();
-        self.nodes.push(start_node(number, &own, seed, door, false, RETRY_SLACK));
+        self.nodes.push(start_node(number, &own, seed, link.address(), false, RETRY_SLACK));
+        self.store_links.push(link);
+    }
+
+    /// Returns the daemon that reads the store for the others: it alone asks all the while.
+    pub(crate) async fn reader(&self) -> usize {
+        let before = self.store_calls().await;
+        tokio::time::sleep(READS_WITHIN).await;
+        let after = self.store_calls().await;
+        let calls = |number: &usize| after[*number] - before[*number];
+        (0..self.nodes.len()).max_by_key(calls).expect("a daemon")
+    }
+
+    async fn store_calls(&self) -> Vec<u64> {
+        let mut calls = Vec::new();
+        for node in &self.nodes {
+            let told = call_at(node.operators, "GET", "/metrics", &[], "").await.text();
+            let lines =
+                told.lines().filter(|line| line.contains("platform_calls_total{duty=\"site\""));
+            let counts = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+            calls.push(counts.sum());
+        }
+        calls
     }
 
     /// Puts a configuration in force and waits until everything serves.
