fix: a daemon that stood still, or was cut off, does not take that for an outage of the store

Callers saw nothing; endpoints whose entries had gone got requests for 2.2 s more, and from others that read from the daemon.

Cause: StoreOutage counted the time without an answer by the clock, and a call that ran out counted as a failure of the store, though the daemon had not listened meanwhile. One that was cut off alone could not tell that from an outage and asked nobody.

Mend: silence counts only while the daemon is awake (AwakeTime), and a call or question that ran out while it stood still blames nobody. Where boxes are kept after a real silence, up to two peers are asked since when the store has answered them without a break; one that listened all the while decides. It holds as the daemon's own clock and ticks tell how long it ran, whoever else is there.

The case of the cut is played in the decision alone: between processes the daemon reads from a peer before it reads the store again.

--- a/crates/cherrystand_core/tests/readers.rs
+++ b/crates/cherrystand_core/tests/readers.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, ChangeLog, ChangesSince, Document, Heartbeat, Millis, READERS_PER_ZONE, RELAYS_PER_ZONE,
-    Revision, Source, SourceChooser, StoreOutage, StoreReach, ZoneId, between_questions,
-    between_watches, branches_of, readers_of, relays_of,
+    AwakeTime, BoxId, ChangeLog, ChangesSince, Document, Heartbeat, Millis, READERS_PER_ZONE,
+    RELAYS_PER_ZONE, Revision, Source, SourceChooser, StoreOutage, StoreReach, ZoneId,
+    between_questions, between_watches, branches_of, readers_of, relays_of,
 };
 use support::heartbeat;
 
@@ -215,65 +215,126 @@
     }
 }
 
+/// Story: daemons that had stood still for 2 s took that for an outage of the store and kept boxes that had left.
 #[test]
 fn what_went_in_an_outage_is_kept_for_as_long_as_entries_take_to_come_back() {
-    /// What happened to the store, and when.
+    /// What happened, and when.
     #[derive(Clone, Copy)]
     enum Event {
         Answered(u64),
         AnsweredPeer(u64),
-        Failed,
+        Failed(u64),
+        /// The daemon stood still up to a time.
+        StoodStill(u64),
+        /// A peer says that the store answered it all the while.
+        WasNone,
     }
     struct Case {
         name: &'static str,
         events: &'static [Event],
         at: u64,
         keeps: bool,
+        /// For how long a peer is asked whether the store answered it.
+        doubts: Option<u64>,
     }
-    use Event::{Answered, AnsweredPeer, Failed};
+    use Event::{Answered, AnsweredPeer, Failed, StoodStill, WasNone};
+    let case = Case { name: "", events: &[], at: 0, keeps: false, doubts: None };
     let cases = [
-        Case {
-            name: "never out",
-            events: &[Answered(1_000), Answered(2_000)],
-            at: 2_000,
-            keeps: false,
-        },
+        Case { name: "never out", events: &[Answered(1_000), Answered(2_000)], at: 2_000, ..case },
         Case {
             name: "long silent",
             events: &[Answered(1_000), Answered(3_900)],
             at: 4_000,
             keeps: true,
+            doubts: Some(2_900),
         },
         Case {
             name: "failed once",
-            events: &[Answered(1_000), Failed, Answered(1_200)],
+            events: &[Answered(1_000), Failed(1_100), Answered(1_200)],
             at: 3_399,
             keeps: true,
+            doubts: Some(200),
         },
         Case {
             name: "and back",
-            events: &[Answered(1_000), Failed, Answered(1_200)],
+            events: &[Answered(1_000), Failed(1_100), Answered(1_200)],
             at: 3_400,
-            keeps: false,
+            doubts: Some(200),
+            ..case
         },
-        Case { name: "still out", events: &[Answered(1_000), Failed], at: 1_100, keeps: false },
+        Case { name: "still out", events: &[Answered(1_000), Failed(1_050)], at: 1_100, ..case },
         Case {
             name: "a peer judges",
-            events: &[Failed, AnsweredPeer(5_000)],
+            events: &[Failed(4_900), AnsweredPeer(5_000)],
             at: 5_100,
-            keeps: false,
+            ..case
+        },
+        Case {
+            name: "stood still for longer than any silence",
+            events: &[Answered(1_000), StoodStill(9_000), Answered(9_010)],
+            at: 9_020,
+            ..case
+        },
+        Case {
+            name: "a call ran out meanwhile",
+            events: &[Answered(1_000), StoodStill(3_000), Failed(3_000), Answered(3_200)],
+            at: 3_210,
+            ..case
+        },
+        Case {
+            name: "the store was out as well",
+            events: &[
+                Answered(1_000),
+                StoodStill(3_000),
+                Failed(3_000),
+                Failed(3_300),
+                Answered(3_600),
+            ],
+            at: 3_610,
+            keeps: true,
+            doubts: Some(600),
+        },
+        Case {
+            name: "silent for long before",
+            events: &[Answered(1_000), AnsweredPeer(1_000), StoodStill(1_700), Answered(4_600)],
+            at: 4_610,
+            keeps: true,
+            doubts: Some(3_600),
+        },
+        Case {
+            name: "cut off alone",
+            events: &[Answered(1_000), Failed(2_000), Answered(5_000), WasNone],
+            at: 5_010,
+            doubts: Some(4_000),
+            ..case
         },
     ];
     for case in cases {
         let mut outage = StoreOutage::default();
+        let mut awake_until = 0;
+        let run_until = |outage: &mut StoreOutage, from: u64, until: u64| {
+            let ticks = (from..until).step_by(AwakeTime::TOLD_EVERY.0 as usize);
+            ticks.for_each(|at| outage.awake(Millis(at)));
+        };
         for event in case.events {
-            match event {
-                Answered(at) => outage.answered(Millis(*at)),
-                AnsweredPeer(at) => outage.answered_peer(Millis(*at)),
-                Failed => outage.failed(),
+            match *event {
+                Answered(at) | AnsweredPeer(at) | Failed(at) => {
+                    run_until(&mut outage, awake_until, at);
+                    awake_until = at;
+                }
+                StoodStill(until) => awake_until = until,
+                WasNone => {}
+            }
+            match *event {
+                Answered(at) => outage.answered(Millis(at)),
+                AnsweredPeer(at) => outage.answered_peer(Millis(at), Millis(0), Millis(at)),
+                Failed(at) => _ = outage.failed(Millis(at)),
+                StoodStill(_) => {}
+                WasNone => outage.was_none(),
             }
         }
         assert_eq!(outage.keeps(Millis(case.at)), case.keeps, "{}", case.name);
+        assert_eq!(outage.take_doubt(), case.doubts.map(Millis), "{}", case.name);
     }
 }
 
--- a/crates/cherrystand_peer/src/change_news.rs
+++ b/crates/cherrystand_peer/src/change_news.rs
@@ -47,6 +47,8 @@
     pub cursor: ChangeCursor,
     /// How long ago the store was known to answer.
     pub store_age: Millis,
+    /// For how long the store has answered the sender, or whom it reads from, without a break.
+    pub steady_for: Millis,
     /// How long the sender held the answer back since there was nothing to tell; the rest of the
     /// time until it arrives was spent on the way and in both daemons.
     pub held: Millis,
--- a/crates/cherrystand_peer/src/message.rs
+++ b/crates/cherrystand_peer/src/message.rs
@@ -9,7 +9,7 @@
 use crate::packed_body::{compress, decompress};
 
 /// The version of the messages; daemons that differ refuse each other's.
-pub const PROTOCOL: u16 = 8;
+pub const PROTOCOL: u16 = 9;
 
 /// What a daemon says of itself when it asks a peer for news.
 ///
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{ChangesSince, Millis, NodeId, Revision};
+use cherrystand_core::{AwakeTime, ChangesSince, Millis, NodeId, Revision};
 use cherrystand_peer::{
     BatchSpan, ChangeCursor, ChangeNews, ChangeQuestion, CodecError, decode, encode,
 };
@@ -49,6 +49,9 @@
     /// The answer is not of this protocol.
     #[error("the peer's answer cannot be read")]
     Malformed(#[from] CodecError),
+    /// This daemon stood still meanwhile, which says nothing of the peer.
+    #[error("this daemon stood still while it waited")]
+    StoodStill,
     /// The answer is too old, or the store last answered the peer too long ago.
     #[error("the answer is too old; the store had answered the peer {} ms before", .0.0)]
     Stale(Millis),
@@ -166,6 +169,7 @@
     Ok(ChangeNews {
         cursor: ChangeCursor { life: control.life(), count: known.changes() },
         store_age,
+        steady_for: known.steady_for(control.now()),
         held: Millis(0),
         revision: known.revision(),
         keeps_unlisted: known.keeps_unlisted(),
@@ -194,11 +198,15 @@
     let asked = control.now();
     let within = Duration::from_millis(WAIT.0) + ANSWER_WITHIN;
     let question = ChangeQuestion::After { cursor, wait: WAIT, config: control.config_held() };
-    let news = ask(control, peer, &question, within).await?;
+    let answer = ask(control, peer, &question, within).await;
     let now = control.now();
     // An answer that lay unread while this process stood still says nothing of now.
+    if now.since(asked) > Millis(within.as_millis() as u64) + AwakeTime::UNNOTICED {
+        return Err(ChangesError::StoodStill);
+    }
+    let news = answer?;
     let age = news.store_age;
-    if age > STORE_FRESH || now.since(asked) > Millis(within.as_millis() as u64) {
+    if age > STORE_FRESH {
         return Err(ChangesError::Stale(age));
     }
     let way = now.since(asked).0.saturating_sub(news.held.0);
@@ -236,6 +244,28 @@
     Ok(())
 }
 
+/// Asks a peer whether the store answered it all the while that it was silent here; then what that peer lists no
+/// more is gone.
+pub(crate) async fn ask_witness(
+    control: &Control,
+    node: NodeId,
+    peer: SocketAddr,
+    silence: Millis,
+) -> Result<bool, ChangesError> {
+    let question = ChangeQuestion::Copy { newer_than: Revision(0), config: control.config_held() };
+    let news = ask(control, peer, &question, ANSWER_WITHIN).await?;
+    let was_none = news.store_age <= STORE_FRESH && news.steady_for > silence;
+    if was_none {
+        let batch = news.batch.unpack()?;
+        let mut known = control.known.borrow_mut();
+        known.store_was_there();
+        known.take_copy(Teller::Peer(node), &batch.records, news.revision, control.now());
+        drop(known);
+        control.spread_news();
+    }
+    Ok(was_none)
+}
+
 /// Asks a peer for nothing but an answer.
 ///
 /// # Errors
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -23,7 +23,7 @@
 use crate::site::peer_choice::PeerChoice;
 use crate::site::reader_notes::keep_note;
 use crate::site::suspect_notes::keep_suspects;
-use crate::site::watching::{follow_operators, follow_store};
+use crate::site::watching::{follow_operators, follow_store, stay_awake};
 use crate::site::{Driver, Teller};
 use crate::state::{StateEvent, View};
 use crate::{DutyContext, DutyError, StopPhase, keys};
@@ -60,6 +60,7 @@
             .map_err(|source| DutyError::Listen { address, source })?;
         tokio::task::spawn_local(share_changes(control.clone(), listener));
         tokio::task::spawn_local(follow_store(control.clone()));
+        tokio::task::spawn_local(stay_awake(control.clone()));
         tokio::task::spawn_local(follow_operators(control.clone()));
         tokio::task::spawn_local(follow_hints(control.clone()));
         tokio::task::spawn_local(keep_note(control.clone()));
@@ -268,10 +269,13 @@
         }
     }
 
-    /// Notes that the store failed this node.
-    pub(crate) fn store_failed(&self) {
-        self.known.borrow_mut().store_failed();
-        self.store_missed();
+    /// Notes that the store failed this node, and tells whether that says anything of the store.
+    pub(crate) fn store_failed(&self) -> bool {
+        let failed = self.known.borrow_mut().store_failed(self.now());
+        if failed {
+            self.store_missed();
+        }
+        failed
     }
 
     /// Tells whether neither the store nor a reader of it has told this node anything for long.
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -168,7 +168,8 @@
         batch: &ChangesSince,
         now: Millis,
     ) {
-        self.outage.answered_peer(now - news.store_age);
+        let steady_since = now - news.steady_for;
+        self.outage.answered_peer(now - news.store_age, steady_since, now);
         if news.whole {
             return self.take_copy(teller, &batch.records, news.revision, now);
         }
@@ -223,9 +224,29 @@
         self.suspects.get()
     }
 
-    /// Notes that the store does not answer.
-    pub(crate) fn store_failed(&mut self) {
-        self.outage.failed();
+    /// Notes that the store does not answer, and tells whether that says anything of the store.
+    pub(crate) fn store_failed(&mut self, now: Millis) -> bool {
+        self.outage.failed(now)
+    }
+
+    /// Notes that the daemon is awake.
+    pub(crate) fn awake(&mut self, now: Millis) {
+        self.outage.awake(now);
+    }
+
+    /// Returns for how long the store was silent, where a peer is to be asked whether it was out.
+    pub(crate) fn take_doubt(&mut self) -> Option<Millis> {
+        self.keeps_unlisted().then(|| self.outage.take_doubt()).flatten()
+    }
+
+    /// Notes that the store answered others while it was silent here: what it lists no more is gone.
+    pub(crate) fn store_was_there(&mut self) {
+        self.outage.was_none();
+    }
+
+    /// Returns for how long the store has answered without a break.
+    pub(crate) fn steady_for(&self, now: Millis) -> Millis {
+        self.outage.steady_for(now)
     }
 
     /// Takes in a domain's record, unless a later one is held.
--- a/crates/cherrystandd/src/site/watching.rs
+++ b/crates/cherrystandd/src/site/watching.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cherrystand_core::{Millis, NodeId, NotedReader, Revision};
+use cherrystand_core::{AwakeTime, Millis, NodeId, NotedReader, Revision};
 use cherrystand_peer::ChangeCursor;
 use cherrystand_platform::{KeyValue, PlatformError, SiteDriver};
 
 use crate::keys;
-use crate::site::change_sharing::{ChangesError, PlaceAtPeer, read_changes, read_copy};
+use crate::site::change_sharing::{
+    ChangesError, PlaceAtPeer, ask_witness, read_changes, read_copy,
+};
 use crate::site::control::Control;
 use crate::site::reader_notes::{Start, start_by_note};
 use crate::site::{Driver, Teller};
@@ -36,6 +38,9 @@
 /// How often such a node looks meanwhile whether a peer is a source again.
 const LOOK_FOR_SOURCE: Millis = Millis(250);
 
+/// How many peers are asked whether the store was out.
+const WITNESSES: usize = 2;
+
 /// How long a watch over what operators write alone waits.
 const OPERATORS_WATCH_FOR: Duration = Duration::from_secs(15);
 
@@ -123,12 +128,19 @@
                     true => control.peers.between_watches().max(LEAST_BETWEEN),
                     false => LEAST_BETWEEN_OF_OTHERS,
                 };
+                let silence = control.known.borrow_mut().take_doubt();
+                if let Some(silence) = silence {
+                    ask_whether_out(control, silence).await;
+                }
                 tokio::time::sleep(control.rest_after_reading(between)).await;
             }
             Err(PlatformError::Forgotten) => self.place = None,
             Err(err) => {
+                if !control.store_failed() {
+                    log::info!("this daemon stood still while it read the store: {err}");
+                    return;
+                }
                 log::warn!("the store could not be read: {err}");
-                control.store_failed();
                 take_copy(control).await;
                 pause_for_store(control, self.pause).await;
                 let longest = if reads { LONGEST_PAUSE } else { LONGEST_PAUSE_OF_OTHERS };
@@ -145,6 +157,9 @@
                 let between = control.peers.between_questions().max(LEAST_BETWEEN);
                 tokio::time::sleep(control.rest_after_reading(between)).await;
             }
+            Err(err @ ChangesError::StoodStill) => {
+                log::info!(peer = peer.as_str(); "the peer is asked again: {err}");
+            }
             Err(err) => {
                 log::warn!(peer = peer.as_str(); "a peer is no source of changes: {err}");
                 let answered = matches!(err, ChangesError::NotServed(_));
@@ -156,6 +171,32 @@
     }
 }
 
+/// Asks peers whether the store was out at all, which this daemon cannot tell from a cut of its own.
+async fn ask_whether_out(control: &Control, silence: Millis) {
+    for _ in 0..WITNESSES {
+        let Some((node, peer)) = control.peers.any() else { return };
+        match ask_witness(control, node.clone(), peer, silence).await {
+            Ok(true) => {
+                log::info!(
+                    silence_ms = silence.0, witness = node.as_str();
+                    "the store was not out; this daemon was cut off from it"
+                );
+                return;
+            }
+            Ok(false) => {}
+            Err(err) => log::debug!("a peer does not tell whether the store was out: {err}"),
+        }
+    }
+}
+
+/// Says that the daemon is awake, for as long as the duty runs.
+pub(crate) async fn stay_awake(control: Rc<Control>) {
+    loop {
+        control.known.borrow_mut().awake(control.now());
+        tokio::time::sleep(Duration::from_millis(AwakeTime::TOLD_EVERY.0)).await;
+    }
+}
+
 /// Pauses before the store is asked again, until a peer is a source at the longest.
 async fn pause_for_store(control: &Control, pause: Duration) {
     let clock = control.cx.clock;
