fix: a box that is gone is not taken back by an older copy, nor taken out by one from before it came

Callers saw nothing; requests reached endpoints 3.2 s after their entries had gone, also by daemons that had taken them out.

Cause: what is written has a revision, what is gone had none. Whoever read everything from a peer took back the entry that it had itself seen go, at the same revision; and a box that a copy lacked went, though it had come later than the copy.

Mend: absences have a place in the order (Absences): an entry of a revision at which it is known to be gone is passed over, and a copy takes out only what is not newer than itself. A box that comes again writes a later revision, so that nothing is kept out that is there.

Looked for the same elsewhere: LeavingLives forgets none but by number; evacuated zones are held as of a revision already.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -70,6 +70,7 @@
 }
 
 mod nodes {
+    pub(crate) mod absences;
     pub(crate) mod awake_time;
     pub(crate) mod call_book;
     pub(crate) mod change_log;
@@ -165,6 +166,7 @@
     BoxId, DomainId, GroupId, NameError, NodeId, PlanId, RegionId, ReplicaId, ServiceName,
     WorkspaceId, ZoneId,
 };
+pub use nodes::absences::Absences;
 pub use nodes::awake_time::AwakeTime;
 pub use nodes::call_book::{CallBook, CallState, OpenCall};
 pub use nodes::change_log::{ChangeLog, ChangesSince};
--- a/crates/cherrystandd/src/site/box_entries.rs
+++ b/crates/cherrystandd/src/site/box_entries.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use cherrystand_core::{BoxId, Document, DomainId, Millis, ServiceName, SiteBox};
+use cherrystand_core::{BoxId, Document, DomainId, Millis, Revision, ServiceName, SiteBox};
 use cherrystand_platform::{FormatError, SiteDriver};
 
 use crate::site::Driver;
@@ -17,7 +17,7 @@
     pub(super) fn take_entry(&mut self, entry: &Document, now: Millis) {
         let name = BoxId::new(entry.key.strip_prefix(Driver::BOXES).unwrap_or_default());
         let older = |held: &Document| held.revision >= entry.revision;
-        if self.entries.get(&name).is_some_and(older) {
+        if self.absences.hide(&name, entry.revision) || self.entries.get(&name).is_some_and(older) {
             return;
         }
         self.entries.insert(name.clone(), entry.clone());
@@ -154,19 +154,25 @@
         self.entries.insert(name.clone(), hidden);
     }
 
-    /// Takes a box out, or keeps it for a while where the store may only have lost its entry.
-    pub(super) fn unlist(&mut self, name: &BoxId, now: Millis) {
+    /// Takes a box out that is listed no more as of a revision, or keeps it for a while where the store may only
+    /// have lost its entry.
+    pub(super) fn unlist(&mut self, name: &BoxId, as_of: Revision, now: Millis) {
         let id = self.listed_lives.get(name).filter(|id| self.boxes.contains_key(*id));
         match id.filter(|_| self.outage.keeps(now)).cloned() {
             Some(id) => {
                 self.note_box(BoxTurn::Kept, &id, now);
                 self.unlisted.insert(id);
             }
-            None => self.take_departure(name, now),
+            None => self.take_departure(name, as_of, now),
         }
     }
 
-    pub(super) fn take_departure(&mut self, name: &BoxId, now: Millis) {
+    /// Takes a box out whose entry is gone as of a revision, unless it came later.
+    pub(super) fn take_departure(&mut self, name: &BoxId, as_of: Revision, now: Millis) {
+        if self.entries.get(name).is_some_and(|held| held.revision > as_of) {
+            return;
+        }
+        self.absences.add(name, as_of);
         self.entries.remove(name);
         if let Some(service) = self.lives.forget(name) {
             self.read_again(&service, now);
--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cherrystand_core::{
-    AssignedBoxes, BoxId, BoxLives, ChangeLog, ChangesSince, ColdLives, Document, Epoch,
+    Absences, AssignedBoxes, BoxId, BoxLives, ChangeLog, ChangesSince, ColdLives, Document, Epoch,
     LeavingLives, MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox, SiteView,
     StoreOutage, SuspectRecord,
 };
@@ -43,6 +43,8 @@
     /// What boxes tell of themselves, as it stands in the store, by their names; also what cannot be
     /// read, which hides what stood there before.
     pub(super) entries: BTreeMap<BoxId, Document>,
+    /// As of when entries are gone.
+    pub(super) absences: Absences<BoxId>,
     /// Which lives of boxes entries tell of.
     pub(super) lives: BoxLives,
     /// The life of each box that is listed, by its name.
@@ -126,7 +128,7 @@
         }
         for key in &changes.gone {
             if let Some(name) = key.strip_prefix(Driver::BOXES) {
-                self.unlist(&BoxId::new(name), now);
+                self.unlist(&BoxId::new(name), changes.revision, now);
             }
         }
         self.revision = self.revision.max(changes.revision);
@@ -137,7 +139,7 @@
         self.teller = Teller::Store;
         self.outage.answered(now);
         for name in self.not_in(list) {
-            self.unlist(&name, now);
+            self.unlist(&name, revision, now);
         }
         self.take_all(list, revision, now);
     }
@@ -152,7 +154,7 @@
     ) {
         self.teller = teller;
         for name in self.not_in(list) {
-            self.take_departure(&name, now);
+            self.take_departure(&name, revision, now);
         }
         self.take_copy_of_zones(list, revision, now);
         self.take_all(list, revision, now);
@@ -178,7 +180,7 @@
             self.take_record(record, now);
         }
         for name in &batch.gone {
-            self.take_departure(name, now);
+            self.take_departure(name, news.revision, now);
         }
         self.revision = self.revision.max(news.revision);
     }
@@ -323,7 +325,7 @@
         let changes = self.changes();
         if !self.outage.keeps(now) {
             for id in std::mem::take(&mut self.unlisted) {
-                self.take_departure(&BoxId::new(id.name()), now);
+                self.take_departure(&BoxId::new(id.name()), self.revision, now);
             }
         }
         self.forget_ended_lives();
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -22,6 +22,8 @@
 mod hint;
 mod known;
 mod known_boxes;
+#[cfg(test)]
+mod known_tests;
 mod limit_exchange;
 mod load_exchange;
 mod open_attempts;
