--- a/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::http::{Whole, empty, json as answer, query_number, read_json};
+use crate::http::{Whole, empty, json as told, query_number, read_json};
 
 /// How often a watch that waits looks for changes.
 const LOOK_EVERY: Duration = Duration::from_millis(5);
@@ -39,6 +39,10 @@
     /// Items that are written right after they were first asked for and found missing.
     late: BTreeMap<String, String>,
     calls: u64,
+    /// How often the store came back from a copy, told in all answers once it did.
+    era: u64,
+    /// The copy that it comes back from.
+    copy: Option<(u64, BTreeMap<String, (u64, String)>)>,
 }
 
 /// A store that all nodes share; each node may be given a door of its own.
@@ -131,6 +135,22 @@
         state.changes.clear();
     }
 
+    /// Copies everything as it is, for a drill.
+    pub fn keep_copy(&self) {
+        let mut state = self.state.borrow_mut();
+        state.copy = Some((state.revision, state.items.clone()));
+    }
+
+    /// Comes back from the copy kept: what was written since is gone, revisions are given out again, and the era
+    /// rises. Watches begin anew.
+    pub fn drill(&self) {
+        let mut state = self.state.borrow_mut();
+        let Some((revision, items)) = state.copy.clone() else { return };
+        (state.revision, state.items) = (revision, items);
+        state.changes.retain(|change| change.revision <= revision);
+        state.era += 1;
+    }
+
     /// Lets the next writes be done and not answered.
     pub fn lose_answers(&self, count: u32) {
         self.state.borrow_mut().lose_answers = count;
@@ -141,8 +161,18 @@
         self.state.borrow().calls
     }
 
-    /// Answers one call that came through a door.
+    /// Answers one call that came through a door, and tells the era once it is not the first.
     pub async fn handle(self, door: Door, req: Request<Incoming>) -> Response<Whole> {
+        let state = self.state.clone();
+        let mut answer = self.answer(door, req).await;
+        let era = state.borrow().era;
+        if era > 0 {
+            answer.headers_mut().insert("store-era", era.into());
+        }
+        answer
+    }
+
+    async fn answer(self, door: Door, req: Request<Incoming>) -> Response<Whole> {
         self.state.borrow_mut().calls += 1;
         match door {
             Door::Open => {}
@@ -175,7 +205,7 @@
     fn key(&self, key: &str) -> Response<Whole> {
         let found = self.state.borrow().items.get(key).cloned();
         if let Some((revision, value)) = found {
-            return answer(StatusCode::OK, &item(key, revision, &value));
+            return told(StatusCode::OK, &item(key, revision, &value));
         }
         self.put_late(key);
         empty(StatusCode::NOT_FOUND)
@@ -214,7 +244,7 @@
         let has_more = items.len() > length;
         items.truncate(length);
         let page = json!({"items": items, "has_more": has_more, "timestamp": state.revision});
-        answer(StatusCode::OK, &page)
+        told(StatusCode::OK, &page)
     }
 
     async fn watch(&self, req: &Request<Incoming>) -> Response<Whole> {
@@ -222,10 +252,11 @@
         let since = query_number(req, "since_rev").unwrap_or_default();
         let wait = query_number(req, "wait_ms").unwrap_or_default();
         let until = tokio::time::Instant::now() + Duration::from_millis(wait);
+        let era = self.state.borrow().era;
         loop {
             {
                 let state = self.state.borrow();
-                if since < state.forgotten {
+                if since < state.forgotten || since > state.revision || state.era != era {
                     return empty(StatusCode::GONE);
                 }
                 let new = state.changes.iter().filter(|change| change.revision > since);
@@ -233,7 +264,7 @@
                 let events: Vec<Value> = new.map(event).collect();
                 if !events.is_empty() || tokio::time::Instant::now() >= until {
                     let found = json!({"events": events, "timestamp": state.revision});
-                    return answer(StatusCode::OK, &found);
+                    return told(StatusCode::OK, &found);
                 }
             }
             tokio::time::sleep(LOOK_EVERY).await;
@@ -252,7 +283,7 @@
                 .iter()
                 .map(|row| item(&row.tls_key, revision_of(&row.tls_key), ""))
                 .collect();
-            return answer(StatusCode::PRECONDITION_FAILED, &json!({"items": items}));
+            return told(StatusCode::PRECONDITION_FAILED, &json!({"items": items}));
         }
         for setting in transaction.set_keys {
             self.put(&setting.tls_key, setting.value);
@@ -266,7 +297,7 @@
         if lost {
             std::future::pending::<()>().await;
         }
-        answer(StatusCode::OK, &json!({"revision": self.state.borrow().revision}))
+        told(StatusCode::OK, &json!({"revision": self.state.borrow().revision}))
     }
 }
 
