--- a/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -6,8 +6,8 @@
 use argh::FromArgs;
 use cherrystand_core::Millis;
 use cherrystand_testkit::{
-    Fault, SoakSetup, USUAL_SPAN, daemon_program, draw_limits, draw_lives, draw_schedule,
-    draw_wishes, draw_zones, play_soak,
+    Fault, SoakSetup, USUAL_SPAN, daemon_program, draw_drills, draw_limits, draw_lives,
+    draw_schedule, draw_wishes, draw_zones, play_soak,
 };
 use eyre::WrapErr;
 
@@ -51,6 +51,9 @@
     /// operators empty one of two availability zones and take it back, and boxes turn cold
     #[argh(switch)]
     zones: bool,
+    /// the store comes back from copies some seconds old
+    #[argh(switch)]
+    drills: bool,
     /// print the schedule and end
     #[argh(switch)]
     schedule: bool,
@@ -81,6 +84,9 @@
         let wishes = draw_wishes(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
         faults.extend(wishes);
     }
+    if args.drills {
+        faults.extend(draw_drills(args.seed, Millis(args.span_ms), faults.len()));
+    }
     if args.zones {
         let zones = draw_zones(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
         faults.extend(zones);
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -75,7 +75,7 @@
 pub use soak::link::{Link, LinkMode};
 pub use soak::run::{SoakOutcome, SoakSetup, USUAL_SPAN, daemon_program, play_soak};
 pub use soak::schedule::{
-    Fault, FaultKind, OtherValue, Targets, draw_limits, draw_lives, draw_schedule, draw_wishes,
-    draw_zones,
+    Fault, FaultKind, OtherValue, Targets, draw_drills, draw_limits, draw_lives, draw_schedule,
+    draw_wishes, draw_zones,
 };
 pub use soak::seen::{Answered, Call, ColdTime, Disturbed, Gone, Record, Seen};
--- a/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
@@ -142,6 +142,12 @@
         state.changes.clear();
     }
 
+    /// Returns the keys below a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.borrow();
+        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
     /// Copies everything as it is, for a drill.
     pub fn keep_copy(&self) {
         let mut state = self.state.borrow_mut();
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -26,6 +26,9 @@
 /// The availability zone of boxes that are added without one.
 const FIRST_ZONE: &str = "z1";
 
+/// The prefix of the keys under which boxes tell of themselves.
+const ENTRIES: &str = "servers/";
+
 /// How long a box is away that a request ended.
 const AWAY: Duration = Duration::from_millis(1_200);
 
@@ -223,6 +226,12 @@
         self.tell(id);
     }
 
+    /// Returns the boxes that are listed.
+    pub fn listed(&self) -> Vec<String> {
+        let keys = self.store.keys(ENTRIES).into_iter();
+        keys.filter_map(|key| key.strip_prefix(ENTRIES).map(str::to_owned)).collect()
+    }
+
     /// Lists a box again as it is.
     pub fn list(&self, id: &str) {
         self.tell(id);
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -53,6 +53,10 @@
 /// How long boxes are cold as their zone is taken back.
 const COLD: Duration = Duration::from_secs(2);
 
+/// How long the store is away in a drill, and how long after it operators and boxes have written theirs again.
+const AWAY_IN_DRILL: Duration = Duration::from_millis(300);
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(700);
+
 /// For how long faults strike where nothing else is said.
 pub const USUAL_SPAN: Millis = Millis(12_000);
 
@@ -100,6 +104,8 @@
     disturbed: RefCell<Vec<Disturbed>>,
     gone: RefCell<Vec<Gone>>,
     cold: RefCell<Vec<ColdTime>>,
+    /// The last configuration that operators wrote.
+    in_force: RefCell<Value>,
     /// What cold boxes bear, where they bear less.
     cold_per_s: Option<f64>,
 }
@@ -181,12 +187,33 @@
             disturbed: RefCell::default(),
             gone: RefCell::default(),
             cold: RefCell::default(),
+            in_force: RefCell::default(),
             cold_per_s: setup.zones.then_some(COLD_PER_S),
         };
         soak.configure(0);
         Ok(soak)
     }
 
+    /// Has the store come back from a copy of a while before; operators and boxes write theirs again soon after.
+    async fn drill(&self, copy_age: Duration) {
+        self.site.store.keep_copy();
+        tokio::time::sleep(copy_age).await;
+        let doors = || 0..self.doors.len();
+        doors().for_each(|door| self.site.set_door(door, Door::Silent));
+        tokio::time::sleep(AWAY_IN_DRILL).await;
+        let listed = self.site.listed();
+        self.site.store.drill();
+        doors().for_each(|door| self.site.set_door(door, Door::Open));
+        tokio::time::sleep(WRITTEN_AGAIN_AFTER).await;
+        self.site.configure(&self.in_force.borrow());
+        for (id, _) in &self.boxes {
+            match listed.contains(id) {
+                true => self.site.list(id),
+                false => self.site.unlist(id),
+            }
+        }
+    }
+
     /// Writes the next version of the configuration.
     fn configure(&self, more: usize) {
         let (version, keys) = self.callers.keys.next_version();
@@ -198,6 +225,7 @@
             }
         }
         self.site.configure(&config);
+        self.in_force.replace(config);
     }
 
     /// Waits until every daemon answers every kind of call.
@@ -278,6 +306,7 @@
                 tokio::time::sleep(lasts).await;
                 (0..self.doors.len()).for_each(|number| self.site.set_door(number, Door::Open));
             }
+            FaultKind::Drill => self.drill(lasts).await,
             FaultKind::StoreForgets => self.site.store.forget(),
             FaultKind::StoreLosesAnswers(count) => self.site.store.lose_answers(count),
             FaultKind::Paused(number) => {
@@ -324,7 +353,10 @@
         let mut disturbed = self.disturbed.borrow_mut();
         let is_store = matches!(
             kind,
-            FaultKind::StoreOut(_) | FaultKind::StoreForgets | FaultKind::StoreLosesAnswers(_)
+            FaultKind::StoreOut(_)
+                | FaultKind::Drill
+                | FaultKind::StoreForgets
+                | FaultKind::StoreLosesAnswers(_)
         );
         let ends_processes = matches!(
             kind,
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -39,6 +39,8 @@
     StoreOut(Door),
     /// The store forgets its history.
     StoreForgets,
+    /// The store comes back from a copy as old as the fault lasts.
+    Drill,
     /// The store does some writes without an answer.
     StoreLosesAnswers(u32),
     /// A daemon stands still.
@@ -208,6 +210,18 @@
     })
 }
 
+/// Draws drills, of which two may follow each other within a second.
+pub fn draw_drills(seed: u64, span: Millis, first_number: usize) -> Vec<Fault> {
+    /// Tells the draws apart from those of the other faults.
+    const OTHER_DRAWS: u64 = 0xd411;
+    draw_besides(Seed::new(seed ^ OTHER_DRAWS), 900, span, first_number, |seed| {
+        let lasts = 500 + seed.below(2_500) as u64;
+        let pause = if seed.below(3) == 0 { 900 } else { 2_500 };
+        // One copy at a time.
+        Drawn { kind: FaultKind::Drill, lasts, pause: lasts + pause }
+    })
+}
+
 /// Draws zones that are emptied and boxes that turn cold.
 pub fn draw_zones(seed: u64, targets: Targets, span: Millis, first_number: usize) -> Vec<Fault> {
     /// Tells the draws apart from those of the other faults.
--- a/crates/cherrystandd/tests/soak.rs
+++ b/crates/cherrystandd/tests/soak.rs
@@ -34,6 +34,9 @@
 /// a box, is a case of the checks' own tests; it is played by hand.
 const ZONE_SEEDS: [u64; 1] = [506];
 
+/// Seeds that are played with a store that comes back from copies.
+const DRILL_SEEDS: [u64; 1] = [2];
+
 /// A seed in which boxes turn cold while the store is out.
 const COLD_IN_OUTAGE_SEED: u64 = 509;
 
@@ -52,12 +55,20 @@
 #[test]
 fn promises_hold_while_processes_links_and_the_store_fail() {
     let usual = SEEDS.map(|(seed, lives)| (seed, SPAN_MS, lives.then_some("--lives")));
-    let crashes = CRASH_SEEDS.map(|seed| (seed, CRASH_SPAN_MS, Some("--crashes")));
     let wishes = WISH_SEEDS.map(|seed| (seed, SPAN_MS, Some("--wishes")));
     let limits = LIMIT_SEEDS.map(|seed| (seed, LIMIT_SPAN_MS, Some("--limits")));
+    for (seed, span, more) in usual.into_iter().chain(wishes).chain(limits) {
+        play(seed, span, more);
+    }
+}
+
+/// The same, so that two are played at once.
+#[test]
+fn promises_hold_beside_crashing_requests_emptied_zones_and_drills() {
+    let crashes = CRASH_SEEDS.map(|seed| (seed, CRASH_SPAN_MS, Some("--crashes")));
     let zones = ZONE_SEEDS.map(|seed| (seed, ZONE_SPAN_MS, Some("--zones")));
-    let all = usual.into_iter().chain(crashes).chain(wishes).chain(limits).chain(zones);
-    for (seed, span, more) in all {
+    let drills = DRILL_SEEDS.map(|seed| (seed, SPAN_MS, Some("--drills")));
+    for (seed, span, more) in crashes.into_iter().chain(zones).chain(drills) {
         play(seed, span, more);
     }
 }
