--- a/crates/cherrystand_core/src/nodes/news_budget.rs
+++ b/crates/cherrystand_core/src/nodes/news_budget.rs
@@ -74,9 +74,10 @@
         Millis((self.bound.0 * parts / of).min(most))
     }
 
-    /// Returns for how long a question to the store waits for a change.
+    /// Returns for how long a question to the store waits for a change; each is a call that is paid for, and most of a
+    /// quiet store's bring nothing.
     pub fn watch_for(self) -> Millis {
-        self.part(1, 8, 1_000)
+        self.part(1, 4, 1_000)
     }
 
     /// Returns after what time without its answer such a question is asked again on another connection.
