--- a/crates/cherrystandd/src/site/known.rs
+++ b/crates/cherrystandd/src/site/known.rs
@@ -119,7 +119,7 @@
         if held.is_some_and(|held| held >= config.version) {
             log::info!(
                 version = config.version, in_force = held;
-                "a configuration is passed over, as a later one is in force"
+                "a configuration is passed over, as it or a later one is in force"
             );
             return false;
         }
