fix: after a drill the record of the later epoch stands, also where it was written before the list

Callers saw nothing. Cause: a record that was written between the store's return and a daemon's first list counted as the copy's, whatever its epoch, and would have been written over by an earlier one. Mend: the later epoch stands; of equal ones the one held. a_record_of_a_later_epoch_stands_and_is_written_again failed in its last case (5 for 6) before. What a copy lists, lacks or holds as ready is played in six cases beside it.

--- a/crates/cherrystandd/src/site/domain_records.rs
+++ b/crates/cherrystandd/src/site/domain_records.rs
@@ -17,6 +17,15 @@
     is_lost: bool,
 }
 
+impl HeldDomain {
+    /// Tells whether it is newer than a record of a later era, which a store that came back from a copy may have held
+    /// before that.
+    fn is_newer_than(&self, record: &DomainRecord, is_old: bool) -> bool {
+        let (held, told) = (self.record.last_epoch, record.last_epoch);
+        held > told || (held == told && is_old)
+    }
+}
+
 /// Keeps the latest record of each domain, and which boxes the records give to which replica.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DomainRecords {
@@ -44,7 +53,7 @@
         }
         if let Some(held) = self.held.get_mut(&record.domain)
             && held.copy.revision.era() < copy.revision.era()
-            && (is_old || held.record.last_epoch > record.last_epoch)
+            && held.is_newer_than(&record, is_old)
         {
             // Boxes follow the epochs of the record held, which are not given out again.
             held.is_lost = held.record != record;
