feat(log): say what a daemon waited for while its knowledge of the store grew old

Each step of reading that ends with knowledge of 1 s or more has a line now, and an old send says how long before the endpoint was chosen. No logic is changed.

--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -63,7 +63,7 @@
     address: SocketAddr,
     last_event_id: Option<u64>,
 ) -> Result<(Parts, PooledBody), AttemptEnd> {
-    frontend.observe_store_age(&attempt.target, req);
+    frontend.observe_store_age(&attempt.target, attempt.started_at, req);
     let outgoing = req.endpoint_request::<Driver>(
         &attempt.target,
         last_event_id,
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -20,6 +20,7 @@
 use crate::site::crash_watch::CrashWatch;
 use crate::site::failure_log::FailureLog;
 use crate::site::load_exchange::LoadExchange;
+use crate::site::read_step::OLD_KNOWLEDGE;
 use crate::site::request::SiteRequest;
 use crate::site::retry_shares::RetryShares;
 use crate::site::signal_log::SignalLog;
@@ -29,10 +30,6 @@
 /// ms.
 const BUSY_THRESHOLD: Millis = Millis(100);
 
-/// A request that is sent with store data older than this is logged. The usual age is a tenth of
-/// it.
-const STALE_STORE_AGE: Millis = Millis(1_000);
-
 /// How many stale-data lines are logged each second.
 const STALE_LOGS_PER_SECOND: u32 = 5;
 
@@ -254,15 +251,18 @@
 
     /// Records the age of this node's store data when it sends a request, and logs it if it is old:
     /// for as long, an endpoint that is leaving still gets requests.
-    pub(super) fn observe_store_age(&self, target: &BoxId, req: &SiteRequest) {
+    ///
+    /// The endpoint was chosen at `chosen_at`, maybe by older data.
+    pub(super) fn observe_store_age(&self, target: &BoxId, chosen_at: Millis, req: &SiteRequest) {
         let age = self.cx.store_freshness.age(self.now());
         self.cx.metrics.news_age_at_send.observe(age.as_secs_f64());
-        if age < STALE_STORE_AGE {
+        if age < OLD_KNOWLEDGE {
             return;
         }
         let Some(left_out) = self.stale_log.borrow_mut().admit(self.now()) else { return };
         log::info!(
             target_box = target.as_str(), request = req.headers.id.as_deref(), age_ms = age.0,
+            chosen_ms_ago = self.now().since(chosen_at).0,
             told_by = self.cx.store_freshness.source().to_string(), left_out = left_out;
             "a request is sent by old news of the store"
         );
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -28,6 +28,7 @@
 mod open_attempts;
 mod pages;
 mod peer_selector;
+mod read_step;
 mod reader_list;
 mod refused_values;
 mod replica_stream;
--- a/crates/cherrystandd/src/site/store_watch.rs
+++ b/crates/cherrystandd/src/site/store_watch.rs
@@ -16,6 +16,7 @@
     ChangesError, PeerPosition, ask_witness, read_changes, read_snapshot,
 };
 use crate::site::control::{Control, to_duration};
+use crate::site::read_step::ReadStep;
 use crate::site::reader_list::{StartupOutcome, start_from_listed_readers};
 use crate::site::{ChangeSource, Driver};
 
@@ -123,7 +124,10 @@
 
     async fn read_from_store(&mut self, control: &Control) {
         let is_reader = control.peers.is_reader();
-        match read_store(control, self.position.as_ref()).await {
+        let step = ReadStep::begin("read of the store", control);
+        let read = read_store(control, self.position.as_ref()).await;
+        step.end(control);
+        match read {
             Ok(revision) => {
                 self.position = Some(ReadPosition::Store(revision));
                 if control.state.borrow_mut().take_relist_due(control.now()) {
@@ -136,7 +140,9 @@
                 };
                 let silence = control.state.borrow_mut().take_unconfirmed_outage();
                 if let Some(silence) = silence {
+                    let step = ReadStep::begin("confirmation of an outage", control);
                     confirm_outage(control, silence).await;
+                    step.end(control);
                 }
                 tokio::time::sleep(control.read_pause(interval)).await;
             }
@@ -158,7 +164,10 @@
 
     async fn read_from_peer(&mut self, control: &Control, peer: NodeId, address: SocketAddr) {
         let after = cursor_for(self.position.as_ref(), &peer);
-        match read_changes(control, &peer, address, after).await {
+        let step = ReadStep::begin("poll of a peer", control);
+        let read = read_changes(control, &peer, address, after).await;
+        step.end(control);
+        match read {
             Ok(position) => {
                 self.position = Some(ReadPosition::Peer(peer, position));
                 let interval = control.peers.poll_interval().max(MIN_READ_INTERVAL);
@@ -207,11 +216,13 @@
 
 /// Waits before the store is called again, at most until a peer is available as a source.
 async fn back_off_from_store(control: &Control, backoff: Duration) {
+    let step = ReadStep::begin("backoff from the store", control);
     let clock = control.cx.clock;
     let until = clock.now() + Millis(control.peers.jittered(backoff).as_millis() as u64);
     while clock.now() < until && control.peers.source().is_none() {
         clock.sleep_until(until.min(clock.now() + PropagationBudget::SOURCE_CHECK_INTERVAL)).await;
     }
+    step.end(control);
 }
 
 /// Reads the latest snapshot that a random peer has, if the store has been silent for long.
@@ -220,9 +231,11 @@
     else {
         return;
     };
+    let step = ReadStep::begin("snapshot of a peer", control);
     if let Err(err) = read_snapshot(control, node, peer).await {
         log::debug!("a peer has no newer snapshot: {err}");
     }
+    step.end(control);
 }
 
 fn cursor_for(position: Option<&ReadPosition>, peer: &NodeId) -> Option<ChangeCursor> {
