--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -13,8 +13,8 @@
 use crate::site::RefusedKind;
 
 /// Upper bounds of the histogram buckets for durations, in seconds.
-const TIME_BUCKETS: [f64; 12] =
-    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.46, 1.0, 2.5, 10.0];
+const TIME_BUCKETS: [f64; 13] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.46, 1.0, 2.0, 2.5, 10.0];
 
 /// All metrics of the daemon; docs/operators/metrics.md explains what each is for.
 pub struct Metrics {
