test(soak): no daemon without a fault sends by knowledge of the store over two seconds old

The age at each send is in the logs, and shows the same fault each time: sends of daemons that no fault of their own and none of the store affected are checked against 2 s.

--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -44,6 +44,7 @@
     pub(crate) mod callers;
     pub(crate) mod daemon;
     pub(crate) mod link;
+    pub(crate) mod old_sends;
     pub(crate) mod run;
     pub(crate) mod run_record;
     pub(crate) mod schedule;
@@ -73,6 +74,7 @@
 pub use site::site_setup::{NodeSettings, site_config, whole_stream};
 pub use site::site_stand_in::SiteStandIn;
 pub use soak::link::{Link, LinkMode};
+pub use soak::old_sends::OldSend;
 pub use soak::run::{DEFAULT_SPAN, SoakOutcome, SoakSetup, daemon_program, run_soak};
 pub use soak::run_record::{
     CallKind, CallOutcome, CallRecord, ColdInterval, Disturbance, RunRecord, UnlistedInterval,
--- a/crates/cherrystand_testkit/src/soak/daemon.rs
+++ b/crates/cherrystand_testkit/src/soak/daemon.rs
@@ -67,13 +67,22 @@
         let name = &self.settings.name;
         let file = self.dir.join(format!("{name}.toml"));
         std::fs::write(&file, self.settings.to_string())?;
-        let log = self.dir.join(format!("{name}-{}.log", self.incarnation));
+        let log = self.log_of(self.incarnation);
         let mut command = Command::new(&self.program);
         command.arg("--settings").arg(&file).stdout(Stdio::null());
         self.child = Some(spawn(command.stderr(std::fs::File::create(log)?))?);
         Ok(())
     }
 
+    fn log_of(&self, incarnation: u32) -> PathBuf {
+        self.dir.join(format!("{}-{incarnation}.log", self.settings.name))
+    }
+
+    /// Returns the log files of all its incarnations so far.
+    pub(crate) fn logs(&self) -> impl Iterator<Item = PathBuf> {
+        (1..=self.incarnation).map(|incarnation| self.log_of(incarnation))
+    }
+
     /// Returns the number of its current incarnation: how often it was started.
     pub(crate) fn incarnation(&self) -> u32 {
         self.incarnation
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -13,6 +13,7 @@
 use crate::soak::callers::{ApiKeys, Callers};
 use crate::soak::daemon::Daemon;
 use crate::soak::link::{Link, LinkMode};
+use crate::soak::old_sends::read_old_sends;
 use crate::soak::run_record::{
     CallKind, CallOutcome, ColdInterval, Disturbance, RunRecord, UnlistedInterval,
 };
@@ -149,7 +150,7 @@
     }
     stop.set(true);
     tokio::time::sleep(SETTLE_TIME).await;
-    let record = soak.record();
+    let record = soak.record()?;
     violations.extend(record.violations());
     Ok(SoakOutcome { outcome_counts: record.outcome_counts(), violations })
 }
@@ -464,10 +465,16 @@
         self.restart_if_ended(number)
     }
 
-    fn record(&self) -> RunRecord {
+    fn record(&self) -> std::io::Result<RunRecord> {
         let calls = self.callers.records.borrow().clone();
         let runs = calls.iter().map(|call| (call.id.clone(), self.site.runs_of(&call.id).len()));
-        RunRecord {
+        let mut old_sends = Vec::new();
+        for (number, daemon) in self.daemons.borrow().iter().enumerate() {
+            for log in daemon.logs() {
+                old_sends.extend(read_old_sends(number, &log)?);
+            }
+        }
+        Ok(RunRecord {
             runs: runs.collect(),
             calls,
             arrivals: self.site.arrivals(),
@@ -477,7 +484,8 @@
             box_faults: self.site.violations(),
             crashes: self.site.crashes(),
             signals: self.site.signals(),
-        }
+            old_sends,
+        })
     }
 }
 
--- a/crates/cherrystand_testkit/src/soak/run_record.rs
+++ b/crates/cherrystand_testkit/src/soak/run_record.rs
@@ -5,6 +5,7 @@
 
 use hyper::StatusCode;
 
+use crate::OldSend;
 use crate::site::site_setup::{RETRY_RATIO, RETRY_WINDOW_S};
 use crate::{Arrival, Crash, LimitBound, SentSignal, exceeded_limits, ignored_signals};
 
@@ -129,6 +130,8 @@
     pub crashes: Vec<Crash>,
     /// The signals that boxes sent to daemons in their answers.
     pub signals: Vec<SentSignal>,
+    /// The requests that daemons sent by old knowledge of the store.
+    pub old_sends: Vec<OldSend>,
 }
 
 /// How long a disturbance excuses violations after it ended.
@@ -137,6 +140,9 @@
 /// Time within which a box is sent nothing new after its entry was removed.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Age of the knowledge of the store by which a daemon that no fault affects may send.
+const MAX_KNOWLEDGE_AGE: Duration = Duration::from_secs(2);
+
 /// Maximum number of boxes that one request may run on.
 const MAX_RUNS: usize = 2;
 
@@ -166,6 +172,7 @@
         violations.extend(self.resent_crashing_requests());
         violations.extend(self.ignored_signals());
         violations.extend(self.exceeded_rate_limits());
+        violations.extend(self.sends_by_old_knowledge());
         violations
     }
 
@@ -396,6 +403,16 @@
         !self.disturbances.iter().filter(concerns).any(|disturbance| disturbance.affects(at))
     }
 
+    /// Describes each request that a daemon sent by knowledge of the store that was too old, although no fault affected
+    /// the daemon itself or the store.
+    fn sends_by_old_knowledge(&self) -> Vec<String> {
+        let old = self.old_sends.iter().filter(|send| send.age > MAX_KNOWLEDGE_AGE);
+        let unexcused = old.filter(|send| self.can_reach_store(send.daemon, send.at));
+        unexcused
+            .map(|send| format!("n{} sent by knowledge {:?} old", send.daemon, send.age))
+            .collect()
+    }
+
     fn exceeded_retry_budget(&self) -> Option<String> {
         let (first, last) = (self.calls.first()?, self.calls.last()?);
         let mut sends: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/cherrystand_testkit/tests/soak_checks.rs
+++ b/crates/cherrystand_testkit/tests/soak_checks.rs
@@ -6,7 +6,7 @@
 use cherrystand_core::Millis;
 use cherrystand_testkit::{
     Arrival, CallKind, CallOutcome, CallRecord, ColdInterval, Crash, Disturbance, FaultKind,
-    RunRecord, SentSignal, Signal, Targets, UnlistedInterval, draw_schedule,
+    OldSend, RunRecord, SentSignal, Signal, Targets, UnlistedInterval, draw_schedule,
 };
 use hyper::StatusCode;
 
@@ -48,6 +48,11 @@
     }
 }
 
+fn old_send(began: Instant, age_ms: u64) -> OldSend {
+    let at = began + Duration::from_secs(30);
+    OldSend { daemon: 0, at, age: Duration::from_millis(age_ms) }
+}
+
 /// Records that a box sent a signal to a daemon five seconds before three requests of that daemon reach it.
 fn signal_sent(record: &mut RunRecord, signal: Signal) {
     let at = record.calls[0].sent - Duration::from_secs(5);
@@ -103,6 +108,24 @@
     };
     let cases = [
         case("no violation", None, &|_, _| {}),
+        case("sent by old knowledge", Some("by knowledge 2.001s old"), &|record, began| {
+            record.old_sends = vec![old_send(began, 2_001)];
+        }),
+        case("sent by knowledge that is just new enough", None, &|record, began| {
+            record.old_sends = vec![old_send(began, 2_000)];
+        }),
+        case(
+            "sent by old knowledge while another daemon is paused",
+            Some("2.5s old"),
+            &|record, began| {
+                record.old_sends = vec![old_send(began, 2_500)];
+                record.disturbances = vec![disturbance(Some(1), false, began, 60)];
+            },
+        ),
+        case("sent by old knowledge after a pause", None, &|record, began| {
+            record.old_sends = vec![old_send(began, 2_500)];
+            record.disturbances = vec![disturbance(Some(0), false, began, 60)];
+        }),
         case("answer of another request", Some("belongs to another request"), &|record, _| {
             record.calls[0].outcome = CallOutcome::Wrong;
         }),
