fix: an answer of the store that arrived during a pause is not passed on as fresh

A daemon that was paused for 2.5 s finds the answer to its watch in its buffers and gave it age 0, so that peers that poll it at that moment took 2.5 s old knowledge for new and asked nobody else for half the bound more.

Cause: the age of an answer of a peer counts its way, that of an answer of the store did not. Now a watch that took longer than it waits is as old as the rest. The test fails on the code before by construction: there was no such figure.

--- a/crates/cherrystand_core/src/nodes/propagation_budget.rs
+++ b/crates/cherrystand_core/src/nodes/propagation_budget.rs
@@ -93,6 +93,14 @@
         self.fraction(1, 4, 1_000)
     }
 
+    /// Returns how old the answer to a watch may be that took a time.
+    ///
+    /// A daemon that was paused finds answers that arrived long before, and must not pass them on
+    /// as fresh.
+    pub fn watch_answer_age(self, took: Millis) -> Millis {
+        took.since(self.watch_timeout() + Self::HOP_LATENCY)
+    }
+
     /// Returns the time without an answer after which a watch is repeated on another connection.
     pub fn watch_hedge_delay(self) -> Millis {
         self.watch_timeout() + self.fraction(1, 10, 500)
--- a/crates/cherrystand_core/tests/propagation_budget.rs
+++ b/crates/cherrystand_core/tests/propagation_budget.rs
@@ -36,3 +36,13 @@
         );
     }
 }
+
+/// Guards against a reader that passes on as fresh what it had received before a pause.
+#[test]
+fn answer_that_arrived_during_a_pause_is_not_fresh() {
+    let budget = PropagationBudget::new(Millis(2_000));
+    let cases = [(0, 0), (500, 0), (540, 0), (750, 200), (3_050, 2_500)];
+    for (took, age) in cases {
+        assert_eq!(budget.watch_answer_age(Millis(took)), Millis(age), "{took}");
+    }
+}
--- a/crates/cherrystandd/src/site/store_watch.rs
+++ b/crates/cherrystandd/src/site/store_watch.rs
@@ -355,8 +355,10 @@
 }
 
 async fn watch_once(control: &Control, after: Revision) -> Result<(), PlatformError> {
+    let began = control.now();
     let changes = watch_hedged(control, after).await?;
-    apply_watched(control, &changes, Millis(0));
+    let age = control.budget.watch_answer_age(control.now().since(began));
+    apply_watched(control, &changes, age);
     Ok(())
 }
 
