fix: endpoints are asked for their health in an outage of the store, and cold ones are spared

What callers saw: nothing yet; an endpoint that is sent well above what it bears while it is cold falls over.

Cause: an endpoint says that it is cold in its entry and in its health answers, and only the entry was read. In an outage of the store nobody could know, by our own choice.

Change: once its knowledge is older than its further sources can help with, a daemon asks the endpoints whose accounts it owns for their health, twice a second (ColdChecks, pure); the owner tells all others.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -102,6 +102,7 @@
     pub(crate) mod box_incarnations;
     pub(crate) mod capacity_planner;
     pub(crate) mod cold_boxes;
+    pub(crate) mod cold_checks;
     pub(crate) mod crash_suspects;
     pub(crate) mod domain_draft;
     pub(crate) mod domain_former_assignments;
@@ -231,6 +232,7 @@
 pub use site::box_incarnations::BoxIncarnations;
 pub use site::capacity_planner::{CapacityPlanner, DomainCapacity, HomeChange};
 pub use site::cold_boxes::ColdBoxes;
+pub use site::cold_checks::ColdChecks;
 pub use site::crash_suspects::{CrashSuspects, SUSPECT_TTL};
 pub use site::engine_priority::{engine_priority, is_deferred};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
--- a/crates/cherrystand_core/src/nodes/propagation_budget.rs
+++ b/crates/cherrystand_core/src/nodes/propagation_budget.rs
@@ -76,6 +76,9 @@
     /// arrives sooner.
     pub const CATCH_UP_INTERVAL: Millis = Millis(60);
 
+    /// After how many rounds of such questions a daemon takes the store for out.
+    const OUTAGE_ROUNDS: u64 = 5;
+
     /// Creates the budget for a bound.
     pub fn new(bound: Millis) -> Self {
         Self { bound }
@@ -117,6 +120,12 @@
         self.max_source_age()
     }
 
+    /// Returns the age of its knowledge from which on a daemon takes the store for out: it has asked
+    /// several sources beside its own, and none has helped.
+    pub fn outage_age(self) -> Millis {
+        self.catch_up_age() + Millis(Self::OUTAGE_ROUNDS * Self::CATCH_UP_INTERVAL.0)
+    }
+
     /// Returns by how much newer than its own an answer has to be that a daemon asks for to catch
     /// up.
     pub fn min_catch_up_gain(self) -> Millis {
--- a/crates/cherrystand_platform/src/site_driver.rs
+++ b/crates/cherrystand_platform/src/site_driver.rs
@@ -152,4 +152,7 @@
 
     /// Returns the call that reads the state of a box.
     fn report_call(target: &BoxId) -> BoxCall;
+
+    /// Returns the call that checks the health of a box. The answer is read as any other.
+    fn health_call(target: &BoxId) -> BoxCall;
 }
--- a/crates/cherrystand_testkit/src/site/box_answers.rs
+++ b/crates/cherrystand_testkit/src/site/box_answers.rs
@@ -63,10 +63,11 @@
 
     pub(super) async fn handle(&self, id: &str, req: Request<Incoming>) -> Answer {
         match (req.method(), req.uri().path()) {
-            (_, "/report" | "/order") if !is_addressed_to(&req, id) => {
+            (_, "/report" | "/order" | "/health") if !is_addressed_to(&req, id) => {
                 plain_answer(StatusCode::MISDIRECTED_REQUEST, "")
             }
             (&Method::GET, "/report") => plain_answer(StatusCode::OK, "{}"),
+            (&Method::GET, "/health") => self.health(id),
             (&Method::POST, "/order") => match read_json::<Value>(req).await {
                 Some(order) => self.order(id, &order),
                 None => plain_answer(StatusCode::BAD_REQUEST, ""),
@@ -75,6 +76,17 @@
         }
     }
 
+    /// Answers a health check, which says how long the box stays cold unless nothing does.
+    fn health(&self, id: &str) -> Answer {
+        let mut answer = plain_answer(StatusCode::OK, "");
+        let cold = self.state.borrow().boxes.get(id).and_then(|site_box| site_box.cold);
+        if let Some((until, _)) = cold.filter(|(_, report)| *report != ColdReport::Nowhere) {
+            let left = until.saturating_duration_since(Instant::now()).as_millis();
+            set_header(&mut answer, "cherrystand-cold-ms", &left.to_string());
+        }
+        answer
+    }
+
     pub(super) async fn run_request(&self, id: &str, req: Request<Incoming>) -> Answer {
         let headers: BTreeMap<String, String> = req
             .headers()
--- a/crates/cherrystand_testkit/src/site/site_box.rs
+++ b/crates/cherrystand_testkit/src/site/site_box.rs
@@ -34,7 +34,7 @@
 /// How a cold box reports that it is cold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ColdReport {
-    /// In its entry, at once.
+    /// In its entry, at once, and in its answers to health checks.
     Entry,
     /// Only in its answers.
     Answers,
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -11,6 +11,7 @@
 mod catching_up;
 mod change_sharing;
 mod change_source;
+mod cold_checking;
 mod control;
 mod crash_watch;
 mod domain_control;
--- a/crates/cherrystandd/tests/evacuations.rs
+++ b/crates/cherrystandd/tests/evacuations.rs
@@ -236,3 +236,64 @@
         assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
     });
 }
+
+/// Guards against endpoints that turn cold while nobody can read their entries: two got 11 and 13
+/// requests in a second where 5 were allowed.
+#[test]
+fn an_endpoint_that_turns_cold_in_an_outage_of_the_store_is_spared() {
+    /// How long the store answers nobody.
+    const OUTAGE: Duration = Duration::from_millis(4_500);
+    /// How long after the beginning of the outage the endpoint turns cold.
+    const COLD_AFTER: Duration = Duration::from_millis(1_700);
+    /// How long all daemons may take to learn it.
+    const DETECTION_LIMIT: Duration = Duration::from_secs(1);
+    /// What the platform lets a cold endpoint get in a second.
+    const ALLOWED: usize = COLD_PER_S * 3 / 2 + 5;
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        /// The endpoint that turns cold; all leaders of replicas if none is named.
+        endpoint: Option<&'static str>,
+    }
+    let cases = [
+        Case { name: "a plain endpoint", path: SERVICE_PATH, endpoint: Some("a-1") },
+        Case { name: "all replicas", path: MODEL_PATH, endpoint: None },
+    ];
+    support::run(async {
+        let all = cases.into_iter().map(|case| async move {
+            let mut config = config(1, "/calls/", &["k1"]);
+            for service in [0, 1] {
+                config["services"][service]["cold_per_s"] = json!(COLD_PER_S);
+                config["services"][service]["cold_start_s"] = json!(COLD_S);
+            }
+            let site = Site::in_two_zones(3, &config).await;
+            let ids: Vec<String> = match case.endpoint {
+                Some(endpoint) => vec![endpoint.to_owned()],
+                None => site.stand_in.leaders().into_keys().collect(),
+            };
+            let set_store = |mode| (0..3).for_each(|node| site.stand_in.set_store_mode(node, mode));
+            let asking =
+                send_to_all(&site.nodes, case.path, REQUEST_INTERVAL, Duration::from_secs(5));
+            let turning_cold = async {
+                set_store(StoreMode::Silent);
+                tokio::time::sleep(COLD_AFTER).await;
+                for id in &ids {
+                    site.stand_in.turn_cold(id, Duration::from_secs(8), ColdReport::Entry);
+                }
+                let from = Instant::now() + DETECTION_LIMIT;
+                tokio::time::sleep(OUTAGE - COLD_AFTER).await;
+                let until = Instant::now();
+                set_store(StoreMode::Open);
+                (from, until)
+            };
+            let (_, (from, until)) = tokio::join!(asking, turning_cold);
+            let most = ids.iter().map(|id| most_in_a_second(&site, id, from, until));
+            let most = most.max().unwrap_or_default();
+            let is_wrong = most > ALLOWED || most == 0;
+            let wrong = is_wrong.then(|| format!("{most} in a second, {ALLOWED} allowed"));
+            prefix_with_case(case.name, wrong.into_iter().collect())
+        });
+        let wrong = run_cases(all).await.concat();
+        assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
+    });
+}
