fix: a hedged call that was not needed does not take its endpoint out of service

What callers saw: with two endpoints whose answers begin after 60 ms where they had taken 2, the third call was refused with 503, no endpoint being in service.

Cause: whichever of a call and its hedge came second counted as a failure of its endpoint, the hedge too, sent 45 ms before, and both where the caller left. Two breakers opened by turns.

Change: only a call that a later one overtook counts; a hedge that came second ends as not needed, which says nothing of its endpoint, as when a caller leaves.

--- a/crates/cherrystand_core/src/requests/outcome.rs
+++ b/crates/cherrystand_core/src/requests/outcome.rs
@@ -44,8 +44,10 @@
     AnswerCut,
     /// The endpoint's replica is known to be lost, so its answer cannot arrive.
     ReplicaLost,
-    /// Another attempt for the same request was faster.
+    /// A later attempt for the same request was answered first.
     Overtaken,
+    /// An earlier attempt for the same request was answered first.
+    NotNeeded,
     /// The caller disconnected before the answer was complete.
     CallerDisconnected,
     /// The whole answer arrived.
@@ -54,7 +56,7 @@
 
 impl AttemptEnd {
     /// Lists every way in which an attempt can end.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::ConnectFailed,
         Self::NotSent,
         Self::Refused,
@@ -64,6 +66,7 @@
         Self::AnswerCut,
         Self::ReplicaLost,
         Self::Overtaken,
+        Self::NotNeeded,
         Self::CallerDisconnected,
         Self::Answered,
     ];
@@ -82,6 +85,7 @@
             | Self::AnswerCut
             | Self::ReplicaLost
             | Self::Overtaken
+            | Self::NotNeeded
             | Self::CallerDisconnected => Outcome::Unknown,
             Self::Answered => Outcome::Ran,
         }
@@ -99,6 +103,7 @@
             Self::AnswerCut => "answer-cut",
             Self::ReplicaLost => "replica-lost",
             Self::Overtaken => "overtaken",
+            Self::NotNeeded => "not-needed",
             Self::CallerDisconnected => "caller-left",
             Self::Answered => "answered",
         }
@@ -106,6 +111,11 @@
 
     /// Returns whether the end counts as a failure of the endpoint.
     pub fn is_endpoint_failure(self) -> bool {
-        !matches!(self, Self::CallerDisconnected | Self::Answered | Self::Refused)
+        !matches!(self, Self::Answered | Self::Refused) && !self.is_abandoned()
+    }
+
+    /// Returns whether the attempt was given up without evidence for or against the endpoint.
+    pub fn is_abandoned(self) -> bool {
+        matches!(self, Self::CallerDisconnected | Self::NotNeeded)
     }
 }
--- a/crates/cherrystand_core/src/requests/router.rs
+++ b/crates/cherrystand_core/src/requests/router.rs
@@ -228,7 +228,7 @@
         }
         if end.is_endpoint_failure() {
             endpoint.breaker.record_failure(now);
-        } else if end == AttemptEnd::CallerDisconnected {
+        } else if end.is_abandoned() {
             endpoint.breaker.record_abandoned();
         } else {
             endpoint.breaker.record_success();
--- a/crates/cherrystand_core/tests/outcomes.rs
+++ b/crates/cherrystand_core/tests/outcomes.rs
@@ -24,6 +24,7 @@
         case(AttemptEnd::AnswerCut, Outcome::Unknown, true),
         case(AttemptEnd::ReplicaLost, Outcome::Unknown, true),
         case(AttemptEnd::Overtaken, Outcome::Unknown, true),
+        case(AttemptEnd::NotNeeded, Outcome::Unknown, false),
         case(AttemptEnd::CallerDisconnected, Outcome::Unknown, false),
         case(AttemptEnd::Answered, Outcome::Ran, false),
     ];
--- a/crates/cherrystand_core/tests/routing.rs
+++ b/crates/cherrystand_core/tests/routing.rs
@@ -44,6 +44,7 @@
         Case { end: AttemptEnd::NotServing, at_once: Err(NoEndpoint::NoneServing) },
         Case { end: AttemptEnd::TimedOut, at_once: Err(NoEndpoint::NoneServing) },
         Case { end: AttemptEnd::CallerDisconnected, at_once: Ok(()) },
+        Case { end: AttemptEnd::NotNeeded, at_once: Ok(()) },
         Case { end: AttemptEnd::Answered, at_once: Ok(()) },
         Case { end: AttemptEnd::Refused, at_once: Ok(()) },
     ];
--- a/crates/cherrystandd/src/relay/active_attempt.rs
+++ b/crates/cherrystandd/src/relay/active_attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to run a request at an endpoint.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,18 @@
 /// so that the request can still be retried when the connection breaks.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
+/// The end that an attempt records if it is dropped: the caller left, unless another attempt was
+/// answered first.
+#[derive(Clone)]
+pub(crate) struct EndIfDropped(Rc<Cell<AttemptEnd>>);
+
+impl EndIfDropped {
+    /// Sets the end.
+    pub(crate) fn set(&self, end: AttemptEnd) {
+        self.0.set(end);
+    }
+}
+
 /// An attempt in flight, counted at its endpoint until `end` is called or it is dropped.
 pub(crate) struct ActiveAttempt {
     relay: Rc<Relay>,
@@ -34,8 +47,7 @@
     permit: Option<SendPermit>,
     started_at: Millis,
     first_byte: Option<Millis>,
-    /// The end recorded on drop: the caller left, or another attempt was faster.
-    end_if_dropped: AttemptEnd,
+    end_if_dropped: EndIfDropped,
     ended: bool,
 }
 
@@ -52,11 +64,16 @@
             permit: Some(permit),
             started_at,
             first_byte: None,
-            end_if_dropped: AttemptEnd::CallerDisconnected,
+            end_if_dropped: EndIfDropped(Rc::new(Cell::new(AttemptEnd::CallerDisconnected))),
             ended: false,
         }
     }
 
+    /// Returns the end that it records if it is dropped.
+    pub(crate) fn end_if_dropped(&self) -> EndIfDropped {
+        self.end_if_dropped.clone()
+    }
+
     /// Records the backoff that the endpoint asked for when it refused the request.
     fn record_backoff(&self, requested: RequestedBackoff) {
         let now = self.relay.now();
@@ -106,7 +123,7 @@
 
 impl Drop for ActiveAttempt {
     fn drop(&mut self) {
-        self.end(self.end_if_dropped);
+        self.end(self.end_if_dropped.0.get());
     }
 }
 
@@ -131,18 +148,9 @@
 }
 
 /// Sends the request to one endpoint and waits until its answer can be relayed.
-///
-/// `may_be_overtaken` says that the attempt may be dropped because a hedged one was faster.
-pub(crate) async fn run_attempt(
-    mut attempt: ActiveAttempt,
-    may_be_overtaken: bool,
-) -> Result<StartedAnswer, AttemptEnd> {
-    if may_be_overtaken {
-        attempt.end_if_dropped = AttemptEnd::Overtaken;
-    }
+pub(crate) async fn run_attempt(mut attempt: ActiveAttempt) -> Result<StartedAnswer, AttemptEnd> {
     match send_request(&mut attempt).await {
         Ok((head, buffered, remaining_body)) => {
-            attempt.end_if_dropped = AttemptEnd::CallerDisconnected;
             if remaining_body.is_none() {
                 attempt.end(AttemptEnd::Answered);
             }
--- a/crates/cherrystandd/src/relay/request_handler.rs
+++ b/crates/cherrystandd/src/relay/request_handler.rs
@@ -139,9 +139,9 @@
     attempt: ActiveAttempt,
     typical_latency: Millis,
 ) -> Result<StartedAnswer, AttemptEnd> {
-    let may_hedge = call.is_idempotent && !call.is_model;
-    let mut first = std::pin::pin!(run_attempt(attempt, may_hedge));
-    if !may_hedge {
+    let first_end = attempt.end_if_dropped();
+    let mut first = std::pin::pin!(run_attempt(attempt));
+    if !call.is_idempotent || call.is_model {
         return first.await;
     }
     let hedge_delay = Millis(typical_latency.0 * HEDGE_LATENCY_FACTOR)
@@ -152,15 +152,23 @@
     let Some(second) = start_hedge(relay, call) else {
         return first.await;
     };
-    let mut second = std::pin::pin!(run_attempt(second, true));
+    let second_end = second.end_if_dropped();
+    let mut second = std::pin::pin!(run_attempt(second));
     let (done, first_done) = tokio::select! {
         done = &mut first => (done, true),
         done = &mut second => (done, false),
     };
-    match done {
-        Ok(started) => Ok(started),
-        Err(_) if first_done => second.await,
-        Err(_) => first.await,
+    match (done, first_done) {
+        (Ok(started), true) => {
+            second_end.set(AttemptEnd::NotNeeded);
+            Ok(started)
+        }
+        (Ok(started), false) => {
+            first_end.set(AttemptEnd::Overtaken);
+            Ok(started)
+        }
+        (Err(_), true) => second.await,
+        (Err(_), false) => first.await,
     }
 }
 
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -298,6 +298,27 @@
     });
 }
 
+/// Guards against endpoints that are taken out of service for answers that begin late: as both took
+/// 60 ms where they had taken 2, the third call was refused.
+#[test]
+fn service_endpoints_that_answer_later_than_usual_stay_in_service() {
+    run(async {
+        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
+        let to = cluster.daemons[0].callers;
+        for delay_ms in [0, 60, 250] {
+            for service in &cluster.services {
+                cluster.set(service.address, json!({"delay_ms": delay_ms})).await;
+            }
+            for number in 0..20 {
+                let path = format!("/consent/{delay_ms}-{number}");
+                let checked = cluster.send(to, Method::GET, &path, &[], "").await;
+                let status = checked.expect("an answer").status;
+                assert_eq!(status, StatusCode::OK, "check {number} at {delay_ms} ms");
+            }
+        }
+    });
+}
+
 #[test]
 fn a_retry_that_times_out_does_not_release_the_key_of_the_first_call() {
     run(async {
