fix: a late call is hedged as soon as another endpoint can take it, not at one moment alone

What callers saw: 504 after 5 s on a consent check, while another endpoint was well.

Cause: a call that is late was hedged once, and if no endpoint could take it just then (a breaker open, a backoff, no retry left), or the draw met the frozen endpoint again, it waited until its deadline. The retry was spent all the same.

Change: it is tried again every 50 ms, at another endpoint only, and a retry is spent only for a hedge that is sent.

--- a/crates/cherrystandd/src/relay/core.rs
+++ b/crates/cherrystandd/src/relay/core.rs
@@ -146,9 +146,24 @@
         now: Millis,
     ) -> Result<ChosenEndpoint, NoEndpoint> {
         let key = self.router.choose(group, prefix, now, &mut self.rng)?;
-        let target = self.targets.get(key).ok_or(NoEndpoint::NoneServing)?.clone();
-        let permit = self.router.start(key, now).ok_or(NoEndpoint::NoneServing)?;
-        Ok(ChosenEndpoint { endpoint: key, target, permit })
+        self.start_at(key, now).ok_or(NoEndpoint::NoneServing)
+    }
+
+    /// Does the same for a call that is in flight at `first`, if another endpoint can take it.
+    pub(crate) fn start_other_attempt(
+        &mut self,
+        group: GroupKey,
+        first: EndpointKey,
+        now: Millis,
+    ) -> Option<ChosenEndpoint> {
+        let key = self.router.choose(group, None, now, &mut self.rng).ok()?;
+        if key == first { None } else { self.start_at(key, now) }
+    }
+
+    fn start_at(&mut self, endpoint: EndpointKey, now: Millis) -> Option<ChosenEndpoint> {
+        let target = self.targets.get(endpoint)?.clone();
+        let permit = self.router.start(endpoint, now)?;
+        Some(ChosenEndpoint { endpoint, target, permit })
     }
 
     /// Records the backoff that an endpoint asked for when it refused a request.
--- a/crates/cherrystandd/src/relay/request_handler.rs
+++ b/crates/cherrystandd/src/relay/request_handler.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    AttemptEnd, CLAIM_USE_TIMEOUT, ClaimResponse, FailedAttempt, IdempotencyKey, Millis, NoRetry,
-    Outcome, RefusalReason, decide_retry,
+    AttemptEnd, CLAIM_USE_TIMEOUT, ClaimResponse, EndpointKey, FailedAttempt, IdempotencyKey,
+    Millis, NoRetry, Outcome, RefusalReason, decide_retry,
 };
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
@@ -29,6 +29,9 @@
 /// The shortest and the longest wait before a call is hedged.
 const HEDGE_DELAY_RANGE: (Millis, Millis) = (Millis(15), Millis(250));
 
+/// How often a late call that could not be hedged is tried again.
+const HEDGE_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Answers one request of a caller, the load balancer or the metrics collector.
 pub(crate) async fn handle(relay: Rc<Relay>, req: Request<Incoming>) -> Response<RelayBody> {
     match (req.method(), req.uri().path()) {
@@ -106,7 +109,7 @@
             return Err(retry_later(RefusalReason::KeysOutOfReach));
         }
         let typical_latency = relay.core.borrow().typical_latency(endpoint);
-        let end = match attempt_with_hedge(relay, call, attempt, typical_latency).await {
+        let end = match attempt_with_hedge(relay, call, attempt, endpoint).await {
             Ok(started) => return Ok(started),
             Err(end) => end,
         };
@@ -137,20 +140,17 @@
     relay: &Rc<Relay>,
     call: &Rc<Call>,
     attempt: ActiveAttempt,
-    typical_latency: Millis,
+    endpoint: EndpointKey,
 ) -> Result<StartedAnswer, AttemptEnd> {
     let first_end = attempt.end_if_dropped();
     let mut first = std::pin::pin!(run_attempt(attempt));
     if !call.is_idempotent || call.is_model {
         return first.await;
     }
-    let hedge_delay = Millis(typical_latency.0 * HEDGE_LATENCY_FACTOR)
-        .clamp(HEDGE_DELAY_RANGE.0, HEDGE_DELAY_RANGE.1);
-    if let Ok(done) = tokio::time::timeout(Duration::from_millis(hedge_delay.0), &mut first).await {
-        return done;
-    }
-    let Some(second) = start_hedge(relay, call) else {
-        return first.await;
+    let second = tokio::select! {
+        biased;
+        done = &mut first => return done,
+        second = hedge(relay, call, endpoint) => second,
     };
     let second_end = second.end_if_dropped();
     let mut second = std::pin::pin!(run_attempt(second));
@@ -172,13 +172,27 @@
     }
 }
 
-fn start_hedge(relay: &Rc<Relay>, call: &Rc<Call>) -> Option<ActiveAttempt> {
+/// Waits until a call is late, and then until a retry is left and another endpoint can take it.
+async fn hedge(relay: &Rc<Relay>, call: &Rc<Call>, first: EndpointKey) -> ActiveAttempt {
+    let typical_latency = relay.core.borrow().typical_latency(first);
+    let delay = Millis(typical_latency.0 * HEDGE_LATENCY_FACTOR)
+        .clamp(HEDGE_DELAY_RANGE.0, HEDGE_DELAY_RANGE.1);
+    tokio::time::sleep(Duration::from_millis(delay.0)).await;
+    loop {
+        if let Some(second) = start_hedge(relay, call, first) {
+            return second;
+        }
+        tokio::time::sleep(HEDGE_RETRY_INTERVAL).await;
+    }
+}
+
+fn start_hedge(relay: &Rc<Relay>, call: &Rc<Call>, first: EndpointKey) -> Option<ActiveAttempt> {
     let mut core = relay.core.borrow_mut();
-    let group = core.group_mut(call.group)?;
-    if !group.retry_budget.spend() {
+    if core.group(call.group)?.retry_budget.left() == 0 {
         return None;
     }
-    let chosen = core.start_attempt(call.group, None, relay.now()).ok()?;
+    let chosen = core.start_other_attempt(call.group, first, relay.now())?;
+    core.group_mut(call.group)?.retry_budget.spend();
     drop(core);
     relay.cx.metrics.retries.with_label_values(&[AttemptEnd::Overtaken.as_str()]).inc();
     Some(ActiveAttempt::start(relay.clone(), call.clone(), chosen))
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -319,6 +319,33 @@
     });
 }
 
+/// Guards against a late call that no other endpoint could take at the one moment at which it was to
+/// be hedged: it waited for a frozen endpoint until its deadline and got 504 after 5 s.
+#[test]
+fn a_call_to_a_frozen_endpoint_is_hedged_once_another_can_take_it() {
+    run(async {
+        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
+        let [frozen, healthy] = [0, 1].map(|number| cluster.services[number].address);
+        let to = cluster.daemons[0].callers;
+        let check = async |number: u32| {
+            let path = format!("/consent/{number}");
+            let began = Instant::now();
+            let answer = cluster.send(to, Method::GET, &path, &[], "").await.expect("an answer");
+            (answer.status, began.elapsed())
+        };
+        cluster.set(healthy, json!({"rest": "1"})).await;
+        // By chance, one of them goes to the endpoint that asks for a backoff.
+        for number in 0..20 {
+            check(number).await;
+        }
+        cluster.set(healthy, json!({"rest": ""})).await;
+        cluster.set(frozen, json!({"freeze_ms": 20_000})).await;
+        let (status, took) = check(20).await;
+        assert_eq!(status, StatusCode::OK, "after {took:?}");
+        assert!(took < Duration::from_secs(2), "took {took:?}");
+    });
+}
+
 #[test]
 fn a_retry_that_times_out_does_not_release_the_key_of_the_first_call() {
     run(async {
