fix: an outage that a further source's answer ends is confirmed by witnesses as well

Now every answer of the store leads to the question. No play of it: it needs a daemon cut off from the store and from all peers at once, which the test kit can't do.

--- a/crates/cherrystandd/src/site/catching_up.rs
+++ b/crates/cherrystandd/src/site/catching_up.rs
@@ -36,7 +36,7 @@
     }
 }
 
-async fn ask_store(control: &Control) {
+async fn ask_store(control: &Rc<Control>) {
     log::info!("the store is asked, as what is known of it is old");
     if let Err(err) = read_store_at_once(control).await {
         log::info!("the store did not help to catch up: {err}");
--- a/crates/cherrystandd/src/site/store_watch.rs
+++ b/crates/cherrystandd/src/site/store_watch.rs
@@ -34,8 +34,8 @@
 /// again, and it reads from them then.
 const MAX_FAILURE_BACKOFF_NON_READER: Duration = Duration::from_millis(4_000);
 
-/// How long the second of two hedged watches waits for a change: it is to be answered at once.
-const HEDGED_WATCH_WAIT: Duration = Duration::ZERO;
+/// How long a watch waits for a change that is to be answered at once.
+const NO_WAIT: Duration = Duration::ZERO;
 
 /// How many peers are asked to confirm an outage of the store.
 const MAX_WITNESSES: usize = 2;
@@ -137,10 +137,7 @@
                     true => control.peers.watch_interval().max(MIN_READ_INTERVAL),
                     false => MIN_READ_INTERVAL_NON_READER,
                 };
-                let silence = control.state.borrow_mut().take_unconfirmed_outage();
-                if let Some(silence) = silence {
-                    tokio::task::spawn_local(confirm_outage(control.clone(), silence));
-                }
+                confirm_any_outage(control);
                 tokio::time::sleep(control.read_pause(interval)).await;
             }
             Err(PlatformError::HistoryLost | PlatformError::EraChanged) => {
@@ -187,6 +184,15 @@
     }
 }
 
+/// Asks peers, beside everything else, whether the store was out, if its answer came after a silence
+/// that counts as an outage.
+fn confirm_any_outage(control: &Rc<Control>) {
+    let silence = control.state.borrow_mut().take_unconfirmed_outage();
+    if let Some(silence) = silence {
+        tokio::task::spawn_local(confirm_outage(control.clone(), silence));
+    }
+}
+
 /// Asks peers whether the store was out at all. This daemon can't distinguish an outage from its
 /// own loss of connection.
 async fn confirm_outage(control: Rc<Control>, silence: Millis) {
@@ -244,14 +250,20 @@
 }
 
 /// Reads from the store at once what this daemon lacks, over a new connection.
-pub(crate) async fn read_store_at_once(control: &Control) -> Result<(), PlatformError> {
-    let Some(after) = control.complete_up_to() else {
-        return list_all(control).await;
-    };
+pub(crate) async fn read_store_at_once(control: &Rc<Control>) -> Result<(), PlatformError> {
+    match control.complete_up_to() {
+        Some(after) => read_after_at_once(control, after).await?,
+        None => list_all(control).await?,
+    }
+    confirm_any_outage(control);
+    Ok(())
+}
+
+async fn read_after_at_once(control: &Control, after: Revision) -> Result<(), PlatformError> {
     // Idle connections may be stalled.
     control.store.close_idle_connections();
     let sent_at = control.now();
-    match control.store.watch("", after, HEDGED_WATCH_WAIT).await {
+    match control.store.watch("", after, NO_WAIT).await {
         Ok(changes) => {
             apply_watched(control, &changes, control.now().since(sent_at));
             Ok(())
@@ -346,7 +358,7 @@
     };
     // Idle connections may have stalled together with that one.
     control.store.close_idle_connections();
-    let mut second = pin!(control.store.watch("", after, HEDGED_WATCH_WAIT));
+    let mut second = pin!(control.store.watch("", after, NO_WAIT));
     match select(&mut first, &mut second).await {
         Either::Left((Ok(changes), _)) | Either::Right((Ok(changes), _)) => Ok(changes),
         Either::Left((Err(_), _)) => second.await,
