fix: what an endpoint signalled is kept once it is listed under its incarnation

What callers saw: 503 for some calls, and three requests reached a replica within a rest of 1.5 s that it had asked of the same daemon.

Cause: a box is known without its incarnation until it reports its start. A rest, a limit or that it leaves was kept under the id of before, and forgotten as the box was listed anew; the daemon's log has the refusal under i-1 and 0.2 s later one under i-1@. A refusal that came after that was kept under the old id too.

Change: what is kept of the same box moves to the id under which it is listed (EndpointBackpressure::adopt), and signals are recorded under that. Another incarnation begins anew, as before.

--- a/crates/cherrystand_core/src/requests/endpoint_backpressure.rs
+++ b/crates/cherrystand_core/src/requests/endpoint_backpressure.rs
@@ -141,6 +141,21 @@
         self.leaving.contains(id)
     }
 
+    /// Moves what is kept under another ID of the same endpoint, as `is_same` recognizes it, to the
+    /// ID under which it is listed now.
+    pub fn adopt(&mut self, id: &K, is_same: impl Fn(&K) -> bool) {
+        let is_other = |held: &&K| *held != id && is_same(held);
+        if let Some(held) = self.backoffs.keys().find(is_other).cloned()
+            && let Some(backoff) = self.backoffs.remove(&held)
+        {
+            self.backoffs.insert(id.clone(), backoff);
+        }
+        if self.leaving.iter().any(|held| is_other(&held)) {
+            self.leaving.insert(id);
+        }
+        self.limits.adopt(id, is_other);
+    }
+
     /// Replaces the set of endpoints in evacuated availability zones, with the time of each
     /// evacuation.
     pub fn set_evacuated(&mut self, evacuated: BTreeMap<K, Millis>) {
--- a/crates/cherrystand_core/src/requests/endpoint_rate_limits.rs
+++ b/crates/cherrystand_core/src/requests/endpoint_rate_limits.rs
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Moves the rate limit of another ID of the same endpoint to the ID under which it is listed
+    /// now. Its owner may be another node, so permits are requested anew.
+    pub(crate) fn adopt(&mut self, id: &K, is_same: impl Fn(&&K) -> bool) {
+        let Some(held) = self.endpoints.keys().find(is_same).cloned() else { return };
+        if let Some(mut endpoint) = self.endpoints.remove(&held) {
+            endpoint.clear_rate_limit();
+            self.endpoints.insert(id.clone(), endpoint);
+        }
+    }
+
     /// Adds an entry for an endpoint that may be limited, unless there are too many.
     fn ensure_entry(&mut self, id: &K) {
         if self.endpoints.len() < MAX_ENDPOINTS && !self.endpoints.contains_key(id) {
--- a/crates/cherrystand_core/src/requests/leaving_incarnations.rs
+++ b/crates/cherrystand_core/src/requests/leaving_incarnations.rs
@@ -41,6 +41,11 @@
         self.incarnations.contains(id)
     }
 
+    /// Lists the endpoints that are leaving.
+    pub fn iter(&self) -> impl Iterator<Item = &K> {
+        self.incarnations.iter()
+    }
+
     /// Returns whether no endpoint is leaving.
     pub fn is_empty(&self) -> bool {
         self.incarnations.is_empty()
--- a/crates/cherrystand_core/src/site/load_balancer.rs
+++ b/crates/cherrystand_core/src/site/load_balancer.rs
@@ -101,6 +101,12 @@
     latency_models: HashMap<String, LatencyModel>,
 }
 
+/// Returns whether two IDs name the same box, and not two incarnations of it. A box is listed without
+/// its incarnation until it reports its start.
+fn is_same_incarnation(one: &BoxId, other: &BoxId) -> bool {
+    one.is_same_box(other) && !one.is_other_incarnation_of(other)
+}
+
 impl LoadBalancer {
     /// Creates a load balancer without endpoints.
     pub fn new(policy: Policy) -> Self {
@@ -118,6 +124,9 @@
                 self.targets.remove(key);
             }
         }
+        for id in wanted.keys().filter(|id| !self.keys.contains_key(*id)) {
+            self.backpressure.adopt(id, |held| is_same_incarnation(held, id));
+        }
         self.update_availability(&wanted);
         for (id, spec) in wanted {
             match self.keys.get(&id).and_then(|key| self.targets.get_mut(*key)) {
@@ -133,6 +142,16 @@
         self.rebuild_index();
     }
 
+    /// Returns the ID under which a box is listed now, given one under which a request was sent to
+    /// it.
+    pub(super) fn listed_id(&self, sent_to: &BoxId) -> BoxId {
+        if self.keys.contains_key(sent_to) {
+            return sent_to.clone();
+        }
+        let listed = self.keys.keys().find(|id| is_same_incarnation(id, sent_to));
+        listed.unwrap_or(sent_to).clone()
+    }
+
     /// Updates which endpoints lie in evacuated zones, and which are cold.
     fn update_availability(&mut self, wanted: &BTreeMap<BoxId, TargetSpec>) {
         let evacuated =
--- a/crates/cherrystand_core/src/site/load_balancer_limits.rs
+++ b/crates/cherrystand_core/src/site/load_balancer_limits.rs
@@ -108,17 +108,19 @@
 
     /// Records that an endpoint asked this node to back off, and returns until when it will.
     pub fn record_backoff(&mut self, id: &BoxId, asked: Millis, now: Millis) -> Millis {
-        let target = self.keys.get(id).and_then(|key| self.targets.get(*key));
+        let id = self.listed_id(id);
+        let target = self.keys.get(&id).and_then(|key| self.targets.get(*key));
         let in_flight = target.map_or(0, |target| target.in_flight);
-        self.backpressure.record_backoff(id, asked, in_flight, now)
+        self.backpressure.record_backoff(&id, asked, in_flight, now)
     }
 
     /// Records that an endpoint is leaving, and returns whether that is new.
     pub fn record_leaving(&mut self, id: &BoxId) -> bool {
-        if let Some(target) = self.keys.get(id).and_then(|key| self.targets.get_mut(*key)) {
+        let id = self.listed_id(id);
+        if let Some(target) = self.keys.get(&id).and_then(|key| self.targets.get_mut(*key)) {
             target.is_leaving = true;
         }
-        self.backpressure.record_leaving(id)
+        self.backpressure.record_leaving(&id)
     }
 
     /// Returns whether an endpoint announced that it is leaving.
--- a/crates/cherrystand_core/tests/endpoint_backpressure.rs
+++ b/crates/cherrystand_core/tests/endpoint_backpressure.rs
@@ -2,12 +2,37 @@
 
 use cherrystand_core::{
     AllowedRegions, BackpressureState, BoxId, EndpointBackpressure, LoadBalancer, MAX_BACKOFF,
-    Millis, RequestSpec, SeededRng, SendPermit, ServiceName, TargetSpec,
+    Millis, ObservedRateLimit, RequestRate, RequestSpec, SeededRng, SendPermit, ServiceName,
+    TargetSpec,
 };
 use proptest::prelude::*;
 
 const NOW: Millis = Millis(50_000);
 
+/// An endpoint of the service `app`.
+fn service_target(id: BoxId) -> TargetSpec {
+    TargetSpec {
+        id,
+        service: ServiceName::new("app"),
+        model: None,
+        near: true,
+        slots: 6,
+        region: None,
+        evacuated_since: None,
+        cold: None,
+    }
+}
+
+fn service_request(service: &ServiceName) -> RequestSpec<'_> {
+    RequestSpec {
+        service,
+        model: None,
+        prompt_tokens: 0.0,
+        latency_goal: Millis(100),
+        regions: AllowedRegions::default(),
+    }
+}
+
 fn first_incarnation() -> BoxId {
     BoxId::new("i-1").with_incarnation(7)
 }
@@ -262,14 +287,8 @@
     ];
     let service = ServiceName::new("app");
     let spec = |number: usize| TargetSpec {
-        id: BoxId::new(format!("a-{number}")),
-        service: service.clone(),
-        model: None,
         near: number == 0,
-        slots: 6,
-        region: None,
-        evacuated_since: None,
-        cold: None,
+        ..service_target(BoxId::new(format!("a-{number}")))
     };
     for case in cases {
         let mut balancer = LoadBalancer::default();
@@ -285,13 +304,7 @@
         // The entries disappear and return.
         balancer.set_targets(Vec::new());
         balancer.set_targets(vec![spec(0), spec(1)]);
-        let ask = RequestSpec {
-            service: &service,
-            model: None,
-            prompt_tokens: 0.0,
-            latency_goal: Millis(100),
-            regions: AllowedRegions::default(),
-        };
+        let ask = service_request(&service);
         let key = balancer.choose(ask, None, &[], NOW, &mut SeededRng::new(3));
         let id = key.and_then(|key| balancer.box_id(key)).cloned();
         let chosen = case.chosen.map(|number| spec(number).id);
@@ -300,3 +313,46 @@
         assert_eq!(balancer.unavailable_until(ask, None, NOW), unavailable_until, "{}", case.name);
     }
 }
+
+/// Guards against signals that are lost as a box begins to report its start: one that had asked for
+/// 1.5 s was sent requests again after 0.2 s, under the id that names its incarnation.
+#[test]
+fn signals_of_a_box_are_kept_once_it_reports_its_start() {
+    struct Case {
+        name: &'static str,
+        before: &'static str,
+        after: &'static str,
+        is_kept: bool,
+    }
+    let cases = [
+        Case { name: "it reports its start", before: "b0", after: "b0@5", is_kept: true },
+        Case { name: "it no longer does", before: "b0@5", after: "b0", is_kept: true },
+        Case { name: "it started again", before: "b0@5", after: "b0@6", is_kept: false },
+        Case { name: "another box", before: "b0", after: "b1", is_kept: false },
+    ];
+    let service = ServiceName::new("app");
+    for case in cases {
+        let (before, after) = (BoxId::new(case.before), BoxId::new(case.after));
+        let target = |id: &BoxId| service_target(id.clone());
+        let mut balancer = LoadBalancer::default();
+        balancer.set_targets(vec![target(&before)]);
+        balancer.record_backoff(&before, Millis(1_500), NOW);
+        let limit = RequestRate::per_second(2.0);
+        let observed = ObservedRateLimit { limit, request_sent_at: NOW };
+        balancer.rate_limits_mut().record_answer(&before, observed, NOW);
+        balancer.set_targets(vec![target(&after)]);
+        let until = balancer.unavailable_until(service_request(&service), None, NOW);
+        let is_limited = balancer.rate_limits().limit(&after) == limit;
+        let expected = case.is_kept.then_some(NOW + Millis(1_500));
+        assert_eq!((until, is_limited), (expected, case.is_kept), "{}", case.name);
+        // A request that was sent before is refused now, under the id of then.
+        balancer.record_backoff(&before, Millis(3_000), NOW);
+        let expected = case.is_kept.then_some(NOW + Millis(3_000));
+        assert_eq!(
+            balancer.unavailable_until(service_request(&service), None, NOW),
+            expected,
+            "{}",
+            case.name
+        );
+    }
+}
