test(soak): a limit that a box no longer names is not held against daemons

By the schedule box 6 names 'few' from 2.5 s and nothing from 3.9 s on, and the next limit at 11.5 s (1e9); the check took the 0 of before for in force until then. The check was wrong: the stand-in now records that a box's good answers have ceased to name a limit, and the check counts from that as from any other limit. A box that names it in some answers only, or in good ones only, ends nothing.

--- a/crates/cherrystand_testkit/src/site/box_answers.rs
+++ b/crates/cherrystand_testkit/src/site/box_answers.rs
@@ -41,6 +41,11 @@
         self.wait_while_held().await;
         let request = req.headers().get("cherrystand-request-id").cloned();
         let mut answer = self.handle(id, req).await;
+        if self.ends_limit(id, answer.status())
+            && let Some(request) = request.as_ref().and_then(|request| request.to_str().ok())
+        {
+            self.record_signal(id, request, Signal::RateLimit(f64::INFINITY));
+        }
         if let Some(limit) = self.limit_in_answer(id, answer.status()) {
             set_header(&mut answer, "server-limit", limit);
             let limit_per_s = limit.parse().ok().filter(|limit: &f64| *limit >= 0.0);
@@ -208,6 +213,21 @@
         site_box.wishes.limit.filter(|_| is_advertised)
     }
 
+    /// Returns whether an answer is the first good one of a box that no longer limits its rate.
+    fn ends_limit(&self, id: &str, status: StatusCode) -> bool {
+        let start = self.start_of(id);
+        let state = self.state.borrow();
+        let is_limited =
+            state.boxes.get(id).is_some_and(|site_box| site_box.wishes.limit.is_some());
+        let own = state.signals.iter().rev().filter(|sent| sent.target == id);
+        let mut own = own.filter(|sent| Some(sent.incarnation) == start);
+        let named = own.find_map(|sent| match sent.signal {
+            Signal::RateLimit(limit) => Some(limit),
+            _ => None,
+        });
+        status.is_success() && !is_limited && named.is_some_and(f64::is_finite)
+    }
+
     /// Records that a box aborted an answer that was not read.
     fn record_unread_abort(&self, id: &str) {
         self.state.borrow_mut().unread_aborts.push(id.to_owned());
--- a/crates/cherrystand_testkit/src/site/box_wishes.rs
+++ b/crates/cherrystand_testkit/src/site/box_wishes.rs
@@ -86,7 +86,8 @@
     Backoff(Duration),
     /// It leaves.
     Leaving,
-    /// It takes this many requests per second from all daemons together.
+    /// It takes this many requests per second from all daemons together; infinitely many once its good
+    /// answers name no limit any more.
     RateLimit(f64),
 }
 
--- a/crates/cherrystand_testkit/tests/soak_checks.rs
+++ b/crates/cherrystand_testkit/tests/soak_checks.rs
@@ -73,6 +73,13 @@
     record.arrivals = vec![record.arrivals[0].clone(); arrivals];
 }
 
+/// Records that the box no longer named a limit some time before the requests reached it, or after that.
+fn limit_ended(record: &mut RunRecord, before: Duration) {
+    let at = record.calls[0].sent - before + Duration::from_millis(10);
+    let signal = Signal::RateLimit(f64::INFINITY);
+    record.signals.insert(1, SentSignal { at, signal, ..record.signals[0].clone() });
+}
+
 /// Records that a request crashed three boxes at the start and reached boxes again later, `again` times.
 fn crashes(record: &mut RunRecord, began: Instant, again: usize) {
     let (body, target) = ("crashes".to_owned(), "i-0".to_owned());
@@ -248,6 +255,14 @@
             limited(record, 3.5, 27);
         }),
         case("rate limit reached", None, &|record, _| limited(record, 3.5, 26)),
+        case("more requests after the limit ended", None, &|record, _| {
+            limited(record, 0.0, 9);
+            limit_ended(record, Duration::from_secs(7));
+        }),
+        case("more requests before the limit ended", Some("a-0 got 9"), &|record, _| {
+            limited(record, 0.0, 9);
+            limit_ended(record, Duration::ZERO);
+        }),
         case("rate limit exceeded by a suspended daemon", None, &|record, began| {
             limited(record, 3.5, 27);
             let since = began + Duration::from_secs(57);
