fix: an empty retry budget grants one retry a second, so that a frozen endpoint does not hold a call

Cause: a retry is earned by ten requests.

Change: a budget that is empty is granted one retry if the last such grant is a second old. Retries stay within what was saved, a tenth of the requests and one a second (property).

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -220,7 +220,8 @@
 pub use requests::refusal::{Refusal, RefusalReason};
 pub use requests::request_rate::RequestRate;
 pub use requests::retry::{
-    BUDGET_PER_MILLE, FailedAttempt, MAX_ATTEMPTS, NoRetry, RetryBudget, decide_retry,
+    BUDGET_PER_MILLE, FailedAttempt, MAX_ATTEMPTS, NoRetry, RETRY_FLOOR_INTERVAL, RetryBudget,
+    decide_retry,
 };
 pub use requests::router::{EndpointKey, EndpointSpec, GroupKey, NoEndpoint, Router};
 pub use requests::seeded_rng::{SeededRng, hash_bytes, mix};
--- a/crates/cherrystand_core/src/requests/retry.rs
+++ b/crates/cherrystand_core/src/requests/retry.rs
@@ -14,15 +14,23 @@
 /// The cost of one retry, in thousandths; each first attempt earns [`BUDGET_PER_MILLE`].
 const RETRY_COST: u32 = 1_000;
 
+/// The shortest time between two retries that are granted although none was earned.
+pub const RETRY_FLOOR_INTERVAL: Millis = Millis(1_000);
+
 /// Limits retries to a share of first attempts, so that they cannot amplify a failure.
+///
+/// Where few requests come, a share of them is nothing for seconds. So an empty budget is granted
+/// one retry in each [`RETRY_FLOOR_INTERVAL`].
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
     saved: u32,
+    /// When a retry was last granted to the empty budget.
+    granted_at: Option<Millis>,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { saved: MAX_SAVED }
+        Self { saved: MAX_SAVED, granted_at: None }
     }
 }
 
@@ -32,6 +40,15 @@
         self.saved = (self.saved + BUDGET_PER_MILLE).min(MAX_SAVED);
     }
 
+    /// Grants a retry if none is left and the last one was granted long enough ago.
+    pub fn grant_if_empty(&mut self, now: Millis) {
+        let is_due = self.granted_at.is_none_or(|at| now.since(at) >= RETRY_FLOOR_INTERVAL);
+        if self.left() == 0 && is_due {
+            self.saved += RETRY_COST;
+            self.granted_at = Some(now);
+        }
+    }
+
     /// Takes one retry out of the budget; returns whether it held one.
     pub fn spend(&mut self) -> bool {
         let Some(left) = self.saved.checked_sub(RETRY_COST) else {
--- a/crates/cherrystand_core/tests/outcomes.rs
+++ b/crates/cherrystand_core/tests/outcomes.rs
@@ -1,8 +1,8 @@
 //! What each end of an attempt says about the request, and when a request is retried.
 
 use cherrystand_core::{
-    AttemptEnd, FailedAttempt, MAX_ATTEMPTS, Millis, NoRetry, Outcome, RefusalReason, RetryBudget,
-    decide_retry,
+    AttemptEnd, FailedAttempt, MAX_ATTEMPTS, Millis, NoRetry, Outcome, RETRY_FLOOR_INTERVAL,
+    RefusalReason, RetryBudget, decide_retry,
 };
 use proptest::prelude::*;
 
@@ -123,6 +123,25 @@
         prop_assert!(retries <= saved + requests.len() as u32 / 10 + 1, "{} retries", retries);
     }
 
+    #[test]
+    fn an_empty_budget_grants_one_retry_in_each_interval(
+        requests in prop::collection::vec((any::<bool>(), 0_u64..200), 0..4_000),
+    ) {
+        let mut budget = RetryBudget::default();
+        let saved = budget.left();
+        let (mut now, mut retries) = (Millis(0), 0);
+        for (fails, pause) in &requests {
+            now = now + Millis(*pause);
+            budget.earn();
+            budget.grant_if_empty(now);
+            let attempt = failed(AttemptEnd::ConnectFailed);
+            retries += u32::from(*fails && decide_retry(&attempt, &mut budget).is_ok());
+        }
+        let granted = (now.0 / RETRY_FLOOR_INTERVAL.0) as u32 + 1;
+        let earned = requests.len() as u32 / 10 + 1;
+        prop_assert!(retries <= saved + earned + granted, "{} retries", retries);
+    }
+
     #[test]
     fn non_idempotent_call_is_run_at_most_once(
         ends in prop::collection::vec(prop::sample::select(&AttemptEnd::ALL[..]), 1..6),
--- a/crates/cherrystandd/src/relay/request_handler.rs
+++ b/crates/cherrystandd/src/relay/request_handler.rs
@@ -188,10 +188,13 @@
 
 fn start_hedge(relay: &Rc<Relay>, call: &Rc<Call>, first: EndpointKey) -> Option<ActiveAttempt> {
     let mut core = relay.core.borrow_mut();
-    if core.group(call.group)?.retry_budget.left() == 0 {
+    let now = relay.now();
+    let budget = &mut core.group_mut(call.group)?.retry_budget;
+    budget.grant_if_empty(now);
+    if budget.left() == 0 {
         return None;
     }
-    let chosen = core.start_other_attempt(call.group, first, relay.now())?;
+    let chosen = core.start_other_attempt(call.group, first, now)?;
     core.group_mut(call.group)?.retry_budget.spend();
     drop(core);
     relay.cx.metrics.retries.with_label_values(&[AttemptEnd::Overtaken.as_str()]).inc();
@@ -219,6 +222,7 @@
     let Some(group) = core.group_mut(call.group) else {
         return Err(failure_from(end));
     };
+    group.retry_budget.grant_if_empty(relay.now());
     decide_retry(&failed_attempt, &mut group.retry_budget).map_err(|reason: NoRetry| {
         let rejected = &relay.cx.metrics.retries_withheld;
         rejected.with_label_values(&[reason.as_str()]).inc();
--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -346,6 +346,35 @@
     });
 }
 
+/// Guards against late calls that wait for a frozen endpoint until their deadline, 5 s, because
+/// earlier ones have used up the retries and too few requests come to earn another.
+#[test]
+fn a_frozen_service_endpoint_does_not_hold_calls_up_once_the_retries_are_spent() {
+    run(async {
+        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
+        let [frozen, healthy] = [0, 1].map(|number| cluster.services[number].address);
+        let to = cluster.daemons[0].callers;
+        let check = async |number: u32| {
+            let path = format!("/consent/{number}");
+            let began = Instant::now();
+            let answer = cluster.send(to, Method::GET, &path, &[], "").await.expect("an answer");
+            (answer.status, began.elapsed())
+        };
+        // Each call that this endpoint refuses is retried, as long as a retry is left.
+        cluster.set(healthy, json!({"rest": "0"})).await;
+        for number in 0..80 {
+            check(number).await;
+        }
+        cluster.set(healthy, json!({"rest": ""})).await;
+        cluster.set(frozen, json!({"freeze_ms": 20_000})).await;
+        for number in 100..106 {
+            let (status, took) = check(number).await;
+            assert_eq!(status, StatusCode::OK, "check {number} after {took:?}");
+            assert!(took < Duration::from_secs(2), "check {number} took {took:?}");
+        }
+    });
+}
+
 #[test]
 fn a_retry_that_times_out_does_not_release_the_key_of_the_first_call() {
     run(async {
