fix: boxes that are listed as their zone returns to traffic are taken for cold

What callers saw: nothing; an endpoint of a zone that came back got 17 to 31 requests in a second (FAILBACK; 5 allowed in the soak).

Cause: a daemon that starts hears from peers that a zone is evacuated. As it lists the store, the operators' keys come first, the zone is returned while no box is known, so none is assumed cold; then the entries come, and as they were written before the return what they say is passed over.

Change: a box that was not known as its zone was returned is assumed cold as the others were.

The test of the state failed before (None for 13,000). Only deployments whose operators evacuate zones come this way.

--- a/crates/cherrystandd/src/site/box_entries.rs
+++ b/crates/cherrystandd/src/site/box_entries.rs
@@ -108,11 +108,18 @@
     /// after this node had listed the boxes.
     fn apply_cold(&mut self, site_box: &mut SiteBox, entry: &Document, now: Millis) -> bool {
         let stated = site_box.cold_remaining.take();
+        let is_known = self.boxes.contains_key(&site_box.id);
         if self.evacuations.returned_after(&site_box.zone, entry.revision) {
-            // The entry was written while the zone was evacuated and nothing was sent there.
-            return false;
+            // The entry was written while the zone was evacuated and nothing was sent there. A box
+            // that was known then was assumed to be cold as the zone was returned.
+            let cold = self.cold_start_duration(&site_box.service);
+            let is_assumed = !is_known && cold > Millis(0);
+            if is_assumed {
+                Arc::make_mut(&mut self.cold).assume(&site_box.id, cold, now);
+            }
+            return is_assumed;
         }
-        let is_new = self.is_listed() && !self.boxes.contains_key(&site_box.id);
+        let is_new = self.is_listed() && !is_known;
         let remaining = match stated {
             Some(remaining) => remaining,
             None if is_new => self.cold_start_duration(&site_box.service),
--- a/crates/cherrystandd/src/site/site_state_tests.rs
+++ b/crates/cherrystandd/src/site/site_state_tests.rs
@@ -8,6 +8,7 @@
     BoxId, Document, DomainId, DomainRecord, Epoch, Era, Millis, NodeId, Revision,
 };
 use cherrystand_platform::{Changes, SiteDriver};
+use cherrystand_testkit::site_config;
 
 use crate::keys;
 use crate::site::Driver;
@@ -277,3 +278,33 @@
         assert_eq!(state.is_record_lost(&domain), case.is_lost, "{}", case.name);
     }
 }
+
+/// Guards against a daemon that lists the boxes only as it learns that their zone was returned: it
+/// took none of them for cold and sent one 17 to 31 requests in a second.
+#[test]
+fn boxes_that_are_listed_as_their_zone_returns_are_taken_for_cold() {
+    let now = Millis(10_000);
+    let mut config = site_config(1, "/calls/", &["k1"], 6_000);
+    config["services"][1]["cold_per_s"] = 4.0.into();
+    config["services"][1]["cold_start_s"] = 3.0.into();
+    let config = Document {
+        key: Arc::from(Driver::CONFIG_KEY),
+        revision: Revision::new(1),
+        body: Arc::from(config.to_string()),
+    };
+    let evacuated = Document {
+        key: Arc::from(keys::EVACUATED_ZONES),
+        revision: Revision::new(3),
+        body: Arc::from(r#"{"zones": ["z1"]}"#),
+    };
+    let operators =
+        Changes { revision: Revision::new(9), records: vec![config], removed: Vec::new() };
+    let mut state = SiteState::default();
+    state.apply_evacuation_document(&evacuated, now);
+    state.apply_operator_list(&operators, now);
+    state.apply_list(&entries(&[("a", 5), ("b", 12)]), Revision::new(12), now);
+    let view = state.view(1, false);
+    let until = |id| view.cold.until(&BoxId::new(id));
+    assert_eq!(until("a"), Some(now + Millis(3_000)), "its entry was written before the return");
+    assert_eq!(until("b"), None, "its entry was written since, and says that it is warm");
+}
--- a/crates/cherrystandd/tests/soak.rs
+++ b/crates/cherrystandd/tests/soak.rs
@@ -34,9 +34,11 @@
 /// - 506: a box became cold by itself while faults affected the daemons' readers, and got requests
 ///   at its former rate for 0.69 s, until its entry was read. The check therefore counts from one
 ///   second on.
+/// - 935: a daemon that started as a zone was returned took none of its boxes for cold and sent one
+///   17 to 31 requests in a second.
 /// - 512, run by hand only: the check counted requests to the next incarnation of a box. The tests
 ///   of the checks have a case for it.
-const ZONE_SEEDS: [u64; 1] = [506];
+const ZONE_SEEDS: [u64; 2] = [506, 935];
 
 /// Seeds with a store that is restored from backups.
 const DRILL_SEEDS: [u64; 1] = [2];
