--- a/crates/cherrystand_testkit/src/soak/link.rs
+++ b/crates/cherrystand_testkit/src/soak/link.rs
@@ -90,7 +90,12 @@
     }
 
     async fn accept(self, listener: TcpListener, target: SocketAddr) {
-        while let Ok((client, _)) = listener.accept().await {
+        loop {
+            let Ok((client, _)) = listener.accept().await else {
+                // A client may have reset the connection before it was accepted.
+                tokio::time::sleep(POLL_INTERVAL).await;
+                continue;
+            };
             let state = self.state.clone();
             state.opened.set(state.opened.get() + 1);
             let conn = tokio::task::spawn_local(proxy(client, target, state));
