--- a/crates/cherrystandd/tests/failures.rs
+++ b/crates/cherrystandd/tests/failures.rs
@@ -319,60 +319,43 @@
     });
 }
 
+/// Has one of two endpoints refuse some calls, each with a `retry-after` of `rest`, then freezes the
+/// other one, and checks that further calls are still served soon.
+async fn freeze_after_refusals(rest: &str, refused: u32, checked: u32) {
+    let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
+    let [frozen, healthy] = [0, 1].map(|number| cluster.services[number].address);
+    let to = cluster.daemons[0].callers;
+    let check = async |number: u32| {
+        let path = format!("/consent/{number}");
+        let began = Instant::now();
+        let answer = cluster.send(to, Method::GET, &path, &[], "").await.expect("an answer");
+        (answer.status, began.elapsed())
+    };
+    cluster.set(healthy, json!({"rest": rest})).await;
+    for number in 0..refused {
+        check(number).await;
+    }
+    cluster.set(healthy, json!({"rest": ""})).await;
+    cluster.set(frozen, json!({"freeze_ms": 20_000})).await;
+    for number in 0..checked {
+        let (status, took) = check(refused + number).await;
+        assert_eq!(status, StatusCode::OK, "check {number} after {took:?}");
+        assert!(took < Duration::from_secs(2), "check {number} took {took:?}");
+    }
+}
+
 /// Guards against a late call that no other endpoint could take at the one moment at which it was to
 /// be hedged: it waited for a frozen endpoint until its deadline and got 504 after 5 s.
 #[test]
 fn a_call_to_a_frozen_endpoint_is_hedged_once_another_can_take_it() {
-    run(async {
-        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
-        let [frozen, healthy] = [0, 1].map(|number| cluster.services[number].address);
-        let to = cluster.daemons[0].callers;
-        let check = async |number: u32| {
-            let path = format!("/consent/{number}");
-            let began = Instant::now();
-            let answer = cluster.send(to, Method::GET, &path, &[], "").await.expect("an answer");
-            (answer.status, began.elapsed())
-        };
-        cluster.set(healthy, json!({"rest": "1"})).await;
-        // By chance, one of them goes to the endpoint that asks for a backoff.
-        for number in 0..20 {
-            check(number).await;
-        }
-        cluster.set(healthy, json!({"rest": ""})).await;
-        cluster.set(frozen, json!({"freeze_ms": 20_000})).await;
-        let (status, took) = check(20).await;
-        assert_eq!(status, StatusCode::OK, "after {took:?}");
-        assert!(took < Duration::from_secs(2), "took {took:?}");
-    });
+    run(freeze_after_refusals("1", 20, 1));
 }
 
 /// Guards against late calls that wait for a frozen endpoint until their deadline, 5 s, because
 /// earlier ones have used up the retries and too few requests come to earn another.
 #[test]
 fn a_frozen_service_endpoint_does_not_hold_calls_up_once_the_retries_are_spent() {
-    run(async {
-        let cluster = Cluster::serving(Setup { daemons: 1, ..Setup::default() }).await;
-        let [frozen, healthy] = [0, 1].map(|number| cluster.services[number].address);
-        let to = cluster.daemons[0].callers;
-        let check = async |number: u32| {
-            let path = format!("/consent/{number}");
-            let began = Instant::now();
-            let answer = cluster.send(to, Method::GET, &path, &[], "").await.expect("an answer");
-            (answer.status, began.elapsed())
-        };
-        // Each call that this endpoint refuses is retried, as long as a retry is left.
-        cluster.set(healthy, json!({"rest": "0"})).await;
-        for number in 0..80 {
-            check(number).await;
-        }
-        cluster.set(healthy, json!({"rest": ""})).await;
-        cluster.set(frozen, json!({"freeze_ms": 20_000})).await;
-        for number in 100..106 {
-            let (status, took) = check(number).await;
-            assert_eq!(status, StatusCode::OK, "check {number} after {took:?}");
-            assert!(took < Duration::from_secs(2), "check {number} took {took:?}");
-        }
-    });
+    run(freeze_after_refusals("0", 80, 6));
 }
 
 #[test]
