feat: failures to connect to endpoints are counted by reason and logged with the time since any endpoint was heard

Sight for the incident of daemons that are cut off: the logs told neither what of `connect-failed` was refused, reset or hung, nor whether anything still came from other endpoints. No decision was changed.

--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -44,6 +45,22 @@
     ConnectionLost(#[source] hyper::Error),
 }
 
+impl SendError {
+    /// Returns why the connection could not be established, as metrics name it, or `None` if it was.
+    pub fn connect_failure(&self) -> Option<&'static str> {
+        match self {
+            Self::Connect { source, .. } => Some(match source.kind() {
+                ErrorKind::ConnectionRefused => "refused",
+                ErrorKind::ConnectionReset => "reset",
+                ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => "no-route",
+                _ => "other",
+            }),
+            Self::ConnectTimedOut(_) => Some("timed-out"),
+            Self::NotSent(_) | Self::ConnectionLost(_) => None,
+        }
+    }
+}
+
 /// Maximum time for which an idle connection is kept. Servers commonly close theirs after five seconds, and a
 /// request that is sent while the server closes the connection has an unknown outcome.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -7,6 +7,7 @@
 
 use crate::claims::ClaimMessage;
 use crate::config_versions::ConfigVersions;
+use crate::endpoint_contact::EndpointContact;
 use crate::relay::RequestLookup;
 use crate::site::Hint;
 use crate::state::{StateEvent, View};
@@ -96,6 +97,8 @@
     pub(crate) publish_site: Arc<watch::Sender<Arc<SiteView>>>,
     /// The age of the state in `site`.
     pub(crate) store_freshness: Arc<StoreFreshness>,
+    /// When this daemon last received anything from an endpoint.
+    pub(crate) endpoint_contact: Arc<EndpointContact>,
     /// The requests in flight at all daemons by model, as last published.
     pub(crate) model_loads: watch::Receiver<Arc<ModelLoads>>,
     /// Publishes `model_loads`; used by the request path.
@@ -145,6 +148,7 @@
             site,
             publish_site: Arc::new(publish_site),
             store_freshness: Arc::default(),
+            endpoint_contact: Arc::default(),
             model_loads,
             publish_model_loads: Arc::new(publish_model_loads),
             suspects,
--- a/crates/cherrystandd/src/lib.rs
+++ b/crates/cherrystandd/src/lib.rs
@@ -10,6 +10,7 @@
 mod counting_client;
 mod duties;
 mod duty_context;
+mod endpoint_contact;
 mod kernel;
 mod keys;
 mod logging;
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -61,6 +61,8 @@
     pub orders: IntCounterVec,
     /// Time until a box answered an order or a probe, or until the call timed out, in seconds.
     pub box_call_time: HistogramVec,
+    /// Connections to endpoints that could not be opened, by reason.
+    pub connect_failures: IntCounterVec,
     /// Verdicts on boxes that did not answer a probe.
     pub silence_verdicts: IntCounterVec,
     /// Age of an update from a peer when it arrives, by kind, in seconds.
@@ -157,6 +159,11 @@
                 "Time until a box answered or was waited for in vain.",
                 &["call", "result"],
             )?,
+            connect_failures: factory.counters(
+                "endpoint_connect_failures_total",
+                "Connections to endpoints that could not be opened.",
+                &["reason"],
+            )?,
             silence_verdicts: factory.counters(
                 "silence_verdicts_total",
                 "Verdicts on boxes that did not answer.",
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -78,6 +78,7 @@
     let answer = answer.map_err(|err| {
         match err {
             SendError::Connect { .. } | SendError::ConnectTimedOut(_) => {
+                frontend.record_connect_failure(&attempt.target, &err);
                 frontend.report_unreachable(attempt)
             }
             SendError::NotSent(_) => {
@@ -91,6 +92,7 @@
         }
         attempt_end(&err)
     })?;
+    frontend.record_contact();
     check_head(frontend, req, answer, attempt)
 }
 
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -13,7 +13,7 @@
     Prediction, Route, STALL_MARGIN, SeededRng, ServiceName, SiteView, StallEvidence, StreamEnd,
     engine_priority, max_idle_connections,
 };
-use cherrystand_platform::{BufferBudget, EndpointPool};
+use cherrystand_platform::{BufferBudget, EndpointPool, SendError};
 
 use crate::site::Hint;
 use crate::site::active_attempt::ActiveAttempt;
@@ -33,6 +33,9 @@
 /// How many stale-data lines are logged each second.
 const STALE_LOGS_PER_SECOND: u32 = 5;
 
+/// How many failures to connect are logged each second.
+const CONNECT_LOGS_PER_SECOND: u32 = 5;
+
 /// For how long after its start the daemon holds requests back until it knows what is in service.
 /// Its readers may take that long to report it.
 ///
@@ -81,6 +84,7 @@
     pub(crate) failures: FailureLog,
     pub(super) signal_log: SignalLog,
     stale_log: RefCell<LogLimiter>,
+    connect_log: RefCell<LogLimiter>,
     /// Tracks requests that were running on boxes that crashed.
     pub(crate) crashes: Rc<CrashWatch>,
     /// The loads that peers report.
@@ -109,6 +113,7 @@
             failures: FailureLog::new(cx.clock),
             signal_log: SignalLog::new(cx.clock, cx.metrics.clone()),
             stale_log: RefCell::new(LogLimiter::new(STALE_LOGS_PER_SECOND)),
+            connect_log: RefCell::new(LogLimiter::new(CONNECT_LOGS_PER_SECOND)),
             crashes,
             rng: Cell::new(SeededRng::new(clock::unix_millis())),
             loads,
@@ -268,6 +273,25 @@
         );
     }
 
+    /// Records that something arrived from an endpoint.
+    pub(crate) fn record_contact(&self) {
+        self.cx.endpoint_contact.record(self.now());
+    }
+
+    /// Counts a connection to a box that could not be opened, and logs some of them with the time
+    /// since anything last arrived from any endpoint.
+    pub(crate) fn record_connect_failure(&self, target: &BoxId, err: &SendError) {
+        let reason = err.connect_failure().unwrap_or_default();
+        self.cx.metrics.connect_failures.with_label_values(&[reason]).inc();
+        let now = self.now();
+        let Some(left_out) = self.connect_log.borrow_mut().admit(now) else { return };
+        log::info!(
+            target_box = target.as_str(), reason = reason,
+            heard_ms_ago = now.since(self.cx.endpoint_contact.heard_at()).0, left_out = left_out;
+            "a box could not be connected to"
+        );
+    }
+
     /// Returns whether this thread resumed a check that began at `since` so late that it hasn't yet
     /// read what arrived in the meantime.
     pub(crate) fn was_busy(&self, since: Millis) -> bool {
--- a/crates/cherrystandd/src/site/replica_stream.rs
+++ b/crates/cherrystandd/src/site/replica_stream.rs
@@ -71,6 +71,7 @@
                 }
                 Some(Ok(frame)) => {
                     self.received_at = self.frontend.now();
+                    self.frontend.record_contact();
                     self.attempt.on_event();
                     let Ok(data) = frame.into_data() else { continue };
                     self.splitter.push(&data);
