test: daemons that are cut off from all endpoints, red

Three daemons behind links of their own to each endpoint (the store shows each daemon its links' addresses), one or two of them cut: silent, reset, or new connections refused while open ones live on.

--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -33,6 +33,7 @@
     pub(crate) mod box_answers;
     pub(crate) mod box_orders;
     pub(crate) mod box_wishes;
+    pub(crate) mod endpoint_links;
     pub(crate) mod fake_site_domain;
     pub(crate) mod limit_checks;
     pub(crate) mod metadata_stand_in;
@@ -67,13 +68,14 @@
 pub use service_stand_in::{ServiceAnswer, ServiceKnobs, ServiceStandIn};
 pub use site::box_answers::{CRASHES, EVENTS};
 pub use site::box_wishes::{BoxWishes, LimitIn, SentSignal, Sheds, Signal, ignored_signals};
+pub use site::endpoint_links::EndpointLinks;
 pub use site::fake_site_domain::FakeSiteDomain;
 pub use site::limit_checks::{LimitBound, exceeded_limits};
 pub use site::metadata_stand_in::{MetadataStandIn, PageFault, StoreMode};
 pub use site::site_box::{Arrival, BoxMode, ColdReport, Crash};
 pub use site::site_setup::{NodeSettings, site_config, whole_stream};
 pub use site::site_stand_in::SiteStandIn;
-pub use soak::link::{Link, LinkMode};
+pub use soak::link::{Link, LinkCut, LinkMode};
 pub use soak::old_sends::OldSend;
 pub use soak::run::{DEFAULT_SPAN, SoakOutcome, SoakSetup, daemon_program, run_soak};
 pub use soak::run_record::{
--- a/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 
 use crate::http::{FullBody, empty, json as json_answer, query_number, read_json};
+use crate::site::endpoint_links::EndpointLinks;
 
 /// How often a waiting watch checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -53,9 +54,11 @@
 }
 
 /// A store that all nodes share. Each node can be given an address of its own, with a mode of its own.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct MetadataStandIn {
     state: Rc<RefCell<State>>,
+    /// The links whose addresses it shows instead of those of endpoints.
+    links: EndpointLinks,
 }
 
 /// How the store treats calls on one address.
@@ -105,6 +108,11 @@
 }
 
 impl MetadataStandIn {
+    /// Returns the same store as a daemon sees it that reaches endpoints through `links`.
+    pub(crate) fn seen_through(&self, links: EndpointLinks) -> Self {
+        Self { links, ..self.clone() }
+    }
+
     /// Writes an item whose value is already encoded in base64.
     pub fn put(&self, key: &str, value: String) {
         let mut state = self.state.borrow_mut();
@@ -219,7 +227,7 @@
     fn key(&self, key: &str) -> Response<FullBody> {
         let found = self.state.borrow().items.get(key).cloned();
         if let Some((revision, value)) = found {
-            return json_answer(StatusCode::OK, &item(key, revision, &value));
+            return json_answer(StatusCode::OK, &self.item(key, revision, &value));
         }
         self.put_after_missed_read(key);
         empty(StatusCode::NOT_FOUND)
@@ -254,7 +262,7 @@
         let found = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
         let rest = found.filter(|(key, _)| after.is_empty() || key.as_str() > after);
         let mut items: Vec<Value> =
-            rest.map(|(key, (revision, value))| item(key, *revision, value)).collect();
+            rest.map(|(key, (revision, value))| self.item(key, *revision, value)).collect();
         let has_more = items.len() > length;
         items.truncate(length);
         let page = json!({"items": items, "has_more": has_more, "timestamp": state.revision});
@@ -275,7 +283,7 @@
                 }
                 let newer = state.changes.iter().filter(|change| change.revision > since);
                 let newer = newer.filter(|change| change.key.starts_with(&prefix));
-                let events: Vec<Value> = newer.map(event).collect();
+                let events: Vec<Value> = newer.map(|change| self.event(change)).collect();
                 if !events.is_empty() || tokio::time::Instant::now() >= deadline {
                     let page = json!({"events": events, "timestamp": state.revision});
                     return json_answer(StatusCode::OK, &page);
@@ -295,7 +303,7 @@
             let items: Vec<Value> = transaction
                 .expect_rev
                 .iter()
-                .map(|row| item(&row.tls_key, revision_of(&row.tls_key), ""))
+                .map(|row| self.item(&row.tls_key, revision_of(&row.tls_key), ""))
                 .collect();
             return json_answer(StatusCode::PRECONDITION_FAILED, &json!({"items": items}));
         }
@@ -313,20 +321,21 @@
         }
         json_answer(StatusCode::OK, &json!({"revision": self.state.borrow().revision}))
     }
+
+    fn item(&self, key: &str, revision: u64, value: &str) -> Value {
+        let value = self.links.show(value);
+        json!({"tls_key": key, "value": value, "revision": revision, "created": revision, "lease": 0})
+    }
+
+    fn event(&self, change: &Change) -> Value {
+        match &change.value {
+            Some(value) => self.item(&change.key, change.revision, value),
+            None => json!({"tls_key": change.key, "revision": change.revision, "is_gone": true}),
+        }
+    }
 }
 
 fn parameter(req: &Request<Incoming>, name: &str) -> String {
     let value = crate::http::query(req, name).unwrap_or_default();
     value.replace("%2F", "/")
 }
-
-fn item(key: &str, revision: u64, value: &str) -> Value {
-    json!({"tls_key": key, "value": value, "revision": revision, "created": revision, "lease": 0})
-}
-
-fn event(change: &Change) -> Value {
-    match &change.value {
-        Some(value) => item(&change.key, change.revision, value),
-        None => json!({"tls_key": change.key, "revision": change.revision, "is_gone": true}),
-    }
-}
--- a/crates/cherrystand_testkit/src/site/site_setup.rs
+++ b/crates/cherrystand_testkit/src/site/site_setup.rs
@@ -43,6 +43,8 @@
     pub first_start: bool,
     /// Allowed retries in one window beyond the share of requests, over all daemons.
     pub retry_slack: f64,
+    /// Whether it reads the store itself rather than a reader of its zone.
+    pub reads_store: bool,
     /// By how much a signal advances its clock to simulate a suspension, in milliseconds; 0 for none.
     pub suspended_ms: u64,
 }
@@ -58,7 +60,7 @@
              first_start = {}\ngrace_ms = {GRACE_MS}\nretry_ratio = {RETRY_RATIO:?}\n\
              retry_slack = {:?}\nretry_window_s = {RETRY_WINDOW_S}\n\
              [site.regions]\nz1 = \"r1\"\nz2 = \"r2\"\n\
-             [policy]\nnote_readers_from = 0\n[testing]\nsuspended_ms = {}\n",
+             [policy]\nnote_readers_from = 0\nreaders = {}\n[testing]\nsuspended_ms = {}\n",
             self.name,
             seeds.join(", "),
             self.callers,
@@ -69,6 +71,7 @@
             self.changes,
             self.first_start,
             self.retry_slack,
+            !self.reads_store,
             self.suspended_ms,
         )
     }
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -17,6 +17,7 @@
 
 use crate::site::box_answers::{Answer, full_body};
 use crate::site::box_wishes::{BoxWishes, SentSignal};
+use crate::site::endpoint_links::EndpointLinks;
 use crate::site::metadata_stand_in::{MetadataStandIn, StoreMode};
 use crate::site::site_box::{
     Arrival, BoxMode, ColdReport, Crash, Membership, SiteBoxState, StandInState,
@@ -62,6 +63,16 @@
     ///
     /// Returns an error if no loopback address can be listened on.
     pub async fn open_store(&self) -> std::io::Result<SocketAddr> {
+        self.open_store_through(EndpointLinks::default()).await
+    }
+
+    /// Opens another address of the store as [`Self::open_store`] does, for a daemon that reaches endpoints through
+    /// `links`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no loopback address can be listened on.
+    pub async fn open_store_through(&self, links: EndpointLinks) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
         let number = self.state.borrow().store_modes.len();
@@ -69,7 +80,7 @@
         let site = self.clone();
         let serving = serve(listener, move |req| {
             let mode = site.state.borrow().store_modes.get(&number).copied().unwrap_or_default();
-            let store = site.store.clone();
+            let store = site.store.seen_through(links.clone());
             async move { store.handle(mode, req).await.map(full_body) }
         });
         self.tasks.borrow_mut().push(serving);
--- a/crates/cherrystand_testkit/src/soak/daemon.rs
+++ b/crates/cherrystand_testkit/src/soak/daemon.rs
@@ -39,6 +39,7 @@
             store,
             first_start: true,
             retry_slack: RETRY_SLACK,
+            reads_store: false,
             suspended_ms: 0,
         };
         let (program, dir) = (program.to_owned(), dir.to_owned());
--- a/crates/cherrystand_testkit/src/soak/link.rs
+++ b/crates/cherrystand_testkit/src/soak/link.rs
@@ -1,13 +1,13 @@
 //! A loopback TCP proxy that can delay, drop and break the traffic between two programs.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// How often a blocked connection checks whether it may forward bytes again.
@@ -16,6 +16,12 @@
 /// Maximum number of bytes forwarded at a time.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Length of the queue of connections that wait to be accepted after a cut.
+const RESTORED_QUEUE: u32 = 128;
+
+/// A connection on loopback that isn't open after this time hangs.
+const FILL_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// How a link treats traffic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkMode {
@@ -30,6 +36,19 @@
     SilentBack,
 }
 
+/// How a link is cut.
+///
+/// Fault schedules print the variants by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkCut {
+    /// Open connections forward nothing any more, and new ones hang.
+    Silent,
+    /// Open connections are reset, and new ones are refused.
+    Reset,
+    /// Open connections live on, and new ones are refused.
+    RefuseNew,
+}
+
 /// State that all connections of a link share.
 #[derive(Debug, Default)]
 struct LinkState {
@@ -51,8 +70,22 @@
 #[derive(Clone)]
 pub struct Link {
     address: SocketAddr,
+    target: SocketAddr,
     state: Rc<LinkState>,
     conns: Rc<RefCell<Vec<JoinHandle<()>>>>,
+    door: Rc<RefCell<Door>>,
+}
+
+/// What is bound to the address of a link.
+#[derive(Debug, Default)]
+enum Door {
+    /// Nothing: new connections are refused.
+    #[default]
+    Closed,
+    /// The task that accepts connections.
+    Open(JoinHandle<()>),
+    /// A listener whose queue is full, so that new connections hang, and the connections that fill it.
+    Full { _listener: TcpListener, _queued: Vec<TcpStream> },
 }
 
 impl Link {
@@ -63,12 +96,97 @@
     /// Returns an error if no loopback address can be listened on.
     pub async fn open(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
-        let link =
-            Self { address: listener.local_addr()?, state: Rc::default(), conns: Rc::default() };
-        tokio::task::spawn_local(link.clone().accept(listener, target));
+        Self::start(listener, target)
+    }
+
+    fn start(listener: TcpListener, target: SocketAddr) -> std::io::Result<Self> {
+        let link = Self {
+            address: listener.local_addr()?,
+            target,
+            state: Rc::default(),
+            conns: Rc::default(),
+            door: Rc::default(),
+        };
+        link.open_door(listener);
         Ok(link)
     }
 
+    /// Starts listening as [`Link::open`] does, on an address of its own, so that no other process takes its port while
+    /// it is cut.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be listened on.
+    pub async fn open_on(address: IpAddr, target: SocketAddr) -> std::io::Result<Self> {
+        Self::start(TcpListener::bind((address, 0)).await?, target)
+    }
+
+    fn open_door(&self, listener: TcpListener) {
+        let accepting = tokio::task::spawn_local(self.clone().accept(listener));
+        self.replace_door(Door::Open(accepting));
+    }
+
+    fn replace_door(&self, door: Door) {
+        if let Door::Open(accepting) = self.door.replace(door) {
+            accepting.abort();
+        }
+    }
+
+    /// Cuts it until [`Link::restore`] is called.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its address cannot be bound again.
+    pub async fn cut(&self, cut: LinkCut) -> std::io::Result<()> {
+        self.close_door().await;
+        match cut {
+            LinkCut::Silent => {
+                self.silence_open_connections();
+                self.fill_queue().await?;
+            }
+            LinkCut::Reset => self.reset_connections(),
+            LinkCut::RefuseNew => {}
+        }
+        Ok(())
+    }
+
+    /// Accepts connections again after a cut. Connections that were silenced stay so.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its address cannot be bound again.
+    pub async fn restore(&self) -> std::io::Result<()> {
+        self.close_door().await;
+        self.open_door(self.listen(RESTORED_QUEUE)?);
+        Ok(())
+    }
+
+    async fn close_door(&self) {
+        self.replace_door(Door::Closed);
+        // The aborted task drops its listener when it is next run.
+        tokio::task::yield_now().await;
+    }
+
+    fn listen(&self, queue: u32) -> std::io::Result<TcpListener> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address)?;
+        socket.listen(queue)
+    }
+
+    /// Listens without accepting anything, and fills the queue of connections that wait for it.
+    async fn fill_queue(&self) -> std::io::Result<()> {
+        let listener = self.listen(0)?;
+        let mut queued = Vec::new();
+        while let Ok(conn) =
+            tokio::time::timeout(FILL_TIMEOUT, TcpStream::connect(self.address)).await
+        {
+            queued.push(conn?);
+        }
+        self.replace_door(Door::Full { _listener: listener, _queued: queued });
+        Ok(())
+    }
+
     /// Returns the address that it listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -89,7 +207,7 @@
         self.conns.borrow_mut().drain(..).for_each(|conn| conn.abort());
     }
 
-    async fn accept(self, listener: TcpListener, target: SocketAddr) {
+    async fn accept(self, listener: TcpListener) {
         loop {
             let Ok((client, _)) = listener.accept().await else {
                 // A client may have reset the connection before it was accepted.
@@ -98,7 +216,7 @@
             };
             let state = self.state.clone();
             state.opened.set(state.opened.get() + 1);
-            let conn = tokio::task::spawn_local(proxy(client, target, state));
+            let conn = tokio::task::spawn_local(proxy(client, self.target, state));
             let mut conns = self.conns.borrow_mut();
             conns.retain(|conn| !conn.is_finished());
             conns.push(conn);
--- a/crates/cherrystandd/tests/support/site.rs
+++ b/crates/cherrystandd/tests/support/site.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cherrystand_core::{Heartbeat, Incarnation, NodeId, ZoneId, readers_of};
-use cherrystand_testkit::{Link, NodeSettings, SiteStandIn, site_config};
+use cherrystand_testkit::{EndpointLinks, Link, NodeSettings, SiteStandIn, site_config};
 use hyper::StatusCode;
 use serde_json::Value;
 
@@ -53,6 +53,8 @@
     pub(crate) nodes: Vec<Node>,
     /// Each daemon's link to the store, in the order of `nodes`.
     pub(crate) store_links: Vec<Link>,
+    /// Each daemon's links to the endpoints, if it reaches them through links.
+    pub(crate) endpoint_links: Vec<EndpointLinks>,
 }
 
 impl Site {
@@ -69,16 +71,34 @@
         for (number, own) in all.chunks(NODE_ADDRESSES).enumerate() {
             let store = stand_in.open_store().await.expect("a store address");
             let link = Link::open(store).await.expect("a link");
-            nodes.push(start_node(number, own, all[3], link.address(), true, retry_slack));
+            let start = NodeStart { retry_slack, ..NodeStart::new(number, all[3], link.address()) };
+            nodes.push(start.start(own));
             store_links.push(link);
         }
-        for id in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
-            stand_in.add_box(id, "models").await.expect("a box");
-        }
-        for id in ["a-1", "a-2"] {
-            stand_in.add_box(id, "app").await.expect("an endpoint");
+        add_endpoints(&stand_in).await;
+        Self { stand_in, nodes, store_links, endpoint_links: Vec::new() }
+    }
+
+    /// Does the same as [`Self::serving`] with daemons that reach each endpoint through a link of their own.
+    pub(crate) async fn serving_behind_links(daemons: usize) -> Self {
+        let stand_in = SiteStandIn::new();
+        add_endpoints(&stand_in).await;
+        let all = free_addresses(daemons * NODE_ADDRESSES);
+        let (mut nodes, mut endpoint_links) = (Vec::new(), Vec::new());
+        for (number, own) in all.chunks(NODE_ADDRESSES).enumerate() {
+            let links = EndpointLinks::default();
+            for id in ["i-1", "i-2", "i-3", "i-4", "i-5", "a-1", "a-2"] {
+                let address = stand_in.address_of(id).expect("an address");
+                links.add(address).await.expect("a link");
+            }
+            let store = stand_in.open_store_through(links.clone()).await.expect("a store address");
+            let start = NodeStart { reads_store: true, ..NodeStart::new(number, all[3], store) };
+            nodes.push(start.start(own));
+            endpoint_links.push(links);
         }
-        Self { stand_in, nodes, store_links }
+        let site = Self { stand_in, nodes, store_links: Vec::new(), endpoint_links };
+        site.wait_until_serving().await;
+        site
     }
 
     /// Starts daemons and a site of two availability zones, and waits until five replicas serve.
@@ -124,7 +144,9 @@
         let store = self.stand_in.open_store().await.expect("a store address");
         let link = Link::open(store).await.expect("a link");
         let number = self.nodes.len();
-        self.nodes.push(start_node(number, &own, seed, link.address(), false, RETRY_SLACK));
+        let start =
+            NodeStart { first_start: false, ..NodeStart::new(number, seed, link.address()) };
+        self.nodes.push(start.start(&own));
         self.store_links.push(link);
     }
 
@@ -168,16 +190,31 @@
     /// Does the same as [`Self::serving`] with a given `retry_slack`.
     pub(crate) async fn serving_with(daemons: usize, retry_slack: f64) -> Self {
         let site = Self::start_with(daemons, retry_slack).await;
-        site.stand_in.configure(&config(1, "/calls/", &["k1"]));
-        wait_until("two replicas serve", async || site.stand_in.leaders().len() == 2).await;
-        for node in &site.nodes {
+        site.wait_until_serving().await;
+        site
+    }
+
+    /// Applies a configuration and waits until both replicas and all daemons serve.
+    async fn wait_until_serving(&self) {
+        self.stand_in.configure(&config(1, "/calls/", &["k1"]));
+        wait_until("two replicas serve", async || self.stand_in.leaders().len() == 2).await;
+        for node in &self.nodes {
             wait_until("a node is ready", async || is_ready(node).await).await;
             wait_until("a node serves", async || {
                 call(node, "GET", MODEL_PATH, "warm", "k1").await.status == StatusCode::OK
             })
             .await;
         }
-        site
+    }
+}
+
+/// Adds five model boxes and two endpoints of a service.
+async fn add_endpoints(stand_in: &SiteStandIn) {
+    for id in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
+        stand_in.add_box(id, "models").await.expect("a box");
+    }
+    for id in ["a-1", "a-2"] {
+        stand_in.add_box(id, "app").await.expect("an endpoint");
     }
 }
 
@@ -197,29 +234,49 @@
     }
 }
 
-fn start_node(
+/// How one daemon starts.
+struct NodeStart {
     number: usize,
-    own: &[SocketAddr],
     seed: SocketAddr,
     store: SocketAddr,
     first_start: bool,
     retry_slack: f64,
-) -> Node {
-    let settings = NodeSettings {
-        name: format!("n{number}"),
-        seeds: vec![seed],
-        callers: own[0],
-        operators: own[1],
-        ready: own[2],
-        peers: own[3],
-        changes: own[4],
-        store,
-        first_start,
-        retry_slack,
-        suspended_ms: SUSPENDED_MS,
-    };
-    let process = start_with_settings("cherrystandd", &settings.to_string(), own[0]);
-    Node { number, process, callers: own[0], ready: own[2], operators: own[1], peers: own[3] }
+    reads_store: bool,
+}
+
+impl NodeStart {
+    /// The first start of a daemon that may read from another one.
+    fn new(number: usize, seed: SocketAddr, store: SocketAddr) -> Self {
+        let (first_start, retry_slack, reads_store) = (true, RETRY_SLACK, false);
+        Self { number, seed, store, first_start, retry_slack, reads_store }
+    }
+
+    /// Starts the daemon on its own addresses.
+    fn start(self, own: &[SocketAddr]) -> Node {
+        let settings = NodeSettings {
+            name: format!("n{}", self.number),
+            seeds: vec![self.seed],
+            callers: own[0],
+            operators: own[1],
+            ready: own[2],
+            peers: own[3],
+            changes: own[4],
+            store: self.store,
+            first_start: self.first_start,
+            retry_slack: self.retry_slack,
+            reads_store: self.reads_store,
+            suspended_ms: SUSPENDED_MS,
+        };
+        let process = start_with_settings("cherrystandd", &settings.to_string(), own[0]);
+        Node {
+            number: self.number,
+            process,
+            callers: own[0],
+            ready: own[2],
+            operators: own[1],
+            peers: own[3],
+        }
+    }
 }
 
 pub(crate) async fn is_ready(node: &Node) -> bool {
