fix: peers carry requests to endpoints that a daemon's own link doesn't reach

Callers saw 503 on nearly every first try while their daemon was cut off from all endpoints, although the daemons beside it, which it reached, served the same at that second. Cause: a daemon knew one way to an endpoint; what its own link couldn't carry failed.

Permit, deadline, ledger and cancellation stay at the entry daemon; the peer says how carrying ended. Direct paths are checked by connections without requests, spread in time. A silent attempt has its way checked; if it is lost, a resumable stream goes on elsewhere beside it.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -77,6 +77,7 @@
     pub(crate) mod change_log;
     pub(crate) mod digest;
     pub(crate) mod documents;
+    pub(crate) mod endpoint_paths;
     pub(crate) mod era_tracker;
     pub(crate) mod fan_out;
     pub(crate) mod freshness;
@@ -177,6 +178,9 @@
 pub use nodes::change_log::{ChangeLog, ChangesSince};
 pub use nodes::digest::Digest;
 pub use nodes::documents::{Document, Documents, Version};
+pub use nodes::endpoint_paths::{
+    CarrierFailure, EndpointPaths, PathSearch, ReachReport, SearchResult,
+};
 pub use nodes::era_tracker::{EraTracker, ReportedEra};
 pub use nodes::fan_out::{FanOutTarget, fan_out};
 pub use nodes::freshness::{FRESH_FOR, Freshness, ServeBy};
--- a/crates/cherrystand_core/src/site/load_balancer.rs
+++ b/crates/cherrystand_core/src/site/load_balancer.rs
@@ -196,6 +196,14 @@
         }
     }
 
+    /// Ends the ejection of the endpoint of a box.
+    pub fn readmit_box(&mut self, id: &BoxId) {
+        let key = self.keys.get(id).copied();
+        if let Some(target) = key.and_then(|key| self.targets.get_mut(key)) {
+            target.readmit();
+        }
+    }
+
     /// Lists what this node has in flight by endpoint, and when each endpoint last made progress.
     pub fn own_loads(&self) -> impl Iterator<Item = (&BoxId, EngineLoad, Millis)> {
         let busy = self.targets.values().filter(|target| target.in_flight > 0);
--- a/crates/cherrystand_core/src/site/policy.rs
+++ b/crates/cherrystand_core/src/site/policy.rs
@@ -47,6 +47,8 @@
     pub warm_spares: bool,
     /// Whether each daemon keeps to its share of the retry budget.
     pub retry_share: bool,
+    /// Whether peers carry requests to endpoints that this daemon's own link doesn't reach.
+    pub carry: bool,
     /// Whether most daemons read from a reader of their zone instead of the store.
     pub readers: bool,
     /// From this product of daemons and boxes on, the store names the readers to daemons that
@@ -69,6 +71,7 @@
             follow_demand: true,
             warm_spares: true,
             retry_share: true,
+            carry: true,
             readers: true,
             // When all daemons start at once, 60 daemons list 225 boxes each as fast as readers
             // would send them (0.42 s); the lists of 75 daemons and 1,000 boxes, at 670 bytes a
--- a/crates/cherrystand_core/src/site/target.rs
+++ b/crates/cherrystand_core/src/site/target.rs
@@ -125,6 +125,13 @@
         }
     }
 
+    /// Ends its ejection, and forgets the failures that led to it.
+    pub(crate) fn readmit(&mut self) {
+        self.ejected_until = Millis(0);
+        self.next_ejection = INITIAL_EJECTION;
+        self.failure_rate = 0.0;
+    }
+
     pub(crate) fn is_ejected(&self, now: Millis) -> bool {
         now < self.ejected_until
     }
--- a/crates/cherrystand_peer/src/lib.rs
+++ b/crates/cherrystand_peer/src/lib.rs
@@ -3,6 +3,7 @@
 //! Messages are encoded with `postcard` and sent as `nng` requests and replies. See docs/design/0006
 //! for what is exchanged and why.
 
+mod carrying;
 mod change_update;
 mod config_history;
 mod load_message;
@@ -11,6 +12,7 @@
 mod packed_body;
 mod transport;
 
+pub use carrying::{CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachAnswer, ReachQuery};
 pub use change_update::{ChangeCursor, ChangeRequest, ChangeUpdate};
 pub use config_history::ConfigHistory;
 pub use load_message::LoadMessage;
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-use cherrystand_core::DEFAULT_IDLE_CONNECTIONS;
+use cherrystand_core::{AttemptEnd, DEFAULT_IDLE_CONNECTIONS};
 
 use crate::{MAX_HEAD_BYTES, since_boot};
 
@@ -43,9 +43,26 @@
     /// The connection failed after a byte of the request may have been written.
     #[error("the connection failed before the answer began")]
     ConnectionLost(#[source] hyper::Error),
+    /// The peer that carried the request lost its connection to the server after a byte may have been written.
+    #[error("the connection of the peer that carried the request failed before the answer began")]
+    LostBehindCarrier,
+    /// The connection to the peer that carried the request failed; the request may have been sent on.
+    #[error("the peer at {0} that carried the request failed before the answer began")]
+    CarrierLost(SocketAddr),
 }
 
 impl SendError {
+    /// Returns how an attempt ended that failed with this error.
+    pub fn attempt_end(&self) -> AttemptEnd {
+        match self {
+            Self::Connect { .. } | Self::ConnectTimedOut(_) => AttemptEnd::ConnectFailed,
+            Self::NotSent(_) => AttemptEnd::NotSent,
+            Self::ConnectionLost(_) | Self::LostBehindCarrier | Self::CarrierLost(_) => {
+                AttemptEnd::CutBeforeAnswer
+            }
+        }
+    }
+
     /// Returns why the connection could not be established, as metrics name it, or `None` if it was.
     pub fn connect_failure(&self) -> Option<&'static str> {
         match self {
@@ -56,7 +73,10 @@
                 _ => "other",
             }),
             Self::ConnectTimedOut(_) => Some("timed-out"),
-            Self::NotSent(_) | Self::ConnectionLost(_) => None,
+            Self::NotSent(_)
+            | Self::ConnectionLost(_)
+            | Self::LostBehindCarrier
+            | Self::CarrierLost(_) => None,
         }
     }
 }
@@ -100,6 +120,17 @@
     }
 }
 
+/// A connection that was opened and carries no request.
+pub struct OpenConnection(Connection);
+
+/// The outcome of sending a request on an idle connection.
+pub enum IdleSend {
+    /// The request was sent, or may have been.
+    Sent(Result<Response<PooledBody>, SendError>),
+    /// No idle connection was usable; nothing was sent.
+    NoneIdle(Request<Full<Bytes>>),
+}
+
 /// Keeps the idle connections of one thread, by address.
 ///
 /// A connection returns to the pool only after its answer has been read to the end, so that a late
@@ -138,17 +169,69 @@
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
     ) -> Result<Response<PooledBody>, SendError> {
+        match self.send_on_idle(max_idle, address, req).await {
+            IdleSend::Sent(answer) => answer,
+            IdleSend::NoneIdle(req) => {
+                let conn = self.open(max_idle, address, connect_timeout).await?;
+                self.send_on(conn, req).await
+            }
+        }
+    }
+
+    /// Sends a request on an idle connection to the address, if there is a usable one.
+    pub async fn send_on_idle(
+        &self,
+        max_idle: usize,
+        address: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> IdleSend {
         let mut req = req;
         while let Some(mut conn) = self.take_idle(address) {
             conn.max_idle = max_idle;
             match self.exchange(conn, req).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => return IdleSend::Sent(Ok(answer)),
                 Err((SendError::NotSent(_), Some(unsent))) => req = unsent,
-                Err((err, _)) => return Err(err),
+                Err((err, _)) => return IdleSend::Sent(Err(err)),
             }
         }
-        let conn = connect(max_idle, address, connect_timeout).await?;
-        self.exchange(conn, req).await.map_err(|(err, _)| err)
+        IdleSend::NoneIdle(req)
+    }
+
+    /// Opens a connection without sending anything.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::Connect`] or [`SendError::ConnectTimedOut`].
+    pub async fn open(
+        &self,
+        max_idle: usize,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<OpenConnection, SendError> {
+        connect(max_idle, address, timeout).await.map(OpenConnection)
+    }
+
+    /// Sends a request on a connection that was just opened.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::NotSent`] or [`SendError::ConnectionLost`].
+    pub async fn send_on(
+        &self,
+        conn: OpenConnection,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<PooledBody>, SendError> {
+        self.exchange(conn.0, req).await.map_err(|(err, _)| err)
+    }
+
+    /// Keeps a connection that was just opened as an idle one.
+    pub fn keep(&self, conn: OpenConnection) {
+        self.release(conn.0);
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn close_idle_to(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
     }
 
     /// Closes all idle connections.
--- a/crates/cherrystand_platform/src/http_server.rs
+++ b/crates/cherrystand_platform/src/http_server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,6 +30,10 @@
 /// Delay before accepting again after an error such as running out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The address of the caller of a request, found among the request's extensions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerAddress(pub SocketAddr);
+
 /// Serves connections until `stop` becomes true, then finishes the requests in flight.
 ///
 /// Must run inside a [`tokio::task::LocalSet`].
@@ -45,8 +50,9 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    let connection = serve_connection(stream, handle.clone(), stop.clone());
+                Ok((stream, caller)) => {
+                    let caller = CallerAddress(caller);
+                    let connection = serve_connection(stream, caller, handle.clone(), stop.clone());
                     connections.spawn_local(connection);
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -61,6 +67,7 @@
 
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
+    caller: CallerAddress,
     handle: Rc<H>,
     mut stop: watch::Receiver<bool>,
 ) where
@@ -71,7 +78,8 @@
 {
     // Without Nagle's algorithm small answers are sent at once. A failure here only adds latency.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |req| {
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        req.extensions_mut().insert(caller);
         let answer = handle(req);
         async move { Ok::<_, Infallible>(answer.await) }
     });
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{BoxCall, HttpPool, SendError};
+use crate::{BoxCall, HttpPool, PooledBody, SendError};
 
 /// Maximum size of an answer, in bytes; the platform's lists are the largest answers.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
@@ -89,28 +89,48 @@
     request: BoxCall,
     timeout: Duration,
 ) -> Result<Answer, CallError> {
-    let mut req = Request::builder()
-        .method(request.method)
-        .uri(request.path)
-        .header("host", address.to_string())
-        .header("content-type", "application/json")
-        .body(Full::new(request.body))
-        .map_err(CallError::InvalidRequest)?;
-    req.headers_mut().extend(request.headers);
+    let req = request.into_request(address)?;
     let exchange = async {
-        let answer = pool.send(address, req, timeout / CONNECT_TIMEOUT_DIVISOR).await?;
-        let (head, body) = answer.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|err| CallError::AnswerInterrupted(err.to_string()))?
-            .to_bytes();
-        Ok(Answer { status: head.status, headers: head.headers, body })
+        read_answer(pool.send(address, req, timeout / CONNECT_TIMEOUT_DIVISOR).await?).await
     };
     let outcome = tokio::time::timeout(timeout, exchange).await;
     outcome.unwrap_or(Err(CallError::TimedOut(timeout)))
 }
 
+impl BoxCall {
+    /// Builds the HTTP request of this call.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::InvalidRequest`] if the path or a header is not valid in HTTP.
+    pub fn into_request(self, address: SocketAddr) -> Result<Request<Full<Bytes>>, CallError> {
+        let mut req = Request::builder()
+            .method(self.method)
+            .uri(self.path)
+            .header("host", address.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(self.body))
+            .map_err(CallError::InvalidRequest)?;
+        req.headers_mut().extend(self.headers);
+        Ok(req)
+    }
+}
+
+/// Reads a whole answer.
+///
+/// # Errors
+///
+/// Returns [`CallError::AnswerInterrupted`] if it ends early or is too large.
+pub async fn read_answer(answer: Response<PooledBody>) -> Result<Answer, CallError> {
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|err| CallError::AnswerInterrupted(err.to_string()))?
+        .to_bytes();
+    Ok(Answer { status: head.status, headers: head.headers, body })
+}
+
 /// Serializes a value as JSON.
 ///
 /// # Errors
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -1,8 +1,8 @@
 //! The context that every duty is given: settings, clock, channels and published state.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use cherrystand_core::{ModelLoads, SiteView, SuspectRecord};
+use cherrystand_core::{EndpointPaths, ModelLoads, SiteView, SuspectRecord};
 use tokio::sync::watch;
 
 use crate::claims::ClaimMessage;
@@ -97,6 +97,8 @@
     pub(crate) publish_site: Arc<watch::Sender<Arc<SiteView>>>,
     /// The age of the state in `site`.
     pub(crate) store_freshness: Arc<StoreFreshness>,
+    /// Which way leads to each endpoint, as all threads have found.
+    pub(crate) endpoint_paths: Arc<Mutex<EndpointPaths>>,
     /// When this daemon last received anything from an endpoint.
     pub(crate) endpoint_contact: Arc<EndpointContact>,
     /// The requests in flight at all daemons by model, as last published.
@@ -148,6 +150,7 @@
             site,
             publish_site: Arc::new(publish_site),
             store_freshness: Arc::default(),
+            endpoint_paths: Arc::new(Mutex::new(EndpointPaths::new(crate::clock::unix_millis()))),
             endpoint_contact: Arc::default(),
             model_loads,
             publish_model_loads: Arc::new(publish_model_loads),
@@ -182,6 +185,12 @@
         let _ = stop.wait_for(|now| *now >= phase).await;
     }
 
+    /// Returns which way leads to each endpoint.
+    pub(crate) fn paths(&self) -> MutexGuard<'_, EndpointPaths> {
+        // No change of it panics half-way.
+        self.endpoint_paths.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the last published view.
     pub(crate) fn current_view(&self) -> Arc<View> {
         self.view.borrow().clone()
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -61,6 +61,12 @@
     pub orders: IntCounterVec,
     /// Time until a box answered an order or a probe, or until the call timed out, in seconds.
     pub box_call_time: HistogramVec,
+    /// Endpoints that this daemon reaches only through peers.
+    pub endpoints_indirect: IntGauge,
+    /// Searches for peers that reach an endpoint, by result.
+    pub path_searches: IntCounterVec,
+    /// Requests that peers carried for this daemon or this daemon for peers, by way and end.
+    pub carried_requests: IntCounterVec,
     /// Connections to endpoints that could not be opened, by reason.
     pub connect_failures: IntCounterVec,
     /// Verdicts on boxes that did not answer a probe.
@@ -164,6 +170,18 @@
                 "Connections to endpoints that could not be opened.",
                 &["reason"],
             )?,
+            endpoints_indirect: factory
+                .gauge("endpoints_indirect", "Endpoints that only peers reach.")?,
+            path_searches: factory.counters(
+                "path_searches_total",
+                "Searches for peers that reach an endpoint.",
+                &["result"],
+            )?,
+            carried_requests: factory.counters(
+                "carried_requests_total",
+                "Requests to endpoints that peers carried, or this daemon for peers.",
+                &["way", "end"],
+            )?,
             silence_verdicts: factory.counters(
                 "silence_verdicts_total",
                 "Verdicts on boxes that did not answer.",
--- a/crates/cherrystandd/src/relay/active_attempt.rs
+++ b/crates/cherrystandd/src/relay/active_attempt.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use cherrystand_core::{AttemptEnd, DEFAULT_IDLE_CONNECTIONS, EndpointKey, Millis, SendPermit};
-use cherrystand_platform::{NOT_RUN_HEADER, PooledBody, RequestedBackoff, SendError};
+use cherrystand_platform::{NOT_RUN_HEADER, PooledBody, RequestedBackoff};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -180,7 +180,7 @@
     );
     let answer =
         relay.cx.clock.timeout_at(call.deadline, send).await.ok_or(AttemptEnd::TimedOut)?;
-    let answer = answer.map_err(|err| attempt_end(&err))?;
+    let answer = answer.map_err(|err| err.attempt_end())?;
     if answer.headers().contains_key(NOT_RUN_HEADER) {
         attempt.record_backoff(RequestedBackoff::read(answer.headers()));
         return Err(match answer.status() {
@@ -209,14 +209,6 @@
     req
 }
 
-fn attempt_end(err: &SendError) -> AttemptEnd {
-    match err {
-        SendError::Connect { .. } | SendError::ConnectTimedOut(_) => AttemptEnd::ConnectFailed,
-        SendError::NotSent(_) => AttemptEnd::NotSent,
-        SendError::ConnectionLost(_) => AttemptEnd::CutBeforeAnswer,
-    }
-}
-
 /// Reads the body of an answer that is not an event stream, up to `MAX_BUFFERED_BYTES`.
 async fn buffer_answer(
     answer: Response<PooledBody>,
--- a/crates/cherrystandd/src/site/active_attempt.rs
+++ b/crates/cherrystandd/src/site/active_attempt.rs
@@ -9,6 +9,7 @@
 
 use tokio::sync::Notify;
 
+use crate::site::box_client::PathTaken;
 use crate::site::frontend::Frontend;
 use crate::site::request::SiteRequest;
 
@@ -27,6 +28,11 @@
     permit: Cell<Option<SendPermit>>,
     /// Whether the endpoint's backoff had just ended.
     after_backoff: bool,
+    /// The way that it takes.
+    pub(crate) path: PathTaken,
+    /// Whether its way was found to be lost, so that its answer may not arrive although the endpoint
+    /// makes progress.
+    path_lost: Cell<bool>,
     /// Whether the endpoint has begun to answer.
     answered: Cell<bool>,
     unread_tokens: Cell<f64>,
@@ -71,6 +77,8 @@
             target,
             after_backoff: permit.is_after_backoff(),
             permit: Cell::new(Some(permit)),
+            path: PathTaken::default(),
+            path_lost: Cell::new(false),
             answered: Cell::new(false),
             unread_tokens: Cell::new(prompt),
             started_at: now,
@@ -102,6 +110,7 @@
         let now = self.frontend.now();
         self.on_answer();
         self.stall_reported_at.set(None);
+        self.path_lost.set(false);
         let mut balancer = self.frontend.balancer.borrow_mut();
         balancer.record_progress(self.key, now);
         let unread_tokens = self.unread_tokens.take();
@@ -157,6 +166,16 @@
         self.aborted.notified().await;
     }
 
+    /// Records that its way was found to be lost.
+    pub(crate) fn set_path_lost(&self) {
+        self.path_lost.set(true);
+    }
+
+    /// Returns whether its way was found to be lost, and nothing arrived since.
+    pub(crate) fn is_path_lost(&self) -> bool {
+        self.path_lost.get()
+    }
+
     /// Stores the evidence of the latest check, if the endpoint is stalled.
     pub(crate) fn set_stall(&self, stall: Option<StallEvidence>) {
         self.stall.set(stall);
@@ -201,8 +220,12 @@
         );
     }
 
-    /// Takes the endpoint out of the choice for a while.
+    /// Takes the endpoint out of the choice for a while, unless a peer carried the request, whose fault
+    /// it may be.
     pub(crate) fn eject(&self) {
+        if self.path.carrier().is_some() {
+            return;
+        }
         let now = self.frontend.now();
         self.frontend.balancer.borrow_mut().eject(self.key, now);
     }
--- /dev/null
+++ b/crates/cherrystandd/src/site/carrier_client.rs
@@ -0,0 +1,171 @@
+//! Asks peers whether they reach a box, and has them carry requests to it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cherrystand_core::{BoxId, CarrierFailure, Heartbeat, NodeId, ReachReport};
+use cherrystand_peer::{
+    CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachAnswer, ReachQuery, decode, encode,
+};
+use cherrystand_platform::{HttpPool, PooledBody, SendError, call};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response, StatusCode};
+
+use crate::DutyContext;
+
+/// How many idle connections are kept to one peer that carries requests.
+const MAX_IDLE: usize = 64;
+
+/// The timeout for connecting to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// The timeout of a question whether a peer reaches a box, with the time that the peer allows itself.
+const REACH_TIMEOUT: Duration = Duration::from_millis(280);
+
+/// Why a peer brought no answer.
+pub(crate) enum CarryFailure {
+    /// Nothing was sent to the box, so the request may go another way.
+    NotSent,
+    /// The box may have received the request.
+    Failed(SendError),
+}
+
+/// A peer that carries requests.
+#[derive(Clone, Debug)]
+pub(crate) struct CarrierPeer {
+    pub(crate) node: NodeId,
+    address: SocketAddr,
+}
+
+impl CarrierPeer {
+    pub(crate) fn new(peer: &Heartbeat) -> Option<Self> {
+        Some(Self { node: peer.node.clone(), address: peer.changes? })
+    }
+}
+
+/// The connections of one thread to peers that carry requests.
+pub(crate) struct CarrierClient {
+    cx: DutyContext,
+    pool: HttpPool,
+}
+
+impl CarrierClient {
+    pub(crate) fn new(cx: DutyContext) -> Self {
+        Self { cx, pool: HttpPool::default() }
+    }
+
+    /// Chooses a peer that is known to reach boxes, other than those in `tried`.
+    pub(crate) fn choose(&self, id: &BoxId, tried: &[NodeId]) -> Option<CarrierPeer> {
+        let view = self.cx.current_view();
+        let alive: Vec<&Heartbeat> = view.alive().collect();
+        let zone = self.cx.site.borrow().boxes.get(id).map(|known| known.zone.clone());
+        let now = self.cx.clock.now();
+        let mut paths = self.cx.paths();
+        let chosen = paths.choose_carrier(&view.own, &alive, id, zone.as_ref(), tried, now);
+        chosen.and_then(CarrierPeer::new)
+    }
+
+    /// Has a peer carry a request, and waits for the head of the box's answer.
+    pub(crate) async fn send(
+        &self,
+        carrier: &CarrierPeer,
+        id: &BoxId,
+        mut req: Request<Full<Bytes>>,
+    ) -> Result<Response<PooledBody>, CarryFailure> {
+        let Ok(target) = HeaderValue::from_str(id.as_str()) else {
+            return Err(CarryFailure::NotSent);
+        };
+        req.headers_mut().insert(CARRY_TO, target);
+        let sent = self.pool.send_with_max_idle(MAX_IDLE, carrier.address, req, CONNECT_TIMEOUT);
+        let outcome = match sent.await {
+            Ok(answer) => self.read_end(carrier, id, answer),
+            Err(SendError::ConnectionLost(_)) => {
+                self.record_failure(carrier, id, CarrierFailure::Unavailable);
+                Err(CarryFailure::Failed(SendError::CarrierLost(carrier.address)))
+            }
+            Err(_) => {
+                self.record_failure(carrier, id, CarrierFailure::Unavailable);
+                Err(CarryFailure::NotSent)
+            }
+        };
+        let result = match &outcome {
+            Ok(_) => "answered",
+            Err(CarryFailure::NotSent) => "not-sent",
+            Err(CarryFailure::Failed(_)) => "lost",
+        };
+        self.cx.metrics.carried_requests.with_label_values(&["out", result]).inc();
+        outcome
+    }
+
+    /// Tells the box's answer from a peer's own. A peer that doesn't carry requests says nothing of
+    /// how it ended, and has sent nothing.
+    fn read_end(
+        &self,
+        carrier: &CarrierPeer,
+        id: &BoxId,
+        mut answer: Response<PooledBody>,
+    ) -> Result<Response<PooledBody>, CarryFailure> {
+        let end = answer.headers_mut().remove(CARRY_END);
+        let end = end.and_then(|end| CarryEnd::parse(end.to_str().ok()?));
+        match end {
+            Some(CarryEnd::Answered) => {
+                self.cx.paths().record_reached(&carrier.node, id, self.cx.clock.now());
+                Ok(answer)
+            }
+            Some(CarryEnd::Lost) => Err(CarryFailure::Failed(SendError::LostBehindCarrier)),
+            Some(CarryEnd::Missed | CarryEnd::Unlisted) => {
+                self.record_failure(carrier, id, CarrierFailure::EndpointMissed);
+                Err(CarryFailure::NotSent)
+            }
+            Some(CarryEnd::Full) | None => {
+                self.record_failure(carrier, id, CarrierFailure::Unavailable);
+                Err(CarryFailure::NotSent)
+            }
+        }
+    }
+
+    fn record_failure(&self, carrier: &CarrierPeer, id: &BoxId, failure: CarrierFailure) {
+        let now = self.cx.clock.now();
+        self.cx.paths().record_carrier_failure(&carrier.node, id, failure, now);
+        log::debug!(
+            peer = carrier.node.as_str(), target_box = id.as_str();
+            "a peer did not carry a request: {failure:?}"
+        );
+    }
+
+    /// Asks a peer whether it reaches a box.
+    pub(crate) async fn ask(&self, carrier: &CarrierPeer, id: &BoxId) -> ReachReport {
+        let report = self.query(carrier, id).await.unwrap_or(ReachReport::Unknown);
+        let now = self.cx.clock.now();
+        match report {
+            ReachReport::Reached => self.cx.paths().record_reached(&carrier.node, id, now),
+            ReachReport::Missed => {
+                self.record_failure(carrier, id, CarrierFailure::EndpointMissed);
+            }
+            ReachReport::Unknown => {}
+        }
+        report
+    }
+
+    async fn query(&self, carrier: &CarrierPeer, id: &BoxId) -> Option<ReachReport> {
+        let query = encode(&ReachQuery { endpoint: id.clone() });
+        let body = query.inspect_err(|err| log::error!("a query cannot be encoded: {err}")).ok()?;
+        let answer =
+            call(&self.pool, carrier.address, Method::POST, REACH_PATH, body.into(), REACH_TIMEOUT);
+        let answer = answer.await.inspect_err(|err| {
+            log::debug!(peer = carrier.node.as_str(); "a peer did not say what it reaches: {err}");
+        });
+        let answer = answer.ok().filter(|answer| answer.status == StatusCode::OK)?;
+        decode::<ReachAnswer>(&answer.body).ok().map(ReachReport::from)
+    }
+
+    /// Returns whether a peer still answers and reaches a box.
+    pub(crate) async fn reaches(&self, carrier: &NodeId, id: &BoxId) -> bool {
+        let view = self.cx.current_view();
+        let peer = view.alive().find(|peer| &peer.node == carrier).and_then(CarrierPeer::new);
+        let Some(peer) = peer else { return false };
+        self.ask(&peer, id).await == ReachReport::Reached
+    }
+}
--- /dev/null
+++ b/crates/cherrystandd/src/site/carrying.rs
@@ -0,0 +1,224 @@
+//! Carries requests of peers to boxes that their own links don't reach.
+//!
+//! Source: docs/design/0028-another-way-to-an-endpoint.md.
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cherrystand_core::{BoxId, Millis, max_idle_connections};
+use cherrystand_peer::{CARRY_END, CARRY_TO, CarryEnd, ReachAnswer, ReachQuery, decode, encode};
+use cherrystand_platform::{BufferBudget, CallerAddress, PooledBody, SendError};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+
+use crate::StopPhase;
+use crate::relay::headers::remove_hop_by_hop_headers;
+use crate::site::box_client::BoxAddress;
+use crate::site::control::Control;
+use crate::site::request::read_body;
+
+/// How many requests of peers are carried at once: each takes two connections, and those of the own
+/// callers come first.
+const MAX_CARRIED: usize = 512;
+
+/// The timeout for connecting to a box for a peer, shorter than the peer waits for an answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// The largest body of a request that is carried, if no configuration is known, in bytes.
+const DEFAULT_BODY_BYTES: usize = 8 << 20;
+
+/// The largest query whether a box is reached, in bytes.
+const MAX_QUERY_BYTES: usize = 1 << 10;
+
+/// The requests that are carried now, and the memory for their bodies.
+pub(crate) struct CarriedRequests {
+    count: Rc<Cell<usize>>,
+    budget: BufferBudget,
+}
+
+/// One request that is carried until this is dropped.
+pub(crate) struct CarrySlot(Rc<Cell<usize>>);
+
+impl CarriedRequests {
+    pub(crate) fn new(budget: BufferBudget) -> Self {
+        Self { count: Rc::default(), budget }
+    }
+
+    fn admit(&self) -> Option<CarrySlot> {
+        (self.count.get() < MAX_CARRIED).then(|| {
+            self.count.set(self.count.get() + 1);
+            CarrySlot(self.count.clone())
+        })
+    }
+}
+
+impl Drop for CarrySlot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// The body of a box's answer on its way to a peer. If it breaks off, so does the peer's.
+pub(crate) struct CarriedBody {
+    body: PooledBody,
+    _slot: CarrySlot,
+}
+
+impl Body for CarriedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Returns the box that a request is to be carried to.
+pub(super) fn carry_target(headers: &HeaderMap) -> Option<BoxId> {
+    headers.get(CARRY_TO)?.to_str().ok().map(BoxId::new)
+}
+
+/// Carries a request of a peer to a box over the own link, and never on to a third daemon.
+///
+/// # Errors
+///
+/// Returns how carrying ended if the box did not answer.
+pub(super) async fn carry(
+    control: &Control,
+    mut req: Request<Incoming>,
+    target: &BoxId,
+) -> Result<Response<CarriedBody>, CarryEnd> {
+    req.headers_mut().remove(CARRY_TO);
+    let outcome = carry_listed(control, req, target).await;
+    let end = outcome.as_ref().err().copied().unwrap_or(CarryEnd::Answered);
+    control.cx.metrics.carried_requests.with_label_values(&["in", end.as_str()]).inc();
+    outcome
+}
+
+async fn carry_listed(
+    control: &Control,
+    req: Request<Incoming>,
+    target: &BoxId,
+) -> Result<Response<CarriedBody>, CarryEnd> {
+    if !is_from_peer(control, &req) {
+        return Err(CarryEnd::Unlisted);
+    }
+    let site_box = control.state.borrow().listed_box(target).ok_or(CarryEnd::Unlisted)?;
+    if control.cx.stop_phase() != StopPhase::Running {
+        return Err(CarryEnd::Full);
+    }
+    if !control.cx.paths().is_direct(target) {
+        return Err(CarryEnd::Missed);
+    }
+    let slot = control.carried.admit().ok_or(CarryEnd::Full)?;
+    let (mut head, body) = req.into_parts();
+    let (body, reservation) = read_body(body, max_body_bytes(control), &control.carried.budget)
+        .await
+        .map_err(|_| CarryEnd::Full)?;
+    remove_hop_by_hop_headers(&mut head.headers);
+    head.headers.remove(CONTENT_LENGTH);
+    head.extensions.clear();
+    let to = BoxAddress {
+        id: target,
+        address: site_box.address,
+        max_idle: max_idle(control, &site_box.service),
+        connect_timeout: CONNECT_TIMEOUT,
+    };
+    let sent = control.boxes.send_for_peer(to, Request::from_parts(head, Full::new(body))).await;
+    drop(reservation);
+    let answer = sent.map_err(|err| match err {
+        SendError::Connect { .. } | SendError::ConnectTimedOut(_) | SendError::NotSent(_) => {
+            CarryEnd::Missed
+        }
+        SendError::ConnectionLost(_) | SendError::LostBehindCarrier | SendError::CarrierLost(_) => {
+            CarryEnd::Lost
+        }
+    })?;
+    let mut answer = answer.map(|body| CarriedBody { body, _slot: slot });
+    remove_hop_by_hop_headers(answer.headers_mut());
+    answer.headers_mut().insert(CARRY_END, HeaderValue::from_static(CarryEnd::Answered.as_str()));
+    Ok(answer)
+}
+
+/// Returns whether a request comes from a daemon that is known to be alive.
+fn is_from_peer(control: &Control, req: &Request<Incoming>) -> bool {
+    let Some(CallerAddress(caller)) = req.extensions().get::<CallerAddress>() else {
+        return false;
+    };
+    let view = control.cx.current_view();
+    view.alive().any(|peer| peer.address.ip() == caller.ip())
+}
+
+fn max_body_bytes(control: &Control) -> usize {
+    let state = control.state.borrow();
+    state.table().map_or(DEFAULT_BODY_BYTES, |table| table.config().limits.body_bytes)
+}
+
+fn max_idle(control: &Control, service: &cherrystand_core::ServiceName) -> usize {
+    let nodes = control.cx.current_view().alive().count();
+    let state = control.state.borrow();
+    let known = state.table().and_then(|table| table.config().service(service));
+    max_idle_connections(known.and_then(|service| service.connections), nodes)
+}
+
+/// Returns the answer of this daemon itself to a request that was not carried to an answer.
+pub(super) fn carry_failure(end: CarryEnd) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = StatusCode::BAD_GATEWAY;
+    answer.headers_mut().insert(CARRY_END, HeaderValue::from_static(end.as_str()));
+    answer
+}
+
+/// Answers a peer's question whether this daemon reaches a box.
+pub(super) async fn answer_reach(
+    control: &Control,
+    req: Request<Incoming>,
+) -> Result<Bytes, StatusCode> {
+    if !is_from_peer(control, &req) {
+        return Err(StatusCode::FORBIDDEN);
+    }
+    let body = Limited::new(req.into_body(), MAX_QUERY_BYTES).collect().await;
+    let body = body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes();
+    let query: ReachQuery = decode(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let answer = reach(control, &query.endpoint).await;
+    let bytes = encode(&answer).map_err(|err| {
+        log::error!("an answer to a peer cannot be encoded: {err}");
+        StatusCode::INTERNAL_SERVER_ERROR
+    })?;
+    Ok(Bytes::from(bytes))
+}
+
+/// Connects to a box. A daemon that reaches no other box either knows nothing of this one.
+async fn reach(control: &Control, id: &BoxId) -> ReachAnswer {
+    let Some(site_box) = control.state.borrow().listed_box(id) else {
+        return ReachAnswer::Unknown;
+    };
+    if control.cx.stop_phase() != StopPhase::Running || !control.cx.paths().is_direct(id) {
+        return ReachAnswer::Unknown;
+    }
+    let began: Millis = control.now();
+    if control.boxes.reach(id, site_box.address, CONNECT_TIMEOUT).await {
+        return ReachAnswer::Reached;
+    }
+    match control.boxes.own_link_works_since(id, began).await {
+        true => ReachAnswer::Missed,
+        false => ReachAnswer::Unknown,
+    }
+}
--- a/crates/cherrystandd/src/site/change_sharing.rs
+++ b/crates/cherrystandd/src/site/change_sharing.rs
@@ -7,16 +7,17 @@
 use bytes::Bytes;
 use cherrystand_core::{ChangesSince, Millis, NodeId, PropagationBudget, Revision, RunningTime};
 use cherrystand_peer::{
-    BatchSpan, ChangeCursor, ChangeRequest, ChangeUpdate, CodecError, decode, encode,
+    BatchSpan, ChangeCursor, ChangeRequest, ChangeUpdate, CodecError, REACH_PATH, decode, encode,
 };
 use cherrystand_platform::{CallError, call, serve_http};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::site::ChangeSource;
+use crate::site::carrying::{CarriedBody, answer_reach, carry, carry_failure, carry_target};
 use crate::site::control::{Control, to_duration};
 
 /// How long an answer may take that does not wait for a change.
@@ -58,19 +59,32 @@
     serve_http(listener, handle, stop).await;
 }
 
-async fn handle_request(control: Rc<Control>, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    let result = match read_request(req).await {
-        Ok(request) => respond(&control, request).await,
-        Err(status) => Err(status),
+/// The body of an answer to a peer: this daemon's own, or that of a box.
+type PeerBody = Either<Full<Bytes>, CarriedBody>;
+
+async fn handle_request(control: Rc<Control>, req: Request<Incoming>) -> Response<PeerBody> {
+    if let Some(target) = carry_target(req.headers()) {
+        return match carry(&control, req, &target).await {
+            Ok(answer) => answer.map(Either::Right),
+            Err(end) => carry_failure(end).map(Either::Left),
+        };
+    }
+    let result = match req.uri().path() {
+        REACH_PATH => answer_reach(&control, req).await,
+        _ => match read_request(req).await {
+            Ok(request) => respond(&control, request).await,
+            Err(status) => Err(status),
+        },
     };
-    match result {
+    let answer = match result {
         Ok(bytes) => Response::new(Full::new(bytes)),
         Err(status) => {
             let mut response = Response::new(Full::default());
             *response.status_mut() = status;
             response
         }
-    }
+    };
+    answer.map(Either::Left)
 }
 
 async fn read_request(req: Request<Incoming>) -> Result<ChangeRequest, StatusCode> {
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -11,7 +11,7 @@
     PropagationBudget, Revision, ServiceName, StoreReachability, all_readers, owner_of,
 };
 use cherrystand_peer::{BatchCache, ChangeUpdate, PackedBody};
-use cherrystand_platform::{HttpPool, KeyValue, SiteDriver, since_boot};
+use cherrystand_platform::{BufferBudget, HttpPool, KeyValue, SiteDriver, since_boot};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
@@ -19,6 +19,8 @@
 use crate::kernel::{Duty, DutyScope};
 use crate::settings::SiteSettings;
 use crate::site::box_calls::{handle_hints, probe_unlisted};
+use crate::site::box_client::BoxClient;
+use crate::site::carrying::CarriedRequests;
 use crate::site::catching_up::keep_knowledge_fresh;
 use crate::site::change_sharing::serve_changes;
 use crate::site::peer_selector::PeerSelector;
@@ -63,6 +65,7 @@
         tokio::task::spawn_local(track_awake_time(control.clone()));
         tokio::task::spawn_local(watch_operator_keys(control.clone()));
         tokio::task::spawn_local(handle_hints(control.clone()));
+        tokio::task::spawn_local(control.boxes.clone().check_failed_paths());
         tokio::task::spawn_local(publish_reader_list(control.clone()));
         tokio::task::spawn_local(write_suspects(control.clone()));
         tokio::select! {
@@ -82,8 +85,12 @@
     pub(crate) state: RefCell<SiteState>,
     /// The batches of changes last packed for peers.
     pub(super) packed_batches: RefCell<BatchCache>,
-    /// Connections to boxes and peers.
+    /// Connections to peers.
     pub(super) pool: HttpPool,
+    /// Connections to boxes.
+    pub(super) boxes: Rc<BoxClient>,
+    /// The requests that this node carries for peers.
+    pub(super) carried: CarriedRequests,
     /// The results of recent calls to boxes.
     pub(super) call_book: RefCell<CallHistory>,
     /// When other boxes or peers were last probed to check this node's own network.
@@ -124,6 +131,11 @@
             state: RefCell::default(),
             packed_batches: RefCell::default(),
             pool: HttpPool::default(),
+            boxes: BoxClient::new(cx.clone()),
+            carried: CarriedRequests::new(BufferBudget::new(
+                cx.settings.limits.max_buffer_bytes(),
+                cx.metrics.bytes_held.clone(),
+            )),
             call_book: RefCell::default(),
             witness_probed_at: Cell::default(),
             wake: Notify::new(),
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -16,6 +16,7 @@
 
 use crate::site::Driver;
 use crate::site::active_attempt::ActiveAttempt;
+use crate::site::box_client::BoxAddress;
 use crate::site::frontend::Frontend;
 use crate::site::request::SiteRequest;
 
@@ -70,12 +71,17 @@
         attempt.priority,
         frontend.now(),
     );
-    let max_idle = frontend.max_idle_connections(&req.service);
-    let answer = tokio::select! {
-        answer = frontend.pool.send(permit, max_idle, address, outgoing, CONNECT_TIMEOUT) => answer,
+    let to = BoxAddress {
+        id: &attempt.target,
+        address,
+        max_idle: frontend.max_idle_connections(&req.service),
+        connect_timeout: CONNECT_TIMEOUT,
+    };
+    let sent = tokio::select! {
+        sent = frontend.boxes.send_permitted(permit, to, outgoing, &attempt.path) => sent,
         () = attempt.aborted() => return Err(AttemptEnd::ReplicaLost),
     };
-    let answer = answer.map_err(|err| {
+    let answer = sent.map_err(|err| {
         match err {
             SendError::Connect { .. } | SendError::ConnectTimedOut(_) => {
                 frontend.record_connect_failure(&attempt.target, &err);
@@ -85,25 +91,18 @@
                 attempt.failed();
                 attempt.eject();
             }
-            SendError::ConnectionLost(_) => {
+            SendError::ConnectionLost(_) | SendError::LostBehindCarrier => {
                 attempt.interrupted();
                 attempt.eject();
             }
+            // It says nothing of the box.
+            SendError::CarrierLost(_) => {}
         }
-        attempt_end(&err)
+        err.attempt_end()
     })?;
-    frontend.record_contact();
     check_head(frontend, req, answer, attempt)
 }
 
-fn attempt_end(err: &SendError) -> AttemptEnd {
-    match err {
-        SendError::Connect { .. } | SendError::ConnectTimedOut(_) => AttemptEnd::ConnectFailed,
-        SendError::NotSent(_) => AttemptEnd::NotSent,
-        SendError::ConnectionLost(_) => AttemptEnd::CutBeforeAnswer,
-    }
-}
-
 /// Accepts an answer only if it names this request. Any other belongs to another request.
 fn check_head(
     frontend: &Frontend,
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -13,10 +13,11 @@
     Prediction, Route, STALL_MARGIN, SeededRng, ServiceName, SiteView, StallEvidence, StreamEnd,
     engine_priority, max_idle_connections,
 };
-use cherrystand_platform::{BufferBudget, EndpointPool, SendError};
+use cherrystand_platform::{BufferBudget, SendError};
 
 use crate::site::Hint;
 use crate::site::active_attempt::ActiveAttempt;
+use crate::site::box_client::{BoxClient, PathCheck};
 use crate::site::crash_watch::CrashWatch;
 use crate::site::failure_log::FailureLog;
 use crate::site::load_exchange::LoadExchange;
@@ -72,7 +73,7 @@
     /// Chooses the endpoint of each attempt.
     pub(crate) balancer: Rc<RefCell<LoadBalancer>>,
     /// Connections to endpoints.
-    pub(crate) pool: EndpointPool,
+    pub(crate) boxes: Rc<BoxClient>,
     /// Memory budget of bodies that are buffered whole.
     pub(crate) buffer_budget: BufferBudget,
     pub(super) view: RefCell<Arc<SiteView>>,
@@ -102,7 +103,7 @@
         balancer.borrow_mut().rate_limits_mut().set_last_request_number(clock::unix_millis());
         Self {
             balancer,
-            pool: EndpointPool::default(),
+            boxes: BoxClient::new(cx.clone()),
             buffer_budget: BufferBudget::new(
                 cx.settings.limits.max_buffer_bytes(),
                 cx.metrics.bytes_held.clone(),
@@ -278,6 +279,11 @@
         self.cx.endpoint_contact.record(self.now());
     }
 
+    /// Returns whether nothing has arrived from any endpoint since `since`.
+    pub(crate) fn heard_nothing_since(&self, since: Millis) -> bool {
+        self.cx.endpoint_contact.heard_at() < since
+    }
+
     /// Counts a connection to a box that could not be opened, and logs some of them with the time
     /// since anything last arrived from any endpoint.
     pub(crate) fn record_connect_failure(&self, target: &BoxId, err: &SendError) {
@@ -346,17 +352,25 @@
     /// resumes. A stalled replica is taken out of the choice and its members are probed. Their
     /// answers, the box's store entry or a peer may then show that it is lost.
     pub(crate) fn check_replica(
-        &self,
+        self: &Rc<Self>,
         req: &SiteRequest,
-        attempt: &ActiveAttempt,
+        attempt: &Rc<ActiveAttempt>,
         last_received: Millis,
     ) -> ReplicaHealth {
         if attempt.is_cancelled() {
             return ReplicaHealth::Lost;
         }
-        let stall =
-            self.detect_stall(req, attempt, last_received).filter(StallEvidence::is_stalled);
-        attempt.set_stall(stall);
+        let evidence = self.detect_stall(req, attempt, last_received);
+        if evidence.is_some_and(|evidence| evidence.peers != PeerProgress::AskedJustNow) {
+            self.check_path(attempt);
+        }
+        // Peers see the replica make progress, and nothing of it arrives here.
+        let is_path_lost = evidence.is_some() && attempt.is_path_lost();
+        let stall = evidence.filter(StallEvidence::is_stalled);
+        attempt.set_stall(stall.or(evidence.filter(|_| is_path_lost)));
+        if is_path_lost {
+            return ReplicaHealth::Stalled;
+        }
         let Some(stall) = stall else {
             return ReplicaHealth::Progressing;
         };
@@ -372,11 +386,46 @@
         }
     }
 
-    /// Takes a stalled replica out of the choice and has its members probed.
-    fn report_stalled(&self, attempt: &ActiveAttempt) {
+    /// Checks the way of an attempt of which nothing arrives, by a connection without a request.
+    pub(crate) fn check_path(self: &Rc<Self>, attempt: &Rc<ActiveAttempt>) {
+        if attempt.is_path_lost() || !self.cx.paths().may_verify(&attempt.target, self.now()) {
+            return;
+        }
+        let Some(address) = self.address_of(&attempt.target) else { return };
+        let (frontend, attempt) = (self.clone(), attempt.clone());
+        tokio::task::spawn_local(async move {
+            let is_lost = match attempt.path.carrier() {
+                Some(carrier) => !frontend.boxes.carrier_reaches(&carrier, &attempt.target).await,
+                None => {
+                    let check = frontend.boxes.check_path(&attempt.target, address).await;
+                    check == PathCheck::Indirect
+                }
+            };
+            if is_lost {
+                attempt.set_path_lost();
+                frontend.readmit(&attempt.target);
+            }
+        });
+    }
+
+    /// Takes a box back into the choice that seemed to fail, and was found to be reached by peers.
+    pub(crate) fn readmit(&self, id: &BoxId) {
+        self.balancer.borrow_mut().readmit_box(id);
+    }
+
+    /// Takes a stalled replica out of the choice and has its members probed. Peers are told once the
+    /// way to it is known to work.
+    fn report_stalled(self: &Rc<Self>, attempt: &Rc<ActiveAttempt>) {
         attempt.eject();
         self.cx.hint(Hint::Stalled(attempt.target.clone()));
-        self.loads.announce_stalled(attempt.target.clone());
+        let Some(address) = self.address_of(&attempt.target) else { return };
+        let (frontend, attempt) = (self.clone(), attempt.clone());
+        tokio::task::spawn_local(async move {
+            match frontend.boxes.check_path(&attempt.target, address).await {
+                PathCheck::Indirect => frontend.readmit(&attempt.target),
+                _ => frontend.loads.announce_stalled(attempt.target.clone()),
+            }
+        });
     }
 
     /// Takes a replica whose leader says that it no longer serves out of the choice, here and at
--- a/crates/cherrystandd/src/site/open_attempts.rs
+++ b/crates/cherrystandd/src/site/open_attempts.rs
@@ -58,7 +58,7 @@
     /// returns what the check of the newest attempt showed, or `None` without attempts.
     pub(crate) fn check_replicas(
         &self,
-        frontend: &Frontend,
+        frontend: &Rc<Frontend>,
         req: &SiteRequest,
     ) -> Option<ReplicaHealth> {
         let mut newest = None;
--- a/crates/cherrystandd/src/site/request_handler.rs
+++ b/crates/cherrystandd/src/site/request_handler.rs
@@ -1,7 +1,9 @@
 //! Handles one caller's request from its arrival to its answer.
 
 use std::cell::OnceCell;
+use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use cherrystand_core::{AttemptEnd, Millis, RefusalReason, RouteKind};
 use cherrystand_platform::{CallerBody, SiteDriver};
@@ -27,6 +29,12 @@
 /// The `Retry-After` of a request for which no endpoint is in service.
 const DEFAULT_RETRY_AFTER: Millis = Millis(300);
 
+/// After this time without an answer, the way to an endpoint is checked if none has sent anything.
+const MIN_ANSWER_WAIT: Duration = Duration::from_millis(120);
+
+/// After this time without an answer, it is checked in any case.
+const MAX_ANSWER_WAIT: Duration = Duration::from_millis(400);
+
 /// Answers one caller's request.
 pub(crate) async fn handle(frontend: Rc<Frontend>, req: Request<Incoming>) -> Response<CallerBody> {
     let id = Driver::read_request(req.headers()).id.unwrap_or_default();
@@ -273,11 +281,28 @@
     req: &Rc<SiteRequest>,
     attempt: Rc<ActiveAttempt>,
 ) -> Result<Response<CallerBody>, AttemptEnd> {
+    let watched = attempt.clone();
     let exchange = async {
         let started = endpoint_call::send(frontend.clone(), req.clone(), attempt, None).await?;
         buffer_answer(frontend, started).await
     };
-    within_deadline(frontend, req, exchange).await
+    tokio::select! {
+        answer = within_deadline(frontend, req, exchange) => answer,
+        never = watch_path(frontend, &watched) => match never {},
+    }
+}
+
+/// Has the way of an attempt checked as long as no answer arrives, so that later requests take
+/// another one. The attempt itself goes on.
+async fn watch_path(frontend: &Rc<Frontend>, attempt: &Rc<ActiveAttempt>) -> Infallible {
+    tokio::time::sleep(MIN_ANSWER_WAIT).await;
+    if frontend.heard_nothing_since(attempt.started_at) {
+        frontend.check_path(attempt);
+    }
+    loop {
+        tokio::time::sleep(MAX_ANSWER_WAIT).await;
+        frontend.check_path(attempt);
+    }
 }
 
 /// Waits for an exchange until the request's deadline.
