fix: a connection that is reset blames no request unless others miss the box as well

Cause: what the own link can't reach was taken for the state of the far end.

A box that interrupted an answer is now gone only if it refuses connections *and* peers that reach other boxes miss it, or the own link is shown to reach others meanwhile.

--- a/crates/cherrystandd/src/site/crash_watch.rs
+++ b/crates/cherrystandd/src/site/crash_watch.rs
@@ -2,28 +2,22 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::time::Duration;
 
 use cherrystand_core::{
     BoxId, CrashCheck, CrashSuspects, Fingerprint, InterruptedAnswers, MAX_CRASHES, Millis,
     ServiceName, SiteView, SuspectRecord,
 };
 use cherrystand_peer::LoadMessage;
-use tokio::net::TcpStream;
 
 use crate::site::active_attempt::ActiveAttempt;
+use crate::site::box_client::PathCheck;
 use crate::site::frontend::Frontend;
 use crate::site::load_exchange::LoadExchange;
 use crate::site::request::SiteRequest;
 use crate::{DutyContext, clock};
 
-/// The timeout of a connection that shows whether a box is up.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// How many requests of one box are accepted from a peer's message. An engine has some 30 slots,
 /// and about as many requests wait.
 const MAX_REQUESTS_PER_BOX: usize = 1_024;
@@ -186,14 +180,18 @@
         let Some(address) = frontend.address_of(incarnation) else { return };
         let (frontend, incarnation) = (frontend.clone(), incarnation.clone());
         tokio::task::spawn_local(async move {
-            match is_listening(address).await {
-                Some(true) => {
+            let check = frontend.boxes.check_path(&incarnation, address).await;
+            match check {
+                PathCheck::Direct | PathCheck::Indirect => {
                     frontend.crashes.interrupted.borrow_mut().record_accepting(&incarnation);
                     frontend.crashes.box_is_alive();
                 }
-                Some(false) => frontend.crashes.box_crashed(&incarnation),
+                PathCheck::Refused => frontend.crashes.box_crashed(&incarnation),
                 // The box's store entry will show it.
-                None => {}
+                PathCheck::Unknown => {}
+            }
+            if check == PathCheck::Indirect {
+                frontend.readmit(&incarnation);
             }
         });
     }
@@ -289,12 +287,3 @@
         }
     }
 }
-
-/// Returns whether an address accepts connections, or `None` if it doesn't respond at all.
-async fn is_listening(address: SocketAddr) -> Option<bool> {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Some(true),
-        Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused => Some(false),
-        _ => None,
-    }
-}
