fix: a daemon judges a box only while its own way to boxes is known to work

Cause: a probe's witnesses were peers and the store, which say nothing of the way to boxes.

A verdict by silence or refusal now needs the own way to be shown at that time: the daemon connects to another box, or two peers that reach others miss this one as well. Else the probe is repeated and ends undecided. Reports, orders and health checks of cold boxes take the same ways as requests, so that a daemon that is cut off goes on deciding for its domains through peers.

Test `a_daemon_cut_off_from_all_endpoints_gives_up_no_replica_whose_members_are_unlisted` failed before (the record of the domain changed where the third daemon, which decides for it, was cut off) and passes.

--- a/crates/cherrystand_core/src/nodes/liveness_probe.rs
+++ b/crates/cherrystand_core/src/nodes/liveness_probe.rs
@@ -82,6 +82,20 @@
         }
     }
 
+    /// Records a probe that failed while the daemon could not tell its own link from the box, and
+    /// returns the verdict.
+    pub fn record_unjudged(&mut self) -> ProbeVerdict {
+        self.timeouts += 1;
+        self.verdict_on_doubt()
+    }
+
+    fn verdict_on_doubt(&self) -> ProbeVerdict {
+        match self.timeouts < PROBE_TIMEOUTS.len() {
+            true => ProbeVerdict::AskAgain,
+            false => ProbeVerdict::Undecided,
+        }
+    }
+
     /// Records that a probe that was sent at `started` was not answered by `now`, and returns the
     /// verdict.
     pub fn record_timeout(
@@ -92,12 +106,9 @@
     ) -> ProbeVerdict {
         let timeout = self.timeout();
         self.timeouts += 1;
-        if is_silent(started, timeout, now, calls) {
-            ProbeVerdict::Silent
-        } else if self.timeouts < PROBE_TIMEOUTS.len() {
-            ProbeVerdict::AskAgain
-        } else {
-            ProbeVerdict::Undecided
+        match is_silent(started, timeout, now, calls) {
+            true => ProbeVerdict::Silent,
+            false => self.verdict_on_doubt(),
         }
     }
 }
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -8,7 +8,7 @@
     BoxId, DomainId, LivenessProbe, MemberOrder, MemberTask, Millis, OrderEnd, ProbeReason,
     ProbeVerdict, Revision, SiteBox, WITNESS_LEAD_TIME,
 };
-use cherrystand_platform::{Answer, BoxCall, CallError, SendError, SiteDriver, call_with};
+use cherrystand_platform::{Answer, BoxCall, CallError, SendError, SiteDriver};
 
 use crate::site::change_sharing::ping;
 use crate::site::control::{Control, owns_domain, readers_in};
@@ -21,6 +21,9 @@
 /// dead as well.
 const WITNESS_COUNT: usize = 2;
 
+/// The way to a box is checked once it has been silent for this part of a probe.
+const PATH_CHECK_DIVISOR: u32 = 4;
+
 /// The minimum time between two probes of a box for the same reason.
 const PROBE_INTERVAL: Millis = Millis(1_000);
 
@@ -79,10 +82,17 @@
 
     async fn call_order(&self, order: &MemberOrder, record: Revision) -> OrderEnd {
         let call = Driver::order_call(order, order.fence(record));
-        let sent = self.timed_call(order.task.as_str(), order.address, call, ORDER_TIMEOUT).await;
+        let sent_at = self.now();
+        let (id, address) = (&order.target, order.address);
+        let sent = self.timed_call(order.task.as_str(), id, address, call, ORDER_TIMEOUT).await;
         let end = match &sent {
             Ok(answer) => Driver::order_end(answer.status),
-            Err(CallError::Send(SendError::Connect { .. })) => OrderEnd::Refused,
+            Err(CallError::Send(SendError::Connect { .. })) => {
+                match self.boxes.may_judge_since(id, sent_at).await {
+                    true => OrderEnd::Refused,
+                    false => OrderEnd::Dark,
+                }
+            }
             Err(CallError::Send(SendError::ConnectTimedOut(_))) => OrderEnd::Dark,
             Err(_) => OrderEnd::Silent,
         };
@@ -107,11 +117,12 @@
     async fn timed_call(
         &self,
         kind: &str,
+        id: &BoxId,
         address: SocketAddr,
         call: BoxCall,
         timeout: Duration,
     ) -> Result<Answer, CallError> {
-        let answer = call_with(&self.pool, address, call, timeout);
+        let answer = self.boxes.call(id, address, call, timeout);
         self.time_call(kind, answer).await
     }
 
@@ -191,10 +202,7 @@
         loop {
             let sent_at = self.now();
             self.probe_witnesses(site_box);
-            let timeout = Duration::from_millis(probe.timeout().0);
-            let answer = self
-                .timed_call("report", site_box.address, Driver::report_call(&site_box.id), timeout)
-                .await;
+            let answer = self.report_and_check_path(site_box, &probe).await;
             let verdict = match &answer {
                 Ok(answer) if is_other_box(site_box, answer) => ProbeVerdict::Silent,
                 Ok(answer) => {
@@ -202,10 +210,22 @@
                     self.check_leaving(&site_box.id, answer);
                     return self.state.borrow_mut().record_answer(&site_box.id, true, self.now());
                 }
-                Err(CallError::Send(SendError::Connect { .. })) => {
-                    LivenessProbe::verdict_on_refusal(reason)
+                Err(err) => {
+                    let verdict = match err {
+                        CallError::Send(SendError::Connect { .. }) => {
+                            LivenessProbe::verdict_on_refusal(reason)
+                        }
+                        _ => probe.record_timeout(sent_at, self.now(), &self.call_book.borrow()),
+                    };
+                    match verdict {
+                        ProbeVerdict::Silent
+                            if !self.boxes.may_judge_since(&site_box.id, sent_at).await =>
+                        {
+                            probe.record_unjudged()
+                        }
+                        verdict => verdict,
+                    }
                 }
-                Err(_) => probe.record_timeout(sent_at, self.now(), &self.call_book.borrow()),
             };
             self.count_probe("silent");
             self.log_verdict(&site_box.id, sent_at, verdict);
@@ -220,6 +240,27 @@
         }
     }
 
+    /// Asks a box for a report. If none arrives soon, the way to it is checked meanwhile, so that the
+    /// next report takes another one.
+    async fn report_and_check_path(
+        &self,
+        site_box: &SiteBox,
+        probe: &LivenessProbe,
+    ) -> Result<Answer, CallError> {
+        let timeout = Duration::from_millis(probe.timeout().0);
+        let call = Driver::report_call(&site_box.id);
+        let report = self.timed_call("report", &site_box.id, site_box.address, call, timeout);
+        tokio::pin!(report);
+        let checking = async {
+            tokio::time::sleep(timeout / PATH_CHECK_DIVISOR).await;
+            self.boxes.check_path(&site_box.id, site_box.address).await;
+        };
+        tokio::select! {
+            answer = &mut report => answer,
+            () = checking => report.await,
+        }
+    }
+
     /// Calls peers, or other boxes if there are no peers. An answer shows that this daemon isn't
     /// delayed itself. Does nothing if witnesses were called just before.
     fn probe_witnesses(self: &Rc<Self>, suspect: &SiteBox) {
@@ -243,7 +284,14 @@
                         let report = Driver::report_call(&other.id);
                         let timeout = Duration::from_millis(LivenessProbe::default().timeout().0);
                         // As above.
-                        let _ = control.timed_call("witness", other.address, report, timeout).await;
+                        let call = control.timed_call(
+                            "witness",
+                            &other.id,
+                            other.address,
+                            report,
+                            timeout,
+                        );
+                        let _ = call.await;
                     });
                 }
             }
@@ -281,7 +329,10 @@
         // members.
         members.extend(control.state.borrow().domain_spares(&id));
         probe_each(&control, members, ProbeReason::NoAnswer);
-        let unknown = control.state.borrow().unknown_members(&id);
+        let mut unknown = control.state.borrow().unknown_members(&id);
+        if !unknown.is_empty() && !control.boxes.may_judge_since(&id, control.now()).await {
+            unknown.clear();
+        }
         for member in &unknown {
             control.state.borrow_mut().record_answer(member, false, control.now());
         }
--- a/crates/cherrystandd/src/site/box_client.rs
+++ b/crates/cherrystandd/src/site/box_client.rs
@@ -7,9 +7,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use cherrystand_core::{BoxId, Millis, NodeId, SearchResult, SendPermit};
+use cherrystand_core::{BoxId, EndpointPaths, Millis, NodeId, SearchResult, SendPermit};
 use cherrystand_platform::{
     Answer, BoxCall, CallError, HttpPool, IdleSend, OpenConnection, PooledBody, SendError,
     read_answer,
@@ -87,20 +88,21 @@
 
 /// Counts a request as carried by a peer until it is dropped.
 struct CarryGuard {
-    cx: DutyContext,
+    paths: Arc<Mutex<EndpointPaths>>,
     carrier: NodeId,
 }
 
 impl CarryGuard {
     fn new(cx: &DutyContext, carrier: NodeId) -> Self {
         cx.paths().begin_carry(&carrier);
-        Self { cx: cx.clone(), carrier }
+        Self { paths: cx.endpoint_paths.clone(), carrier }
     }
 }
 
 impl Drop for CarryGuard {
     fn drop(&mut self) {
-        self.cx.paths().end_carry(&self.carrier);
+        let paths = self.paths.lock();
+        paths.unwrap_or_else(PoisonError::into_inner).end_carry(&self.carrier);
     }
 }
 
@@ -120,7 +122,7 @@
 /// Why a request was not sent over the own link.
 enum DirectFailure {
     /// No connection could be opened; nothing was sent.
-    Unreachable(Request<Full<Bytes>>, SendError),
+    Unreachable(Box<Request<Full<Bytes>>>, SendError),
     /// The request may have been sent, or need not be sent elsewhere.
     Failed(SendError),
 }
@@ -176,7 +178,7 @@
                 Err(DirectFailure::Unreachable(_, err)) if self.cx.paths().is_direct(to.id) => {
                     return Err(err);
                 }
-                Err(DirectFailure::Unreachable(req, err)) => (req, Some(err)),
+                Err(DirectFailure::Unreachable(req, err)) => (*req, Some(err)),
             },
         };
         match self.send_carried(to, &req, path).await {
@@ -220,7 +222,7 @@
             IdleSend::Sent(answer) => answer,
             IdleSend::NoneIdle(req) => match self.open(to).await {
                 Ok(conn) => self.pool.send_on(conn, req).await,
-                Err(err) => return Err(DirectFailure::Unreachable(req, err)),
+                Err(err) => return Err(DirectFailure::Unreachable(Box::new(req), err)),
             },
         };
         if answer.is_ok() {
@@ -398,7 +400,11 @@
             return true;
         }
         let searched = self.cx.paths().last_vain_search(id, self.now());
-        searched == Some(SearchResult::Missed) || self.own_link_works_since(id, since).await
+        if searched == Some(SearchResult::Missed) {
+            return true;
+        }
+        let is_direct = self.cx.paths().is_direct(id);
+        is_direct && self.own_link_works_since(id, since).await
     }
 
     /// Connects to other boxes, and returns whether any of them accepts. A check that began after
--- a/crates/cherrystandd/src/site/cold_checking.rs
+++ b/crates/cherrystandd/src/site/cold_checking.rs
@@ -10,11 +10,12 @@
 use cherrystand_core::{
     BoxId, ColdChecks, ColdPeriodUpdate, LoadBalancer, Millis, RequestRate, rate_limit_owner_of,
 };
-use cherrystand_platform::{HttpPool, SiteDriver, call_with};
+use cherrystand_platform::SiteDriver;
 
 use crate::DutyContext;
 use crate::settings::SiteSettings;
 use crate::site::Driver;
+use crate::site::box_client::BoxClient;
 use crate::site::load_exchange::LoadExchange;
 
 /// The timeout of a question to an endpoint.
@@ -36,10 +37,11 @@
     cx: DutyContext,
     balancer: Rc<RefCell<LoadBalancer>>,
     loads: Rc<LoadExchange>,
+    boxes: Rc<BoxClient>,
 ) {
     let budget = cx.settings.site.as_ref().map(SiteSettings::propagation_budget);
     let mut checks = ColdChecks::new(budget.unwrap_or_default());
-    let checker = Rc::new(ColdChecker { cx, balancer, loads, pool: HttpPool::default() });
+    let checker = Rc::new(ColdChecker { cx, balancer, loads, boxes });
     loop {
         let now = checker.cx.clock.now();
         let age = checker.cx.store_freshness.age(now);
@@ -61,7 +63,7 @@
     cx: DutyContext,
     balancer: Rc<RefCell<LoadBalancer>>,
     loads: Rc<LoadExchange>,
-    pool: HttpPool,
+    boxes: Rc<BoxClient>,
 }
 
 impl ColdChecker {
@@ -82,7 +84,7 @@
 
     async fn ask(self: Rc<Self>, endpoint: Endpoint) {
         let call = Driver::health_call(&endpoint.id);
-        let answer = call_with(&self.pool, endpoint.address, call, ANSWER_TIMEOUT).await;
+        let answer = self.boxes.call(&endpoint.id, endpoint.address, call, ANSWER_TIMEOUT).await;
         let result = if answer.is_ok() { "answered" } else { "silent" };
         self.cx.metrics.probes.with_label_values(&[result]).inc();
         let answer = match answer {
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -99,11 +99,12 @@
         balancer: Rc<RefCell<LoadBalancer>>,
         loads: Rc<LoadExchange>,
         crashes: Rc<CrashWatch>,
+        boxes: Rc<BoxClient>,
     ) -> Self {
         balancer.borrow_mut().rate_limits_mut().set_last_request_number(clock::unix_millis());
         Self {
             balancer,
-            boxes: BoxClient::new(cx.clone()),
+            boxes,
             buffer_budget: BufferBudget::new(
                 cx.settings.limits.max_buffer_bytes(),
                 cx.metrics.bytes_held.clone(),
--- a/crates/cherrystandd/src/site/frontend_duty.rs
+++ b/crates/cherrystandd/src/site/frontend_duty.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::kernel::{Duty, DutyScope};
+use crate::site::box_client::BoxClient;
 use crate::site::cold_checking::check_cold_endpoints;
 use crate::site::crash_watch::CrashWatch;
 use crate::site::frontend::Frontend;
@@ -43,9 +44,10 @@
     let crashes = CrashWatch::new(cx.clone(), loads.clone());
     let exchange = exchange_loads(cx.clone(), balancer.clone(), loads.clone(), crashes.clone());
     tokio::task::spawn_local(exchange);
-    let checks = check_cold_endpoints(cx.clone(), balancer.clone(), loads.clone());
+    let boxes = BoxClient::new(cx.clone());
+    let checks = check_cold_endpoints(cx.clone(), balancer.clone(), loads.clone(), boxes.clone());
     tokio::task::spawn_local(checks);
-    let frontend = Rc::new(Frontend::new(cx.clone(), balancer, loads, crashes));
+    let frontend = Rc::new(Frontend::new(cx.clone(), balancer, loads, crashes, boxes));
     let (stop, stopped) = watch::channel(false);
     serve_pages(ready, cx.clone(), pages::readiness, stopped.clone());
     serve_pages(operators, cx.clone(), pages::operator_pages, stopped.clone());
--- a/crates/cherrystandd/tests/partitions.rs
+++ b/crates/cherrystandd/tests/partitions.rs
@@ -146,3 +146,40 @@
         assert!(wrong.is_empty(), "{wrong:#?}");
     });
 }
+
+/// Each daemon alone, as one of them decides for the domain.
+const EACH_ALONE: [Cut; 3] = [
+    Cut { name: "the first, silent", how: LinkCut::Silent, daemons: &[0] },
+    Cut { name: "the second, silent", how: LinkCut::Silent, daemons: &[1] },
+    Cut { name: "the third, silent", how: LinkCut::Silent, daemons: &[2] },
+];
+
+/// How long a box that serves has no entry in the store.
+const UNLISTED: Duration = Duration::from_millis(2_500);
+
+/// Cuts one daemon off from all endpoints while the entries of all boxes but the leaders are gone.
+async fn records_while_unlisted(cut: &Cut) -> [Option<String>; 2] {
+    let site = Site::serving_behind_links(3).await;
+    let before = site.stand_in.store.read(RECORD);
+    for daemon in cut.daemons {
+        site.endpoint_links[*daemon].cut(cut.how).await.expect("a cut");
+    }
+    let members =
+        site.stand_in.leaders().into_values().flat_map(|members| members.into_iter().skip(1));
+    members.for_each(|id| site.stand_in.unlist(&id));
+    tokio::time::sleep(UNLISTED).await;
+    [before, site.stand_in.store.read(RECORD)]
+}
+
+#[test]
+fn a_daemon_cut_off_from_all_endpoints_gives_up_no_replica_whose_members_are_unlisted() {
+    support::run(async {
+        let all = EACH_ALONE.iter().map(|cut| async {
+            let [before, after] = records_while_unlisted(cut).await;
+            let changed = (before != after).then(|| format!("{before:?}, then {after:?}"));
+            prefix_with_case(cut.name, changed.into_iter().collect())
+        });
+        let changed = run_cases(all).await.concat();
+        assert!(changed.is_empty(), "{changed:#?}");
+    });
+}
