--- a/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -6,8 +6,9 @@
 use argh::FromArgs;
 use cherrystand_core::Millis;
 use cherrystand_testkit::{
-    DEFAULT_SPAN, Fault, SoakSetup, daemon_program, draw_box_signals, draw_rate_limits,
-    draw_restarts, draw_schedule, draw_store_restores, draw_zone_faults, run_soak,
+    DEFAULT_SPAN, Fault, SoakSetup, daemon_program, draw_box_signals, draw_endpoint_cuts,
+    draw_rate_limits, draw_restarts, draw_schedule, draw_store_restores, draw_zone_faults,
+    run_soak,
 };
 use eyre::WrapErr;
 
@@ -15,9 +16,15 @@
 /// daemon would be excused by some fault at every moment, and no rate limit would be checked.
 const FAULT_STRIDE_WITH_LIMITS: usize = 5;
 
+/// The same with `--cuts`.
+const FAULT_STRIDE_WITH_CUTS: usize = 5;
+
 /// The number of the first rate limit fault, higher than all numbers of the general schedule.
 const FIRST_LIMIT_NUMBER: usize = 1_000;
 
+/// The number of the first cut, higher than those as well.
+const FIRST_CUT_NUMBER: usize = 2_000;
+
 /// Injects faults drawn from a seed into real daemons, and checks what callers and boxes observe.
 #[derive(FromArgs)]
 struct Args {
@@ -56,6 +63,9 @@
     /// the store is restored from backups some seconds old
     #[argh(switch, long = "drills")]
     store_restores: bool,
+    /// daemons are cut off from all boxes, while callers, the store and other daemons reach them
+    #[argh(switch)]
+    cuts: bool,
     /// print the schedule and exit
     #[argh(switch)]
     schedule: bool,
@@ -72,7 +82,9 @@
         args.restarts || args.crashes || args.box_signals || args.rate_limits || args.zone_faults;
     let crashes = args.crashes;
     let zones = args.zone_faults;
-    let setup = SoakSetup { program, dir, seed, daemons, report_starts: restarts, crashes, zones };
+    let cuts = args.cuts;
+    let setup =
+        SoakSetup { program, dir, seed, daemons, report_starts: restarts, crashes, zones, cuts };
     let mut faults = draw_schedule(args.seed, setup.targets(), Millis(args.span_ms));
     if args.rate_limits {
         faults.retain(|fault| fault.number % FAULT_STRIDE_WITH_LIMITS == 0);
@@ -84,6 +96,12 @@
             draw_restarts(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
         faults.extend(restarts);
     }
+    if args.cuts {
+        faults.retain(|fault| fault.number % FAULT_STRIDE_WITH_CUTS == 0);
+        let cuts =
+            draw_endpoint_cuts(args.seed, setup.targets(), Millis(args.span_ms), FIRST_CUT_NUMBER);
+        faults.extend(cuts);
+    }
     if args.box_signals {
         let box_signals =
             draw_box_signals(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -79,9 +79,10 @@
 pub use soak::old_sends::OldSend;
 pub use soak::run::{DEFAULT_SPAN, SoakOutcome, SoakSetup, daemon_program, run_soak};
 pub use soak::run_record::{
-    CallKind, CallOutcome, CallRecord, ColdInterval, Disturbance, RunRecord, UnlistedInterval,
+    CallKind, CallOutcome, CallRecord, ColdInterval, CutInterval, Disturbance, RunRecord,
+    UnlistedInterval,
 };
 pub use soak::schedule::{
-    CorruptEntry, Fault, FaultKind, Targets, draw_box_signals, draw_rate_limits, draw_restarts,
-    draw_schedule, draw_store_restores, draw_zone_faults,
+    CorruptEntry, Fault, FaultKind, Targets, draw_box_signals, draw_endpoint_cuts,
+    draw_rate_limits, draw_restarts, draw_schedule, draw_store_restores, draw_zone_faults,
 };
--- a/crates/cherrystand_testkit/src/soak/daemon.rs
+++ b/crates/cherrystand_testkit/src/soak/daemon.rs
@@ -61,6 +61,11 @@
         self.settings.seeds = seeds;
     }
 
+    /// Sets whether it reads the store itself.
+    pub(crate) fn set_reads_store(&mut self, reads_store: bool) {
+        self.settings.reads_store = reads_store;
+    }
+
     /// Starts the process, with a separate log file for each incarnation.
     pub(crate) fn start(&mut self) -> std::io::Result<()> {
         self.incarnation += 1;
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -12,13 +12,13 @@
 
 use crate::soak::callers::{ApiKeys, Callers};
 use crate::soak::daemon::Daemon;
-use crate::soak::link::{Link, LinkMode};
+use crate::soak::link::{Link, LinkCut, LinkMode};
 use crate::soak::old_sends::read_old_sends;
 use crate::soak::run_record::{
-    CallKind, CallOutcome, ColdInterval, Disturbance, RunRecord, UnlistedInterval,
+    CallKind, CallOutcome, ColdInterval, CutInterval, Disturbance, RunRecord, UnlistedInterval,
 };
 use crate::soak::schedule::{Fault, FaultKind, Targets};
-use crate::{BoxMode, BoxWishes, ColdReport, SiteStandIn, StoreMode, site_config};
+use crate::{BoxMode, BoxWishes, ColdReport, EndpointLinks, SiteStandIn, StoreMode, site_config};
 
 /// Number of boxes that replicas of two boxes are formed from.
 const MODEL_BOXES: usize = 9;
@@ -82,6 +82,8 @@
     pub crashes: bool,
     /// Whether boxes are spread over two availability zones and can take few requests while they are cold.
     pub zones: bool,
+    /// Whether daemons are cut off from all boxes; each reaches them through links of its own.
+    pub cuts: bool,
 }
 
 impl SoakSetup {
@@ -104,6 +106,9 @@
     site: SiteStandIn,
     boxes: Vec<(String, Link)>,
     store_links: Vec<Link>,
+    /// Each daemon's links to the boxes, if these can be cut.
+    endpoint_links: Vec<EndpointLinks>,
+    cuts: RefCell<Vec<CutInterval>>,
     daemons: RefCell<Vec<Daemon>>,
     callers: Callers,
     disturbances: RefCell<Vec<Disturbance>>,
@@ -174,10 +179,19 @@
             boxes.push((id, link));
         }
         let (mut store_links, mut daemons) = (Vec::new(), Vec::new());
+        let mut endpoint_links = Vec::new();
         for number in 0..setup.daemons {
-            let link = Link::open(site.open_store().await?).await?;
-            daemons.push(Daemon::new(number, &setup.program, &setup.dir, link.address())?);
+            let links = EndpointLinks::default();
+            for (_, link) in boxes.iter().filter(|_| setup.cuts) {
+                links.add(link.address()).await?;
+            }
+            let link = Link::open(site.open_store_through(links.clone()).await?).await?;
+            let mut daemon = Daemon::new(number, &setup.program, &setup.dir, link.address())?;
+            // What a daemon reads from another one names that one's links.
+            daemon.set_reads_store(setup.cuts);
+            daemons.push(daemon);
             store_links.push(link);
+            endpoint_links.push(links);
         }
         let seeds: Vec<_> = daemons.iter().take(3).map(Daemon::peer_address).collect();
         for daemon in &mut daemons {
@@ -189,6 +203,8 @@
             site,
             boxes,
             store_links,
+            endpoint_links,
+            cuts: RefCell::default(),
             daemons: RefCell::new(daemons),
             callers,
             disturbances: RefCell::default(),
@@ -271,6 +287,7 @@
             FaultKind::BoxLink(number, mode) => {
                 disturb_link(&self.boxes[number].1, mode, duration).await
             }
+            FaultKind::EndpointsCut(number, cut) => self.cut_off(number, cut, duration).await?,
             FaultKind::BoxCut(number) => self.boxes[number].1.reset_connections(),
             FaultKind::Unlisted(number) => self.unlist(&self.boxes[number].0, duration).await,
             FaultKind::Restarted(number, repeat_last_join) => {
@@ -357,6 +374,7 @@
             FaultKind::Door(number, _)
             | FaultKind::StoreLink(number, _)
             | FaultKind::Paused(number)
+            | FaultKind::EndpointsCut(number, _)
             | FaultKind::Killed(number) => (Some(number), false),
             _ => (None, false),
         };
@@ -378,7 +396,9 @@
                 | FaultKind::Stopped(_)
                 | FaultKind::AllKilled
         );
-        let affects_answers = matches!(kind, FaultKind::BoxLink(..) | FaultKind::BoxCut(_));
+        let is_cut = matches!(kind, FaultKind::EndpointsCut(..));
+        let affects_answers =
+            is_cut || matches!(kind, FaultKind::BoxLink(..) | FaultKind::BoxCut(_));
         let target = match kind {
             FaultKind::BoxLink(number, _) | FaultKind::BoxCut(number) => {
                 Some(self.boxes[number].0.clone())
@@ -391,6 +411,7 @@
             is_store,
             ends_processes,
             affects_answers,
+            is_cut,
             target,
             from,
             until,
@@ -399,6 +420,20 @@
         Some(disturbances.len() - 1)
     }
 
+    /// Cuts a daemon off from all boxes for a while.
+    async fn cut_off(
+        &self,
+        daemon: usize,
+        cut: LinkCut,
+        duration: Duration,
+    ) -> std::io::Result<()> {
+        let from = Instant::now();
+        self.endpoint_links[daemon].cut(cut).await?;
+        tokio::time::sleep(duration).await;
+        self.cuts.borrow_mut().push(CutInterval { daemon, from, until: Instant::now() });
+        self.endpoint_links[daemon].restore().await
+    }
+
     async fn unlist(&self, id: &str, duration: Duration) {
         self.site.unlist(id);
         let from = Instant::now();
@@ -481,6 +516,7 @@
             disturbances: self.disturbances.borrow().clone(),
             unlisted: self.unlisted.borrow().clone(),
             cold_intervals: self.cold_intervals.borrow().clone(),
+            cuts: self.cuts.borrow().clone(),
             box_faults: self.site.violations(),
             crashes: self.site.crashes(),
             signals: self.site.signals(),
--- a/crates/cherrystand_testkit/src/soak/run_record.rs
+++ b/crates/cherrystand_testkit/src/soak/run_record.rs
@@ -67,6 +67,8 @@
     pub ends_processes: bool,
     /// Whether answers of boxes may be lost on their way.
     pub affects_answers: bool,
+    /// Whether it cuts a daemon off from all boxes.
+    pub is_cut: bool,
     /// The box whose connections are affected, if it is a single one.
     pub target: Option<String>,
     /// When it began.
@@ -109,6 +111,17 @@
     pub until: Instant,
 }
 
+/// A time in which a daemon was cut off from all boxes.
+#[derive(Clone, Debug)]
+pub struct CutInterval {
+    /// The daemon.
+    pub daemon: usize,
+    /// When the cut began.
+    pub from: Instant,
+    /// When it ended.
+    pub until: Instant,
+}
+
 /// Everything that was recorded in one run.
 #[derive(Clone, Debug, Default)]
 pub struct RunRecord {
@@ -124,6 +137,8 @@
     pub unlisted: Vec<UnlistedInterval>,
     /// The times in which boxes were cold.
     pub cold_intervals: Vec<ColdInterval>,
+    /// The times in which daemons were cut off from all boxes.
+    pub cuts: Vec<CutInterval>,
     /// Violations that boxes detected themselves.
     pub box_faults: Vec<String>,
     /// The crashes of boxes by requests.
@@ -143,6 +158,13 @@
 /// Age of the knowledge of the store by which a daemon that no fault affects may send.
 const MAX_KNOWLEDGE_AGE: Duration = Duration::from_secs(2);
 
+/// How long after the beginning of a cut from all boxes requests may fail at a daemon.
+const CUT_NOTICE_TIME: Duration = Duration::from_secs(1);
+
+/// Requests that may fail afterwards, and one in how many beyond those.
+const ALLOWED_CUT_FAILURES: usize = 1;
+const CUT_FAILURES_ONE_IN: usize = 50;
+
 /// Maximum number of boxes that one request may run on.
 const MAX_RUNS: usize = 2;
 
@@ -173,6 +195,7 @@
         violations.extend(self.ignored_signals());
         violations.extend(self.exceeded_rate_limits());
         violations.extend(self.sends_by_old_knowledge());
+        violations.extend(self.failures_at_cut_daemons());
         violations
     }
 
@@ -413,6 +436,40 @@
             .collect()
     }
 
+    /// Describes the requests that failed at daemons that were cut off from all boxes and that no other fault affected,
+    /// if there are too many.
+    fn failures_at_cut_daemons(&self) -> Option<String> {
+        let is_at_cut_daemon = |call: &&CallRecord| {
+            let mut own = self.cuts.iter().filter(|cut| cut.daemon == call.daemon);
+            own.any(|cut| cut.from + CUT_NOTICE_TIME <= call.sent && call.ended < cut.until)
+        };
+        let is_usual = |call: &&CallRecord| {
+            matches!(call.kind, CallKind::Once | CallKind::Repeatable | CallKind::Stream)
+        };
+        let calls = self.calls.iter().filter(is_usual).filter(is_at_cut_daemon);
+        let calls = calls.filter(|call| self.met_only_cuts(call));
+        let (served, failed): (Vec<&CallRecord>, Vec<&CallRecord>) =
+            calls.partition(|call| call.outcome == CallOutcome::Whole(StatusCode::OK));
+        let allowed = ALLOWED_CUT_FAILURES + (served.len() + failed.len()) / CUT_FAILURES_ONE_IN;
+        (failed.len() > allowed).then(|| {
+            format!(
+                "{} of {} requests at daemons that were cut off from boxes failed, {allowed} allowed: {:?}",
+                failed.len(),
+                served.len() + failed.len(),
+                failed.iter().take(3).collect::<Vec<_>>()
+            )
+        })
+    }
+
+    /// Tells whether a request met no fault but cuts of daemons from boxes.
+    fn met_only_cuts(&self, call: &CallRecord) -> bool {
+        let others = self.disturbances.iter().filter(|disturbance| !disturbance.is_cut);
+        let mut met = others.filter(|disturbance| {
+            disturbance.from <= call.ended && disturbance.until + RECOVERY_TIME >= call.sent
+        });
+        met.next().is_none()
+    }
+
     fn exceeded_retry_budget(&self) -> Option<String> {
         let (first, last) = (self.calls.first()?, self.calls.last()?);
         let mut sends: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -5,7 +5,7 @@
 
 use cherrystand_core::{Millis, SeededRng};
 
-use crate::soak::link::LinkMode;
+use crate::soak::link::{LinkCut, LinkMode};
 use crate::{BoxMode, BoxWishes, LimitIn, Sheds, StoreMode};
 
 /// A kind of fault, with its target.
@@ -17,6 +17,8 @@
     Box(usize, BoxMode),
     /// The link to a box is slow or blocked in one direction.
     BoxLink(usize, LinkMode),
+    /// A daemon is cut off from all boxes, while callers, the store and other daemons reach it.
+    EndpointsCut(usize, LinkCut),
     /// All connections to a box are closed abruptly.
     BoxCut(usize),
     /// The entry of a box is missing from the store while the box keeps working.
@@ -257,6 +259,37 @@
     std::iter::once(first).chain(later).collect()
 }
 
+/// Draws cuts of daemons from all boxes: each daemon in turn, or two at once, but never all.
+pub fn draw_endpoint_cuts(
+    seed: u64,
+    targets: Targets,
+    span: Millis,
+    first_number: usize,
+) -> Vec<Fault> {
+    /// Gives these faults a random sequence of their own.
+    const SEED_MASK: u64 = 0xc075;
+    /// Daemons that are never cut off, so that one can always carry.
+    const SPARED: usize = 1;
+    const CUTS: [LinkCut; 3] = [LinkCut::Silent, LinkCut::Reset, LinkCut::RefuseNew];
+    let mut last_end = vec![0; targets.daemons];
+    let mut at = 700;
+    draw_extra(SeededRng::new(seed ^ SEED_MASK), at, span, first_number, |rng| {
+        let daemon = SPARED + rng.below(targets.daemons - SPARED);
+        let duration_ms = 2_500 + rng.below(3_500) as u64;
+        let pause_ms = 300 + rng.below(2_000) as u64;
+        // The links of one daemon are cut once at a time.
+        let wait_ms = u64::saturating_sub(last_end[daemon], at);
+        let duration_ms = if wait_ms > 0 { 0 } else { duration_ms };
+        last_end[daemon] = last_end[daemon].max(at + duration_ms + 500);
+        at += pause_ms;
+        let kind = FaultKind::EndpointsCut(daemon, CUTS[rng.below(CUTS.len())]);
+        DrawnFault { kind, duration_ms, pause_ms }
+    })
+    .into_iter()
+    .filter(|fault| fault.duration > Millis(0))
+    .collect()
+}
+
 /// Draws a rate limit that all boxes advertise, and ineffective ones of single boxes besides.
 ///
 /// The common one lasts several seconds, since the check counts only some seconds after a limit was first advertised.
--- a/crates/cherrystand_testkit/tests/soak_checks.rs
+++ b/crates/cherrystand_testkit/tests/soak_checks.rs
@@ -5,8 +5,8 @@
 
 use cherrystand_core::Millis;
 use cherrystand_testkit::{
-    Arrival, CallKind, CallOutcome, CallRecord, ColdInterval, Crash, Disturbance, FaultKind,
-    OldSend, RunRecord, SentSignal, Signal, Targets, UnlistedInterval, draw_schedule,
+    Arrival, CallKind, CallOutcome, CallRecord, ColdInterval, Crash, CutInterval, Disturbance,
+    FaultKind, OldSend, RunRecord, SentSignal, Signal, Targets, UnlistedInterval, draw_schedule,
 };
 use hyper::StatusCode;
 
@@ -42,6 +42,7 @@
         is_store: false,
         ends_processes: is_planned,
         affects_answers: false,
+        is_cut: false,
         target: None,
         from,
         until,
@@ -99,6 +100,23 @@
     record.arrivals = vec![record.arrivals[0].clone(); arrivals];
 }
 
+/// Records that a daemon was cut off from all boxes, and requests that it failed a while after the cut began.
+fn cut_off(record: &mut RunRecord, failed: usize, after: Duration) {
+    let sent = record.calls[0].sent;
+    let (from, until) = (sent - after, sent + Duration::from_secs(1));
+    record.cuts = vec![CutInterval { daemon: 0, from, until }];
+    record.disturbances =
+        vec![Disturbance { is_cut: true, ..disturbance(Some(0), false, from, 2) }];
+    let refused = CallOutcome::Whole(StatusCode::SERVICE_UNAVAILABLE);
+    let refused = |number| CallRecord {
+        id: format!("f{number}"),
+        outcome: refused,
+        ..record.calls[0].clone()
+    };
+    let refused: Vec<CallRecord> = (0..failed).map(refused).collect();
+    record.calls.extend(refused);
+}
+
 #[test]
 fn each_violation_is_reported() {
     struct Case {
@@ -115,6 +133,19 @@
     };
     let cases = [
         case("no violation", None, &|_, _| {}),
+        case("refused while cut off", Some("2 of 3 requests at daemons"), &|record, _| {
+            cut_off(record, 2, Duration::from_millis(1_100));
+        }),
+        case("one refused while cut off", None, &|record, _| {
+            cut_off(record, 1, Duration::from_millis(1_100));
+        }),
+        case("refused as a cut begins", None, &|record, _| {
+            cut_off(record, 2, Duration::from_millis(900));
+        }),
+        case("refused while cut off and something else fails", None, &|record, began| {
+            cut_off(record, 2, Duration::from_millis(1_100));
+            record.disturbances.push(disturbance(None, false, began, 58));
+        }),
         case("sent by old knowledge", Some("by knowledge 2.001s old"), &|record, began| {
             record.old_sends = vec![old_send(began, 2_001)];
         }),
