--- /dev/null
+++ b/crates/cherrystandd/tests/carrying.rs
@@ -0,0 +1,125 @@
+//! What a daemon carries to endpoints for others, and what it refuses to.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cherrystand_testkit::BoxMode;
+use support::site::{MODEL_PATH, SERVICE_PATH, Site, call};
+use support::{call_at, wait_until};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+
+/// An address of this machine that no daemon has.
+const STRANGER: &str = "127.0.0.2:0";
+
+/// The address that daemons have.
+const PEER: &str = "127.0.0.1:0";
+
+/// How many requests a daemon carries at once.
+const MAX_CARRIED: usize = 512;
+
+/// Sends bytes from an address and returns what comes back until the connection closes.
+async fn send_raw(from: &str, to: SocketAddr, bytes: &[u8]) -> String {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(from.parse().expect("an address")).expect("a bound socket");
+    let mut stream = socket.connect(to).await.expect("a connection");
+    stream.write_all(bytes).await.expect("a request");
+    let mut answer = Vec::new();
+    // A daemon may reset the connection after an answer to bytes that are no request.
+    let _ = tokio::time::timeout(Duration::from_secs(3), stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn carry_request(target: &str, body: &str) -> String {
+    format!(
+        "POST {SERVICE_PATH} HTTP/1.1\r\nhost: site.example\r\nconnection: close\r\n\
+         cherrystand-request-id: carried\r\ncherrystand-deadline-ms: 3000\r\n\
+         cherrystand-carry-to: {target}\r\ncherrystand-expect-instance: {target}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+#[test]
+fn only_daemons_have_requests_carried_and_only_to_listed_endpoints() {
+    struct Case {
+        name: &'static str,
+        from: &'static str,
+        request: Vec<u8>,
+        status: &'static str,
+        end: Option<&'static str>,
+    }
+    let carried = |target, body| carry_request(target, body).into_bytes();
+    let query = |body: &[u8]| {
+        let head = format!(
+            "POST /reach HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        [head.as_bytes(), body].concat()
+    };
+    let case = |name, from, request, status, end| Case { name, from, request, status, end };
+    let cases = [
+        case("a listed endpoint", PEER, carried("a-1", "hello"), "200", Some("answered")),
+        case("an unlisted endpoint", PEER, carried("a-9", "hello"), "502", Some("unlisted")),
+        case("an address", PEER, carried("127.0.0.1:80", "hello"), "502", Some("unlisted")),
+        case("a stranger", STRANGER, carried("a-1", "hello"), "502", Some("unlisted")),
+        case("too large a body", PEER, carried("a-1", &"x".repeat(2_001)), "502", Some("full")),
+        case("a stranger's query", STRANGER, query(b"\x03a-1"), "403", None),
+        case("an empty query", PEER, query(b""), "400", None),
+        case("half a query", PEER, query(b"\x30a-1"), "400", None),
+        case("too long a query", PEER, query(&[b'x'; 2_000]), "400", None),
+        case("no request", PEER, b"\xff\xfe\x00 nothing\r\n\r\n".to_vec(), "400", None),
+    ];
+    support::run(async {
+        let site = Site::serving(2).await;
+        let to = site.nodes[0].changes;
+        for case in cases {
+            let answer = send_raw(case.from, to, &case.request).await.to_lowercase();
+            assert!(
+                answer.starts_with(&format!("http/1.1 {}", case.status)),
+                "{}: {answer}",
+                case.name
+            );
+            let end = case.end.map(|end| format!("cherrystand-carry-end: {end}"));
+            assert!(end.is_none_or(|end| answer.contains(&end)), "{}: {answer}", case.name);
+        }
+        let served = call(&site.nodes[0], "POST", SERVICE_PATH, "own", "k1").await;
+        assert_eq!(served.status, 200, "the daemon still serves its own callers");
+    });
+}
+
+#[test]
+fn a_flood_of_carried_requests_is_refused_and_own_callers_are_served() {
+    support::run(async {
+        let site = Site::serving(2).await;
+        for id in ["a-1", "a-2"] {
+            site.stand_in.set_mode(id, BoxMode::Pauses);
+        }
+        let to = site.nodes[0].changes;
+        let request = carry_request("a-1", "x");
+        let flood = (0..MAX_CARRIED + 40).map(|_| send_raw(PEER, to, request.as_bytes()));
+        let flood = futures_util::future::join_all(flood);
+        let serving = async {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            call(&site.nodes[0], "POST", MODEL_PATH, "own", "k1").await.status
+        };
+        let (answers, status) = tokio::join!(flood, serving);
+        let count = |part: &str| answers.iter().filter(|answer| answer.contains(part)).count();
+        let waiting = answers.iter().filter(|answer| answer.is_empty()).count();
+        let (full, missed) =
+            (count("cherrystand-carry-end: full"), count("cherrystand-carry-end: missed"));
+        assert!(waiting <= MAX_CARRIED && full > 0, "{waiting} wait, {full} refused");
+        assert_eq!(waiting + full + missed, answers.len());
+        assert_eq!(status, 200);
+        wait_until("the places are free again", async || {
+            let metrics = call_at(site.nodes[0].operators, "GET", "/metrics", &[], "").await.text();
+            site.stand_in.set_mode("a-1", BoxMode::Well);
+            let served = send_raw(PEER, to, request.as_bytes()).await;
+            metrics.contains("end=\"full\"") && served.contains("cherrystand-carry-end: answered")
+        })
+        .await;
+    });
+}
--- a/crates/cherrystandd/tests/support/site.rs
+++ b/crates/cherrystandd/tests/support/site.rs
@@ -45,6 +45,7 @@
     pub(crate) ready: SocketAddr,
     pub(crate) operators: SocketAddr,
     pub(crate) peers: SocketAddr,
+    pub(crate) changes: SocketAddr,
 }
 
 /// The daemons of one test, and the simulated boxes, services and store that they use.
@@ -275,6 +276,7 @@
             ready: own[2],
             operators: own[1],
             peers: own[3],
+            changes: own[4],
         }
     }
 }
