--- a/crates/cherrystandd/tests/partitions.rs
+++ b/crates/cherrystandd/tests/partitions.rs
@@ -183,3 +183,28 @@
         assert!(changed.is_empty(), "{changed:#?}");
     });
 }
+
+#[test]
+fn callers_of_a_daemon_that_is_cut_off_are_served_while_its_carriers_end() {
+    const SIGNALS: [&str; 2] = ["KILL", "TERM"];
+    support::run(async {
+        let site = Site::serving_behind_links(4).await;
+        site.endpoint_links[0].cut(LinkCut::Silent).await.expect("a cut");
+        tokio::time::sleep(NOTICE_LIMIT).await;
+        let cut_off = &site.nodes[..1];
+        let ending = async {
+            for (node, signal) in site.nodes[1..].iter().zip(SIGNALS) {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                node.process.signal(signal);
+            }
+        };
+        let (streams, calls, ()) = tokio::join!(
+            send_to_all(cut_off, MODEL_PATH, REQUEST_INTERVAL, TOTAL),
+            send_to_all(cut_off, SERVICE_PATH, REQUEST_INTERVAL, TOTAL),
+            ending,
+        );
+        let all: Vec<CallerRequest> = streams.into_iter().chain(calls).collect();
+        let failed = all.iter().filter(|request| !is_served(request)).count();
+        assert!(failed * FAILED_ONE_IN <= all.len(), "{:?}", describe_failures(&all));
+    });
+}
