fix: a request is carried only by peers in the daemon's own region or the endpoint's

A request that is restricted to regions might have passed through a machine of another one. The entry daemon's region is where its caller sent it, the endpoint's was chosen among the allowed ones.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -73,6 +73,7 @@
 
 mod nodes {
     pub(crate) mod call_history;
+    pub(crate) mod carrier_regions;
     pub(crate) mod catch_up;
     pub(crate) mod change_log;
     pub(crate) mod digest;
@@ -174,6 +175,7 @@
     WorkspaceId, ZoneId,
 };
 pub use nodes::call_history::{CallHistory, CallId, CallStats};
+pub use nodes::carrier_regions::CarrierRegions;
 pub use nodes::catch_up::CatchUp;
 pub use nodes::change_log::{ChangeLog, ChangesSince};
 pub use nodes::digest::Digest;
--- a/crates/cherrystand_core/tests/endpoint_paths.rs
+++ b/crates/cherrystand_core/tests/endpoint_paths.rs
@@ -1,11 +1,11 @@
 //! Which way a daemon takes to endpoints that its own link doesn't reach.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use cherrystand_core::{
-    BoxId, CarrierFailure, EndpointPaths, Heartbeat, Incarnation, Millis, NodeId, PathSearch,
-    ReachReport, SearchResult, ZoneId,
+    BoxId, CarrierFailure, CarrierRegions, EndpointPaths, Heartbeat, Incarnation, Millis, NodeId,
+    PathSearch, ReachReport, RegionId, SearchResult, ZoneId,
 };
 
 /// How long a search waits before it asks the next peers.
@@ -269,3 +269,41 @@
         assert!(carries(&one, case.until), "{}", case.name);
     }
 }
+
+#[test]
+fn a_body_is_carried_only_in_the_own_region_and_the_endpoint_s() {
+    struct Case {
+        name: &'static str,
+        own: &'static str,
+        endpoint: Option<&'static str>,
+        allowed: &'static [&'static str],
+    }
+    let cases = [
+        Case { name: "one region", own: "a1", endpoint: Some("a2"), allowed: &["a1", "a2"] },
+        Case { name: "two", own: "a1", endpoint: Some("b1"), allowed: &["a1", "a2", "b1"] },
+        Case { name: "unknown endpoint", own: "b1", endpoint: None, allowed: &["b1"] },
+        Case {
+            name: "own without a region",
+            own: "x1",
+            endpoint: Some("c1"),
+            allowed: &["x1", "c1"],
+        },
+        Case { name: "endpoint without one", own: "b1", endpoint: Some("x1"), allowed: &["b1"] },
+    ];
+    let zones = ["a1", "a2", "b1", "c1", "x1"].map(ZoneId::new);
+    let regions: BTreeMap<ZoneId, RegionId> =
+        zones[..4].iter().map(|zone| (zone.clone(), RegionId::new(&zone.as_str()[..1]))).collect();
+    for case in cases {
+        let (own_zone, endpoint_zone) = (ZoneId::new(case.own), case.endpoint.map(ZoneId::new));
+        let endpoint_zone = endpoint_zone.as_ref();
+        let limits = CarrierRegions { regions: &regions, own_zone: &own_zone, endpoint_zone };
+        let allowed: Vec<&str> =
+            zones.iter().filter(|zone| limits.allows(zone)).map(ZoneId::as_str).collect();
+        let expected: Vec<&str> =
+            zones.iter().map(ZoneId::as_str).filter(|zone| case.allowed.contains(zone)).collect();
+        assert_eq!(allowed, expected, "{}", case.name);
+        let none = BTreeMap::new();
+        let limits = CarrierRegions { regions: &none, ..limits };
+        assert!(zones.iter().all(|zone| limits.allows(zone)), "{}, no regions", case.name);
+    }
+}
--- a/crates/cherrystandd/src/site/carrier_client.rs
+++ b/crates/cherrystandd/src/site/carrier_client.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cherrystand_core::{BoxId, CarrierFailure, Heartbeat, NodeId, ReachReport};
+use cherrystand_core::{
+    BoxId, CarrierFailure, CarrierRegions, Heartbeat, NodeId, PathSearch, ReachReport, ZoneId,
+};
 use cherrystand_peer::{
     CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachAnswer, ReachQuery, decode, encode,
 };
@@ -14,6 +16,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 
 use crate::DutyContext;
+use crate::state::View;
 
 /// How many idle connections are kept to one peer that carries requests.
 const MAX_IDLE: usize = 64;
@@ -59,14 +62,36 @@
     /// Chooses a peer that is known to reach boxes, other than those in `tried`.
     pub(crate) fn choose(&self, id: &BoxId, tried: &[NodeId]) -> Option<CarrierPeer> {
         let view = self.cx.current_view();
-        let alive: Vec<&Heartbeat> = view.alive().collect();
-        let zone = self.cx.site.borrow().boxes.get(id).map(|known| known.zone.clone());
+        let zone = self.zone_of(id);
+        let allowed = self.allowed_peers(&view, zone.as_ref());
         let now = self.cx.clock.now();
         let mut paths = self.cx.paths();
-        let chosen = paths.choose_carrier(&view.own, &alive, id, zone.as_ref(), tried, now);
+        let chosen = paths.choose_carrier(&view.own, &allowed, id, zone.as_ref(), tried, now);
         chosen.and_then(CarrierPeer::new)
     }
 
+    /// Returns the peers to ask next in a search for one that reaches a box.
+    pub(crate) fn next_round(&self, id: &BoxId, search: &mut PathSearch) -> Vec<CarrierPeer> {
+        let view = self.cx.current_view();
+        let allowed = self.allowed_peers(&view, self.zone_of(id).as_ref());
+        let peers = self.cx.paths().next_round(search, &view.own, &allowed);
+        peers.into_iter().filter_map(CarrierPeer::new).collect()
+    }
+
+    fn zone_of(&self, id: &BoxId) -> Option<ZoneId> {
+        self.cx.site.borrow().boxes.get(id).map(|known| known.zone.clone())
+    }
+
+    /// Returns the peers that may carry requests to a box in a zone.
+    fn allowed_peers<'v>(&self, view: &'v View, zone: Option<&ZoneId>) -> Vec<&'v Heartbeat> {
+        let regions = CarrierRegions {
+            regions: self.cx.settings.regions(),
+            own_zone: &view.own.zone,
+            endpoint_zone: zone,
+        };
+        regions.filter(view.alive())
+    }
+
     /// Has a peer carry a request, and waits for the head of the box's answer.
     pub(crate) async fn send(
         &self,
--- a/crates/cherrystandd/src/site/path_search.rs
+++ b/crates/cherrystandd/src/site/path_search.rs
@@ -1,11 +1,11 @@
 //! Searches for a peer that reaches a box.
 
-use cherrystand_core::{BoxId, Heartbeat, Millis, PathSearch, SearchResult};
+use cherrystand_core::{BoxId, Millis, PathSearch, SearchResult};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
 use crate::DutyContext;
-use crate::site::carrier_client::{CarrierClient, CarrierPeer};
+use crate::site::carrier_client::CarrierClient;
 
 /// The time after which the next round of peers is asked, if nobody has reached the box.
 const ROUND_INTERVAL: Millis = Millis(20);
@@ -25,7 +25,7 @@
     let mut next_round = cx.clock.now();
     loop {
         if cx.clock.now() >= next_round {
-            let peers = pick_round(cx, &mut search);
+            let peers = carriers.next_round(id, &mut search);
             next_round = if peers.is_empty() { end } else { cx.clock.now() + ROUND_INTERVAL };
             asked
                 .extend(peers.into_iter().map(|peer| async move { carriers.ask(&peer, id).await }));
@@ -43,13 +43,6 @@
     }
 }
 
-fn pick_round(cx: &DutyContext, search: &mut PathSearch) -> Vec<CarrierPeer> {
-    let view = cx.current_view();
-    let alive: Vec<&Heartbeat> = view.alive().collect();
-    let peers = cx.paths().next_round(search, &view.own, &alive);
-    peers.into_iter().filter_map(CarrierPeer::new).collect()
-}
-
 /// Waits for the next report; without open questions it never returns.
 async fn next_report<F: Future>(asked: &mut FuturesUnordered<F>) -> F::Output {
     match asked.next().await {
