fix: an order to a box that cannot be reached pauses before it is sent again

The pause is now 50 ms and doubles up to the 1.2 s of any other order; an answer or a restart of the box ends it.

--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -24,6 +24,10 @@
 /// An order without effect is sent again after this time.
 const ORDER_RETRY: Millis = Millis(1_200);
 
+/// The pause before an order is sent again to a box that could not be reached. It doubles up to
+/// [`ORDER_RETRY`].
+const FIRST_UNREACHED_PAUSE: Millis = Millis(50);
+
 /// How many fences are skipped after a box has seen a later one.
 const FENCE_SKIP: u32 = 64;
 
@@ -95,7 +99,8 @@
 struct SentOrder {
     task: MemberTask,
     epoch: Epoch,
-    at: Millis,
+    /// When it may be sent again.
+    again_at: Millis,
 }
 
 /// Decides the formation of one domain.
@@ -105,6 +110,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Formation {
     sent_orders: BTreeMap<BoxId, SentOrder>,
+    /// How long the next order to a box waits that could not be reached.
+    unreached_pauses: BTreeMap<BoxId, Millis>,
     /// Since when replicas drain, by name and epoch.
     closing_since: BTreeMap<(String, Epoch), Millis>,
     /// How many orders each box was sent, plus the fences skipped for it.
@@ -125,13 +132,14 @@
 impl Formation {
     /// Decides what to write and to order now.
     pub fn step(&mut self, input: FormationInput<'_>) -> FormationStep {
-        self.sent_orders.retain(|_, sent| input.now.since(sent.at) < ORDER_RETRY);
+        self.sent_orders.retain(|_, sent| input.now < sent.again_at);
         // A box that is only cut off from the store still compares fences.
         let is_known = |id: &BoxId| {
             input.boxes.iter().chain(input.departed).any(|site_box| &site_box.id == id)
         };
         self.order_counts.retain(|id, _| is_known(id));
         self.orders_taken.retain(|id, _| is_known(id));
+        self.unreached_pauses.retain(|id, _| is_known(id));
         self.warmed.retain(is_known);
         self.reset_restarted(&input);
         if self.home.as_deref() != input.home {
@@ -165,6 +173,7 @@
             let previous = self.orders_taken.insert(site_box.id.clone(), site_box.orders_taken);
             if previous.is_some_and(|previous| site_box.has_restarted_since(previous)) {
                 self.sent_orders.remove(&site_box.id);
+                self.unreached_pauses.remove(&site_box.id);
                 self.warmed.remove(&site_box.id);
                 self.staging.remove(&site_box.id);
             }
@@ -183,7 +192,17 @@
 
     /// Records the result of an order, which decides whether it is sent again at once if it is
     /// still wanted.
-    pub fn record_order_end(&mut self, order: &MemberOrder, end: OrderEnd, is_silent: bool) {
+    pub fn record_order_end(
+        &mut self,
+        order: &MemberOrder,
+        end: OrderEnd,
+        is_silent: bool,
+        now: Millis,
+    ) {
+        let is_unreached = matches!(end, OrderEnd::Refused | OrderEnd::Dark);
+        if !is_unreached {
+            self.unreached_pauses.remove(&order.target);
+        }
         let is_spare = matches!(order.task, MemberTask::Join { .. }) && order.epoch == SPARE_EPOCH;
         if is_spare && end != OrderEnd::Silent {
             // A box that refuses has joined before, and holds the model of that replica.
@@ -208,8 +227,20 @@
         if end == OrderEnd::Fenced {
             *self.order_counts.entry(order.target.clone()).or_default() += FENCE_SKIP;
         }
-        if send_again {
-            self.sent_orders.remove(&order.target);
+        match send_again {
+            true if is_unreached => self.postpone(&order.target, now),
+            true => _ = self.sent_orders.remove(&order.target),
+            false => {}
+        }
+    }
+
+    /// Lets the next order to a box that could not be reached wait, longer each time.
+    fn postpone(&mut self, target: &BoxId, now: Millis) {
+        let pause = self.unreached_pauses.get(target).copied().unwrap_or(FIRST_UNREACHED_PAUSE);
+        let next = Millis(pause.0 * 2).min(ORDER_RETRY);
+        self.unreached_pauses.insert(target.clone(), next);
+        if let Some(sent) = self.sent_orders.get_mut(target) {
+            sent.again_at = now + pause;
         }
     }
 
@@ -307,7 +338,8 @@
             if matches!(order.task, MemberTask::Stage { .. }) {
                 self.staging.insert(order.target.clone(), now);
             }
-            let sent = SentOrder { task: order.task.clone(), epoch: order.epoch, at: now };
+            let again_at = now + ORDER_RETRY;
+            let sent = SentOrder { task: order.task.clone(), epoch: order.epoch, again_at };
             self.sent_orders.insert(order.target.clone(), sent);
             let count = self.order_counts.entry(order.target.clone()).or_default();
             order.sequence = *count;
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -107,7 +107,12 @@
             let delay = is_late.then(|| Millis(2_000 + self.rng.below(10_000) as u64));
             let fence = order.fence(Revision::new(node.last_read.0));
             let end = self.domain.order(order, fence, delay);
-            node.formation.record_order_end(order, end, silent.contains(&order.target));
+            node.formation.record_order_end(
+                order,
+                end,
+                silent.contains(&order.target),
+                self.domain.now(),
+            );
             let is_leader = boxes.iter().any(|site_box| {
                 let member = site_box.member.as_ref();
                 site_box.id == order.target && member.is_some_and(|member| member.rank == 0)
--- a/crates/cherrystand_core/tests/site_losses.rs
+++ b/crates/cherrystand_core/tests/site_losses.rs
@@ -165,7 +165,7 @@
         for order in &step.orders {
             let end = self.domain.order(order, order.fence(Revision::new(self.revision)), None);
             let is_silent = self.known_dead.contains(&order.target);
-            self.formation.record_order_end(order, end, is_silent);
+            self.formation.record_order_end(order, end, is_silent, self.domain.now());
             if end == OrderEnd::Dark {
                 self.probe(order.target.clone(), CONNECT);
             }
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -60,7 +60,7 @@
         }
         let is_silent = self.state.borrow().is_silent(&order.target);
         if let Some(formation) = self.formations.borrow_mut().get_mut(domain) {
-            formation.record_order_end(&order, end, is_silent);
+            formation.record_order_end(&order, end, is_silent, self.now());
         }
     }
 
