--- a/crates/cherrystand_testkit/src/site/endpoint_links.rs
+++ b/crates/cherrystand_testkit/src/site/endpoint_links.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -11,15 +12,30 @@
 
 use crate::{Link, LinkCut};
 
-/// The address that links listen on; daemons and stand-ins use others.
-const LINK_ADDRESS: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 9));
+/// Returns a loopback address that no daemon, stand-in or other daemon's links listen on: while a link is cut, nobody
+/// else may take its port.
+fn own_address() -> IpAddr {
+    /// Keeps the addresses of links apart from 127.0.0.0/16.
+    const FIRST_BLOCK: u8 = 64;
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let block = FIRST_BLOCK | (high & (FIRST_BLOCK - 1));
+    IpAddr::V4(Ipv4Addr::new(127, block, low, NEXT.fetch_add(1, Ordering::Relaxed)))
+}
 
 /// One daemon's links to the endpoints. The store shows that daemon their addresses in place of those of the endpoints.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct EndpointLinks {
+    address: IpAddr,
     links: Rc<RefCell<BTreeMap<SocketAddr, Link>>>,
 }
 
+impl Default for EndpointLinks {
+    fn default() -> Self {
+        Self { address: own_address(), links: Rc::default() }
+    }
+}
+
 impl EndpointLinks {
     /// Opens a link to an endpoint.
     ///
@@ -27,7 +43,7 @@
     ///
     /// Returns an error if no loopback address can be listened on.
     pub async fn add(&self, endpoint: SocketAddr) -> std::io::Result<()> {
-        let link = Link::open_on(LINK_ADDRESS, endpoint).await?;
+        let link = Link::open_on(self.address, endpoint).await?;
         self.links.borrow_mut().insert(endpoint, link);
         Ok(())
     }
--- a/crates/cherrystand_testkit/src/soak/link.rs
+++ b/crates/cherrystand_testkit/src/soak/link.rs
@@ -123,13 +123,7 @@
 
     fn open_door(&self, listener: TcpListener) {
         let accepting = tokio::task::spawn_local(self.clone().accept(listener));
-        self.replace_door(Door::Open(accepting));
-    }
-
-    fn replace_door(&self, door: Door) {
-        if let Door::Open(accepting) = self.door.replace(door) {
-            accepting.abort();
-        }
+        self.door.replace(Door::Open(accepting));
     }
 
     /// Cuts it until [`Link::restore`] is called.
@@ -162,9 +156,12 @@
     }
 
     async fn close_door(&self) {
-        self.replace_door(Door::Closed);
-        // The aborted task drops its listener when it is next run.
-        tokio::task::yield_now().await;
+        let door = self.door.replace(Door::Closed);
+        if let Door::Open(accepting) = door {
+            accepting.abort();
+            // The listener is closed once the aborted task has ended; its result is that it was aborted.
+            let _ = accepting.await;
+        }
     }
 
     fn listen(&self, queue: u32) -> std::io::Result<TcpListener> {
@@ -183,7 +180,7 @@
         {
             queued.push(conn?);
         }
-        self.replace_door(Door::Full { _listener: listener, _queued: queued });
+        self.door.replace(Door::Full { _listener: listener, _queued: queued });
         Ok(())
     }
 
