fix: a way that is slow to open is not taken for a cut one

A connection that needed over 50 ms, as to a box in a far region, was dropped as soon as a peer nearer to the box reached it, and the box counted as reached through peers alone. Now the request goes that way, the connection goes on opening and is kept, and only its failure marks the way.

--- a/crates/cherrystandd/src/site/active_attempt.rs
+++ b/crates/cherrystandd/src/site/active_attempt.rs
@@ -9,8 +9,8 @@
 
 use tokio::sync::Notify;
 
-use crate::site::box_client::PathTaken;
 use crate::site::frontend::Frontend;
+use crate::site::path_taken::PathTaken;
 use crate::site::request::SiteRequest;
 
 /// How often a stalled endpoint is reported; its members are probed once a second.
--- a/crates/cherrystandd/src/site/box_client.rs
+++ b/crates/cherrystandd/src/site/box_client.rs
@@ -7,25 +7,22 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use cherrystand_core::{BoxId, EndpointPaths, Millis, NodeId, SearchResult, SendPermit};
+use cherrystand_core::{BoxId, DEFAULT_IDLE_CONNECTIONS, Millis, NodeId, SearchResult, SendPermit};
 use cherrystand_platform::{
     Answer, BoxCall, CallError, HttpPool, IdleSend, OpenConnection, PooledBody, SendError,
     read_answer,
 };
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{Request, Response};
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::DutyContext;
 use crate::site::carrier_client::{CarrierClient, CarryFailure};
 use crate::site::path_search::search_carriers;
+use crate::site::path_taken::PathTaken;
 
 /// How long a connection may take to open before peers are asked whether they reach the box. Nearly
 /// all connections within a region open sooner.
@@ -40,102 +37,35 @@
 /// The timeout of a connection that only shows whether a path works.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// How many other boxes are connected to in order to show that the own link works.
-const OWN_LINK_CHECKS: usize = 3;
-
-/// The timeout of those connections.
-const OWN_LINK_TIMEOUT: Duration = Duration::from_millis(120);
-
-/// How often due checks of direct paths are looked for.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// A box and how to connect to it.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct BoxAddress<'a> {
-    pub(crate) id: &'a BoxId,
+#[derive(Clone, Debug)]
+pub(crate) struct BoxAddress {
+    pub(crate) id: BoxId,
     pub(crate) address: SocketAddr,
     /// How many idle connections to it are kept.
     pub(crate) max_idle: usize,
     pub(crate) connect_timeout: Duration,
 }
 
-/// How a request reaches a box.
-enum Path {
-    /// Over the own link.
-    Direct,
-    /// Through a peer, which carries it until this is dropped.
-    Carried(CarryGuard),
-}
-
-/// The way that a request takes, as far as it has been sent.
-pub(crate) struct PathTaken(RefCell<Path>);
-
-impl Default for PathTaken {
-    fn default() -> Self {
-        Self(RefCell::new(Path::Direct))
-    }
-}
-
-impl PathTaken {
-    /// Returns the peer that carries the request, if one does.
-    pub(crate) fn carrier(&self) -> Option<NodeId> {
-        match &*self.0.borrow() {
-            Path::Direct => None,
-            Path::Carried(guard) => Some(guard.carrier.clone()),
-        }
-    }
-}
-
-/// Counts a request as carried by a peer until it is dropped.
-struct CarryGuard {
-    paths: Arc<Mutex<EndpointPaths>>,
-    carrier: NodeId,
-}
-
-impl CarryGuard {
-    fn new(cx: &DutyContext, carrier: NodeId) -> Self {
-        cx.paths().begin_carry(&carrier);
-        Self { paths: cx.endpoint_paths.clone(), carrier }
-    }
-}
-
-impl Drop for CarryGuard {
-    fn drop(&mut self) {
-        let paths = self.paths.lock();
-        paths.unwrap_or_else(PoisonError::into_inner).end_carry(&self.carrier);
-    }
-}
-
-/// What a check of the way to a box showed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum PathCheck {
-    /// The own link reaches it.
-    Direct,
-    /// Only peers reach it.
-    Indirect,
-    /// Its address refuses connections, also from where other boxes are reached.
-    Refused,
-    /// Nobody can tell.
-    Unknown,
-}
-
 /// Why a request was not sent over the own link.
 enum DirectFailure {
     /// No connection could be opened; nothing was sent.
     Unreachable(Box<Request<Full<Bytes>>>, SendError),
+    /// No connection has opened so far, and peers reach the box; nothing was sent.
+    Slow(Box<Request<Full<Bytes>>>),
     /// The request may have been sent, or need not be sent elsewhere.
     Failed(SendError),
 }
 
 /// The connections of one thread to boxes and to the peers that carry requests.
 pub(crate) struct BoxClient {
-    cx: DutyContext,
-    pool: HttpPool,
+    pub(super) cx: DutyContext,
+    pub(super) pool: HttpPool,
     carriers: CarrierClient,
     /// The searches that run now, by box.
     searches: RefCell<BTreeMap<BoxId, watch::Receiver<Option<SearchResult>>>>,
     /// When the last check began that showed that the own link works.
-    own_link_worked_at: Cell<Option<Millis>>,
+    pub(super) own_link_worked_at: Cell<Option<Millis>>,
     weak_self: Weak<Self>,
 }
 
@@ -151,7 +81,7 @@
         })
     }
 
-    fn now(&self) -> Millis {
+    pub(super) fn now(&self) -> Millis {
         self.cx.clock.now()
     }
 
@@ -165,37 +95,45 @@
     /// Returns a [`SendError`] that tells whether the box may have received the request.
     pub(crate) async fn send(
         &self,
-        to: BoxAddress<'_>,
+        to: &BoxAddress,
         req: Request<Full<Bytes>>,
         path: &PathTaken,
     ) -> Result<Response<PooledBody>, SendError> {
-        let is_direct = self.cx.paths().is_direct(to.id);
-        let (req, failure) = match is_direct {
-            false => (req, None),
-            true => match self.send_directly(to, req).await {
-                Ok(answer) => return Ok(answer),
-                Err(DirectFailure::Failed(err)) => return Err(err),
-                Err(DirectFailure::Unreachable(_, err)) if self.cx.paths().is_direct(to.id) => {
-                    return Err(err);
-                }
-                Err(DirectFailure::Unreachable(req, err)) => (*req, Some(err)),
-            },
+        if !self.cx.paths().is_direct(&to.id) {
+            return self.send_around(to, req, path).await;
+        }
+        let (req, failure) = match self.send_directly(to, req).await {
+            Ok(answer) => return Ok(answer),
+            Err(DirectFailure::Failed(err)) => return Err(err),
+            Err(DirectFailure::Unreachable(_, err)) if self.cx.paths().is_direct(&to.id) => {
+                return Err(err);
+            }
+            Err(DirectFailure::Unreachable(req, err)) => (req, err),
+            Err(DirectFailure::Slow(req)) => (req, SendError::ConnectTimedOut(to.address)),
         };
+        match self.send_carried(to, &req, path).await {
+            Ok(answer) => Ok(answer),
+            Err(CarryFailure::Failed(err)) => Err(err),
+            Err(CarryFailure::NotSent) => Err(failure),
+        }
+    }
+
+    /// Sends a request through peers, or over the own link as the last resort.
+    async fn send_around(
+        &self,
+        to: &BoxAddress,
+        req: Request<Full<Bytes>>,
+        path: &PathTaken,
+    ) -> Result<Response<PooledBody>, SendError> {
         match self.send_carried(to, &req, path).await {
             Ok(answer) => return Ok(answer),
             Err(CarryFailure::Failed(err)) => return Err(err),
-            Err(CarryFailure::NotSent) => {}
-        }
-        // No peer carries it, so its own link is the last resort unless that has just failed.
-        match failure {
-            Some(err) => Err(err),
-            None => {
-                path.0.replace(Path::Direct);
-                self.send_directly(to, req).await.map_err(|failure| match failure {
-                    DirectFailure::Failed(err) | DirectFailure::Unreachable(_, err) => err,
-                })
-            }
+            Err(CarryFailure::NotSent) => path.set_direct(),
         }
+        self.send_directly(to, req).await.map_err(|failure| match failure {
+            DirectFailure::Failed(err) | DirectFailure::Unreachable(_, err) => err,
+            DirectFailure::Slow(_) => SendError::ConnectTimedOut(to.address),
+        })
     }
 
     /// Sends a caller's request as [`BoxClient::send`] does; it consumes the permit that allows it.
@@ -206,7 +144,7 @@
     pub(crate) async fn send_permitted(
         &self,
         _permit: SendPermit,
-        to: BoxAddress<'_>,
+        to: &BoxAddress,
         req: Request<Full<Bytes>>,
         path: &PathTaken,
     ) -> Result<Response<PooledBody>, SendError> {
@@ -215,15 +153,12 @@
 
     async fn send_directly(
         &self,
-        to: BoxAddress<'_>,
+        to: &BoxAddress,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<PooledBody>, DirectFailure> {
         let answer = match self.pool.send_on_idle(to.max_idle, to.address, req).await {
             IdleSend::Sent(answer) => answer,
-            IdleSend::NoneIdle(req) => match self.open(to).await {
-                Ok(conn) => self.pool.send_on(conn, req).await,
-                Err(err) => return Err(DirectFailure::Unreachable(Box::new(req), err)),
-            },
+            IdleSend::NoneIdle(req) => self.send_on_new(to, req).await?,
         };
         if answer.is_ok() {
             self.cx.endpoint_contact.record(self.now());
@@ -231,27 +166,53 @@
         answer.map_err(DirectFailure::Failed)
     }
 
-    /// Opens a connection over the own link. If that fails or takes long, finds out whether peers
-    /// reach the box.
-    async fn open(&self, to: BoxAddress<'_>) -> Result<OpenConnection, SendError> {
+    /// Sends a request on a new connection. If that doesn't open soon and peers reach the box, the
+    /// request is given back; a connection that opens later is kept.
+    async fn send_on_new(
+        &self,
+        to: &BoxAddress,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Result<Response<PooledBody>, SendError>, DirectFailure> {
+        let Some(client) = self.weak_self.upgrade() else {
+            let err = SendError::ConnectTimedOut(to.address);
+            return Err(DirectFailure::Unreachable(Box::new(req), err));
+        };
+        let address = to.clone();
+        let mut opening = Box::pin(async move { client.open(&address).await });
+        let opened = tokio::select! {
+            opened = &mut opening => opened,
+            SearchResult::Reached = self.search_after_delay(&to.id) => {
+                let pool = self.pool.clone();
+                tokio::task::spawn_local(async move {
+                    if let Ok(conn) = opening.await {
+                        pool.keep(conn);
+                    }
+                });
+                return Err(DirectFailure::Slow(Box::new(req)));
+            }
+        };
+        match opened {
+            Ok(conn) => Ok(self.pool.send_on(conn, req).await),
+            Err(err) => Err(DirectFailure::Unreachable(Box::new(req), err)),
+        }
+    }
+
+    /// Opens a connection over the own link. If that fails, finds out whether peers reach the box;
+    /// they are asked meanwhile if it takes long.
+    pub(super) async fn open(&self, to: &BoxAddress) -> Result<OpenConnection, SendError> {
         let opening = self.pool.open(to.max_idle, to.address, to.connect_timeout);
         tokio::pin!(opening);
-        let opened = match tokio::time::timeout(SEARCH_DELAY, &mut opening).await {
-            Ok(opened) => opened,
-            Err(_) => tokio::select! {
-                opened = &mut opening => opened,
-                SearchResult::Reached = self.search(to.id) => {
-                    Err(SendError::ConnectTimedOut(to.address))
-                }
-            },
+        let opened = tokio::select! {
+            opened = &mut opening => opened,
+            _ = self.search_after_delay(&to.id) => opening.await,
         };
         match opened {
             Ok(conn) => {
-                self.record_direct(to.id);
+                self.record_direct(&to.id);
                 Ok(conn)
             }
             Err(err) => {
-                if self.search(to.id).await == SearchResult::Reached {
+                if self.search(&to.id).await == SearchResult::Reached {
                     self.record_indirect(to, &err);
                 }
                 Err(err)
@@ -259,7 +220,12 @@
         }
     }
 
-    fn record_direct(&self, id: &BoxId) {
+    async fn search_after_delay(&self, id: &BoxId) -> SearchResult {
+        tokio::time::sleep(SEARCH_DELAY).await;
+        self.search(id).await
+    }
+
+    pub(super) fn record_direct(&self, id: &BoxId) {
         let now = self.now();
         self.cx.endpoint_contact.record(now);
         if self.cx.paths().record_direct(id, now) {
@@ -267,10 +233,10 @@
         }
     }
 
-    fn record_indirect(&self, to: BoxAddress<'_>, err: &SendError) {
+    fn record_indirect(&self, to: &BoxAddress, err: &SendError) {
         let mut paths = self.cx.paths();
         let was_cut_off = paths.is_cut_off();
-        let is_new = paths.record_indirect(to.id, self.now());
+        let is_new = paths.record_indirect(&to.id, self.now());
         let (count, is_cut_off) = (paths.indirect_count(), paths.is_cut_off());
         drop(paths);
         if !is_new {
@@ -290,7 +256,7 @@
 
     async fn send_carried(
         &self,
-        to: BoxAddress<'_>,
+        to: &BoxAddress,
         req: &Request<Full<Bytes>>,
         path: &PathTaken,
     ) -> Result<Response<PooledBody>, CarryFailure> {
@@ -301,14 +267,14 @@
         }
         let mut tried = Vec::new();
         for _ in 0..MAX_CARRIERS {
-            let mut carrier = self.carriers.choose(to.id, &tried);
-            if carrier.is_none() && self.search(to.id).await == SearchResult::Reached {
-                carrier = self.carriers.choose(to.id, &tried);
+            let mut carrier = self.carriers.choose(&to.id, &tried);
+            if carrier.is_none() && self.search(&to.id).await == SearchResult::Reached {
+                carrier = self.carriers.choose(&to.id, &tried);
             }
             let Some(carrier) = carrier else { break };
-            path.0.replace(Path::Carried(CarryGuard::new(&self.cx, carrier.node.clone())));
+            path.set_carried(&self.cx, carrier.node.clone());
             tried.push(carrier.node.clone());
-            match self.carriers.send(&carrier, to.id, req.clone()).await {
+            match self.carriers.send(&carrier, &to.id, req.clone()).await {
                 Err(CarryFailure::NotSent) => {}
                 sent => return sent,
             }
@@ -332,7 +298,7 @@
         let to =
             BoxAddress { connect_timeout: timeout / CONNECT_TIMEOUT_DIVISOR, ..check(id, address) };
         let path = PathTaken::default();
-        let exchange = async { read_answer(self.send(to, req, &path).await?).await };
+        let exchange = async { read_answer(self.send(&to, req, &path).await?).await };
         let answer = tokio::time::timeout(timeout, exchange).await;
         answer.unwrap_or(Err(CallError::TimedOut(timeout)))
     }
@@ -373,107 +339,6 @@
         rx
     }
 
-    /// Finds out by a connection that carries no request whether the own link reaches a box, and if
-    /// not, whether peers do.
-    pub(crate) async fn check_path(&self, id: &BoxId, address: SocketAddr) -> PathCheck {
-        let began = self.now();
-        match self.open(check(id, address)).await {
-            Ok(conn) => {
-                self.pool.keep(conn);
-                PathCheck::Direct
-            }
-            Err(_) if !self.cx.paths().is_direct(id) => PathCheck::Indirect,
-            Err(err) if err.connect_failure() == Some("refused") => {
-                match self.may_judge_since(id, began).await {
-                    true => PathCheck::Refused,
-                    false => PathCheck::Unknown,
-                }
-            }
-            Err(_) => PathCheck::Unknown,
-        }
-    }
-
-    /// Returns whether a failure to reach a box since `since` says something of the box: peers that
-    /// reach others miss it as well, or the own link is shown to reach others.
-    pub(crate) async fn may_judge_since(&self, id: &BoxId, since: Millis) -> bool {
-        if !self.cx.settings.policy.carry {
-            return true;
-        }
-        let searched = self.cx.paths().last_vain_search(id, self.now());
-        if searched == Some(SearchResult::Missed) {
-            return true;
-        }
-        let is_direct = self.cx.paths().is_direct(id);
-        is_direct && self.own_link_works_since(id, since).await
-    }
-
-    /// Connects to other boxes, and returns whether any of them accepts. A check that began after
-    /// `since` counts as well.
-    pub(crate) async fn own_link_works_since(&self, doubted: &BoxId, since: Millis) -> bool {
-        if self.own_link_worked_at.get().is_some_and(|at| at >= since) {
-            return true;
-        }
-        let began = self.now();
-        let others = self.other_boxes(doubted);
-        let checks = others.into_iter().map(|address| async move {
-            let opened = tokio::time::timeout(OWN_LINK_TIMEOUT, TcpStream::connect(address)).await;
-            matches!(opened, Ok(Ok(_)))
-        });
-        let mut checks: FuturesUnordered<_> = checks.collect();
-        while let Some(works) = checks.next().await {
-            if works {
-                self.own_link_worked_at.set(self.own_link_worked_at.get().max(Some(began)));
-                return true;
-            }
-        }
-        false
-    }
-
-    /// Returns the addresses of some boxes that are not known to be silent, of other domains first,
-    /// as the boxes of a domain may fail together.
-    fn other_boxes(&self, doubted: &BoxId) -> Vec<SocketAddr> {
-        let site = self.cx.site.borrow().clone();
-        let domain = site.boxes.get(doubted).and_then(|site_box| site_box.domain.clone());
-        let others = site
-            .boxes
-            .values()
-            .filter(|other| &other.id != doubted && !site.silent.contains(&other.id));
-        let mut others: Vec<_> = others.collect();
-        let offset = (self.now().0 as usize).checked_rem(others.len()).unwrap_or_default();
-        others.rotate_left(offset);
-        others.sort_by_key(|other| other.domain == domain);
-        others.into_iter().take(OWN_LINK_CHECKS).map(|other| other.address).collect()
-    }
-
-    /// Checks the direct paths that failed, so that requests return to them.
-    pub(crate) async fn check_failed_paths(self: Rc<Self>) {
-        loop {
-            tokio::time::sleep(CHECK_INTERVAL).await;
-            let due = self.cx.paths().due_checks(self.now());
-            for id in due {
-                let address = self.cx.site.borrow().boxes.get(&id).map(|known| known.address);
-                match address {
-                    None => self.cx.paths().forget(&id),
-                    Some(address) => {
-                        _ = tokio::task::spawn_local(self.clone().check_failed(id, address))
-                    }
-                }
-            }
-            self.cx.metrics.endpoints_indirect.set(self.cx.paths().indirect_count() as i64);
-            let view = self.cx.current_view();
-            let alive: Vec<_> = view.alive().collect();
-            self.cx.paths().retain_carriers(&alive);
-        }
-    }
-
-    async fn check_failed(self: Rc<Self>, id: BoxId, address: SocketAddr) {
-        let to = check(&id, address);
-        if let Ok(conn) = self.pool.open(to.max_idle, to.address, to.connect_timeout).await {
-            self.pool.keep(conn);
-            self.record_direct(&id);
-        }
-    }
-
     /// Returns whether a peer still answers and reaches a box.
     pub(crate) async fn carrier_reaches(&self, carrier: &NodeId, id: &BoxId) -> bool {
         self.carriers.reaches(carrier, id).await
@@ -485,14 +350,14 @@
         let opened = self.pool.open(to.max_idle, to.address, timeout).await;
         let Ok(conn) = opened else { return false };
         self.pool.keep(conn);
-        self.record_direct(id);
+        self.record_direct(&to.id);
         true
     }
 
     /// Sends a peer's request to a box over the own link only.
     pub(crate) async fn send_for_peer(
         &self,
-        to: BoxAddress<'_>,
+        to: &BoxAddress,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<PooledBody>, SendError> {
         let answer = self.pool.send_with_max_idle(to.max_idle, to.address, req, to.connect_timeout);
@@ -501,9 +366,9 @@
 }
 
 /// Returns how a box is connected to for calls and checks.
-fn check(id: &BoxId, address: SocketAddr) -> BoxAddress<'_> {
-    let max_idle = cherrystand_core::DEFAULT_IDLE_CONNECTIONS;
-    BoxAddress { id, address, max_idle, connect_timeout: CHECK_TIMEOUT }
+pub(super) fn check(id: &BoxId, address: SocketAddr) -> BoxAddress {
+    let max_idle = DEFAULT_IDLE_CONNECTIONS;
+    BoxAddress { id: id.clone(), address, max_idle, connect_timeout: CHECK_TIMEOUT }
 }
 
 fn search_label(result: SearchResult) -> &'static str {
--- a/crates/cherrystandd/src/site/carrying.rs
+++ b/crates/cherrystandd/src/site/carrying.rs
@@ -136,12 +136,12 @@
     head.headers.remove(CONTENT_LENGTH);
     head.extensions.clear();
     let to = BoxAddress {
-        id: target,
+        id: target.clone(),
         address: site_box.address,
         max_idle: max_idle(control, &site_box.service),
         connect_timeout: CONNECT_TIMEOUT,
     };
-    let sent = control.boxes.send_for_peer(to, Request::from_parts(head, Full::new(body))).await;
+    let sent = control.boxes.send_for_peer(&to, Request::from_parts(head, Full::new(body))).await;
     drop(reservation);
     let answer = sent.map_err(|err| match err {
         SendError::Connect { .. } | SendError::ConnectTimedOut(_) | SendError::NotSent(_) => {
--- a/crates/cherrystandd/src/site/crash_watch.rs
+++ b/crates/cherrystandd/src/site/crash_watch.rs
@@ -12,9 +12,9 @@
 use cherrystand_peer::LoadMessage;
 
 use crate::site::active_attempt::ActiveAttempt;
-use crate::site::box_client::PathCheck;
 use crate::site::frontend::Frontend;
 use crate::site::load_exchange::LoadExchange;
+use crate::site::path_checks::PathCheck;
 use crate::site::request::SiteRequest;
 use crate::{DutyContext, clock};
 
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -72,13 +72,13 @@
         frontend.now(),
     );
     let to = BoxAddress {
-        id: &attempt.target,
+        id: attempt.target.clone(),
         address,
         max_idle: frontend.max_idle_connections(&req.service),
         connect_timeout: CONNECT_TIMEOUT,
     };
     let sent = tokio::select! {
-        sent = frontend.boxes.send_permitted(permit, to, outgoing, &attempt.path) => sent,
+        sent = frontend.boxes.send_permitted(permit, &to, outgoing, &attempt.path) => sent,
         () = attempt.aborted() => return Err(AttemptEnd::ReplicaLost),
     };
     let answer = sent.map_err(|err| {
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -17,10 +17,11 @@
 
 use crate::site::Hint;
 use crate::site::active_attempt::ActiveAttempt;
-use crate::site::box_client::{BoxClient, PathCheck};
+use crate::site::box_client::BoxClient;
 use crate::site::crash_watch::CrashWatch;
 use crate::site::failure_log::FailureLog;
 use crate::site::load_exchange::LoadExchange;
+use crate::site::path_checks::PathCheck;
 use crate::site::read_step::OLD_KNOWLEDGE;
 use crate::site::request::SiteRequest;
 use crate::site::retry_shares::RetryShares;
--- /dev/null
+++ b/crates/cherrystandd/src/site/path_taken.rs
@@ -0,0 +1,63 @@
+//! The way that a request takes to a box.
+
+use std::cell::RefCell;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cherrystand_core::{EndpointPaths, NodeId};
+
+use crate::DutyContext;
+
+/// How a request reaches a box.
+enum Path {
+    /// Over the own link.
+    Direct,
+    /// Through a peer, which carries it until this is dropped.
+    Carried(CarryGuard),
+}
+
+/// The way that a request takes, as far as it has been sent.
+pub(crate) struct PathTaken(RefCell<Path>);
+
+impl Default for PathTaken {
+    fn default() -> Self {
+        Self(RefCell::new(Path::Direct))
+    }
+}
+
+impl PathTaken {
+    pub(super) fn set_direct(&self) {
+        self.0.replace(Path::Direct);
+    }
+
+    pub(super) fn set_carried(&self, cx: &DutyContext, carrier: NodeId) {
+        self.0.replace(Path::Carried(CarryGuard::new(cx, carrier)));
+    }
+
+    /// Returns the peer that carries the request, if one does.
+    pub(crate) fn carrier(&self) -> Option<NodeId> {
+        match &*self.0.borrow() {
+            Path::Direct => None,
+            Path::Carried(guard) => Some(guard.carrier.clone()),
+        }
+    }
+}
+
+/// Counts a request as carried by a peer until it is dropped.
+struct CarryGuard {
+    paths: Arc<Mutex<EndpointPaths>>,
+    carrier: NodeId,
+}
+
+impl CarryGuard {
+    fn new(cx: &DutyContext, carrier: NodeId) -> Self {
+        cx.paths().begin_carry(&carrier);
+        Self { paths: cx.endpoint_paths.clone(), carrier }
+    }
+}
+
+impl Drop for CarryGuard {
+    fn drop(&mut self) {
+        let paths = self.paths.lock();
+        paths.unwrap_or_else(PoisonError::into_inner).end_carry(&self.carrier);
+    }
+}
