fix: all attempts on a way that was found to be lost go on elsewhere, not one a second

The way to a box is checked once a second, and only the attempt that had it checked was told. Others on the same dead connections waited for their own turn. An attempt that began before its box was found to be reached by peers alone, and that is silent, now counts as well.

--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -367,7 +367,7 @@
             self.check_path(attempt);
         }
         // Peers see the replica make progress, and nothing of it arrives here.
-        let is_path_lost = evidence.is_some() && attempt.is_path_lost();
+        let is_path_lost = evidence.is_some() && self.is_path_lost(attempt);
         let stall = evidence.filter(StallEvidence::is_stalled);
         attempt.set_stall(stall.or(evidence.filter(|_| is_path_lost)));
         if is_path_lost {
@@ -388,6 +388,15 @@
         }
     }
 
+    /// Returns whether the way of an attempt was found to be lost, by a check of its own or of another
+    /// attempt that began later.
+    fn is_path_lost(&self, attempt: &ActiveAttempt) -> bool {
+        let lost_at = || self.cx.paths().indirect_since(&attempt.target);
+        attempt.is_path_lost()
+            || (attempt.path.carrier().is_none()
+                && lost_at().is_some_and(|lost_at| lost_at >= attempt.started_at))
+    }
+
     /// Checks the way of an attempt of which nothing arrives, by a connection without a request.
     pub(crate) fn check_path(self: &Rc<Self>, attempt: &Rc<ActiveAttempt>) {
         if attempt.is_path_lost() || !self.cx.paths().may_verify(&attempt.target, self.now()) {
