--- a/review/stand_ins/base.rs
+++ b/review/stand_ins/base.rs
@@ -541,29 +541,36 @@
 }
 
 impl Daemon {
-    /// Writes the settings as the template of the deploy file does, and starts the daemon.
-    pub fn start_all(folder: &Path, count: usize, stores: &[SocketAddr], more: &str) -> Vec<Daemon> {
-        let ports = free_ports(count * 5);
+    /// Starts some daemons in one availability zone.
+    pub fn start_all(folder: &Path, count: usize, store: SocketAddr) -> Vec<Daemon> {
+        let names: Vec<_> = (0..count).map(|number| (format!("edge-{number}"), "z1".to_owned())).collect();
+        Self::start_named(folder, &names, store)
+    }
+
+    /// Starts daemons with the given names and zones. The settings are written as the template of the
+    /// deploy file says.
+    pub fn start_named(folder: &Path, names: &[(String, String)], store: SocketAddr) -> Vec<Daemon> {
+        let ports = free_ports(names.len() * 5);
         let seed = ports[2];
+        let zones: std::collections::BTreeSet<&String> = names.iter().map(|(_, zone)| zone).collect();
+        let regions: String = zones.iter().map(|zone| format!("\"{zone}\" = \"r1\"\n")).collect();
         let mut all = Vec::new();
-        for (number, own) in ports.chunks(5).enumerate() {
-            let name = format!("edge-{number}");
+        for (own, (name, zone)) in ports.chunks(5).zip(names) {
             let settings = folder.join(format!("{name}.toml"));
-            let store = stores[number % stores.len()];
             let text = format!(
-                "node = \"{name}\"\nzone = \"z1\"\nseeds = [\"{seed}\"]\n\
+                "node = \"{name}\"\nzone = \"{zone}\"\nseeds = [\"{seed}\"]\n\
                  [listen]\ncallers = \"{}\"\noperators = \"{}\"\npeers = \"{}\"\n\
                  [platform]\naddress = \"{store}\"\n\
                  [limits]\nmemory_mb = 260\nlink_mbps = 1000.0\nmax_fds = 4100\n\
                  [stop]\nlinger_ms = 2500\n\
                  [site]\nready = \"{}\"\nchanges = \"{}\"\nfirst_start = true\ngrace_ms = 8000\n\
                  retry_ratio = 0.2\nretry_slack = 136\nretry_window_s = 10\ndrain_ms = 2000\n\
-                 config_apply_ms = 2000\n{more}[site.regions]\n\"z1\" = \"r1\"\n",
+                 config_apply_ms = 2000\n[site.regions]\n{regions}",
                 own[0], own[1], own[2], own[3], own[4],
             );
             std::fs::write(&settings, text).expect("settings");
             let mut daemon = Daemon {
-                name,
+                name: name.clone(),
                 callers: own[0],
                 operators: own[1],
                 peers: own[2],
@@ -578,8 +585,19 @@
         all
     }
 
+    /// Starts daemons that were killed; only the very first start of all is a first one.
+    pub fn restart_all(daemons: &mut [Daemon]) {
+        for daemon in daemons {
+            let text = std::fs::read_to_string(&daemon.settings).expect("settings");
+            let text = text.replace("first_start = true", "first_start = false");
+            std::fs::write(&daemon.settings, text).expect("settings");
+            daemon.start();
+        }
+    }
+
     pub fn start(&mut self) {
-        let log = std::fs::File::create(self.settings.with_extension("log")).expect("a log");
+        let path = self.settings.with_extension("log");
+        let log = std::fs::File::options().append(true).create(true).open(path).expect("a log");
         let errors = log.try_clone().expect("a log");
         let child = Command::new(program())
             .arg("--settings")
--- a/review/stand_ins/late_refusal.rs
+++ b/review/stand_ins/late_refusal.rs
@@ -170,7 +170,7 @@
         "op/config",
         r#"{"version":1,"routes":[{"name":"index","host":"site.example","path_prefix":"/index/","kind":"non_idempotent","timeout_ms":4000,"latency_goal_ms":300,"max_attempts":1,"priority":2,"service":"app"}],"services":[{"name":"app","max_conns":110}],"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":5000,"idle_timeout_ms":20000}}"#,
     );
-    let mut daemons = Daemon::start_all(&folder.0, 3, &[store.open()], "");
+    let mut daemons = Daemon::start_all(&folder.0, 3, store.open());
     wait_until("the daemons are ready", ms(15_000), || daemons.iter().all(Daemon::is_ready));
     thread::sleep(ms(3_000));
 
