fix: a request whose head was read is taken whole, also by a crowded daemon

What callers saw: a caller that sends its next request before it has read the answer to the one before got 400 for a proper request, or nothing, if the daemon had become crowded meanwhile.

Cause: the gate for next requests asks whether anything of them has been read by how the answer before ended. A head that came in the same read as the request before is in hyper's buffer by then, so the gate met the request in the middle and turned away its body.

Mend: the connection counts as busy from the moment at which a head is read, so that the gate is asked only about requests of which nothing was read.

--- a/crates/cherrystand_platform/src/http_server.rs
+++ b/crates/cherrystand_platform/src/http_server.rs
@@ -122,6 +122,7 @@
     let service = service_fn(|mut req: Request<Incoming>| {
         req.extensions_mut().insert(caller);
         taken.first_request_read();
+        progress.begin();
         let (answer, progress) = (handle(req), progress.clone());
         async move { Ok::<_, Infallible>(answer.await.map(|body| progress.track(body))) }
     });
--- a/crates/cherrystand_platform/src/kept_connection.rs
+++ b/crates/cherrystand_platform/src/kept_connection.rs
@@ -29,6 +29,11 @@
 pub(crate) struct AnswerProgress(Rc<Cell<Progress>>);
 
 impl AnswerProgress {
+    /// Records that the head of a request was read. It may have come together with the request before.
+    pub(crate) fn begin(&self) {
+        self.0.set(Progress::Busy);
+    }
+
     /// Returns an answer's body whose end is recorded.
     pub(crate) fn track<B>(&self, body: B) -> HoldingBody<B, EndOfAnswer> {
         HoldingBody::new(body, EndOfAnswer(self.clone()))
--- a/crates/cherrystand_platform/tests/connection_intake.rs
+++ b/crates/cherrystand_platform/tests/connection_intake.rs
@@ -8,9 +8,9 @@
 
 use bytes::Bytes;
 use cherrystand_platform::{ConnectionIntake, NotTaken, TakenConnection, serve_through};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -72,9 +72,14 @@
     door.answer.set(b"ok");
     let (_stop, stopped) = watch::channel(false);
     let reading = door.clone();
-    let handle = move |_: Request<Incoming>| {
+    let handle = move |req: Request<Incoming>| {
         reading.read.set(reading.read.get() + 1);
-        std::future::ready(Response::new(Full::new(Bytes::from_static(reading.answer.get()))))
+        let answer = Full::new(Bytes::from_static(reading.answer.get()));
+        async move {
+            let body = req.into_body().collect().await;
+            let status = body.map_or(StatusCode::BAD_REQUEST, |_| StatusCode::OK);
+            Response::builder().status(status).body(answer).expect("an answer")
+        }
     };
     let serving = serve_through(listener, door.clone(), handle, stopped);
     LocalSet::new()
@@ -158,3 +163,21 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_request_whose_head_came_with_the_one_before_is_taken_whole() {
+    with_door(|door, address| async move {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n";
+        stream.write_all(&[REQUEST, head].concat()).await.expect("a request and a head");
+        tokio::time::sleep(SETTLED).await;
+        door.takes_requests.set(false);
+        stream.write_all(b"body").await.expect("a body");
+        tokio::time::sleep(SETTLED).await;
+        let mut answers = vec![0; 4_096];
+        let read = stream.read(&mut answers).await.expect("two answers");
+        let answers = String::from_utf8_lossy(&answers[..read]).into_owned();
+        assert_eq!(answers.matches("HTTP/1.1 200 OK").count(), 2, "{answers}");
+    })
+    .await;
+}
