--- a/crates/cherrystand_platform/src/connection_intake.rs
+++ b/crates/cherrystand_platform/src/connection_intake.rs
@@ -4,6 +4,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// How far a connection was when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// No head of a next request was read.
+    BetweenRequests,
+    /// Its next request was not taken, and nothing was read of it.
+    NotTaken,
+    /// The head of a request was read, and its caller has no whole answer.
+    Unanswered,
+}
+
+impl ConnectionEnd {
+    /// All ends.
+    pub const ALL: [Self; 3] = [Self::BetweenRequests, Self::NotTaken, Self::Unanswered];
+
+    /// Returns the name that logs and metrics use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BetweenRequests => "between-requests",
+            Self::NotTaken => "not-taken",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// A connection that is open, which counts as such until this is dropped.
 pub trait TakenConnection {
     /// Records that its first request was read, or is not expected soon.
@@ -12,6 +37,9 @@
     /// Returns whether a further request, of which nothing has been read, is taken. Otherwise the
     /// connection is closed.
     fn takes_next_request(&self) -> bool;
+
+    /// Records how the connection ended, and the error that ended it.
+    fn ended(&self, end: ConnectionEnd, err: Option<&hyper::Error>);
 }
 
 /// A connection that isn't taken. It is closed unread, so that its caller tries another daemon at once.
@@ -48,6 +76,8 @@
     fn takes_next_request(&self) -> bool {
         true
     }
+
+    fn ended(&self, _: ConnectionEnd, _: Option<&hyper::Error>) {}
 }
 
 impl ConnectionIntake for TakeAll {
--- a/crates/cherrystand_platform/src/http_server.rs
+++ b/crates/cherrystand_platform/src/http_server.rs
@@ -137,14 +137,17 @@
         taken.first_request_read();
         std::future::pending::<Infallible>().await
     };
-    let stopped = tokio::select! {
-        // A failed connection leaves no caller to report the error to.
-        _ = conn.as_mut() => false,
-        _ = stop.wait_for(|stop| *stop) => true,
+    let ended = tokio::select! {
+        ended = conn.as_mut() => Some(ended),
+        _ = stop.wait_for(|stop| *stop) => None,
         never = overdue => match never {},
     };
-    if stopped {
-        conn.as_mut().graceful_shutdown();
-        let _ = conn.await;
-    }
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            conn.as_mut().graceful_shutdown();
+            conn.await
+        }
+    };
+    taken.ended(progress.end(), ended.err().as_ref());
 }
--- a/crates/cherrystand_platform/src/kept_connection.rs
+++ b/crates/cherrystand_platform/src/kept_connection.rs
@@ -10,18 +10,22 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use crate::{HoldingBody, TakenConnection};
+use crate::{ConnectionEnd, HoldingBody, TakenConnection};
 
 /// How far a connection is with its requests and answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Progress {
-    /// A request is read or answered.
+    /// The next request may be read, and no head of it has been.
     #[default]
+    Reading,
+    /// A request is being answered.
     Busy,
     /// The answer has ended, and parts of it may not be written yet.
     Ended,
     /// The answer is written, and nothing of the next request is read.
     Between,
+    /// The next request was not taken.
+    NotTaken,
 }
 
 /// How far a connection is, shared by it and the bodies of its answers.
@@ -38,6 +42,15 @@
     pub(crate) fn track<B>(&self, body: B) -> HoldingBody<B, EndOfAnswer> {
         HoldingBody::new(body, EndOfAnswer(self.clone()))
     }
+
+    /// Returns how a connection that is this far ends.
+    pub(crate) fn end(&self) -> ConnectionEnd {
+        match self.0.get() {
+            Progress::Busy | Progress::Ended => ConnectionEnd::Unanswered,
+            Progress::Reading | Progress::Between => ConnectionEnd::BetweenRequests,
+            Progress::NotTaken => ConnectionEnd::NotTaken,
+        }
+    }
 }
 
 /// Records the end of an answer when its body is dropped.
@@ -66,9 +79,10 @@
     fn poll_next_request(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.stream.inner().poll_read_ready(cx))?;
         if !self.taken.takes_next_request() {
+            self.progress.0.set(Progress::NotTaken);
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        self.progress.0.set(Progress::Busy);
+        self.progress.0.set(Progress::Reading);
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -31,7 +31,7 @@
 pub use boot_time::{advance_clock, since_boot};
 pub use buffer_budget::{BufferBudget, BufferReservation};
 pub use caller_body::{CallerBody, CallerDisconnected, EventSender, IncompleteAnswer};
-pub use connection_intake::{ConnectionIntake, NotTaken, TakenConnection};
+pub use connection_intake::{ConnectionEnd, ConnectionIntake, NotTaken, TakenConnection};
 pub use endpoint_pool::EndpointPool;
 pub use engine_client::{EPOCH_HEADER, EngineClient, EngineError, NOT_RUN_HEADER};
 pub use holding_body::HoldingBody;
--- a/crates/cherrystand_platform/tests/connection_intake.rs
+++ b/crates/cherrystand_platform/tests/connection_intake.rs
@@ -1,13 +1,15 @@
 //! Connections and requests that a listener doesn't take.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_platform::{ConnectionIntake, NotTaken, TakenConnection, serve_through};
+use cherrystand_platform::{
+    ConnectionEnd, ConnectionIntake, NotTaken, TakenConnection, serve_through,
+};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -35,6 +37,7 @@
     takes_requests: Cell<bool>,
     closed_for: Cell<Option<Duration>>,
     read: Cell<u32>,
+    ends: RefCell<Vec<ConnectionEnd>>,
 }
 
 struct Taken(Rc<Door>);
@@ -45,6 +48,10 @@
     fn takes_next_request(&self) -> bool {
         self.0.takes_requests.get()
     }
+
+    fn ended(&self, end: ConnectionEnd, _: Option<&hyper::Error>) {
+        self.0.ends.borrow_mut().push(end);
+    }
 }
 
 impl ConnectionIntake for Door {
@@ -124,6 +131,7 @@
         tokio::time::sleep(SETTLED).await;
         assert!(!is_answered(&mut stream).await);
         assert_eq!(door.read.get(), 2);
+        assert_eq!(*door.ends.borrow(), [ConnectionEnd::NotTaken]);
     })
     .await;
 }
@@ -181,3 +189,53 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn how_a_connection_ended_is_recorded() {
+    struct Case {
+        name: &'static str,
+        sent: &'static [u8],
+        large: bool,
+        end: ConnectionEnd,
+    }
+    let cases = [
+        Case {
+            name: "nothing was sent",
+            sent: b"",
+            large: false,
+            end: ConnectionEnd::BetweenRequests,
+        },
+        Case {
+            name: "half a head",
+            sent: b"GET / HT",
+            large: false,
+            end: ConnectionEnd::BetweenRequests,
+        },
+        Case {
+            name: "an answered request",
+            sent: REQUEST,
+            large: false,
+            end: ConnectionEnd::BetweenRequests,
+        },
+        Case {
+            name: "an answer not read",
+            large: true,
+            sent: REQUEST,
+            end: ConnectionEnd::Unanswered,
+        },
+    ];
+    for case in cases {
+        with_door(|door, address| async move {
+            if case.large {
+                door.answer.set(Box::leak(vec![b'x'; LARGE_ANSWER].into_boxed_slice()));
+            }
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            stream.write_all(case.sent).await.expect("a connection");
+            tokio::time::sleep(SETTLED).await;
+            drop(stream);
+            tokio::time::sleep(SETTLED).await;
+            assert_eq!(*door.ends.borrow(), [case.end], "{}", case.name);
+        })
+        .await;
+    }
+}
--- a/crates/cherrystandd/src/metrics.rs
+++ b/crates/cherrystandd/src/metrics.rs
@@ -7,6 +7,7 @@
     AttemptEnd, Class, MachineResource, NoRetry, Outcome, RefusalReason, StreamEnd,
 };
 use cherrystand_peer::UnpackError;
+use cherrystand_platform::ConnectionEnd;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -51,6 +52,8 @@
     pub caller_connections: IntGauge,
     /// New connections of callers that were turned away, by the resource that was short.
     pub connections_turned_away: IntCounterVec,
+    /// Connections of callers that ended, by how far they were.
+    pub connection_ends: IntCounterVec,
     /// The share of each resource of the machine that callers' requests use, in percent.
     pub machine_use: IntGaugeVec,
     /// Time to the first byte of an answer, in seconds.
@@ -162,6 +165,11 @@
                 "New connections of callers that were closed unread.",
                 &["resource"],
             )?,
+            connection_ends: factory.counters(
+                "caller_connection_ends_total",
+                "Connections of callers that ended, by how far they were.",
+                &["end"],
+            )?,
             machine_use: factory.gauges(
                 "machine_use_percent",
                 "What callers' requests use of the machine.",
@@ -274,6 +282,9 @@
         for resource in MachineResource::ALL {
             self.connections_turned_away.with_label_values(&[resource.as_str()]);
         }
+        for end in ConnectionEnd::ALL {
+            self.connection_ends.with_label_values(&[end.as_str()]);
+        }
         for kind in RefusedKind::ALL {
             self.values_refused.with_label_values(&[kind.as_str()]);
         }
--- a/crates/cherrystandd/src/site/caller_intake.rs
+++ b/crates/cherrystandd/src/site/caller_intake.rs
@@ -8,7 +8,7 @@
 use cherrystand_core::{
     ConnectionGate, LoadSample, LogLimiter, MachineResource, Millis, TurnedAway,
 };
-use cherrystand_platform::{ConnectionIntake, NotTaken, TakenConnection};
+use cherrystand_platform::{ConnectionEnd, ConnectionIntake, NotTaken, TakenConnection};
 
 use crate::DutyContext;
 use crate::site::caller_load::{CallerConnection, CallerLoad};
@@ -29,6 +29,7 @@
     crowd_log: RefCell<LogLimiter>,
     away_log: RefCell<LogLimiter>,
     failure_log: RefCell<LogLimiter>,
+    end_log: RefCell<LogLimiter>,
     taken: Cell<u64>,
 }
 
@@ -44,6 +45,7 @@
             crowd_log: log(),
             away_log: log(),
             failure_log: log(),
+            end_log: log(),
             taken: Cell::default(),
         })
     }
@@ -85,6 +87,18 @@
         true
     }
 
+    /// Counts how a connection ended, and logs one that ended without a whole answer.
+    fn record_end(&self, end: ConnectionEnd, err: Option<&hyper::Error>) {
+        self.cx.metrics.connection_ends.with_label_values(&[end.as_str()]).inc();
+        if end != ConnectionEnd::Unanswered {
+            return;
+        }
+        if let Some(left_out) = self.end_log.borrow_mut().admit(self.cx.clock.now()) {
+            let cause = err.map_or_else(|| "it was closed".to_owned(), ToString::to_string);
+            log::info!(left_out = left_out; "a caller's connection ended without a whole answer: {cause}");
+        }
+    }
+
     /// Measures the machine's load if the last sample is old enough, and returns the time.
     fn measure(&self) -> Millis {
         let now = self.cx.clock.now();
@@ -133,6 +147,10 @@
     fn takes_next_request(&self) -> bool {
         self.intake.admits_kept()
     }
+
+    fn ended(&self, end: ConnectionEnd, err: Option<&hyper::Error>) {
+        self.intake.record_end(end, err);
+    }
 }
 
 impl<G: LoadGauge + 'static> ConnectionIntake for CallerIntake<G> {
