--- a/crates/cherrystand_testkit/src/site/box_answers.rs
+++ b/crates/cherrystand_testkit/src/site/box_answers.rs
@@ -39,6 +39,9 @@
             std::future::pending::<()>().await;
         }
         self.wait_while_held().await;
+        while self.mode(id) == BoxMode::Silent {
+            tokio::time::sleep(EVENT_INTERVAL).await;
+        }
         let request = req.headers().get("cherrystand-request-id").cloned();
         let mut answer = self.handle(id, req).await;
         if self.ends_limit(id, answer.status())
@@ -143,7 +146,7 @@
         if crash_after == Some(None) {
             return self.crash(id, &body).await;
         }
-        while self.mode(id) == BoxMode::Pauses {
+        while matches!(self.mode(id), BoxMode::Pauses | BoxMode::Silent) {
             tokio::time::sleep(EVENT_INTERVAL).await;
         }
         let mut answer = match self.mode(id) {
@@ -289,7 +292,7 @@
                 tokio::time::sleep(EVENT_INTERVAL).await;
                 site.wait_while_held().await;
                 while site.start_of(&id) == start && !site.is_complete(&id)
-                    || site.mode(&id) == BoxMode::Pauses
+                    || matches!(site.mode(&id), BoxMode::Pauses | BoxMode::Silent)
                 {
                     tokio::time::sleep(EVENT_INTERVAL).await;
                 }
--- a/crates/cherrystand_testkit/src/site/box_orders.rs
+++ b/crates/cherrystand_testkit/src/site/box_orders.rs
@@ -145,7 +145,10 @@
             return false;
         }
         group.members.iter().all(|id| {
-            let member = state.boxes.get(id).filter(|site_box| site_box.mode != BoxMode::Dark);
+            let member = state
+                .boxes
+                .get(id)
+                .filter(|site_box| !matches!(site_box.mode, BoxMode::Dark | BoxMode::Silent));
             let membership = member.and_then(|site_box| site_box.membership.as_ref());
             membership.is_some_and(|membership| {
                 membership.group == group.group && membership.epoch == group.epoch
--- a/crates/cherrystand_testkit/src/site/site_box.rs
+++ b/crates/cherrystand_testkit/src/site/site_box.rs
@@ -27,6 +27,8 @@
     LosesAnswers,
     /// It answers every request with an error.
     Fails,
+    /// It holds all that it is asked and all that it runs, and goes on with it in another mode.
+    Silent,
     /// It answers probes and orders, but starts no answer and sends no event of a stream.
     Pauses,
 }
