fix: a second of silence of a sound box ends no answer and no replica

What callers saw: streams that had been accepted ended without a whole answer, seconds before their deadlines, although their replica went on a second later.

Cause: one question of 200 ms that a box left unanswered, while a witness answered, was a verdict. Within half a second of the first silence it ended all answers that waited at the box's replica, here and at peers, and had its leader ordered to leave, which ended those that were left. A box whose entry had gone was taken for lost at once when it paused, though a box that leaves without a word serves on.

Mend: silence has two stages. A silent box is in doubt: out of the choice, its requests are asked for elsewhere beside the open attempt, none of it is used for a new replica, and it is asked on. It is dead only after 1.5 s of unanswered questions, each with a witness, or when its address refuses or another box answers there. Only dead boxes end answers, end a replica that serves and are told to peers. A replica that is still joining, whose answers nobody waits for, is formed anew at once as before.

Why it holds: nothing that follows from silence alone and can't be undone happens before the longest silence of a sound box; callers abandon a stream after 2 s, so those at a dead replica still hear of it before.

--- a/crates/cherrystand_core/src/nodes/liveness_probe.rs
+++ b/crates/cherrystand_core/src/nodes/liveness_probe.rs
@@ -1,10 +1,14 @@
-//! Tells whether a box that does not answer is dead, or the daemon that probes it is itself slow.
+//! Tells whether a box that does not answer is dead or silent for a moment, or the daemon that probes it
+//! is itself slow.
 //!
 //! A daemon may declare a box silent only while there is evidence that the daemon itself is well: a
 //! call to somebody else, the witness, that began at the same time as the probe and was answered in
 //! a fraction of the time that the box was given. Without a witness, the daemon's own link or
 //! processor may be slow, and it probes again with a longer timeout.
 //!
+//! A sound box may be silent for a second and go on, so a silent one is asked on. It counts as dead
+//! only once it was silent for longer.
+//!
 //! Source: docs/design/0014-who-may-judge.md.
 
 use crate::{CallHistory, Millis};
@@ -13,6 +17,16 @@
 /// that has to be known; a daemon that was slow itself allows more time.
 const PROBE_TIMEOUTS: [Millis; 4] = [Millis(200), Millis(300), Millis(400), Millis(500)];
 
+/// The longest silence of a sound box. Callers abandon a stream that is silent for 2 s.
+pub const MAX_SOUND_SILENCE: Millis = Millis(1_500);
+
+/// The timeout of each further probe of a silent box: four of them after the first probe reach
+/// [`MAX_SOUND_SILENCE`].
+const SILENT_PROBE_TIMEOUT: Millis = Millis(325);
+
+/// How many probes a silent box may leave unanswered while the daemon is slow itself.
+const MAX_SILENT_PROBES: usize = 16;
+
 /// The wait for the box has to be this many times as long as the witness took: a link that is busy
 /// enough to delay others by a third of the wait may well have delayed the box by all of it.
 const MIN_WAIT_RATIO: u64 = 3;
@@ -30,7 +44,9 @@
 /// The result of a probe that was not answered in time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeVerdict {
-    /// The box is silent while others answer.
+    /// The box has ended, or was silent for longer than a sound one is.
+    Dead,
+    /// The box is silent while others answer, and may go on.
     Silent,
     /// The daemon may be slow itself, so it probes the box again.
     AskAgain,
@@ -42,6 +58,7 @@
     /// Returns the name that metrics use.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Dead => "dead",
             Self::Silent => "silent",
             Self::AskAgain => "ask-again",
             Self::Undecided => "undecided",
@@ -62,11 +79,16 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LivenessProbe {
     timeouts: usize,
+    /// When the first probe was sent that showed that the box is silent.
+    silent_since: Option<Millis>,
 }
 
 impl LivenessProbe {
     /// Returns the timeout of the next probe.
     pub fn timeout(&self) -> Millis {
+        if self.silent_since.is_some() {
+            return SILENT_PROBE_TIMEOUT;
+        }
         PROBE_TIMEOUTS[self.timeouts.min(PROBE_TIMEOUTS.len() - 1)]
     }
 
@@ -77,7 +99,7 @@
     /// nothing. A box that is dead is found by its interrupted streams, within 0.4 s.
     pub fn verdict_on_refusal(reason: ProbeReason) -> ProbeVerdict {
         match reason {
-            ProbeReason::NoAnswer => ProbeVerdict::Silent,
+            ProbeReason::NoAnswer => ProbeVerdict::Dead,
             ProbeReason::NotListed => ProbeVerdict::Undecided,
         }
     }
@@ -90,7 +112,11 @@
     }
 
     fn verdict_on_doubt(&self) -> ProbeVerdict {
-        match self.timeouts < PROBE_TIMEOUTS.len() {
+        let most = match self.silent_since {
+            Some(_) => MAX_SILENT_PROBES,
+            None => PROBE_TIMEOUTS.len(),
+        };
+        match self.timeouts < most {
             true => ProbeVerdict::AskAgain,
             false => ProbeVerdict::Undecided,
         }
@@ -106,9 +132,13 @@
     ) -> ProbeVerdict {
         let timeout = self.timeout();
         self.timeouts += 1;
-        match is_silent(started, timeout, now, calls) {
-            true => ProbeVerdict::Silent,
-            false => self.verdict_on_doubt(),
+        if !is_silent(started, timeout, now, calls) {
+            return self.verdict_on_doubt();
+        }
+        let since = *self.silent_since.get_or_insert(started);
+        match now.since(since) >= MAX_SOUND_SILENCE {
+            true => ProbeVerdict::Dead,
+            false => ProbeVerdict::Silent,
         }
     }
 }
--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -66,6 +66,15 @@
         self.listed_box(id).filter(|site_box| !self.input.silent.contains(&site_box.id))
     }
 
+    /// Returns a listed box that counts for a replica: not a dead one, and a silent one only while the
+    /// replica serves.
+    fn counted_box(&self, id: &BoxId, serves: bool) -> Option<&'a SiteBox> {
+        match serves {
+            true => self.listed_box(id).filter(|site_box| !self.input.dead.contains(&site_box.id)),
+            false => self.responsive_box(id),
+        }
+    }
+
     /// Returns the leader of a replica under an epoch, if it is or recently was listed.
     pub(crate) fn leader_of(&self, name: &str, epoch: Epoch) -> Option<&'a SiteBox> {
         let leads = |site_box: &&&SiteBox| {
@@ -77,14 +86,14 @@
     }
 
     /// Returns whether a box that is no longer listed may still do its work: its entry also expires
-    /// when it is cut off from the store, and it was not found silent.
+    /// when it is cut off from the store, and it was not found dead.
     fn may_still_run(&self, id: &BoxId) -> bool {
         let is_enabled = self.input.policy.serve_unlisted;
         let started_again =
             || self.input.boxes.iter().any(|site_box| site_box.id.is_other_incarnation_of(id));
         is_enabled
             && self.listed_box(id).is_none()
-            && !self.input.silent.contains(id)
+            && !self.input.dead.contains(id)
             && !started_again()
     }
 
@@ -95,22 +104,23 @@
 
     /// Returns the status of a replica.
     ///
-    /// A serving replica keeps serving while its leader is listed and no member was found silent.
+    /// A serving replica keeps serving while its leader is listed and no member was found dead.
     /// The entry of a member may expire although it works on, and a member that is gone is noticed
     /// because the streams stall.
     pub(crate) fn replica_status(&self, name: &str, assignment: &Assignment) -> ReplicaStatus {
-        let Some(leader) = assignment.boxes.first().and_then(|id| self.responsive_box(id)) else {
+        let leader = assignment.boxes.first().and_then(|id| self.listed_box(id));
+        let state = leader.filter(|leader| leader.is_member_of(name, assignment.epoch));
+        let state = state.and_then(|leader| leader.member.as_ref()).map(|member| member.state);
+        let serves = matches!(state, Some(MemberState::Open | MemberState::Closing));
+        if leader.and_then(|leader| self.counted_box(&leader.id, serves)).is_none() {
             return ReplicaStatus::Broken("its leader is lost");
-        };
-        let state = leader.member.as_ref().filter(|_| leader.is_member_of(name, assignment.epoch));
-        let state = state.map(|member| member.state);
+        }
         if state == Some(MemberState::Broken) {
             return ReplicaStatus::Broken("its leader says that it came apart");
         }
-        let serves = matches!(state, Some(MemberState::Open | MemberState::Closing));
         let mut leaves = false;
         for id in &assignment.boxes {
-            match self.responsive_box(id) {
+            match self.counted_box(id, serves) {
                 Some(member) if serves && !member.is_member_of(name, assignment.epoch) => {
                     return ReplicaStatus::Broken("a member belongs to it no more");
                 }
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -61,8 +61,10 @@
     pub boxes: &'a [&'a SiteBox],
     /// The last entries of boxes that were listed recently and no longer are.
     pub departed: &'a [&'a SiteBox],
-    /// Boxes that are listed but don't respond.
+    /// Boxes that are listed but don't respond. None is used for a replica.
     pub silent: &'a BTreeSet<BoxId>,
+    /// Those among them that are dead. Only these end a replica that serves.
+    pub dead: &'a BTreeSet<BoxId>,
     /// Boxes that are being probed.
     pub probed: &'a BTreeSet<BoxId>,
     /// Replicas whose leaders confirmed that they stopped serving, by name and epoch, with the last
--- a/crates/cherrystand_core/src/site/site_view.rs
+++ b/crates/cherrystand_core/src/site/site_view.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use crate::{
-    BoxId, ColdBoxes, ColdPeriod, Epoch, Member, MemberState, Millis, RegionId, RouteTable,
-    SiteBox, SuspectRecord, TargetSpec, ZoneId,
+    BoxId, ColdBoxes, ColdPeriod, Epoch, MAX_SOUND_SILENCE, Member, MemberState, Millis, RegionId,
+    RouteTable, SiteBox, SuspectRecord, TargetSpec, ZoneId,
 };
 
 /// The boxes of each replica, by its name and epoch.
@@ -24,6 +24,8 @@
     pub boxes: Arc<BTreeMap<BoxId, Arc<SiteBox>>>,
     /// Boxes that are listed but don't respond.
     pub silent: BTreeSet<BoxId>,
+    /// Those among them that have ended, or were silent for longer than a sound box is.
+    pub dead: BTreeSet<BoxId>,
     /// The boxes of each replica, by the records of the domains.
     pub assigned: Arc<AssignedBoxes>,
     /// The stored record of requests that were at boxes when these crashed.
@@ -94,17 +96,18 @@
     }
 
     /// Returns whether the replica that a box leads is known to be lost, so that no answer will
-    /// come from it.
+    /// come from it; nothing arrived from it for `silence`.
     ///
-    /// That is so if the box's entry is gone, if it or a member of its replica is silent, or if it
-    /// reports that it leads no replica. A leader that lost power never closes its connections, and
+    /// That is so if it or a member of its replica is dead, if it restarted, or if it reports that it
+    /// leads no replica. If its entry is gone it may serve on, and is lost only if it is silent for longer
+    /// than a sound box is. A leader that lost power never closes its connections, and
     /// one whose member lost power breaks off its answers only after 4 s; callers abandon a stream
     /// that is silent for 2 s.
-    pub fn is_lost(&self, leader: &BoxId) -> bool {
+    pub fn is_lost(&self, leader: &BoxId, silence: Millis) -> bool {
         let Some(site_box) = self.boxes.get(leader) else {
-            return true;
+            return silence >= MAX_SOUND_SILENCE || self.has_restarted(leader);
         };
-        if self.silent.contains(leader) {
+        if self.dead.contains(leader) {
             return true;
         }
         let config = self.routes.as_ref().map(|table| table.config());
@@ -115,12 +118,12 @@
             return true;
         };
         let serves = matches!(member.state, MemberState::Open | MemberState::Closing);
-        !serves || self.has_silent_member(member)
+        !serves || self.has_dead_member(member)
     }
 
-    /// Returns whether a member of a leader's replica is silent.
-    fn has_silent_member(&self, leader: &Member) -> bool {
-        if self.silent.is_empty() {
+    /// Returns whether a member of a leader's replica is dead.
+    fn has_dead_member(&self, leader: &Member) -> bool {
+        if self.dead.is_empty() {
             return false;
         }
         let assigned = self.assigned.get(&(leader.replica.clone(), leader.epoch));
@@ -129,21 +132,21 @@
                 .get(id)
                 .is_some_and(|site_box| site_box.is_member_of(&leader.replica, leader.epoch))
         };
-        assigned.into_iter().flatten().any(|id| self.silent.contains(id))
-            || self.silent.iter().any(is_listed_member)
+        assigned.into_iter().flatten().any(|id| self.dead.contains(id))
+            || self.dead.iter().any(is_listed_member)
     }
 
     /// Lists the leaders of replicas that serve by their entries but are lost, since they or
-    /// members of their replicas are silent.
+    /// members of their replicas are dead.
     pub fn lost_leaders(&self) -> Vec<BoxId> {
-        if self.silent.is_empty() {
+        if self.dead.is_empty() {
             return Vec::new();
         }
         let is_lost = |site_box: &&Arc<SiteBox>| {
             let leads = |member: &&Member| member.rank == 0 && member.state == MemberState::Open;
             let leader = site_box.member.as_ref().filter(leads);
             leader.is_some_and(|member| {
-                self.silent.contains(&site_box.id) || self.has_silent_member(member)
+                self.dead.contains(&site_box.id) || self.has_dead_member(member)
             })
         };
         self.boxes.values().filter(is_lost).map(|site_box| site_box.id.clone()).collect()
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -94,6 +94,7 @@
             boxes: &boxes,
             departed: &departed,
             silent: &silent,
+            dead: &silent,
             probed: &probed,
             ended_replicas: &node.ended_replicas,
             left_epochs: &node.left_epochs,
--- a/crates/cherrystand_core/tests/unreached_orders.rs
+++ b/crates/cherrystand_core/tests/unreached_orders.rs
@@ -33,6 +33,7 @@
         boxes: &boxes,
         departed: &[],
         silent: &BTreeSet::new(),
+        dead: &BTreeSet::new(),
         probed: &BTreeSet::new(),
         ended_replicas: &BTreeMap::new(),
         left_epochs: &BTreeMap::new(),
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -45,7 +45,7 @@
             }
             // The box stays listed for some seconds, but it is gone.
             OrderEnd::Refused | OrderEnd::OtherBox => {
-                self.state.borrow_mut().record_answer(&order.target, false, self.now());
+                self.state.borrow_mut().record_dead(&order.target, self.now());
                 self.publish_and_wake();
             }
             // The box may carry out the order later, or it may be gone, or this daemon may be
@@ -98,7 +98,7 @@
         };
         let is_alive = matches!(end, OrderEnd::Taken | OrderEnd::Unfit | OrderEnd::Fenced);
         if is_alive {
-            self.state.borrow_mut().record_answer(&order.target, true, self.now());
+            self.state.borrow_mut().record_alive(&order.target);
         }
         if let Some(answer) = sent.as_ref().ok().filter(|_| is_alive) {
             self.check_leaving(&order.target, answer);
@@ -150,6 +150,7 @@
         let calls = self.call_book.borrow();
         let stats = calls.stats(now);
         let text = match verdict {
+            ProbeVerdict::Dead => "a box is taken for dead",
             ProbeVerdict::Silent => "a box is taken for silent",
             ProbeVerdict::AskAgain => "a box did not answer and is probed again",
             ProbeVerdict::Undecided => "a box did not answer, but nor did any witness: undecided",
@@ -172,8 +173,11 @@
     }
 
     /// Returns whether a box may be probed, which it may not if it has just been probed for the
-    /// same reason, and records the probe.
+    /// same reason or is still asked after it fell silent, and records the probe.
     fn may_probe(&self, id: &BoxId, reason: ProbeReason) -> bool {
+        if self.followed.borrow().contains(id) {
+            return false;
+        }
         let now = self.now();
         let mut last_probed = self.last_probed.borrow_mut();
         last_probed.retain(|_, at| now.since(*at) < PROBE_INTERVAL);
@@ -190,53 +194,102 @@
         if !self.may_probe(&site_box.id, reason) {
             return;
         }
+        let mut probe = LivenessProbe::default();
         self.probing.borrow_mut().insert(site_box.id.clone());
-        self.probe_until_known(&site_box, reason).await;
+        let verdict = self.probe_until_known(&site_box, reason, &mut probe).await;
         self.probing.borrow_mut().remove(&site_box.id);
         // Steps that waited for the outcome continue.
         self.wake.notify_one();
+        if verdict == Some(ProbeVerdict::Silent) {
+            tokio::task::spawn_local(self.clone().follow_silence(site_box, reason, probe));
+        }
     }
 
-    async fn probe_until_known(self: &Rc<Self>, site_box: &SiteBox, reason: ProbeReason) {
-        let mut probe = LivenessProbe::default();
+    /// Probes a box until it answers, which returns `None`, or something is known of it.
+    async fn probe_until_known(
+        self: &Rc<Self>,
+        site_box: &SiteBox,
+        reason: ProbeReason,
+        probe: &mut LivenessProbe,
+    ) -> Option<ProbeVerdict> {
         loop {
-            let sent_at = self.now();
-            self.probe_witnesses(site_box);
-            let answer = self.report_and_check_path(site_box, &probe).await;
-            let verdict = match &answer {
-                Ok(answer) if is_other_box(site_box, answer) => ProbeVerdict::Silent,
-                Ok(answer) => {
-                    self.count_probe("answered");
-                    self.check_leaving(&site_box.id, answer);
-                    return self.state.borrow_mut().record_answer(&site_box.id, true, self.now());
-                }
-                Err(err) => {
-                    let verdict = match err {
-                        CallError::Send(SendError::Connect { .. }) => {
-                            LivenessProbe::verdict_on_refusal(reason)
-                        }
-                        _ => probe.record_timeout(sent_at, self.now(), &self.call_book.borrow()),
-                    };
-                    match verdict {
-                        ProbeVerdict::Silent
-                            if !self.boxes.may_judge_since(&site_box.id, sent_at).await =>
-                        {
-                            probe.record_unjudged()
-                        }
-                        verdict => verdict,
-                    }
-                }
-            };
-            self.count_probe("silent");
-            self.log_verdict(&site_box.id, sent_at, verdict);
-            match verdict {
-                ProbeVerdict::AskAgain => {}
-                ProbeVerdict::Undecided => return,
-                ProbeVerdict::Silent => {
-                    self.state.borrow_mut().record_answer(&site_box.id, false, self.now());
-                    return self.publish_and_wake();
-                }
+            let verdict = self.probe_once(site_box, reason, probe).await;
+            if verdict != Some(ProbeVerdict::AskAgain) {
+                return verdict;
+            }
+        }
+    }
+
+    /// Goes on probing a silent box until it answers or is dead.
+    async fn follow_silence(
+        self: Rc<Self>,
+        site_box: SiteBox,
+        reason: ProbeReason,
+        mut probe: LivenessProbe,
+    ) {
+        self.followed.borrow_mut().insert(site_box.id.clone());
+        let goes_on = [Some(ProbeVerdict::Silent), Some(ProbeVerdict::AskAgain)];
+        while goes_on.contains(&self.probe_once(&site_box, reason, &mut probe).await) {}
+        self.followed.borrow_mut().remove(&site_box.id);
+    }
+
+    /// Probes a box once and records the outcome. Returns `None` if it answered.
+    async fn probe_once(
+        self: &Rc<Self>,
+        site_box: &SiteBox,
+        reason: ProbeReason,
+        probe: &mut LivenessProbe,
+    ) -> Option<ProbeVerdict> {
+        let sent_at = self.now();
+        self.probe_witnesses(site_box);
+        let answer = self.report_and_check_path(site_box, probe).await;
+        let verdict = match &answer {
+            Ok(answer) if is_other_box(site_box, answer) => ProbeVerdict::Dead,
+            Ok(answer) => {
+                self.record_probe_answer(&site_box.id, answer);
+                return None;
+            }
+            Err(CallError::Send(SendError::Connect { .. })) => {
+                LivenessProbe::verdict_on_refusal(reason)
             }
+            Err(_) => probe.record_timeout(sent_at, self.now(), &self.call_book.borrow()),
+        };
+        let judges = matches!(verdict, ProbeVerdict::Silent | ProbeVerdict::Dead);
+        let verdict = match answer.is_err() && judges {
+            true if !self.boxes.may_judge_since(&site_box.id, sent_at).await => {
+                probe.record_unjudged()
+            }
+            _ => verdict,
+        };
+        self.count_probe("silent");
+        self.log_verdict(&site_box.id, sent_at, verdict);
+        self.record_verdict(&site_box.id, verdict);
+        Some(verdict)
+    }
+
+    fn record_probe_answer(&self, id: &BoxId, answer: &Answer) {
+        self.count_probe("answered");
+        self.check_leaving(id, answer);
+        let was_silent = self.state.borrow_mut().record_alive(id);
+        if was_silent {
+            log::info!(target_box = id.as_str(); "a box that was silent answers again");
+            self.publish_and_wake();
+        }
+    }
+
+    fn record_verdict(&self, id: &BoxId, verdict: ProbeVerdict) {
+        let mut state = self.state.borrow_mut();
+        let is_new = match verdict {
+            ProbeVerdict::Silent => state.record_silent(id, self.now()),
+            ProbeVerdict::Dead => {
+                state.record_dead(id, self.now());
+                true
+            }
+            ProbeVerdict::AskAgain | ProbeVerdict::Undecided => false,
+        };
+        drop(state);
+        if is_new {
+            self.publish_and_wake();
         }
     }
 
@@ -334,7 +387,7 @@
             unknown.clear();
         }
         for member in &unknown {
-            control.state.borrow_mut().record_answer(member, false, control.now());
+            control.state.borrow_mut().record_unknown_silent(member, control.now());
         }
         if !unknown.is_empty() {
             control.publish_and_wake();
--- a/crates/cherrystandd/src/site/box_entries.rs
+++ b/crates/cherrystandd/src/site/box_entries.rs
@@ -84,7 +84,7 @@
         self.ended_incarnations.remove(&id);
         self.unlisted.remove(&id);
         // The entry was written after the box was found silent.
-        self.silent_since.remove(&id);
+        self.record_alive(&id);
         if !self.boxes.contains_key(&id) {
             self.last_new_box_at = now;
         }
--- a/crates/cherrystandd/src/site/box_queries.rs
+++ b/crates/cherrystandd/src/site/box_queries.rs
@@ -130,4 +130,9 @@
     pub(crate) fn silent_boxes(&self) -> BTreeSet<BoxId> {
         self.silent_since.keys().chain(&self.ended_incarnations).cloned().collect()
     }
+
+    /// Returns the dead boxes and the incarnations that have ended.
+    pub(crate) fn dead_boxes(&self) -> BTreeSet<BoxId> {
+        self.dead.iter().chain(&self.ended_incarnations).cloned().collect()
+    }
 }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -60,6 +60,8 @@
     pub(super) last_probed: RefCell<BTreeMap<(BoxId, ProbeReason), Millis>>,
     /// Boxes that are being probed.
     pub(super) probing: RefCell<BTreeSet<BoxId>>,
+    /// Silent boxes that are asked on until they answer or are dead.
+    pub(super) followed: RefCell<BTreeSet<BoxId>>,
     /// How long each hop of a change may take while the store is quick.
     quick_budget: PropagationBudget,
     /// The revision up to which everything is known, from which the store can be read on.
@@ -100,6 +102,7 @@
             recent_loads: RefCell::default(),
             last_probed: RefCell::default(),
             probing: RefCell::default(),
+            followed: RefCell::default(),
             quick_budget: cx
                 .settings
                 .site
--- a/crates/cherrystandd/src/site/domain_control.rs
+++ b/crates/cherrystandd/src/site/domain_control.rs
@@ -73,7 +73,7 @@
         if record.last_epoch == Epoch(0) && state.time_since_new_box(self.now()) < SETTLE_TIME {
             return None;
         }
-        let silent = state.silent_boxes();
+        let (silent, dead) = (state.silent_boxes(), state.dead_boxes());
         let departed = state.departed_in(domain);
         let domains = state.domains().len();
         let policy = self.cx.settings.policy;
@@ -87,6 +87,7 @@
             boxes: &boxes,
             departed: &departed,
             silent: &silent,
+            dead: &dead,
             probed: &self.probing.borrow(),
             ended_replicas: state.ended_replicas(),
             left_epochs: state.left_epochs(),
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -155,7 +155,7 @@
         let specs = targets.into_iter().map(|(spec, _)| spec).collect();
         self.balancer.borrow_mut().set_targets(specs);
         let before = self.view.replace(newest.clone());
-        if newest.silent != before.silent {
+        if newest.dead != before.dead {
             self.announce_lost_leaders(&before, &newest);
         }
         self.crashes.apply_view(&newest);
@@ -383,7 +383,7 @@
         if attempt.should_report_stall() {
             self.report_stalled(attempt);
         }
-        let lost = self.refresh_view().is_lost(&attempt.target)
+        let lost = self.refresh_view().is_lost(&attempt.target, stall.silence)
             || self.loads.stopped_since(&attempt.target, attempt.started_at);
         match lost {
             true => ReplicaHealth::Lost,
--- a/crates/cherrystandd/src/site/site_state.rs
+++ b/crates/cherrystandd/src/site/site_state.rs
@@ -6,8 +6,8 @@
 
 use cherrystand_core::{
     AssignedBoxes, BoxId, BoxIncarnations, ChangeLog, ChangesSince, ColdBoxes, Document, Epoch,
-    LeavingIncarnations, MemberOrder, MemberState, Millis, Revision, RouteTable, SiteBox,
-    SiteConfig, SiteView, StoreOutage, SuspectRecord, Tombstones,
+    LeavingIncarnations, MAX_SOUND_SILENCE, MemberOrder, MemberState, Millis, Revision, RouteTable,
+    SiteBox, SiteConfig, SiteView, StoreOutage, SuspectRecord, Tombstones,
 };
 use cherrystand_peer::ChangeUpdate;
 use cherrystand_platform::{Changes, FormatError, SiteDriver};
@@ -72,6 +72,8 @@
     pub(super) domain_records: DomainRecords,
     pub(super) suspects: HeldSuspects,
     pub(super) silent_since: BTreeMap<BoxId, Millis>,
+    /// The silent boxes that have ended, or were silent for longer than a sound box is.
+    pub(super) dead: BTreeSet<BoxId>,
     /// Incarnations of boxes that announced in an answer that they are leaving, whatever their
     /// entries say.
     pub(super) leaving: LeavingIncarnations<BoxId>,
@@ -314,12 +316,29 @@
         self.refused.take_counts()
     }
 
-    /// Records whether a box answered.
-    pub(crate) fn record_answer(&mut self, id: &BoxId, answered: bool, now: Millis) {
-        if answered {
-            self.silent_since.remove(id);
-        } else {
-            self.silent_since.insert(id.clone(), now);
+    /// Records that a box answered. Returns whether it was taken for silent.
+    pub(crate) fn record_alive(&mut self, id: &BoxId) -> bool {
+        self.dead.remove(id);
+        self.silent_since.remove(id).is_some()
+    }
+
+    /// Records that a box left a question unanswered. Returns whether that is new.
+    pub(crate) fn record_silent(&mut self, id: &BoxId, now: Millis) -> bool {
+        self.silent_since.insert(id.clone(), now).is_none()
+    }
+
+    /// Records that a box has ended, or was silent for longer than a sound one is.
+    pub(crate) fn record_dead(&mut self, id: &BoxId, now: Millis) {
+        self.silent_since.insert(id.clone(), now);
+        self.dead.insert(id.clone());
+    }
+
+    /// Records that a box that can't be asked seems to be silent. It counts as dead once that has
+    /// lasted for longer than the silence of a sound one.
+    pub(crate) fn record_unknown_silent(&mut self, id: &BoxId, now: Millis) {
+        let since = *self.silent_since.entry(id.clone()).or_insert(now);
+        if now.since(since) >= MAX_SOUND_SILENCE {
+            self.dead.insert(id.clone());
         }
     }
 
@@ -386,6 +405,7 @@
             if boxes.contains_key(id) { SILENCE_RETENTION } else { DEPARTED_RETENTION }
         };
         self.silent_since.retain(|id, since| now.since(*since) < retention(id));
+        self.dead.retain(|id| self.silent_since.contains_key(id));
         self.change_count() != changes
     }
 
@@ -515,6 +535,7 @@
             routes: self.table.clone(),
             boxes: self.boxes.clone(),
             silent: self.silent_boxes(),
+            dead: self.dead_boxes(),
             assigned: match serve_unlisted {
                 true => self.assigned().clone(),
                 false => Arc::default(),
