fix: only silence that a witness confirms counts towards a box's death

Two hiccups of 0.2 s, 1.3 s apart with a busy link between them, were a death.

Mend: the time of each probe that a witness and the own link confirm is summed; nothing else counts. A box of which nothing can be told in the end is not taken for silent any more (it stayed out of service for up to 12 s), and one task alone follows a box.

--- a/crates/cherrystand_core/src/nodes/liveness_probe.rs
+++ b/crates/cherrystand_core/src/nodes/liveness_probe.rs
@@ -24,7 +24,7 @@
 /// [`MAX_SOUND_SILENCE`].
 const SILENT_PROBE_TIMEOUT: Millis = Millis(325);
 
-/// How many probes a silent box may leave unanswered while the daemon is slow itself.
+/// How many probes are sent in all to a box that was silent once.
 const MAX_SILENT_PROBES: usize = 16;
 
 /// The wait for the box has to be this many times as long as the witness took: a link that is busy
@@ -79,14 +79,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LivenessProbe {
     timeouts: usize,
-    /// When the first probe was sent that showed that the box is silent.
-    silent_since: Option<Millis>,
+    /// For how long the box was shown to be silent, without the time for which nothing is known.
+    silence: Millis,
 }
 
 impl LivenessProbe {
     /// Returns the timeout of the next probe.
     pub fn timeout(&self) -> Millis {
-        if self.silent_since.is_some() {
+        if self.was_silent() {
             return SILENT_PROBE_TIMEOUT;
         }
         PROBE_TIMEOUTS[self.timeouts.min(PROBE_TIMEOUTS.len() - 1)]
@@ -104,17 +104,18 @@
         }
     }
 
-    /// Records a probe that failed while the daemon could not tell its own link from the box, and
-    /// returns the verdict.
-    pub fn record_unjudged(&mut self) -> ProbeVerdict {
-        self.timeouts += 1;
-        self.verdict_on_doubt()
+    /// Returns whether the box was shown to be silent, and has not answered since.
+    pub fn was_silent(&self) -> bool {
+        self.silence > Millis(0)
     }
 
-    fn verdict_on_doubt(&self) -> ProbeVerdict {
-        let most = match self.silent_since {
-            Some(_) => MAX_SILENT_PROBES,
-            None => PROBE_TIMEOUTS.len(),
+    /// Records a probe that shows nothing, as the daemon may be slow or cut off itself, and returns
+    /// the verdict.
+    pub fn record_doubt(&mut self) -> ProbeVerdict {
+        self.timeouts += 1;
+        let most = match self.was_silent() {
+            true => MAX_SILENT_PROBES,
+            false => PROBE_TIMEOUTS.len(),
         };
         match self.timeouts < most {
             true => ProbeVerdict::AskAgain,
@@ -122,21 +123,17 @@
         }
     }
 
-    /// Records that a probe that was sent at `started` was not answered by `now`, and returns the
-    /// verdict.
-    pub fn record_timeout(
-        &mut self,
-        started: Millis,
-        now: Millis,
-        calls: &CallHistory,
-    ) -> ProbeVerdict {
-        let timeout = self.timeout();
+    /// Returns whether a probe that was sent at `started` and not answered by `now` shows that the box is
+    /// silent.
+    pub fn shows_silence(&self, started: Millis, now: Millis, calls: &CallHistory) -> bool {
+        is_silent(started, self.timeout(), now, calls)
+    }
+
+    /// Records a probe that showed for `waited` that the box is silent, and returns the verdict.
+    pub fn record_silence(&mut self, waited: Millis) -> ProbeVerdict {
         self.timeouts += 1;
-        if !is_silent(started, timeout, now, calls) {
-            return self.verdict_on_doubt();
-        }
-        let since = *self.silent_since.get_or_insert(started);
-        match now.since(since) >= MAX_SOUND_SILENCE {
+        self.silence = self.silence + waited;
+        match self.silence >= MAX_SOUND_SILENCE {
             true => ProbeVerdict::Dead,
             false => ProbeVerdict::Silent,
         }
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -200,7 +200,8 @@
         self.probing.borrow_mut().remove(&site_box.id);
         // Steps that waited for the outcome continue.
         self.wake.notify_one();
-        if verdict == Some(ProbeVerdict::Silent) {
+        let is_silent = verdict == Some(ProbeVerdict::Silent);
+        if is_silent && self.followed.borrow_mut().insert(site_box.id.clone()) {
             tokio::task::spawn_local(self.clone().follow_silence(site_box, reason, probe));
         }
     }
@@ -220,17 +221,23 @@
         }
     }
 
-    /// Goes on probing a silent box until it answers or is dead.
+    /// Goes on probing a silent box until it answers or is dead. If neither can be told, it is not taken
+    /// for silent any more.
     async fn follow_silence(
         self: Rc<Self>,
         site_box: SiteBox,
         reason: ProbeReason,
         mut probe: LivenessProbe,
     ) {
-        self.followed.borrow_mut().insert(site_box.id.clone());
         let goes_on = [Some(ProbeVerdict::Silent), Some(ProbeVerdict::AskAgain)];
-        while goes_on.contains(&self.probe_once(&site_box, reason, &mut probe).await) {}
+        let mut verdict = Some(ProbeVerdict::Silent);
+        while goes_on.contains(&verdict) {
+            verdict = self.probe_once(&site_box, reason, &mut probe).await;
+        }
         self.followed.borrow_mut().remove(&site_box.id);
+        if verdict == Some(ProbeVerdict::Undecided) {
+            self.record_answering(&site_box.id);
+        }
     }
 
     /// Probes a box once and records the outcome. Returns `None` if it answered.
@@ -249,17 +256,7 @@
                 self.record_probe_answer(&site_box.id, answer);
                 return None;
             }
-            Err(CallError::Send(SendError::Connect { .. })) => {
-                LivenessProbe::verdict_on_refusal(reason)
-            }
-            Err(_) => probe.record_timeout(sent_at, self.now(), &self.call_book.borrow()),
-        };
-        let judges = matches!(verdict, ProbeVerdict::Silent | ProbeVerdict::Dead);
-        let verdict = match answer.is_err() && judges {
-            true if !self.boxes.may_judge_since(&site_box.id, sent_at).await => {
-                probe.record_unjudged()
-            }
-            _ => verdict,
+            Err(err) => self.judge_failure(site_box, reason, probe, sent_at, err).await,
         };
         self.count_probe("silent");
         self.log_verdict(&site_box.id, sent_at, verdict);
@@ -267,12 +264,41 @@
         Some(verdict)
     }
 
+    /// Returns what a probe that failed shows. It shows nothing if the way to the box may be at fault.
+    async fn judge_failure(
+        self: &Rc<Self>,
+        site_box: &SiteBox,
+        reason: ProbeReason,
+        probe: &mut LivenessProbe,
+        sent_at: Millis,
+        err: &CallError,
+    ) -> ProbeVerdict {
+        let now = self.now();
+        let is_refused = matches!(err, CallError::Send(SendError::Connect { .. }));
+        if is_refused && LivenessProbe::verdict_on_refusal(reason) == ProbeVerdict::Undecided {
+            return ProbeVerdict::Undecided;
+        }
+        let is_shown = is_refused || probe.shows_silence(sent_at, now, &self.call_book.borrow());
+        if !is_shown || !self.boxes.may_judge_since(&site_box.id, sent_at).await {
+            return probe.record_doubt();
+        }
+        match is_refused {
+            true => LivenessProbe::verdict_on_refusal(reason),
+            false => probe.record_silence(now.since(sent_at)),
+        }
+    }
+
     fn record_probe_answer(&self, id: &BoxId, answer: &Answer) {
         self.count_probe("answered");
         self.check_leaving(id, answer);
+        self.record_answering(id);
+    }
+
+    /// Records that a box is not taken for silent any more.
+    fn record_answering(&self, id: &BoxId) {
         let was_silent = self.state.borrow_mut().record_alive(id);
         if was_silent {
-            log::info!(target_box = id.as_str(); "a box that was silent answers again");
+            log::info!(target_box = id.as_str(); "a box is not taken for silent any more");
             self.publish_and_wake();
         }
     }
