--- a/crates/cherrystandd/src/site/active_attempt.rs
+++ b/crates/cherrystandd/src/site/active_attempt.rs
@@ -111,6 +111,7 @@
         self.on_answer();
         self.stall_reported_at.set(None);
         self.path_lost.set(false);
+        self.frontend.loads.record_heard(&self.target);
         let mut balancer = self.frontend.balancer.borrow_mut();
         balancer.record_progress(self.key, now);
         let unread_tokens = self.unread_tokens.take();
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -106,6 +106,14 @@
         stopped_at.insert(leader.clone(), now);
     }
 
+    /// Records that something arrived from a leader, which therefore has not stopped.
+    pub(crate) fn record_heard(&self, leader: &BoxId) {
+        let mut stopped_at = self.stopped_at.borrow_mut();
+        if !stopped_at.is_empty() {
+            stopped_at.remove(leader);
+        }
+    }
+
     /// Returns whether a leader was found to have stopped serving after `sent`.
     pub(crate) fn stopped_since(&self, leader: &BoxId, sent: Millis) -> bool {
         self.stopped_at.borrow().get(leader).is_some_and(|at| *at > sent)
