fix: a box that is silent for a moment has not crashed

Only a dead box, one that restarted or one whose entry is gone has crashed. The test's case of a silent box stands for a dead one, and a silent one is added.

--- a/crates/cherrystand_core/src/site/interrupted_answers.rs
+++ b/crates/cherrystand_core/src/site/interrupted_answers.rs
@@ -86,7 +86,7 @@
     /// whose entries are gone unless their addresses accept connections.
     pub fn crashed_boxes(&self, view: &SiteView) -> Vec<BoxId> {
         let has_crashed = |(box_id, check): &(&BoxId, &PendingCheck)| {
-            let is_gone = !view.boxes.contains_key(*box_id) || view.silent.contains(*box_id);
+            let is_gone = !view.boxes.contains_key(*box_id) || view.dead.contains(*box_id);
             view.has_restarted(box_id) || (is_gone && !check.is_accepting)
         };
         self.pending.iter().filter(has_crashed).map(|(box_id, _)| box_id.clone()).collect()
