fix: a member that can't be asked is dead only after reports that don't pause

Reports of one stall come each second; after a longer pause its silence begins anew. No test of its own.

--- a/crates/cherrystandd/src/site/site_state.rs
+++ b/crates/cherrystandd/src/site/site_state.rs
@@ -29,6 +29,22 @@
 /// sooner.
 const SILENCE_RETENTION: Millis = Millis(4_500);
 
+/// The longest time between two reports of one stall, which come each second.
+const MAX_REPORT_PAUSE: Millis = Millis(1_300);
+
+/// Reports that a box that can't be asked seems to be silent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnknownSilence {
+    since: Millis,
+    reported_at: Millis,
+}
+
+impl UnknownSilence {
+    fn new(now: Millis) -> Self {
+        Self { since: now, reported_at: now }
+    }
+}
+
 /// A box that is no longer listed.
 #[derive(Clone, Debug)]
 pub(super) struct DepartedBox {
@@ -74,6 +90,8 @@
     pub(super) silent_since: BTreeMap<BoxId, Millis>,
     /// The silent boxes that have ended, or were silent for longer than a sound box is.
     pub(super) dead: BTreeSet<BoxId>,
+    /// The silent boxes that can't be asked.
+    pub(super) unknown_silences: BTreeMap<BoxId, UnknownSilence>,
     /// Incarnations of boxes that announced in an answer that they are leaving, whatever their
     /// entries say.
     pub(super) leaving: LeavingIncarnations<BoxId>,
@@ -333,11 +351,17 @@
         self.dead.insert(id.clone());
     }
 
-    /// Records that a box that can't be asked seems to be silent. It counts as dead once that has
-    /// lasted for longer than the silence of a sound one.
+    /// Records that a box that can't be asked seems to be silent, as its replica stalls. It counts as
+    /// dead once that was reported again and again for longer than a sound box is silent.
     pub(crate) fn record_unknown_silent(&mut self, id: &BoxId, now: Millis) {
-        let since = *self.silent_since.entry(id.clone()).or_insert(now);
-        if now.since(since) >= MAX_SOUND_SILENCE {
+        let silence = self.unknown_silences.entry(id.clone()).or_insert(UnknownSilence::new(now));
+        if now.since(silence.reported_at) > MAX_REPORT_PAUSE {
+            *silence = UnknownSilence::new(now);
+        }
+        silence.reported_at = now;
+        let lasts = now.since(silence.since) >= MAX_SOUND_SILENCE;
+        self.record_silent(id, now);
+        if lasts {
             self.dead.insert(id.clone());
         }
     }
@@ -406,6 +430,7 @@
         };
         self.silent_since.retain(|id, since| now.since(*since) < retention(id));
         self.dead.retain(|id| self.silent_since.contains_key(id));
+        self.unknown_silences.retain(|id, _| self.silent_since.contains_key(id));
         self.change_count() != changes
     }
 
