--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -219,9 +219,16 @@
 
     /// Returns the usable boxes that belong to no replica.
     pub(crate) fn free_boxes(&self) -> Vec<&'a SiteBox> {
+        let mut free = self.unassigned_boxes();
+        free.retain(|site_box| self.responsive_box(&site_box.id).is_some());
+        free
+    }
+
+    /// Returns the boxes that belong to no replica of the record, and may serve in one.
+    fn unassigned_boxes(&self) -> Vec<&'a SiteBox> {
         let usable = |site_box: &&&SiteBox| {
             !site_box.leaving
-                && self.responsive_box(&site_box.id).is_some()
+                && !self.input.dead.contains(&site_box.id)
                 && self.next.is_free(&site_box.id)
                 && self.is_assignable(site_box)
         };
@@ -285,7 +292,7 @@
     /// Adopts complete replicas that serve but are not in the record, as after a network partition
     /// during which the record gave them up.
     pub(crate) fn adopt_serving_replicas(&mut self) {
-        for leader in self.free_boxes() {
+        for leader in self.unassigned_boxes() {
             let Some(member) = leader.member.as_ref() else {
                 continue;
             };
--- a/crates/cherrystand_core/tests/site_formation.rs
+++ b/crates/cherrystand_core/tests/site_formation.rs
@@ -23,6 +23,8 @@
     rng: SeededRng,
     /// The percentage of orders that get no answer and are executed later.
     delayed_percent: usize,
+    /// A box that is silent, and may be sound.
+    in_doubt: Option<BoxId>,
     /// The home model of the domain.
     home: &'static str,
     /// The model that hosts also preload.
@@ -61,6 +63,7 @@
             nodes,
             rng,
             delayed_percent: 0,
+            in_doubt: None,
             home: "large",
             second: None,
         }
@@ -70,6 +73,10 @@
     /// of boxes, keeps the old one.
     fn decide(&mut self, number: usize, reads: bool, lists: bool) {
         let silent = self.domain.silent();
+        let (silent, dead) = match &self.in_doubt {
+            None => (silent.clone(), silent),
+            Some(id) => (silent.iter().chain([id]).cloned().collect(), silent),
+        };
         let node = &mut self.nodes[number];
         if reads {
             node.last_read = (self.revision, self.record.clone());
@@ -94,7 +101,7 @@
             boxes: &boxes,
             departed: &departed,
             silent: &silent,
-            dead: &silent,
+            dead: &dead,
             probed: &probed,
             ended_replicas: &node.ended_replicas,
             left_epochs: &node.left_epochs,
@@ -274,6 +281,49 @@
     }
 }
 
+/// Guards against replicas that were given up, and whose leaders were ordered to leave, as one of
+/// their boxes was silent for a moment.
+#[test]
+fn a_silent_box_ends_no_replica_that_serves_and_is_used_for_none() {
+    struct Case {
+        name: &'static str,
+        /// The rank in a replica of the box that is silent; a spare without one.
+        rank: Option<usize>,
+        /// Whether a member of the other replica dies meanwhile.
+        loses_another: bool,
+    }
+    let cases = [
+        Case { name: "the leader", rank: Some(0), loses_another: false },
+        Case { name: "a member", rank: Some(2), loses_another: false },
+        Case { name: "a spare", rank: None, loses_another: false },
+        Case { name: "a member, beside a loss", rank: Some(1), loses_another: true },
+        Case { name: "the spare that would replace another", rank: None, loses_another: true },
+    ];
+    for case in cases {
+        let mut site = Simulation::new(9, 1, 1);
+        site.run(Millis(40_000));
+        let before = site.record.clone();
+        let replicas: Vec<_> = before.replicas.values().cloned().collect();
+        let spare = site.domain.listed().into_iter().find(|one| before.is_free(&one.id));
+        let spare = spare.expect("a spare").id;
+        site.in_doubt = Some(match case.rank {
+            Some(rank) => replicas[0].boxes[rank].clone(),
+            None => spare.clone(),
+        });
+        if case.loses_another {
+            let number = number_of(&site, &replicas[1].boxes[1]);
+            site.domain.kill(number);
+        }
+        site.run(Millis(1_500));
+        let kept = site.record.replicas.values().any(|one| one == &replicas[0]);
+        assert!(kept, "{}: {:?}", case.name, site.record.replicas);
+        let uses_spare = site.record.replicas.values().any(|one| one.boxes.contains(&spare));
+        assert!(!uses_spare || case.rank.is_some(), "{}", case.name);
+        assert_eq!(case.loses_another, site.record != before, "{}", case.name);
+        assert_eq!(site.domain.violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_serving_replica_missing_from_the_record_is_adopted() {
     let mut site = Simulation::new(9, 1, 1);
