fix: silent replicas are the last resort instead of none, and an entry that is gone ends no answer

What callers saw: requests that arrived while all replicas were silent got 503 until the boxes answered again.

Cause: a silent replica was no target at all, also where there was no other, and its target was made anew afterwards without the requests in flight there.

Mend: it stays a target that costs as much as an ejected one, so that any other goes first; only dead ones are no targets. A leader whose entry is gone is lost only once it is dead: its members are probed on a stall as those of a listed one are. By the review: the time for which the request path had heard nothing is not the replica's silence once its target is gone.

--- a/crates/cherrystand_core/benches/node_costs.rs
+++ b/crates/cherrystand_core/benches/node_costs.rs
@@ -223,6 +223,7 @@
         routes: Some(Arc::new(RouteTable::new(config))),
         boxes: Arc::new(boxes.clone()),
         silent: BTreeSet::new(),
+        dead: BTreeSet::new(),
         assigned: Arc::default(),
         suspects: Arc::default(),
         evacuated: Arc::default(),
--- a/crates/cherrystand_core/benches/routing.rs
+++ b/crates/cherrystand_core/benches/routing.rs
@@ -92,6 +92,7 @@
         region: None,
         evacuated_since: None,
         cold: None,
+        is_silent: false,
     };
     balancer.set_targets((0..replicas).map(target).collect());
     balancer
--- a/crates/cherrystand_core/src/site/site_view.rs
+++ b/crates/cherrystand_core/src/site/site_view.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use crate::{
-    BoxId, ColdBoxes, ColdPeriod, Epoch, MAX_SOUND_SILENCE, Member, MemberState, Millis, RegionId,
-    RouteTable, SiteBox, SuspectRecord, TargetSpec, ZoneId,
+    BoxId, ColdBoxes, ColdPeriod, Epoch, Member, MemberState, Millis, RegionId, RouteTable,
+    SiteBox, SuspectRecord, TargetSpec, ZoneId,
 };
 
 /// The boxes of each replica, by its name and epoch.
@@ -89,6 +89,7 @@
                 region: regions.get(&site_box.zone).cloned(),
                 evacuated_since: self.evacuated.get(&site_box.zone).copied(),
                 cold: self.cold_period(site_box),
+                is_silent: self.is_silent(site_box),
             };
             Some((spec, site_box.address))
         });
@@ -96,20 +97,19 @@
     }
 
     /// Returns whether the replica that a box leads is known to be lost, so that no answer will
-    /// come from it; nothing arrived from it for `silence`.
+    /// come from it.
     ///
     /// That is so if it or a member of its replica is dead, if it restarted, or if it reports that it
-    /// leads no replica. If its entry is gone it may serve on, and is lost only if it is silent for longer
-    /// than a sound box is. A leader that lost power never closes its connections, and
+    /// leads no replica. If only its entry is gone it may serve on. A leader that lost power never closes its connections, and
     /// one whose member lost power breaks off its answers only after 4 s; callers abandon a stream
     /// that is silent for 2 s.
-    pub fn is_lost(&self, leader: &BoxId, silence: Millis) -> bool {
-        let Some(site_box) = self.boxes.get(leader) else {
-            return silence >= MAX_SOUND_SILENCE || self.has_restarted(leader);
-        };
+    pub fn is_lost(&self, leader: &BoxId) -> bool {
         if self.dead.contains(leader) {
             return true;
         }
+        let Some(site_box) = self.boxes.get(leader) else {
+            return self.has_restarted(leader);
+        };
         let config = self.routes.as_ref().map(|table| table.config());
         if config.is_none_or(|config| config.engine(&site_box.service).is_none()) {
             return false;
@@ -123,7 +123,21 @@
 
     /// Returns whether a member of a leader's replica is dead.
     fn has_dead_member(&self, leader: &Member) -> bool {
-        if self.dead.is_empty() {
+        self.has_member_among(leader, &self.dead)
+    }
+
+    /// Returns whether a box, or a member of the replica that it leads, is silent.
+    fn is_silent(&self, site_box: &SiteBox) -> bool {
+        self.silent.contains(&site_box.id)
+            || site_box
+                .member
+                .as_ref()
+                .is_some_and(|member| self.has_member_among(member, &self.silent))
+    }
+
+    /// Returns whether a member of a leader's replica is among `boxes`.
+    fn has_member_among(&self, leader: &Member, boxes: &BTreeSet<BoxId>) -> bool {
+        if boxes.is_empty() {
             return false;
         }
         let assigned = self.assigned.get(&(leader.replica.clone(), leader.epoch));
@@ -132,12 +146,12 @@
                 .get(id)
                 .is_some_and(|site_box| site_box.is_member_of(&leader.replica, leader.epoch))
         };
-        assigned.into_iter().flatten().any(|id| self.dead.contains(id))
-            || self.dead.iter().any(is_listed_member)
+        assigned.into_iter().flatten().any(|id| boxes.contains(id))
+            || boxes.iter().any(is_listed_member)
     }
 
     /// Lists the leaders of replicas that serve by their entries but are lost, since they or
-    /// members of their replicas are dead.
+    /// members of their replicas are dead, and dead boxes whose entries are gone.
     pub fn lost_leaders(&self) -> Vec<BoxId> {
         if self.dead.is_empty() {
             return Vec::new();
@@ -149,7 +163,9 @@
                 self.dead.contains(&site_box.id) || self.has_dead_member(member)
             })
         };
-        self.boxes.values().filter(is_lost).map(|site_box| site_box.id.clone()).collect()
+        let listed = self.boxes.values().filter(is_lost).map(|site_box| &site_box.id);
+        let unlisted = self.dead.iter().filter(|id| !self.boxes.contains_key(*id));
+        listed.chain(unlisted).cloned().collect()
     }
 
     /// Returns until when a box is cold and its request rate meanwhile, if its service limits that.
@@ -159,9 +175,9 @@
         Some(ColdPeriod { rate: service.cold?.rate, until })
     }
 
-    /// Returns whether a box may serve: it is neither leaving nor silent.
+    /// Returns whether a box may serve: it is neither leaving nor dead.
     fn is_usable(&self, site_box: &SiteBox) -> bool {
-        !site_box.leaving && !self.silent.contains(&site_box.id)
+        !site_box.leaving && !self.dead.contains(&site_box.id)
     }
 
     /// Counts the listed members of each replica.
@@ -201,11 +217,11 @@
     }
 
     /// Returns how many members of a replica are no longer listed and may still do their work,
-    /// since they were not found silent.
+    /// since they were not found dead.
     fn running_unlisted_members(&self, member: &Member) -> usize {
         let assigned = self.assigned.get(&(member.replica.clone(), member.epoch));
         let may_still_run = |id: &&BoxId| {
-            !self.boxes.contains_key(*id) && !self.silent.contains(*id) && !self.has_restarted(id)
+            !self.boxes.contains_key(*id) && !self.dead.contains(*id) && !self.has_restarted(id)
         };
         assigned.into_iter().flatten().filter(may_still_run).count()
     }
--- a/crates/cherrystand_core/src/site/target.rs
+++ b/crates/cherrystand_core/src/site/target.rs
@@ -46,6 +46,8 @@
     pub evacuated_since: Option<Millis>,
     /// Until when it is cold, and its request rate meanwhile, if it is.
     pub cold: Option<ColdPeriod>,
+    /// Whether it, or a member of its replica, is silent. It is chosen only if there is no other.
+    pub is_silent: bool,
 }
 
 /// An endpoint, its load and its recent results.
@@ -133,7 +135,7 @@
     }
 
     pub(crate) fn is_ejected(&self, now: Millis) -> bool {
-        now < self.ejected_until
+        self.spec.is_silent || now < self.ejected_until
     }
 
     /// Returns the predicted milliseconds until its first event.
--- a/crates/cherrystand_core/tests/choice.rs
+++ b/crates/cherrystand_core/tests/choice.rs
@@ -23,6 +23,7 @@
         region: None,
         evacuated_since: None,
         cold: None,
+        is_silent: false,
     }
 }
 
@@ -92,6 +93,22 @@
     }
 }
 
+#[test]
+fn a_silent_replica_is_chosen_only_if_there_is_no_other() {
+    for rule in [ChoiceRule::ExpectedCredit, ChoiceRule::TwoAtRandom, ChoiceRule::FewestInFlight] {
+        let silent = TargetSpec { is_silent: true, ..target("silent", true) };
+        let mut balancer = LoadBalancer::new(policy(rule));
+        balancer.set_targets(vec![silent.clone(), target("far", false)]);
+        let busy = EngineLoad { requests: 26.0, unread: 20_000.0 };
+        balancer.set_peer_loads(&[(BoxId::new("far"), busy)].into());
+        let chosen = choose_many(&balancer, Millis(300), 20, NOW);
+        assert_eq!(chosen, [("far".to_owned(), 20)].into(), "{rule:?}");
+        balancer.set_targets(vec![silent]);
+        let chosen = choose_many(&balancer, Millis(300), 20, NOW);
+        assert_eq!(chosen, [("silent".to_owned(), 20)].into(), "{rule:?}");
+    }
+}
+
 #[test]
 fn a_far_replica_is_chosen_only_if_the_near_one_would_lose_credit() {
     struct Case {
--- a/crates/cherrystand_core/tests/endpoint_backpressure.rs
+++ b/crates/cherrystand_core/tests/endpoint_backpressure.rs
@@ -20,6 +20,7 @@
         region: None,
         evacuated_since: None,
         cold: None,
+        is_silent: false,
     }
 }
 
--- a/crates/cherrystand_core/tests/evacuations.rs
+++ b/crates/cherrystand_core/tests/evacuations.rs
@@ -185,6 +185,7 @@
         region: region.map(RegionId::new),
         evacuated_since: None,
         cold: None,
+        is_silent: false,
     }
 }
 
--- a/crates/cherrystand_core/tests/site_requests.rs
+++ b/crates/cherrystand_core/tests/site_requests.rs
@@ -218,6 +218,7 @@
         region: None,
         evacuated_since: None,
         cold: None,
+        is_silent: false,
     }
 }
 
--- a/crates/cherrystandd/src/site/box_queries.rs
+++ b/crates/cherrystandd/src/site/box_queries.rs
@@ -95,9 +95,10 @@
         boxes.filter(|site_box| record.is_free(&site_box.id)).cloned().collect()
     }
 
-    /// Returns the members of the replica that a box leads, including itself, listed or departed.
+    /// Returns the members of the replica that a box leads, including itself, all listed or departed.
     pub(crate) fn replica_members(&self, id: &BoxId) -> Vec<SiteBox> {
-        let Some(site_box) = self.boxes.get(id) else {
+        let departed = || self.departed.get(id).map(|departed| &departed.site_box);
+        let Some(site_box) = self.boxes.get(id).or_else(departed) else {
             return Vec::new();
         };
         let Some(member) = &site_box.member else {
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -383,7 +383,7 @@
         if attempt.should_report_stall() {
             self.report_stalled(attempt);
         }
-        let lost = self.refresh_view().is_lost(&attempt.target, stall.silence)
+        let lost = self.refresh_view().is_lost(&attempt.target)
             || self.loads.stopped_since(&attempt.target, attempt.started_at);
         match lost {
             true => ReplicaHealth::Lost,
