test: a soak in which sound boxes are silent for a moment, beside changes of the configuration

Silence is no disturbance: no answer may break off beside it, and no leader that serves may be ordered to leave beside it without another fault.

--- a/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -7,8 +7,8 @@
 use cherrystand_core::Millis;
 use cherrystand_testkit::{
     DEFAULT_SPAN, Fault, SoakSetup, daemon_program, draw_box_signals, draw_endpoint_cuts,
-    draw_rate_limits, draw_restarts, draw_schedule, draw_slow_store, draw_store_restores,
-    draw_zone_faults, run_soak,
+    draw_rate_limits, draw_restarts, draw_schedule, draw_silences, draw_slow_store,
+    draw_store_restores, draw_zone_faults, run_soak,
 };
 use eyre::WrapErr;
 
@@ -16,9 +16,9 @@
 /// daemon would be excused by some fault at every moment, and no rate limit would be checked.
 const FAULT_STRIDE_WITH_LIMITS: usize = 5;
 
-/// With `--cuts`, faults of the general schedule come in the last part of this many only: they excuse what they
-/// may have caused, so that cuts would not be checked beside them.
-const PARTS_WITH_CUTS: u64 = 3;
+/// With `--cuts` or `--silences`, faults of the general schedule come in the last part of this many only: they excuse
+/// what they may have caused, so that nothing else would be checked beside them.
+const PARTS: u64 = 3;
 
 /// The number of the first rate limit fault, higher than all numbers of the general schedule.
 const FIRST_LIMIT_NUMBER: usize = 1_000;
@@ -26,6 +26,9 @@
 /// The number of the first cut, higher than those as well.
 const FIRST_CUT_NUMBER: usize = 2_000;
 
+/// The number of the first silence, higher than those as well.
+const FIRST_SILENCE_NUMBER: usize = 3_000;
+
 /// Injects faults drawn from a seed into real daemons, and checks what callers and boxes observe.
 #[derive(FromArgs)]
 struct Args {
@@ -70,6 +73,9 @@
     /// daemons are cut off from all boxes, while callers, the store and other daemons reach them
     #[argh(switch)]
     cuts: bool,
+    /// sound boxes are silent for a moment, beside changes of the configuration
+    #[argh(switch)]
+    silences: bool,
     /// print the schedule and exit
     #[argh(switch)]
     schedule: bool,
@@ -100,8 +106,14 @@
             draw_restarts(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
         faults.extend(restarts);
     }
+    if args.cuts || args.silences {
+        faults.retain(|fault| fault.at.0 * PARTS >= args.span_ms * (PARTS - 1));
+    }
+    if args.silences {
+        let span = Millis(args.span_ms / PARTS * (PARTS - 1));
+        faults.extend(draw_silences(args.seed, setup.targets(), span, FIRST_SILENCE_NUMBER));
+    }
     if args.cuts {
-        faults.retain(|fault| fault.at.0 * PARTS_WITH_CUTS >= args.span_ms * (PARTS_WITH_CUTS - 1));
         let cuts =
             draw_endpoint_cuts(args.seed, setup.targets(), Millis(args.span_ms), FIRST_CUT_NUMBER);
         faults.extend(cuts);
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -72,7 +72,7 @@
 pub use site::fake_site_domain::FakeSiteDomain;
 pub use site::limit_checks::{LimitBound, exceeded_limits};
 pub use site::metadata_stand_in::{MetadataStandIn, PageFault, StoreMode};
-pub use site::site_box::{Arrival, BoxMode, ColdReport, Crash};
+pub use site::site_box::{Arrival, BoxMode, ColdReport, Crash, EndedLeader};
 pub use site::site_setup::{NodeSettings, site_config, whole_stream};
 pub use site::site_stand_in::SiteStandIn;
 pub use soak::link::{Link, LinkCut, LinkMode};
@@ -80,10 +80,10 @@
 pub use soak::run::{DEFAULT_SPAN, SoakOutcome, SoakSetup, daemon_program, run_soak};
 pub use soak::run_record::{
     CallKind, CallOutcome, CallRecord, ColdInterval, CutInterval, Disturbance, RunRecord,
-    UnlistedInterval,
+    SilentInterval, UnlistedInterval,
 };
 pub use soak::schedule::{
     CorruptEntry, Fault, FaultKind, Targets, draw_box_signals, draw_endpoint_cuts,
-    draw_rate_limits, draw_restarts, draw_schedule, draw_slow_store, draw_store_restores,
-    draw_zone_faults,
+    draw_rate_limits, draw_restarts, draw_schedule, draw_silences, draw_slow_store,
+    draw_store_restores, draw_zone_faults,
 };
--- a/crates/cherrystand_testkit/src/site/box_orders.rs
+++ b/crates/cherrystand_testkit/src/site/box_orders.rs
@@ -1,13 +1,13 @@
 //! How boxes of the stand-in carry out orders, and the checks for violations of the platform's rules.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use serde_json::Value;
 
 use crate::BoxMode;
 use crate::site::box_answers::{Answer, plain_answer};
-use crate::site::site_box::Membership;
+use crate::site::site_box::{EndedLeader, Membership};
 use crate::site::site_stand_in::SiteStandIn;
 
 /// How long a box takes to join a replica.
@@ -15,7 +15,12 @@
 
 impl SiteStandIn {
     pub(super) fn order(&self, id: &str, order: &Value) -> Answer {
+        let served = self.leaders().contains_key(id);
         let status = self.apply_order(id, order);
+        if served && status == StatusCode::ACCEPTED && order["operation"] != "open" {
+            let ended = EndedLeader { target: id.to_owned(), at: Instant::now() };
+            self.state.borrow_mut().ended_leaders.push(ended);
+        }
         match status {
             StatusCode::ACCEPTED => self.write_own_entry(id),
             StatusCode::OK => {}
--- a/crates/cherrystand_testkit/src/site/site_box.rs
+++ b/crates/cherrystand_testkit/src/site/site_box.rs
@@ -44,6 +44,15 @@
     Nowhere,
 }
 
+/// A leader that was ordered to leave while it served.
+#[derive(Clone, Debug)]
+pub struct EndedLeader {
+    /// The box.
+    pub target: String,
+    /// When it was.
+    pub at: Instant,
+}
+
 #[derive(Clone, Debug)]
 pub(super) struct Membership {
     pub(super) group: String,
@@ -134,6 +143,8 @@
     pub(super) refused_orders: Vec<(String, String, u16)>,
     /// The boxes that aborted an unread answer, once for each such answer.
     pub(super) unread_aborts: Vec<String>,
+    /// Leaders that were ordered to leave while they served, and when.
+    pub(super) ended_leaders: Vec<EndedLeader>,
     /// The crashes of boxes by requests, oldest first.
     pub(super) crashes: Vec<Crash>,
 }
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -20,7 +20,7 @@
 use crate::site::endpoint_links::EndpointLinks;
 use crate::site::metadata_stand_in::{MetadataStandIn, StoreMode};
 use crate::site::site_box::{
-    Arrival, BoxMode, ColdReport, Crash, Membership, SiteBoxState, StandInState,
+    Arrival, BoxMode, ColdReport, Crash, EndedLeader, Membership, SiteBoxState, StandInState,
 };
 
 /// How often a held answer checks whether it may be sent.
@@ -196,6 +196,11 @@
         self.store.remove(&format!("op/evacuate/{zone}"));
     }
 
+    /// Returns the leaders that were ordered to leave while they served.
+    pub fn ended_leaders(&self) -> Vec<EndedLeader> {
+        self.state.borrow().ended_leaders.clone()
+    }
+
     /// Returns the boxes that aborted an unread answer, once for each such answer.
     pub fn unread_aborts(&self) -> Vec<String> {
         self.state.borrow().unread_aborts.clone()
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -15,7 +15,8 @@
 use crate::soak::link::{Link, LinkCut, LinkMode};
 use crate::soak::old_sends::read_old_sends;
 use crate::soak::run_record::{
-    CallKind, CallOutcome, ColdInterval, CutInterval, Disturbance, RunRecord, UnlistedInterval,
+    CallKind, CallOutcome, ColdInterval, CutInterval, Disturbance, RunRecord, SilentInterval,
+    UnlistedInterval,
 };
 use crate::soak::schedule::{Fault, FaultKind, Targets};
 use crate::{BoxMode, BoxWishes, ColdReport, EndpointLinks, SiteStandIn, StoreMode, site_config};
@@ -109,6 +110,7 @@
     /// Each daemon's links to the boxes, if these can be cut.
     endpoint_links: Vec<EndpointLinks>,
     cuts: RefCell<Vec<CutInterval>>,
+    silences: RefCell<Vec<SilentInterval>>,
     daemons: RefCell<Vec<Daemon>>,
     callers: Callers,
     disturbances: RefCell<Vec<Disturbance>>,
@@ -205,6 +207,7 @@
             store_links,
             endpoint_links,
             cuts: RefCell::default(),
+            silences: RefCell::default(),
             daemons: RefCell::new(daemons),
             callers,
             disturbances: RefCell::default(),
@@ -279,10 +282,14 @@
         let disturbance = self.begin_disturbance(fault.kind);
         match fault.kind {
             FaultKind::Box(number, mode) => {
-                let id = &self.boxes[number].0;
+                let (id, from) = (&self.boxes[number].0, Instant::now());
                 self.site.set_mode(id, mode);
                 tokio::time::sleep(duration).await;
                 self.site.set_mode(id, BoxMode::Well);
+                if mode == BoxMode::Silent {
+                    let silence = SilentInterval { from, until: Instant::now() };
+                    self.silences.borrow_mut().push(silence);
+                }
             }
             FaultKind::BoxLink(number, mode) => {
                 disturb_link(&self.boxes[number].1, mode, duration).await
@@ -372,6 +379,7 @@
             | FaultKind::Wishes(..)
             | FaultKind::Evacuated
             | FaultKind::Cold(_)
+            | FaultKind::Box(_, BoxMode::Silent)
             | FaultKind::Limited(..) => {
                 return None;
             }
@@ -523,6 +531,8 @@
             unlisted: self.unlisted.borrow().clone(),
             cold_intervals: self.cold_intervals.borrow().clone(),
             cuts: self.cuts.borrow().clone(),
+            silences: self.silences.borrow().clone(),
+            ended_leaders: self.site.ended_leaders(),
             box_faults: self.site.violations(),
             crashes: self.site.crashes(),
             signals: self.site.signals(),
--- a/crates/cherrystand_testkit/src/soak/run_record.rs
+++ b/crates/cherrystand_testkit/src/soak/run_record.rs
@@ -7,7 +7,9 @@
 
 use crate::OldSend;
 use crate::site::site_setup::{RETRY_RATIO, RETRY_WINDOW_S};
-use crate::{Arrival, Crash, LimitBound, SentSignal, exceeded_limits, ignored_signals};
+use crate::{
+    Arrival, Crash, EndedLeader, LimitBound, SentSignal, exceeded_limits, ignored_signals,
+};
 
 /// A kind of request that callers send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -122,6 +124,15 @@
     pub until: Instant,
 }
 
+/// A time in which a sound box was silent.
+#[derive(Clone, Debug)]
+pub struct SilentInterval {
+    /// When it fell silent.
+    pub from: Instant,
+    /// When it went on.
+    pub until: Instant,
+}
+
 /// Everything that was recorded in one run.
 #[derive(Clone, Debug, Default)]
 pub struct RunRecord {
@@ -139,6 +150,10 @@
     pub cold_intervals: Vec<ColdInterval>,
     /// The times in which daemons were cut off from all boxes.
     pub cuts: Vec<CutInterval>,
+    /// The times in which sound boxes were silent.
+    pub silences: Vec<SilentInterval>,
+    /// Leaders that were ordered to leave while they served.
+    pub ended_leaders: Vec<EndedLeader>,
     /// Violations that boxes detected themselves.
     pub box_faults: Vec<String>,
     /// The crashes of boxes by requests.
@@ -196,6 +211,7 @@
         violations.extend(self.exceeded_rate_limits());
         violations.extend(self.sends_by_old_knowledge());
         violations.extend(self.failures_at_cut_daemons());
+        violations.extend(self.replicas_ended_by_silence());
         violations
     }
 
@@ -244,6 +260,10 @@
             {
                 return violation("interrupted by a planned stop");
             }
+            // Silence of a sound box is no reason to end an answer.
+            CallOutcome::Broken if runs > 0 && self.met_only_silence(call) => {
+                return violation("interrupted beside a box that was silent");
+            }
             _ => {}
         }
         if call.kind == CallKind::Once && runs > 1 {
@@ -275,6 +295,15 @@
         planned && met.iter().all(|disturbance| disturbance.is_planned)
     }
 
+    /// Tells whether a box was silent during a request, and no fault affected it.
+    fn met_only_silence(&self, call: &CallRecord) -> bool {
+        let is_met = |from: Instant, until: Instant| from <= call.ended && until >= call.sent;
+        let mut silences = self.silences.iter();
+        let mut disturbances = self.disturbances.iter();
+        silences.any(|silence| is_met(silence.from, silence.until))
+            && !disturbances.any(|met| is_met(met.from, met.until + RECOVERY_TIME))
+    }
+
     /// Tells whether a box that had received the request crashed before the request ended.
     fn box_crashed_before(&self, call: &CallRecord) -> bool {
         let crashed = |arrival: &Arrival| {
@@ -461,6 +490,22 @@
         })
     }
 
+    /// Describes each replica that was ended while boxes were silent, or shortly after, although no fault affected
+    /// anything.
+    fn replicas_ended_by_silence(&self) -> Vec<String> {
+        let is_near =
+            |from: Instant, until: Instant, at: Instant| from <= at && at <= until + RECOVERY_TIME;
+        let ended = self.ended_leaders.iter().filter(|ended| {
+            let mut silences = self.silences.iter();
+            let mut disturbances = self.disturbances.iter();
+            silences.any(|silence| is_near(silence.from, silence.until, ended.at))
+                && !disturbances.any(|met| is_near(met.from, met.until, ended.at))
+        });
+        ended
+            .map(|ended| format!("{} was ordered to leave as boxes were silent", ended.target))
+            .collect()
+    }
+
     /// Tells whether a request met no fault but cuts of daemons from boxes.
     fn met_only_cuts(&self, call: &CallRecord) -> bool {
         let others = self.disturbances.iter().filter(|disturbance| !disturbance.is_cut);
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -308,6 +308,21 @@
     .collect()
 }
 
+/// Draws silences of sound boxes, which are no trouble, and changes of the configuration beside them.
+pub fn draw_silences(seed: u64, targets: Targets, span: Millis, first_number: usize) -> Vec<Fault> {
+    /// Gives these faults a random sequence of their own.
+    const SEED_MASK: u64 = 0x51e7;
+    draw_extra(SeededRng::new(seed ^ SEED_MASK), 700, span, first_number, |rng| {
+        let kind = match rng.below(4) {
+            0 => FaultKind::Configured { more: 0 },
+            _ => FaultKind::Box(rng.below(targets.boxes), BoxMode::Silent),
+        };
+        let duration_ms = 300 + rng.below(900) as u64;
+        // The configurations of two faults are far enough apart for their keys.
+        DrawnFault { kind, duration_ms, pause_ms: duration_ms + 600 + rng.below(700) as u64 }
+    })
+}
+
 /// Draws a rate limit that all boxes advertise, and ineffective ones of single boxes besides.
 ///
 /// The common one lasts several seconds, since the check counts only some seconds after a limit was first advertised.
--- a/crates/cherrystand_testkit/tests/soak_checks.rs
+++ b/crates/cherrystand_testkit/tests/soak_checks.rs
@@ -6,7 +6,8 @@
 use cherrystand_core::Millis;
 use cherrystand_testkit::{
     Arrival, CallKind, CallOutcome, CallRecord, ColdInterval, Crash, CutInterval, Disturbance,
-    FaultKind, OldSend, RunRecord, SentSignal, Signal, Targets, UnlistedInterval, draw_schedule,
+    EndedLeader, FaultKind, OldSend, RunRecord, SentSignal, Signal, SilentInterval, Targets,
+    UnlistedInterval, draw_schedule,
 };
 use hyper::StatusCode;
 
@@ -101,6 +102,17 @@
 }
 
 /// Records that a daemon was cut off from all boxes, and requests that it failed a while after the cut began.
+/// Records that a sound box was silent during the request.
+fn silent_beside(record: &mut RunRecord) {
+    let sent = record.calls[0].sent;
+    record.silences = vec![SilentInterval { from: sent, until: sent + Duration::from_secs(1) }];
+}
+
+fn leader_ended(record: &mut RunRecord) {
+    let at = record.calls[0].sent + Duration::from_secs(2);
+    record.ended_leaders = vec![EndedLeader { target: "i-1".to_owned(), at }];
+}
+
 fn cut_off(record: &mut RunRecord, failed: usize, after: Duration) {
     let sent = record.calls[0].sent;
     let (from, until) = (sent - after, sent + Duration::from_secs(1));
@@ -237,6 +249,30 @@
             record.calls[0].outcome = CallOutcome::Broken;
             record.disturbances.push(disturbance(Some(0), true, began, 62));
         }),
+        case("interrupted beside a silence", Some("a box that was silent"), &|record, _| {
+            record.calls[0].outcome = CallOutcome::Broken;
+            silent_beside(record);
+        }),
+        case("a replica ended beside a silence", Some("ordered to leave"), &|record, _| {
+            silent_beside(record);
+            leader_ended(record);
+        }),
+        case("a replica ended beside a silence and a fault", None, &|record, began| {
+            silent_beside(record);
+            leader_ended(record);
+            record.disturbances.push(disturbance(None, false, began, 58));
+        }),
+        case("a replica ended without a silence", None, &|record, _| leader_ended(record)),
+        case("interrupted beside a silence and a fault", None, &|record, began| {
+            record.calls[0].outcome = CallOutcome::Broken;
+            silent_beside(record);
+            record.disturbances.push(disturbance(None, false, began, 58));
+        }),
+        case("interrupted beside a silence before it reached a box", None, &|record, _| {
+            record.calls[0].outcome = CallOutcome::Broken;
+            silent_beside(record);
+            record.runs.clear();
+        }),
         case("interrupted by a planned stop during another fault", None, &|record, began| {
             record.calls[0].outcome = CallOutcome::Broken;
             record.disturbances.push(disturbance(Some(0), true, began, 62));
--- a/crates/cherrystandd/tests/soak.rs
+++ b/crates/cherrystandd/tests/soak.rs
@@ -50,6 +50,9 @@
 /// 90 of 90 requests failed at such daemons.
 const CUT_SEEDS: [u64; 2] = [2, 3];
 
+/// Seeds with sound boxes that are silent for a moment.
+const SILENCE_SEEDS: [u64; 2] = [2, 3];
+
 /// A seed in which boxes become cold during a store outage.
 const COLD_IN_OUTAGE_SEED: u64 = 509;
 
@@ -62,7 +65,7 @@
 /// How long faults occur in runs with a crashing request, in milliseconds.
 const CRASH_SPAN_MS: u64 = 12_000;
 
-/// How long faults occur in runs with daemons that are cut off, in milliseconds.
+/// How long faults occur in runs with daemons that are cut off or boxes that are silent, in milliseconds.
 const CUT_SPAN_MS: u64 = 9_000;
 
 /// How long faults occur in all other runs, in milliseconds.
@@ -95,6 +98,11 @@
     CUT_SEEDS.into_iter().for_each(|seed| run_soak(seed, CUT_SPAN_MS, Some("--cuts")));
 }
 
+#[test]
+fn answers_are_whole_while_sound_boxes_are_silent() {
+    SILENCE_SEEDS.into_iter().for_each(|seed| run_soak(seed, CUT_SPAN_MS, Some("--silences")));
+}
+
 /// Guards against too many requests to boxes that become cold while the store doesn't answer. In a
 /// silence of 2.5 s two such boxes got 11 and 13 requests in a second where 5 are allowed, until
 /// daemons could read their entries.
