fix: a change during a watch does not make the store look quicker

What was seen: with a store at 1.5 s an answer, five daemons made 13 or 14 calls to it in 4.6 to 4.8 s where 10 are allowed, in about half of the runs of slow_store::a_store_that_answers_later_than_a_call_waits_is_heard.

Cause, by a trace of the calls (the store's side) and of the daemons' reasons: the answer to a watch was timed as the time it took less its whole wait of 0.5 s. That holds for an answer without changes. One with changes is sent at any moment of the wait, so this is only the least that the store can have taken, and the shorter of the last two times is what counts. A traced run with 9 calls had the same times recorded and the same round of questions; its watches were just answered before they counted as late.

Mend: StoreAnswerTime keeps for each answer the shortest and the longest time that the store may have taken. A watch without changes tells it exactly, one with changes narrows what is known, and says nothing if that agrees with it. Whether there were changes is known to the client of the store, which records the time once it has read the answer.

The bound of the test is as it was, and nothing between daemons changes.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -207,7 +207,7 @@
 pub use nodes::replica_evidence::{EVIDENCE_TTL, EvidenceTable, ReplicaEvidence};
 pub use nodes::running_time::RunningTime;
 pub use nodes::shutdown_plan::ShutdownPlan;
-pub use nodes::store_answer_time::StoreAnswerTime;
+pub use nodes::store_answer_time::{StoreAnswerTime, WatchTime};
 pub use nodes::store_outage::StoreOutage;
 pub use nodes::store_reachability::StoreReachability;
 pub use nodes::task_ownership::{owner_of, rank_by_hash};
--- a/crates/cherrystand_core/src/nodes/store_answer_time.rs
+++ b/crates/cherrystand_core/src/nodes/store_answer_time.rs
@@ -23,6 +23,40 @@
 /// The shortest time after which an answer counts as late.
 const MIN_HEDGE_DELAY: Millis = Millis(200);
 
+/// How long a watch took, and how long it could wait for a change.
+#[derive(Clone, Copy, Debug)]
+pub struct WatchTime {
+    /// The time until its answer.
+    pub took: Millis,
+    /// The longest time that the store waited before it sent the answer.
+    pub wait: Millis,
+}
+
+/// The shortest and the longest time that the store may have taken for an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct AnswerRange {
+    least: Millis,
+    most: Millis,
+}
+
+impl AnswerRange {
+    fn exactly(took: Millis) -> Self {
+        Self { least: took, most: took }
+    }
+
+    /// Returns what of this range agrees with another one: their overlap, the upper end if the other is
+    /// above, all of it if the other is below.
+    fn narrowed_by(self, other: Self) -> Self {
+        if other.least > self.most {
+            return Self::exactly(self.most);
+        }
+        if other.most < self.least {
+            return self;
+        }
+        Self { least: self.least.max(other.least), most: self.most.min(other.most) }
+    }
+}
+
 /// Tracks how long the store takes to answer one daemon, and derives from it how long to wait.
 ///
 /// A timeout that is shorter than the store's answer time throws away every answer, and what was
@@ -30,7 +64,7 @@
 /// that was given up doubles the next wait until something is answered.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreAnswerTime {
-    recent: [Millis; REMEMBERED],
+    recent: [AnswerRange; REMEMBERED],
     next: usize,
     given_up: u32,
 }
@@ -38,7 +72,28 @@
 impl StoreAnswerTime {
     /// Records that an answer took a time.
     pub fn record_answer(&mut self, took: Millis) {
-        self.recent[self.next] = took;
+        self.remember(AnswerRange::exactly(took));
+    }
+
+    /// Records that a watch was answered. One without changes was answered at the end of its wait, one
+    /// with changes at any moment of it, so that its time bounds the store's from both sides.
+    pub fn record_watch(&mut self, WatchTime { took, wait }: WatchTime, has_changes: bool) {
+        let least = took.since(wait);
+        if !has_changes && took >= wait {
+            return self.record_answer(least);
+        }
+        let known = self.usual_range();
+        let narrowed = AnswerRange { least, most: took }.narrowed_by(known);
+        if narrowed == known {
+            // It says nothing new.
+            self.given_up = 0;
+            return;
+        }
+        self.remember(narrowed);
+    }
+
+    fn remember(&mut self, answer: AnswerRange) {
+        self.recent[self.next] = answer;
         self.next = (self.next + 1) % REMEMBERED;
         self.given_up = 0;
     }
@@ -51,7 +106,12 @@
     /// Returns the shorter of the last two answer times: one late answer may be a stalled connection or
     /// a pause of this daemon, and one quick answer after an outage shows that it is over.
     pub fn usual(&self) -> Millis {
-        self.recent.into_iter().min().unwrap_or_default()
+        self.usual_range().least
+    }
+
+    fn usual_range(&self) -> AnswerRange {
+        let [one, other] = self.recent;
+        one.min(other).narrowed_by(one.max(other))
     }
 
     /// Returns how long to wait for an answer before something else is done beside it.
--- a/crates/cherrystand_platform/src/adaptive_client.rs
+++ b/crates/cherrystand_platform/src/adaptive_client.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{Millis, StoreAnswerTime};
+use cherrystand_core::{Millis, StoreAnswerTime, WatchTime};
 use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use futures_util::stream::FuturesUnordered;
@@ -34,6 +34,14 @@
 /// From this time without a further part, an answer that has begun counts as late.
 const STALLED_AFTER: Duration = Duration::from_millis(500);
 
+/// An answer to a watch.
+pub struct WatchAnswer {
+    /// The answer.
+    pub answer: Answer,
+    /// How long it took.
+    pub time: WatchTime,
+}
+
 /// Calls one server, and keeps reads open whose answers are late.
 ///
 /// A connection may stall for good while new ones work, and a server may just be slow. Both look the
@@ -140,7 +148,8 @@
 
     /// Reads where the server may wait for a change. If the answer is late, a second read is sent to
     /// `at_once_path`, which waits for nothing; there is none if the first one doesn't wait either.
-    /// Both stay open as long as an answer may still come.
+    /// Both stay open as long as an answer may still come. What the answer shows of the server is to be
+    /// recorded with [`Self::record_watch`] once it is known whether it has changes.
     ///
     /// # Errors
     ///
@@ -150,18 +159,19 @@
         path: &str,
         at_once_path: &str,
         wait: Duration,
-    ) -> Result<Answer, CallError> {
+    ) -> Result<WatchAnswer, CallError> {
         let sent_at = since_boot();
         let answer = match wait.is_zero() {
             true => self.get(path, wait, &AnswerProgress::default()).await?,
             false => self.read_hedged(path, at_once_path, wait).await?,
         };
-        // When the server sent the answer within the wait is not known.
-        let took = since_boot().saturating_sub(sent_at);
-        if took >= wait {
-            self.record_answer(took - wait);
-        }
-        Ok(answer)
+        let took = to_millis(since_boot().saturating_sub(sent_at));
+        Ok(WatchAnswer { answer, time: WatchTime { took, wait: to_millis(wait) } })
+    }
+
+    /// Records how long a watch took that was answered with changes or without.
+    pub fn record_watch(&self, time: WatchTime, has_changes: bool) {
+        self.update(|answer_time| answer_time.record_watch(time, has_changes));
     }
 
     async fn read_hedged(
@@ -228,8 +238,7 @@
     }
 
     fn record_answer(&self, took: Duration) {
-        let took = Millis(took.as_millis() as u64);
-        self.update(|answer_time| answer_time.record_answer(took));
+        self.update(|answer_time| answer_time.record_answer(to_millis(took)));
     }
 
     fn update(&self, change: impl FnOnce(&mut StoreAnswerTime)) {
@@ -239,6 +248,10 @@
     }
 }
 
+fn to_millis(time: Duration) -> Millis {
+    Millis(time.as_millis() as u64)
+}
+
 fn limits(first_part: Duration, next_part: Duration) -> CallLimits {
     CallLimits { connect: CONNECT_TIMEOUT, first_part, next_part }
 }
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -25,7 +25,7 @@
 mod requested_backoff;
 mod site_driver;
 
-pub use adaptive_client::AdaptiveClient;
+pub use adaptive_client::{AdaptiveClient, WatchAnswer};
 pub use advertised_limit::AdvertisedLimit;
 pub use body_buffer::BodyBuffer;
 pub use boot_time::{advance_clock, since_boot};
