--- /dev/null
+++ b/crates/cherrystandd/tests/support/flooding_endpoint.rs
@@ -0,0 +1,92 @@
+//! Endpoints that answer some requests with bytes without end.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Requests whose id begins like this are answered with bytes without end.
+pub(crate) const FLOODED: &str = "flooded-";
+
+/// The size of one write.
+const WRITE_BYTES: usize = 64 << 10;
+
+/// What a flooded request is answered with.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Flood {
+    /// The first bytes, in which `{id}` stands for the id of the request.
+    pub(crate) start: &'static str,
+    /// What follows again and again until the caller closes.
+    pub(crate) repeated: &'static str,
+}
+
+/// Stands before an endpoint: it floods the requests with ids that ask for it and forwards all others.
+#[derive(Clone)]
+pub(crate) struct FloodingEndpoint {
+    pub(crate) address: SocketAddr,
+    /// How many floods have begun.
+    pub(crate) begun: Rc<Cell<u32>>,
+    /// How many of them their callers have closed.
+    pub(crate) closed: Rc<Cell<u32>>,
+}
+
+impl FloodingEndpoint {
+    pub(crate) async fn open(endpoint: SocketAddr, flood: Flood) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
+        let address = listener.local_addr().expect("an address");
+        let own = Self { address, begun: Rc::default(), closed: Rc::default() };
+        let accepting = own.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((caller, _)) = listener.accept().await {
+                tokio::task::spawn_local(accepting.clone().pass(caller, endpoint, flood));
+            }
+        });
+        own
+    }
+
+    /// Forwards one connection until a request on it is to be flooded.
+    async fn pass(self, mut caller: TcpStream, endpoint: SocketAddr, flood: Flood) {
+        let Ok(mut server) = TcpStream::connect(endpoint).await else { return };
+        let (mut asked, mut answered) = (vec![0; WRITE_BYTES], vec![0; WRITE_BYTES]);
+        loop {
+            tokio::select! {
+                read = caller.read(&mut asked) => {
+                    let read = read.unwrap_or(0);
+                    if let Some(id) = flooded_id(&asked[..read]) {
+                        return self.flood(caller, &id, flood).await;
+                    }
+                    if read == 0 || server.write_all(&asked[..read]).await.is_err() {
+                        return;
+                    }
+                }
+                read = server.read(&mut answered) => {
+                    let read = read.unwrap_or(0);
+                    if read == 0 || caller.write_all(&answered[..read]).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn flood(self, mut caller: TcpStream, id: &str, flood: Flood) {
+        self.begun.set(self.begun.get() + 1);
+        let start = flood.start.replace("{id}", id);
+        let repeated = flood.repeated.repeat(WRITE_BYTES / flood.repeated.len());
+        let mut written = caller.write_all(start.as_bytes()).await;
+        while written.is_ok() {
+            written = caller.write_all(repeated.as_bytes()).await;
+            tokio::task::yield_now().await;
+        }
+        self.closed.set(self.closed.get() + 1);
+    }
+}
+
+/// Returns the id of a request that is to be flooded.
+fn flooded_id(head: &[u8]) -> Option<String> {
+    let head = String::from_utf8_lossy(head);
+    let at = head.find(FLOODED)?;
+    head[at..].split(['\r', '\n']).next().map(str::to_owned)
+}
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only a part of this module")]
 
 pub(crate) mod caller_requests;
+pub(crate) mod flooding_endpoint;
 pub(crate) mod site;
 
 use std::net::SocketAddr;
