fix: a server whose bytes bring no head and no part of a body is closed

Callers of an endpoint that repeats informational heads, or the digits or blanks of a chunk size, without end waited until their deadline (5 s) and got 504 or a stream that brought nothing; the one thread of callers was busy with these bytes, so that others got no answer in time either:

Cause: the HTTP client limits a head, an extension and trailers, but skips informational heads and reads chunk sizes without any limit.

The pool's connections now count what arrives since the last head or part of a body. Each data frame and head starts the count anew, so neither silence nor the length of an answer matters. It holds for all that goes through the pool: attempts, carried requests, calls to boxes and peers, and the store.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -54,6 +54,7 @@
     pub(crate) mod connection_gate;
     pub(crate) mod endpoint_backpressure;
     pub(crate) mod endpoint_rate_limits;
+    pub(crate) mod fruitless_bytes;
     pub(crate) mod idle_connections;
     pub(crate) mod idle_time;
     pub(crate) mod known_rate_limit;
@@ -225,6 +226,7 @@
 pub use requests::endpoint_rate_limits::{
     EndpointRateLimits, ObservedRateLimit, RateLimitOwner, RateLimitRecipient, RateLimitStep,
 };
+pub use requests::fruitless_bytes::{MAX_FRUITLESS_BYTES, are_too_many_fruitless_bytes};
 pub use requests::idle_connections::{DEFAULT_IDLE_CONNECTIONS, max_idle_connections};
 pub use requests::idle_time::IdleTime;
 pub use requests::leaving_incarnations::LeavingIncarnations;
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -23,6 +23,7 @@
 
 use cherrystand_core::{AttemptEnd, DEFAULT_IDLE_CONNECTIONS};
 
+use crate::received_bytes::{CountedStream, ReceivedBytes};
 use crate::{MAX_HEAD_BYTES, since_boot};
 
 /// The reason why a request failed before its answer began.
@@ -129,6 +130,8 @@
     address: SocketAddr,
     send: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    /// What arrived since the last part of an answer.
+    received: ReceivedBytes,
     /// By the clock that includes suspended time, because servers close idle connections meanwhile.
     idle_since: Duration,
     /// For how long it may be idle before it is no longer used.
@@ -296,8 +299,10 @@
         mut conn: Connection,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<PooledBody>, (SendError, Option<Request<Full<Bytes>>>)> {
+        conn.received.record_part();
         match conn.send.try_send_request(req).await {
             Ok(answer) => {
+                conn.received.record_part();
                 conn.idle_timeout = idle_timeout(answer.headers());
                 Ok(answer.map(|body| PooledBody { body, conn: Some(conn), pool: self.clone() }))
             }
@@ -321,6 +326,8 @@
         .map_err(|source| SendError::Connect { address, source })?;
     // Without Nagle's algorithm small requests are sent at once. A failure here only adds latency.
     let _ = stream.set_nodelay(true);
+    let received = ReceivedBytes::default();
+    let stream = CountedStream::new(stream, received.clone());
     let mut http = http1::Builder::new();
     let handshake = http.max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
     let (send, conn) = handshake.await.map_err(SendError::NotSent)?;
@@ -335,6 +342,7 @@
         address,
         send,
         driver,
+        received,
         idle_since: since_boot(),
         idle_timeout: MAX_IDLE_TIME,
         max_idle,
@@ -364,6 +372,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let (Poll::Ready(Some(Ok(_))), Some(conn)) = (&polled, &self.conn) {
+            conn.received.record_part();
+        }
         let ended = matches!(polled, Poll::Ready(None)) || self.body.is_end_stream();
         if ended && let Some(conn) = self.conn.take() {
             self.pool.release(conn);
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -21,6 +21,7 @@
 mod kept_connection;
 mod key_value;
 mod platform_client;
+mod received_bytes;
 mod reopening_listener;
 mod requested_backoff;
 mod site_driver;
