fix: a stream that brings no event any more is broken off and resumed elsewhere

A replica that sends comments, blank lines, unknown fields or one event again and again held its caller until the deadline, and no other replica was asked:

An event that was too large also left the replica in the choice.

What stands in the place of events and brings none is now limited to the size of one event since the last new one. A new event, by a higher id or by data without an id, starts the count anew, so the length of a stream has no limit. The replica counts as failed and leaves the choice for a while.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -117,6 +117,7 @@
     pub(crate) mod engine_priority;
     pub(crate) mod engine_spec;
     pub(crate) mod evacuations;
+    pub(crate) mod event_progress;
     pub(crate) mod event_splitter;
     pub(crate) mod fingerprint;
     pub(crate) mod formation;
@@ -254,6 +255,7 @@
 pub use site::engine_priority::{engine_priority, is_deferred};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::evacuations::{EvacuatedZones, Evacuations};
+pub use site::event_progress::EventProgress;
 pub use site::event_splitter::{EventSplitter, MAX_EVENT_BYTES, StreamEvent};
 pub use site::fingerprint::Fingerprint;
 pub use site::formation::{Formation, FormationInput, FormationStep, replica_name};
--- a/crates/cherrystand_core/src/site/event_splitter.rs
+++ b/crates/cherrystand_core/src/site/event_splitter.rs
@@ -14,6 +14,14 @@
     pub id: Option<u64>,
 }
 
+impl StreamEvent {
+    /// Returns whether it has a field `data`.
+    pub fn has_data(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.any(|line| line.starts_with(b"data:") || line.trim_ascii_end() == b"data")
+    }
+}
+
 /// Buffers bytes until an event is complete.
 ///
 /// Callers are sent only complete events, so that a stream that breaks off can continue at another
--- a/crates/cherrystand_core/tests/endless_answers.rs
+++ b/crates/cherrystand_core/tests/endless_answers.rs
@@ -1,9 +1,49 @@
 //! How many bytes of a server may bring nothing.
 
-use cherrystand_core::{MAX_FRUITLESS_BYTES, are_too_many_fruitless_bytes};
+use bytes::Bytes;
+use cherrystand_core::{
+    EventProgress, EventSplitter, MAX_EVENT_BYTES, MAX_FRUITLESS_BYTES,
+    are_too_many_fruitless_bytes,
+};
 
 #[test]
 fn fruitless_bytes_have_a_limit() {
     assert!(!are_too_many_fruitless_bytes(MAX_FRUITLESS_BYTES));
     assert!(are_too_many_fruitless_bytes(MAX_FRUITLESS_BYTES + 1));
 }
+
+#[test]
+fn a_stream_is_cut_for_what_brings_no_event_and_never_for_its_length() {
+    struct Case {
+        name: &'static str,
+        part: fn(usize) -> String,
+        is_fruitless: bool,
+    }
+    let cases = [
+        Case { name: "events", part: |at| format!("id: {at}\ndata: a\n\n"), is_fruitless: false },
+        Case { name: "events without an id", part: |_| "data: a\n\n".into(), is_fruitless: false },
+        Case {
+            name: "events between comments",
+            part: |at| format!(": abc\n\nid: {at}\ndata: a\r\n\r\n"),
+            is_fruitless: false,
+        },
+        Case { name: "comments", part: |_| ": data: a\n\n".into(), is_fruitless: true },
+        Case { name: "blank lines", part: |_| "\n".into(), is_fruitless: true },
+        Case { name: "unknown fields", part: |_| "database: a\n\n".into(), is_fruitless: true },
+        Case { name: "one event", part: |_| "id: 7\ndata: a\n\n".into(), is_fruitless: true },
+    ];
+    for case in cases {
+        let (mut splitter, mut progress) = (EventSplitter::default(), EventProgress::default());
+        for at in 0..=MAX_EVENT_BYTES {
+            splitter.push((case.part)(at).as_bytes());
+            while let Some(event) = splitter.next_event() {
+                progress.record(&event);
+            }
+        }
+        assert_eq!(progress.is_fruitless(), case.is_fruitless, "{}", case.name);
+        splitter.push(&Bytes::from_static(b"id: 9999999\ndata: a\n\n"));
+        let event = splitter.next_event().expect("an event");
+        progress.record(&event);
+        assert!(!progress.is_fruitless(), "{}: a new event", case.name);
+    }
+}
--- a/crates/cherrystandd/src/site/replica_stream.rs
+++ b/crates/cherrystandd/src/site/replica_stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cherrystand_core::{
-    AttemptEnd, EventSplitter, MAX_EVENT_BYTES, Millis, StreamEnd, StreamEvent,
+    AttemptEnd, EventProgress, EventSplitter, MAX_EVENT_BYTES, Millis, StreamEnd, StreamEvent,
 };
 use cherrystand_platform::PooledBody;
 use http_body_util::BodyExt;
@@ -34,6 +34,7 @@
     /// The attempt that brings it.
     pub(crate) attempt: Rc<ActiveAttempt>,
     splitter: EventSplitter,
+    progress: EventProgress,
     /// When anything of it last arrived.
     pub(crate) received_at: Millis,
     /// When the caller last read on after not having read for long.
@@ -45,8 +46,15 @@
     pub(crate) fn new(frontend: Rc<Frontend>, started: StartedAnswer) -> Self {
         let received_at = frontend.now();
         let StartedAnswer { body, attempt, .. } = started;
-        let splitter = EventSplitter::default();
-        Self { frontend, body, attempt, splitter, received_at, caller_resumed_at: None }
+        Self {
+            frontend,
+            body,
+            attempt,
+            splitter: EventSplitter::default(),
+            progress: EventProgress::default(),
+            received_at,
+            caller_resumed_at: None,
+        }
     }
 
     /// Waits for what follows the event with the id `last_event_id`.
@@ -87,6 +95,7 @@
     fn complete_events(&mut self, mut last_event_id: Option<u64>) -> Option<StreamStep> {
         let mut out: Vec<Bytes> = Vec::new();
         while let Some(event) = self.splitter.next_event() {
+            self.progress.record(&event);
             if is_next(&event, last_event_id) {
                 last_event_id = event.id.or(last_event_id);
                 out.push(event.bytes);
@@ -97,7 +106,9 @@
                 return Some(StreamStep::Broken(AttemptEnd::AnswerCut));
             }
         }
-        if self.splitter.buffered_bytes() > MAX_EVENT_BYTES {
+        if self.splitter.buffered_bytes() > MAX_EVENT_BYTES || self.progress.is_fruitless() {
+            self.attempt.failed();
+            self.attempt.eject();
             return Some(StreamStep::Broken(AttemptEnd::AnswerCut));
         }
         match out.len() {
