fix: answers of unknown length that wait for each other's memory don't wait for ever

Several whole answers without a length and without end filled the memory for bodies together. Each waited for the rest, none reached the limit at which it ends, and all held the memory until their deadlines:

Cause: an answer holds memory while it waits for more (hold and wait).

If two or more such answers wait, and hold a quarter of the memory together, the largest of those that wait ends, as one that may have run. So some answer always goes on, and the endless ones end one after the other. An answer that waits alone waits as before, also a large one, and one with an announced length holds nothing while it waits.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -73,6 +73,7 @@
     pub(crate) mod send_permit;
     pub(crate) mod typical_latency;
     pub(crate) mod wait_queue;
+    pub(crate) mod waiting_answers;
 }
 
 mod nodes {
@@ -245,6 +246,7 @@
 pub use requests::send_permit::SendPermit;
 pub use requests::typical_latency::TypicalLatency;
 pub use requests::wait_queue::{MAX_QUEUE_WAIT, WaitQueue};
+pub use requests::waiting_answers::{WaitingAnswer, WaitingAnswers};
 pub use site::allowed_regions::AllowedRegions;
 pub use site::attempt_ledger::{AttemptLedger, FinalFailure};
 pub use site::box_incarnations::BoxIncarnations;
--- a/crates/cherrystand_core/tests/endless_answers.rs
+++ b/crates/cherrystand_core/tests/endless_answers.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use cherrystand_core::{
-    EventProgress, EventSplitter, MAX_EVENT_BYTES, MAX_FRUITLESS_BYTES,
+    EventProgress, EventSplitter, MAX_EVENT_BYTES, MAX_FRUITLESS_BYTES, WaitingAnswers,
     are_too_many_fruitless_bytes,
 };
 
@@ -47,3 +47,31 @@
         assert!(!progress.is_fruitless(), "{}: a new event", case.name);
     }
 }
+
+#[test]
+fn the_largest_of_several_answers_that_wait_for_memory_ends() {
+    struct Case {
+        name: &'static str,
+        held: &'static [usize],
+        ends: Option<usize>,
+    }
+    let cases = [
+        Case { name: "one alone", held: &[99], ends: None },
+        Case { name: "one and others that hold nothing", held: &[99, 0, 0], ends: None },
+        Case { name: "two small ones", held: &[12, 13], ends: None },
+        Case { name: "two large ones", held: &[50, 40], ends: Some(0) },
+        Case { name: "two as large", held: &[30, 30], ends: Some(1) },
+        Case { name: "a large one and small ones", held: &[1, 70, 2], ends: Some(1) },
+        Case { name: "many small ones", held: &[4; 24], ends: Some(23) },
+    ];
+    for case in cases {
+        let mut waiting = WaitingAnswers::default();
+        let answers: Vec<_> = case.held.iter().map(|bytes| waiting.begin(*bytes)).collect();
+        let ends = |waiting: &WaitingAnswers| {
+            answers.iter().position(|answer| waiting.must_end(*answer, 100))
+        };
+        assert_eq!(ends(&waiting), case.ends, "{}", case.name);
+        answers.iter().for_each(|answer| waiting.end(*answer));
+        assert_eq!(ends(&waiting), None, "{}: nobody waits", case.name);
+    }
+}
--- a/crates/cherrystand_platform/src/buffer_budget.rs
+++ b/crates/cherrystand_platform/src/buffer_budget.rs
@@ -1,8 +1,9 @@
 //! The memory budget for buffered requests and answers.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use cherrystand_core::{WaitingAnswer, WaitingAnswers};
 use tokio::sync::Notify;
 
 /// Counts and limits the bytes of requests and answers that a daemon buffers for slow callers and endpoints.
@@ -14,8 +15,14 @@
     used: Arc<AtomicUsize>,
     capacity: usize,
     freed: Arc<Notify>,
+    waiting: Arc<Mutex<WaitingAnswers>>,
 }
 
+/// Answers that hold memory wait for each other, and this one is the largest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("answers that hold memory wait for each other")]
+pub struct MemoryContended;
+
 /// A reserved part of a [`BufferBudget`], released on drop.
 #[derive(Debug)]
 #[must_use = "the reservation is released when this is dropped"]
@@ -27,7 +34,7 @@
 impl BufferBudget {
     /// Creates a budget of `capacity` bytes whose usage is counted in `used`.
     pub fn new(capacity: usize, used: Arc<AtomicUsize>) -> Self {
-        Self { used, capacity, freed: Arc::default() }
+        Self { used, capacity, freed: Arc::default(), waiting: Arc::default() }
     }
 
     /// Returns the number of bytes in use.
@@ -69,6 +76,52 @@
             freed.await;
         }
     }
+
+    /// Reserves bytes for an answer that holds `held` bytes already, waiting until they fit.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MemoryContended`] if the answer has to end so that others go on.
+    pub async fn reserve_more(
+        &self,
+        held: usize,
+        bytes: usize,
+    ) -> Result<BufferReservation, MemoryContended> {
+        if let Some(reservation) = self.try_reserve(bytes) {
+            return Ok(reservation);
+        }
+        let waiting = Waiting { budget: self, answer: self.waiting().begin(held) };
+        // The others may have to end now.
+        self.freed.notify_waiters();
+        loop {
+            let freed = self.freed.notified();
+            tokio::pin!(freed);
+            freed.as_mut().enable();
+            if let Some(reservation) = self.try_reserve(bytes) {
+                return Ok(reservation);
+            }
+            if self.waiting().must_end(waiting.answer, self.capacity) {
+                return Err(MemoryContended);
+            }
+            freed.await;
+        }
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, WaitingAnswers> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An answer that waits for memory until this is dropped.
+struct Waiting<'b> {
+    budget: &'b BufferBudget,
+    answer: WaitingAnswer,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.budget.waiting().end(self.answer);
+    }
 }
 
 impl BufferReservation {
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -30,7 +30,7 @@
 pub use advertised_limit::AdvertisedLimit;
 pub use body_buffer::BodyBuffer;
 pub use boot_time::{advance_clock, since_boot};
-pub use buffer_budget::{BufferBudget, BufferReservation};
+pub use buffer_budget::{BufferBudget, BufferReservation, MemoryContended};
 pub use caller_body::{CallerBody, CallerDisconnected, EventSender, IncompleteAnswer};
 pub use connection_intake::{ConnectionEnd, ConnectionIntake, NotTaken, TakenConnection};
 pub use endpoint_pool::EndpointPool;
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -155,26 +155,27 @@
     buffer_budget: &BufferBudget,
 ) -> Result<(Bytes, BufferReservation), AttemptEnd> {
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let mut read = BodyBuffer::new(reserve(buffer_budget, announced, announced).await?);
+    check_fits(buffer_budget, announced)?;
+    let mut read = BodyBuffer::new(buffer_budget.reserve(announced).await);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| AttemptEnd::AnswerCut)?;
         let Ok(data) = frame.into_data() else { continue };
-        let more =
-            reserve(buffer_budget, read.additional_needed(&data), read.len() + data.len()).await?;
+        check_fits(buffer_budget, read.len() + data.len())?;
+        let more = buffer_budget.reserve_more(read.len(), read.additional_needed(&data)).await;
+        let more = more.map_err(|err| {
+            log::warn!(bytes = read.len() as u64; "an answer ends early: {err}");
+            AttemptEnd::AnswerCut
+        })?;
         read.push(&data, more);
     }
     Ok(read.finish())
 }
 
-/// Waits for memory for `more` bytes of an answer that has `total` bytes with them.
-async fn reserve(
-    buffer_budget: &BufferBudget,
-    more: usize,
-    total: usize,
-) -> Result<BufferReservation, AttemptEnd> {
-    if !buffer_budget.fits_when_empty(total) {
-        log::warn!(bytes = total as u64; "an answer exceeds the memory limit for buffered bodies");
-        return Err(AttemptEnd::AnswerCut);
+/// Fails if an answer of so many bytes can never fit into memory.
+fn check_fits(buffer_budget: &BufferBudget, bytes: usize) -> Result<(), AttemptEnd> {
+    if buffer_budget.fits_when_empty(bytes) {
+        return Ok(());
     }
-    Ok(buffer_budget.reserve(more).await)
+    log::warn!(bytes = bytes as u64; "an answer exceeds the memory limit for buffered bodies");
+    Err(AttemptEnd::AnswerCut)
 }
