fix: answers to short calls to boxes and peers are limited to 1 MB

A box whose report, health or order answer has no end had the daemon hold 32 MB a call, the limit for the platform's lists; a few of them at a time are all memory of a small machine.

Cause: one limit for the answers of the store and for those of boxes, of which many are read at the same time. These are small by the protocol; they have a limit of their own now. The call ends with the error that it had before.

--- a/crates/cherrystand_platform/src/engine_client.rs
+++ b/crates/cherrystand_platform/src/engine_client.rs
@@ -7,7 +7,7 @@
 use cherrystand_core::{EngineReport, Epoch, Order};
 use hyper::{Method, StatusCode};
 
-use crate::{CallError, HttpPool, call, to_json};
+use crate::{CallError, HttpPool, call_box, to_json};
 
 /// Timeout of a call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -45,9 +45,15 @@
     ///
     /// Returns an [`EngineError`] if the engine does not answer in time.
     pub async fn report(&self, address: SocketAddr) -> Result<EngineReport, EngineError> {
-        let answer =
-            call(&self.pool, address, Method::GET, "/engine/report", Bytes::new(), CALL_TIMEOUT)
-                .await?;
+        let answer = call_box(
+            &self.pool,
+            address,
+            Method::GET,
+            "/engine/report",
+            Bytes::new(),
+            CALL_TIMEOUT,
+        )
+        .await?;
         match answer.status {
             StatusCode::OK => Ok(answer.json()?),
             status => Err(EngineError::Status(status.as_u16())),
@@ -62,7 +68,8 @@
     pub async fn order(&self, address: SocketAddr, order: &Order) -> Result<(), EngineError> {
         let body = to_json(order)?;
         let answer =
-            call(&self.pool, address, Method::POST, "/engine/order", body, CALL_TIMEOUT).await?;
+            call_box(&self.pool, address, Method::POST, "/engine/order", body, CALL_TIMEOUT)
+                .await?;
         match answer.status {
             StatusCode::OK => Ok(()),
             StatusCode::CONFLICT => Err(EngineError::Fenced(order.epoch)),
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -15,6 +15,9 @@
 /// Maximum size of an answer, in bytes; the platform's lists are the largest answers.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
+/// Maximum size of an answer of a box or a peer to a short call, in bytes. Many are read at the same time.
+const MAX_BOX_ANSWER_BYTES: usize = 1 << 20;
+
 /// Connecting may take the call's timeout divided by this, so that a failure to connect can be told
 /// from a missing answer.
 const CONNECT_TIMEOUT_DIVISOR: u32 = 2;
@@ -77,8 +80,37 @@
 ) -> Result<Answer, CallError> {
     let request = BoxCall { method, path: path.to_owned(), headers: HeaderMap::new(), body };
     let req = request.into_request(address)?;
-    let exchange =
-        async { read_answer(pool.send(address, req, connect_timeout(timeout)).await?).await };
+    call_within(pool, address, req, timeout, MAX_ANSWER_BYTES).await
+}
+
+/// Makes a call as [`call`] does to a box or a peer, whose answers are small.
+///
+/// # Errors
+///
+/// Returns the errors of [`call`].
+pub async fn call_box(
+    pool: &HttpPool,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Bytes,
+    timeout: Duration,
+) -> Result<Answer, CallError> {
+    let request = BoxCall { method, path: path.to_owned(), headers: HeaderMap::new(), body };
+    let req = request.into_request(address)?;
+    call_within(pool, address, req, timeout, MAX_BOX_ANSWER_BYTES).await
+}
+
+async fn call_within(
+    pool: &HttpPool,
+    address: SocketAddr,
+    req: Request<Full<Bytes>>,
+    timeout: Duration,
+    max_bytes: usize,
+) -> Result<Answer, CallError> {
+    let exchange = async {
+        read_limited(pool.send(address, req, connect_timeout(timeout)).await?, max_bytes).await
+    };
     let outcome = tokio::time::timeout(timeout, exchange).await;
     outcome.unwrap_or(Err(CallError::TimedOut(timeout)))
 }
@@ -173,14 +205,18 @@
     }
 }
 
-/// Reads a whole answer.
+/// Reads a whole answer of a box.
 ///
 /// # Errors
 ///
 /// Returns [`CallError::AnswerInterrupted`] if it ends early or is too large.
 pub async fn read_answer(answer: Response<PooledBody>) -> Result<Answer, CallError> {
+    read_limited(answer, MAX_BOX_ANSWER_BYTES).await
+}
+
+async fn read_limited(answer: Response<PooledBody>, max_bytes: usize) -> Result<Answer, CallError> {
     let (head, body) = answer.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES)
+    let body = Limited::new(body, max_bytes)
         .collect()
         .await
         .map_err(|err| CallError::AnswerInterrupted(err.to_string()))?
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -40,8 +40,8 @@
 pub use http_server::{CallerAddress, MAX_HEAD_BYTES, serve_http, serve_through};
 pub use inventory::{BoxList, Inventory};
 pub use json_call::{
-    Answer, AnswerProgress, CallError, CallLimits, call, call_while_arriving, connect_timeout,
-    read_answer, to_json,
+    Answer, AnswerProgress, CallError, CallLimits, call, call_box, call_while_arriving,
+    connect_timeout, read_answer, to_json,
 };
 pub use key_value::{Changes, KeyValue, Lease, MAX_VALUE_BYTES, PlatformError, Swap};
 pub use platform_client::{PlatformClient, WireLease, WireRecord, WireRecords, WireRevision};
--- a/crates/cherrystandd/src/site/carrier_client.rs
+++ b/crates/cherrystandd/src/site/carrier_client.rs
@@ -7,7 +7,7 @@
     BoxId, CarrierFailure, CarrierRegions, Heartbeat, NodeId, PathSearch, ReachReport, ZoneId,
 };
 use cherrystand_peer::{CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachQuery, decode, encode};
-use cherrystand_platform::{HttpPool, PooledBody, SendError, call};
+use cherrystand_platform::{HttpPool, PooledBody, SendError, call_box};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
@@ -180,8 +180,14 @@
     async fn query(&self, carrier: &CarrierPeer, id: &BoxId) -> Option<ReachReport> {
         let query = encode(&ReachQuery { endpoint: id.clone() });
         let body = query.inspect_err(|err| log::error!("a query cannot be encoded: {err}")).ok()?;
-        let answer =
-            call(&self.pool, carrier.address, Method::POST, REACH_PATH, body.into(), REACH_TIMEOUT);
+        let answer = call_box(
+            &self.pool,
+            carrier.address,
+            Method::POST,
+            REACH_PATH,
+            body.into(),
+            REACH_TIMEOUT,
+        );
         let answer = answer.await.inspect_err(|err| {
             log::debug!(peer = carrier.node.as_str(); "a peer did not say what it reaches: {err}");
         });
