fix: a whole answer in tiny parts without end is ended before its deadline

Six answers without end in chunks of 8 bytes each ended with 504 at the deadline although answers that wait for each other's memory end by now:

a chunked body: a flooded request took 5.004291628s a chunked body: flooded-0 got 504 Gateway Timeout a chunked body: 0 of 6 floods are closed after 5.004466767s

Cause: reading tiny parts takes so much time that the answer never reaches the limit of memory, the only one that it had.

A whole answer may now come in 65,536 parts, or in any number of parts that have 64 bytes on average. Streams have no such limit. A test guards that a sound answer of 25 MB without a length still passes (the memory for bodies is 32 MB).

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -71,6 +71,7 @@
     pub(crate) mod router;
     pub(crate) mod seeded_rng;
     pub(crate) mod send_permit;
+    pub(crate) mod small_parts;
     pub(crate) mod typical_latency;
     pub(crate) mod wait_queue;
     pub(crate) mod waiting_answers;
@@ -244,6 +245,7 @@
 pub use requests::router::{EndpointKey, EndpointSpec, GroupKey, NoEndpoint, Router};
 pub use requests::seeded_rng::{SeededRng, hash_bytes, mix};
 pub use requests::send_permit::SendPermit;
+pub use requests::small_parts::{MAX_SMALL_PARTS, are_too_many_small_parts};
 pub use requests::typical_latency::TypicalLatency;
 pub use requests::wait_queue::{MAX_QUEUE_WAIT, WaitQueue};
 pub use requests::waiting_answers::{WaitingAnswer, WaitingAnswers};
--- a/crates/cherrystand_core/tests/endless_answers.rs
+++ b/crates/cherrystand_core/tests/endless_answers.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use cherrystand_core::{
-    EventProgress, EventSplitter, MAX_EVENT_BYTES, MAX_FRUITLESS_BYTES, WaitingAnswers,
-    are_too_many_fruitless_bytes,
+    EventProgress, EventSplitter, MAX_EVENT_BYTES, MAX_FRUITLESS_BYTES, MAX_SMALL_PARTS,
+    WaitingAnswers, are_too_many_fruitless_bytes, are_too_many_small_parts,
 };
 
 #[test]
@@ -12,6 +12,26 @@
     assert!(are_too_many_fruitless_bytes(MAX_FRUITLESS_BYTES + 1));
 }
 
+#[test]
+fn an_answer_has_a_limit_of_small_parts_and_none_of_others() {
+    struct Case {
+        parts: usize,
+        part_bytes: usize,
+        are_too_many: bool,
+    }
+    let cases = [
+        Case { parts: 0, part_bytes: 0, are_too_many: false },
+        Case { parts: MAX_SMALL_PARTS, part_bytes: 1, are_too_many: false },
+        Case { parts: MAX_SMALL_PARTS + 1, part_bytes: 1, are_too_many: true },
+        Case { parts: MAX_SMALL_PARTS + 1, part_bytes: 63, are_too_many: true },
+        Case { parts: MAX_SMALL_PARTS * 100, part_bytes: 64, are_too_many: false },
+    ];
+    for Case { parts, part_bytes, are_too_many } in cases {
+        let decided = are_too_many_small_parts(parts, parts * part_bytes);
+        assert_eq!(decided, are_too_many, "{parts} of {part_bytes}");
+    }
+}
+
 #[test]
 fn a_stream_is_cut_for_what_brings_no_event_and_never_for_its_length() {
     struct Case {
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_core::{AttemptEnd, Outcome, SendPermit};
+use cherrystand_core::{AttemptEnd, Outcome, SendPermit, are_too_many_small_parts};
 use cherrystand_platform::{
     BodyBuffer, BufferBudget, BufferReservation, PooledBody, SendError, SiteDriver,
 };
@@ -157,9 +157,15 @@
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     check_fits(buffer_budget, announced)?;
     let mut read = BodyBuffer::new(buffer_budget.reserve(announced).await);
+    let mut parts = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| AttemptEnd::AnswerCut)?;
         let Ok(data) = frame.into_data() else { continue };
+        parts += 1;
+        if are_too_many_small_parts(parts, read.len()) {
+            log::warn!(bytes = read.len() as u64; "an answer comes in too many small parts");
+            return Err(AttemptEnd::AnswerCut);
+        }
         check_fits(buffer_budget, read.len() + data.len())?;
         let more = buffer_budget.reserve_more(read.len(), read.additional_needed(&data)).await;
         let more = more.map_err(|err| {
--- a/crates/cherrystandd/tests/endless_answers.rs
+++ b/crates/cherrystandd/tests/endless_answers.rs
@@ -9,7 +9,7 @@
 use support::caller_requests::{
     describe_failures, prefix_with_case, run_cases, send_request, send_to_all,
 };
-use support::flooding_endpoint::{FLOODED, Flood, FloodingEndpoint};
+use support::flooding_endpoint::{FLOODED, Flood, FloodingEndpoint, WRITE_BYTES};
 use support::site::{MODEL_PATH, SERVICE_PATH, Site};
 
 /// How many flooded requests are open at the same time.
@@ -43,11 +43,11 @@
 }
 
 const fn case(name: &'static str, start: &'static str, repeated: &'static str) -> Case {
-    Case { name, path: SERVICE_PATH, flood: Flood { start, repeated }, status: 502 }
+    Case { name, path: SERVICE_PATH, flood: Flood { start, repeated, writes: None }, status: 502 }
 }
 
 const fn stream(name: &'static str, start: &'static str, repeated: &'static str) -> Case {
-    Case { name, path: MODEL_PATH, flood: Flood { start, repeated }, status: 502 }
+    Case { name, path: MODEL_PATH, flood: Flood { start, repeated, writes: None }, status: 502 }
 }
 
 const HEADS: [Case; 9] = [
@@ -109,19 +109,39 @@
     });
 }
 
-/// Floods some requests while others are served, and returns what was wrong.
-async fn play(case: &Case) -> Vec<String> {
-    let mut site = Site::serving(1).await;
+/// Has all endpoints flood requests from now on.
+async fn flood_all(site: &Site, flood: Flood) -> Vec<FloodingEndpoint> {
     let mut floods = Vec::new();
-    for id in
-        ["a-1", "a-2"].map(str::to_owned).into_iter().chain(site.stand_in.leaders().into_keys())
-    {
+    let leaders = site.stand_in.leaders().into_keys();
+    for id in ["a-1", "a-2"].map(str::to_owned).into_iter().chain(leaders) {
         let address = site.stand_in.address_of(&id).expect("an address");
-        let flooding = FloodingEndpoint::open(address, case.flood).await;
+        let flooding = FloodingEndpoint::open(address, flood).await;
         site.stand_in.set_address(&id, flooding.address);
         floods.push(flooding);
     }
+    // The daemon learns the addresses meanwhile.
     tokio::time::sleep(Duration::from_millis(300)).await;
+    floods
+}
+
+#[test]
+fn a_sound_answer_that_takes_most_of_the_memory_for_bodies_is_passed_on() {
+    /// Of 32 MB.
+    const WRITES: u32 = 400;
+    support::run(async {
+        let site = Site::serving(1).await;
+        let flood = Flood { start: head!(""), repeated: "abcdefgh", writes: Some(WRITES) };
+        flood_all(&site, flood).await;
+        let asked = send_request(&site.nodes[0], SERVICE_PATH, format!("{FLOODED}1")).await;
+        assert_eq!(asked.answer.status, 200, "after {:?}", asked.elapsed);
+        assert_eq!(asked.answer.body.len(), WRITES as usize * WRITE_BYTES);
+    });
+}
+
+/// Floods some requests while others are served, and returns what was wrong.
+async fn play(case: &Case) -> Vec<String> {
+    let mut site = Site::serving(1).await;
+    let floods = flood_all(&site, case.flood).await;
     let node = &site.nodes[0];
     let began = Instant::now();
     let flooded = join_all((0..FLOODED_REQUESTS).map(|number| async move {
--- a/crates/cherrystandd/tests/support/flooding_endpoint.rs
+++ b/crates/cherrystandd/tests/support/flooding_endpoint.rs
@@ -11,7 +11,7 @@
 pub(crate) const FLOODED: &str = "flooded-";
 
 /// The size of one write.
-const WRITE_BYTES: usize = 64 << 10;
+pub(crate) const WRITE_BYTES: usize = 64 << 10;
 
 /// What a flooded request is answered with.
 #[derive(Clone, Copy, Debug)]
@@ -20,6 +20,8 @@
     pub(crate) start: &'static str,
     /// What follows again and again until the caller closes.
     pub(crate) repeated: &'static str,
+    /// After how many writes it ends and closes, if it does.
+    pub(crate) writes: Option<u32>,
 }
 
 /// Stands before an endpoint: it floods the requests with ids that ask for it and forwards all others.
@@ -76,7 +78,9 @@
         let start = flood.start.replace("{id}", id);
         let repeated = flood.repeated.repeat(WRITE_BYTES / flood.repeated.len());
         let mut written = caller.write_all(start.as_bytes()).await;
-        while written.is_ok() {
+        let mut writes = 0;
+        while written.is_ok() && flood.writes.is_none_or(|all| writes < all) {
+            writes += 1;
             written = caller.write_all(repeated.as_bytes()).await;
             tokio::task::yield_now().await;
         }
