--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -54,6 +54,7 @@
     pub(crate) mod connection_gate;
     pub(crate) mod endpoint_backpressure;
     pub(crate) mod endpoint_rate_limits;
+    pub(crate) mod fruitless_bytes;
     pub(crate) mod idle_connections;
     pub(crate) mod idle_time;
     pub(crate) mod known_rate_limit;
@@ -70,8 +71,10 @@
     pub(crate) mod router;
     pub(crate) mod seeded_rng;
     pub(crate) mod send_permit;
+    pub(crate) mod small_parts;
     pub(crate) mod typical_latency;
     pub(crate) mod wait_queue;
+    pub(crate) mod waiting_answers;
 }
 
 mod nodes {
@@ -116,6 +119,7 @@
     pub(crate) mod engine_priority;
     pub(crate) mod engine_spec;
     pub(crate) mod evacuations;
+    pub(crate) mod event_progress;
     pub(crate) mod event_splitter;
     pub(crate) mod fingerprint;
     pub(crate) mod formation;
@@ -227,6 +231,7 @@
 pub use requests::endpoint_rate_limits::{
     EndpointRateLimits, ObservedRateLimit, RateLimitOwner, RateLimitRecipient, RateLimitStep,
 };
+pub use requests::fruitless_bytes::{MAX_FRUITLESS_BYTES, are_too_many_fruitless_bytes};
 pub use requests::idle_connections::{DEFAULT_IDLE_CONNECTIONS, max_idle_connections};
 pub use requests::idle_time::IdleTime;
 pub use requests::leaving_incarnations::LeavingIncarnations;
@@ -242,8 +247,10 @@
 pub use requests::router::{EndpointKey, EndpointSpec, GroupKey, NoEndpoint, Router};
 pub use requests::seeded_rng::{SeededRng, hash_bytes, mix};
 pub use requests::send_permit::SendPermit;
+pub use requests::small_parts::{MAX_SMALL_PARTS, are_too_many_small_parts};
 pub use requests::typical_latency::TypicalLatency;
 pub use requests::wait_queue::{MAX_QUEUE_WAIT, WaitQueue};
+pub use requests::waiting_answers::{WaitingAnswer, WaitingAnswers};
 pub use site::allowed_regions::AllowedRegions;
 pub use site::attempt_ledger::{AttemptLedger, FinalFailure};
 pub use site::box_incarnations::BoxIncarnations;
@@ -254,6 +261,7 @@
 pub use site::engine_priority::{engine_priority, is_deferred};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::evacuations::{EvacuatedZones, Evacuations};
+pub use site::event_progress::EventProgress;
 pub use site::event_splitter::{EventSplitter, MAX_EVENT_BYTES, StreamEvent};
 pub use site::fingerprint::Fingerprint;
 pub use site::formation::{Formation, FormationInput, FormationStep, replica_name};
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -21,6 +21,7 @@
 mod kept_connection;
 mod key_value;
 mod platform_client;
+mod received_bytes;
 mod reopening_listener;
 mod requested_backoff;
 mod site_driver;
@@ -29,7 +30,7 @@
 pub use advertised_limit::AdvertisedLimit;
 pub use body_buffer::BodyBuffer;
 pub use boot_time::{advance_clock, since_boot};
-pub use buffer_budget::{BufferBudget, BufferReservation};
+pub use buffer_budget::{BufferBudget, BufferReservation, MemoryContended};
 pub use caller_body::{CallerBody, CallerDisconnected, EventSender, IncompleteAnswer};
 pub use connection_intake::{ConnectionEnd, ConnectionIntake, NotTaken, TakenConnection};
 pub use endpoint_pool::EndpointPool;
@@ -39,8 +40,8 @@
 pub use http_server::{CallerAddress, MAX_HEAD_BYTES, serve_http, serve_through};
 pub use inventory::{BoxList, Inventory};
 pub use json_call::{
-    Answer, AnswerProgress, CallError, CallLimits, call, call_while_arriving, connect_timeout,
-    read_answer, to_json,
+    Answer, AnswerProgress, CallError, CallLimits, call, call_box, call_while_arriving,
+    connect_timeout, read_answer, to_json,
 };
 pub use key_value::{Changes, KeyValue, Lease, MAX_VALUE_BYTES, PlatformError, Swap};
 pub use platform_client::{PlatformClient, WireLease, WireRecord, WireRecords, WireRevision};
