fix: nothing in an answer is believed before it names its request

Callers saw requests run twice, or were told 503 though theirs ran, when a replica sent a refusal a second time in the place of the next answer: `check_head` acted on "not executed" and 421 before it compared the id. Orders, reports and health checks read the bare status, `leaving` and cold time of whatever came on connections that carry callers' requests.

One function, `IdentifiedHead::identify`, turns a received head into one that names its request; only that can be read. `AnswerPool` identifies each answer of a box where it arrives, for attempts, resumed streams, calls and both ends of a carrier. An answer of another request closes the connection and ends the attempt as one that may have run (`SendError::ForeignAnswer`). A peer's own word that nothing was sent names the request too.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -113,6 +113,7 @@
     pub(crate) mod domain_draft;
     pub(crate) mod domain_former_assignments;
     pub(crate) mod domain_spares;
+    pub(crate) mod earlier_tries;
     pub(crate) mod engine_priority;
     pub(crate) mod engine_spec;
     pub(crate) mod evacuations;
@@ -249,6 +250,7 @@
 pub use site::cold_boxes::ColdBoxes;
 pub use site::cold_checks::ColdChecks;
 pub use site::crash_suspects::{CrashSuspects, SUSPECT_TTL};
+pub use site::earlier_tries::{ConnectionId, ConnectionUse, EarlierTries};
 pub use site::engine_priority::{engine_priority, is_deferred};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::evacuations::{EvacuatedZones, Evacuations};
--- /dev/null
+++ b/crates/cherrystand_platform/src/identified_answer.rs
@@ -0,0 +1,105 @@
+//! Answers that are shown to belong to the request that they are taken for.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+
+use crate::json_call::MAX_ANSWER_BYTES;
+use crate::{AnswerHeaders, CallError, PooledBody, SiteDriver};
+
+/// The head of an answer that names the request it is taken for.
+///
+/// A server may send an answer once more, late, in the place of the next one; only the name tells them
+/// apart, so nothing else in a head can be read before.
+#[derive(Debug)]
+pub struct IdentifiedHead(Parts);
+
+impl IdentifiedHead {
+    /// Identifies the head of an answer to a request with this name, or to one without. Returns `None`
+    /// if it belongs to another request.
+    pub fn identify<D: SiteDriver>(name: Option<&HeaderValue>, head: Parts) -> Option<Self> {
+        D::is_answer_to(name, &head.headers).then_some(Self(head))
+    }
+
+    /// Returns the status.
+    pub fn status(&self) -> StatusCode {
+        self.0.status
+    }
+
+    /// Returns the headers.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.0.headers
+    }
+
+    /// Takes a header out, which is returned.
+    pub fn remove(&mut self, name: &str) -> Option<HeaderValue> {
+        self.0.headers.remove(name)
+    }
+
+    /// Returns status and headers, to be passed on.
+    pub fn into_parts(self) -> Parts {
+        self.0
+    }
+}
+
+/// An answer whose body is still arriving.
+pub struct IdentifiedAnswer {
+    /// Its head.
+    pub head: IdentifiedHead,
+    /// Its body.
+    pub body: PooledBody,
+}
+
+impl IdentifiedAnswer {
+    /// Identifies an answer. The connection of one to another request is closed.
+    pub(crate) fn identify<D: SiteDriver>(
+        name: Option<&HeaderValue>,
+        answer: Response<PooledBody>,
+    ) -> Option<Self> {
+        let (head, body) = answer.into_parts();
+        match IdentifiedHead::identify::<D>(name, head) {
+            Some(head) => Some(Self { head, body }),
+            None => {
+                body.discard();
+                None
+            }
+        }
+    }
+
+    /// Returns the answer, to be passed on.
+    pub fn into_response(self) -> Response<PooledBody> {
+        Response::from_parts(self.head.into_parts(), self.body)
+    }
+
+    /// Reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::AnswerInterrupted`] if it ends early or is too large.
+    pub async fn read_whole(self) -> Result<WholeAnswer, CallError> {
+        let body = Limited::new(self.body, MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|err| CallError::AnswerInterrupted(err.to_string()))?
+            .to_bytes();
+        Ok(WholeAnswer { head: self.head, body })
+    }
+}
+
+/// An answer that has arrived to its end.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Its head.
+    pub head: IdentifiedHead,
+    /// Its complete body.
+    pub body: Bytes,
+}
+
+impl WholeAnswer {
+    /// Returns what its head says.
+    pub fn signals<D: SiteDriver>(&self) -> AnswerHeaders {
+        D::read_answer(&self.head)
+    }
+}
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -13,7 +13,7 @@
 use crate::{BoxCall, HttpPool, PooledBody, SendError, since_boot};
 
 /// Maximum size of an answer, in bytes; the platform's lists are the largest answers.
-const MAX_ANSWER_BYTES: usize = 32 << 20;
+pub(crate) const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 /// Connecting may take the call's timeout divided by this, so that a failure to connect can be told
 /// from a missing answer.
@@ -174,11 +174,7 @@
 }
 
 /// Reads a whole answer.
-///
-/// # Errors
-///
-/// Returns [`CallError::AnswerInterrupted`] if it ends early or is too large.
-pub async fn read_answer(answer: Response<PooledBody>) -> Result<Answer, CallError> {
+async fn read_answer(answer: Response<PooledBody>) -> Result<Answer, CallError> {
     let (head, body) = answer.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES)
         .collect()
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod adaptive_client;
 mod advertised_limit;
+mod answer_pool;
 mod body_buffer;
 mod boot_time;
 mod buffer_budget;
@@ -16,17 +17,22 @@
 mod holding_body;
 mod http_pool;
 mod http_server;
+mod identified_answer;
 mod inventory;
 mod json_call;
 mod kept_connection;
 mod key_value;
 mod platform_client;
+mod pooled_connection;
 mod reopening_listener;
+mod request_tries;
 mod requested_backoff;
+mod send_error;
 mod site_driver;
 
 pub use adaptive_client::AdaptiveClient;
 pub use advertised_limit::AdvertisedLimit;
+pub use answer_pool::AnswerPool;
 pub use body_buffer::BodyBuffer;
 pub use boot_time::{advance_clock, since_boot};
 pub use buffer_budget::{BufferBudget, BufferReservation};
@@ -35,16 +41,19 @@
 pub use endpoint_pool::EndpointPool;
 pub use engine_client::{EPOCH_HEADER, EngineClient, EngineError, NOT_RUN_HEADER};
 pub use holding_body::HoldingBody;
-pub use http_pool::{HttpPool, IdleSend, OpenConnection, PooledBody, SendError};
+pub use http_pool::{HttpPool, IdleSend, OpenConnection, PooledBody};
 pub use http_server::{CallerAddress, MAX_HEAD_BYTES, serve_http, serve_through};
+pub use identified_answer::{IdentifiedAnswer, IdentifiedHead, WholeAnswer};
 pub use inventory::{BoxList, Inventory};
 pub use json_call::{
     Answer, AnswerProgress, CallError, CallLimits, call, call_while_arriving, connect_timeout,
-    read_answer, to_json,
+    to_json,
 };
 pub use key_value::{Changes, KeyValue, Lease, MAX_VALUE_BYTES, PlatformError, Swap};
 pub use platform_client::{PlatformClient, WireLease, WireRecord, WireRecords, WireRevision};
+pub use request_tries::RequestTries;
 pub use requested_backoff::RequestedBackoff;
+pub use send_error::SendError;
 pub use site_driver::{
     AnswerHeaders, AttemptHeaders, BoxCall, FormatError, RequestHeaders, SiteDriver,
 };
--- a/crates/cherrystand_platform/src/site_driver.rs
+++ b/crates/cherrystand_platform/src/site_driver.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 
-use crate::{AdvertisedLimit, KeyValue, RequestedBackoff};
+use crate::{AdvertisedLimit, IdentifiedHead, KeyValue, RequestedBackoff};
 
 /// A value does not have the format of the platform's protocol.
 #[derive(Debug, thiserror::Error)]
@@ -57,8 +57,6 @@
 /// The values read from the headers of an endpoint's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerHeaders {
-    /// The id of the answered request.
-    pub request: Option<String>,
     /// Whether the endpoint states that it did not run the request.
     pub not_run: bool,
     /// Whether the answer carries a seal, which shows that the endpoint itself wrote it.
@@ -133,8 +131,15 @@
     /// Turns the headers of a caller's request into those of an attempt.
     fn write_attempt(headers: &mut HeaderMap, values: &AttemptHeaders<'_>);
 
+    /// Returns what the answer to a request has to name, or `None` if that is nothing.
+    fn request_name(headers: &HeaderMap) -> Option<HeaderValue>;
+
+    /// Returns whether an answer names the request with this name, and no other. The answer to a
+    /// request without a name names none.
+    fn is_answer_to(name: Option<&HeaderValue>, answer: &HeaderMap) -> bool;
+
     /// Reads the status and the headers of an endpoint's answer.
-    fn read_answer(status: StatusCode, headers: &HeaderMap) -> AnswerHeaders;
+    fn read_answer(head: &IdentifiedHead) -> AnswerHeaders;
 
     /// Sets the header of a rejection that says when to retry.
     fn write_retry_after(headers: &mut HeaderMap, after: Millis);
--- a/crates/cherrystand_testkit/src/site/box_answers.rs
+++ b/crates/cherrystand_testkit/src/site/box_answers.rs
@@ -120,7 +120,9 @@
         self.state.borrow_mut().arrivals.push(arrival);
         let arrival = self.state.borrow().arrivals.len() - 1;
         if !is_addressed || (service == "models" && !is_leader) {
-            return plain_answer(StatusCode::MISDIRECTED_REQUEST, "");
+            let mut answer = plain_answer(StatusCode::MISDIRECTED_REQUEST, "");
+            set_header(&mut answer, "cherrystand-request-id", &request);
+            return answer;
         }
         // An incomplete body means that the caller has disconnected.
         let body = req.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
--- a/crates/cherrystandd/src/site/active_attempt.rs
+++ b/crates/cherrystandd/src/site/active_attempt.rs
@@ -71,13 +71,13 @@
         frontend.balancer.borrow_mut().record_start(key, prompt, deferred);
         frontend.crashes.attempt_sent(&target, &req);
         Self {
+            path: PathTaken::new(Rc::default()),
             frontend,
             req,
             key,
             target,
             after_backoff: permit.is_after_backoff(),
             permit: Cell::new(Some(permit)),
-            path: PathTaken::default(),
             path_lost: Cell::new(false),
             answered: Cell::new(false),
             unread_tokens: Cell::new(prompt),
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -8,7 +8,7 @@
     BoxId, DomainId, LivenessProbe, MemberOrder, MemberTask, Millis, OrderEnd, ProbeReason,
     ProbeVerdict, Revision, SiteBox, WITNESS_LEAD_TIME,
 };
-use cherrystand_platform::{Answer, BoxCall, CallError, SendError, SiteDriver};
+use cherrystand_platform::{BoxCall, CallError, SendError, SiteDriver, WholeAnswer};
 
 use crate::site::change_reading::ping;
 use crate::site::control::{Control, owns_domain, readers_in};
@@ -74,8 +74,8 @@
     }
 
     /// Checks whether a box says in its own answer that it is leaving.
-    fn check_leaving(&self, id: &BoxId, answer: &Answer) {
-        if Driver::read_answer(answer.status, &answer.headers).leaving {
+    fn check_leaving(&self, id: &BoxId, answer: &WholeAnswer) {
+        if answer.signals::<Driver>().leaving {
             self.box_leaving(id);
         }
     }
@@ -86,7 +86,7 @@
         let (id, address) = (&order.target, order.address);
         let sent = self.timed_call(order.task.as_str(), id, address, call, ORDER_TIMEOUT).await;
         let end = match &sent {
-            Ok(answer) => Driver::order_end(answer.status),
+            Ok(answer) => Driver::order_end(answer.head.status()),
             Err(CallError::Send(SendError::Connect { .. })) => {
                 match self.boxes.may_judge_since(id, sent_at).await {
                     true => OrderEnd::Refused,
@@ -121,7 +121,7 @@
         address: SocketAddr,
         call: BoxCall,
         timeout: Duration,
-    ) -> Result<Answer, CallError> {
+    ) -> Result<WholeAnswer, CallError> {
         let answer = self.boxes.call(id, address, call, timeout);
         self.time_call(kind, answer).await
     }
@@ -246,7 +246,7 @@
         &self,
         site_box: &SiteBox,
         probe: &LivenessProbe,
-    ) -> Result<Answer, CallError> {
+    ) -> Result<WholeAnswer, CallError> {
         let timeout = Duration::from_millis(probe.timeout().0);
         let call = Driver::report_call(&site_box.id);
         let report = self.timed_call("report", &site_box.id, site_box.address, call, timeout);
@@ -305,9 +305,9 @@
 
 /// Returns whether an answer comes from another box that has the address now, or from another
 /// incarnation of the box.
-fn is_other_box(site_box: &SiteBox, answer: &Answer) -> bool {
+fn is_other_box(site_box: &SiteBox, answer: &WholeAnswer) -> bool {
     let start = site_box.id.start().zip(Driver::read_start_time(&answer.body));
-    Driver::order_end(answer.status) == OrderEnd::OtherBox
+    Driver::order_end(answer.head.status()) == OrderEnd::OtherBox
         || start.is_some_and(|(expected, reported)| expected != reported)
 }
 
--- a/crates/cherrystandd/src/site/box_client.rs
+++ b/crates/cherrystandd/src/site/box_client.rs
@@ -11,15 +11,16 @@
 
 use cherrystand_core::{BoxId, DEFAULT_IDLE_CONNECTIONS, Millis, NodeId, SearchResult, SendPermit};
 use cherrystand_platform::{
-    Answer, BoxCall, CallError, HttpPool, IdleSend, OpenConnection, PooledBody, SendError,
-    connect_timeout, read_answer,
+    AnswerPool, BoxCall, CallError, IdentifiedAnswer, IdleSend, OpenConnection, RequestTries,
+    SendError, WholeAnswer, connect_timeout,
 };
 use http_body_util::Full;
+use hyper::Request;
 use hyper::body::Bytes;
-use hyper::{Request, Response};
 use tokio::sync::watch;
 
 use crate::DutyContext;
+use crate::site::Driver;
 use crate::site::carrier_client::{CarrierClient, CarryFailure};
 use crate::site::path_search::search_carriers;
 use crate::site::path_taken::PathTaken;
@@ -69,7 +70,7 @@
 /// The connections of one thread to boxes and to the peers that carry requests.
 pub(crate) struct BoxClient {
     pub(super) cx: DutyContext,
-    pub(super) pool: HttpPool,
+    pub(super) pool: AnswerPool<Driver>,
     carriers: CarrierClient,
     /// The searches that run now, by box.
     searches: RefCell<BTreeMap<BoxId, watch::Receiver<Option<SearchResult>>>>,
@@ -82,7 +83,7 @@
         Rc::new(Self {
             carriers: CarrierClient::new(cx.clone()),
             cx,
-            pool: HttpPool::default(),
+            pool: AnswerPool::default(),
             searches: RefCell::default(),
             own_link_worked_at: Cell::default(),
         })
@@ -110,11 +111,11 @@
         to: &BoxAddress,
         req: Request<Full<Bytes>>,
         path: &PathTaken,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<IdentifiedAnswer, SendError> {
         if !self.cx.paths().is_direct(&to.id) {
             return self.send_around(to, req, path).await;
         }
-        let (req, failure) = match self.send_directly(to, req).await {
+        let (req, failure) = match self.send_directly(to, req, &path.tries).await {
             Ok(answer) => return Ok(answer),
             Err(DirectFailure::Failed(err)) => return Err(err),
             Err(DirectFailure::Unreachable(_, err)) if self.cx.paths().is_direct(&to.id) => {
@@ -136,13 +137,13 @@
         to: &BoxAddress,
         req: Request<Full<Bytes>>,
         path: &PathTaken,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<IdentifiedAnswer, SendError> {
         match self.send_carried(to, &req, path).await {
             Ok(answer) => return Ok(answer),
             Err(CarryFailure::Failed(err)) => return Err(err),
             Err(CarryFailure::NotSent) => path.set_direct(),
         }
-        self.send_directly(to, req).await.map_err(|failure| match failure {
+        self.send_directly(to, req, &path.tries).await.map_err(|failure| match failure {
             DirectFailure::Failed(err) | DirectFailure::Unreachable(_, err) => err,
             DirectFailure::Slow(_) => SendError::ConnectTimedOut(to.address),
         })
@@ -159,7 +160,7 @@
         to: &BoxAddress,
         req: Request<Full<Bytes>>,
         path: &PathTaken,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<IdentifiedAnswer, SendError> {
         self.send(to, req, path).await
     }
 
@@ -167,10 +168,11 @@
         self: &Rc<Self>,
         to: &BoxAddress,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<PooledBody>, DirectFailure> {
-        let answer = match self.pool.send_on_idle(to.max_idle, to.address, req).await {
+        tries: &RequestTries,
+    ) -> Result<IdentifiedAnswer, DirectFailure> {
+        let answer = match self.pool.send_on_idle(to.max_idle, to.address, req, tries).await {
             IdleSend::Sent(answer) => answer,
-            IdleSend::NoneIdle(req) => self.send_on_new(to, req).await?,
+            IdleSend::NoneIdle(req) => self.send_on_new(to, req, tries).await?,
         };
         if answer.is_ok() {
             self.cx.endpoint_contact.record(self.now());
@@ -183,8 +185,9 @@
     async fn send_on_new(
         self: &Rc<Self>,
         to: &BoxAddress,
-        req: Request<Full<Bytes>>,
-    ) -> Result<Result<Response<PooledBody>, SendError>, DirectFailure> {
+        req: Box<Request<Full<Bytes>>>,
+        tries: &RequestTries,
+    ) -> Result<Result<IdentifiedAnswer, SendError>, DirectFailure> {
         let (client, address) = (self.clone(), to.clone());
         let mut opening = Box::pin(async move { client.open(&address).await });
         let opened = tokio::select! {
@@ -196,12 +199,12 @@
                         pool.keep(conn);
                     }
                 });
-                return Err(DirectFailure::Slow(Box::new(req)));
+                return Err(DirectFailure::Slow(req));
             }
         };
         match opened {
-            Ok(conn) => Ok(self.pool.send_on(conn, req).await),
-            Err(err) => Err(DirectFailure::Unreachable(Box::new(req), err)),
+            Ok(conn) => Ok(self.pool.send_on(conn, *req, tries).await),
+            Err(err) => Err(DirectFailure::Unreachable(req, err)),
         }
     }
 
@@ -270,7 +273,7 @@
         to: &BoxAddress,
         req: &Request<Full<Bytes>>,
         path: &PathTaken,
-    ) -> Result<Response<PooledBody>, CarryFailure> {
+    ) -> Result<IdentifiedAnswer, CarryFailure> {
         // Connections from before the cut may be dead.
         match self.cx.paths().is_cut_off() {
             true => self.pool.close_idle(),
@@ -285,7 +288,7 @@
             let Some(carrier) = carrier else { break };
             path.set_carried(&self.cx, carrier.node.clone());
             tried.push(carrier.node.clone());
-            match self.carriers.send(&carrier, &to.id, req.clone()).await {
+            match self.carriers.send(&carrier, &to.id, req.clone(), &path.tries).await {
                 Err(CarryFailure::NotSent) => {}
                 sent => return sent,
             }
@@ -295,6 +298,8 @@
 
     /// Makes a call to a box and reads the whole answer within a timeout.
     ///
+    /// A call has no name to be carried back, so it has a connection to itself.
+    ///
     /// # Errors
     ///
     /// Returns a [`CallError`]. Only a failure to connect guarantees that the call had no effect.
@@ -304,11 +309,11 @@
         address: SocketAddr,
         call: BoxCall,
         timeout: Duration,
-    ) -> Result<Answer, CallError> {
+    ) -> Result<WholeAnswer, CallError> {
         let req = call.into_request(address)?;
         let to = BoxAddress::new(id, address, connect_timeout(timeout));
-        let path = PathTaken::default();
-        let exchange = async { read_answer(self.send(&to, req, &path).await?).await };
+        let path = PathTaken::new(Rc::default());
+        let exchange = async { self.send(&to, req, &path).await?.read_whole().await };
         let answer = tokio::time::timeout(timeout, exchange).await;
         answer.unwrap_or(Err(CallError::TimedOut(timeout)))
     }
@@ -369,8 +374,9 @@
         &self,
         to: &BoxAddress,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<PooledBody>, SendError> {
-        let answer = self.pool.send_with_max_idle(to.max_idle, to.address, req, to.connect_timeout);
+        tries: &RequestTries,
+    ) -> Result<IdentifiedAnswer, SendError> {
+        let answer = self.pool.send(to.max_idle, to.address, req, to.connect_timeout, tries);
         answer.await.inspect(|_| self.cx.endpoint_contact.record(self.now()))
     }
 }
--- a/crates/cherrystandd/src/site/carrier_client.rs
+++ b/crates/cherrystandd/src/site/carrier_client.rs
@@ -7,13 +7,14 @@
     BoxId, CarrierFailure, CarrierRegions, Heartbeat, NodeId, PathSearch, ReachReport, ZoneId,
 };
 use cherrystand_peer::{CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachQuery, decode, encode};
-use cherrystand_platform::{HttpPool, PooledBody, SendError, call};
+use cherrystand_platform::{AnswerPool, HttpPool, IdentifiedAnswer, RequestTries, SendError, call};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::HeaderValue;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 
 use crate::DutyContext;
+use crate::site::Driver;
 use crate::state::View;
 
 /// How many idle connections are kept to one peer that carries requests.
@@ -49,17 +50,20 @@
 /// The connections of one thread to peers that carry requests.
 pub(crate) struct CarrierClient {
     cx: DutyContext,
-    pool: HttpPool,
+    /// For requests that are carried.
+    pool: AnswerPool<Driver>,
+    /// For questions.
+    queries: HttpPool,
 }
 
 impl CarrierClient {
     pub(crate) fn new(cx: DutyContext) -> Self {
-        Self { cx, pool: HttpPool::default() }
+        Self { cx, pool: AnswerPool::default(), queries: HttpPool::default() }
     }
 
     /// Returns how many connections to peers are open.
     pub(crate) fn open_connections(&self) -> u32 {
-        self.pool.open_connections()
+        self.pool.open_connections() + self.queries.open_connections()
     }
 
     /// Chooses a peer that is known to reach boxes, other than those in `tried`.
@@ -101,15 +105,16 @@
         carrier: &CarrierPeer,
         id: &BoxId,
         mut req: Request<Full<Bytes>>,
-    ) -> Result<Response<PooledBody>, CarryFailure> {
+        tries: &RequestTries,
+    ) -> Result<IdentifiedAnswer, CarryFailure> {
         let Ok(target) = HeaderValue::from_str(id.as_str()) else {
             return Err(CarryFailure::NotSent);
         };
         req.headers_mut().insert(CARRY_TO, target);
-        let sent = self.pool.send_with_max_idle(MAX_IDLE, carrier.address, req, CONNECT_TIMEOUT);
+        let sent = self.pool.send(MAX_IDLE, carrier.address, req, CONNECT_TIMEOUT, tries);
         let outcome = match sent.await {
             Ok(answer) => self.read_end(carrier, id, answer),
-            Err(SendError::ConnectionLost(_)) => {
+            Err(SendError::ConnectionLost(_) | SendError::ForeignAnswer) => {
                 self.record_failure(carrier, id, CarrierFailure::Unavailable);
                 Err(CarryFailure::Failed(SendError::CarrierLost(carrier.address)))
             }
@@ -133,9 +138,9 @@
         &self,
         carrier: &CarrierPeer,
         id: &BoxId,
-        mut answer: Response<PooledBody>,
-    ) -> Result<Response<PooledBody>, CarryFailure> {
-        let end = answer.headers_mut().remove(CARRY_END);
+        mut answer: IdentifiedAnswer,
+    ) -> Result<IdentifiedAnswer, CarryFailure> {
+        let end = answer.head.remove(CARRY_END);
         let end = end.and_then(|end| CarryEnd::parse(end.to_str().ok()?));
         match end {
             Some(CarryEnd::Answered) => {
@@ -180,8 +185,14 @@
     async fn query(&self, carrier: &CarrierPeer, id: &BoxId) -> Option<ReachReport> {
         let query = encode(&ReachQuery { endpoint: id.clone() });
         let body = query.inspect_err(|err| log::error!("a query cannot be encoded: {err}")).ok()?;
-        let answer =
-            call(&self.pool, carrier.address, Method::POST, REACH_PATH, body.into(), REACH_TIMEOUT);
+        let answer = call(
+            &self.queries,
+            carrier.address,
+            Method::POST,
+            REACH_PATH,
+            body.into(),
+            REACH_TIMEOUT,
+        );
         let answer = answer.await.inspect_err(|err| {
             log::debug!(peer = carrier.node.as_str(); "a peer did not say what it reaches: {err}");
         });
--- a/crates/cherrystandd/src/site/carrying.rs
+++ b/crates/cherrystandd/src/site/carrying.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use cherrystand_core::{BoxId, ReachReport, ServiceName, max_idle_connections};
 use cherrystand_peer::{CARRY_END, CARRY_TO, CarryEnd, ReachQuery, decode, encode};
-use cherrystand_platform::{CallerAddress, HoldingBody, PooledBody, SendError};
+use cherrystand_platform::{
+    CallerAddress, HoldingBody, PooledBody, RequestTries, SendError, SiteDriver,
+};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
@@ -15,6 +17,7 @@
 
 use crate::StopPhase;
 use crate::relay::headers::remove_hop_by_hop_headers;
+use crate::site::Driver;
 use crate::site::body_reading::read_body;
 use crate::site::box_client::BoxAddress;
 use crate::site::carried_requests::CarrySlot;
@@ -76,6 +79,7 @@
         .map_err(|_| CarryEnd::Full)?;
     remove_hop_by_hop_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
+    let tries = RequestTries::default();
     head.extensions.clear();
     let to = BoxAddress {
         id: target.clone(),
@@ -83,17 +87,19 @@
         max_idle: max_idle(control, &site_box.service),
         connect_timeout: CONNECT_TIMEOUT,
     };
-    let sent = control.boxes.send_for_peer(&to, Request::from_parts(head, Full::new(body))).await;
+    let req = Request::from_parts(head, Full::new(body));
+    let sent = control.boxes.send_for_peer(&to, req, &tries).await;
     drop(reservation);
     let answer = sent.map_err(|err| match err {
         SendError::Connect { .. } | SendError::ConnectTimedOut(_) | SendError::NotSent(_) => {
             CarryEnd::Missed
         }
-        SendError::ConnectionLost(_) | SendError::LostBehindCarrier | SendError::CarrierLost(_) => {
-            CarryEnd::Lost
-        }
+        SendError::ConnectionLost(_)
+        | SendError::LostBehindCarrier
+        | SendError::ForeignAnswer
+        | SendError::CarrierLost(_) => CarryEnd::Lost,
     })?;
-    let mut answer = answer.map(|body| CarriedBody::new(body, slot));
+    let mut answer = answer.into_response().map(|body| CarriedBody::new(body, slot));
     remove_hop_by_hop_headers(answer.headers_mut());
     answer.headers_mut().insert(CARRY_END, HeaderValue::from_static(CarryEnd::Answered.as_str()));
     Ok(answer)
@@ -126,10 +132,14 @@
     max_idle_connections(known.and_then(|service| service.connections), nodes)
 }
 
-/// Returns the answer of this daemon itself to a request that was not carried to an answer.
-pub(super) fn carry_failure(end: CarryEnd) -> Response<Full<Bytes>> {
+/// Returns the answer of this daemon itself to a request with this name that was not carried to an
+/// answer.
+pub(super) fn carry_failure(end: CarryEnd, name: Option<&HeaderValue>) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::default());
     *answer.status_mut() = StatusCode::BAD_GATEWAY;
+    if let Some(name) = name {
+        Driver::write_request_id(answer.headers_mut(), name);
+    }
     answer.headers_mut().insert(CARRY_END, HeaderValue::from_static(end.as_str()));
     answer
 }
--- a/crates/cherrystandd/src/site/cold_checking.rs
+++ b/crates/cherrystandd/src/site/cold_checking.rs
@@ -94,7 +94,7 @@
                 return log::debug!(target_box = id; "a box did not answer a health check: {err}");
             }
         };
-        let left = Driver::read_answer(answer.status, &answer.headers).cold_remaining;
+        let left = answer.signals::<Driver>().cold_remaining;
         if let Some(left) = left.filter(|left| *left > Millis(0)) {
             self.record_cold(&endpoint, left);
         }
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use cherrystand_core::{AttemptEnd, Outcome, SendPermit};
 use cherrystand_platform::{
-    BodyBuffer, BufferBudget, BufferReservation, PooledBody, SendError, SiteDriver,
+    BodyBuffer, BufferBudget, BufferReservation, IdentifiedAnswer, PooledBody, SendError,
+    SiteDriver,
 };
 use http_body_util::BodyExt;
+use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::http::response::Parts;
-use hyper::{Response, StatusCode};
 
 use crate::site::Driver;
 use crate::site::active_attempt::ActiveAttempt;
@@ -95,6 +96,14 @@
                 attempt.interrupted();
                 attempt.eject();
             }
+            SendError::ForeignAnswer => {
+                log::info!(
+                    target_box = attempt.target.as_str(),
+                    request = req.headers.id.as_deref().unwrap_or_default();
+                    "an answer to another request came in place of the answer"
+                );
+                attempt.failed();
+            }
             // It says nothing of the box.
             SendError::CarrierLost(_) => {}
         }
@@ -103,18 +112,18 @@
     check_head(frontend, req, answer, attempt)
 }
 
-/// Accepts an answer only if it names this request. Any other belongs to another request.
+/// Accepts an answer only if the endpoint itself wrote it and ran the request.
 fn check_head(
     frontend: &Frontend,
     req: &SiteRequest,
-    answer: Response<PooledBody>,
+    answer: IdentifiedAnswer,
     attempt: &ActiveAttempt,
 ) -> Result<(Parts, PooledBody), AttemptEnd> {
-    let headers = Driver::read_answer(answer.status(), answer.headers());
-    frontend.apply_signals(attempt, req, &headers);
-    frontend.apply_limit(attempt, req, answer.status(), &headers);
+    let headers = Driver::read_answer(&answer.head);
+    frontend.apply_signals(attempt, &headers);
+    frontend.apply_limit(attempt, answer.head.status(), &headers);
     frontend.apply_cold_start(attempt, req, &headers);
-    let (head, body) = answer.into_parts();
+    let (head, body) = (answer.head.into_parts(), answer.body);
     if headers.not_run {
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             attempt.refused();
@@ -123,11 +132,6 @@
         frontend.report_not_serving(attempt);
         return Err(AttemptEnd::NotServing);
     }
-    if headers.request != req.headers.id {
-        body.discard();
-        attempt.failed();
-        return Err(AttemptEnd::CutBeforeAnswer);
-    }
     if head.status.is_success() && !headers.sealed {
         // An unsealed answer doesn't come from the endpoint itself.
         body.discard();
--- a/crates/cherrystandd/src/site/endpoint_signals.rs
+++ b/crates/cherrystandd/src/site/endpoint_signals.rs
@@ -25,24 +25,9 @@
 /// The part of its latency goal that a request may spend waiting for a permit: one eighth.
 const PERMIT_WAIT_DIVISOR: u64 = 8;
 
-/// Returns whether an answer names the request that it was given to.
-fn is_answer_to(req: &SiteRequest, headers: &AnswerHeaders) -> bool {
-    headers.request.is_some() && headers.request == req.headers.id
-}
-
 impl Frontend {
     /// Applies the backoff and leaving signals in the head of a replica's answer.
-    ///
-    /// An answer that names another request is ignored, because it doesn't come from this endpoint.
-    pub(crate) fn apply_signals(
-        &self,
-        attempt: &ActiveAttempt,
-        req: &SiteRequest,
-        headers: &AnswerHeaders,
-    ) {
-        if headers.request.is_some() && headers.request != req.headers.id {
-            return;
-        }
+    pub(crate) fn apply_signals(&self, attempt: &ActiveAttempt, headers: &AnswerHeaders) {
         let mut balancer = self.balancer.borrow_mut();
         if headers.leaving && balancer.record_leaving(&attempt.target) {
             self.signal_log.leaving(&attempt.target);
@@ -62,19 +47,15 @@
 
     /// Applies the rate limit that the head of a replica's answer names.
     ///
-    /// An answer without a limit means that the limit is gone. It counts only if it surely answers
-    /// this request and is successful, because a refusal or an error may leave out headers that the
-    /// endpoint otherwise sends. A limit that isn't a number changes nothing.
+    /// An answer without a limit means that the limit is gone. It counts only if it is successful,
+    /// because a refusal or an error may leave out headers that the endpoint otherwise sends. A limit
+    /// that isn't a number changes nothing.
     pub(crate) fn apply_limit(
         &self,
         attempt: &ActiveAttempt,
-        req: &SiteRequest,
         status: StatusCode,
         headers: &AnswerHeaders,
     ) {
-        if !is_answer_to(req, headers) {
-            return;
-        }
         let limit = match headers.limit {
             AdvertisedLimit::None if headers.not_run || !status.is_success() => return,
             AdvertisedLimit::None => None,
@@ -99,8 +80,8 @@
         req: &SiteRequest,
         headers: &AnswerHeaders,
     ) {
-        let cold_left = headers.cold_remaining.filter(|_| is_answer_to(req, headers));
-        let Some(left) = cold_left.filter(|left| *left > Millis(0)) else { return };
+        let cold_left = headers.cold_remaining.filter(|left| *left > Millis(0));
+        let Some(left) = cold_left else { return };
         let view = self.view.borrow();
         let service = view.routes.as_ref().and_then(|table| table.config().service(&req.service));
         let Some(cold) = service.and_then(|service| service.cold) else { return };
--- a/crates/cherrystandd/src/site/path_taken.rs
+++ b/crates/cherrystandd/src/site/path_taken.rs
@@ -1,9 +1,11 @@
 //! The way that a request takes to a box.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 
 use cherrystand_core::{EndpointPaths, NodeId};
+use cherrystand_platform::RequestTries;
 
 use crate::DutyContext;
 use crate::duty_context::lock_paths;
@@ -17,26 +19,29 @@
 }
 
 /// The way that a request takes, as far as it has been sent.
-pub(crate) struct PathTaken(RefCell<Path>);
-
-impl Default for PathTaken {
-    fn default() -> Self {
-        Self(RefCell::new(Path::Direct))
-    }
+pub(crate) struct PathTaken {
+    path: RefCell<Path>,
+    /// The connections that carried the request so far, on all its ways.
+    pub(super) tries: Rc<RequestTries>,
 }
 
 impl PathTaken {
+    /// Starts a further try of a request.
+    pub(crate) fn new(tries: Rc<RequestTries>) -> Self {
+        Self { path: RefCell::new(Path::Direct), tries }
+    }
+
     pub(super) fn set_direct(&self) {
-        self.0.replace(Path::Direct);
+        self.path.replace(Path::Direct);
     }
 
     pub(super) fn set_carried(&self, cx: &DutyContext, carrier: NodeId) {
-        self.0.replace(Path::Carried(CarryGuard::new(cx, carrier)));
+        self.path.replace(Path::Carried(CarryGuard::new(cx, carrier)));
     }
 
     /// Returns the peer that carries the request, if one does.
     pub(crate) fn carrier(&self) -> Option<NodeId> {
-        match &*self.0.borrow() {
+        match &*self.path.borrow() {
             Path::Direct => None,
             Path::Carried(guard) => Some(guard.carrier.clone()),
         }
--- a/crates/cherrystandd/src/site/peer_listener.rs
+++ b/crates/cherrystandd/src/site/peer_listener.rs
@@ -4,13 +4,14 @@
 
 use bytes::Bytes;
 use cherrystand_peer::REACH_PATH;
-use cherrystand_platform::serve_http;
+use cherrystand_platform::{SiteDriver, serve_http};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::site::Driver;
 use crate::site::carrying::{CarriedBody, answer_reach, carry, carry_failure, carry_target};
 use crate::site::change_sharing::answer_changes;
 use crate::site::control::Control;
@@ -27,9 +28,10 @@
 
 async fn handle_request(control: Rc<Control>, req: Request<Incoming>) -> Response<PeerBody> {
     if let Some(target) = carry_target(req.headers()) {
+        let name = Driver::request_name(req.headers());
         return match carry(&control, req, &target).await {
             Ok(answer) => answer.map(Either::Right),
-            Err(end) => carry_failure(end).map(Either::Left),
+            Err(end) => carry_failure(end, name.as_ref()).map(Either::Left),
         };
     }
     let result = match req.uri().path() {
