fix: a further try never travels on a connection that carried an earlier one

A surplus refusal of a request's first try has the same id as the answer to its second: on the same connection it was taken for that, and the request ran once more, or its caller was told 503 though it ran.

A peer that carries a further try can't know where earlier ones went, so it is told (`cherrystand-carry-again`) and uses a connection that has carried nothing.

Evidence: `a_further_try_meets_no_surplus_answer_to_an_earlier_one` without this change: "twice-17 ran 2 times".

--- a/crates/cherrystand_peer/src/carrying.rs
+++ b/crates/cherrystand_peer/src/carrying.rs
@@ -9,6 +9,10 @@
 /// The header that names the endpoint of a request that a peer is to carry.
 pub const CARRY_TO: &str = "cherrystand-carry-to";
 
+/// The header of a request that was sent before, which the peer sends on a connection that has carried
+/// nothing.
+pub const CARRY_AGAIN: &str = "cherrystand-carry-again";
+
 /// The header in which a peer says how carrying a request ended.
 pub const CARRY_END: &str = "cherrystand-carry-end";
 
--- a/crates/cherrystand_peer/src/lib.rs
+++ b/crates/cherrystand_peer/src/lib.rs
@@ -12,7 +12,7 @@
 mod packed_body;
 mod transport;
 
-pub use carrying::{CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachQuery};
+pub use carrying::{CARRY_AGAIN, CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachQuery};
 pub use change_update::{ChangeCursor, ChangeRequest, ChangeUpdate};
 pub use config_history::ConfigHistory;
 pub use load_message::LoadMessage;
--- a/crates/cherrystandd/src/site/active_attempt.rs
+++ b/crates/cherrystandd/src/site/active_attempt.rs
@@ -71,7 +71,7 @@
         frontend.balancer.borrow_mut().record_start(key, prompt, deferred);
         frontend.crashes.attempt_sent(&target, &req);
         Self {
-            path: PathTaken::new(Rc::default()),
+            path: PathTaken::new(req.tries.clone()),
             frontend,
             req,
             key,
--- a/crates/cherrystandd/src/site/carrier_client.rs
+++ b/crates/cherrystandd/src/site/carrier_client.rs
@@ -6,7 +6,9 @@
 use cherrystand_core::{
     BoxId, CarrierFailure, CarrierRegions, Heartbeat, NodeId, PathSearch, ReachReport, ZoneId,
 };
-use cherrystand_peer::{CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachQuery, decode, encode};
+use cherrystand_peer::{
+    CARRY_AGAIN, CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachQuery, decode, encode,
+};
 use cherrystand_platform::{AnswerPool, HttpPool, IdentifiedAnswer, RequestTries, SendError, call};
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -111,6 +113,9 @@
             return Err(CarryFailure::NotSent);
         };
         req.headers_mut().insert(CARRY_TO, target);
+        if !tries.is_empty() {
+            req.headers_mut().insert(CARRY_AGAIN, HeaderValue::from_static("1"));
+        }
         let sent = self.pool.send(MAX_IDLE, carrier.address, req, CONNECT_TIMEOUT, tries);
         let outcome = match sent.await {
             Ok(answer) => self.read_end(carrier, id, answer),
--- a/crates/cherrystandd/src/site/carrying.rs
+++ b/crates/cherrystandd/src/site/carrying.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use cherrystand_core::{BoxId, ReachReport, ServiceName, max_idle_connections};
-use cherrystand_peer::{CARRY_END, CARRY_TO, CarryEnd, ReachQuery, decode, encode};
+use cherrystand_peer::{CARRY_AGAIN, CARRY_END, CARRY_TO, CarryEnd, ReachQuery, decode, encode};
 use cherrystand_platform::{
     CallerAddress, HoldingBody, PooledBody, RequestTries, SendError, SiteDriver,
 };
@@ -79,7 +79,10 @@
         .map_err(|_| CarryEnd::Full)?;
     remove_hop_by_hop_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
-    let tries = RequestTries::default();
+    let tries = match head.headers.remove(CARRY_AGAIN) {
+        Some(_) => RequestTries::after_unknown(),
+        None => RequestTries::default(),
+    };
     head.extensions.clear();
     let to = BoxAddress {
         id: target.clone(),
--- a/crates/cherrystandd/src/site/request.rs
+++ b/crates/cherrystandd/src/site/request.rs
@@ -1,13 +1,16 @@
 //! A caller's request, read completely and authorized.
 
 use std::cell::OnceCell;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use cherrystand_core::{
     AllowedRegions, BoxId, EngineSpec, Fingerprint, Millis, RegionId, RequestSpec, Route,
     RouteError, RouteTable, ServiceName, hash_bytes,
 };
-use cherrystand_platform::{AttemptHeaders, BufferReservation, RequestHeaders, SiteDriver};
+use cherrystand_platform::{
+    AttemptHeaders, BufferReservation, RequestHeaders, RequestTries, SiteDriver,
+};
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
@@ -44,6 +47,8 @@
     pub(crate) features: OnceCell<Vec<Fingerprint>>,
     /// Set if the request is refused otherwise and runs as a trial.
     pub(crate) trial: OnceCell<Trial>,
+    /// The connections that carried it so far.
+    pub(crate) tries: Rc<RequestTries>,
 }
 
 impl SiteRequest {
--- a/crates/cherrystandd/src/site/request_handler.rs
+++ b/crates/cherrystandd/src/site/request_handler.rs
@@ -149,6 +149,7 @@
         deadline,
         features,
         trial,
+        tries: Rc::default(),
     };
     let req = Rc::new(req);
     frontend.retries.record_request(&req.service);
--- a/crates/cherrystandd/tests/surplus_answers.rs
+++ b/crates/cherrystandd/tests/surplus_answers.rs
@@ -165,3 +165,28 @@
         }
     });
 }
+
+/// Guards against a request that runs twice because the surplus refusal of its first try, which has the
+/// same id, was taken for the answer to its second.
+#[test]
+fn a_further_try_meets_no_surplus_answer_to_an_earlier_one() {
+    support::run(async {
+        let site = Site::serving(1).await;
+        let node = &site.nodes[0];
+        let endpoint = RepeatingEndpoint { refuses_first: true, ..RepeatingEndpoint::default() };
+        *endpoint.surplus.borrow_mut() = format!("HTTP/1.1 {}", refusal_of("EARLIER"));
+        site.stand_in.set_address("a-1", endpoint.start().await);
+        site.stand_in.unlist("a-2");
+        let mut served = 0;
+        for number in 0..60 {
+            let id = format!("twice-{number}");
+            let answer = call(node, "POST", SERVICE_PATH, &id, "k1").await;
+            let runs = endpoint.runs.borrow().iter().filter(|ran| **ran == id).count();
+            assert!(runs <= 1, "{id} ran {runs} times");
+            let told_not_run = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+            assert!(runs == 0 || !told_not_run, "{id} ran and got {}", answer.status);
+            served += usize::from(runs == 1 && answer.status == StatusCode::OK);
+        }
+        assert!(served > 0, "no further try was made");
+    });
+}
