fix: ids of a stream's events may rise by any step

A stream whose ids rise by more than one was taken for broken at its first gap: callers got nothing of it, and a replica that was sound counted as failed. What protects from duplicates stays: an event whose id is not above the last one that was passed on is left out, so a replica that resumes too early, or a repeated event, adds nothing.

--- a/crates/cherrystand_core/src/site/event_splitter.rs
+++ b/crates/cherrystand_core/src/site/event_splitter.rs
@@ -14,6 +14,17 @@
     pub id: Option<u64>,
 }
 
+impl StreamEvent {
+    /// Returns whether it comes after the event with the id `last`, rather than being that one or an
+    /// earlier one once more. Ids only rise, by any step.
+    pub fn follows(&self, last: Option<u64>) -> bool {
+        match (self.id, last) {
+            (Some(id), Some(last)) => id > last,
+            _ => true,
+        }
+    }
+}
+
 /// Buffers bytes until an event is complete.
 ///
 /// Callers are sent only complete events, so that a stream that breaks off can continue at another
--- a/crates/cherrystand_testkit/src/site/box_wishes.rs
+++ b/crates/cherrystand_testkit/src/site/box_wishes.rs
@@ -55,6 +55,8 @@
     pub unsealed: bool,
     /// Time after which it aborts an answer that is not read.
     pub cuts_unread: Option<Duration>,
+    /// By how much more than one the ids of its events rise.
+    pub id_gap: u64,
     /// The event of a stream inside which it ends its answer, as if that were whole.
     pub ends_inside: Option<u64>,
 }
--- a/crates/cherrystandd/src/site/replica_stream.rs
+++ b/crates/cherrystandd/src/site/replica_stream.rs
@@ -3,9 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use cherrystand_core::{
-    AttemptEnd, EventSplitter, MAX_EVENT_BYTES, Millis, StreamEnd, StreamEvent,
-};
+use cherrystand_core::{AttemptEnd, EventSplitter, MAX_EVENT_BYTES, Millis, StreamEnd};
 use cherrystand_platform::PooledBody;
 use http_body_util::BodyExt;
 use hyper::StatusCode;
@@ -87,14 +85,9 @@
     fn complete_events(&mut self, mut last_event_id: Option<u64>) -> Option<StreamStep> {
         let mut out: Vec<Bytes> = Vec::new();
         while let Some(event) = self.splitter.next_event() {
-            if is_next(&event, last_event_id) {
+            if event.follows(last_event_id) {
                 last_event_id = event.id.or(last_event_id);
                 out.push(event.bytes);
-            } else if event
-                .id
-                .is_some_and(|id| last_event_id.is_some_and(|last_event_id| id > last_event_id + 1))
-            {
-                return Some(StreamStep::Broken(AttemptEnd::AnswerCut));
             }
         }
         if self.splitter.buffered_bytes() > MAX_EVENT_BYTES {
@@ -117,14 +110,6 @@
     }
 }
 
-/// Returns whether an event is the next one after `last_event_id`.
-fn is_next(event: &StreamEvent, last_event_id: Option<u64>) -> bool {
-    match (event.id, last_event_id) {
-        (Some(id), Some(last_event_id)) => id == last_event_id + 1,
-        _ => true,
-    }
-}
-
 /// Has another replica resume after the event with the id `last_event_id`, and waits for the first
 /// step of its answer.
 ///
--- a/crates/cherrystandd/tests/spoiled_answers.rs
+++ b/crates/cherrystandd/tests/spoiled_answers.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use cherrystand_testkit::{BoxWishes, whole_stream};
+use cherrystand_testkit::{BoxWishes, EVENTS, whole_stream};
 use support::caller_requests::{is_served, send_request};
 use support::site::{MODEL_PATH, SERVICE_PATH, Site, call};
 
@@ -52,3 +52,25 @@
         assert_ne!(asked.answer.text(), whole_stream("n0-both"));
     });
 }
+
+/// Guards against streams that are taken for broken because the ids of their events rise by more than
+/// one. Events that came before stay out when another replica resumes the stream.
+#[test]
+fn a_stream_whose_event_ids_rise_by_more_than_one_arrives_whole() {
+    const GAP: u64 = 2;
+    support::run(async {
+        let site = Site::serving(1).await;
+        let node = &site.nodes[0];
+        let leaders: Vec<String> = site.stand_in.leaders().into_keys().collect();
+        let wide = BoxWishes { id_gap: GAP, ..BoxWishes::default() };
+        site.stand_in.set_wishes(&leaders[0], BoxWishes { ends_inside: Some(CUT_EVENT), ..wide });
+        site.stand_in.set_wishes(&leaders[1], wide);
+        for number in 0..8 {
+            let id = format!("n0-{number}");
+            let asked = send_request(node, MODEL_PATH, id.clone()).await;
+            let events = (0..EVENTS)
+                .map(|number| format!("id: {}\ndata: {id} {number}\n\n", number * (GAP + 1)));
+            assert_eq!(asked.answer.text(), events.collect::<String>());
+        }
+    });
+}
