--- a/crates/cherrystand_core/src/site/event_splitter.rs
+++ b/crates/cherrystand_core/src/site/event_splitter.rs
@@ -20,6 +20,15 @@
         let mut lines = self.bytes.split(|byte| *byte == b'\n');
         lines.any(|line| line.starts_with(b"data:") || line.trim_ascii_end() == b"data")
     }
+
+    /// Returns whether it comes after the event with the id `last`, rather than being that one or an
+    /// earlier one once more. Ids only rise, by any step.
+    pub fn follows(&self, last: Option<u64>) -> bool {
+        match (self.id, last) {
+            (Some(id), Some(last)) => id > last,
+            _ => true,
+        }
+    }
 }
 
 /// Buffers bytes until an event is complete.
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -16,7 +16,7 @@
 const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 /// Maximum size of an answer of a box or a peer to a short call, in bytes. Many are read at the same time.
-const MAX_BOX_ANSWER_BYTES: usize = 1 << 20;
+pub(crate) const MAX_BOX_ANSWER_BYTES: usize = 1 << 20;
 
 /// Connecting may take the call's timeout divided by this, so that a failure to connect can be told
 /// from a missing answer.
@@ -205,15 +205,7 @@
     }
 }
 
-/// Reads a whole answer of a box.
-///
-/// # Errors
-///
-/// Returns [`CallError::AnswerInterrupted`] if it ends early or is too large.
-pub async fn read_answer(answer: Response<PooledBody>) -> Result<Answer, CallError> {
-    read_limited(answer, MAX_BOX_ANSWER_BYTES).await
-}
-
+/// Reads a whole answer.
 async fn read_limited(answer: Response<PooledBody>, max_bytes: usize) -> Result<Answer, CallError> {
     let (head, body) = answer.into_parts();
     let body = Limited::new(body, max_bytes)
