fix: a suspect is weighed by what lives on with it, and confined where it is common

Cause: whatever was at three crashes and was not served within a minute was refused, however many replicas lived on with it. Its attempts there were cancelled, which would have cleared it; only one daemon tried it, which had no callers; refusals and the store's record kept the accusation alive.

Mend: daemons compare how long a suspect ran at boxes that crashed and at boxes that live. What is outlived, or is common (over 5 in 100 arrivals) with nothing known, is confined to a few replicas, the same for all daemons, and refused only for crashes there. What a living box outlived is not cancelled. One of the daemons at which it arrives tries it.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -104,12 +104,17 @@
 
 mod site {
     pub(crate) mod allowed_regions;
+    pub(crate) mod arrival_shares;
     pub(crate) mod attempt_ledger;
     pub(crate) mod box_incarnations;
     pub(crate) mod capacity_planner;
     pub(crate) mod cold_boxes;
     pub(crate) mod cold_checks;
+    pub(crate) mod confinement;
     pub(crate) mod crash_suspects;
+    pub(crate) mod crash_time;
+    pub(crate) mod crash_trials;
+    pub(crate) mod crash_verdicts;
     pub(crate) mod domain_draft;
     pub(crate) mod domain_former_assignments;
     pub(crate) mod domain_spares;
@@ -138,8 +143,10 @@
     pub(crate) mod stall_evidence;
     pub(crate) mod stream_end;
     pub(crate) mod suspect;
+    pub(crate) mod suspect_merging;
     pub(crate) mod suspect_record;
     pub(crate) mod target;
+    pub(crate) mod trial_owners;
 }
 
 pub use config::class::Class;
@@ -248,7 +255,10 @@
 pub use site::capacity_planner::{CapacityPlanner, DomainCapacity, HomeChange};
 pub use site::cold_boxes::ColdBoxes;
 pub use site::cold_checks::ColdChecks;
+pub use site::confinement::confined_boxes;
 pub use site::crash_suspects::{CrashSuspects, SUSPECT_TTL};
+pub use site::crash_time::{CrashTime, Outlived};
+pub use site::crash_verdicts::Verdict;
 pub use site::engine_priority::{engine_priority, is_deferred};
 pub use site::engine_spec::{EngineLoad, EngineSpec, ModelSpec};
 pub use site::evacuations::{EvacuatedZones, Evacuations};
@@ -274,3 +284,4 @@
 pub use site::suspect::MAX_CRASHES;
 pub use site::suspect_record::{SuspectEntry, SuspectRecord};
 pub use site::target::TargetSpec;
+pub use site::trial_owners::TrialOwners;
--- a/crates/cherrystand_core/src/site/interrupted_answers.rs
+++ b/crates/cherrystand_core/src/site/interrupted_answers.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{BoxId, Fingerprint, Millis, SiteView};
+use crate::{BoxId, CrashTime, Fingerprint, Millis, SiteView};
 
 /// How long after an interrupted answer its box may still be found to have crashed: a box's entry
 /// disappears after three heartbeats, which are 1.2 s apart in production.
@@ -29,6 +29,8 @@
 struct PendingCheck {
     started: Millis,
     requests: BTreeSet<Fingerprint>,
+    /// How long each had run as its answer broke off, the longest of its attempts.
+    times: BTreeMap<Fingerprint, Millis>,
     /// Whether its address has accepted a connection since.
     is_accepting: bool,
 }
@@ -61,6 +63,36 @@
         CrashCheck::Start
     }
 
+    /// Records how long a request whose answer broke off had run at its box.
+    pub fn record_time(&mut self, box_id: &BoxId, features: &[Fingerprint], ran: Millis) {
+        let Some(check) = self.pending.get_mut(box_id) else { return };
+        for feature in features {
+            let longest = check.times.entry(*feature).or_default();
+            *longest = ran.max(*longest);
+        }
+    }
+
+    /// Returns how long what a box ran had run as its answers broke off.
+    pub fn times_at(&self, box_id: &BoxId) -> Vec<CrashTime> {
+        let times = self.pending.get(box_id).into_iter().flat_map(|check| &check.times);
+        let time = |(feature, ran): (&Fingerprint, &Millis)| CrashTime {
+            box_id: box_id.clone(),
+            feature: *feature,
+            ran: *ran,
+        };
+        times.map(time).collect()
+    }
+
+    /// Returns whether a box is known to have crashed lately.
+    pub fn has_crashed(&self, box_id: &BoxId) -> bool {
+        self.crashed.contains_key(box_id)
+    }
+
+    /// Returns whether a box interrupted answers and may have crashed.
+    pub fn may_have_crashed(&self, box_id: &BoxId) -> bool {
+        self.pending.contains_key(box_id) || self.has_crashed(box_id)
+    }
+
     /// Records that a box's address accepts connections: either the box runs and interrupted the
     /// answers itself, or a proxy in front of it hasn't noticed the crash yet.
     pub fn record_accepting(&mut self, box_id: &BoxId) {
--- a/crates/cherrystand_core/src/site/load_balancer.rs
+++ b/crates/cherrystand_core/src/site/load_balancer.rs
@@ -84,10 +84,18 @@
     request: RequestSpec<'a>,
     engine: Option<(&'a EngineSpec, &'a ModelSpec)>,
     excluded: &'a [BoxId],
+    /// The only endpoints that may be chosen; all if empty.
+    only: &'a [BoxId],
     now: Millis,
     latency: LatencyModel,
 }
 
+impl Choice<'_> {
+    fn leaves_out(&self, id: &BoxId) -> bool {
+        self.excluded.contains(id) || !(self.only.is_empty() || self.only.contains(id))
+    }
+}
+
 /// Chooses endpoints, and tracks their load, results and latencies.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalancer {
@@ -240,13 +248,43 @@
         excluded: &[BoxId],
         now: Millis,
         rng: &mut SeededRng,
+    ) -> Option<TargetKey> {
+        self.choose_among(request, engine, &[], excluded, now, rng)
+    }
+
+    /// Returns the boxes that serve what a request needs and may be sent it.
+    pub fn serving_boxes(
+        &self,
+        request: RequestSpec<'_>,
+        engine: Option<&EngineSpec>,
+        now: Millis,
+    ) -> impl Iterator<Item = &BoxId> {
+        let candidates = self.candidates(request, engine).into_iter();
+        let keys = candidates.flat_map(|all| all.near.iter().chain(&all.far));
+        let allowed = keys
+            .filter_map(|key| self.targets.get(*key))
+            .filter(move |target| request.regions.allows(target.spec.region.as_ref()))
+            .filter(move |target| !self.backpressure_state(target, now).is_closed());
+        allowed.map(|target| &target.spec.id)
+    }
+
+    /// Chooses an endpoint among those in `only`, or all if that is empty, other than those in
+    /// `excluded`.
+    pub fn choose_among(
+        &self,
+        request: RequestSpec<'_>,
+        engine: Option<&EngineSpec>,
+        only: &[BoxId],
+        excluded: &[BoxId],
+        now: Millis,
+        rng: &mut SeededRng,
     ) -> Option<TargetKey> {
         let candidates = self.candidates(request, engine)?;
         let engine = engine.zip(request.model);
         let engine = engine.and_then(|(engine, model)| Some((engine, engine.model(model)?)));
         let latency = request.model.and_then(|model| self.latency_models.get(model)).copied();
         let latency = latency.unwrap_or_default();
-        let choice = Choice { request, engine, excluded, now, latency };
+        let choice = Choice { request, engine, excluded, only, now, latency };
         match (self.policy.choice, engine) {
             (ChoiceRule::ExpectedCredit, Some(_)) => self
                 .best_credit(candidates, &choice, rng)
@@ -283,7 +321,7 @@
             let target = self.targets.get(*key)?;
             let state = self.backpressure_state(target, choice.now);
             let is_allowed = choice.request.regions.allows(target.spec.region.as_ref());
-            if choice.excluded.contains(&target.spec.id) || state.is_closed() || !is_allowed {
+            if choice.leaves_out(&target.spec.id) || state.is_closed() || !is_allowed {
                 continue;
             }
             // Ties are broken at random, so that nodes with the same information make different
@@ -379,7 +417,7 @@
     /// Returns an endpoint if it may be chosen now.
     fn eligible(&self, key: TargetKey, choice: &Choice<'_>) -> Option<&Target> {
         let target = self.targets.get(key)?;
-        let is_excluded = choice.excluded.contains(&target.spec.id)
+        let is_excluded = choice.leaves_out(&target.spec.id)
             || target.is_ejected(choice.now)
             || !choice.request.regions.allows(target.spec.region.as_ref());
         let is_open = || self.backpressure_state(target, choice.now) == BackpressureState::Open;
--- a/crates/cherrystand_core/src/site/suspect.rs
+++ b/crates/cherrystand_core/src/site/suspect.rs
@@ -1,10 +1,10 @@
 //! Crash history of one request: the boxes that crashed while they were running it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{BoxId, Millis};
 
-/// A request is refused once this many boxes have crashed while running it.
+/// A request is refused or confined once this many boxes have crashed while running it.
 ///
 /// A lower limit would refuse requests whose boxes failed for other reasons: a request whose
 /// replica is lost is retried on a second one, which may be lost by coincidence as well.
@@ -30,6 +30,13 @@
 /// it.
 const MAX_CRASH_GROUPS: usize = 8;
 
+/// How many boxes to which a suspect is confined have to crash for it to be refused while others run it
+/// for longer than it took to crash boxes.
+const CRASHES_THAT_PROVE_OUTLIVED: usize = 2;
+
+/// By how much the times differ that one request takes to crash boxes, as a fraction.
+const TIME_SPREAD: (u64, u64) = (9, 8);
+
 /// How long after the last crash a refused request is tried again, like a half-open circuit
 /// breaker. Without trials, a frequent harmless request stays refused if three boxes crash under it
 /// before it is served once, for example just after all daemons were restarted. Daemons take 3 to 5
@@ -81,6 +88,31 @@
     /// How often it arrived while refused, and when last.
     pub(crate) refusals: u32,
     pub(crate) last_refused: Millis,
+    /// How long it had run at boxes as these crashed.
+    pub(crate) times: BTreeMap<BoxId, Millis>,
+    /// Boxes that live and speak for it: they run it for longer than it took to crash the others.
+    pub(crate) outlived_by: BTreeSet<BoxId>,
+    /// Boxes that live and run it for longer than the quickest crash took.
+    pub(crate) longer_at: BTreeSet<BoxId>,
+    /// How many boxes crashed to which it was confined.
+    pub(crate) crashes_where_confined: usize,
+    /// Whether a daemon told of a crash of it, and not the store's record alone.
+    pub(crate) is_witnessed: bool,
+}
+
+/// What is known of a suspect beside the number of its crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Testimony {
+    /// Boxes crashed to which it was confined.
+    CrashedWhereConfined,
+    /// Boxes that live run it for longer than it took to crash the others.
+    Outlived,
+    /// None does, as far as this daemon knows.
+    NotOutlived,
+    /// Nobody told how long it took to crash boxes.
+    Unknown,
+    /// It stands in the store's record, and no daemon told of it.
+    StoreOnly,
 }
 
 impl Suspect {
@@ -111,13 +143,84 @@
         self.crash_groups.iter().map(CrashGroup::crash_count).sum()
     }
 
-    pub(crate) fn is_refused(&self) -> bool {
+    pub(crate) fn reaches_limit(&self) -> bool {
         self.crash_count() >= MAX_CRASHES
     }
 
+    pub(crate) fn testimony(&self) -> Testimony {
+        match self {
+            _ if self.crashes_where_confined >= self.crashes_that_prove() => {
+                Testimony::CrashedWhereConfined
+            }
+            Self { is_witnessed: false, .. } => Testimony::StoreOnly,
+            _ if self.is_outlived() => Testimony::Outlived,
+            _ if !self.times.is_empty() => Testimony::NotOutlived,
+            _ => Testimony::Unknown,
+        }
+    }
+
+    /// Returns whether boxes that live run it for longer than it took to crash others.
+    pub(crate) fn is_outlived(&self) -> bool {
+        !self.outlived_by.is_empty()
+    }
+
+    /// Returns how many boxes to which it is confined have to crash for it to be refused.
+    fn crashes_that_prove(&self) -> usize {
+        if self.is_outlived() { CRASHES_THAT_PROVE_OUTLIVED } else { 1 }
+    }
+
+    /// Records how long it had run at a box as that crashed; the longest of its attempts there counts.
+    pub(crate) fn record_time(&mut self, box_id: &BoxId, ran: Millis) {
+        let is_blamed = self.crash_groups.iter().any(|group| group.boxes.contains(box_id));
+        if !is_blamed || self.times.len() >= MAX_BOXES {
+            return;
+        }
+        let longest = self.times.entry(box_id.clone()).or_default();
+        *longest = ran.max(*longest);
+    }
+
+    /// Records how long it has run at a box that lives, and returns whether the box speaks for it anew:
+    /// alone where it runs it for longer than a crash typically took, and together with others where
+    /// they do for longer than the quickest crash.
+    pub(crate) fn record_running(&mut self, box_id: &BoxId, ran: Millis) -> bool {
+        let is_longer = |time: Option<Millis>| {
+            time.is_some_and(|time| ran.0 * TIME_SPREAD.1 > time.0 * TIME_SPREAD.0)
+        };
+        if is_longer(self.typical_time()) {
+            return self.record_outlived(box_id);
+        }
+        let shortest = self.times.values().copied().min();
+        if !is_longer(shortest) || self.knows_crash_of(box_id) {
+            return false;
+        }
+        if self.longer_at.len() < MAX_BOXES {
+            self.longer_at.insert(box_id.clone());
+        }
+        self.longer_at.len() >= MAX_CRASHES && self.record_outlived(box_id)
+    }
+
+    /// Records that a box that lives speaks for it, and returns whether that is new.
+    pub(crate) fn record_outlived(&mut self, box_id: &BoxId) -> bool {
+        !self.knows_crash_of(box_id)
+            && self.outlived_by.len() < MAX_BOXES
+            && self.outlived_by.insert(box_id.clone())
+    }
+
+    /// Returns the median of the times that it took to crash boxes, the lower one of two.
+    fn typical_time(&self) -> Option<Millis> {
+        let mut times: Vec<Millis> = self.times.values().copied().collect();
+        times.sort_unstable();
+        times.get(times.len().saturating_sub(1) / 2).copied()
+    }
+
+    /// Returns the longest time that it took to crash a box.
+    pub(crate) fn longest_time(&self) -> Option<Millis> {
+        self.times.values().copied().max()
+    }
+
     /// Returns whether it is refused and still arriving.
     pub(crate) fn awaits_trial(&self, now: Millis) -> bool {
-        self.is_refused()
+        self.reaches_limit()
             && self.refusals > 0
             && now.since(self.last_refused) < REFUSED_RECENTLY_WITHIN
     }
@@ -168,6 +271,10 @@
             std::mem::take(&mut self.crash_groups).into_iter().flat_map(|group| group.boxes);
         self.unrelated.extend(boxes);
         (self.trials, self.refusals) = (0, 0);
+        self.times.clear();
+        self.outlived_by.clear();
+        self.longer_at.clear();
+        self.crashes_where_confined = 0;
         while self.unrelated.len() > MAX_BOXES {
             self.unrelated.pop_first();
         }
--- a/crates/cherrystand_core/src/site/suspect_record.rs
+++ b/crates/cherrystand_core/src/site/suspect_record.rs
@@ -10,8 +10,7 @@
 /// the record.
 const MAX_ENTRIES: usize = 128;
 
-/// A newer activity time is written only if it is this much later, so that a request that keeps
-/// arriving costs one write to the store every half hour.
+/// A newer activity time is written only if it is this much later.
 const REFRESH_INTERVAL_MS: u64 = SUSPECT_TTL.0 / 2;
 
 /// Two trial times that differ by less are the same trial, given clock differences and rounding.
@@ -28,7 +27,7 @@
     /// Boxes that crashed before it was served elsewhere, and so not because of it.
     #[serde(default, rename = "acquitted")]
     pub unrelated: BTreeSet<BoxId>,
-    /// When it last crashed a box or was refused, in Unix milliseconds.
+    /// When it last crashed a box or was served, in Unix milliseconds.
     #[serde(rename = "at")]
     pub last_activity_ms: u64,
     /// How often it was tried while refused.
@@ -82,6 +81,11 @@
 }
 
 impl SuspectRecord {
+    /// Returns whether daemons may have written it: none writes more entries than [`MAX_ENTRIES`].
+    pub fn is_bounded(&self) -> bool {
+        self.requests.len() <= MAX_ENTRIES
+    }
+
     /// Returns whether it has an entry for a request.
     pub(crate) fn contains(&self, request: Fingerprint) -> bool {
         self.requests.iter().any(|entry| entry.request == request)
--- a/crates/cherrystand_peer/src/load_message.rs
+++ b/crates/cherrystand_peer/src/load_message.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use cherrystand_core::{
-    BoxId, EndpointLoad, Fingerprint, NodeId, RateLimitMessage, ServiceName, ZoneId, ZoneLoads,
+    BoxId, CrashTime, EndpointLoad, Fingerprint, NodeId, Outlived, RateLimitMessage, ServiceName,
+    ZoneId, ZoneLoads,
 };
 use serde::{Deserialize, Serialize};
 
@@ -62,4 +63,15 @@
         /// The daemons to forward the message to.
         to: Vec<SocketAddr>,
     },
+    /// Reports what else the sender knows of the suspects of a crash.
+    CrashEvidence {
+        /// How long they had run at boxes as these crashed.
+        times: Vec<CrashTime>,
+        /// Boxes that live and run them for longer than that.
+        outlived: Vec<Outlived>,
+    },
+    /// Reports requests and parts of prompts that the sender refuses, as they still arrive there.
+    Refusing(Vec<Fingerprint>),
+    /// Reports that the sender has begun to try a refused request.
+    Trying(Fingerprint),
 }
--- a/crates/cherrystandd/src/site/active_attempt.rs
+++ b/crates/cherrystandd/src/site/active_attempt.rs
@@ -161,6 +161,11 @@
         self.req.features().contains(&feature)
     }
 
+    /// Returns its request.
+    pub(crate) fn request(&self) -> &SiteRequest {
+        &self.req
+    }
+
     /// Waits until the attempt is aborted.
     pub(crate) async fn aborted(&self) {
         self.aborted.notified().await;
@@ -220,7 +225,8 @@
             running_ms = self.frontend.now().since(self.started_at).0;
             "an answer broke off"
         );
-        self.frontend.crashes.answer_interrupted(&self.frontend, &self.target, &self.req);
+        let ran = self.frontend.now().since(self.started_at);
+        self.frontend.crashes.answer_interrupted(&self.frontend, &self.target, &self.req, ran);
     }
 
     /// Takes the endpoint out of the choice for a while, unless a peer carried the request, whose fault
--- a/crates/cherrystandd/src/site/crash_watch.rs
+++ b/crates/cherrystandd/src/site/crash_watch.rs
@@ -1,17 +1,18 @@
 //! Tracking which requests were running on boxes that crashed.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 
 use cherrystand_core::{
-    BoxId, CrashCheck, CrashSuspects, Fingerprint, InterruptedAnswers, MAX_CRASHES, Millis,
-    ServiceName, SiteView, SuspectRecord,
+    BoxId, CrashCheck, CrashSuspects, CrashTime, Fingerprint, InterruptedAnswers, LogLimiter,
+    MAX_CRASHES, Millis, Outlived, ServiceName, SiteView, SuspectRecord, TrialOwners, Verdict,
 };
 use cherrystand_peer::LoadMessage;
 
 use crate::site::active_attempt::ActiveAttempt;
+use crate::site::confinements::Confinements;
 use crate::site::frontend::Frontend;
 use crate::site::load_exchange::LoadExchange;
 use crate::site::path_checks::PathCheck;
@@ -36,7 +37,7 @@
 /// What a node finds is sent to peers at once, and to the store so that it lasts.
 pub(crate) struct CrashWatch {
     pub(super) cx: DutyContext,
-    loads: Rc<LoadExchange>,
+    pub(super) loads: Rc<LoadExchange>,
     pub(super) interrupted: RefCell<InterruptedAnswers>,
     pub(super) suspects: RefCell<CrashSuspects>,
     /// The store's record as of the last view.
@@ -50,6 +51,12 @@
     served_at: RefCell<BTreeMap<ServiceName, Millis>>,
     /// All open attempts, and some that have ended since.
     pub(super) attempts: RefCell<Vec<Weak<ActiveAttempt>>>,
+    pub(super) confinements: RefCell<Confinements>,
+    pub(super) trial_owners: RefCell<TrialOwners>,
+    /// What this node refuses and has not told peers of, and when it last told them.
+    pub(super) refusing: RefCell<BTreeSet<Fingerprint>>,
+    pub(super) told_refusing_at: Cell<Millis>,
+    pub(super) overaccused_log: RefCell<LogLimiter>,
     /// A handle to itself for tasks that run later.
     pub(super) weak_self: Weak<CrashWatch>,
 }
@@ -68,6 +75,11 @@
             suspects_in_flight: RefCell::default(),
             served_at: RefCell::default(),
             attempts: RefCell::default(),
+            confinements: RefCell::default(),
+            trial_owners: RefCell::default(),
+            refusing: RefCell::default(),
+            told_refusing_at: Cell::default(),
+            overaccused_log: RefCell::new(LogLimiter::new(1)),
             weak_self: weak_self.clone(),
         })
     }
@@ -87,8 +99,11 @@
         }
         let request = req.fingerprint();
         let undecided = self.interrupted.borrow().pending_checks(request);
-        let crashes = self.suspects.borrow().crash_count(request);
-        crashes + undecided + (open as usize) < MAX_CRASHES
+        let suspects = self.suspects.borrow();
+        if suspects.verdict(request) == Verdict::Confined {
+            return undecided + open as usize == 0;
+        }
+        suspects.crash_count(request) + undecided + (open as usize) < MAX_CRASHES
     }
 
     /// Returns whether a request whose attempt failed may be sent elsewhere, as far as the parts of its
@@ -99,7 +114,9 @@
             return true;
         }
         let (interrupted, suspects) = (self.interrupted.borrow(), self.suspects.borrow());
-        let parts = req.features().iter().filter(|feature| feature.is_part());
+        let is_blamed =
+            |part: &&Fingerprint| part.is_part() && suspects.verdict(**part) != Verdict::Confined;
+        let parts = req.features().iter().filter(is_blamed);
         let crashes = |part: &Fingerprint| {
             let crashes = suspects.unexplained_crash_count(*part);
             crashes + if crashes > 0 { interrupted.pending_checks(*part) } else { 0 }
@@ -115,14 +132,15 @@
         let mut suspects = self.suspects.borrow_mut();
         let mut cleared = Vec::new();
         for feature in req.features() {
-            let was_refused = suspects.is_refused(*feature);
+            let verdict = suspects.verdict(*feature);
             if suspects.record_served(*feature, now) {
                 cleared.push(*feature);
             }
-            if was_refused {
+            if verdict != Verdict::Sent {
                 log::info!(
-                    fingerprint = feature.to_string(), is_part = feature.is_part();
-                    "a refused request was served and is refused no more"
+                    fingerprint = feature.to_string(), is_part = feature.is_part(),
+                    was = verdict.as_str();
+                    "a refused or confined request was served and is sent like any other"
                 );
             }
         }
@@ -149,8 +167,10 @@
     }
 
     fn count_refused(&self) {
-        let refused = self.suspects.borrow().refused_count();
-        self.cx.metrics.requests_refused_for_ends.set(refused as i64);
+        let suspects = self.suspects.borrow();
+        self.cx.metrics.requests_refused_for_ends.set(suspects.refused_count() as i64);
+        let is_kept = |suspect| suspects.verdict(suspect) != Verdict::Sent;
+        self.confinements.borrow_mut().retain(is_kept);
     }
 
     /// Records a peer's report of a crashed box; this node's own requests there count as well.
@@ -163,7 +183,8 @@
     ) -> Vec<Fingerprint> {
         self.box_crashed(incarnation);
         let requests = &requests[..requests.len().min(MAX_REQUESTS_PER_BOX)];
-        self.count_crashes(incarnation, requests);
+        let (_, outlived) = self.count_crashes(incarnation, requests, Vec::new());
+        self.tell_evidence(Vec::new(), outlived);
         let now = self.cx.clock.now();
         let suspects = self.suspects.borrow();
         let served =
@@ -187,17 +208,29 @@
         frontend: &Rc<Frontend>,
         incarnation: &BoxId,
         req: &SiteRequest,
+        ran: Millis,
     ) {
         // A box that has announced that it is leaving stops as planned.
         if frontend.is_leaving(incarnation) {
             return;
         }
         let now = self.cx.clock.now();
-        let step = self.interrupted.borrow_mut().record(incarnation, req.features(), now);
+        let mut interrupted = self.interrupted.borrow_mut();
+        let step = interrupted.record(incarnation, req.features(), now);
+        interrupted.record_time(incarnation, req.features(), ran);
+        drop(interrupted);
         match step {
             CrashCheck::Start => self.probe_box(frontend, incarnation),
             CrashCheck::Pending => {}
-            CrashCheck::Crashed => self.record_crash(incarnation, req.features().to_vec()),
+            CrashCheck::Crashed => {
+                let time = |feature: &Fingerprint| CrashTime {
+                    box_id: incarnation.clone(),
+                    feature: *feature,
+                    ran,
+                };
+                let times = req.features().iter().map(time).collect();
+                self.record_crash(incarnation, req.features().to_vec(), times);
+            }
         }
     }
 
@@ -231,6 +264,9 @@
             let now = self.cx.clock.now();
             let mut suspects = self.suspects.borrow_mut();
             suspects.remove_expired(now);
+            if !view.suspects.is_bounded() {
+                log::warn!("the store's record of suspects has too many entries and is ignored");
+            }
             suspects.merge_record(&view.suspects, clock::unix_millis(), now);
             drop(suspects);
             self.count_refused();
@@ -242,19 +278,22 @@
 
     /// Records that a box crashed.
     fn box_crashed(&self, incarnation: &BoxId) {
-        let requests = self.interrupted.borrow_mut().record_crash(incarnation, self.cx.clock.now());
+        let mut interrupted = self.interrupted.borrow_mut();
+        let times = interrupted.times_at(incarnation);
+        let requests = interrupted.record_crash(incarnation, self.cx.clock.now());
+        drop(interrupted);
         if !requests.is_empty() {
-            self.record_crash(incarnation, requests);
+            self.record_crash(incarnation, requests, times);
         }
     }
 
     /// Counts requests of this node that were running on a box as it crashed, and reports them to
     /// peers.
-    fn record_crash(&self, incarnation: &BoxId, requests: Vec<Fingerprint>) {
+    fn record_crash(&self, incarnation: &BoxId, requests: Vec<Fingerprint>, times: Vec<CrashTime>) {
         let answers = requests.iter().filter(|feature| !feature.is_part()).count();
         self.cx.metrics.answers_ended_with_box.inc_by(answers as u64);
         self.last_crash_at.set(Some(self.cx.clock.now()));
-        self.count_crashes(incarnation, &requests);
+        let (times, outlived) = self.count_crashes(incarnation, &requests, times);
         self.publish();
         self.log_crash(incarnation, &requests);
         let now = self.cx.clock.now();
@@ -265,6 +304,7 @@
         drop(suspects);
         if !reported.is_empty() {
             self.loads.broadcast(LoadMessage::Crashed(incarnation.clone(), reported));
+            self.tell_evidence(times, outlived);
         }
     }
 
@@ -282,23 +322,34 @@
         );
     }
 
-    /// Counts a crash for each request whose answer ended with its box.
-    fn count_crashes(&self, incarnation: &BoxId, requests: &[Fingerprint]) {
+    /// Counts a crash for each request whose answer ended with its box, and returns what else peers are
+    /// told of it.
+    fn count_crashes(
+        &self,
+        incarnation: &BoxId,
+        requests: &[Fingerprint],
+        times: Vec<CrashTime>,
+    ) -> (Vec<CrashTime>, Vec<Outlived>) {
         let now = self.cx.clock.now();
+        if self.suspects.borrow().is_empty() {
+            self.count_arrivals_in_flight();
+        }
+        let mut suspects = self.suspects.borrow_mut();
+        let sent = requests.iter().filter(|it| suspects.verdict(**it) == Verdict::Sent);
+        let sent: Vec<Fingerprint> = sent.copied().collect();
         for request in requests {
-            let mut suspects = self.suspects.borrow_mut();
-            let was_refused = suspects.is_refused(*request);
             suspects.record_crash(incarnation, *request, now);
-            if !was_refused && suspects.is_refused(*request) {
-                let what = if request.is_part() { "a part of prompts" } else { "a request" };
-                log::warn!(
-                    fingerprint = request.to_string();
-                    "{what} is refused from now on: it was at the ends of {MAX_CRASHES} boxes"
-                );
-                self.cancel_attempts_soon(*request);
-            }
         }
+        drop(suspects);
+        let times = self.record_times(times);
+        self.count_where_confined(incarnation, requests);
+        let outlived = self.find_outlived(requests);
+        let suspects = self.suspects.borrow();
+        let blamed = sent.into_iter().filter(|it| suspects.verdict(*it) != Verdict::Sent);
+        blamed.for_each(|request| self.judge_soon(request));
+        drop(suspects);
         self.count_refused();
+        (times, outlived)
     }
 
     /// Publishes what this node has to add to the store's record.
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -227,16 +227,22 @@
         self.loads.update_balancer(&mut self.balancer.borrow_mut());
         let mut excluded = self.crashes.boxes_to_avoid(req);
         let balancer = self.balancer.borrow();
+        let now = self.now();
+        let confined = self
+            .crashes
+            .boxes_confined_to(req, || balancer.serving_boxes(spec, engine, now).collect());
+        let only = confined.as_deref().unwrap_or_default();
+        excluded.retain(|id| !only.contains(id));
         let key = match excluded.is_empty() {
-            true => balancer.choose(spec, engine, tried, self.now(), &mut rng),
+            true => balancer.choose_among(spec, engine, only, tried, now, &mut rng),
             false => {
                 excluded.extend_from_slice(tried);
-                let key = balancer.choose(spec, engine, &excluded, self.now(), &mut rng);
-                key.or_else(|| balancer.choose(spec, engine, tried, self.now(), &mut rng))
+                let key = balancer.choose_among(spec, engine, only, &excluded, now, &mut rng);
+                key.or_else(|| balancer.choose_among(spec, engine, only, tried, now, &mut rng))
             }
         };
         self.rng.set(rng);
-        let key = key.or_else(|| balancer.choose(spec, engine, &[], self.now(), &mut rng))?;
+        let key = key.or_else(|| balancer.choose_among(spec, engine, only, &[], now, &mut rng))?;
         let target = balancer.box_id(key)?.clone();
         let prediction = engine.and_then(|engine| balancer.predict(key, spec, engine));
         let prediction = prediction.map(|prediction| match purpose {
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -247,6 +247,16 @@
                 self.loads.lent_retries.borrow_mut().handle_message(sender, &service, message, now);
                 self.loads.limits_due.notify_one();
             }
+            LoadMessage::CrashEvidence { times, outlived } => {
+                self.crashes.peer_reported_evidence(&times, &outlived);
+            }
+            LoadMessage::Refusing(refused) => {
+                let served = self.crashes.peer_refuses(&refused, sender);
+                if !served.is_empty() {
+                    self.send(&LoadMessage::Served(served), &[sender]).await;
+                }
+            }
+            LoadMessage::Trying(_) => self.crashes.peer_tries(),
             // `handle_and_forward` has forwarded it; a nested one is ignored.
             LoadMessage::Forward { .. } => {}
         }
@@ -416,7 +426,11 @@
             LoadMessage::Stalled(_) | LoadMessage::Stopped(_) | LoadMessage::Leaving(_) => {
                 "out-of-service"
             }
-            LoadMessage::Crashed(..) | LoadMessage::Served(_) => "ends-with-requests",
+            LoadMessage::Crashed(..)
+            | LoadMessage::Served(_)
+            | LoadMessage::CrashEvidence { .. }
+            | LoadMessage::Refusing(_)
+            | LoadMessage::Trying(_) => "ends-with-requests",
             LoadMessage::RateLimit(..) => "limits",
             LoadMessage::LentRetries(..) => "repeats",
             LoadMessage::Forward { .. } => "passed-on",
