--- a/crates/cherrystandd/src/site/active_attempt.rs
+++ b/crates/cherrystandd/src/site/active_attempt.rs
@@ -162,6 +162,11 @@
         self.req.features().contains(&feature)
     }
 
+    /// Returns its request.
+    pub(crate) fn request(&self) -> &SiteRequest {
+        &self.req
+    }
+
     /// Waits until the attempt is aborted.
     pub(crate) async fn aborted(&self) {
         self.aborted.notified().await;
@@ -221,7 +226,8 @@
             running_ms = self.frontend.now().since(self.started_at).0;
             "an answer broke off"
         );
-        self.frontend.crashes.answer_interrupted(&self.frontend, &self.target, &self.req);
+        let ran = self.frontend.now().since(self.started_at);
+        self.frontend.crashes.answer_interrupted(&self.frontend, &self.target, &self.req, ran);
     }
 
     /// Takes the endpoint out of the choice for a while, unless a peer carried the request, whose fault
