test: the bounds of guilty parts that many share are the stated aim, listed as red

The first bounds of these plays came from what was measured (up to 8 in the mean and 13 at most). The aim is 4 in the mean and 6 at most, so that is the bound of each case, and the test is listed. So is the case of few replicas, in which 6 sound attempts were cancelled and 10 were allowed; none is. What holds stays in tests of its own: nothing is refused for crashes by chance, sound requests beside a guilty part are served.

--- a/crates/cherrystand_core/tests/common_parts.rs
+++ b/crates/cherrystand_core/tests/common_parts.rs
@@ -39,11 +39,6 @@
     chance: &'static [ChanceCrash],
     /// The daemons that callers reach are those from this one on.
     callers_from: usize,
-    /// How many attempts may be cancelled in all plays.
-    most_cancelled: usize,
-    /// How many crashes the guilty part may cost in the mean, and at most.
-    mean_crashes: f64,
-    most_crashes: usize,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -369,17 +364,32 @@
     guilty: false,
     chance: PAIRS,
     callers_from: 1,
-    most_cancelled: 0,
-    mean_crashes: 0.0,
-    most_crashes: 0,
 };
 
+const ALONE: &[ChanceCrash] = &[(1_000, 1), (1_300, 1), (1_600, 1), (1_900, 1)];
+const RACK: &[ChanceCrash] = &[(1_200, 3), (1_600, 2)];
+
+/// Plays each case, and describes those in which sound requests were refused later or cancelled.
+fn harmed_by_chance(cases: &[Case]) -> Vec<String> {
+    let harmed = cases.iter().filter_map(|case| {
+        let plays: Vec<Outcome> = (0..PLAYS).map(|seed| Play::run(*case, seed)).collect();
+        let sum = |count: fn(&Outcome) -> usize| plays.iter().map(count).sum::<usize>();
+        let (settled, late) = (sum(|it| it.settled), sum(|it| it.settled_refused));
+        let (refused, cancelled) = (sum(|it| it.refused), sum(|it| it.cancelled_sound));
+        let text = format!(
+            "{}: {late} of {settled} refused later, {refused} in all, {cancelled} cancelled",
+            case.name
+        );
+        println!("{text}");
+        (late * 100 > settled || cancelled > 0).then_some(text)
+    });
+    harmed.collect()
+}
+
 /// All daemons were started again, four of twelve replicas crashed, and each later request was refused.
 #[test]
 fn a_part_that_many_share_is_not_refused_for_crashes_by_chance() {
-    const ALONE: &[ChanceCrash] = &[(1_000, 1), (1_300, 1), (1_600, 1), (1_900, 1)];
-    const RACK: &[ChanceCrash] = &[(1_200, 3), (1_600, 2)];
-    let cases = [
+    let harmed = harmed_by_chance(&[
         CASE,
         Case { name: "one daemon", daemons: 1, callers_from: 0, ..CASE },
         Case { name: "all of nine daemons have callers", daemons: 9, callers_from: 0, ..CASE },
@@ -387,82 +397,62 @@
         Case { name: "90 in 100", share: 90, ..CASE },
         Case { name: "half", share: 50, ..CASE },
         Case { name: "20 in 100", share: 20, ..CASE },
-        // In one play no replica outlives the first crashes.
-        Case {
-            name: "few replicas",
-            replicas: 4,
-            rate: 15,
-            chance: ALONE,
-            most_cancelled: 10,
-            ..CASE
-        },
         Case { name: "one after another", chance: ALONE, ..CASE },
         Case { name: "as a rack", replicas: 60, chance: RACK, ..CASE },
-    ];
-    let mut wrong = Vec::new();
-    for case in cases {
-        let plays: Vec<Outcome> = (0..PLAYS).map(|seed| Play::run(case, seed)).collect();
-        let sum = |count: fn(&Outcome) -> usize| plays.iter().map(count).sum::<usize>();
-        let (settled, late) = (sum(|it| it.settled), sum(|it| it.settled_refused));
-        let (refused, cancelled) = (sum(|it| it.refused), sum(|it| it.cancelled_sound));
-        let text = format!(
-            "{}: {late} of {settled} refused later, {refused} in all, {cancelled} cancelled",
-            case.name
-        );
-        println!("{text}");
-        if late * 100 > settled || cancelled > case.most_cancelled {
-            wrong.push(text);
-        }
-    }
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    ]);
+    assert!(harmed.is_empty(), "{harmed:#?}");
 }
 
-/// What crashes each replica that begins to write on it ends few of them, however many requests have it.
+/// In one play no replica outlives the first crashes.
 #[test]
-fn a_guilty_part_that_many_share_crashes_few_replicas() {
-    let guilty = Case {
-        name: "20 in 100",
-        guilty: true,
-        share: 20,
-        chance: &[],
-        callers_from: 0,
-        mean_crashes: 5.0,
-        most_crashes: 7,
-        ..CASE
-    };
-    let cases = [
+fn no_sound_request_is_cancelled_as_all_of_few_replicas_crash_in_turn() {
+    let few = Case { name: "few replicas", replicas: 4, rate: 15, chance: ALONE, ..CASE };
+    let harmed = harmed_by_chance(&[few]);
+    assert!(harmed.is_empty(), "{harmed:#?}");
+}
+
+/// Guilty parts that many requests share.
+fn guilty_cases() -> Vec<Case> {
+    let guilty =
+        Case { name: "20 in 100", guilty: true, share: 20, chance: &[], callers_from: 0, ..CASE };
+    vec![
         guilty,
         Case { name: "5 in 100", share: 5, ..guilty },
-        Case { name: "half", share: 50, mean_crashes: 6.0, most_crashes: 9, ..guilty },
-        Case { name: "all", share: 100, mean_crashes: 8.0, most_crashes: 11, ..guilty },
+        Case { name: "half", share: 50, ..guilty },
+        Case { name: "all", share: 100, ..guilty },
         Case { name: "few replicas", replicas: 4, rate: 15, ..guilty },
-        Case {
-            name: "60 replicas",
-            replicas: 60,
-            daemons: 9,
-            rate: 120,
-            mean_crashes: 7.0,
-            most_crashes: 13,
-            ..guilty
-        },
+        Case { name: "60 replicas", replicas: 60, daemons: 9, rate: 120, ..guilty },
         Case { name: "beside crashes by chance", chance: PAIRS, ..guilty },
-    ];
+    ]
+}
+
+/// The number of replicas that a guilty part may crash in the mean, and at most.
+const MEAN_CRASHES: f64 = 4.0;
+const MOST_CRASHES: usize = 6;
+
+#[test]
+fn a_guilty_part_that_many_share_crashes_few_replicas() {
     let mut wrong = Vec::new();
-    for case in cases {
-        let plays: Vec<Outcome> = (0..PLAYS).map(|seed| Play::run(case, seed)).collect();
-        let crashes = plays.iter().map(|it| it.crashes_by_guilty);
-        let most = crashes.clone().max().unwrap_or_default();
-        let mean = crashes.sum::<usize>() as f64 / PLAYS as f64;
-        let refused: usize = plays.iter().map(|it| it.unlike_refused).sum();
-        let unlike: usize = plays.iter().map(|it| it.unlike).sum();
-        let text = format!(
-            "{}: {mean:.1} crashes, {most} the most, {refused} of {unlike} sound ones refused",
-            case.name
-        );
+    for case in guilty_cases() {
+        let plays = (0..PLAYS).map(|seed| Play::run(case, seed).crashes_by_guilty);
+        let crashes: Vec<usize> = plays.collect();
+        let most = crashes.iter().copied().max().unwrap_or_default();
+        let mean = crashes.iter().sum::<usize>() as f64 / PLAYS as f64;
+        let text = format!("{}: {mean:.1} crashes, {most} the most", case.name);
         println!("{text}");
-        if mean > case.mean_crashes || most > case.most_crashes || refused * 20 > unlike {
+        if mean > MEAN_CRASHES || most > MOST_CRASHES {
             wrong.push(text);
         }
     }
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+#[test]
+fn sound_requests_are_served_beside_a_guilty_part_that_many_share() {
+    for case in guilty_cases() {
+        let plays: Vec<Outcome> = (0..PLAYS).map(|seed| Play::run(case, seed)).collect();
+        let refused: usize = plays.iter().map(|it| it.unlike_refused).sum();
+        let unlike: usize = plays.iter().map(|it| it.unlike).sum();
+        assert!(refused * 20 <= unlike, "{}: {refused} of {unlike} refused", case.name);
+    }
+}
