fix: a box that resets new connections is not taken for dead

What callers saw: streams of a sound replica were cut, and the replica was given up, as its boxes were at their limit of connections while the streams stood still for 0.7 s. Since calls without a name have a connection each, a report or an order meets that limit at once.

Cause: any error of connecting counted as "nothing listens there", also a reset that arrives before the opened connection is noticed: a probe ended in "dead" after 21 ms (log of the test below), an order in "refused". A reset after that counted as silence, by the few milliseconds that it took; the next probe, and the next order, followed at once, as both relied on the time that an unanswered call takes: 641 to 685 connections to five boxes in 5 s.

Mend: a probe fails as refused, cut or unanswered. Cut shows nothing, as the box may serve: it is asked again, and left undecided in the end. A probe follows the one before by its timeout at the soonest, and an order that was cut waits as one to a box that can't be reached does, since it may have been carried out.

`unreached_orders` covers orders that are cut.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -203,7 +203,7 @@
 pub use nodes::fan_out::{FanOutTarget, fan_out};
 pub use nodes::freshness::{FRESH_FOR, Freshness, ServeBy};
 pub use nodes::liveness_probe::{
-    LivenessProbe, MAX_SOUND_SILENCE, ProbeReason, ProbeVerdict, WITNESS_LEAD_TIME,
+    LivenessProbe, MAX_SOUND_SILENCE, ProbeFailure, ProbeReason, ProbeVerdict, WITNESS_LEAD_TIME,
 };
 pub use nodes::membership::{
     DEAD_AFTER, FORGET_AFTER, Heartbeat, Liveness, Membership, PAUSE_GAP, SUSPECT_AFTER,
--- a/crates/cherrystand_core/src/nodes/liveness_probe.rs
+++ b/crates/cherrystand_core/src/nodes/liveness_probe.rs
@@ -75,6 +75,29 @@
     NotListed,
 }
 
+/// How a probe failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeFailure {
+    /// Nothing listens at the address of the box.
+    Refused,
+    /// The connection was reset or closed before an answer came. A box that is at its limit of connections
+    /// does so with new ones, and serves those that are open.
+    Cut,
+    /// No answer came in time.
+    Unanswered,
+}
+
+impl ProbeFailure {
+    /// Returns the name that logs use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Cut => "cut",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// Tracks the probes of one box until it answers or a verdict is reached.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LivenessProbe {
@@ -109,8 +132,8 @@
         self.silence > Millis(0)
     }
 
-    /// Records a probe that shows nothing, as the daemon may be slow or cut off itself, and returns
-    /// the verdict.
+    /// Records a probe that shows nothing, as the daemon may be slow or cut off itself or the box turned
+    /// the connection away, and returns the verdict.
     pub fn record_doubt(&mut self) -> ProbeVerdict {
         self.timeouts += 1;
         let most = match self.was_silent() {
--- a/crates/cherrystand_core/src/site/formation.rs
+++ b/crates/cherrystand_core/src/site/formation.rs
@@ -201,12 +201,12 @@
         is_silent: bool,
         now: Millis,
     ) {
-        let is_unreached = matches!(end, OrderEnd::Refused | OrderEnd::Dark);
+        let is_unreached = matches!(end, OrderEnd::Refused | OrderEnd::Dark | OrderEnd::Cut);
         if !is_unreached {
             self.unreached_pauses.remove(&order.target);
         }
         let is_spare = matches!(order.task, MemberTask::Join { .. }) && order.epoch == SPARE_EPOCH;
-        if is_spare && end != OrderEnd::Silent {
+        if is_spare && !matches!(end, OrderEnd::Silent | OrderEnd::Cut) {
             // A box that refuses has joined before, and holds the model of that replica.
             self.warmed.insert(order.target.clone());
             return;
@@ -223,7 +223,7 @@
             (OrderEnd::Unknown, _) => false,
             // A box that responds but left an order unanswered is ordered again, under a later
             // fence.
-            (OrderEnd::Silent | OrderEnd::Dark, _) => !is_silent,
+            (OrderEnd::Silent | OrderEnd::Dark | OrderEnd::Cut, _) => !is_silent,
             _ => true,
         };
         if end == OrderEnd::Fenced {
--- a/crates/cherrystand_core/src/site/member_order.rs
+++ b/crates/cherrystand_core/src/site/member_order.rs
@@ -97,4 +97,6 @@
     Dark,
     /// No answer came; the order may still be executed.
     Silent,
+    /// The connection was reset or closed before an answer came; the order may still be executed.
+    Cut,
 }
--- a/crates/cherrystand_core/tests/unreached_orders.rs
+++ b/crates/cherrystand_core/tests/unreached_orders.rs
@@ -46,7 +46,7 @@
 
 #[test]
 fn orders_to_boxes_that_cannot_be_reached_pause() {
-    for end in [OrderEnd::Refused, OrderEnd::Dark] {
+    for end in [OrderEnd::Refused, OrderEnd::Dark, OrderEnd::Cut] {
         let mut domain = FakeSiteDomain::new(9);
         let record = DomainRecord::empty(domain.domain().clone());
         let mut formation = Formation::default();
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use cherrystand_core::ProbeFailure;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde::Serialize;
@@ -42,6 +43,19 @@
     InvalidRequest(#[source] hyper::http::Error),
 }
 
+impl CallError {
+    /// Returns how a probe or an order failed that ended with this error.
+    pub fn probe_failure(&self) -> ProbeFailure {
+        match self {
+            Self::Send(err) => err.probe_failure(),
+            Self::TimedOut(_) => ProbeFailure::Unanswered,
+            Self::AnswerInterrupted(_) | Self::Malformed(_) | Self::InvalidRequest(_) => {
+                ProbeFailure::Cut
+            }
+        }
+    }
+}
+
 /// The answer to a short call.
 #[derive(Clone, Debug)]
 pub struct Answer {
--- a/crates/cherrystand_platform/src/send_error.rs
+++ b/crates/cherrystand_platform/src/send_error.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
-use cherrystand_core::AttemptEnd;
+use cherrystand_core::{AttemptEnd, ProbeFailure};
 
 /// The reason why a request failed before its answer began.
 #[derive(Debug, thiserror::Error)]
@@ -54,6 +54,23 @@
         matches!(self, Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused)
     }
 
+    /// Returns how a probe or an order failed.
+    pub(crate) fn probe_failure(&self) -> ProbeFailure {
+        match self {
+            Self::Connect { source, .. } => match source.kind() {
+                // A reset may arrive before the opened connection is noticed.
+                ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted => ProbeFailure::Cut,
+                _ => ProbeFailure::Refused,
+            },
+            Self::ConnectTimedOut(_) => ProbeFailure::Unanswered,
+            Self::NotSent(_)
+            | Self::ConnectionLost(_)
+            | Self::LostBehindCarrier
+            | Self::ForeignAnswer
+            | Self::CarrierLost(_) => ProbeFailure::Cut,
+        }
+    }
+
     /// Returns why the connection could not be established, as metrics name it, or `None` if it was.
     pub fn connect_failure(&self) -> Option<&'static str> {
         match self {
--- a/crates/cherrystand_testkit/src/site/endpoint_links.rs
+++ b/crates/cherrystand_testkit/src/site/endpoint_links.rs
@@ -52,6 +52,11 @@
         self.links.borrow().values().cloned().collect()
     }
 
+    /// Returns how many connections were opened over all links so far.
+    pub fn opened(&self) -> u64 {
+        self.links.borrow().values().map(Link::opened).sum()
+    }
+
     /// Cuts all links.
     ///
     /// # Errors
--- a/crates/cherrystand_testkit/src/soak/link.rs
+++ b/crates/cherrystand_testkit/src/soak/link.rs
@@ -47,6 +47,9 @@
     Reset,
     /// Open connections live on, and new ones are refused.
     RefuseNew,
+    /// Open connections live on, and new ones are accepted and reset after this time, as by a server at its limit of
+    /// connections.
+    ResetNew(Duration),
 }
 
 /// State that all connections of a link share.
@@ -140,6 +143,11 @@
             }
             LinkCut::Reset => self.reset_connections(),
             LinkCut::RefuseNew => {}
+            LinkCut::ResetNew(after) => {
+                let listener = self.listen(RESTORED_QUEUE)?;
+                let resetting = tokio::task::spawn_local(self.clone().reset_new(listener, after));
+                self.door.replace(Door::Open(resetting));
+            }
         }
         Ok(())
     }
@@ -204,6 +212,26 @@
         self.conns.borrow_mut().drain(..).for_each(|conn| conn.abort());
     }
 
+    /// Returns how many connections were opened to it so far.
+    pub fn opened(&self) -> u64 {
+        self.state.opened.get()
+    }
+
+    async fn reset_new(self, listener: TcpListener, after: Duration) {
+        loop {
+            let Ok((client, _)) = listener.accept().await else {
+                tokio::time::sleep(POLL_INTERVAL).await;
+                continue;
+            };
+            self.state.opened.set(self.state.opened.get() + 1);
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(after).await;
+                // Without it the connection would be closed in an orderly way, which is as good here.
+                let _ = client.set_zero_linger();
+            });
+        }
+    }
+
     async fn accept(self, listener: TcpListener) {
         loop {
             let Ok((client, _)) = listener.accept().await else {
--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    BoxId, DomainId, LivenessProbe, MemberOrder, MemberTask, Millis, OrderEnd, ProbeReason,
-    ProbeVerdict, Revision, SiteBox, WITNESS_LEAD_TIME,
+    BoxId, DomainId, LivenessProbe, MemberOrder, MemberTask, Millis, OrderEnd, ProbeFailure,
+    ProbeReason, ProbeVerdict, Revision, SiteBox, WITNESS_LEAD_TIME,
 };
 use cherrystand_platform::{BoxCall, CallError, SendError, SiteDriver, WholeAnswer};
 
@@ -50,7 +50,7 @@
             }
             // The box may carry out the order later, or it may be gone, or this daemon may be
             // delayed itself.
-            OrderEnd::Dark | OrderEnd::Silent => {
+            OrderEnd::Dark | OrderEnd::Silent | OrderEnd::Cut => {
                 let site_box = self.state.borrow().listed_box(&order.target);
                 if let Some(site_box) = site_box {
                     self.probe(site_box, ProbeReason::NoAnswer).await;
@@ -87,14 +87,15 @@
         let sent = self.timed_call(order.task.as_str(), id, address, call, ORDER_TIMEOUT).await;
         let end = match &sent {
             Ok(answer) => Driver::order_end(answer.head.status()),
-            Err(CallError::Send(SendError::Connect { .. })) => {
-                match self.boxes.may_judge_since(id, sent_at).await {
+            Err(CallError::Send(SendError::ConnectTimedOut(_))) => OrderEnd::Dark,
+            Err(err) => match err.probe_failure() {
+                ProbeFailure::Refused => match self.boxes.may_judge_since(id, sent_at).await {
                     true => OrderEnd::Refused,
                     false => OrderEnd::Dark,
-                }
-            }
-            Err(CallError::Send(SendError::ConnectTimedOut(_))) => OrderEnd::Dark,
-            Err(_) => OrderEnd::Silent,
+                },
+                ProbeFailure::Cut => OrderEnd::Cut,
+                ProbeFailure::Unanswered => OrderEnd::Silent,
+            },
         };
         let is_alive = matches!(end, OrderEnd::Taken | OrderEnd::Unfit | OrderEnd::Fenced);
         if is_alive {
@@ -144,7 +145,13 @@
 
     /// Logs a verdict with the state of this node's calls: if many of them are open or unanswered
     /// at once, it is the daemon that is busy and not the box that is dead.
-    fn log_verdict(&self, id: &BoxId, sent_at: Millis, verdict: ProbeVerdict) {
+    fn log_verdict(
+        &self,
+        id: &BoxId,
+        sent_at: Millis,
+        verdict: ProbeVerdict,
+        failure: Option<ProbeFailure>,
+    ) {
         self.cx.metrics.silence_verdicts.with_label_values(&[verdict.as_str()]).inc();
         let now = self.now();
         let calls = self.call_book.borrow();
@@ -153,10 +160,11 @@
             ProbeVerdict::Dead => "a box is taken for dead",
             ProbeVerdict::Silent => "a box is taken for silent",
             ProbeVerdict::AskAgain => "a box did not answer and is probed again",
-            ProbeVerdict::Undecided => "a box did not answer, but nor did any witness: undecided",
+            ProbeVerdict::Undecided => "a box did not answer, which shows nothing of it: undecided",
         };
         log::info!(
-            target_box = id.as_str(), waited_ms = now.since(sent_at).0, open = stats.open,
+            target_box = id.as_str(), failure = failure.map_or("other-box", ProbeFailure::as_str),
+            waited_ms = now.since(sent_at).0, open = stats.open,
             unanswered = stats.unanswered, answered = stats.answered,
             slowest_ms = stats.slowest.0,
             quickest_since_ms =
@@ -247,20 +255,28 @@
         reason: ProbeReason,
         probe: &mut LivenessProbe,
     ) -> Option<ProbeVerdict> {
-        let sent_at = self.now();
+        let (sent_at, timeout) = (self.now(), probe.timeout());
         self.probe_witnesses(site_box);
         let answer = self.report_and_check_path(site_box, probe).await;
-        let verdict = match &answer {
-            Ok(answer) if is_other_box(site_box, answer) => ProbeVerdict::Dead,
+        let (verdict, failure) = match &answer {
+            Ok(answer) if is_other_box(site_box, answer) => (ProbeVerdict::Dead, None),
             Ok(answer) => {
                 self.record_probe_answer(&site_box.id, answer);
                 return None;
             }
-            Err(err) => self.judge_failure(site_box, reason, probe, sent_at, err).await,
+            Err(err) => {
+                let failure = err.probe_failure();
+                let verdict = self.judge_failure(site_box, reason, probe, sent_at, failure).await;
+                (verdict, Some(failure))
+            }
         };
         self.count_probe("silent");
-        self.log_verdict(&site_box.id, sent_at, verdict);
+        self.log_verdict(&site_box.id, sent_at, verdict, failure);
         self.record_verdict(&site_box.id, verdict);
+        if matches!(verdict, ProbeVerdict::AskAgain | ProbeVerdict::Silent) {
+            // A probe that failed at once is not followed by the next at once.
+            self.cx.clock.sleep_until(sent_at + timeout).await;
+        }
         Some(verdict)
     }
 
@@ -271,13 +287,16 @@
         reason: ProbeReason,
         probe: &mut LivenessProbe,
         sent_at: Millis,
-        err: &CallError,
+        failure: ProbeFailure,
     ) -> ProbeVerdict {
         let now = self.now();
-        let is_refused = matches!(err, CallError::Send(SendError::Connect { .. }));
+        let is_refused = failure == ProbeFailure::Refused;
         if is_refused && LivenessProbe::verdict_on_refusal(reason) == ProbeVerdict::Undecided {
             return ProbeVerdict::Undecided;
         }
+        if failure == ProbeFailure::Cut {
+            return probe.record_doubt();
+        }
         let is_shown = is_refused || probe.shows_silence(sent_at, now, &self.call_book.borrow());
         if !is_shown || !self.boxes.may_judge_since(&site_box.id, sent_at).await {
             return probe.record_doubt();
