fix: answers in the product's own interface name the attempt they belong to

What callers saw: through the product's own interface a request got the body of another ("refused-0 got 200 OK", body "warm"), as an endpoint sent an earlier answer once more where the next one was due. Refusals were believed the same way, and an order to an engine counted as carried out by the surplus answer to a report.

Cause: as with the users' interface before: an answer was taken by its place on a kept connection. The interface had no name to carry back, and the caller's request id is none, as callers choose it and a second attempt has the same.

Mend: each attempt, report and order has an id of its own (`cherrystand-call-id`), which endpoints and engines carry back; `AnswerPool` serves it with a second set of names beside the users' (`AnswerNames`), so there is one way of telling whose an answer is. A server that carries no id back is of an earlier version: its answer is taken only as the first on its connection, which is then closed.

--- a/crates/cherrystand_platform/src/answer_pool.rs
+++ b/crates/cherrystand_platform/src/answer_pool.rs
@@ -10,32 +10,32 @@
 use hyper::{Request, Response};
 
 use crate::{
-    HttpPool, IdentifiedAnswer, IdleSend, OpenConnection, PooledBody, RequestTries, SendError,
-    SiteDriver,
+    AnswerNames, HttpPool, IdentifiedAnswer, IdleSend, OpenConnection, PooledBody, RequestTries,
+    SendError,
 };
 
 /// Sends requests and identifies their answers.
 ///
 /// A request without a name travels on a connection that has carried nothing and carries nothing
 /// afterwards, because only that shows whose answer comes.
-pub struct AnswerPool<D> {
+pub struct AnswerPool<N> {
     pool: HttpPool,
-    driver: PhantomData<D>,
+    names: PhantomData<N>,
 }
 
-impl<D> Clone for AnswerPool<D> {
+impl<N> Clone for AnswerPool<N> {
     fn clone(&self) -> Self {
-        Self { pool: self.pool.clone(), driver: PhantomData }
+        Self { pool: self.pool.clone(), names: PhantomData }
     }
 }
 
-impl<D> Default for AnswerPool<D> {
+impl<N> Default for AnswerPool<N> {
     fn default() -> Self {
-        Self { pool: HttpPool::default(), driver: PhantomData }
+        Self { pool: HttpPool::default(), names: PhantomData }
     }
 }
 
-impl<D: SiteDriver> AnswerPool<D> {
+impl<N: AnswerNames> AnswerPool<N> {
     /// Sends a request and returns the answer once its head has arrived. At most `max_idle` idle connections to
     /// the address are kept.
     ///
@@ -69,14 +69,14 @@
         req: Request<Full<Bytes>>,
         tries: &RequestTries,
     ) -> IdleSend<IdentifiedAnswer> {
-        let name = D::request_name(req.headers());
+        let name = N::request_name(req.headers());
         let sent = match &name {
             Some(_) => self.pool.send_on_idle(max_idle, address, req, tries).await,
             None => self.pool.send_on_idle(0, address, req, &RequestTries::after_unknown()).await,
         };
         match sent {
             IdleSend::Sent(answer) => {
-                IdleSend::Sent(answer.and_then(|answer| identify::<D>(name.as_ref(), answer)))
+                IdleSend::Sent(answer.and_then(|answer| identify::<N>(name.as_ref(), answer)))
             }
             IdleSend::NoneIdle(req) => IdleSend::NoneIdle(req),
         }
@@ -93,11 +93,11 @@
         req: Request<Full<Bytes>>,
         tries: &RequestTries,
     ) -> Result<IdentifiedAnswer, SendError> {
-        let name = D::request_name(req.headers());
+        let name = N::request_name(req.headers());
         if name.is_none() {
             conn.close_after_use();
         }
-        identify::<D>(name.as_ref(), self.pool.send_on(conn, req, tries).await?)
+        identify::<N>(name.as_ref(), self.pool.send_on(conn, req, tries).await?)
     }
 
     /// Opens a connection without sending anything.
@@ -135,9 +135,9 @@
     }
 }
 
-fn identify<D: SiteDriver>(
+fn identify<N: AnswerNames>(
     name: Option<&HeaderValue>,
     answer: Response<PooledBody>,
 ) -> Result<IdentifiedAnswer, SendError> {
-    IdentifiedAnswer::identify::<D>(name, answer).ok_or(SendError::ForeignAnswer)
+    IdentifiedAnswer::identify::<N>(name, answer).ok_or(SendError::ForeignAnswer)
 }
--- a/crates/cherrystand_platform/src/endpoint_pool.rs
+++ b/crates/cherrystand_platform/src/endpoint_pool.rs
@@ -6,14 +6,14 @@
 use bytes::Bytes;
 use cherrystand_core::SendPermit;
 use http_body_util::Full;
-use hyper::{Request, Response};
+use hyper::Request;
 
-use crate::{HttpPool, PooledBody, SendError};
+use crate::{AnswerNames, AnswerPool, CallIds, IdentifiedAnswer, RequestTries, SendError};
 
 /// Sends callers' requests to endpoints; each request consumes the [`SendPermit`] that allows it.
 #[derive(Clone, Default)]
 pub struct EndpointPool {
-    connections: HttpPool,
+    connections: AnswerPool<CallIds>,
 }
 
 impl EndpointPool {
@@ -22,15 +22,17 @@
     ///
     /// # Errors
     ///
-    /// Returns the errors of [`HttpPool::send`].
+    /// Returns the errors of [`AnswerPool::send`].
     pub async fn send(
         &self,
         _permit: SendPermit,
         max_idle: usize,
         address: SocketAddr,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
         connect_timeout: Duration,
-    ) -> Result<Response<PooledBody>, SendError> {
-        self.connections.send_with_max_idle(max_idle, address, req, connect_timeout).await
+    ) -> Result<IdentifiedAnswer, SendError> {
+        CallIds::name_call(req.headers_mut());
+        let tries = RequestTries::default();
+        self.connections.send(max_idle, address, req, connect_timeout, &tries).await
     }
 }
--- a/crates/cherrystand_platform/src/engine_client.rs
+++ b/crates/cherrystand_platform/src/engine_client.rs
@@ -7,7 +7,7 @@
 use cherrystand_core::{EngineReport, Epoch, Order};
 use hyper::{Method, StatusCode};
 
-use crate::{CallError, HttpPool, call_box, to_json};
+use crate::{AnswerPool, CallError, CallIds, call_box, to_json};
 
 /// Timeout of a call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -35,7 +35,7 @@
 /// Calls the control interface of engines.
 #[derive(Clone, Default)]
 pub struct EngineClient {
-    pool: HttpPool,
+    pool: AnswerPool<CallIds>,
 }
 
 impl EngineClient {
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -208,6 +208,18 @@
 }
 
 impl PooledBody {
+    /// Returns whether its connection has carried no other request.
+    pub(crate) fn is_first_on_connection(&self) -> bool {
+        self.conn.as_ref().is_some_and(PooledConnection::carries_first)
+    }
+
+    /// Has its connection closed once it has been read.
+    pub(crate) fn close_after_use(&mut self) {
+        if let Some(conn) = &mut self.conn {
+            conn.max_idle = 0;
+        }
+    }
+
     /// Drops the body and closes its connection.
     pub fn discard(mut self) {
         self.conn = None;
--- a/crates/cherrystand_platform/src/identified_answer.rs
+++ b/crates/cherrystand_platform/src/identified_answer.rs
@@ -7,7 +7,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::json_call::MAX_BOX_ANSWER_BYTES;
-use crate::{AnswerHeaders, CallError, PooledBody, SiteDriver};
+use crate::{AnswerHeaders, AnswerNames, CallError, PooledBody, SiteDriver};
 
 /// The head of an answer that names the request it is taken for.
 ///
@@ -19,8 +19,8 @@
 impl IdentifiedHead {
     /// Identifies the head of an answer to a request with this name, or to one without. Returns `None`
     /// if it belongs to another request.
-    pub fn identify<D: SiteDriver>(name: Option<&HeaderValue>, head: Parts) -> Option<Self> {
-        D::is_answer_to(name, &head.headers).then_some(Self(head))
+    pub fn identify<N: AnswerNames>(name: Option<&HeaderValue>, head: Parts) -> Option<Self> {
+        N::is_answer_to(name, &head.headers).then_some(Self(head))
     }
 
     /// Returns the status.
@@ -53,19 +53,22 @@
 }
 
 impl IdentifiedAnswer {
-    /// Identifies an answer. The connection of one to another request is closed.
-    pub(crate) fn identify<D: SiteDriver>(
+    /// Identifies an answer. The connection of one to another request is closed, and that of one without
+    /// a name carries nothing afterwards.
+    pub(crate) fn identify<N: AnswerNames>(
         name: Option<&HeaderValue>,
         answer: Response<PooledBody>,
     ) -> Option<Self> {
-        let (head, body) = answer.into_parts();
-        match IdentifiedHead::identify::<D>(name, head) {
-            Some(head) => Some(Self { head, body }),
-            None => {
-                body.discard();
-                None
-            }
+        let (head, mut body) = answer.into_parts();
+        if N::is_answer_to(name, &head.headers) {
+            return Some(Self { head: IdentifiedHead(head), body });
         }
+        if N::may_lack_name(&head.headers) && body.is_first_on_connection() {
+            body.close_after_use();
+            return Some(Self { head: IdentifiedHead(head), body });
+        }
+        body.discard();
+        None
     }
 
     /// Returns the answer, to be passed on.
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{BoxCall, HttpPool, PooledBody, SendError, since_boot};
+use crate::{BoxCall, CallPool, PooledBody, SendError, since_boot};
 
 /// Maximum size of an answer, in bytes; the platform's lists are the largest answers.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
@@ -85,7 +85,7 @@
 /// Returns a [`CallError`]. Only [`CallError::Send`] with a failure to connect guarantees that the
 /// call had no effect.
 pub async fn call(
-    pool: &HttpPool,
+    pool: &impl CallPool,
     address: SocketAddr,
     method: Method,
     path: &str,
@@ -103,7 +103,7 @@
 ///
 /// Returns the errors of [`call`].
 pub async fn call_box(
-    pool: &HttpPool,
+    pool: &impl CallPool,
     address: SocketAddr,
     method: Method,
     path: &str,
@@ -116,14 +116,14 @@
 }
 
 async fn call_within(
-    pool: &HttpPool,
+    pool: &impl CallPool,
     address: SocketAddr,
     req: Request<Full<Bytes>>,
     timeout: Duration,
     max_bytes: usize,
 ) -> Result<Answer, CallError> {
     let exchange = async {
-        read_limited(pool.send(address, req, connect_timeout(timeout)).await?, max_bytes).await
+        read_limited(pool.send_call(address, req, connect_timeout(timeout)).await?, max_bytes).await
     };
     let outcome = tokio::time::timeout(timeout, exchange).await;
     outcome.unwrap_or(Err(CallError::TimedOut(timeout)))
@@ -171,14 +171,15 @@
 ///
 /// Returns the errors of [`call`].
 pub async fn call_while_arriving(
-    pool: &HttpPool,
+    pool: &impl CallPool,
     address: SocketAddr,
     request: BoxCall,
     limits: CallLimits,
     progress: &AnswerProgress,
 ) -> Result<Answer, CallError> {
     let req = request.into_request(address)?;
-    let answer = tokio::time::timeout(limits.first_part, pool.send(address, req, limits.connect));
+    let answer =
+        tokio::time::timeout(limits.first_part, pool.send_call(address, req, limits.connect));
     let answer = answer.await.map_err(|_| CallError::TimedOut(limits.first_part))??;
     progress.record();
     let (head, body) = answer.into_parts();
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -6,10 +6,13 @@
 
 mod adaptive_client;
 mod advertised_limit;
+mod answer_names;
 mod answer_pool;
 mod body_buffer;
 mod boot_time;
 mod buffer_budget;
+mod call_ids;
+mod call_pool;
 mod caller_body;
 mod connection_intake;
 mod endpoint_pool;
@@ -33,10 +36,13 @@
 
 pub use adaptive_client::{AdaptiveClient, WatchAnswer};
 pub use advertised_limit::AdvertisedLimit;
+pub use answer_names::{AnswerNames, NoNames};
 pub use answer_pool::AnswerPool;
 pub use body_buffer::BodyBuffer;
 pub use boot_time::{advance_clock, since_boot};
 pub use buffer_budget::{BufferBudget, BufferReservation, MemoryContended};
+pub use call_ids::{CALL_ID, CallIds, echo_call_id, serve_calls};
+pub use call_pool::CallPool;
 pub use caller_body::{CallerBody, CallerDisconnected, EventSender, IncompleteAnswer};
 pub use connection_intake::{ConnectionEnd, ConnectionIntake, NotTaken, TakenConnection};
 pub use endpoint_pool::EndpointPool;
--- a/crates/cherrystand_platform/src/pooled_connection.rs
+++ b/crates/cherrystand_platform/src/pooled_connection.rs
@@ -56,7 +56,8 @@
 
 pub(crate) struct PooledConnection {
     id: ConnectionId,
-    has_carried: bool,
+    /// How many requests it has carried.
+    carried: u64,
     pub(crate) address: SocketAddr,
     pub(crate) send: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
@@ -99,7 +100,7 @@
         });
         Ok(Self {
             id: ConnectionId(NEXT_ID.fetch_add(1, Ordering::Relaxed)),
-            has_carried: false,
+            carried: 0,
             address,
             send,
             driver,
@@ -112,7 +113,12 @@
 
     /// Returns what it has carried, as far as that decides what else it may carry.
     pub(crate) fn usage(&self) -> ConnectionUse {
-        ConnectionUse { id: self.id, has_carried: self.has_carried }
+        ConnectionUse { id: self.id, has_carried: self.carried > 0 }
+    }
+
+    /// Returns whether the request that it carries is its first.
+    pub(crate) fn carries_first(&self) -> bool {
+        self.carried == 1
     }
 
     /// Returns whether an idle connection may still be used.
@@ -122,7 +128,7 @@
 
     /// Records that a request is about to be sent on it.
     pub(crate) fn begin_request(&mut self) {
-        self.has_carried = true;
+        self.carried += 1;
         self.received.record_part();
     }
 
--- a/crates/cherrystand_platform/src/site_driver.rs
+++ b/crates/cherrystand_platform/src/site_driver.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 
-use crate::{AdvertisedLimit, IdentifiedHead, KeyValue, RequestedBackoff};
+use crate::{AdvertisedLimit, AnswerNames, IdentifiedHead, KeyValue, RequestedBackoff};
 
 /// A value does not have the format of the platform's protocol.
 #[derive(Debug, thiserror::Error)]
@@ -85,7 +85,7 @@
 }
 
 /// The names, formats and calls of one platform. A driver makes no decisions.
-pub trait SiteDriver: 'static {
+pub trait SiteDriver: AnswerNames {
     /// The client for the platform's store.
     type Store: KeyValue;
 
@@ -131,13 +131,6 @@
     /// Turns the headers of a caller's request into those of an attempt.
     fn write_attempt(headers: &mut HeaderMap, values: &AttemptHeaders<'_>);
 
-    /// Returns what the answer to a request has to name, or `None` if that is nothing.
-    fn request_name(headers: &HeaderMap) -> Option<HeaderValue>;
-
-    /// Returns whether an answer names the request with this name, and no other. The answer to a
-    /// request without a name names none.
-    fn is_answer_to(name: Option<&HeaderValue>, answer: &HeaderMap) -> bool;
-
     /// Reads the status and the headers of an endpoint's answer.
     fn read_answer(head: &IdentifiedHead) -> AnswerHeaders;
 
--- a/crates/cherrystand_testkit/src/bin/cherrystand_standin.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_standin.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use cherrystand_platform::{Inventory, serve_http};
+use cherrystand_platform::{Inventory, serve_calls, serve_http};
 use cherrystand_testkit::{EngineSetup, EngineStandIn, PlatformStandIn, ServiceStandIn};
 use eyre::WrapErr;
 use tokio::net::TcpListener;
@@ -86,12 +86,12 @@
                 platform: args.platform,
                 checks_orders: !args.accepts_any_epoch,
             });
-            serve_http(listener, move |req| stand_in.clone().handle(req), stopped).await;
+            serve_calls(listener, move |req| stand_in.clone().handle(req), stopped).await;
         }
         StandIn::Service(args) => {
             let listener = bind(args.listen).await?;
             let stand_in = ServiceStandIn::default();
-            serve_http(listener, move |req| stand_in.clone().handle(req), stopped).await;
+            serve_calls(listener, move |req| stand_in.clone().handle(req), stopped).await;
         }
     }
     Ok(())
--- a/crates/cherrystandd/src/relay/active_attempt.rs
+++ b/crates/cherrystandd/src/relay/active_attempt.rs
@@ -6,12 +6,14 @@
 
 use bytes::Bytes;
 use cherrystand_core::{AttemptEnd, DEFAULT_IDLE_CONNECTIONS, EndpointKey, Millis, SendPermit};
-use cherrystand_platform::{NOT_RUN_HEADER, PooledBody, RequestedBackoff};
+use cherrystand_platform::{
+    CALL_ID, IdentifiedAnswer, NOT_RUN_HEADER, PooledBody, RequestedBackoff,
+};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::response::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 
 use crate::relay::call::Call;
 use crate::relay::core::{ChosenEndpoint, Target};
@@ -181,9 +183,9 @@
     let answer =
         relay.cx.clock.timeout_at(call.deadline, send).await.ok_or(AttemptEnd::TimedOut)?;
     let answer = answer.map_err(|err| err.attempt_end())?;
-    if answer.headers().contains_key(NOT_RUN_HEADER) {
-        attempt.record_backoff(RequestedBackoff::read(answer.headers()));
-        return Err(match answer.status() {
+    if answer.head.headers().contains_key(NOT_RUN_HEADER) {
+        attempt.record_backoff(RequestedBackoff::read(answer.head.headers()));
+        return Err(match answer.head.status() {
             StatusCode::TOO_MANY_REQUESTS => AttemptEnd::Refused,
             _ => AttemptEnd::NotServing,
         });
@@ -211,9 +213,10 @@
 
 /// Reads the body of an answer that is not an event stream, up to `MAX_BUFFERED_BYTES`.
 async fn buffer_answer(
-    answer: Response<PooledBody>,
+    mut answer: IdentifiedAnswer,
 ) -> Result<(Parts, Bytes, Option<PooledBody>), AttemptEnd> {
-    let (head, mut body) = answer.into_parts();
+    answer.head.remove(CALL_ID.as_str());
+    let (head, mut body) = (answer.head.into_parts(), answer.body);
     let content_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
     if content_type.is_some_and(|content_type| content_type.starts_with(b"text/event-stream")) {
         return Ok((head, Bytes::new(), Some(body)));
--- /dev/null
+++ b/crates/cherrystandd/tests/own_interface.rs
@@ -0,0 +1,161 @@
+//! Endpoints of the product's own interface that send an answer once more, late, where the answer to the
+//! next request is due.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
+
+mod support;
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use support::{Cluster, Setup};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// How long after the surplus answer the due one leaves.
+const DUE_AFTER: Duration = Duration::from_millis(60);
+
+/// The pause before a request is sent again that did not reach the endpoint.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// How many rounds of requests are sent.
+const ROUNDS: usize = 2;
+
+/// An endpoint of a service that sends its earlier answer before each answer on a connection but the first.
+#[derive(Clone, Default)]
+struct RepeatingService {
+    /// Whether it carries the id of a call back.
+    names_calls: bool,
+    /// The requests that arrived.
+    seen: Rc<RefCell<BTreeSet<String>>>,
+    runs: Rc<RefCell<Vec<String>>>,
+    surplus_sent: Rc<RefCell<usize>>,
+}
+
+impl RepeatingService {
+    async fn start(&self) -> SocketAddr {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
+        let address = listener.local_addr().expect("an address");
+        let own = self.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let own = own.clone();
+                tokio::task::spawn_local(async move { own.serve(stream).await });
+            }
+        });
+        address
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut earlier: Option<String> = None;
+        while let Some(head) = read_head(&mut stream).await {
+            let id = header(&head, "x-request-id").unwrap_or_default();
+            self.seen.borrow_mut().insert(id.clone());
+            let is_refused = id.starts_with("refused");
+            if !is_refused {
+                self.runs.borrow_mut().push(id.clone());
+            }
+            let call = header(&head, "cherrystand-call-id").filter(|_| self.names_calls);
+            let call = call.map_or(String::new(), |id| format!("cherrystand-call-id: {id}\r\n"));
+            let due = match is_refused {
+                true => format!(
+                    "HTTP/1.1 503 Service Unavailable\r\n{call}cherrystand-not-run: 1\r\n\
+                     content-length: 0\r\n\r\n"
+                ),
+                false => {
+                    let length = id.len();
+                    format!("HTTP/1.1 200 OK\r\n{call}content-length: {length}\r\n\r\n{id}")
+                }
+            };
+            if let Some(surplus) = earlier.replace(due.clone()) {
+                *self.surplus_sent.borrow_mut() += 1;
+                let _ = stream.write_all(surplus.as_bytes()).await;
+                tokio::time::sleep(DUE_AFTER).await;
+            }
+            if stream.write_all(due.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Reads the head of a request that has no body.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut read = Vec::new();
+    while !read.ends_with(b"\r\n\r\n") {
+        let mut buf = [0; 2_048];
+        let count = stream.read(&mut buf).await.ok().filter(|count| *count > 0)?;
+        read.extend_from_slice(&buf[..count]);
+    }
+    Some(String::from_utf8_lossy(&read).into_owned())
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let mut fields = head.lines().filter_map(|line| line.split_once(": "));
+    let found = fields.find(|(key, _)| key.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.to_owned())
+}
+
+/// Guards against requests that run twice, are refused although they run, or get another's answer.
+#[test]
+fn nothing_of_a_surplus_answer_of_the_own_interface_is_believed() {
+    struct Case {
+        name: &'static str,
+        names_calls: bool,
+    }
+    let cases = [
+        Case { name: "carries ids back", names_calls: true },
+        Case { name: "an earlier version", names_calls: false },
+    ];
+    support::run(async {
+        let cluster = Cluster::start(Setup { daemons: 1, boxes: 0, ..Setup::default() }).await;
+        for Case { name, names_calls } in cases {
+            let service = RepeatingService { names_calls, ..RepeatingService::default() };
+            let config = format!(
+                "workspace = \"w\"\n[[service]]\nname = \"s\"\npath_prefix = \"/consent\"\n\
+                 class = \"consent\"\nendpoints = [{{ zone = \"a\", address = \"{}\" }}]\n",
+                service.start().await
+            );
+            cluster.apply_config(&config).await;
+            let to = cluster.daemons[0].callers;
+            cluster
+                .wait_until("the endpoint is routed to", async || {
+                    let warm = [("x-request-id", "warm")];
+                    let answer = cluster.send(to, Method::POST, "/consent", &warm, "").await;
+                    answer.is_ok_and(|answer| answer.text() == "warm")
+                })
+                .await;
+            let mut served = 0;
+            for number in 0..ROUNDS {
+                for kind in ["refused", "first", "second"] {
+                    let id = format!("{kind}-{number}");
+                    let headers = [("x-request-id", id.as_str())];
+                    // The daemon leaves an endpoint alone for a while that failed.
+                    let answer = loop {
+                        let answer = cluster.send(to, Method::POST, "/consent", &headers, "").await;
+                        if service.seen.borrow().contains(&id) {
+                            break answer.expect("an answer");
+                        }
+                        tokio::time::sleep(PAUSE).await;
+                    };
+                    let runs = service.runs.borrow().iter().filter(|ran| **ran == id).count();
+                    assert!(runs <= 1, "{name}: {id} ran {runs} times");
+                    let (outcome, _) = answer.outcome_and_reason();
+                    let told = format!("{name}: {id} ran {runs} times and got {}", answer.status);
+                    assert!(runs == 0 || outcome != "not-run", "{told}, {outcome}");
+                    if answer.status == StatusCode::OK {
+                        assert_eq!(answer.text(), id, "{told}");
+                        assert_eq!(answer.header("cherrystand-call-id"), "", "{told}");
+                        served += 1;
+                    }
+                }
+            }
+            assert!(served > 0, "{name}: nothing was served");
+            let surplus = *service.surplus_sent.borrow();
+            assert_eq!(surplus > 0, names_calls, "{name}: {surplus} surplus answers were met");
+        }
+    });
+}
