fix: answers of peers and of the operators' interface name the call they belong to

Questions among peers (changes of the store, the way to a box) and the command line's calls were answered without a name, so that a surplus answer would have been taken for the next. Both ends are this program: the call's id is carried back.

No caller saw a fault by it, and no test of its own failed first: nothing known sends such an answer between daemons.

--- a/crates/cherrystand_cli/src/client.rs
+++ b/crates/cherrystand_cli/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_platform::{Answer, HttpPool, call};
+use cherrystand_platform::{Answer, AnswerPool, CallIds, call};
 use hyper::Method;
 use serde_json::Value;
 use tokio::runtime::Runtime;
@@ -18,14 +18,14 @@
 pub(crate) struct Client {
     address: SocketAddr,
     runtime: Runtime,
-    pool: HttpPool,
+    pool: AnswerPool<CallIds>,
 }
 
 impl Client {
     /// Creates a client for the daemon at an address.
     pub(crate) fn new(address: SocketAddr) -> Result<Self, CliError> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        Ok(Self { address, runtime, pool: HttpPool::default() })
+        Ok(Self { address, runtime, pool: AnswerPool::default() })
     }
 
     /// Reads a resource of the operator API.
--- a/crates/cherrystandd/src/duties/operator_api.rs
+++ b/crates/cherrystandd/src/duties/operator_api.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use cherrystand_platform::serve_http;
+use cherrystand_platform::serve_calls;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -25,7 +25,7 @@
     let operators = Rc::new(OperatorApi::new(cx.clone()));
     // Operators' calls are short, so a stop aborts them instead of waiting for them.
     let (_stop, stopped) = watch::channel(false);
-    let serving = serve_http(listener, move |req| handle(operators.clone(), req), stopped);
+    let serving = serve_calls(listener, move |req| handle(operators.clone(), req), stopped);
     tokio::select! {
         () = serving => {}
         () = cx.wait_for_stop(StopPhase::Stopped) => {}
--- a/crates/cherrystandd/src/site/carrier_client.rs
+++ b/crates/cherrystandd/src/site/carrier_client.rs
@@ -10,7 +10,7 @@
     CARRY_AGAIN, CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachQuery, decode, encode,
 };
 use cherrystand_platform::{
-    AnswerPool, HttpPool, IdentifiedAnswer, RequestTries, SendError, call_box,
+    AnswerPool, CallIds, IdentifiedAnswer, RequestTries, SendError, call_box,
 };
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -57,12 +57,12 @@
     /// For requests that are carried.
     pool: AnswerPool<Driver>,
     /// For questions.
-    queries: HttpPool,
+    queries: AnswerPool<CallIds>,
 }
 
 impl CarrierClient {
     pub(crate) fn new(cx: DutyContext) -> Self {
-        Self { cx, pool: AnswerPool::default(), queries: HttpPool::default() }
+        Self { cx, pool: AnswerPool::default(), queries: AnswerPool::default() }
     }
 
     /// Returns how many connections to peers are open.
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -11,7 +11,7 @@
     PropagationBudget, Revision, ServiceName, StoreReachability, all_readers, owner_of,
 };
 use cherrystand_peer::{BatchCache, ChangeUpdate};
-use cherrystand_platform::{BufferBudget, HttpPool, KeyValue, SiteDriver, since_boot};
+use cherrystand_platform::{AnswerPool, BufferBudget, CallIds, KeyValue, SiteDriver, since_boot};
 use tokio::sync::{Notify, watch};
 
 use crate::counting_client::CountingClient;
@@ -42,7 +42,7 @@
     /// The batches of changes last packed for peers.
     pub(super) packed_batches: RefCell<BatchCache>,
     /// Connections to peers.
-    pub(super) pool: HttpPool,
+    pub(super) pool: AnswerPool<CallIds>,
     /// Connections to boxes.
     pub(super) boxes: Rc<BoxClient>,
     /// The requests that this node carries for peers.
@@ -88,7 +88,7 @@
             store: CountingClient::wrap(store, &cx, "site"),
             state: RefCell::default(),
             packed_batches: RefCell::default(),
-            pool: HttpPool::default(),
+            pool: AnswerPool::default(),
             boxes: BoxClient::new(cx.clone()),
             carried: CarriedRequests::new(BufferBudget::new(
                 cx.settings.limits.max_buffer_bytes(),
--- a/crates/cherrystandd/src/site/peer_listener.rs
+++ b/crates/cherrystandd/src/site/peer_listener.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use cherrystand_peer::REACH_PATH;
-use cherrystand_platform::{SiteDriver, serve_http};
+use cherrystand_platform::{AnswerNames, CallIds, echo_call_id, serve_http};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -34,6 +34,7 @@
             Err(end) => carry_failure(end, name.as_ref()).map(Either::Left),
         };
     }
+    let id = CallIds::request_name(req.headers());
     let result = match req.uri().path() {
         REACH_PATH => answer_reach(&control, req).await,
         _ => answer_changes(&control, req).await,
@@ -46,5 +47,5 @@
             response
         }
     };
-    answer.map(Either::Left)
+    echo_call_id(id, answer).map(Either::Left)
 }
