fix: an answer of the store is never taken for that to an earlier call

What could be seen: a call to the store ended by the answer to the one before on its connection. A read returned another key, or none; a list that should hold all boxes was empty; a write that was refused counted as done, or one that was done as refused; a lease that was over counted as renewed; and a watch of the operators' keys ended a watch of everything, so that a change in between was never seen.

Mend: each call has a connection to itself (`NoNames` in `AnswerPool`), so that only its own answer can come there. Watches, which follow each other closely, share connections with watches of the same prefix alone; there only the answer to an earlier one can come, and it is told by its revisions: events not after the revision asked for, or an end before it. The same in the client of the product's own platform.

What remains: the surplus answer to an empty watch that ends at just the revision asked for says "nothing new", which may be older than it counts by as much as it was late.

Nothing known sends such an answer: found by reading.

--- a/crates/cherrystand_platform/src/adaptive_client.rs
+++ b/crates/cherrystand_platform/src/adaptive_client.rs
@@ -13,9 +13,10 @@
 use futures_util::stream::FuturesUnordered;
 use hyper::{HeaderMap, Method};
 
+use crate::watch_pools::WatchPools;
 use crate::{
-    Answer, AnswerProgress, BoxCall, CallError, CallLimits, HttpPool, call_while_arriving,
-    since_boot,
+    Answer, AnswerPool, AnswerProgress, BoxCall, CallError, CallLimits, CallPool, HttpPool,
+    NoNames, call_while_arriving, since_boot,
 };
 
 /// How long connecting may take. A server that is slow to answer still accepts connections soon.
@@ -46,17 +47,26 @@
 ///
 /// A connection may stall for good while new ones work, and a server may just be slow. Both look the
 /// same at first, so a late read is sent once more beside the first one, which may still win.
+///
+/// The server's answers name nothing, so each call has a connection to itself. Only watches, which come
+/// one after the other, share connections with watches of the same.
 #[derive(Clone)]
 pub struct AdaptiveClient {
     address: SocketAddr,
-    pool: HttpPool,
+    calls: AnswerPool<NoNames>,
+    watches: WatchPools,
     answer_time: Rc<Cell<StoreAnswerTime>>,
 }
 
 impl AdaptiveClient {
     /// Creates a client of the server at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, pool: HttpPool::default(), answer_time: Rc::default() }
+        Self {
+            address,
+            calls: AnswerPool::default(),
+            watches: WatchPools::default(),
+            answer_time: Rc::default(),
+        }
     }
 
     /// Returns how long the server took to answer of late.
@@ -64,9 +74,9 @@
         self.answer_time.get()
     }
 
-    /// Closes idle connections, so that the next calls open new ones.
+    /// Closes idle connections, so that the next watches open new ones.
     pub fn close_idle_connections(&self) {
-        self.pool.close_idle();
+        self.watches.close_idle();
     }
 
     /// Makes a call once, and gives it up after a few usual answer times.
@@ -78,7 +88,8 @@
         let timeout = Duration::from_millis(self.answer_time.get().timeout().0);
         let sent_at = since_boot();
         let limits = limits(timeout, timeout);
-        let answer = self.attempt(method, path, body, limits, &AnswerProgress::default()).await;
+        let progress = AnswerProgress::default();
+        let answer = self.attempt(&self.calls, method, path, body, limits, &progress).await;
         self.record(&answer, sent_at);
         answer
     }
@@ -121,8 +132,6 @@
             let answer = match select(open.next(), &mut late).await {
                 Either::Left((answer, _)) => answer,
                 Either::Right(((), _)) => {
-                    // Idle connections may have stalled together with the one before.
-                    self.pool.close_idle();
                     progress = Rc::new(AnswerProgress::default());
                     open.push(self.get_with(path, progress.clone()));
                     late = Box::pin(self.answer_is_late(progress.clone(), pause));
@@ -143,10 +152,10 @@
         path: &str,
         progress: Rc<AnswerProgress>,
     ) -> Result<Answer, CallError> {
-        self.get(path, Duration::ZERO, &progress).await
+        self.get(&self.calls, path, Duration::ZERO, &progress).await
     }
 
-    /// Reads where the server may wait for a change. If the answer is late, a second read is sent to
+    /// Reads what has changed below `prefix`, where the server may wait for a change. If the answer is late, a second read is sent to
     /// `at_once_path`, which waits for nothing; there is none if the first one doesn't wait either.
     /// Both stay open as long as an answer may still come. What the answer shows of the server is to be
     /// recorded with [`Self::record_watch`] once it is known whether it has changes.
@@ -156,14 +165,16 @@
     /// Returns the errors of [`Self::read`].
     pub async fn watch(
         &self,
+        prefix: &str,
         path: &str,
         at_once_path: &str,
         wait: Duration,
     ) -> Result<WatchAnswer, CallError> {
         let sent_at = since_boot();
+        let pool = self.watches.of(prefix);
         let answer = match wait.is_zero() {
-            true => self.get(path, wait, &AnswerProgress::default()).await?,
-            false => self.read_hedged(path, at_once_path, wait).await?,
+            true => self.get(&pool, path, wait, &AnswerProgress::default()).await?,
+            false => self.read_hedged(&pool, path, at_once_path, wait).await?,
         };
         let took = to_millis(since_boot().saturating_sub(sent_at));
         Ok(WatchAnswer { answer, time: WatchTime { took, wait: to_millis(wait) } })
@@ -176,21 +187,22 @@
 
     async fn read_hedged(
         &self,
+        pool: &HttpPool,
         first_path: &str,
         second_path: &str,
         wait: Duration,
     ) -> Result<Answer, CallError> {
         let progress = Rc::new(AnswerProgress::default());
-        let first = pin!(self.get(first_path, wait, &progress));
+        let first = pin!(self.get(pool, first_path, wait, &progress));
         let late = pin!(self.answer_is_late(progress.clone(), wait));
         let mut first = match select(first, late).await {
             Either::Left((answer, _)) => return answer,
             Either::Right(((), first)) => first,
         };
         // Idle connections may have stalled together with that one.
-        self.pool.close_idle();
+        pool.close_idle();
         let progress = AnswerProgress::default();
-        let mut second = pin!(self.get(second_path, Duration::ZERO, &progress));
+        let mut second = pin!(self.get(pool, second_path, Duration::ZERO, &progress));
         match select(&mut first, &mut second).await {
             Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
             Either::Left((Err(_), _)) => second.await,
@@ -200,12 +212,13 @@
 
     async fn get(
         &self,
+        pool: &impl CallPool,
         path: &str,
         wait: Duration,
         progress: &AnswerProgress,
     ) -> Result<Answer, CallError> {
         let limits = limits(wait + MAX_SILENCE, MAX_SILENCE);
-        self.attempt(Method::GET, path, Bytes::new(), limits, progress).await
+        self.attempt(pool, Method::GET, path, Bytes::new(), limits, progress).await
     }
 
     /// Waits until an answer is late: it hasn't begun, or no further part of it arrives.
@@ -219,6 +232,7 @@
 
     async fn attempt(
         &self,
+        pool: &impl CallPool,
         method: Method,
         path: &str,
         body: Bytes,
@@ -226,7 +240,7 @@
         progress: &AnswerProgress,
     ) -> Result<Answer, CallError> {
         let request = BoxCall { method, path: path.to_owned(), headers: HeaderMap::new(), body };
-        call_while_arriving(&self.pool, self.address, request, limits, progress).await
+        call_while_arriving(pool, self.address, request, limits, progress).await
     }
 
     fn record(&self, answer: &Result<Answer, CallError>, sent_at: Duration) {
--- a/crates/cherrystand_platform/src/key_value.rs
+++ b/crates/cherrystand_platform/src/key_value.rs
@@ -42,6 +42,9 @@
         /// The last key of the previous page.
         after: String,
     },
+    /// The answer to a watch can only be that to an earlier one.
+    #[error("the platform's answer belongs to an earlier call; call again over a new connection")]
+    ForeignAnswer,
     /// The service answered with a status that is not part of the protocol.
     #[error("the platform answered with unexpected status {0}")]
     Status(u16),
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -33,6 +33,7 @@
 mod requested_backoff;
 mod send_error;
 mod site_driver;
+mod watch_pools;
 
 pub use adaptive_client::{AdaptiveClient, WatchAnswer};
 pub use advertised_limit::AdvertisedLimit;
--- a/crates/cherrystand_platform/src/platform_client.rs
+++ b/crates/cherrystand_platform/src/platform_client.rs
@@ -9,9 +9,10 @@
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use crate::watch_pools::WatchPools;
 use crate::{
-    Answer, BoxList, Changes, HttpPool, Inventory, KeyValue, Lease, MAX_VALUE_BYTES, PlatformError,
-    Swap, call,
+    Answer, AnswerPool, BoxList, Changes, Inventory, KeyValue, Lease, MAX_VALUE_BYTES, NoNames,
+    PlatformError, Swap, call,
 };
 
 /// Timeout of a call; a watch may take its waiting time in addition.
@@ -55,13 +56,15 @@
 #[derive(Clone)]
 pub struct PlatformClient {
     address: SocketAddr,
-    pool: HttpPool,
+    /// The service's answers name nothing, so each call has a connection to itself.
+    calls: AnswerPool<NoNames>,
+    watches: WatchPools,
 }
 
 impl PlatformClient {
     /// Creates a client for the platform at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, pool: HttpPool::default() }
+        Self { address, calls: AnswerPool::default(), watches: WatchPools::default() }
     }
 
     async fn call(
@@ -71,7 +74,7 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Answer, PlatformError> {
-        let answer = call(&self.pool, self.address, method, path, body, timeout).await?;
+        let answer = call(&self.calls, self.address, method, path, body, timeout).await?;
         PlatformError::check_status(answer)
     }
 
@@ -122,8 +125,15 @@
     ) -> Result<Changes, PlatformError> {
         let path =
             format!("/v1/watch/{prefix}?after={}&wait-ms={}", after.number(), wait.as_millis());
-        let answer = self.read(&path, wait + CALL_TIMEOUT).await?;
-        parse_changes(&answer)
+        let (pool, timeout) = (self.watches.of(prefix), wait + CALL_TIMEOUT);
+        let answer = call(&pool, self.address, Method::GET, &path, Bytes::new(), timeout).await?;
+        let changes = parse_changes(&PlatformError::check_status(answer)?)?;
+        let follow = |record: &Document| record.revision > after;
+        if changes.revision < after || !changes.records.iter().all(follow) {
+            pool.close_idle();
+            return Err(PlatformError::ForeignAnswer);
+        }
+        Ok(changes)
     }
 
     async fn swap(&self, key: &str, expected: Revision, body: &str) -> Result<Swap, PlatformError> {
@@ -143,7 +153,7 @@
     }
 
     fn close_idle_connections(&self) {
-        self.pool.close_idle();
+        self.watches.close_idle();
     }
 
     async fn lease(&self, name: &str, holder: &str, ttl: Duration) -> Result<Lease, PlatformError> {
