--- a/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
+++ b/crates/cherrystand_testkit/src/bin/cherrystand_soak.rs
@@ -8,7 +8,7 @@
 use cherrystand_testkit::{
     DEFAULT_SPAN, Fault, SoakSetup, daemon_program, draw_box_signals, draw_endpoint_cuts,
     draw_rate_limits, draw_restarts, draw_schedule, draw_silences, draw_slow_store,
-    draw_store_restores, draw_zone_faults, run_soak,
+    draw_store_restores, draw_surplus_answers, draw_zone_faults, run_soak,
 };
 use eyre::WrapErr;
 
@@ -20,6 +20,12 @@
 /// what they may have caused, so that nothing else would be checked beside them.
 const PARTS: u64 = 3;
 
+/// How many callers send to each daemon.
+const CALLERS: usize = 3;
+
+/// How many do with `--surplus`: surplus answers meet requests only on connections that are used all the time.
+const MANY_CALLERS: usize = 16;
+
 /// The number of the first rate limit fault, higher than all numbers of the general schedule.
 const FIRST_LIMIT_NUMBER: usize = 1_000;
 
@@ -29,6 +35,9 @@
 /// The number of the first silence, higher than those as well.
 const FIRST_SILENCE_NUMBER: usize = 3_000;
 
+/// The number of the first box that sends answers once more, higher than those as well.
+const FIRST_SURPLUS_NUMBER: usize = 4_000;
+
 /// Injects faults drawn from a seed into real daemons, and checks what callers and boxes observe.
 #[derive(FromArgs)]
 struct Args {
@@ -76,6 +85,9 @@
     /// sound boxes are silent for a moment, beside changes of the configuration
     #[argh(switch)]
     silences: bool,
+    /// boxes send answers once more, at once or later, beside boxes that refuse requests
+    #[argh(switch, long = "surplus")]
+    surplus_answers: bool,
     /// print the schedule and exit
     #[argh(switch)]
     schedule: bool,
@@ -93,8 +105,20 @@
     let crashes = args.crashes;
     let zones = args.zone_faults;
     let cuts = args.cuts;
-    let setup =
-        SoakSetup { program, dir, seed, daemons, report_starts: restarts, crashes, zones, cuts };
+    let setup = SoakSetup {
+        program,
+        dir,
+        seed,
+        daemons,
+        report_starts: restarts,
+        crashes,
+        zones,
+        cuts,
+        callers_per_daemon: match args.surplus_answers {
+            true => MANY_CALLERS,
+            false => CALLERS,
+        },
+    };
     let mut faults = draw_schedule(args.seed, setup.targets(), Millis(args.span_ms));
     if args.rate_limits {
         faults.retain(|fault| fault.number % FAULT_STRIDE_WITH_LIMITS == 0);
@@ -118,6 +142,15 @@
             draw_endpoint_cuts(args.seed, setup.targets(), Millis(args.span_ms), FIRST_CUT_NUMBER);
         faults.extend(cuts);
     }
+    if args.surplus_answers {
+        let surplus = draw_surplus_answers(
+            args.seed,
+            setup.targets(),
+            Millis(args.span_ms),
+            FIRST_SURPLUS_NUMBER,
+        );
+        faults.extend(surplus);
+    }
     if args.box_signals {
         let box_signals =
             draw_box_signals(args.seed, setup.targets(), Millis(args.span_ms), faults.len());
--- a/crates/cherrystand_testkit/src/lib.rs
+++ b/crates/cherrystand_testkit/src/lib.rs
@@ -49,6 +49,7 @@
     pub(crate) mod run;
     pub(crate) mod run_record;
     pub(crate) mod schedule;
+    pub(crate) mod surplus_answers;
 }
 
 pub use domain::fake_box::FakeBox;
@@ -85,5 +86,5 @@
 pub use soak::schedule::{
     CorruptEntry, Fault, FaultKind, Targets, draw_box_signals, draw_endpoint_cuts,
     draw_rate_limits, draw_restarts, draw_schedule, draw_silences, draw_slow_store,
-    draw_store_restores, draw_zone_faults,
+    draw_store_restores, draw_surplus_answers, draw_zone_faults,
 };
--- a/crates/cherrystand_testkit/src/soak/link.rs
+++ b/crates/cherrystand_testkit/src/soak/link.rs
@@ -10,6 +10,8 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
+use crate::soak::surplus_answers::SurplusAnswers;
+
 /// How often a blocked connection checks whether it may forward bytes again.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -22,6 +24,9 @@
 /// A connection on loopback that isn't open after this time hangs.
 const FILL_TIMEOUT: Duration = Duration::from_millis(30);
 
+/// How long requests take while answers are sent once more, so that many of these meet the next request.
+const SURPLUS_REQUEST_TIME: Duration = Duration::from_millis(50);
+
 /// How a link treats traffic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkMode {
@@ -34,6 +39,9 @@
     SilentThere,
     /// Withholds what the server answers; connections stay open.
     SilentBack,
+    /// Delays what clients send a little, and sends one in this many whole answers once more, at once or later,
+    /// but never inside another one.
+    Surplus(usize),
 }
 
 /// How a link is cut.
@@ -257,10 +265,47 @@
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
     let requests = forward(client_read, server_write, &state, number, LinkMode::SilentThere);
-    let answers = forward(server_read, client_write, &state, number, LinkMode::SilentBack);
+    let answers = forward_answers(server_read, client_write, &state, number);
     tokio::join!(requests, answers);
 }
 
+/// Forwards answers until either side closes, and sends some once more.
+async fn forward_answers(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    state: &LinkState,
+    number: u64,
+) {
+    let (mut buf, mut surplus) = (vec![0; CHUNK_BYTES], SurplusAnswers::default());
+    loop {
+        let read = tokio::select! {
+            read = from.read(&mut buf) => read.unwrap_or(0),
+            copy = surplus.next_due() => {
+                // A client that has closed the connection ends it below.
+                let _ = to.write_all(&copy).await;
+                continue;
+            }
+        };
+        while state.is_silent(number, LinkMode::SilentBack) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        let every = match state.mode.get() {
+            LinkMode::Slow(delay) => {
+                tokio::time::sleep(delay).await;
+                0
+            }
+            LinkMode::Surplus(every) => every,
+            _ => 0,
+        };
+        if read == 0 || to.write_all(&buf[..read]).await.is_err() {
+            // Shutdown fails if the receiver is gone; the other direction sees that in its own read.
+            let _ = to.shutdown().await;
+            return;
+        }
+        surplus.record(&buf[..read], every);
+    }
+}
+
 /// Forwards bytes in one direction until either side closes.
 async fn forward(
     mut from: OwnedReadHalf,
@@ -275,8 +320,10 @@
         while state.is_silent(number, direction) {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
-        if let LinkMode::Slow(delay) = state.mode.get() {
-            tokio::time::sleep(delay).await;
+        match state.mode.get() {
+            LinkMode::Slow(delay) => tokio::time::sleep(delay).await,
+            LinkMode::Surplus(_) => tokio::time::sleep(SURPLUS_REQUEST_TIME).await,
+            _ => {}
         }
         if read == 0 || to.write_all(&buf[..read]).await.is_err() {
             // Shutdown fails if the receiver is gone; the other direction sees that in its own read.
--- a/crates/cherrystand_testkit/src/soak/run.rs
+++ b/crates/cherrystand_testkit/src/soak/run.rs
@@ -27,9 +27,6 @@
 /// Number of plain endpoints.
 const PLAIN_ENDPOINTS: usize = 3;
 
-/// Number of callers that send to each daemon.
-const CALLERS_PER_DAEMON: usize = 3;
-
 /// Time within which all daemons must serve requests, after the start and after the last fault.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -85,6 +82,8 @@
     pub zones: bool,
     /// Whether daemons are cut off from all boxes; each reaches them through links of its own.
     pub cuts: bool,
+    /// Number of callers that send to each daemon.
+    pub callers_per_daemon: usize,
 }
 
 impl SoakSetup {
@@ -134,7 +133,7 @@
         violations.push("requests were not served before the first fault".to_owned());
     }
     let stop = Rc::new(Cell::new(false));
-    for number in 0..setup.daemons * CALLERS_PER_DAEMON {
+    for number in 0..setup.daemons * setup.callers_per_daemon {
         let daemon = number % setup.daemons;
         let address = soak.daemons.borrow()[daemon].caller_address();
         let seed = setup.seed ^ (number as u64 + 1);
--- a/crates/cherrystand_testkit/src/soak/schedule.rs
+++ b/crates/cherrystand_testkit/src/soak/schedule.rs
@@ -323,6 +323,28 @@
     })
 }
 
+/// Draws boxes that send answers once more, beside boxes that refuse some requests.
+pub fn draw_surplus_answers(
+    seed: u64,
+    targets: Targets,
+    span: Millis,
+    first_number: usize,
+) -> Vec<Fault> {
+    /// Gives these faults a random sequence of their own.
+    const SEED_MASK: u64 = 0x5a91;
+    /// One in how many answers is sent once more.
+    const EVERY: [usize; 3] = [2, 3, 7];
+    draw_extra(SeededRng::new(seed ^ SEED_MASK), 500, span, first_number, |rng| {
+        let a_box = rng.below(targets.boxes);
+        let kind = match rng.below(4) {
+            0 => FaultKind::Wishes(a_box, BoxWishes::rest(Sheds::EverySecond, "0.05")),
+            _ => FaultKind::BoxLink(a_box, LinkMode::Surplus(EVERY[rng.below(EVERY.len())])),
+        };
+        let duration_ms = 2_000 + rng.below(3_000) as u64;
+        DrawnFault { kind, duration_ms, pause_ms: 100 + rng.below(300) as u64 }
+    })
+}
+
 /// Draws a rate limit that all boxes advertise, and ineffective ones of single boxes besides.
 ///
 /// The common one lasts several seconds, since the check counts only some seconds after a limit was first advertised.
--- a/crates/cherrystandd/tests/soak.rs
+++ b/crates/cherrystandd/tests/soak.rs
@@ -53,6 +53,9 @@
 /// Seeds with sound boxes that are silent for a moment.
 const SILENCE_SEEDS: [u64; 2] = [2, 3];
 
+/// Seeds with boxes that send answers once more.
+const SURPLUS_SEEDS: [u64; 2] = [2, 3];
+
 /// A seed in which boxes become cold during a store outage.
 const COLD_IN_OUTAGE_SEED: u64 = 509;
 
@@ -103,6 +106,12 @@
     SILENCE_SEEDS.into_iter().for_each(|seed| run_soak(seed, CUT_SPAN_MS, Some("--silences")));
 }
 
+/// Guards against requests that run twice, or are refused although they run, by the answers to others.
+#[test]
+fn requests_end_by_their_own_answers_while_boxes_send_some_once_more() {
+    SURPLUS_SEEDS.into_iter().for_each(|seed| run_soak(seed, CUT_SPAN_MS, Some("--surplus")));
+}
+
 /// Guards against too many requests to boxes that become cold while the store doesn't answer. In a
 /// silence of 2.5 s two such boxes got 11 and 13 requests in a second where 5 are allowed, until
 /// daemons could read their entries.
