fix: a silent box whose connections time out is asked on without a pause

The pause after a probe that was cut also held for probes whose connection timed out, which takes half of a probe's time: repairs waited 0.1 s longer, and a dead box was known to be dead up to twice as late. Only a probe that was cut is followed by a pause.

--- a/crates/cherrystandd/src/site/box_calls.rs
+++ b/crates/cherrystandd/src/site/box_calls.rs
@@ -273,8 +273,8 @@
         self.count_probe("silent");
         self.log_verdict(&site_box.id, sent_at, verdict, failure);
         self.record_verdict(&site_box.id, verdict);
-        if matches!(verdict, ProbeVerdict::AskAgain | ProbeVerdict::Silent) {
-            // A probe that failed at once is not followed by the next at once.
+        if failure == Some(ProbeFailure::Cut) && verdict == ProbeVerdict::AskAgain {
+            // A connection is cut at once, and the box is not asked again as soon.
             self.cx.clock.sleep_until(sent_at + timeout).await;
         }
         Some(verdict)
