fix: an answer about one replica's progress is not taken for that about another

What callers could see: a replica that takes its time counts as stalled, is left out and probed, although no peer said anything about it.

Cause: an answer to a question about progress listed only what its sender had seen, and any answer after a question counted as one to it. The answer to an earlier question, about another replica, so said "none saw any".

Mend: an answer names each replica that was asked about, and only an answer that names it counts. The question and the message are as before; beside peers of before, which name only what they saw, the evidence of the daemon's own other replicas decides, as where no peer answers.

Evidence: `progress_queries`, which fails where any answer counts.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -140,6 +140,7 @@
     pub(crate) mod model_location;
     pub(crate) mod peer_loads;
     pub(crate) mod policy;
+    pub(crate) mod progress_queries;
     pub(crate) mod retry_share;
     pub(crate) mod route_table;
     pub(crate) mod site_box;
@@ -286,6 +287,7 @@
 pub use site::model_load::{ModelLoad, ModelLoads};
 pub use site::peer_loads::{EndpointLoad, PeerLoads, ZoneLoads};
 pub use site::policy::{ChoiceRule, Policy};
+pub use site::progress_queries::{NEVER_SEEN_MS, ProgressQueries, answer_progress_query};
 pub use site::retry_share::{RetryBounds, RetryShare};
 pub use site::route_table::{RouteError, RouteMatch, RouteTable};
 pub use site::site_box::{BoxStart, Member, MemberState, SiteBox};
--- a/crates/cherrystand_peer/src/load_message.rs
+++ b/crates/cherrystand_peer/src/load_message.rs
@@ -30,7 +30,7 @@
     /// Asks when the leaders of some replicas last made progress.
     #[serde(rename = "Asked")]
     ProgressQuery(Vec<BoxId>),
-    /// Answers [`LoadMessage::ProgressQuery`] for those leaders at which the sender has requests.
+    /// Answers [`LoadMessage::ProgressQuery`] for each of its leaders, also those at which the sender has no requests.
     #[serde(rename = "Seen")]
     Progress(Vec<EndpointLoad>),
     /// Reports the leaders of replicas that the sender found to be stalled.
--- a/crates/cherrystandd/src/site/load_exchange.rs
+++ b/crates/cherrystandd/src/site/load_exchange.rs
@@ -1,6 +1,6 @@
 //! Exchanging with peers what is in flight, over UDP.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,7 +9,8 @@
 
 use cherrystand_core::{
     BoxId, EndpointLoad, EndpointRateLimits, Heartbeat, LoadBalancer, Millis, PeerLoads,
-    PeerProgress, RetryBounds, ServiceName, fan_out, is_relay, relays_elsewhere,
+    PeerProgress, ProgressQueries, RetryBounds, ServiceName, answer_progress_query, fan_out,
+    is_relay, relays_elsewhere,
 };
 use cherrystand_peer::{LoadMessage, decode, encode};
 use tokio::net::UdpSocket;
@@ -29,12 +30,6 @@
 /// totals of zones.
 const MAX_PEERS_PER_ROUND: usize = 12;
 
-/// The timeout of a progress query to peers.
-const ANSWER_TIMEOUT: Millis = Millis(25);
-
-/// How soon peers are queried about the same replica again.
-const ASK_INTERVAL: Millis = Millis(400);
-
 /// For how long it is remembered that a leader has stopped serving; longer than a route lets a
 /// request wait there.
 const STOPPED_TTL: Millis = Millis(30_000);
@@ -58,10 +53,8 @@
     progress_queries: RefCell<Vec<BoxId>>,
     /// Other messages that are to be sent to all peers at once.
     to_broadcast: RefCell<Vec<LoadMessage>>,
-    /// When peers were last queried about each leader.
-    asked_at: RefCell<BTreeMap<BoxId, Millis>>,
-    /// When a peer last answered any progress query, whatever it said.
-    last_answer_at: Cell<Option<Millis>>,
+    /// What peers were asked about each leader, and answered.
+    queries: RefCell<ProgressQueries>,
     urgent: Notify,
     /// The retries that daemons lend each other, by service.
     pub(super) lent_retries: RefCell<EndpointRateLimits<ServiceName>>,
@@ -128,7 +121,7 @@
 
     /// Returns how long ago a peer last answered a progress query, whatever it said.
     pub(crate) fn last_peer_answer_age(&self, now: Millis) -> Option<Millis> {
-        self.last_answer_at.get().map(|at| now.since(at))
+        self.queries.borrow().last_answer_age(now)
     }
 
     /// Returns what peers know of an endpoint's progress since `since`, and queries them if
@@ -140,20 +133,13 @@
         if self.peer_loads.borrow().last_progress(id).is_some_and(|seen| seen > since) {
             return PeerProgress::Seen;
         }
-        let asked = self.asked_at.borrow().get(id).copied();
-        match asked.filter(|asked| now.since(*asked) < ASK_INTERVAL) {
-            Some(asked) if now.since(asked) < ANSWER_TIMEOUT => PeerProgress::AskedJustNow,
-            Some(asked) if self.last_answer_at.get().is_some_and(|at| at >= asked) => {
-                PeerProgress::NotSeen
-            }
-            Some(_) => PeerProgress::NoAnswer,
-            None => {
-                self.asked_at.borrow_mut().insert(id.clone(), now);
-                self.progress_queries.borrow_mut().push(id.clone());
-                self.urgent.notify_one();
-                PeerProgress::AskedJustNow
-            }
-        }
+        let mut queries = self.queries.borrow_mut();
+        queries.state(id, now).unwrap_or_else(|| {
+            queries.record_asked(id, now);
+            self.progress_queries.borrow_mut().push(id.clone());
+            self.urgent.notify_one();
+            PeerProgress::AskedJustNow
+        })
     }
 }
 
@@ -228,7 +214,7 @@
             LoadMessage::Zone(loads) => peer_loads.borrow_mut().record_zone(loads, own_zone, now),
             LoadMessage::ProgressQuery(leaders) => self.answer_progress(&leaders, sender).await,
             LoadMessage::Progress(loads) => {
-                self.loads.last_answer_at.set(Some(now));
+                self.loads.queries.borrow_mut().record_answer(&loads, now);
                 peer_loads.borrow_mut().record_progress(&loads, now);
             }
             LoadMessage::Stalled(leaders) => self.handle_stalled(leaders, now),
@@ -283,12 +269,11 @@
         }
     }
 
-    /// Answers a peer's query when this node saw leaders make progress. An empty answer is sent
-    /// too, since it shows the peer that answers reach it.
+    /// Answers a peer's query when this node saw leaders make progress. Leaders that it saw none of are
+    /// named too, since that shows the peer that an answer about them reached it.
     async fn answer_progress(&self, leaders: &[BoxId], asker: SocketAddr) {
-        let mut seen = self.own_loads();
-        seen.retain(|load| leaders.contains(&load.id));
-        self.send(&LoadMessage::Progress(seen), &[asker]).await;
+        let answer = answer_progress_query(leaders, self.own_loads());
+        self.send(&LoadMessage::Progress(answer), &[asker]).await;
     }
 
     async fn send_loop(&self) {
