fix: an answer whose head tells its end in no way or in two is no answer

Callers saw: 200 with the raw chunk lines as the body (`Transfer-Encoding: chunkee`, empty, `chunked, gzip`), 200 with the first bytes of a chunked body (a length beside it was passed on), statuses 600 and 999 as they came, and 101 though nobody had asked for another protocol.

Cause: the HTTP library reads a response with an unknown transfer coding to the end of the connection, prefers chunks to a length beside them, and takes statuses up to 999; nothing of ours checked that before the head was read.

The connection is closed and the attempt ends as `SendError::Malformed`, which may have run. The endpoint has failed the request, as by any other broken answer; it isn't dead by that. Behind a carrier it counts as lost, as the wire's word for "may have run"; a new word would be "not sent" to daemons of an earlier version.

What was refused already (000, 099, 2x0, 20, 2000, lines that are no field, two lengths, lists, signs, letters, chunk sizes, versions) has a case and is not changed.

It holds as no reader gets a head by another way than `exchange`.

--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -17,6 +17,7 @@
 
 use cherrystand_core::DEFAULT_IDLE_CONNECTIONS;
 
+use crate::answer_head::check_framing;
 use crate::pooled_connection::PooledConnection;
 use crate::{RequestTries, SendError};
 
@@ -131,7 +132,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::NotSent`] or [`SendError::ConnectionLost`].
+    /// Returns [`SendError::NotSent`], [`SendError::ConnectionLost`] or [`SendError::Malformed`].
     pub(crate) async fn send_on(
         &self,
         conn: OpenConnection,
@@ -178,6 +179,7 @@
         }
     }
 
+    /// Sends a request and checks the head of its answer before anyone reads it.
     async fn exchange(
         &self,
         mut conn: PooledConnection,
@@ -188,6 +190,8 @@
         conn.begin_request();
         match conn.send.try_send_request(req).await {
             Ok(answer) => {
+                // Dropping the connection closes it.
+                check_framing(&answer).map_err(|err| (SendError::Malformed(err), None))?;
                 conn.received.record_part();
                 conn.read_keep_alive(answer.headers());
                 Ok(answer.map(|body| PooledBody { body, conn: Some(conn), pool: self.clone() }))
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod adaptive_client;
 mod advertised_limit;
+mod answer_head;
 mod answer_names;
 mod answer_pool;
 mod body_buffer;
--- a/crates/cherrystand_platform/src/send_error.rs
+++ b/crates/cherrystand_platform/src/send_error.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
-use cherrystand_core::{AttemptEnd, ProbeFailure};
+use cherrystand_core::{AttemptEnd, MalformedAnswer, ProbeFailure};
 
 /// The reason why a request failed before its answer began.
 #[derive(Debug, thiserror::Error)]
@@ -28,6 +28,9 @@
     /// The peer that carried the request lost its connection to the server after a byte may have been written.
     #[error("the connection of the peer that carried the request failed before the answer began")]
     LostBehindCarrier,
+    /// What came can't be read as one whole answer; the request may have been run.
+    #[error("the answer is malformed: {0}")]
+    Malformed(#[source] MalformedAnswer),
     /// An answer came that belongs to another request, in the place of this one's.
     #[error("an answer to another request came in place of the answer")]
     ForeignAnswer,
@@ -44,6 +47,7 @@
             Self::NotSent(_) => AttemptEnd::NotSent,
             Self::ConnectionLost(_)
             | Self::LostBehindCarrier
+            | Self::Malformed(_)
             | Self::ForeignAnswer
             | Self::CarrierLost(_) => AttemptEnd::CutBeforeAnswer,
         }
@@ -66,6 +70,7 @@
             Self::NotSent(_)
             | Self::ConnectionLost(_)
             | Self::LostBehindCarrier
+            | Self::Malformed(_)
             | Self::ForeignAnswer
             | Self::CarrierLost(_) => ProbeFailure::Cut,
         }
@@ -84,6 +89,7 @@
             Self::NotSent(_)
             | Self::ConnectionLost(_)
             | Self::LostBehindCarrier
+            | Self::Malformed(_)
             | Self::ForeignAnswer
             | Self::CarrierLost(_) => None,
         }
--- /dev/null
+++ b/crates/cherrystand_platform/tests/malformed_answers.rs
@@ -0,0 +1,222 @@
+//! Servers whose answers don't tell where they end.
+#![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cherrystand_platform::HttpPool;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Long enough for an answer that is there.
+const PATIENCE: Duration = Duration::from_millis(500);
+
+/// What a server does after its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Then {
+    Close,
+    StayOpen,
+}
+
+/// Sends a request to a server that writes these bytes, and returns the whole answer, if there is one.
+async fn exchange(answer: Vec<u8>, then: Then) -> Result<(StatusCode, Bytes), String> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn(async move {
+        let (mut caller, _) = listener.accept().await.expect("a connection");
+        let _ = caller.read(&mut [0; 1_024]).await;
+        let _ = caller.write_all(&answer).await;
+        if then == Then::StayOpen {
+            let _ = caller.read(&mut [0; 1]).await;
+        }
+    });
+    let pool = HttpPool::default();
+    let exchange = async {
+        let req = Request::builder().header("host", "test").body(Full::new(Bytes::new()));
+        let sent = pool.send(address, req.expect("a request"), PATIENCE).await;
+        let answer = sent.map_err(|err| err.to_string())?;
+        let status = answer.status();
+        let body = answer.into_body().collect().await.map_err(|err| err.to_string())?;
+        Ok((status, body.to_bytes()))
+    };
+    let answer = tokio::time::timeout(PATIENCE, exchange).await;
+    answer.unwrap_or_else(|_| Err("no answer".to_owned()))
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(test)
+}
+
+/// An answer that is written, and what its reader may take it for.
+struct Case {
+    name: &'static str,
+    answer: &'static str,
+    /// The body, if the answer is sound.
+    body: Option<&'static str>,
+}
+
+const fn sound(name: &'static str, answer: &'static str, body: &'static str) -> Case {
+    Case { name, answer, body: Some(body) }
+}
+
+const fn spoilt(name: &'static str, answer: &'static str) -> Case {
+    Case { name, answer, body: None }
+}
+
+/// Plays each case with a connection that closes and one that stays open.
+fn check(cases: &[Case]) {
+    run(async {
+        let mut failures = Vec::new();
+        for Case { name, answer, body } in cases {
+            for then in [Then::Close, Then::StayOpen] {
+                let got = exchange(answer.as_bytes().to_vec(), then).await;
+                let is_due = match (&got, body) {
+                    (Ok((_, read)), Some(body)) => read == body,
+                    (Err(_), None) => true,
+                    // It ends where the connection does.
+                    (Err(_), Some(_)) => then == Then::StayOpen && !answer.contains("ength"),
+                    (Ok(_), None) => false,
+                };
+                if !is_due {
+                    failures.push(format!("{name}, {then:?}: {got:?}"));
+                }
+            }
+        }
+        assert!(failures.is_empty(), "{}", failures.join("\n"));
+    });
+}
+
+/// Guards against a body that is not the server's, as the head tells its end in an unknown way or in two.
+#[test]
+fn an_answer_whose_head_does_not_tell_its_end_is_none() {
+    check(&[
+        sound("a length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", "body"),
+        sound(
+            "a length told twice",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
+            "body",
+        ),
+        sound(
+            "chunks of no length",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\nX-Length: 1\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+            "body",
+        ),
+        sound("neither", "HTTP/1.1 200 OK\r\nServer: a\r\n\r\nbody", "body"),
+        sound("no content", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", ""),
+        sound("not modified", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", ""),
+        spoilt(
+            "a coding that is none",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkee\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "an empty coding",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "a coding that is not read",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "a coding below chunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "chunks of chunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n\
+             4\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "a coding that is none beside a length",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkee\r\nContent-Length: 4\r\n\r\nbody",
+        ),
+        spoilt(
+            "chunks and a length",
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n\
+             4\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "chunks in HTTP/1.0",
+            "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "no content of a length",
+            "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nbody",
+        ),
+        spoilt(
+            "no content in chunks",
+            "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "lengths that differ",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+        ),
+        spoilt("a list of lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4, 3\r\n\r\nbody"),
+        spoilt("a signed length", "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody"),
+        spoilt("a length of letters", "HTTP/1.1 200 OK\r\nContent-Length: four\r\n\r\nbody"),
+        spoilt("an empty length", "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nbody"),
+        spoilt(
+            "a length beyond 64 bits",
+            "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551620\r\n\r\nbody",
+        ),
+        spoilt("a length beyond the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody"),
+        spoilt(
+            "a chunk size that is none",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4x\r\nbody\r\n0\r\n\r\n",
+        ),
+        spoilt(
+            "a trailer that is no field",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nx y\r\n\r\n",
+        ),
+    ]);
+}
+
+/// Guards against statuses that no client can read, and against connections that change their protocol.
+#[test]
+fn an_answer_whose_status_is_none_is_no_answer() {
+    check(&[
+        spoilt("000", "HTTP/1.1 000 Zero\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("099", "HTTP/1.1 099 Low\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("600", "HTTP/1.1 600 High\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("999", "HTTP/1.1 999 High\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("20", "HTTP/1.1 20 Short\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("2000", "HTTP/1.1 2000 Long\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("2x0", "HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt(
+            "an upgrade that nobody asked for",
+            "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other\r\n\r\nbody",
+        ),
+        spoilt("another version", "HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody"),
+        sound("599", "HTTP/1.1 599 Last\r\nContent-Length: 4\r\n\r\nbody", "body"),
+        sound(
+            "a head of information before",
+            "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+            "body",
+        ),
+    ]);
+}
+
+/// Guards against heads with a line that is no field.
+#[test]
+fn an_answer_with_a_line_that_is_no_field_is_none() {
+    check(&[
+        spoilt("no colon", "HTTP/1.1 200 OK\r\nnothing\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("no name", "HTTP/1.1 200 OK\r\n: a\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("a folded line", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("a blank in a name", "HTTP/1.1 200 OK\r\nContent Length: 4\r\n\r\nbody"),
+        spoilt("a blank before the colon", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody"),
+        spoilt("a tab before the colon", "HTTP/1.1 200 OK\r\nContent-Length\t: 4\r\n\r\nbody"),
+        spoilt("a control byte in a name", "HTTP/1.1 200 OK\r\nContent\x01Length: 4\r\n\r\nbody"),
+        spoilt(
+            "a control byte in a value",
+            "HTTP/1.1 200 OK\r\nA: \x01\r\nContent-Length: 4\r\n\r\nbody",
+        ),
+        spoilt("a zero byte", "HTTP/1.1 200 OK\r\nA\0: b\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt(
+            "a carriage return alone",
+            "HTTP/1.1 200 OK\r\nA: b\rc\r\nContent-Length: 4\r\n\r\nbody",
+        ),
+    ]);
+}
--- a/crates/cherrystand_testkit/src/soak/callers.rs
+++ b/crates/cherrystand_testkit/src/soak/callers.rs
@@ -175,6 +175,7 @@
         let answer = match self.pool.send(address, req, CONNECT_TIMEOUT).await {
             Ok(answer) => answer,
             Err(SendError::ConnectionLost(_)) => return CallOutcome::Broken,
+            Err(SendError::Malformed(_)) => return CallOutcome::Wrong,
             Err(_) => return CallOutcome::NotSent,
         };
         let status = answer.status();
--- a/crates/cherrystandd/src/site/carrier_client.rs
+++ b/crates/cherrystandd/src/site/carrier_client.rs
@@ -121,7 +121,9 @@
         let sent = self.pool.send(MAX_IDLE, carrier.address, req, CONNECT_TIMEOUT, tries);
         let outcome = match sent.await {
             Ok(answer) => self.read_end(carrier, id, answer),
-            Err(SendError::ConnectionLost(_) | SendError::ForeignAnswer) => {
+            Err(
+                SendError::ConnectionLost(_) | SendError::Malformed(_) | SendError::ForeignAnswer,
+            ) => {
                 self.record_failure(carrier, id, CarrierFailure::Unavailable);
                 Err(CarryFailure::Failed(SendError::CarrierLost(carrier.address)))
             }
--- a/crates/cherrystandd/src/site/carrying.rs
+++ b/crates/cherrystandd/src/site/carrying.rs
@@ -93,12 +93,18 @@
     let req = Request::from_parts(head, Full::new(body));
     let sent = control.boxes.send_for_peer(&to, req, &tries).await;
     drop(reservation);
-    let answer = sent.map_err(|err| match err {
+    let answer = sent.inspect_err(|err| {
+        if let SendError::Malformed(reason) = err {
+            log::info!(target_box = target.as_str(); "an answer is not passed on to a peer: {reason}");
+        }
+    });
+    let answer = answer.map_err(|err| match err {
         SendError::Connect { .. } | SendError::ConnectTimedOut(_) | SendError::NotSent(_) => {
             CarryEnd::Missed
         }
         SendError::ConnectionLost(_)
         | SendError::LostBehindCarrier
+        | SendError::Malformed(_)
         | SendError::ForeignAnswer
         | SendError::CarrierLost(_) => CarryEnd::Lost,
     })?;
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -96,6 +96,14 @@
                 attempt.interrupted();
                 attempt.eject();
             }
+            SendError::Malformed(reason) => {
+                log::info!(
+                    target_box = attempt.target.as_str(),
+                    request = req.headers.id.as_deref().unwrap_or_default();
+                    "an answer is not passed on: {reason}"
+                );
+                attempt.failed();
+            }
             SendError::ForeignAnswer => {
                 log::info!(
                     target_box = attempt.target.as_str(),
--- a/crates/cherrystandd/tests/carrying.rs
+++ b/crates/cherrystandd/tests/carrying.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use cherrystand_testkit::BoxMode;
+use support::flooding_endpoint::{FLOODED, Flood, FloodingEndpoint};
 use support::site::{MODEL_PATH, SERVICE_PATH, Site, call};
 use support::{call_at, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -133,3 +134,27 @@
         .await;
     });
 }
+
+/// Guards against a peer that passes on as an answer what its endpoint spoilt.
+#[test]
+fn a_malformed_answer_is_carried_to_no_peer_and_counts_as_lost() {
+    let answer = "HTTP/1.1 200 OK\r\nCherrystand-Request-Id: {id}\r\nCherrystand-Response-Seal: s\r\n\
+                  Transfer-Encoding: chunkee\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+    support::run(async {
+        let site = Site::serving(2).await;
+        let address = site.stand_in.address_of("a-1").expect("an address");
+        let flood = Flood { start: answer, repeated: "", writes: Some(0) };
+        let endpoint = FloodingEndpoint::open(address, flood).await;
+        site.stand_in.set_address("a-1", endpoint.address);
+        let spoilt = format!("cherrystand-request-id: {FLOODED}carried");
+        let request = carry_request("a-1", "x").replace("cherrystand-request-id: carried", &spoilt);
+        wait_until("the endpoint's new address is known", async || {
+            let answer = send_raw(PEER, site.nodes[0].changes, request.as_bytes()).await;
+            assert!(!answer.contains("\r\n4\r\nbody"), "{answer}");
+            let is_met = endpoint.begun.get() > 0;
+            assert!(!is_met || answer.contains("cherrystand-carry-end: lost"), "{answer}");
+            is_met
+        })
+        .await;
+    });
+}
--- a/crates/cherrystandd/tests/support/flooding_endpoint.rs
+++ b/crates/cherrystandd/tests/support/flooding_endpoint.rs
@@ -1,4 +1,4 @@
-//! Endpoints that answer some requests with bytes without end.
+//! Endpoints that answer some requests with bytes that a test chooses, also without end.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -18,7 +18,7 @@
 pub(crate) struct Flood {
     /// The first bytes, in which `{id}` stands for the id of the request.
     pub(crate) start: &'static str,
-    /// What follows again and again until the caller closes.
+    /// What follows again and again until the caller closes. If it is empty, nothing follows.
     pub(crate) repeated: &'static str,
     /// After how many writes it ends and closes, if it does.
     pub(crate) writes: Option<u32>,
@@ -28,6 +28,8 @@
 #[derive(Clone)]
 pub(crate) struct FloodingEndpoint {
     pub(crate) address: SocketAddr,
+    /// What the requests that ask for it are answered with from now on.
+    pub(crate) flood: Rc<Cell<Flood>>,
     /// How many floods have begun.
     pub(crate) begun: Rc<Cell<u32>>,
     /// How many of them their callers have closed.
@@ -38,18 +40,19 @@
     pub(crate) async fn open(endpoint: SocketAddr, flood: Flood) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
         let address = listener.local_addr().expect("an address");
-        let own = Self { address, begun: Rc::default(), closed: Rc::default() };
+        let flood = Rc::new(Cell::new(flood));
+        let own = Self { address, flood, begun: Rc::default(), closed: Rc::default() };
         let accepting = own.clone();
         tokio::task::spawn_local(async move {
             while let Ok((caller, _)) = listener.accept().await {
-                tokio::task::spawn_local(accepting.clone().pass(caller, endpoint, flood));
+                tokio::task::spawn_local(accepting.clone().pass(caller, endpoint));
             }
         });
         own
     }
 
     /// Forwards one connection until a request on it is to be flooded.
-    async fn pass(self, mut caller: TcpStream, endpoint: SocketAddr, flood: Flood) {
+    async fn pass(self, mut caller: TcpStream, endpoint: SocketAddr) {
         let Ok(mut server) = TcpStream::connect(endpoint).await else { return };
         let (mut asked, mut answered) = (vec![0; WRITE_BYTES], vec![0; WRITE_BYTES]);
         loop {
@@ -57,7 +60,7 @@
                 read = caller.read(&mut asked) => {
                     let read = read.unwrap_or(0);
                     if let Some(id) = flooded_id(&asked[..read]) {
-                        return self.flood(caller, &id, flood).await;
+                        return self.flood(caller, &id).await;
                     }
                     if read == 0 || server.write_all(&asked[..read]).await.is_err() {
                         return;
@@ -73,10 +76,11 @@
         }
     }
 
-    async fn flood(self, mut caller: TcpStream, id: &str, flood: Flood) {
+    async fn flood(self, mut caller: TcpStream, id: &str) {
+        let flood = self.flood.get();
         self.begun.set(self.begun.get() + 1);
         let start = flood.start.replace("{id}", id);
-        let repeated = flood.repeated.repeat(WRITE_BYTES / flood.repeated.len());
+        let repeated = flood.repeated.repeat(WRITE_BYTES / flood.repeated.len().max(1));
         let mut written = caller.write_all(start.as_bytes()).await;
         let mut writes = 0;
         while written.is_ok() && flood.writes.is_none_or(|all| writes < all) {
