fix: the length of an answer is that of what is sent, not the one its head came with

Callers of the product's own interface saw: an event stream that broke off, with the length of its head, filled up with the first bytes of the event that tells of the interruption, as a whole answer.

Cause: `relay_answer` copied Content-Length although that event makes the stream longer; the server cut it at the length. `buffer_answer` copied it as well, beside a body of its own.

Change: `remove_length` where the daemon sends a body of its own making, so that the server tells its length, or chunks. It stays where the answer has no body by definition (HEAD, 304), and where a body is passed on as it comes, which breaks off if it is shorter.

For buffered answers no case is left that shows a difference, since a length beside chunks is refused.

--- a/crates/cherrystand_platform/src/answer_head.rs
+++ b/crates/cherrystand_platform/src/answer_head.rs
@@ -2,7 +2,7 @@
 
 use cherrystand_core::{AnswerFraming, MalformedAnswer};
 use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Response, Version};
+use hyper::{HeaderMap, Method, Response, StatusCode, Version};
 
 /// Checks that an answer is a final one whose end its head tells in one way only.
 ///
@@ -18,3 +18,14 @@
     };
     framing.check()
 }
+
+/// Removes the length that the head of a buffered answer names, so that the server that passes the
+/// answer on tells the length of what it sends.
+///
+/// Where the answer has no body by definition, the length is that of another answer's body and stays.
+pub fn remove_length(headers: &mut HeaderMap, status: StatusCode, method: &Method) {
+    let is_bodiless = *method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
+    if !is_bodiless {
+        headers.remove(CONTENT_LENGTH);
+    }
+}
--- a/crates/cherrystand_platform/src/lib.rs
+++ b/crates/cherrystand_platform/src/lib.rs
@@ -38,6 +38,7 @@
 
 pub use adaptive_client::{AdaptiveClient, WatchAnswer};
 pub use advertised_limit::AdvertisedLimit;
+pub use answer_head::remove_length;
 pub use answer_names::{AnswerNames, NoNames};
 pub use answer_pool::AnswerPool;
 pub use body_buffer::BodyBuffer;
--- a/crates/cherrystandd/src/relay/request_handler.rs
+++ b/crates/cherrystandd/src/relay/request_handler.rs
@@ -7,6 +7,7 @@
     AttemptEnd, CLAIM_USE_TIMEOUT, ClaimResponse, EndpointKey, FailedAttempt, IdempotencyKey,
     Millis, NoRetry, Outcome, RefusalReason, decide_retry,
 };
+use cherrystand_platform::remove_length;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 
@@ -251,6 +252,10 @@
     let is_event_stream = started.is_event_stream();
     let StartedAnswer { mut head, buffered, remaining_body, attempt } = started;
     headers::remove_hop_by_hop_headers(&mut head.headers);
+    // An event that tells of an interruption makes an event stream longer.
+    if is_event_stream || remaining_body.is_none() {
+        remove_length(&mut head.headers, head.status, &call.head.method);
+    }
     let body = match remaining_body {
         None => {
             admitted.end(Outcome::Ran, None);
--- a/crates/cherrystandd/src/site/request_handler.rs
+++ b/crates/cherrystandd/src/site/request_handler.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cherrystand_core::{AttemptEnd, Millis, RefusalReason, RouteKind};
-use cherrystand_platform::{CallerBody, SiteDriver};
+use cherrystand_platform::{CallerBody, SiteDriver, remove_length};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode};
@@ -176,7 +176,7 @@
     let mut attempts = RequestAttempts::default();
     let started = first_answer(frontend, &req, &mut attempts).await?;
     if started.head.status != StatusCode::OK {
-        let answer = within_deadline(frontend, &req, buffer_answer(frontend, started)).await;
+        let answer = within_deadline(frontend, &req, buffer_answer(frontend, &req, started)).await;
         return answer.map_err(|end| {
             attempts.ledger.record_end(end);
             attempts.log_failure(frontend, &req, end)
@@ -288,7 +288,7 @@
     let watched = attempt.clone();
     let exchange = async {
         let started = endpoint_call::send(frontend.clone(), req.clone(), attempt, None).await?;
-        buffer_answer(frontend, started).await
+        buffer_answer(frontend, req, started).await
     };
     tokio::select! {
         answer = within_deadline(frontend, req, exchange) => answer,
@@ -321,6 +321,7 @@
 /// Reads an answer completely before the caller gets the first byte of it.
 async fn buffer_answer(
     frontend: &Frontend,
+    req: &SiteRequest,
     started: StartedAnswer,
 ) -> Result<Response<CallerBody>, AttemptEnd> {
     let StartedAnswer { mut head, body, attempt } = started;
@@ -332,6 +333,7 @@
         attempt.succeeded();
     }
     remove_hop_by_hop_headers(&mut head.headers);
+    remove_length(&mut head.headers, head.status, &req.head.method);
     frontend.callers.record_sent(bytes.len());
     Ok(Response::from_parts(head, CallerBody::reserved(bytes, reservation)))
 }
--- a/crates/cherrystandd/tests/own_interface.rs
+++ b/crates/cherrystandd/tests/own_interface.rs
@@ -159,3 +159,40 @@
         }
     });
 }
+
+/// Guards against an event stream that breaks off and is as long as its head tells.
+#[test]
+fn a_stream_of_events_that_breaks_off_tells_so_whatever_length_its_head_tells() {
+    const EVENTS: &str = "data: one\n\ndata: tw";
+    support::run(async {
+        let cluster = Cluster::start(Setup { daemons: 1, boxes: 0, ..Setup::default() }).await;
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
+        let config = format!(
+            "workspace = \"w\"\n[[service]]\nname = \"s\"\npath_prefix = \"/consent\"\n\
+             class = \"consent\"\nendpoints = [{{ zone = \"a\", address = \"{}\" }}]\n",
+            listener.local_addr().expect("an address")
+        );
+        tokio::task::spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let _ = read_head(&mut stream).await;
+                let length = EVENTS.len() + 20;
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                     content-length: {length}\r\n\r\n{EVENTS}"
+                );
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        });
+        cluster.apply_config(&config).await;
+        let to = cluster.daemons[0].callers;
+        cluster
+            .wait_until("the stream tells that it broke off", async || {
+                let answer = cluster.send(to, Method::POST, "/consent", &[], "").await;
+                let text = answer.map(|answer| answer.text()).unwrap_or_default();
+                let has_begun = text.starts_with(EVENTS);
+                assert!(!has_begun || text.contains("answer-cut"), "{text}");
+                text.contains("answer-cut")
+            })
+            .await;
+    });
+}
