fix: a line feed alone ends no line of an answer's head

Callers saw: a field of a replica's answer passed on as two, and, with an empty line before a length, 200 with the rest of the head as the body.

Cause: the HTTP library's parser takes a line feed alone for the end of a line, and can't be told not to, so that one spoilt byte inside a value divides a field or the head.

Change: `HeadScan` in core checks the lines of a head while its bytes arrive, from the request until the empty line, past heads of information; `CountedStream` asks it and ends the connection. The attempt ends as malformed, which may have run. Bodies aren't looked at.

Evidence, before: cherrystand_platform/malformed_answers fails with eight forms, cherrystandd/malformed_answers with both new ones on all routes and positions. Servers that end all lines of their heads so aren't understood any more; RFC 9112 allows to take them, and doesn't demand it.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -56,6 +56,7 @@
     pub(crate) mod endpoint_backpressure;
     pub(crate) mod endpoint_rate_limits;
     pub(crate) mod fruitless_bytes;
+    pub(crate) mod head_scan;
     pub(crate) mod idle_connections;
     pub(crate) mod idle_time;
     pub(crate) mod known_rate_limit;
@@ -243,6 +244,7 @@
     EndpointRateLimits, ObservedRateLimit, RateLimitOwner, RateLimitRecipient, RateLimitStep,
 };
 pub use requests::fruitless_bytes::{MAX_FRUITLESS_BYTES, are_too_many_fruitless_bytes};
+pub use requests::head_scan::HeadScan;
 pub use requests::idle_connections::{DEFAULT_IDLE_CONNECTIONS, max_idle_connections};
 pub use requests::idle_time::IdleTime;
 pub use requests::leaving_incarnations::LeavingIncarnations;
--- a/crates/cherrystand_core/src/requests/answer_framing.rs
+++ b/crates/cherrystand_core/src/requests/answer_framing.rs
@@ -42,6 +42,9 @@
     /// The status says that there is no body, and the head tells of one.
     #[error("its head tells of a body that its status excludes")]
     UnexpectedBody,
+    /// A line of the head ends with a line feed alone.
+    #[error("a line of its head ends without a carriage return")]
+    BareLineFeed,
 }
 
 impl<'a, E, L> AnswerFraming<E, L>
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -198,7 +198,13 @@
             }
             Err(mut failure) => match failure.take_message() {
                 Some(unsent) => Err((SendError::NotSent(failure.into_error()), Some(unsent))),
-                None => Err((SendError::ConnectionLost(failure.into_error()), None)),
+                None => {
+                    let err = match conn.received.malformed() {
+                        Some(reason) => SendError::Malformed(reason),
+                        None => SendError::ConnectionLost(failure.into_error()),
+                    };
+                    Err((err, None))
+                }
             },
         }
     }
--- a/crates/cherrystand_platform/src/pooled_connection.rs
+++ b/crates/cherrystand_platform/src/pooled_connection.rs
@@ -61,7 +61,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) send: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    /// What arrived since the last part of an answer.
+    /// What arrived on it.
     pub(crate) received: ReceivedBytes,
     /// By the clock that includes suspended time, because servers close idle connections meanwhile.
     idle_since: Duration,
@@ -129,7 +129,7 @@
     /// Records that a request is about to be sent on it.
     pub(crate) fn begin_request(&mut self) {
         self.carried += 1;
-        self.received.record_part();
+        self.received.begin_request();
     }
 
     /// Records what the head of an answer says of how long it may be idle.
--- a/crates/cherrystand_platform/tests/malformed_answers.rs
+++ b/crates/cherrystand_platform/tests/malformed_answers.rs
@@ -220,3 +220,36 @@
         ),
     ]);
 }
+
+/// Guards against a head that a line feed inside a value divides in two, so that its rest becomes the body.
+#[test]
+fn an_answer_whose_lines_end_without_a_carriage_return_is_none() {
+    check(&[
+        spoilt("in the status line", "HTTP/1.1 200 OK\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("in a value", "HTTP/1.1 200 OK\r\nA: b\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("of a length", "HTTP/1.1 200 OK\r\nContent-Length: 4\n\r\nbody"),
+        spoilt("before a length", "HTTP/1.1 200 OK\r\nA: b\r\n\nContent-Length: 4\r\n\r\nbody"),
+        spoilt("at the end", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\nbody"),
+        spoilt("before the head", "\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"),
+        spoilt(
+            "in a head of information",
+            "HTTP/1.1 103 Early\r\nA: b\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        ),
+        spoilt(
+            "behind a head of information",
+            "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nA: b\nContent-Length: 4\r\n\r\nbody",
+        ),
+        sound(
+            "empty lines before the head",
+            "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+            "body",
+        ),
+        sound("in a body", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nb\n\ny", "b\n\ny"),
+        sound("in a body that the connection ends", "HTTP/1.1 200 OK\r\n\r\n\nb\n", "\nb\n"),
+        sound(
+            "in chunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n\nb\n\n\r\n0\r\n\r\n",
+            "\nb\n\n",
+        ),
+    ]);
+}
--- a/crates/cherrystandd/tests/malformed_answers.rs
+++ b/crates/cherrystandd/tests/malformed_answers.rs
@@ -173,6 +173,8 @@
         status("an upgrade", "101 Switching Protocols"),
         form("a line without a colon", "nothing\r\nContent-Length: 15\r\n", BODY),
         form("a blank in a name", "A b: c\r\nContent-Length: 15\r\n", BODY),
+        form("a line feed alone in a value", "A: b\nc: d\r\nContent-Length: 15\r\n", BODY),
+        form("a line feed alone behind a line", "A: b\r\n\nContent-Length: 3\r\n", BODY),
         form("a control byte in a name", "A\x01b: c\r\nContent-Length: 15\r\n", BODY),
     ]);
 }
