fix: an answer behind whose end other bytes stand is no answer

Callers saw: 200 with the first bytes of a replica's body, complete, as a spoilt Content-Length (3, 0) told its end early; the rest waited behind it on the connection.

Cause: an answer counted as whole as soon as its length was read. What stood behind it ended the connection, but not the answer.

Change: the connection's driver looks at what was read behind the last answer as the connection ends (`connection_driver`), which on one thread is the poll in which the answer's end is read: no timer, no wake-up more. `PooledBody` asks it before it tells the end, in place of the last piece, and `exchange` for an answer without a body. Bytes that begin another answer, by a whole status line, say nothing of the one before: a server may send answers twice, and the whole ones are delivered (`may_belong_to_answer`).

What can't be told: bytes that come in a later segment; bytes behind chunks that come while the request is still being written; a spoilt length behind which a status line stands; a field that tells the length and became another sound field, with the connection closed behind the body.

A check of `endless_answers` asked for 200 with bytes without end behind a body of two bytes. The same bytes are a cut body of more, so it asks for 502 now, with the first of them in the answer's own segment, and for 200 where other answers follow without end.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -74,6 +74,7 @@
     pub(crate) mod seeded_rng;
     pub(crate) mod send_permit;
     pub(crate) mod small_parts;
+    pub(crate) mod surplus_bytes;
     pub(crate) mod typical_latency;
     pub(crate) mod wait_queue;
     pub(crate) mod waiting_answers;
@@ -261,6 +262,7 @@
 pub use requests::seeded_rng::{SeededRng, hash_bytes, mix};
 pub use requests::send_permit::SendPermit;
 pub use requests::small_parts::{MAX_SMALL_PARTS, are_too_many_small_parts};
+pub use requests::surplus_bytes::may_belong_to_answer;
 pub use requests::typical_latency::TypicalLatency;
 pub use requests::wait_queue::{MAX_QUEUE_WAIT, WaitQueue};
 pub use requests::waiting_answers::{WaitingAnswer, WaitingAnswers};
--- a/crates/cherrystand_core/src/requests/answer_framing.rs
+++ b/crates/cherrystand_core/src/requests/answer_framing.rs
@@ -45,6 +45,9 @@
     /// A line of the head ends with a line feed alone.
     #[error("a line of its head ends without a carriage return")]
     BareLineFeed,
+    /// Bytes that begin no other answer follow the end that the head tells.
+    #[error("bytes that are no answer follow its end")]
+    SurplusBytes,
 }
 
 impl<'a, E, L> AnswerFraming<E, L>
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -15,11 +15,11 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::{Request, Response};
 
-use cherrystand_core::DEFAULT_IDLE_CONNECTIONS;
+use cherrystand_core::{DEFAULT_IDLE_CONNECTIONS, MalformedAnswer};
 
 use crate::answer_head::check_framing;
 use crate::pooled_connection::PooledConnection;
-use crate::{RequestTries, SendError};
+use crate::{BodyError, RequestTries, SendError};
 
 /// A connection that was opened and carries no request.
 pub struct OpenConnection(PooledConnection);
@@ -191,7 +191,7 @@
         match conn.send.try_send_request(req).await {
             Ok(answer) => {
                 // Dropping the connection closes it.
-                check_framing(&answer).map_err(|err| (SendError::Malformed(err), None))?;
+                check_answer(&answer, &conn).map_err(|err| (SendError::Malformed(err), None))?;
                 conn.received.record_part();
                 conn.read_keep_alive(answer.headers());
                 Ok(answer.map(|body| PooledBody { body, conn: Some(conn), pool: self.clone() }))
@@ -210,6 +210,18 @@
     }
 }
 
+/// Checks the head of an answer, and the end of one that has no body.
+fn check_answer(
+    answer: &Response<Incoming>,
+    conn: &PooledConnection,
+) -> Result<(), MalformedAnswer> {
+    check_framing(answer)?;
+    match answer.body().is_end_stream() {
+        true => conn.received.check_end(),
+        false => Ok(()),
+    }
+}
+
 /// The body of an answer. Its connection returns to the pool once the body has been read to the end.
 pub struct PooledBody {
     body: Incoming,
@@ -238,18 +250,23 @@
 
 impl Body for PooledBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
+        let polled = polled.map_err(BodyError::Interrupted);
         if let (Poll::Ready(Some(Ok(_))), Some(conn)) = (&polled, &self.conn) {
             conn.received.record_part();
         }
         let ended = matches!(polled, Poll::Ready(None)) || self.body.is_end_stream();
         if ended && let Some(conn) = self.conn.take() {
+            // Dropping the connection closes it.
+            if let Err(malformed) = conn.received.check_end() {
+                return Poll::Ready(Some(Err(BodyError::Malformed(malformed))));
+            }
             self.pool.release(conn);
         }
         polled
--- a/crates/cherrystand_platform/src/pooled_connection.rs
+++ b/crates/cherrystand_platform/src/pooled_connection.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::connection_driver::drive;
 use crate::received_bytes::{CountedStream, ReceivedBytes};
 use crate::{MAX_HEAD_BYTES, SendError, since_boot};
 
@@ -92,11 +93,11 @@
         let handshake = http.max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
         let (send, conn) = handshake.await.map_err(SendError::NotSent)?;
         let count = OpenCount::new(open.clone());
+        let driven = drive(conn, received.clone());
         let driver = tokio::task::spawn(async move {
             // A connection that the server closed is still listed as idle, and is open no more.
             let _count = count;
-            // The future of the request reports the failure.
-            let _ = conn.await;
+            driven.await;
         });
         Ok(Self {
             id: ConnectionId(NEXT_ID.fetch_add(1, Ordering::Relaxed)),
--- a/crates/cherrystand_platform/src/received_bytes.rs
+++ b/crates/cherrystand_platform/src/received_bytes.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
 
@@ -21,6 +21,7 @@
     /// How many requests have been sent.
     requests: AtomicUsize,
     malformed: OnceLock<MalformedAnswer>,
+    has_surplus: AtomicBool,
 }
 
 impl ReceivedBytes {
@@ -40,6 +41,19 @@
         self.0.malformed.get().copied()
     }
 
+    /// Records that bytes that may belong to the last answer follow its end.
+    pub(crate) fn record_surplus(&self) {
+        self.0.has_surplus.store(true, Ordering::Relaxed);
+    }
+
+    /// Checks that nothing that may belong to the answer that has ended follows its end.
+    pub(crate) fn check_end(&self) -> Result<(), MalformedAnswer> {
+        match self.0.has_surplus.load(Ordering::Relaxed) {
+            true => Err(MalformedAnswer::SurplusBytes),
+            false => Ok(()),
+        }
+    }
+
     /// Records bytes and returns how many there are.
     fn record(&self, bytes: usize) -> usize {
         self.0.fruitless.fetch_add(bytes, Ordering::Relaxed).saturating_add(bytes)
@@ -61,6 +75,13 @@
         Self { stream, received, head: HeadScan::default(), request: 0 }
     }
 
+    /// Reads and returns what has arrived already, as far as it fits.
+    pub(crate) fn read_arrived<'b>(&self, buf: &'b mut [u8]) -> &'b [u8] {
+        // It makes no difference why nothing can be read.
+        let count = self.stream.try_read(buf).unwrap_or(0);
+        &buf[..count]
+    }
+
     /// Checks the part of a head that has arrived.
     fn check_head(&mut self, bytes: &[u8]) -> io::Result<()> {
         let request = self.received.0.requests.load(Ordering::Relaxed);
--- a/crates/cherrystand_platform/tests/malformed_answers.rs
+++ b/crates/cherrystand_platform/tests/malformed_answers.rs
@@ -1,12 +1,14 @@
 //! Servers whose answers don't tell where they end.
 #![allow(clippy::disallowed_methods, reason = "the machine of a test is not suspended")]
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use bytes::Bytes;
 use cherrystand_platform::HttpPool;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, StatusCode};
+use proptest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -20,9 +22,21 @@
     StayOpen,
 }
 
+/// Opens an address for the servers of many exchanges.
+fn listen() -> std::net::TcpListener {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("an address");
+    listener.set_nonblocking(true).expect("a listener");
+    listener
+}
+
 /// Sends a request to a server that writes these bytes, and returns the whole answer, if there is one.
-async fn exchange(answer: Vec<u8>, then: Then) -> Result<(StatusCode, Bytes), String> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
+async fn exchange(
+    listener: &std::net::TcpListener,
+    answer: Vec<u8>,
+    then: Then,
+) -> Result<(StatusCode, Bytes), String> {
+    let listener = TcpListener::from_std(listener.try_clone().expect("a listener"));
+    let listener = listener.expect("a listener");
     let address = listener.local_addr().expect("an address");
     tokio::task::spawn(async move {
         let (mut caller, _) = listener.accept().await.expect("a connection");
@@ -69,10 +83,11 @@
 /// Plays each case with a connection that closes and one that stays open.
 fn check(cases: &[Case]) {
     run(async {
+        let listener = listen();
         let mut failures = Vec::new();
         for Case { name, answer, body } in cases {
             for then in [Then::Close, Then::StayOpen] {
-                let got = exchange(answer.as_bytes().to_vec(), then).await;
+                let got = exchange(&listener, answer.as_bytes().to_vec(), then).await;
                 let is_due = match (&got, body) {
                     (Ok((_, read)), Some(body)) => read == body,
                     (Err(_), None) => true,
@@ -253,3 +268,131 @@
         ),
     ]);
 }
+
+/// Guards against a body that is cut where a spoilt length tells its end.
+#[test]
+fn an_answer_behind_whose_end_other_bytes_stand_is_none() {
+    const CLOSING: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+    let closing = |rest: &str| -> &'static str { [CLOSING, rest].concat().leak() };
+    check(&[
+        spoilt("a length too short", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbody"),
+        spoilt("a length of nothing", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nbody"),
+        spoilt(
+            "bytes behind chunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\nmore",
+        ),
+        spoilt(
+            "bytes behind no chunk",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nmore",
+        ),
+        spoilt("bytes behind no content", "HTTP/1.1 204 No Content\r\n\r\nbody"),
+        spoilt("bytes behind nothing modified", "HTTP/1.1 304 Not Modified\r\n\r\nbody"),
+        spoilt("a line behind the end", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody\r\n"),
+        spoilt("half a status line", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1"),
+        spoilt("a length too short at the last answer", closing("Content-Length: 3\r\n\r\nbody")),
+        spoilt("a length of nothing at the last answer", closing("Content-Length: 0\r\n\r\nbody")),
+        spoilt(
+            "bytes behind chunks at the last answer",
+            closing("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\nmore"),
+        ),
+        sound("the last answer", closing("Content-Length: 4\r\n\r\nbody"), "body"),
+        sound(
+            "another answer",
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 503 Full\r\n",
+            "body",
+        ),
+        sound(
+            "another answer behind the last",
+            closing("Content-Length: 4\r\n\r\nbodyHTTP/1.0 200 OK\r\n"),
+            "body",
+        ),
+        sound(
+            "another answer behind chunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\nHTTP/1.1 200 OK\r\n",
+            "body",
+        ),
+    ]);
+}
+
+/// A sound answer, whose head is to be spoilt.
+#[derive(Clone, Debug)]
+struct Sound {
+    head: &'static str,
+    body: &'static str,
+}
+
+const SOUND: [Sound; 3] = [
+    Sound {
+        head: "HTTP/1.1 200 OK\r\nServer: a b\r\nContent-Length: 11\r\nX-Id: 1\r\n\r\n",
+        body: "hello\r\nbody",
+    },
+    Sound {
+        head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 1\r\n\r\n",
+        body: "5\r\nhello\r\n6\r\n\r\nbody\r\n0\r\n\r\n",
+    },
+    Sound {
+        head: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\n\r\n",
+        body: "hello\r\nbody",
+    },
+];
+
+/// How one byte of a head is spoilt.
+#[derive(Clone, Copy, Debug)]
+enum Spoiling {
+    Replaced(u8),
+    Removed,
+    Inserted(u8),
+}
+
+impl Spoiling {
+    fn apply(self, head: &mut Vec<u8>, at: usize) {
+        match self {
+            Self::Replaced(byte) => head[at] = byte,
+            Self::Removed => drop(head.remove(at)),
+            Self::Inserted(byte) => head.insert(at, byte),
+        }
+    }
+}
+
+/// Returns the body of an answer whose head has no field that tells the body's end: all that stands
+/// behind the head until the connection ends.
+fn body_without_length(answer: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(answer).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let head = head.to_lowercase();
+    let lengths = ["\r\ncontent-length:", "\r\ntransfer-encoding:"];
+    let tells_end = lengths.iter().any(|name| head.contains(name));
+    (!tells_end).then(|| body.to_owned())
+}
+
+fn spoiling() -> impl Strategy<Value = Spoiling> {
+    let byte = || prop_oneof![any::<u8>(), prop::sample::select(&b"\r\n \t:,;0123456789"[..])];
+    prop_oneof![
+        byte().prop_map(Spoiling::Replaced),
+        Just(Spoiling::Removed),
+        byte().prop_map(Spoiling::Inserted),
+    ]
+}
+
+/// The address of all servers of the property.
+static LISTENER: LazyLock<std::net::TcpListener> = LazyLock::new(listen);
+
+proptest! {
+    /// Guards against a success whose body is not the server's, whichever byte of its head is spoilt.
+    #[test]
+    fn an_answer_with_a_spoilt_byte_in_its_head_has_its_own_whole_body_or_is_no_success(
+        sound in prop::sample::select(&SOUND[..]),
+        at in any::<prop::sample::Index>(),
+        spoiling in spoiling(),
+    ) {
+        let mut answer = sound.head.as_bytes().to_vec();
+        spoiling.apply(&mut answer, at.index(sound.head.len()));
+        answer.extend_from_slice(sound.body.as_bytes());
+        let without_length = body_without_length(&answer);
+        let got = run(exchange(&LISTENER, answer, Then::Close));
+        if let Ok((status, body)) = got && status.is_success() {
+            let is_own = body == "hello\r\nbody" || without_length.is_some_and(|own| body == own);
+            prop_assert!(is_own, "{status} {body:?}");
+        }
+    }
+}
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -171,7 +171,10 @@
     let mut read = BodyBuffer::new(buffer_budget.reserve(announced).await);
     let mut parts = 0;
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| AttemptEnd::AnswerCut)?;
+        let frame = frame.map_err(|err| {
+            log::info!(bytes = read.len() as u64; "an answer is not passed on: {err}");
+            AttemptEnd::AnswerCut
+        })?;
         let Ok(data) = frame.into_data() else { continue };
         parts += 1;
         if are_too_many_small_parts(parts, read.len()) {
--- a/crates/cherrystandd/src/site/replica_stream.rs
+++ b/crates/cherrystandd/src/site/replica_stream.rs
@@ -72,7 +72,8 @@
                 {
                     return StreamStep::CallerSlow;
                 }
-                Some(Err(_)) => {
+                Some(Err(err)) => {
+                    log::info!(target_box = self.attempt.target.as_str(); "a stream ends early: {err}");
                     self.attempt.interrupted();
                     self.attempt.eject();
                     return StreamStep::Broken(AttemptEnd::AnswerCut);
--- a/crates/cherrystandd/tests/endless_answers.rs
+++ b/crates/cherrystandd/tests/endless_answers.rs
@@ -62,7 +62,7 @@
     stream("a stream's informational heads", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
 ];
 
-const BODIES: [Case; 8] = [
+const BODIES: [Case; 9] = [
     case("digits of a chunk size", head!("Transfer-Encoding: chunked\r\n"), "0000"),
     case("blanks after a chunk size", concat!(head!("Transfer-Encoding: chunked\r\n"), "5"), "  "),
     case("a chunk extension", concat!(head!("Transfer-Encoding: chunked\r\n"), "5;"), "aa"),
@@ -70,9 +70,14 @@
     case("a body without a length", head!(""), "abcdefgh"),
     case("a chunked body", head!("Transfer-Encoding: chunked\r\n"), "8\r\nabcdefgh\r\n"),
     case("a length beyond memory", head!("Content-Length: 1000000000000\r\n"), "abcdefgh"),
+    case("surplus after an answer", concat!(head!("Content-Length: 2\r\n"), "okmore"), "abcdefgh"),
     Case {
         status: 200,
-        ..case("surplus after an answer", concat!(head!("Content-Length: 2\r\n"), "ok"), "abcdefgh")
+        ..case(
+            "surplus answers after an answer",
+            concat!(head!("Content-Length: 2\r\n"), "okHTTP/1.1 200 OK\r\n"),
+            "abcdefgh",
+        )
     },
 ];
 
--- a/crates/cherrystandd/tests/malformed_answers.rs
+++ b/crates/cherrystandd/tests/malformed_answers.rs
@@ -159,6 +159,18 @@
             CHUNKED_BODY,
         ),
         form("two lengths", "Content-Length: 15\r\nContent-Length: 3\r\n", BODY),
+        form("a length too short", "Content-Length: 3\r\n", BODY),
+        form("a length of nothing", "Content-Length: 0\r\n", BODY),
+        form(
+            "a length too short at the last answer",
+            "Content-Length: 3\r\nConnection: close\r\n",
+            BODY,
+        ),
+        form(
+            "bytes behind chunks",
+            "Transfer-Encoding: chunked\r\n",
+            concat!("f\r\nid: 0\ndata: a\n\n\r\n0\r\n\r\n", "more"),
+        ),
         form("a length beyond the body", "Content-Length: 16\r\n", BODY),
     ]);
 }
