fix: a request that comes whole late in a planned stop is served or refused, and not cut

Callers saw: in a planned stop, in calm, requests whose last byte came late were sent on, run, and cut with no answer 7.3 s after the signal, before the grace of 8 s was over, among them such as can't be repeated.

Cause: a head that came before the linger's end is taken, and its request was sent on whenever its body was whole, whatever was left; 0.7 s of the grace stayed unused; what still waited got no answer at all.

Change: once a request is whole, `LateRequest::can_finish` decides by what is left: its deadline comes first, or nearly all of the last 128 requests to its service took less (`ServiceTimes`, with an eighth or 50 ms to spare). If not, it is refused at once: 503, "not run", Retry-After 50 ms, Connection: close. A service of which nothing is known yet is served while balancers still send. The reserve is 0.35 s in place of 0.7, and in its first half what still waits is told 502, or 503 if no connection has carried it (`StopPhase::Closing`). Streams under way are cut as before, as nothing else tells that they aren't whole.

Evidence, before: planned_stops fails; with 0.6, 2.5 and 4.5 s of work and with streams, requests that ran got no byte, none was refused, all connections ended at 7.9 s. After: passes; what is whole by 6.5, 4.4, 2.2 and 6.0 s is served, what ran is served, the rest is refused, and replicas that slow down meanwhile end in 502 and not in a closed connection.

The table of `ShutdownPlan` has the new reserve and asks, beside the last sixth as before, that the last answers fit into the grace.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -73,6 +73,7 @@
     pub(crate) mod router;
     pub(crate) mod seeded_rng;
     pub(crate) mod send_permit;
+    pub(crate) mod service_times;
     pub(crate) mod small_parts;
     pub(crate) mod surplus_bytes;
     pub(crate) mod typical_latency;
@@ -224,7 +225,7 @@
 };
 pub use nodes::replica_evidence::{EVIDENCE_TTL, EvidenceTable, ReplicaEvidence};
 pub use nodes::running_time::RunningTime;
-pub use nodes::shutdown_plan::ShutdownPlan;
+pub use nodes::shutdown_plan::{LateRequest, ShutdownPlan};
 pub use nodes::store_answer_time::{StoreAnswerTime, WatchTime};
 pub use nodes::store_outage::StoreOutage;
 pub use nodes::store_reachability::StoreReachability;
@@ -261,6 +262,7 @@
 pub use requests::router::{EndpointKey, EndpointSpec, GroupKey, NoEndpoint, Router};
 pub use requests::seeded_rng::{SeededRng, hash_bytes, mix};
 pub use requests::send_permit::SendPermit;
+pub use requests::service_times::ServiceTimes;
 pub use requests::small_parts::{MAX_SMALL_PARTS, are_too_many_small_parts};
 pub use requests::surplus_bytes::may_belong_to_answer;
 pub use requests::typical_latency::TypicalLatency;
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -27,6 +27,8 @@
     Running,
     /// The daemon reports that it is not ready and finishes the requests in flight.
     Draining,
+    /// The requests that have not finished get their last answers.
+    Closing,
     /// All duties end immediately.
     Stopped,
 }
@@ -179,6 +181,17 @@
         });
     }
 
+    /// Ends the wait for the requests in flight.
+    pub(crate) fn close(&self) {
+        self.stop.send_if_modified(|phase| {
+            let begins = *phase < StopPhase::Closing;
+            if begins {
+                *phase = StopPhase::Closing;
+            }
+            begins
+        });
+    }
+
     /// Returns the phase of the shutdown.
     pub fn stop_phase(&self) -> StopPhase {
         *self.stop.borrow()
--- a/crates/cherrystandd/src/site/event_stream.rs
+++ b/crates/cherrystandd/src/site/event_stream.rs
@@ -71,6 +71,7 @@
     pub(crate) async fn run(mut self, first: StartedAnswer) {
         let mut state = AnswerState { received_at: self.frontend.now(), stall: None };
         let outcome = self.forward(first, &mut state).await;
+        self.frontend.grace.record_end(&self.req);
         self.frontend.count_stream_end(outcome.end);
         if outcome.end == StreamEnd::Whole {
             // A caller that has disconnected needs no end of the stream.
--- a/crates/cherrystandd/src/site/frontend.rs
+++ b/crates/cherrystandd/src/site/frontend.rs
@@ -21,13 +21,14 @@
 use crate::site::caller_load::CallerLoad;
 use crate::site::crash_watch::CrashWatch;
 use crate::site::failure_log::FailureLog;
+use crate::site::grace_period::GracePeriod;
 use crate::site::load_exchange::LoadExchange;
 use crate::site::path_checks::PathCheck;
 use crate::site::request::SiteRequest;
 use crate::site::retry_shares::RetryShares;
 use crate::site::signal_log::SignalLog;
 use crate::store_freshness::OLD_KNOWLEDGE;
-use crate::{DutyContext, clock};
+use crate::{DutyContext, StopPhase, clock};
 
 /// A replica check that takes longer than this shows that the thread was busy; checks run every 40
 /// ms.
@@ -94,6 +95,8 @@
     pub(crate) crashes: Rc<CrashWatch>,
     /// The loads that peers report.
     pub(super) loads: Rc<LoadExchange>,
+    /// Which requests are taken while the daemon shuts down.
+    pub(crate) grace: Rc<GracePeriod>,
 }
 
 impl Frontend {
@@ -123,6 +126,7 @@
             connect_log: RefCell::new(LogLimiter::new(CONNECT_LOGS_PER_SECOND)),
             crashes,
             rng: Cell::new(SeededRng::new(clock::unix_millis())),
+            grace: Rc::new(GracePeriod::new(cx.clock)),
             loads,
             cx,
         }
@@ -133,6 +137,16 @@
         self.cx.clock.now()
     }
 
+    /// Returns whether the daemon shuts down.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.cx.stop_phase() > StopPhase::Running
+    }
+
+    /// Waits until the daemon shuts down and no longer waits for requests to finish.
+    pub(crate) async fn closing(&self) {
+        self.cx.wait_for_stop(StopPhase::Closing).await;
+    }
+
     /// Waits for a future until a point in time. Returns `None` if it isn't ready by then.
     pub(crate) async fn timeout_at<T>(
         &self,
--- a/crates/cherrystandd/src/site/frontend_duty.rs
+++ b/crates/cherrystandd/src/site/frontend_duty.rs
@@ -68,6 +68,7 @@
     let checks = check_cold_endpoints(cx.clone(), balancer.clone(), loads.clone(), boxes.clone());
     tokio::task::spawn_local(checks);
     let frontend = Rc::new(Frontend::new(cx.clone(), balancer, loads, crashes, boxes));
+    let grace = frontend.grace.clone();
     let (stop, stopped) = watch::channel(false);
     serve_pages(ready, cx.clone(), pages::readiness, stopped.clone());
     serve_pages(operators, cx.clone(), pages::operator_pages, stopped.clone());
@@ -77,9 +78,13 @@
         cx.wait_for_stop(StopPhase::Draining).await;
         log::info!("draining: not ready any more, finishing what is in flight");
         let plan = ShutdownPlan::new(Millis(site.grace_ms), Millis(cx.settings.stop.linger_ms));
+        grace.begin(&plan);
         tokio::time::sleep(Duration::from_millis(plan.linger.0)).await;
         stop.send_replace(true);
         tokio::time::sleep(Duration::from_millis(plan.drain.0)).await;
+        log::info!("closing: answering what has not finished");
+        cx.close();
+        tokio::time::sleep(Duration::from_millis(plan.closing.0)).await;
     };
     let finished = async { tokio::join!(serving, cx.wait_for_stop(StopPhase::Draining)) };
     tokio::select! {
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -34,6 +34,7 @@
 mod failure_log;
 mod frontend;
 mod frontend_duty;
+mod grace_period;
 mod held_suspects;
 mod hint;
 mod limit_exchange;
--- a/crates/cherrystandd/src/site/request.rs
+++ b/crates/cherrystandd/src/site/request.rs
@@ -41,6 +41,8 @@
     pub(crate) service: ServiceName,
     /// When it arrived.
     pub(crate) arrived: Millis,
+    /// When its last byte had arrived.
+    pub(crate) whole_at: Millis,
     /// When its caller's or its route's timeout expires.
     pub(crate) deadline: Millis,
     /// What of it may crash replicas, once that has been computed.
--- a/crates/cherrystandd/src/site/request_handler.rs
+++ b/crates/cherrystandd/src/site/request_handler.rs
@@ -8,7 +8,7 @@
 use cherrystand_core::{AttemptEnd, Millis, RefusalReason, RouteKind};
 use cherrystand_platform::{CallerBody, SiteDriver, remove_length};
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
 use crate::relay::headers::remove_hop_by_hop_headers;
@@ -30,6 +30,9 @@
 /// The `Retry-After` of a request for which no endpoint is in service.
 const DEFAULT_RETRY_AFTER: Millis = Millis(300);
 
+/// The `Retry-After` of a request that another daemon can serve.
+const STOPPING_RETRY_AFTER: Millis = Millis(50);
+
 /// After this time without an answer, the way to an endpoint is checked if none has sent anything.
 const MIN_ANSWER_WAIT: Duration = Duration::from_millis(120);
 
@@ -47,6 +50,10 @@
             if let Some(after) = refused.retry_after {
                 Driver::write_retry_after(answer.headers_mut(), after);
             }
+            if frontend.is_stopping() {
+                // The caller's next request goes to another daemon.
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
             answer
         }
     };
@@ -83,6 +90,24 @@
     RefusedRequest { status, reason: reason.as_str(), retry_after: None }
 }
 
+/// Refuses a request that this daemon, which is shutting down, can't be expected to finish. Other daemons
+/// take it at once.
+fn refuse_stopping() -> RefusedRequest {
+    let reason = RefusalReason::Stopping;
+    let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    RefusedRequest { status, reason: reason.as_str(), retry_after: Some(STOPPING_RETRY_AFTER) }
+}
+
+/// Ends a request that has not finished when this daemon closes. It may have run, unless no connection has
+/// carried it.
+fn refuse_unfinished(req: &SiteRequest) -> RefusedRequest {
+    if req.tries.is_empty() {
+        return refuse_stopping();
+    }
+    let reason = RefusalReason::Stopping.as_str();
+    RefusedRequest { status: StatusCode::BAD_GATEWAY, reason, retry_after: None }
+}
+
 /// Builds the refusal of a request that was not served. If every endpoint is in backoff or at its
 /// limit, the reason and the `Retry-After` say so.
 fn refusal_for(frontend: &Frontend, req: &SiteRequest, status: StatusCode) -> RefusedRequest {
@@ -132,6 +157,7 @@
         authorize(table, &head, &headers)?;
     let max_bytes = table.config().limits.body_bytes;
     let (body, reservation) = read_body(body, max_bytes, &frontend.buffer_budget).await?;
+    let whole_at = frontend.now();
     let timeout = headers.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = arrived + timeout;
     let (features, trial) = (OnceCell::new(), OnceCell::new());
@@ -146,12 +172,16 @@
         tenant_regions,
         service,
         arrived,
+        whole_at,
         deadline,
         features,
         trial,
         tries: Rc::default(),
     };
     let req = Rc::new(req);
+    if !frontend.grace.takes(&req) {
+        return Err(refuse_stopping());
+    }
     frontend.retries.record_request(&req.service);
     match frontend.crashes.permission(&req) {
         Permission::Send => {}
@@ -161,10 +191,17 @@
         }
         Permission::Refuse => return Err(refuse_crashing()),
     }
-    frontend.await_permit(&req).await;
-    let answer = match req.route.kind {
-        RouteKind::Streaming => serve_stream(frontend, req.clone()).await,
-        _ => serve_whole(frontend, &req).await,
+    let serving = async {
+        frontend.await_permit(&req).await;
+        match req.route.kind {
+            RouteKind::Streaming => serve_stream(frontend, req.clone()).await,
+            _ => serve_whole(frontend, &req).await.inspect(|_| frontend.grace.record_end(&req)),
+        }
+    };
+    let answer = tokio::select! {
+        biased;
+        answer = serving => answer,
+        () = frontend.closing() => return Err(refuse_unfinished(&req)),
     };
     answer.map_err(|status| refusal_for(frontend, &req, status))
 }
--- a/crates/cherrystandd/tests/malformed_answers.rs
+++ b/crates/cherrystandd/tests/malformed_answers.rs
@@ -7,10 +7,9 @@
 
 use support::caller_requests::{is_served, send_request};
 use support::flooding_endpoint::{FLOODED, Flood, FloodingEndpoint};
-use support::site::{MODEL_PATH, Node, SERVICE_PATH, Site};
+use support::raw_caller::call_raw;
+use support::site::{MODEL_PATH, SERVICE_PATH, Site};
 use support::wait_until;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 /// The path of a request that may be repeated.
 const REPEATABLE_PATH: &str = "/looks/1";
@@ -50,39 +49,6 @@
     }
 }
 
-/// What a caller read on its connection until it was closed.
-struct RawAnswer {
-    status: String,
-    /// Whether nothing shows that the answer isn't whole.
-    looks_whole: bool,
-    text: String,
-}
-
-/// Sends a request and reads every byte that comes back, by no HTTP library.
-async fn call_raw(node: &Node, path: &str, id: &str) -> RawAnswer {
-    let mut stream = TcpStream::connect(node.callers).await.expect("a connection");
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nHost: site.example\r\nAuthorization: Bearer k1\r\n\
-         Connection: close\r\nCherrystand-Request-Id: {id}\r\nCherrystand-Deadline-Ms: 2000\r\n\
-         Cherrystand-Model: m\r\nCherrystand-Token-Usage: 100,80\r\nContent-Length: 4\r\n\r\nbody"
-    );
-    stream.write_all(request.as_bytes()).await.expect("a connection that is read");
-    let mut read = Vec::new();
-    // A reset shows in what is missing.
-    let _ = stream.read_to_end(&mut read).await;
-    let text = String::from_utf8_lossy(&read).into_owned();
-    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
-    let head = head.to_lowercase();
-    let length = head.split_once("content-length: ").map(|(_, rest)| rest);
-    let length = length.and_then(|rest| rest.lines().next()?.parse::<usize>().ok());
-    let looks_whole = match length {
-        Some(length) => body.len() >= length,
-        None => !head.contains("transfer-encoding: chunked") || body.ends_with("0\r\n\r\n"),
-    };
-    let status = head.split(' ').nth(1).unwrap_or_default().to_owned();
-    RawAnswer { status, looks_whole, text }
-}
-
 /// Stands before each endpoint and leader of a site.
 async fn stand_before_all(site: &Site, flood: Flood) -> Vec<FloodingEndpoint> {
     let mut endpoints = Vec::new();
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 pub(crate) mod caller_requests;
 pub(crate) mod flooding_endpoint;
+pub(crate) mod raw_caller;
+pub(crate) mod raw_requests;
 pub(crate) mod site;
 
 use std::net::SocketAddr;
--- a/crates/cherrystandd/tests/surplus_answers.rs
+++ b/crates/cherrystandd/tests/surplus_answers.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use support::raw_requests::read_request;
 use support::site::{SERVICE_PATH, Site, call};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// How long after the surplus answer the due one leaves.
@@ -78,24 +79,6 @@
     )
 }
 
-/// Reads a request and returns its id.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    const BODY_BYTES: usize = 4;
-    let mut read = Vec::new();
-    loop {
-        let mut buf = [0; 2_048];
-        let count = stream.read(&mut buf).await.ok().filter(|count| *count > 0)?;
-        read.extend_from_slice(&buf[..count]);
-        let text = String::from_utf8_lossy(&read).into_owned();
-        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-        if body.len() >= BODY_BYTES {
-            let mut lines = head.lines();
-            return lines
-                .find_map(|line| Some(line.strip_prefix("cherrystand-request-id: ")?.into()));
-        }
-    }
-}
-
 /// Guards against requests that run twice, or are refused although they run, because a surplus answer
 /// was taken for theirs.
 #[test]
