fix: a daemon that is stopped by plan finishes what it carries for others

Callers of another daemon would see: a request cut with no answer, or 502, as the daemon that carried it was stopped by plan and ended once its own callers were done.

Cause: `finished` waited for the own callers only; the count of carried requests was known to the control thread alone.

Change: the count is shared (`CarriedCount`), and the daemon waits for it within the grace. Nothing new is carried meanwhile, as before.

Evidence, before: carrying, `a_daemon_that_is_stopped_finishes_what_it_carries`: no byte of the answer. After: the whole answer, and the daemon has ended within a second of it.

--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -12,7 +12,7 @@
 use crate::endpoint_contact::EndpointContact;
 use crate::loop_idle_time::LoopIdleTime;
 use crate::relay::RequestLookup;
-use crate::site::Hint;
+use crate::site::{CarriedCount, Hint};
 use crate::state::{StateEvent, View};
 use crate::store_freshness::StoreFreshness;
 use crate::{Clock, Metrics, Settings};
@@ -122,6 +122,8 @@
     pub(crate) hint_events: async_channel::Receiver<Hint>,
     /// The last versions of the configuration, for exchange with peers.
     pub(crate) config_versions: ConfigVersions,
+    /// How many requests of peers this daemon carries.
+    pub(crate) carried: CarriedCount,
     /// Publishes the phase of the shutdown.
     pub(crate) stop: Arc<watch::Sender<StopPhase>>,
 }
@@ -166,6 +168,7 @@
             publish_suspects: Arc::new(publish_suspects),
             hints,
             hint_events,
+            carried: CarriedCount::default(),
             stop: Arc::new(stop),
         }
     }
--- a/crates/cherrystandd/src/site/control.rs
+++ b/crates/cherrystandd/src/site/control.rs
@@ -90,10 +90,13 @@
             packed_batches: RefCell::default(),
             pool: AnswerPool::default(),
             boxes: BoxClient::new(cx.clone()),
-            carried: CarriedRequests::new(BufferBudget::new(
-                cx.settings.limits.max_buffer_bytes(),
-                cx.metrics.bytes_held.clone(),
-            )),
+            carried: CarriedRequests::new(
+                cx.carried.clone(),
+                BufferBudget::new(
+                    cx.settings.limits.max_buffer_bytes(),
+                    cx.metrics.bytes_held.clone(),
+                ),
+            ),
             call_book: RefCell::default(),
             witness_probed_at: Cell::default(),
             wake: Notify::new(),
--- a/crates/cherrystandd/src/site/frontend_duty.rs
+++ b/crates/cherrystandd/src/site/frontend_duty.rs
@@ -23,6 +23,9 @@
 use crate::site::request_handler::handle;
 use crate::{DutyContext, DutyError, StopPhase};
 
+/// How long the end of the last answer to a peer may take to be written.
+const CARRIED_FLUSH_TIME: Duration = Duration::from_millis(50);
+
 inventory::submit! {
     Duty { name: "site-front", scope: DutyScope::Routes, run }
 }
@@ -86,7 +89,12 @@
         cx.close();
         tokio::time::sleep(Duration::from_millis(plan.closing.0)).await;
     };
-    let finished = async { tokio::join!(serving, cx.wait_for_stop(StopPhase::Draining)) };
+    let finished = async {
+        tokio::join!(serving, cx.wait_for_stop(StopPhase::Draining));
+        // Nothing is carried anew from then on.
+        cx.carried.none_left().await;
+        tokio::time::sleep(CARRIED_FLUSH_TIME).await;
+    };
     tokio::select! {
         _ = finished => {}
         () = stopping => {}
--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -71,6 +71,7 @@
 mod suspect_writer;
 mod trials;
 
+pub(crate) use carried_requests::CarriedCount;
 pub(crate) use change_source::ChangeSource;
 pub(crate) use hint::Hint;
 pub(crate) use refused_values::RefusedKind;
--- a/crates/cherrystandd/tests/carrying.rs
+++ b/crates/cherrystandd/tests/carrying.rs
@@ -8,10 +8,11 @@
 
 use cherrystand_testkit::BoxMode;
 use support::flooding_endpoint::{FLOODED, Flood, FloodingEndpoint};
+use support::raw_requests::read_request;
 use support::site::{MODEL_PATH, SERVICE_PATH, Site, call};
 use support::{call_at, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpSocket;
+use tokio::net::{TcpListener, TcpSocket};
 
 /// An address of this machine that no daemon has.
 const STRANGER: &str = "127.0.0.2:0";
@@ -158,3 +159,35 @@
         .await;
     });
 }
+
+/// Guards against a planned stop that cuts off what a daemon carries for others.
+#[test]
+fn a_daemon_that_is_stopped_finishes_what_it_carries() {
+    const WORK: Duration = Duration::from_secs(2);
+    support::run(async {
+        let mut site = Site::serving(2).await;
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
+        site.stand_in.set_address("a-1", listener.local_addr().expect("an address"));
+        // The daemon learns the address meanwhile.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let working = async {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let id = read_request(&mut stream).await.expect("a request");
+            site.nodes[0].process.signal("TERM");
+            tokio::time::sleep(WORK).await;
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\ncherrystand-request-id: {id}\r\n\
+                 cherrystand-response-seal: s\r\ncontent-length: 4\r\n\r\ndone"
+            );
+            // The daemon may have ended.
+            let _ = stream.write_all(answer.as_bytes()).await;
+        };
+        let request = carry_request("a-1", "work");
+        let carried = send_raw(PEER, site.nodes[0].changes, request.as_bytes());
+        let (answer, ()) = tokio::join!(carried, working);
+        assert!(answer.ends_with("done"), "{answer:?}");
+        // It waits for nothing else.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(site.nodes[0].process.has_ended());
+    });
+}
