fix: an epoch that nobody issued ends no daemon and stops no domain

Operators would see: one entry of another writer among those of the boxes, in the domain of a model, with the largest number as its replica's epoch. The controller takes the next epoch after it. With overflow checks (test builds) the thread panics and the daemon ends, at the next controller as well, one after the other; without (release builds) the epoch becomes 0, and no replica is formed in that domain any more.

Cause: `DomainDraft::new` raises the record's epoch to the highest that any entry reports, as boxes may follow epochs that a lost record knew, and `next` adds without a bound.

Change: an epoch more than 2^32 beyond the record's is not believed; no lost record can explain it. Counters stay at the last number in place of starting anew.

A domain's record that another writer sets to the last epoch itself isn't healed: no further replica is formed by it.

--- a/crates/cherrystand_core/src/counters.rs
+++ b/crates/cherrystand_core/src/counters.rs
@@ -17,7 +17,13 @@
             /// Returns the next number.
             #[must_use]
             pub fn next(self) -> Self {
-                Self(self.0 + 1)
+                self.plus(1)
+            }
+
+            /// Returns the number that follows after so many steps, or the last one there is.
+            #[must_use]
+            pub fn plus(self, steps: u64) -> Self {
+                Self(self.0.saturating_add(steps))
             }
         }
 
--- a/crates/cherrystand_core/src/site/domain_draft.rs
+++ b/crates/cherrystand_core/src/site/domain_draft.rs
@@ -21,6 +21,10 @@
     Broken(&'static str),
 }
 
+/// How many epochs may have been issued that the record doesn't know, as it was lost: far more than a
+/// domain ever issues. An epoch beyond was issued by nobody.
+const MAX_LOST_EPOCHS: u64 = 1 << 32;
+
 /// The next record and the orders of a domain while a step decides.
 pub(crate) struct DomainDraft<'a> {
     /// What the step decides from.
@@ -43,8 +47,9 @@
     pub(crate) fn new(input: FormationInput<'a>, awaits_probes: bool) -> Self {
         let mut next = input.record.clone();
         let reported = input.boxes.iter().filter_map(|site_box| site_box.member.as_ref());
-        let highest = reported.map(|member| member.epoch).max().unwrap_or_default();
-        next.last_epoch = next.last_epoch.max(highest);
+        let believable = next.last_epoch.plus(MAX_LOST_EPOCHS);
+        let reported = reported.map(|member| member.epoch).filter(|epoch| *epoch <= believable);
+        next.last_epoch = next.last_epoch.max(reported.max().unwrap_or_default());
         Self {
             input,
             next,
--- a/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/metadata_stand_in.rs
@@ -124,6 +124,11 @@
         state.changes.push(Change { key: key.to_owned(), revision, value: Some(value) });
     }
 
+    /// Writes an item as another writer does.
+    pub fn write_value(&self, key: &str, value: &[u8]) {
+        self.put(key, STANDARD.encode(value));
+    }
+
     /// Tells whether an item exists.
     pub fn contains(&self, key: &str) -> bool {
         self.state.borrow().items.contains_key(key)
--- a/crates/cherrystand_testkit/src/site/site_stand_in.rs
+++ b/crates/cherrystand_testkit/src/site/site_stand_in.rs
@@ -304,7 +304,7 @@
 
     /// Overwrites the entry of a box with any bytes.
     pub fn write_entry(&self, id: &str, value: &[u8]) {
-        self.store.put(&format!("servers/{id}"), STANDARD.encode(value));
+        self.store.write_value(&format!("servers/{id}"), value);
     }
 
     /// Restarts a box without state under another id at the same address. The old entry stays and no new one is
