--- a/crates/cherrystandd/src/site/mod.rs
+++ b/crates/cherrystandd/src/site/mod.rs
@@ -55,6 +55,7 @@
 mod peer_selector;
 mod read_step;
 mod reader_list;
+mod refused_request;
 mod refused_values;
 mod replica_stream;
 mod request;
--- a/crates/cherrystandd/src/site/request_handler.rs
+++ b/crates/cherrystandd/src/site/request_handler.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cherrystand_core::{AttemptEnd, Millis, RefusalReason, RouteKind};
+use cherrystand_core::{AttemptEnd, Millis, RouteKind};
 use cherrystand_platform::{CallerBody, SiteDriver, remove_length};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -20,6 +20,7 @@
 use crate::site::frontend::{AttemptPurpose, Frontend, ReplicaHealth};
 use crate::site::open_attempts::{CHECK_INTERVAL, OpenAttempts};
 use crate::site::pages::empty_response;
+use crate::site::refused_request::{RefusedRequest, refusal_for};
 use crate::site::request::{Authorization, SiteRequest, authorize, head_size};
 use crate::site::request_attempts::RequestAttempts;
 use crate::site::trials::Permission;
@@ -27,12 +28,6 @@
 /// The timeout of a request whose caller names none.
 const DEFAULT_TIMEOUT: Millis = Millis(30_000);
 
-/// The `Retry-After` of a request for which no endpoint is in service.
-const DEFAULT_RETRY_AFTER: Millis = Millis(300);
-
-/// The `Retry-After` of a request that another daemon can serve.
-const STOPPING_RETRY_AFTER: Millis = Millis(50);
-
 /// After this time without an answer, the way to an endpoint is checked if none has sent anything.
 const MIN_ANSWER_WAIT: Duration = Duration::from_millis(120);
 
@@ -63,83 +58,6 @@
     answer
 }
 
-/// A refusal by this node itself.
-struct RefusedRequest {
-    status: StatusCode,
-    /// The reason, as metrics name it.
-    reason: &'static str,
-    /// When the caller may retry, if that makes sense.
-    retry_after: Option<Millis>,
-}
-
-impl From<StatusCode> for RefusedRequest {
-    fn from(status: StatusCode) -> Self {
-        let retryable = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
-        let retry_after = retryable.contains(&status).then_some(DEFAULT_RETRY_AFTER);
-        Self { status, reason: refusal_reason(status), retry_after }
-    }
-}
-
-/// Refuses a request that crashed each replica that ran it.
-///
-/// The refusal doesn't claim that the request wasn't run, because earlier attempts have run, and it
-/// names no time to retry.
-fn refuse_crashing() -> RefusedRequest {
-    let reason = RefusalReason::EndsReplicas;
-    let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
-    RefusedRequest { status, reason: reason.as_str(), retry_after: None }
-}
-
-/// Refuses a request that this daemon, which is shutting down, can't be expected to finish. Other daemons
-/// take it at once.
-fn refuse_stopping() -> RefusedRequest {
-    let reason = RefusalReason::Stopping;
-    let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-    RefusedRequest { status, reason: reason.as_str(), retry_after: Some(STOPPING_RETRY_AFTER) }
-}
-
-/// Ends a request that has not finished when this daemon closes. It may have run, unless no connection has
-/// carried it.
-fn refuse_unfinished(req: &SiteRequest) -> RefusedRequest {
-    if req.tries.is_empty() {
-        return refuse_stopping();
-    }
-    let reason = RefusalReason::Stopping.as_str();
-    RefusedRequest { status: StatusCode::BAD_GATEWAY, reason, retry_after: None }
-}
-
-/// Builds the refusal of a request that was not served. If every endpoint is in backoff or at its
-/// limit, the reason and the `Retry-After` say so.
-fn refusal_for(frontend: &Frontend, req: &SiteRequest, status: StatusCode) -> RefusedRequest {
-    let refused = RefusedRequest::from(status);
-    if status != StatusCode::SERVICE_UNAVAILABLE {
-        return refused;
-    }
-    match frontend.unavailable_until(req) {
-        None => refused,
-        Some(until) => RefusedRequest {
-            reason: RefusalReason::EndpointsRest.as_str(),
-            retry_after: Some(frontend.retry_after(until)),
-            ..refused
-        },
-    }
-}
-
-/// Returns the reason for a refusal by this node, as metrics name it.
-fn refusal_reason(status: StatusCode) -> &'static str {
-    match status {
-        StatusCode::UNAUTHORIZED => "no-key",
-        StatusCode::NOT_FOUND => "no-route",
-        StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => {
-            RefusalReason::TooLarge.as_str()
-        }
-        StatusCode::SERVICE_UNAVAILABLE => RefusalReason::NoneServing.as_str(),
-        StatusCode::GATEWAY_TIMEOUT => RefusalReason::DeadlinePassed.as_str(),
-        StatusCode::BAD_REQUEST => RefusalReason::BadRequest.as_str(),
-        _ => RefusalReason::EndpointsFailed.as_str(),
-    }
-}
-
 async fn serve_request(
     frontend: &Rc<Frontend>,
     req: Request<Incoming>,
@@ -180,7 +98,7 @@
     };
     let req = Rc::new(req);
     if !frontend.grace.takes(&req) {
-        return Err(refuse_stopping());
+        return Err(RefusedRequest::stopping());
     }
     frontend.retries.record_request(&req.service);
     match frontend.crashes.permission(&req) {
@@ -189,7 +107,7 @@
             // Setting it cannot fail, as the request was created without a trial.
             let _ = req.trial.set(trial);
         }
-        Permission::Refuse => return Err(refuse_crashing()),
+        Permission::Refuse => return Err(RefusedRequest::crashing()),
     }
     let serving = async {
         frontend.await_permit(&req).await;
@@ -201,7 +119,7 @@
     let answer = tokio::select! {
         biased;
         answer = serving => answer,
-        () = frontend.closing() => return Err(refuse_unfinished(&req)),
+        () = frontend.closing() => return Err(RefusedRequest::unfinished(&req)),
     };
     answer.map_err(|status| refusal_for(frontend, &req, status))
 }
--- a/crates/cherrystandd/tests/own_interface.rs
+++ b/crates/cherrystandd/tests/own_interface.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
+use support::raw_requests::serve_each;
 use support::{Cluster, Setup};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -37,16 +38,8 @@
 
 impl RepeatingService {
     async fn start(&self) -> SocketAddr {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
-        let address = listener.local_addr().expect("an address");
         let own = self.clone();
-        tokio::task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let own = own.clone();
-                tokio::task::spawn_local(async move { own.serve(stream).await });
-            }
-        });
-        address
+        serve_each(move |stream| own.clone().serve(stream)).await
     }
 
     async fn serve(self, mut stream: TcpStream) {
--- a/crates/cherrystandd/tests/planned_stops.rs
+++ b/crates/cherrystandd/tests/planned_stops.rs
@@ -12,10 +12,10 @@
 use futures_util::future::join_all;
 use support::caller_requests::{prefix_with_case, run_cases};
 use support::raw_caller::{REQUEST_BODY, RawAnswer, request_head};
-use support::raw_requests::read_request;
+use support::raw_requests::{read_request, serve_each};
 use support::site::{MODEL_PATH, Node, SERVICE_PATH, Site};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// The timeout of requests, by their route and by their caller, in milliseconds.
 const TIMEOUT_MS: u64 = 9_000;
@@ -35,15 +35,8 @@
 
 impl WorkingEndpoint {
     async fn start(&self) -> SocketAddr {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
-        let address = listener.local_addr().expect("an address");
         let own = self.clone();
-        tokio::task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::task::spawn_local(own.clone().serve(stream));
-            }
-        });
-        address
+        serve_each(move |stream| own.clone().serve(stream)).await
     }
 
     async fn serve(self, mut stream: TcpStream) {
--- a/crates/cherrystandd/tests/support/flooding_endpoint.rs
+++ b/crates/cherrystandd/tests/support/flooding_endpoint.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
+
+use super::raw_requests::serve_each;
 
 /// Requests whose id begins like this are answered with bytes without end.
 pub(crate) const FLOODED: &str = "flooded-";
@@ -38,17 +40,12 @@
 
 impl FloodingEndpoint {
     pub(crate) async fn open(endpoint: SocketAddr, flood: Flood) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
-        let address = listener.local_addr().expect("an address");
         let flood = Rc::new(Cell::new(flood));
-        let own = Self { address, flood, begun: Rc::default(), closed: Rc::default() };
-        let accepting = own.clone();
-        tokio::task::spawn_local(async move {
-            while let Ok((caller, _)) = listener.accept().await {
-                tokio::task::spawn_local(accepting.clone().pass(caller, endpoint));
-            }
-        });
-        own
+        let (begun, closed) = (Rc::default(), Rc::default());
+        let counts = Self { address: endpoint, flood, begun, closed };
+        let passing = counts.clone();
+        let address = serve_each(move |caller| passing.clone().pass(caller, endpoint)).await;
+        Self { address, ..counts }
     }
 
     /// Forwards one connection until a request on it is to be flooded.
--- a/crates/cherrystandd/tests/support/raw_requests.rs
+++ b/crates/cherrystandd/tests/support/raw_requests.rs
@@ -1,7 +1,24 @@
 //! Requests as endpoints that use no HTTP library read them.
 
+use std::net::SocketAddr;
+
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Opens an address and serves each connection to it by itself.
+pub(crate) async fn serve_each<S>(serve: impl Fn(TcpStream) -> S + 'static) -> SocketAddr
+where
+    S: Future<Output = ()> + 'static,
+{
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(serve(stream));
+        }
+    });
+    address
+}
 
 /// Reads a request and returns its id.
 pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
--- a/crates/cherrystandd/tests/surplus_answers.rs
+++ b/crates/cherrystandd/tests/surplus_answers.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use support::raw_requests::read_request;
+use support::raw_requests::{read_request, serve_each};
 use support::site::{SERVICE_PATH, Site, call};
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// How long after the surplus answer the due one leaves.
 const DUE_AFTER: Duration = Duration::from_millis(100);
@@ -33,16 +33,8 @@
 
 impl RepeatingEndpoint {
     async fn start(&self) -> SocketAddr {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("an address");
-        let address = listener.local_addr().expect("an address");
         let own = self.clone();
-        tokio::task::spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let own = own.clone();
-                tokio::task::spawn_local(async move { own.serve(stream).await });
-            }
-        });
-        address
+        serve_each(move |stream| own.clone().serve(stream)).await
     }
 
     async fn serve(self, mut stream: TcpStream) {
