--- a/crates/cherrystandd/tests/planned_stops.rs
+++ b/crates/cherrystandd/tests/planned_stops.rs
@@ -10,7 +10,7 @@
 
 use cherrystand_testkit::{EVENTS, site_config};
 use futures_util::future::join_all;
-use support::caller_requests::{prefix_with_case, run_cases};
+use support::caller_requests::prefix_with_case;
 use support::raw_caller::{REQUEST_BODY, RawAnswer, request_head};
 use support::raw_requests::{read_request, serve_each};
 use support::site::{MODEL_PATH, Node, SERVICE_PATH, Site};
@@ -170,7 +170,7 @@
         },
     ];
     support::run(async move {
-        let failures = run_cases(cases.iter().map(play)).await.concat();
+        let failures = join_all(cases.iter().map(play)).await.concat();
         assert!(failures.is_empty(), "{}", failures.join("\n"));
     });
 }
