refactor: the phases of a stop, refusals and malformed answers each have one piece of code

In tests: `Flood::once` for an answer and a close, where an empty repetition would have spun without `writes`; the condition of `answer_heads` in one line, of the same meaning.

Behaviour stays, but for the words of one log line ("the answer is malformed: ..."). No assertion changed.

--- a/crates/cherrystand_core/tests/answer_heads.rs
+++ b/crates/cherrystand_core/tests/answer_heads.rs
@@ -23,13 +23,8 @@
             bytes.insert(at, b'\n');
         }
         bytes.extend_from_slice(b"body\n\n");
-        let is_alone = at.is_some_and(|at| {
-            at < head.len() && (at == 0 || head.as_bytes()[at - 1] != b'\r')
-        });
-        // Behind a carriage return the line feed that stood there before is alone.
-        let is_doubled = at.is_some_and(|at| at > 0 && head.as_bytes()[at - 1] == b'\r');
-        let ends_head_early = is_doubled && at == Some(head.len() - 1);
-        let expected = match (is_alone || is_doubled) && !ends_head_early {
+        // Before the head's last byte it ends the head, and that byte is the first of the body.
+        let expected = match at.is_some_and(|at| at < head.len() - 1) {
             true => Err(MalformedAnswer::BareLineFeed),
             false => Ok(()),
         };
--- a/crates/cherrystandd/src/duty_context.rs
+++ b/crates/cherrystandd/src/duty_context.rs
@@ -175,21 +175,20 @@
 
     /// Begins a graceful shutdown, unless one is in progress.
     pub fn drain(&self) {
-        self.stop.send_if_modified(|phase| {
-            let begins = *phase == StopPhase::Running;
-            if begins {
-                *phase = StopPhase::Draining;
-            }
-            begins
-        });
+        self.advance_stop(StopPhase::Draining);
     }
 
     /// Ends the wait for the requests in flight.
     pub(crate) fn close(&self) {
+        self.advance_stop(StopPhase::Closing);
+    }
+
+    /// Moves the shutdown on to a phase, unless it has reached that.
+    fn advance_stop(&self, next: StopPhase) {
         self.stop.send_if_modified(|phase| {
-            let begins = *phase < StopPhase::Closing;
+            let begins = *phase < next;
             if begins {
-                *phase = StopPhase::Closing;
+                *phase = next;
             }
             begins
         });
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -96,19 +96,11 @@
                 attempt.interrupted();
                 attempt.eject();
             }
-            SendError::Malformed(reason) => {
+            SendError::Malformed(_) | SendError::ForeignAnswer => {
                 log::info!(
                     target_box = attempt.target.as_str(),
                     request = req.headers.id.as_deref().unwrap_or_default();
-                    "an answer is not passed on: {reason}"
-                );
-                attempt.failed();
-            }
-            SendError::ForeignAnswer => {
-                log::info!(
-                    target_box = attempt.target.as_str(),
-                    request = req.headers.id.as_deref().unwrap_or_default();
-                    "an answer to another request came in place of the answer"
+                    "{err}"
                 );
                 attempt.failed();
             }
--- a/crates/cherrystandd/src/site/grace_period.rs
+++ b/crates/cherrystandd/src/site/grace_period.rs
@@ -40,10 +40,7 @@
     pub(crate) fn record_end(&self, req: &SiteRequest) {
         let took = self.clock.now().since(req.whole_at);
         let mut times = self.times.borrow_mut();
-        match times.get_mut(&req.service) {
-            Some(times) => times.record(took),
-            None => times.entry(req.service.clone()).or_default().record(took),
-        }
+        times.entry(req.service.clone()).or_default().record(took);
     }
 
     /// Returns whether a request is sent on: always, unless the daemon shuts down and can't be expected to
--- a/crates/cherrystandd/src/site/refused_request.rs
+++ b/crates/cherrystandd/src/site/refused_request.rs
@@ -30,23 +30,24 @@
 }
 
 impl RefusedRequest {
+    /// Refuses a request with the status of the reason.
+    fn new(reason: RefusalReason, retry_after: Option<Millis>) -> Self {
+        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+        Self { status, reason: reason.as_str(), retry_after }
+    }
+
     /// Refuses a request that crashed each replica that ran it.
     ///
     /// The refusal doesn't claim that the request wasn't run, because earlier attempts have run, and it
     /// names no time to retry.
     pub(super) fn crashing() -> Self {
-        let reason = RefusalReason::EndsReplicas;
-        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
-        Self { status, reason: reason.as_str(), retry_after: None }
+        Self::new(RefusalReason::EndsReplicas, None)
     }
 
     /// Refuses a request that this daemon, which is shutting down, can't be expected to finish. Other daemons
     /// take it at once.
     pub(super) fn stopping() -> Self {
-        let reason = RefusalReason::Stopping;
-        let status =
-            StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-        Self { status, reason: reason.as_str(), retry_after: Some(STOPPING_RETRY_AFTER) }
+        Self::new(RefusalReason::Stopping, Some(STOPPING_RETRY_AFTER))
     }
 
     /// Ends a request that has not finished when this daemon closes. It may have run, unless no connection has
--- a/crates/cherrystandd/tests/carrying.rs
+++ b/crates/cherrystandd/tests/carrying.rs
@@ -144,7 +144,7 @@
     support::run(async {
         let site = Site::serving(2).await;
         let address = site.stand_in.address_of("a-1").expect("an address");
-        let flood = Flood { start: answer, repeated: "", writes: Some(0) };
+        let flood = Flood::once(answer);
         let endpoint = FloodingEndpoint::open(address, flood).await;
         site.stand_in.set_address("a-1", endpoint.address);
         let spoilt = format!("cherrystand-request-id: {FLOODED}carried");
--- a/crates/cherrystandd/tests/malformed_answers.rs
+++ b/crates/cherrystandd/tests/malformed_answers.rs
@@ -46,7 +46,7 @@
         let mut fields = FIELDS.to_vec();
         fields.insert(position, self.lines);
         let answer = format!("HTTP/1.1 {}\r\n{}\r\n{}", self.status, fields.concat(), self.body);
-        Flood { start: answer.leak(), repeated: "", writes: Some(0) }
+        Flood::once(answer.leak())
     }
 }
 
--- a/crates/cherrystandd/tests/support/flooding_endpoint.rs
+++ b/crates/cherrystandd/tests/support/flooding_endpoint.rs
@@ -20,12 +20,19 @@
 pub(crate) struct Flood {
     /// The first bytes, in which `{id}` stands for the id of the request.
     pub(crate) start: &'static str,
-    /// What follows again and again until the caller closes. If it is empty, nothing follows.
+    /// What follows again and again until the caller closes.
     pub(crate) repeated: &'static str,
     /// After how many writes it ends and closes, if it does.
     pub(crate) writes: Option<u32>,
 }
 
+impl Flood {
+    /// Writes these bytes and closes.
+    pub(crate) const fn once(start: &'static str) -> Self {
+        Self { start, repeated: " ", writes: Some(0) }
+    }
+}
+
 /// Stands before an endpoint: it floods the requests with ids that ask for it and forwards all others.
 #[derive(Clone)]
 pub(crate) struct FloodingEndpoint {
@@ -77,7 +84,7 @@
         let flood = self.flood.get();
         self.begun.set(self.begun.get() + 1);
         let start = flood.start.replace("{id}", id);
-        let repeated = flood.repeated.repeat(WRITE_BYTES / flood.repeated.len().max(1));
+        let repeated = flood.repeated.repeat(WRITE_BYTES / flood.repeated.len());
         let mut written = caller.write_all(start.as_bytes()).await;
         let mut writes = 0;
         while written.is_ok() && flood.writes.is_none_or(|all| writes < all) {
