--- a/review/stand_ins_2/small_site.rs
+++ b/review/stand_ins_2/small_site.rs
@@ -1,15 +1,18 @@
 //! A small deployment on loopback addresses: the platform's store, endpoints and callers of a plain
 //! service, as threads of one process, and the project's daemons as processes of their own.
 //!
-//! It needs nothing but the standard library. The scripts of this review include it.
+//! It needs nothing but the standard library. The stand-ins of this review include it.
+
+#![allow(dead_code, reason = "not every stand-in needs all of it")]
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::fs::File;
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -157,21 +160,42 @@
 
 /// The platform's metadata store, as PROTOCOL.md tells it. It is never down, slow or full here.
 #[derive(Clone, Default)]
-pub struct Store(Arc<(Mutex<StoreState>, Condvar)>);
+pub struct Store {
+    shared: Arc<(Mutex<StoreState>, Condvar)>,
+    /// The addresses that this view of the store shows in place of the endpoints' own.
+    links: Arc<BTreeMap<String, String>>,
+}
 
 impl Store {
-    pub fn put(&self, key: &str, value: &[u8]) {
-        self.change(key, Some(value.to_vec()));
+    /// Returns the store as one daemon sees it: it reaches the endpoints through links of its own.
+    pub fn seen_through(&self, links: &[Link]) -> Self {
+        let links = links.iter().map(|link| (link.target.to_string(), link.address.to_string()));
+        Self { shared: self.shared.clone(), links: Arc::new(links.collect()) }
     }
 
-    pub fn remove(&self, key: &str) {
-        self.change(key, None);
+    fn item_json(&self, item: &Change) -> String {
+        let (key, revision) = (&item.key, item.revision);
+        let Some(value) = &item.value else {
+            return format!("{{\"tls_key\":\"{key}\",\"revision\":{revision},\"is_gone\":true}}");
+        };
+        let mut value = String::from_utf8_lossy(value).into_owned();
+        for (own, shown) in self.links.iter().filter(|_| key.starts_with("servers/")) {
+            value = value.replace(&format!("\"{own}\""), &format!("\"{shown}\""));
+        }
+        let value = base64(value.as_bytes());
+        format!(
+            "{{\"tls_key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"created\":{revision},\"lease\":0}}"
+        )
+    }
+
+    pub fn put(&self, key: &str, value: &[u8]) {
+        self.change(key, Some(value.to_vec()));
     }
 
     fn change(&self, key: &str, value: Option<Vec<u8>>) {
-        let mut state = self.0.0.lock().unwrap();
+        let mut state = self.shared.0.lock().unwrap();
         apply(&mut state, key, value);
-        self.0.1.notify_all();
+        self.shared.1.notify_all();
     }
 
     pub fn serve(&self) -> SocketAddr {
@@ -206,10 +230,10 @@
             .collect();
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         let number = |name: &str| text(name).parse::<u64>().unwrap_or_default();
-        let mut state = self.0.0.lock().unwrap();
+        let mut state = self.shared.0.lock().unwrap();
         match path {
             "/kv-key" => match state.items.get(&text("tls_key")) {
-                Some(item) => (200, item_json(item)),
+                Some(item) => (200, self.item_json(item)),
                 None => (404, "{}".to_owned()),
             },
             "/kv-range" => {
@@ -217,7 +241,7 @@
                 let listed = state.items.values().filter(|item| {
                     item.key.starts_with(&prefix) && (after.is_empty() || item.key > after)
                 });
-                let items: Vec<String> = listed.map(item_json).collect();
+                let items: Vec<String> = listed.map(|item| self.item_json(item)).collect();
                 let items = items.join(",");
                 let revision = state.revision;
                 (200, format!("{{\"items\":[{items}],\"has_more\":false,\"timestamp\":{revision}}}"))
@@ -229,13 +253,13 @@
                     let news = state.history.iter().filter(|change| {
                         change.revision > since && change.key.starts_with(&prefix)
                     });
-                    let events: Vec<String> = news.map(item_json).collect();
+                    let events: Vec<String> = news.map(|item| self.item_json(item)).collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !events.is_empty() || left.is_zero() {
                         let (events, revision) = (events.join(","), state.revision);
                         return (200, format!("{{\"events\":[{events}],\"timestamp\":{revision}}}"));
                     }
-                    state = self.0.1.wait_timeout(state, left).unwrap().0;
+                    state = self.shared.1.wait_timeout(state, left).unwrap().0;
                 }
             }
             "/kv-txn" => {
@@ -247,13 +271,13 @@
                 if !transaction.expected.iter().all(holds) {
                     let held = transaction.expected.iter();
                     let held: Vec<String> =
-                        held.filter_map(|(key, _)| state.items.get(key)).map(item_json).collect();
+                        held.filter_map(|(key, _)| state.items.get(key)).map(|item| self.item_json(item)).collect();
                     return (412, format!("{{\"items\":[{}]}}", held.join(",")));
                 }
                 for (key, value) in transaction.writes {
                     apply(&mut state, &key, Some(value));
                 }
-                self.0.1.notify_all();
+                self.shared.1.notify_all();
                 (200, format!("{{\"revision\":{}}}", state.revision))
             }
             "/kv-lease" => {
@@ -277,17 +301,6 @@
     state.history.push(change);
 }
 
-fn item_json(item: &Change) -> String {
-    let (key, revision) = (&item.key, item.revision);
-    match &item.value {
-        Some(value) => format!(
-            "{{\"tls_key\":\"{key}\",\"value\":\"{}\",\"revision\":{revision},\"created\":{revision},\"lease\":0}}",
-            base64(value)
-        ),
-        None => format!("{{\"tls_key\":\"{key}\",\"revision\":{revision},\"is_gone\":true}}"),
-    }
-}
-
 /// A transaction, read from the form in which the daemons write it: no text in it holds a quote.
 struct Transaction {
     expected: Vec<(String, u64)>,
@@ -409,8 +422,8 @@
     }
 }
 
-/// Starts one daemon in each zone.
-pub fn start_daemons(program: &Path, folder: &Path, store: SocketAddr, zones: &[&str]) -> Vec<Daemon> {
+/// Starts one daemon in each zone, with the address at which it reaches the store.
+pub fn start_daemons(program: &Path, folder: &Path, stores: &[SocketAddr], zones: &[&str]) -> Vec<Daemon> {
     const ADDRESSES: usize = 5;
     let taken: Vec<TcpListener> = (0..zones.len() * ADDRESSES)
         .map(|_| TcpListener::bind("127.0.0.1:0").expect("a loopback address"))
@@ -420,11 +433,12 @@
     drop(taken);
     let seeds: Vec<String> =
         all.chunks(ADDRESSES).take(3).map(|own| format!("\"{}\"", own[2])).collect();
-    let regions: Vec<String> = zones.iter().map(|zone| format!("\"{zone}\" = \"amman\"\n")).collect();
+    let distinct: BTreeSet<&str> = zones.iter().copied().collect();
+    let regions: Vec<String> = distinct.iter().map(|zone| format!("\"{zone}\" = \"amman\"\n")).collect();
     let start = |(number, own): (usize, &[SocketAddr])| {
-        let zone = zones[number];
+        let (zone, store) = (zones[number], stores[number]);
         let settings = format!(
-            "node = \"edge-{zone}-1\"\nzone = \"{zone}\"\nseeds = [{}]\n\n[listen]\ncallers = \"{}\"\n\
+            "node = \"edge-{zone}-{number}\"\nzone = \"{zone}\"\nseeds = [{}]\n\n[listen]\ncallers = \"{}\"\n\
              operators = \"{}\"\npeers = \"{}\"\n\n[platform]\naddress = \"{store}\"\n\n[limits]\n\
              memory_mb = 260\nlink_mbps = 1000.0\nmax_fds = 4100\n\n[stop]\nlinger_ms = 2500\n\n[site]\n\
              ready = \"{}\"\nchanges = \"{}\"\nfirst_start = true\ngrace_ms = 8000\nretry_ratio = 0.2\n\
@@ -464,3 +478,72 @@
 pub fn close(stream: &TcpStream) {
     let _ = stream.shutdown(Shutdown::Both);
 }
+
+/// The link of one daemon to one endpoint. While it is cut, connections over it are refused.
+pub struct Link {
+    target: SocketAddr,
+    address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    pub fn open(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback address");
+        let address = listener.local_addr().expect("an address");
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let watched = is_cut.clone();
+        thread::spawn(move || accept(Some(listener), address, target, &watched));
+        Self { target, address, is_cut }
+    }
+
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::Relaxed);
+    }
+}
+
+fn accept(
+    mut listener: Option<TcpListener>,
+    address: SocketAddr,
+    target: SocketAddr,
+    is_cut: &AtomicBool,
+) {
+    let mut open: Vec<TcpStream> = Vec::new();
+    loop {
+        match (&listener, is_cut.load(Ordering::Relaxed)) {
+            (Some(_), true) => {
+                listener = None;
+                for stream in open.drain(..) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+            }
+            (None, false) => listener = TcpListener::bind(address).ok(),
+            (Some(accepting), false) => {
+                let _ = accepting.set_nonblocking(true);
+                while let Ok((near, _)) = accepting.accept() {
+                    let _ = near.set_nonblocking(false);
+                    let Ok(far) = TcpStream::connect(target) else { continue };
+                    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                    open.extend([near.try_clone(), far.try_clone()].into_iter().flatten());
+                    join(&near, &far);
+                    join(&far, &near);
+                }
+            }
+            (None, true) => {}
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Passes on what comes from one side to the other, until either ends.
+fn join(from: &TcpStream, to: &TcpStream) {
+    let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else { return };
+    thread::spawn(move || {
+        let mut buf = vec![0; 1 << 16];
+        while let Ok(count) = from.read(&mut buf) {
+            if count == 0 || to.write_all(&buf[..count]).is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown(Shutdown::Write);
+    });
+}
--- a/review/stand_ins_2/spoilt_version.rs
+++ b/review/stand_ins_2/spoilt_version.rs
@@ -230,7 +230,8 @@
         announce(&store, &endpoint.id, "album-app", ZONES[number % ZONES.len()], address);
         endpoints.push(endpoint);
     }
-    let daemons = start_daemons(Path::new(daemon), Path::new(folder), store.serve(), &ZONES);
+    let stores = [store.serve(); ZONES.len()];
+    let daemons = start_daemons(Path::new(daemon), Path::new(folder), &stores, &ZONES);
     if !wait_until_ready(&daemons, Duration::from_secs(20)) {
         record.line("the daemons were not ready within 20 s");
         return ExitCode::from(2);
