fix: an answer that breaks off under a status line of HTTP/1.0 looks whole to no caller

Cause: the HTTP version belongs to one connection. The head of an answer left the pool as the library's parts (`IdentifiedHead::into_parts`), and each place that built an answer from them handed the version on to the server's side, which then wrote to HTTP/1.0: no chunks, an end by closing. A body that fails there ends like one that is whole. Ruled out: the reading of the endpoint's answer (a reset is found in each case; the log says so), and the carrier's and the first daemon's own checks.

Mend: what leaves the pool is a `PooledAnswer`: status, headers without the hop-by-hop ones, and body (`AnswerHead`). Answers that are passed on are built anew by `AnswerHead::into_response`, with the length of what is sent; requests that are carried are built anew as well. No function takes the library's head from another connection any more, so paths that nobody played can't pass one on either.

`RawAnswer` took a reset for the end of a body that ends with its connection; it doesn't any more.

--- a/crates/cherrystand_core/src/lib.rs
+++ b/crates/cherrystand_core/src/lib.rs
@@ -232,7 +232,7 @@
 pub use nodes::task_ownership::{owner_of, rank_by_hash};
 pub use nodes::tombstones::Tombstones;
 pub use requests::admission::{Admission, AdmissionLimits};
-pub use requests::answer_framing::{AnswerFraming, MalformedAnswer};
+pub use requests::answer_framing::{AnswerFraming, BodyEnd, MalformedAnswer};
 pub use requests::circuit_breaker::{CircuitBreaker, INITIAL_OPEN_TIME, MAX_OPEN_TIME};
 pub use requests::claim::{
     CLAIM_SHARDS, CLAIM_TTL_SECS, CLAIM_USE_TIMEOUT, Claim, ClaimRecord, ClaimRequest,
--- a/crates/cherrystand_core/src/requests/answer_framing.rs
+++ b/crates/cherrystand_core/src/requests/answer_framing.rs
@@ -5,9 +5,12 @@
 /// The statuses that a final answer may have.
 const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
 
-/// The status of an answer that has no body.
+/// The status of an answer without content.
 const NO_CONTENT: u16 = 204;
 
+/// The statuses of answers that have no body.
+const BODILESS_STATUSES: [u16; 2] = [NO_CONTENT, 304];
+
 /// The only transfer coding that is read.
 const CHUNKED: &[u8] = b"chunked";
 
@@ -24,6 +27,15 @@
     pub lengths: L,
 }
 
+/// What tells where the body of an answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// A length, the last chunk, or that there is no body.
+    Framed,
+    /// The end of its connection. Only the next hop can tell it from an interruption.
+    Connection,
+}
+
 /// Why an answer can't be believed: what it is, or where it ends, isn't known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum MalformedAnswer {
@@ -55,12 +67,12 @@
     E: Iterator<Item = &'a [u8]>,
     L: Iterator<Item = &'a [u8]>,
 {
-    /// Checks that the end of the body is known.
+    /// Checks that the end of the body is known, and returns what tells it.
     ///
     /// # Errors
     ///
     /// Returns a [`MalformedAnswer`] if it isn't, or if the answer is none that ends a request.
-    pub fn check(self) -> Result<(), MalformedAnswer> {
+    pub fn check(self) -> Result<BodyEnd, MalformedAnswer> {
         if !FINAL_STATUSES.contains(&self.status) {
             return Err(MalformedAnswer::Status(self.status));
         }
@@ -75,7 +87,8 @@
         if self.status == NO_CONTENT && (is_coded || length.unwrap_or(0) > 0) {
             return Err(MalformedAnswer::UnexpectedBody);
         }
-        Ok(())
+        let is_framed = is_coded || length.is_some() || BODILESS_STATUSES.contains(&self.status);
+        Ok(if is_framed { BodyEnd::Framed } else { BodyEnd::Connection })
     }
 }
 
--- a/crates/cherrystand_platform/src/answer_pool.rs
+++ b/crates/cherrystand_platform/src/answer_pool.rs
@@ -6,11 +6,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Request;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response};
 
 use crate::{
-    AnswerNames, HttpPool, IdentifiedAnswer, IdleSend, OpenConnection, PooledBody, RequestTries,
+    AnswerNames, HttpPool, IdentifiedAnswer, IdleSend, OpenConnection, PooledAnswer, RequestTries,
     SendError,
 };
 
@@ -137,7 +137,7 @@
 
 fn identify<N: AnswerNames>(
     name: Option<&HeaderValue>,
-    answer: Response<PooledBody>,
+    answer: PooledAnswer,
 ) -> Result<IdentifiedAnswer, SendError> {
     IdentifiedAnswer::identify::<N>(name, answer).ok_or(SendError::ForeignAnswer)
 }
--- a/crates/cherrystand_platform/src/call_pool.rs
+++ b/crates/cherrystand_platform/src/call_pool.rs
@@ -6,9 +6,9 @@
 use bytes::Bytes;
 use cherrystand_core::DEFAULT_IDLE_CONNECTIONS;
 use http_body_util::Full;
-use hyper::{Request, Response};
+use hyper::Request;
 
-use crate::{AnswerNames, AnswerPool, HttpPool, PooledBody, RequestTries, SendError};
+use crate::{AnswerNames, AnswerPool, HttpPool, PooledAnswer, RequestTries, SendError};
 
 /// A pool of connections that carries short calls.
 #[allow(async_fn_in_trait, reason = "each duty drives its client on its own thread")]
@@ -25,7 +25,7 @@
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
-    ) -> Result<Response<PooledBody>, SendError>;
+    ) -> Result<PooledAnswer, SendError>;
 }
 
 impl CallPool for HttpPool {
@@ -34,7 +34,7 @@
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<PooledAnswer, SendError> {
         self.send(address, req, connect_timeout).await
     }
 }
@@ -45,10 +45,10 @@
         address: SocketAddr,
         mut req: Request<Full<Bytes>>,
         connect_timeout: Duration,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<PooledAnswer, SendError> {
         N::name_call(req.headers_mut());
         let tries = RequestTries::default();
         let sent = self.send(DEFAULT_IDLE_CONNECTIONS, address, req, connect_timeout, &tries);
-        Ok(sent.await?.into_response())
+        Ok(sent.await?.into())
     }
 }
--- a/crates/cherrystand_platform/src/http_pool.rs
+++ b/crates/cherrystand_platform/src/http_pool.rs
@@ -15,11 +15,11 @@
 use hyper::body::{Body, Frame, Incoming};
 use hyper::{Request, Response};
 
-use cherrystand_core::{DEFAULT_IDLE_CONNECTIONS, MalformedAnswer};
+use cherrystand_core::{BodyEnd, DEFAULT_IDLE_CONNECTIONS, MalformedAnswer};
 
 use crate::answer_head::check_framing;
 use crate::pooled_connection::PooledConnection;
-use crate::{BodyError, RequestTries, SendError};
+use crate::{AnswerHead, BodyError, PooledAnswer, RequestTries, SendError};
 
 /// A connection that was opened and carries no request.
 pub struct OpenConnection(PooledConnection);
@@ -63,7 +63,7 @@
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<PooledAnswer, SendError> {
         self.send_with_max_idle(DEFAULT_IDLE_CONNECTIONS, address, req, connect_timeout).await
     }
 
@@ -78,7 +78,7 @@
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         connect_timeout: Duration,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<PooledAnswer, SendError> {
         let tries = RequestTries::default();
         match self.send_on_idle(max_idle, address, req, &tries).await {
             IdleSend::Sent(answer) => answer,
@@ -96,7 +96,7 @@
         address: SocketAddr,
         req: Request<Full<Bytes>>,
         tries: &RequestTries,
-    ) -> IdleSend<Response<PooledBody>> {
+    ) -> IdleSend<PooledAnswer> {
         let mut req = req;
         while let Some(mut conn) = self.take_idle(address, tries) {
             conn.max_idle = max_idle;
@@ -138,7 +138,7 @@
         conn: OpenConnection,
         req: Request<Full<Bytes>>,
         tries: &RequestTries,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<PooledAnswer, SendError> {
         self.exchange(conn.0, req, tries).await.map_err(|(err, _)| err)
     }
 
@@ -185,16 +185,19 @@
         mut conn: PooledConnection,
         req: Request<Full<Bytes>>,
         tries: &RequestTries,
-    ) -> Result<Response<PooledBody>, (SendError, Option<Request<Full<Bytes>>>)> {
+    ) -> Result<PooledAnswer, (SendError, Option<Request<Full<Bytes>>>)> {
         tries.record(conn.usage());
         conn.begin_request();
         match conn.send.try_send_request(req).await {
             Ok(answer) => {
                 // Dropping the connection closes it.
-                check_answer(&answer, &conn).map_err(|err| (SendError::Malformed(err), None))?;
+                let end = check_answer(&answer, &conn);
+                let end = end.map_err(|err| (SendError::Malformed(err), None))?;
                 conn.received.record_part();
                 conn.read_keep_alive(answer.headers());
-                Ok(answer.map(|body| PooledBody { body, conn: Some(conn), pool: self.clone() }))
+                let (parts, body) = answer.into_parts();
+                let body = PooledBody { body, end, conn: Some(conn), pool: self.clone() };
+                Ok(PooledAnswer { head: AnswerHead::from(parts), body })
             }
             Err(mut failure) => match failure.take_message() {
                 Some(unsent) => Err((SendError::NotSent(failure.into_error()), Some(unsent))),
@@ -210,21 +213,24 @@
     }
 }
 
-/// Checks the head of an answer, and the end of one that has no body.
+/// Checks the head of an answer, and the end of one that has no body. Returns what tells the end of one
+/// that has.
 fn check_answer(
     answer: &Response<Incoming>,
     conn: &PooledConnection,
-) -> Result<(), MalformedAnswer> {
-    check_framing(answer)?;
-    match answer.body().is_end_stream() {
-        true => conn.received.check_end(),
-        false => Ok(()),
+) -> Result<BodyEnd, MalformedAnswer> {
+    let end = check_framing(answer)?;
+    if !answer.body().is_end_stream() {
+        return Ok(end);
     }
+    conn.received.check_end()?;
+    Ok(BodyEnd::Framed)
 }
 
 /// The body of an answer. Its connection returns to the pool once the body has been read to the end.
 pub struct PooledBody {
     body: Incoming,
+    end: BodyEnd,
     conn: Option<PooledConnection>,
     pool: HttpPool,
 }
@@ -242,6 +248,11 @@
         }
     }
 
+    /// Returns what tells the end of the body.
+    pub fn end(&self) -> BodyEnd {
+        self.end
+    }
+
     /// Drops the body and closes its connection.
     pub fn discard(mut self) {
         self.conn = None;
--- a/crates/cherrystand_platform/src/identified_answer.rs
+++ b/crates/cherrystand_platform/src/identified_answer.rs
@@ -3,44 +3,45 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::http::response::Parts;
-use hyper::{Response, StatusCode};
+use hyper::{Method, Response, StatusCode};
 
 use crate::json_call::MAX_BOX_ANSWER_BYTES;
-use crate::{AnswerHeaders, AnswerNames, CallError, PooledBody, SiteDriver};
+use crate::{
+    AnswerHead, AnswerHeaders, AnswerNames, CallError, PooledAnswer, PooledBody, SiteDriver,
+};
 
 /// The head of an answer that names the request it is taken for.
 ///
 /// A server may send an answer once more, late, in the place of the next one; only the name tells them
 /// apart, so nothing else in a head can be read before.
-#[derive(Debug)]
-pub struct IdentifiedHead(Parts);
+#[derive(Clone, Debug)]
+pub struct IdentifiedHead(AnswerHead);
 
 impl IdentifiedHead {
     /// Identifies the head of an answer to a request with this name, or to one without. Returns `None`
     /// if it belongs to another request.
-    pub fn identify<N: AnswerNames>(name: Option<&HeaderValue>, head: Parts) -> Option<Self> {
-        N::is_answer_to(name, &head.headers).then_some(Self(head))
+    pub fn identify<N: AnswerNames>(name: Option<&HeaderValue>, head: AnswerHead) -> Option<Self> {
+        N::is_answer_to(name, head.headers()).then_some(Self(head))
     }
 
     /// Returns the status.
     pub fn status(&self) -> StatusCode {
-        self.0.status
+        self.0.status()
     }
 
     /// Returns the headers.
     pub fn headers(&self) -> &HeaderMap {
-        &self.0.headers
+        self.0.headers()
     }
 
     /// Takes a header out, which is returned.
     pub fn remove(&mut self, name: &str) -> Option<HeaderValue> {
-        self.0.headers.remove(name)
+        self.0.remove(name)
     }
 
-    /// Returns status and headers, to be passed on.
-    pub fn into_parts(self) -> Parts {
-        self.0
+    /// Does the same as [`AnswerHead::into_response`].
+    pub fn into_response<B>(self, method: &Method, body: B) -> Response<B> {
+        self.0.into_response(method, body)
     }
 }
 
@@ -57,13 +58,13 @@
     /// a name carries nothing afterwards.
     pub(crate) fn identify<N: AnswerNames>(
         name: Option<&HeaderValue>,
-        answer: Response<PooledBody>,
+        answer: PooledAnswer,
     ) -> Option<Self> {
-        let (head, mut body) = answer.into_parts();
-        if N::is_answer_to(name, &head.headers) {
+        let PooledAnswer { head, mut body } = answer;
+        if N::is_answer_to(name, head.headers()) {
             return Some(Self { head: IdentifiedHead(head), body });
         }
-        if N::may_lack_name(&head.headers) && body.is_first_on_connection() {
+        if N::may_lack_name(head.headers()) && body.is_first_on_connection() {
             body.close_after_use();
             return Some(Self { head: IdentifiedHead(head), body });
         }
@@ -71,11 +72,6 @@
         None
     }
 
-    /// Returns the answer, to be passed on.
-    pub fn into_response(self) -> Response<PooledBody> {
-        Response::from_parts(self.head.into_parts(), self.body)
-    }
-
     /// Reads the whole answer.
     ///
     /// # Errors
@@ -91,6 +87,12 @@
     }
 }
 
+impl From<IdentifiedAnswer> for PooledAnswer {
+    fn from(answer: IdentifiedAnswer) -> Self {
+        Self { head: answer.head.0, body: answer.body }
+    }
+}
+
 /// An answer that has arrived to its end.
 #[derive(Debug)]
 pub struct WholeAnswer {
--- a/crates/cherrystand_platform/src/json_call.rs
+++ b/crates/cherrystand_platform/src/json_call.rs
@@ -7,11 +7,11 @@
 use bytes::{Bytes, BytesMut};
 use cherrystand_core::ProbeFailure;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{BoxCall, CallPool, PooledBody, SendError, since_boot};
+use crate::{BoxCall, CallPool, PooledAnswer, SendError, since_boot};
 
 /// Maximum size of an answer, in bytes; the platform's lists are the largest answers.
 const MAX_ANSWER_BYTES: usize = 32 << 20;
@@ -182,7 +182,7 @@
         tokio::time::timeout(limits.first_part, pool.send_call(address, req, limits.connect));
     let answer = answer.await.map_err(|_| CallError::TimedOut(limits.first_part))??;
     progress.record();
-    let (head, body) = answer.into_parts();
+    let PooledAnswer { head, body } = answer;
     let mut body = Limited::new(body, MAX_ANSWER_BYTES);
     let mut buf = BytesMut::new();
     loop {
@@ -193,7 +193,7 @@
         let part = part.map_err(|err| CallError::AnswerInterrupted(err.to_string()))?;
         part.data_ref().into_iter().for_each(|data| buf.extend_from_slice(data));
     }
-    Ok(Answer { status: head.status, headers: head.headers, body: buf.freeze() })
+    Ok(Answer { status: head.status(), headers: head.into_headers(), body: buf.freeze() })
 }
 
 /// Returns how long connecting may take in a call with a timeout.
@@ -221,14 +221,14 @@
 }
 
 /// Reads a whole answer.
-async fn read_limited(answer: Response<PooledBody>, max_bytes: usize) -> Result<Answer, CallError> {
-    let (head, body) = answer.into_parts();
+async fn read_limited(answer: PooledAnswer, max_bytes: usize) -> Result<Answer, CallError> {
+    let PooledAnswer { head, body } = answer;
     let body = Limited::new(body, max_bytes)
         .collect()
         .await
         .map_err(|err| CallError::AnswerInterrupted(err.to_string()))?
         .to_bytes();
-    Ok(Answer { status: head.status, headers: head.headers, body })
+    Ok(Answer { status: head.status(), headers: head.into_headers(), body })
 }
 
 /// Serializes a value as JSON.
--- a/crates/cherrystand_testkit/src/load/caller.rs
+++ b/crates/cherrystand_testkit/src/load/caller.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherrystand_platform::{HttpPool, PooledBody, SendError, call};
+use cherrystand_platform::{HttpPool, PooledAnswer, SendError, call};
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 
 use crate::Prompt;
 use crate::load::verdict::{Verdict, check_answer, check_refusal, check_service, check_stream};
@@ -138,17 +138,17 @@
     req.body(Full::new(Bytes::from(body))).unwrap_or_default()
 }
 
-async fn check_response(answer: Response<PooledBody>, request: &LoadRequest) -> Verdict {
-    let (parts, body) = answer.into_parts();
+async fn check_response(answer: PooledAnswer, request: &LoadRequest) -> Verdict {
+    let PooledAnswer { head, body } = answer;
     let Ok(body) = body.collect().await else {
         // The caller can see that the answer is incomplete.
         return Verdict::Unknown;
     };
     let body = body.to_bytes();
-    if let Some(verdict) = check_refusal(parts.status, &parts.headers, &body) {
+    if let Some(verdict) = check_refusal(head.status(), head.headers(), &body) {
         return verdict;
     }
-    let outcome = parts.headers.get("cherrystand-outcome").map(|value| value.as_bytes());
+    let outcome = head.headers().get("cherrystand-outcome").map(|value| value.as_bytes());
     if outcome != Some(b"ran") {
         return Verdict::Wrong("a whole answer does not say that it was run".to_owned());
     }
--- a/crates/cherrystandd/src/relay/active_attempt.rs
+++ b/crates/cherrystandd/src/relay/active_attempt.rs
@@ -7,12 +7,11 @@
 use bytes::Bytes;
 use cherrystand_core::{AttemptEnd, DEFAULT_IDLE_CONNECTIONS, EndpointKey, Millis, SendPermit};
 use cherrystand_platform::{
-    CALL_ID, IdentifiedAnswer, NOT_RUN_HEADER, PooledBody, RequestedBackoff,
+    CALL_ID, IdentifiedAnswer, IdentifiedHead, NOT_RUN_HEADER, PooledBody, RequestedBackoff,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 
 use crate::relay::call::Call;
@@ -132,7 +131,7 @@
 /// An answer whose head, and possibly whole body, has arrived.
 pub(crate) struct StartedAnswer {
     /// The status and headers of the answer.
-    pub(crate) head: Parts,
+    pub(crate) head: IdentifiedHead,
     /// The part of the body read so far.
     pub(crate) buffered: Bytes,
     /// The rest of the body; `None` if it was read completely.
@@ -144,11 +143,15 @@
 impl StartedAnswer {
     /// Returns whether the answer is an event stream.
     pub(crate) fn is_event_stream(&self) -> bool {
-        let content_type = self.head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
-        content_type.is_some_and(|content_type| content_type.starts_with(b"text/event-stream"))
+        is_event_stream(&self.head)
     }
 }
 
+fn is_event_stream(head: &IdentifiedHead) -> bool {
+    let content_type = head.headers().get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    content_type.is_some_and(|content_type| content_type.starts_with(b"text/event-stream"))
+}
+
 /// Sends the request to one endpoint and waits until its answer can be relayed.
 pub(crate) async fn run_attempt(mut attempt: ActiveAttempt) -> Result<StartedAnswer, AttemptEnd> {
     match send_request(&mut attempt).await {
@@ -167,7 +170,7 @@
 
 async fn send_request(
     attempt: &mut ActiveAttempt,
-) -> Result<(Parts, Bytes, Option<PooledBody>), AttemptEnd> {
+) -> Result<(IdentifiedHead, Bytes, Option<PooledBody>), AttemptEnd> {
     let call = attempt.call.clone();
     let relay = attempt.relay.clone();
     let remaining_time = call.deadline.since(relay.now());
@@ -214,11 +217,10 @@
 /// Reads the body of an answer that is not an event stream, up to `MAX_BUFFERED_BYTES`.
 async fn buffer_answer(
     mut answer: IdentifiedAnswer,
-) -> Result<(Parts, Bytes, Option<PooledBody>), AttemptEnd> {
+) -> Result<(IdentifiedHead, Bytes, Option<PooledBody>), AttemptEnd> {
     answer.head.remove(CALL_ID.as_str());
-    let (head, mut body) = (answer.head.into_parts(), answer.body);
-    let content_type = head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
-    if content_type.is_some_and(|content_type| content_type.starts_with(b"text/event-stream")) {
+    let IdentifiedAnswer { head, mut body } = answer;
+    if is_event_stream(&head) {
         return Ok((head, Bytes::new(), Some(body)));
     }
     let mut buffered = Vec::new();
--- a/crates/cherrystandd/src/relay/headers.rs
+++ b/crates/cherrystandd/src/relay/headers.rs
@@ -1,11 +1,9 @@
 //! Headers that the daemon reads, writes or removes.
 
 use cherrystand_core::Millis;
+use cherrystand_platform::remove_connection_headers;
 use hyper::HeaderMap;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue, PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{HOST, HeaderName, HeaderValue};
 
 /// The request's id; an id set by the caller is kept.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -56,33 +54,6 @@
     Ok(Some(Millis(timeout).min(MAX_DEADLINE)))
 }
 
-/// Removes the hop-by-hop headers, including those listed in `Connection`.
-pub(crate) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let connection_options: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in connection_options {
-        headers.remove(name);
-    }
-    let hop_by_hop = [
-        CONNECTION,
-        PROXY_AUTHENTICATE,
-        PROXY_AUTHORIZATION,
-        TE,
-        TRAILER,
-        TRANSFER_ENCODING,
-        UPGRADE,
-        HeaderName::from_static("keep-alive"),
-    ];
-    for name in hop_by_hop {
-        headers.remove(name);
-    }
-}
-
 /// Builds the headers of an attempt from those of the caller's request.
 pub(crate) fn attempt_headers(
     caller: &HeaderMap,
@@ -92,8 +63,7 @@
     epoch: Option<u64>,
 ) -> HeaderMap {
     let mut headers = caller.clone();
-    remove_hop_by_hop_headers(&mut headers);
-    headers.remove(CONTENT_LENGTH);
+    remove_connection_headers(&mut headers);
     headers.remove(cherrystand_platform::EPOCH_HEADER);
     let mut set = |name: HeaderName, value: &str| {
         if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/cherrystandd/src/relay/request_handler.rs
+++ b/crates/cherrystandd/src/relay/request_handler.rs
@@ -7,7 +7,6 @@
     AttemptEnd, CLAIM_USE_TIMEOUT, ClaimResponse, EndpointKey, FailedAttempt, IdempotencyKey,
     Millis, NoRetry, Outcome, RefusalReason, decide_retry,
 };
-use cherrystand_platform::remove_length;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
 
@@ -17,7 +16,6 @@
 use crate::relay::answer::{self, Failure, plain_text, retry_later};
 use crate::relay::body::RelayBody;
 use crate::relay::call::{Call, read_call};
-use crate::relay::headers;
 use crate::relay::queued_request::wait_for_endpoint;
 use crate::relay::relay_state::Relay;
 use crate::relay::status_pages::{metrics, models, readiness};
@@ -250,12 +248,7 @@
     mut admitted: AdmittedRequest,
 ) -> Response<RelayBody> {
     let is_event_stream = started.is_event_stream();
-    let StartedAnswer { mut head, buffered, remaining_body, attempt } = started;
-    headers::remove_hop_by_hop_headers(&mut head.headers);
-    // An event that tells of an interruption makes an event stream longer.
-    if is_event_stream || remaining_body.is_none() {
-        remove_length(&mut head.headers, head.status, &call.head.method);
-    }
+    let StartedAnswer { head, buffered, remaining_body, attempt } = started;
     let body = match remaining_body {
         None => {
             admitted.end(Outcome::Ran, None);
@@ -267,7 +260,7 @@
             RelayBody::Stream(Box::new(stream))
         }
     };
-    let mut response = Response::from_parts(head, body);
+    let mut response = head.into_response(&call.head.method, body);
     answer::set_outcome_headers(&mut response, Outcome::Ran, &call.id);
     relay.cx.metrics.record_answer(Outcome::Ran, response.status().as_u16());
     response
--- a/crates/cherrystandd/src/relay/stream.rs
+++ b/crates/cherrystandd/src/relay/stream.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cherrystand_core::{AttemptEnd, Outcome};
 use cherrystand_platform::PooledBody;
-use hyper::body::{Body, Frame};
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::Sleep;
 
 use crate::relay::active_attempt::ActiveAttempt;
@@ -120,4 +120,12 @@
             Poll::Pending => self.poll_silence(cx),
         }
     }
+
+    fn size_hint(&self) -> SizeHint {
+        // An event that tells of an interruption makes an event stream longer.
+        let remaining = self.remaining_body.as_ref().filter(|_| !self.is_event_stream);
+        let length = remaining.and_then(|body| body.size_hint().exact());
+        let buffered = self.buffered.as_ref().map_or(0, Bytes::len) as u64;
+        length.map_or_else(SizeHint::default, |length| SizeHint::with_exact(buffered + length))
+    }
 }
--- a/crates/cherrystandd/src/site/carrying.rs
+++ b/crates/cherrystandd/src/site/carrying.rs
@@ -8,15 +8,15 @@
 use cherrystand_core::{BoxId, ReachReport, ServiceName, max_idle_connections};
 use cherrystand_peer::{CARRY_AGAIN, CARRY_END, CARRY_TO, CarryEnd, ReachQuery, decode, encode};
 use cherrystand_platform::{
-    CallerAddress, HoldingBody, PooledBody, RequestTries, SendError, SiteDriver,
+    CallerAddress, HoldingBody, IdentifiedAnswer, PooledBody, RequestTries, SendError, SiteDriver,
+    remove_connection_headers,
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 
 use crate::StopPhase;
-use crate::relay::headers::remove_hop_by_hop_headers;
 use crate::site::Driver;
 use crate::site::body_reading::read_body;
 use crate::site::box_client::BoxAddress;
@@ -73,24 +73,26 @@
         return Err(CarryEnd::Missed);
     }
     let slot = control.carried.admit().ok_or(CarryEnd::Full)?;
-    let (mut head, body) = req.into_parts();
+    let (head, body) = req.into_parts();
     let (body, reservation) = read_body(body, max_body_bytes(control), control.carried.budget())
         .await
         .map_err(|_| CarryEnd::Full)?;
-    remove_hop_by_hop_headers(&mut head.headers);
-    head.headers.remove(CONTENT_LENGTH);
-    let tries = match head.headers.remove(CARRY_AGAIN) {
+    let (method, mut headers) = (head.method, head.headers);
+    remove_connection_headers(&mut headers);
+    let tries = match headers.remove(CARRY_AGAIN) {
         Some(_) => RequestTries::after_unknown(),
         None => RequestTries::default(),
     };
-    head.extensions.clear();
     let to = BoxAddress {
         id: target.clone(),
         address: site_box.address,
         max_idle: max_idle(control, &site_box.service),
         connect_timeout: CONNECT_TIMEOUT,
     };
-    let req = Request::from_parts(head, Full::new(body));
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = method.clone();
+    *req.uri_mut() = head.uri;
+    *req.headers_mut() = headers;
     let sent = control.boxes.send_for_peer(&to, req, &tries).await;
     drop(reservation);
     let answer = sent.inspect_err(|err| {
@@ -108,8 +110,8 @@
         | SendError::ForeignAnswer
         | SendError::CarrierLost(_) => CarryEnd::Lost,
     })?;
-    let mut answer = answer.into_response().map(|body| CarriedBody::new(body, slot));
-    remove_hop_by_hop_headers(answer.headers_mut());
+    let IdentifiedAnswer { head, body } = answer;
+    let mut answer = head.into_response(&method, CarriedBody::new(body, slot));
     answer.headers_mut().insert(CARRY_END, HeaderValue::from_static(CarryEnd::Answered.as_str()));
     Ok(answer)
 }
--- a/crates/cherrystandd/src/site/endpoint_call.rs
+++ b/crates/cherrystandd/src/site/endpoint_call.rs
@@ -7,13 +7,12 @@
 use bytes::Bytes;
 use cherrystand_core::{AttemptEnd, Outcome, SendPermit, are_too_many_small_parts};
 use cherrystand_platform::{
-    BodyBuffer, BufferBudget, BufferReservation, IdentifiedAnswer, PooledBody, SendError,
-    SiteDriver,
+    BodyBuffer, BufferBudget, BufferReservation, IdentifiedAnswer, IdentifiedHead, PooledBody,
+    SendError, SiteDriver,
 };
 use http_body_util::BodyExt;
 use hyper::StatusCode;
 use hyper::body::Body;
-use hyper::http::response::Parts;
 
 use crate::site::Driver;
 use crate::site::active_attempt::ActiveAttempt;
@@ -26,7 +25,7 @@
 
 /// An answer whose head has arrived.
 pub(crate) struct StartedAnswer {
-    pub(crate) head: Parts,
+    pub(crate) head: IdentifiedHead,
     /// The body, which is still arriving.
     pub(crate) body: PooledBody,
     /// The attempt that brought it.
@@ -54,7 +53,7 @@
     if sent.as_ref().is_err_and(|end| end.outcome() == Outcome::NotRun) {
         req.set_may_have_run(false);
     }
-    sent.map(|(head, body)| StartedAnswer { head, body, attempt })
+    sent.map(|IdentifiedAnswer { head, body }| StartedAnswer { head, body, attempt })
 }
 
 async fn send_permitted(
@@ -64,7 +63,7 @@
     permit: SendPermit,
     address: SocketAddr,
     last_event_id: Option<u64>,
-) -> Result<(Parts, PooledBody), AttemptEnd> {
+) -> Result<IdentifiedAnswer, AttemptEnd> {
     frontend.observe_store_age(&attempt.target, attempt.started_at, req);
     let outgoing = req.endpoint_request::<Driver>(
         &attempt.target,
@@ -118,23 +117,23 @@
     req: &SiteRequest,
     answer: IdentifiedAnswer,
     attempt: &ActiveAttempt,
-) -> Result<(Parts, PooledBody), AttemptEnd> {
+) -> Result<IdentifiedAnswer, AttemptEnd> {
     let headers = Driver::read_answer(&answer.head);
     frontend.apply_signals(attempt, &headers);
     frontend.apply_limit(attempt, answer.head.status(), &headers);
     frontend.apply_cold_start(attempt, req, &headers);
-    let (head, body) = (answer.head.into_parts(), answer.body);
+    let status = answer.head.status();
     if headers.not_run {
-        if head.status != StatusCode::MISDIRECTED_REQUEST {
+        if status != StatusCode::MISDIRECTED_REQUEST {
             attempt.refused();
             return Err(AttemptEnd::Refused);
         }
         frontend.report_not_serving(attempt);
         return Err(AttemptEnd::NotServing);
     }
-    if head.status.is_success() && !headers.sealed {
+    if status.is_success() && !headers.sealed {
         // An unsealed answer doesn't come from the endpoint itself.
-        body.discard();
+        answer.body.discard();
         attempt.failed();
         return Err(AttemptEnd::AnswerCut);
     }
@@ -143,13 +142,13 @@
         StatusCode::TOO_MANY_REQUESTS,
         StatusCode::REQUEST_TIMEOUT,
     ];
-    if not_run_statuses.contains(&head.status) {
+    if not_run_statuses.contains(&status) {
         // The endpoint doesn't state that it did not run the request, so this node must not claim
         // it either.
         attempt.failed();
         return Err(AttemptEnd::AnswerCut);
     }
-    Ok((head, body))
+    Ok(answer)
 }
 
 /// Reads the rest of an answer. It waits for memory before reading on, and fails if the answer can
--- a/crates/cherrystandd/src/site/replica_stream.rs
+++ b/crates/cherrystandd/src/site/replica_stream.rs
@@ -138,7 +138,7 @@
 ) -> Result<(ReplicaStream, StreamStep), AttemptEnd> {
     let started =
         endpoint_call::send(frontend.clone(), req, attempt.clone(), last_event_id).await?;
-    if started.head.status != StatusCode::OK {
+    if started.head.status() != StatusCode::OK {
         // The endpoint may have run the request, but a caller in the middle of a stream has no use
         // for another status.
         attempt.failed();
--- a/crates/cherrystandd/src/site/request.rs
+++ b/crates/cherrystandd/src/site/request.rs
@@ -10,14 +10,14 @@
 };
 use cherrystand_platform::{
     AttemptHeaders, BufferReservation, RequestHeaders, RequestTries, SiteDriver,
+    remove_connection_headers,
 };
 use http_body_util::Full;
-use hyper::header::{CONTENT_LENGTH, HOST};
+use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
 use sha2::{Digest, Sha256};
 
-use crate::relay::headers::remove_hop_by_hop_headers;
 use crate::site::caller_load::RequestInFlight;
 use crate::site::trials::Trial;
 
@@ -126,8 +126,7 @@
         let path = self.head.uri.path_and_query().and_then(|path| path.as_str().parse().ok());
         *req.uri_mut() = path.unwrap_or_default();
         let mut headers = self.head.headers.clone();
-        remove_hop_by_hop_headers(&mut headers);
-        headers.remove(CONTENT_LENGTH);
+        remove_connection_headers(&mut headers);
         let time_left = self.deadline.since(now);
         let tenant = self.tenant.as_deref();
         D::write_attempt(
--- a/crates/cherrystandd/src/site/request_handler.rs
+++ b/crates/cherrystandd/src/site/request_handler.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 
 use cherrystand_core::{AttemptEnd, Millis, RouteKind};
-use cherrystand_platform::{CallerBody, SiteDriver, remove_length};
+use cherrystand_platform::{CallerBody, SiteDriver};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 
-use crate::relay::headers::remove_hop_by_hop_headers;
 use crate::site::Driver;
 use crate::site::active_attempt::ActiveAttempt;
 use crate::site::body_reading::read_body;
@@ -130,7 +129,7 @@
 ) -> Result<Response<CallerBody>, StatusCode> {
     let mut attempts = RequestAttempts::default();
     let started = first_answer(frontend, &req, &mut attempts).await?;
-    if started.head.status != StatusCode::OK {
+    if started.head.status() != StatusCode::OK {
         let answer = within_deadline(frontend, &req, buffer_answer(frontend, &req, started)).await;
         return answer.map_err(|end| {
             attempts.ledger.record_end(end);
@@ -138,13 +137,11 @@
         });
     }
     let (tx, body) = CallerBody::event_stream(frontend.buffer_budget.clone());
-    let mut head = started.head.clone();
-    remove_hop_by_hop_headers(&mut head.headers);
-    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    let answer = started.head.clone().into_response(&req.head.method, body);
     let last_event_id = req.headers.last_event_id;
     let stream = EventStream { frontend: frontend.clone(), req, tx, attempts, last_event_id };
     tokio::task::spawn_local(stream.run(started));
-    Ok(Response::from_parts(head, body))
+    Ok(answer)
 }
 
 /// Waits for the head of a stream's first answer, from whichever replica it comes.
@@ -279,16 +276,14 @@
     req: &SiteRequest,
     started: StartedAnswer,
 ) -> Result<Response<CallerBody>, AttemptEnd> {
-    let StartedAnswer { mut head, body, attempt } = started;
+    let StartedAnswer { head, body, attempt } = started;
     let read = endpoint_call::read_to_end(body, &frontend.buffer_budget).await;
     let (bytes, reservation) = read.inspect_err(|_| attempt.interrupted())?;
-    if head.status.is_server_error() {
+    if head.status().is_server_error() {
         attempt.failed();
     } else {
         attempt.succeeded();
     }
-    remove_hop_by_hop_headers(&mut head.headers);
-    remove_length(&mut head.headers, head.status, &req.head.method);
     frontend.callers.record_sent(bytes.len());
-    Ok(Response::from_parts(head, CallerBody::reserved(bytes, reservation)))
+    Ok(head.into_response(&req.head.method, CallerBody::reserved(bytes, reservation)))
 }
--- a/crates/cherrystandd/tests/endless_answers.rs
+++ b/crates/cherrystandd/tests/endless_answers.rs
@@ -43,11 +43,11 @@
 }
 
 const fn case(name: &'static str, start: &'static str, repeated: &'static str) -> Case {
-    Case { name, path: SERVICE_PATH, flood: Flood { start, repeated, writes: None }, status: 502 }
+    Case { name, path: SERVICE_PATH, flood: Flood::endless(start, repeated), status: 502 }
 }
 
 const fn stream(name: &'static str, start: &'static str, repeated: &'static str) -> Case {
-    Case { name, path: MODEL_PATH, flood: Flood { start, repeated, writes: None }, status: 502 }
+    Case { name, path: MODEL_PATH, flood: Flood::endless(start, repeated), status: 502 }
 }
 
 const HEADS: [Case; 9] = [
@@ -135,7 +135,7 @@
     const WRITES: u32 = 400;
     support::run(async {
         let site = Site::serving(1).await;
-        let flood = Flood { start: head!(""), repeated: "abcdefgh", writes: Some(WRITES) };
+        let flood = Flood { writes: Some(WRITES), ..Flood::endless(head!(""), "abcdefgh") };
         flood_all(&site, flood).await;
         let asked = send_request(&site.nodes[0], SERVICE_PATH, format!("{FLOODED}1")).await;
         assert_eq!(asked.answer.status, 200, "after {:?}", asked.elapsed);
--- a/crates/cherrystandd/tests/own_interface.rs
+++ b/crates/cherrystandd/tests/own_interface.rs
@@ -4,14 +4,16 @@
 
 mod support;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::{Method, StatusCode};
+use support::flooding_endpoint::ConnectionEnd;
 use support::raw_requests::serve_each;
+use support::wire_answer::WholeAnswer;
 use support::{Cluster, Setup};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -153,6 +155,103 @@
     });
 }
 
+/// How an endpoint of the own interface breaks an answer off.
+struct BrokenOff {
+    name: &'static str,
+    /// The bytes that it sends before `fill`.
+    start: String,
+    /// How many bytes follow, more than are buffered or fewer.
+    fill: usize,
+    end: ConnectionEnd,
+}
+
+const MORE_THAN_BUFFERED: usize = 3 << 20;
+
+fn broken_off() -> Vec<BrokenOff> {
+    let mut cases = Vec::new();
+    let mut add = |name, start: &str, fill, end| {
+        cases.push(BrokenOff { name, start: start.to_owned(), fill, end });
+    };
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        let unframed = format!("{version} 200 OK\r\nserver: a\r\n\r\n");
+        let framed = format!("{version} 200 OK\r\ncontent-length: 9000000\r\n\r\n");
+        for fill in [10, MORE_THAN_BUFFERED] {
+            add("no length, reset", &unframed, fill, ConnectionEnd::Reset);
+            add("a length, reset", &framed, fill, ConnectionEnd::Reset);
+            add("a length, closed", &framed, fill, ConnectionEnd::Close);
+        }
+        let zero = format!("{version} 000 Zero\r\ncontent-length: 10\r\n\r\n");
+        add("status 000", &zero, 10, ConnectionEnd::Close);
+        let head = format!("{version} 200 OK\r\ncontent-length: 10\r\n\r\n");
+        for cut in [8, 12, 17, 28, head.len() - 2] {
+            add("half a head", &head[..cut], 0, ConnectionEnd::Close);
+        }
+    }
+    cases
+}
+
+impl BrokenOff {
+    /// Opens an endpoint that answers every request so, and counts in `met` how many came.
+    async fn open(&self, met: Rc<Cell<u32>>) -> SocketAddr {
+        let (start, fill, end) = (self.start.clone(), self.fill, self.end);
+        serve_each(move |mut stream| {
+            let (start, met) = (start.clone(), met.clone());
+            async move {
+                let Some(_) = read_head(&mut stream).await else { return };
+                met.set(met.get() + 1);
+                // The daemon may close the connection before.
+                let _ = stream.write_all(start.as_bytes()).await;
+                let _ = stream.write_all(&vec![b'x'; fill]).await;
+                end.end(stream).await;
+            }
+        })
+        .await
+    }
+}
+
+/// Sends a request and returns the answer, if nothing shows that it isn't whole.
+async fn call_raw(to: SocketAddr, path: &str) -> Option<WholeAnswer> {
+    let mut stream = TcpStream::connect(to).await.expect("a connection");
+    let request = format!("POST {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.expect("a request");
+    WholeAnswer::receive(&mut stream).await
+}
+
+/// Guards against a broken answer of an endpoint of the own interface that looks whole.
+#[test]
+fn an_answer_of_the_own_interface_that_breaks_off_looks_whole_to_no_caller() {
+    support::run(async {
+        let cluster = Cluster::start(Setup { daemons: 1, boxes: 0, ..Setup::default() }).await;
+        let (cases, met) = (broken_off(), Rc::new(Cell::new(0)));
+        let mut config = "workspace = \"w\"\n".to_owned();
+        for (number, case) in cases.iter().enumerate() {
+            config += &format!(
+                "[[service]]\nname = \"s{number}\"\npath_prefix = \"/consent-{number}/\"\n\
+                 class = \"consent\"\nendpoints = [{{ zone = \"a\", address = \"{}\" }}]\n",
+                case.open(met.clone()).await
+            );
+        }
+        cluster.apply_config(&config).await;
+        let to = cluster.daemons[0].callers;
+        let mut failures = Vec::new();
+        for (number, BrokenOff { name, start, fill, .. }) in cases.iter().enumerate() {
+            let (path, before) = (format!("/consent-{number}/1"), met.get());
+            let answer = loop {
+                let answer = call_raw(to, &path).await;
+                if met.get() > before {
+                    break answer;
+                }
+                // The daemon doesn't route to it yet.
+                tokio::time::sleep(PAUSE).await;
+            };
+            if answer.as_ref().is_some_and(WholeAnswer::is_success) {
+                failures.push(format!("{name}: {start:?} and {fill} bytes"));
+            }
+        }
+        assert!(failures.is_empty(), "{}: {}", failures.len(), failures.join("\n"));
+    });
+}
+
 /// Guards against an event stream that breaks off and is as long as its head tells.
 #[test]
 fn a_stream_of_events_that_breaks_off_tells_so_whatever_length_its_head_tells() {
--- a/crates/cherrystandd/tests/support/flooding_endpoint.rs
+++ b/crates/cherrystandd/tests/support/flooding_endpoint.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -15,6 +16,34 @@
 /// The size of one write.
 pub(crate) const WRITE_BYTES: usize = 64 << 10;
 
+/// How an endpoint ends a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionEnd {
+    /// In the ordinary way.
+    Close,
+    Reset,
+    /// It stays open until the caller closes it.
+    Kept,
+}
+
+/// How long an endpoint waits before it resets a connection, so that what it wrote arrives.
+const RESET_DELAY: Duration = Duration::from_millis(5);
+
+impl ConnectionEnd {
+    /// Ends a connection.
+    pub(crate) async fn end(self, mut stream: TcpStream) {
+        match self {
+            Self::Close => {}
+            Self::Reset => {
+                tokio::time::sleep(RESET_DELAY).await;
+                stream.set_zero_linger().expect("a reset");
+            }
+            // Nothing more is sent on it, so this ends with the connection.
+            Self::Kept => drop(stream.read(&mut [0]).await),
+        }
+    }
+}
+
 /// What a flooded request is answered with.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Flood {
@@ -22,14 +51,26 @@
     pub(crate) start: &'static str,
     /// What follows again and again until the caller closes.
     pub(crate) repeated: &'static str,
-    /// After how many writes it ends and closes, if it does.
+    /// After how many writes it ends, if it does.
     pub(crate) writes: Option<u32>,
+    /// How its connection ends then.
+    pub(crate) end: ConnectionEnd,
 }
 
 impl Flood {
+    /// Writes these bytes, and others again and again until the caller closes.
+    pub(crate) const fn endless(start: &'static str, repeated: &'static str) -> Self {
+        Self { start, repeated, writes: None, end: ConnectionEnd::Close }
+    }
+
     /// Writes these bytes and closes.
     pub(crate) const fn once(start: &'static str) -> Self {
-        Self { start, repeated: " ", writes: Some(0) }
+        Self::once_until(start, ConnectionEnd::Close)
+    }
+
+    /// Writes these bytes and ends the connection.
+    pub(crate) const fn once_until(start: &'static str, end: ConnectionEnd) -> Self {
+        Self { start, repeated: " ", writes: Some(0), end }
     }
 }
 
@@ -92,6 +133,7 @@
             written = caller.write_all(repeated.as_bytes()).await;
             tokio::task::yield_now().await;
         }
+        flood.end.end(caller).await;
         self.closed.set(self.closed.get() + 1);
     }
 }
--- a/crates/cherrystandd/tests/support/mod.rs
+++ b/crates/cherrystandd/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod raw_caller;
 pub(crate) mod raw_requests;
 pub(crate) mod site;
+pub(crate) mod wire_answer;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -14,9 +15,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cherrystand_platform::{HttpPool, PooledBody, SendError};
+use cherrystand_platform::{HttpPool, PooledAnswer, SendError};
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use serde_json::{Value, json};
 
 /// How long tests wait for an expected condition.
@@ -307,9 +308,9 @@
         body: &str,
     ) -> Result<Answer, String> {
         let answer = self.open(to, method, path, headers, body).await;
-        let (head, body) = answer.map_err(|err| err.to_string())?.into_parts();
+        let PooledAnswer { head, body } = answer.map_err(|err| err.to_string())?;
         let body = body.collect().await.map_err(|err| err.to_string())?.to_bytes();
-        Ok(Answer { status: head.status, headers: head.headers, body })
+        Ok(Answer { status: head.status(), headers: head.headers().clone(), body })
     }
 
     /// Sends a request and returns when the headers of its answer arrive.
@@ -320,7 +321,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &str,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<PooledAnswer, SendError> {
         let mut req = Request::builder().method(method).uri(path).header("host", "test");
         for (name, value) in headers {
             req = req.header(*name, *value);
@@ -336,7 +337,7 @@
         text: &str,
         tokens: u64,
         stream: bool,
-    ) -> Result<Response<PooledBody>, SendError> {
+    ) -> Result<PooledAnswer, SendError> {
         let body = model_body(text, tokens, stream);
         let to = self.daemons[daemon].callers;
         self.open(to, Method::POST, "/v1/chat/completions", &[], &body).await
@@ -477,9 +478,10 @@
     let Ok(answer) = HttpPool::default().send(to, req, Duration::from_secs(1)).await else {
         return none;
     };
-    let (head, body) = answer.into_parts();
+    let PooledAnswer { head, body } = answer;
+    let (status, headers) = (head.status(), head.headers().clone());
     match body.collect().await {
-        Ok(body) => Answer { status: head.status, headers: head.headers, body: body.to_bytes() },
+        Ok(body) => Answer { status, headers, body: body.to_bytes() },
         Err(_) => none,
     }
 }
--- a/crates/cherrystandd/tests/support/raw_caller.rs
+++ b/crates/cherrystandd/tests/support/raw_caller.rs
@@ -22,8 +22,7 @@
     /// Reads an answer until the connection is closed.
     pub(crate) async fn read(stream: &mut TcpStream) -> Self {
         let mut read = Vec::new();
-        // A reset shows in what is missing.
-        let _ = stream.read_to_end(&mut read).await;
+        let ended = stream.read_to_end(&mut read).await;
         let text = String::from_utf8_lossy(&read).into_owned();
         let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
         let head = head.to_lowercase();
@@ -31,7 +30,9 @@
         let length = length.and_then(|rest| rest.lines().next()?.parse::<usize>().ok());
         let looks_whole = match length {
             Some(length) => body.len() >= length,
-            None => !head.contains("transfer-encoding: chunked") || body.ends_with("0\r\n\r\n"),
+            None if head.contains("transfer-encoding: chunked") => body.ends_with("0\r\n\r\n"),
+            // A reset is no end of a body that ends with its connection.
+            None => ended.is_ok() && !head.is_empty(),
         };
         let status = head.split(' ').nth(1).unwrap_or_default().to_owned();
         Self { status, looks_whole, text }
