fix: an answer without a length that breaks off ends by a reset for callers of HTTP/1.0

What callers saw: a caller that speaks HTTP/1.0 himself got each stream that broke off as a whole one, under every framing of the endpoint's: to him no chunks are written, and the end of his connection was an ordinary one. The same as the daemon was killed while it wrote: the system closes the connections of a process in the ordinary way.

Cause: where a body ends with its connection, only a reset tells that it isn't whole, and nothing reset it.

Mend: a connection on which such an answer is written is set to end by a reset (linger of zero) before its first byte, and back as everything is written and the connection is to be shut down. So it holds for bodies that fail, tasks that are dropped and processes that are killed alike. Refusing HTTP/1.0 with 505 was weighed: it would also refuse health checks and the answers with a length, in which a break shows. HTTP/1.1 stays as it is: there the last chunk is missing, and a reset could take away events that the caller hasn't read.

--- a/crates/cherrystand_platform/src/http_server.rs
+++ b/crates/cherrystand_platform/src/http_server.rs
@@ -123,8 +123,13 @@
         req.extensions_mut().insert(caller);
         taken.first_request_read();
         progress.begin();
-        let (answer, progress) = (handle(req), progress.clone());
-        async move { Ok::<_, Infallible>(answer.await.map(|body| progress.track(body))) }
+        let (version, progress) = (req.version(), progress.clone());
+        let answer = handle(req);
+        async move {
+            let answer = answer.await;
+            progress.begin_answer(version, &answer);
+            Ok::<_, Infallible>(answer.map(|body| progress.track(body)))
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/cherrystand_platform/src/kept_connection.rs
+++ b/crates/cherrystand_platform/src/kept_connection.rs
@@ -6,7 +6,11 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 
+use cherrystand_core::BodyEnd;
+use hyper::body::Body;
+use hyper::header::CONTENT_LENGTH;
 use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::{Response, Version};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
@@ -30,12 +34,28 @@
 
 /// How far a connection is, shared by it and the bodies of its answers.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct AnswerProgress(Rc<Cell<Progress>>);
+pub(crate) struct AnswerProgress {
+    progress: Rc<Cell<Progress>>,
+    /// What tells the caller where the answer in progress ends, once that is known.
+    end: Rc<Cell<Option<BodyEnd>>>,
+}
 
 impl AnswerProgress {
     /// Records that the head of a request was read. It may have come together with the request before.
     pub(crate) fn begin(&self) {
-        self.0.set(Progress::Busy);
+        self.progress.set(Progress::Busy);
+    }
+
+    /// Records what tells the end of an answer to a request of this version. Before HTTP/1.1 there are no
+    /// chunks, so a body whose length isn't known ends with its connection.
+    pub(crate) fn begin_answer<B: Body>(&self, version: Version, answer: &Response<B>) {
+        let has_length = answer.headers().contains_key(CONTENT_LENGTH)
+            || answer.body().size_hint().exact().is_some();
+        let end = match version < Version::HTTP_11 && !has_length {
+            true => BodyEnd::Connection,
+            false => BodyEnd::Framed,
+        };
+        self.end.set(Some(end));
     }
 
     /// Returns an answer's body whose end is recorded.
@@ -45,7 +65,7 @@
 
     /// Returns how a connection that is this far ends.
     pub(crate) fn end(&self) -> ConnectionEnd {
-        match self.0.get() {
+        match self.progress.get() {
             Progress::Busy | Progress::Ended => ConnectionEnd::Unanswered,
             Progress::Reading | Progress::Between => ConnectionEnd::BetweenRequests,
             Progress::NotTaken => ConnectionEnd::NotTaken,
@@ -58,42 +78,69 @@
 
 impl Drop for EndOfAnswer {
     fn drop(&mut self) {
-        self.0.0.set(Progress::Ended);
+        self.0.progress.set(Progress::Ended);
     }
 }
 
 /// A caller's connection. If its next request is not to be taken, it ends with an error before
 /// anything of that request is read.
+///
+/// While an answer is written that ends with the connection, the connection is set to end by a reset,
+/// also if the process is killed: an ordinary end would tell the caller that the answer is whole.
 pub(crate) struct KeptConnection<C> {
     stream: TokioIo<TcpStream>,
     taken: Rc<C>,
     progress: AnswerProgress,
+    /// Whether it ends by a reset.
+    resets: bool,
 }
 
 impl<C: TakenConnection> KeptConnection<C> {
     pub(crate) fn new(stream: TcpStream, taken: Rc<C>, progress: AnswerProgress) -> Self {
-        Self { stream: TokioIo::new(stream), taken, progress }
+        Self { stream: TokioIo::new(stream), taken, progress, resets: false }
     }
 
     /// Waits until something has arrived, and decides whether it is read.
     fn poll_next_request(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.stream.inner().poll_read_ready(cx))?;
         if !self.taken.takes_next_request() {
-            self.progress.0.set(Progress::NotTaken);
+            self.progress.progress.set(Progress::NotTaken);
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        self.progress.0.set(Progress::Reading);
+        self.progress.progress.set(Progress::Reading);
         Poll::Ready(Ok(()))
     }
 }
 
+impl<C> KeptConnection<C> {
+    /// Has the connection end by a reset if the answer that is about to be written ends with it.
+    fn begin_write(&mut self) -> io::Result<()> {
+        if !self.resets && self.progress.end.get() == Some(BodyEnd::Connection) {
+            self.stream.inner().set_zero_linger()?;
+            self.resets = true;
+        }
+        Ok(())
+    }
+
+    /// Has the connection end in the ordinary way, as everything was written to its end.
+    fn begin_shutdown(&mut self) -> io::Result<()> {
+        if self.resets {
+            #[expect(deprecated, reason = "closing blocks only with a time to linger")]
+            self.stream.inner().set_linger(None)?;
+            self.resets = false;
+            self.progress.end.set(None);
+        }
+        Ok(())
+    }
+}
+
 impl<C: TakenConnection> Read for KeptConnection<C> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.progress.0.get() == Progress::Between {
+        if self.progress.progress.get() == Progress::Between {
             ready!(self.poll_next_request(cx))?;
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
@@ -106,18 +153,20 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write()?;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Everything that was to be written has been when this is called.
-        if self.progress.0.get() == Progress::Ended {
-            self.progress.0.set(Progress::Between);
+        if self.progress.progress.get() == Progress::Ended {
+            self.progress.progress.set(Progress::Between);
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.begin_shutdown()?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
@@ -130,6 +179,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write()?;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 }
--- a/crates/cherrystandd/tests/broken_off_answers.rs
+++ b/crates/cherrystandd/tests/broken_off_answers.rs
@@ -88,7 +88,7 @@
             prop::sample::select(&[ConnectionEnd::Close, ConnectionEnd::Reset][..]),
             prop::sample::select(&[SERVICE_PATH, REPEATABLE_PATH, MODEL_PATH][..]),
             prop::sample::select(&[CUT_OFF, DIRECT][..]),
-            Just("HTTP/1.1"),
+            prop::sample::select(&["HTTP/1.1", "HTTP/1.1", "HTTP/1.0"][..]),
         )
             .prop_map(|drawn| {
                 let (version, status, framing, spoilt, cut, end, path, daemon, caller_version) =
@@ -216,28 +216,38 @@
     });
 }
 
-/// Guards against the part of an answer that a carrier sent before it was killed, taken for the whole.
+/// Guards against the part of an answer that a daemon sent before it was killed, taken for the whole.
 #[test]
-fn an_answer_whose_carrier_is_killed_while_it_writes_looks_whole_to_no_caller() {
-    /// A part of an answer that has arrived at the carrier as it is killed.
+fn an_answer_whose_daemon_is_killed_while_it_writes_looks_whole_to_no_caller() {
+    /// A part of an answer that has arrived at a daemon as it is killed.
+    #[derive(Clone, Copy)]
     struct Part {
         version: &'static str,
         framing: Framing,
         path: &'static str,
         body_bytes: usize,
+        /// The carrier, or the daemon that has the request carried.
+        killed: usize,
+        caller_version: &'static str,
     }
-    let part = |path, version, framing, body_bytes| Part { version, framing, path, body_bytes };
+    let part = |path, version, framing, body_bytes| {
+        let (killed, caller_version) = (DIRECT, "HTTP/1.1");
+        Part { version, framing, path, body_bytes, killed, caller_version }
+    };
+    let stream = part(MODEL_PATH, "HTTP/1.1", Framing::Chunks, 21);
     let parts = [
         part(SERVICE_PATH, "HTTP/1.1", Framing::Length, 16),
         part(SERVICE_PATH, "HTTP/1.1", Framing::Connection, 0),
         part(SERVICE_PATH, "HTTP/1.0", Framing::Connection, 0),
         part(SERVICE_PATH, "HTTP/1.0", Framing::Connection, 16),
-        part(MODEL_PATH, "HTTP/1.1", Framing::Chunks, 21),
+        stream,
         part(MODEL_PATH, "HTTP/1.0", Framing::Connection, 15),
+        Part { killed: CUT_OFF, ..stream },
+        Part { killed: CUT_OFF, caller_version: "HTTP/1.0", ..stream },
     ];
     support::run(async {
         let played = parts.iter().map(|part| async {
-            let Part { version, framing, path, body_bytes } = *part;
+            let Part { version, framing, path, body_bytes, killed, caller_version } = *part;
             let (site, endpoints) = site_with_one_cut_off(2).await;
             let case = Case { version, framing, path, ..Case::SOUND };
             let sent = case.answer(&format!("{FLOODED}0"));
@@ -246,18 +256,22 @@
                 Flood::once_until(sent[..head + body_bytes].to_owned().leak(), ConnectionEnd::Kept);
             endpoints.iter().for_each(|endpoint| endpoint.flood.set(kept));
             let id = format!("{FLOODED}0");
-            let calling = call_as("HTTP/1.1", &site.nodes[CUT_OFF], path, &id);
+            let calling = call_as(caller_version, &site.nodes[CUT_OFF], path, &id);
             let killing = async {
                 wait_until("the request runs", async || {
                     endpoints.iter().any(|endpoint| endpoint.begun.get() > 0)
                 })
                 .await;
                 tokio::time::sleep(KILL_DELAY).await;
-                site.nodes[DIRECT].process.signal("KILL");
+                site.nodes[killed].process.signal("KILL");
             };
             let (got, ()) = tokio::join!(calling, killing);
             let is_success = got.as_ref().is_some_and(WholeAnswer::is_success);
-            is_success.then(|| format!("{version} {framing:?} {path} {body_bytes}: {got:?}"))
+            is_success.then(|| {
+                format!(
+                    "{version} {framing:?} {path} {body_bytes} {killed} {caller_version}: {got:?}"
+                )
+            })
         });
         let wrong: Vec<String> = run_cases(played).await.into_iter().flatten().collect();
         assert!(wrong.is_empty(), "{wrong:#?}");
