fix: the end of a carried answer is believed only if a length or the last chunk tells it

What callers saw: a success with whatever a carrier had sent of an answer, if nothing but the carrier's connection told its end: a daemon of the version before passes answers on like that, and such a connection ends alike as the endpoint breaks off, as the daemon drops the answer and as it is killed.

Cause: `read_end` took the carrier's word that there is an answer, which stands in the head, for its word that the answer is whole. A daemon of this version always tells the end, so only the mixture with one of before is concerned.

Of a carrier, the connection doesn't count: the answer is lost with the carrier, and the carrier is left alone for a while.

--- a/crates/cherrystandd/src/site/carrier_client.rs
+++ b/crates/cherrystandd/src/site/carrier_client.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cherrystand_core::{
-    BoxId, CarrierFailure, CarrierRegions, Heartbeat, NodeId, PathSearch, ReachReport, ZoneId,
+    BodyEnd, BoxId, CarrierFailure, CarrierRegions, Heartbeat, NodeId, PathSearch, ReachReport,
+    ZoneId,
 };
 use cherrystand_peer::{
     CARRY_AGAIN, CARRY_END, CARRY_TO, CarryEnd, REACH_PATH, ReachQuery, decode, encode,
@@ -143,6 +144,9 @@
 
     /// Tells the box's answer from a peer's own. A peer that doesn't carry requests says nothing of
     /// how it ended, and has sent nothing.
+    ///
+    /// Of an answer that ends with the peer's connection nobody can tell whether it is whole: the box or
+    /// the peer may have broken it off.
     fn read_end(
         &self,
         carrier: &CarrierPeer,
@@ -152,6 +156,10 @@
         let end = answer.head.remove(CARRY_END);
         let end = end.and_then(|end| CarryEnd::parse(end.to_str().ok()?));
         match end {
+            Some(CarryEnd::Answered) if answer.body.end() == BodyEnd::Connection => {
+                self.record_failure(carrier, id, CarrierFailure::Unavailable);
+                Err(CarryFailure::Failed(SendError::CarrierLost(carrier.address)))
+            }
             Some(CarryEnd::Answered) => {
                 self.cx.paths().record_reached(&carrier.node, id, self.cx.clock.now());
                 Ok(answer)
--- a/crates/cherrystandd/tests/broken_off_answers.rs
+++ b/crates/cherrystandd/tests/broken_off_answers.rs
@@ -3,6 +3,9 @@
 
 mod support;
 
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use cherrystand_testkit::LinkCut;
@@ -12,11 +15,12 @@
 use support::caller_requests::run_cases;
 use support::flooding_endpoint::{ConnectionEnd, FLOODED, Flood, FloodingEndpoint};
 use support::raw_caller::{REQUEST_BODY, request_head};
+use support::raw_requests::read_request;
 use support::site::{MODEL_PATH, Node, SERVICE_PATH, Site, call};
 use support::wire_answer::WholeAnswer;
 use support::{call_at, wait_until};
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// The path of a request that may be repeated.
 const REPEATABLE_PATH: &str = "/looks/1";
@@ -277,3 +281,58 @@
         assert!(wrong.is_empty(), "{wrong:#?}");
     });
 }
+
+/// Guards against a peer of an earlier version that passes on a broken answer with nothing that tells its
+/// end.
+#[test]
+fn an_answer_that_ends_with_the_connection_of_its_carrier_is_no_success() {
+    let cases = ["HTTP/1.1", "HTTP/1.0"].map(|version| Case {
+        version,
+        framing: Framing::Connection,
+        ..Case::SOUND
+    });
+    support::run(async {
+        let played = cases.iter().map(|case| async move {
+            let (mut site, _endpoints) = site_with_one_cut_off(2).await;
+            let peer = site.nodes[DIRECT].changes;
+            site.nodes[DIRECT].process.signal("KILL");
+            while !site.nodes[DIRECT].process.has_ended() {
+                tokio::task::yield_now().await;
+            }
+            let answering = stand_in_for_peer(peer, Case::SOUND).await;
+            let node = &site.nodes[CUT_OFF];
+            // Connections to the daemon that has ended are found closed first.
+            wait_until("answers of the peer are passed on", async || {
+                let framed = call_as("HTTP/1.1", node, case.path, "framed").await;
+                framed.as_ref().is_some_and(WholeAnswer::is_success)
+            })
+            .await;
+            answering.replace(case.clone());
+            let unframed = call_as("HTTP/1.1", node, case.path, "unframed").await;
+            let is_success = unframed.as_ref().is_some_and(WholeAnswer::is_success);
+            is_success.then(|| format!("{case:?}: {unframed:?}"))
+        });
+        let wrong: Vec<String> = run_cases(played).await.into_iter().flatten().collect();
+        assert!(wrong.is_empty(), "{wrong:#?}");
+    });
+}
+
+/// Takes the place of a daemon that has ended, and answers each request that it is to carry.
+async fn stand_in_for_peer(address: SocketAddr, answer: Case) -> Rc<RefCell<Case>> {
+    let listener = TcpListener::bind(address).await.expect("the address of the peer");
+    let answer = Rc::new(RefCell::new(answer));
+    let current = answer.clone();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let answer = current.borrow().clone();
+            tokio::task::spawn_local(async move {
+                let Some(id) = read_request(&mut stream).await else { return };
+                let carried = "\r\ncherrystand-carry-end: answered\r\nConnection: close\r\n";
+                let answer = answer.answer(&id).replacen("\r\n", carried, 1);
+                // The daemon may have closed the connection.
+                let _ = stream.write_all(answer.as_bytes()).await;
+            });
+        }
+    });
+    answer
+}
