--- a/crates/cherrystand_platform/src/kept_connection.rs
+++ b/crates/cherrystand_platform/src/kept_connection.rs
@@ -35,7 +35,7 @@
 /// How far a connection is, shared by it and the bodies of its answers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AnswerProgress {
-    progress: Rc<Cell<Progress>>,
+    state: Rc<Cell<Progress>>,
     /// What tells the caller where the answer in progress ends, once that is known.
     end: Rc<Cell<Option<BodyEnd>>>,
 }
@@ -43,7 +43,7 @@
 impl AnswerProgress {
     /// Records that the head of a request was read. It may have come together with the request before.
     pub(crate) fn begin(&self) {
-        self.progress.set(Progress::Busy);
+        self.state.set(Progress::Busy);
     }
 
     /// Records what tells the end of an answer to a request of this version. Before HTTP/1.1 there are no
@@ -65,7 +65,7 @@
 
     /// Returns how a connection that is this far ends.
     pub(crate) fn end(&self) -> ConnectionEnd {
-        match self.progress.get() {
+        match self.state.get() {
             Progress::Busy | Progress::Ended => ConnectionEnd::Unanswered,
             Progress::Reading | Progress::Between => ConnectionEnd::BetweenRequests,
             Progress::NotTaken => ConnectionEnd::NotTaken,
@@ -78,7 +78,7 @@
 
 impl Drop for EndOfAnswer {
     fn drop(&mut self) {
-        self.0.progress.set(Progress::Ended);
+        self.0.state.set(Progress::Ended);
     }
 }
 
@@ -104,10 +104,10 @@
     fn poll_next_request(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.stream.inner().poll_read_ready(cx))?;
         if !self.taken.takes_next_request() {
-            self.progress.progress.set(Progress::NotTaken);
+            self.progress.state.set(Progress::NotTaken);
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
-        self.progress.progress.set(Progress::Reading);
+        self.progress.state.set(Progress::Reading);
         Poll::Ready(Ok(()))
     }
 }
@@ -140,7 +140,7 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.progress.progress.get() == Progress::Between {
+        if self.progress.state.get() == Progress::Between {
             ready!(self.poll_next_request(cx))?;
         }
         Pin::new(&mut self.stream).poll_read(cx, buf)
@@ -159,8 +159,8 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Everything that was to be written has been when this is called.
-        if self.progress.progress.get() == Progress::Ended {
-            self.progress.progress.set(Progress::Between);
+        if self.progress.state.get() == Progress::Ended {
+            self.progress.state.set(Progress::Between);
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
