test: an answer whose Connection header names its seal or its id is no success

What callers saw: a 200 without the seal, or without the id of the request. The head was checked with all its fields, and the hop-by-hop ones, those that `Connection` names among them, were taken out as it was passed on.

Found as that class was looked for on related paths.

--- a/crates/cherrystandd/tests/malformed_answers.rs
+++ b/crates/cherrystandd/tests/malformed_answers.rs
@@ -158,6 +158,16 @@
     ]);
 }
 
+/// Guards against a success without the seal or the id, as a field that names those of the connection is
+/// spoilt.
+#[test]
+fn an_answer_whose_connection_takes_its_seal_or_its_id_is_no_success() {
+    check([
+        form("the seal", "Connection: Cherrystand-Response-Seal\r\nContent-Length: 15\r\n", BODY),
+        form("the id", "Connection: close, Cherrystand-Request-Id\r\nContent-Length: 15\r\n", BODY),
+    ]);
+}
+
 /// Guards against traffic that stays at an endpoint whose answers can't be used, or never comes back.
 #[test]
 fn an_endpoint_whose_answers_are_malformed_loses_its_traffic_until_they_are_sound() {
