refactor: which answers have no body is asked in one place

`AnswerFraming::check` kept a list of the statuses without a body, and `check_answer` asked the library's body, which knows of them and of HEAD as well. The list is gone. Two comments of tests say what their code does.

--- a/crates/cherrystand_core/src/requests/answer_framing.rs
+++ b/crates/cherrystand_core/src/requests/answer_framing.rs
@@ -8,9 +8,6 @@
 /// The status of an answer without content.
 const NO_CONTENT: u16 = 204;
 
-/// The statuses of answers that have no body.
-const BODILESS_STATUSES: [u16; 2] = [NO_CONTENT, 304];
-
 /// The only transfer coding that is read.
 const CHUNKED: &[u8] = b"chunked";
 
@@ -67,7 +64,7 @@
     E: Iterator<Item = &'a [u8]>,
     L: Iterator<Item = &'a [u8]>,
 {
-    /// Checks that the end of the body is known, and returns what tells it.
+    /// Checks that the end of the body is known, and returns what tells it if there is a body.
     ///
     /// # Errors
     ///
@@ -87,8 +84,10 @@
         if self.status == NO_CONTENT && (is_coded || length.unwrap_or(0) > 0) {
             return Err(MalformedAnswer::UnexpectedBody);
         }
-        let is_framed = is_coded || length.is_some() || BODILESS_STATUSES.contains(&self.status);
-        Ok(if is_framed { BodyEnd::Framed } else { BodyEnd::Connection })
+        match is_coded || length.is_some() {
+            true => Ok(BodyEnd::Framed),
+            false => Ok(BodyEnd::Connection),
+        }
     }
 }
 
--- a/crates/cherrystandd/tests/broken_off_answers.rs
+++ b/crates/cherrystandd/tests/broken_off_answers.rs
@@ -27,7 +27,7 @@
 
 const DEADLINE_MS: u64 = 2_000;
 
-/// How long after a request began to run its carrier is killed, so that what came is on its way.
+/// How long after a request began to run a daemon is killed, so that what came is on its way.
 const KILL_DELAY: Duration = Duration::from_millis(100);
 
 /// How many answers are tried without `PROPTEST_CASES`.
@@ -124,7 +124,7 @@
         String::from_utf8(answer).expect("ASCII")
     }
 
-    /// Sends the request and describes what its caller was wrongly shown.
+    /// Sends the request and compares what its caller was shown with what the endpoint sent.
     async fn play(&self, site: &Site, endpoints: &[FloodingEndpoint], number: u32) -> Played {
         let id = format!("{FLOODED}{number}");
         let sent = self.answer(&id);
